--- /dev/null
+++ b/src/admission/mod.rs
@@ -0,0 +1,40 @@
+//! What waits for a pool, in what order, and what is refused.
+
+mod budget;
+mod queue;
+#[cfg(test)]
+mod tests;
+
+pub use budget::Budget;
+pub use queue::{Entry, Full, Queue};
+
+use crate::manifest::Priority;
+
+/// Slots of a server that requests of `priority` may fill, of `max_in_flight`.
+///
+/// The rest is kept for higher classes, so that these find a server that is not busy with a long
+/// prefill of a lower one.
+///
+/// ```
+/// use cardamomvalve::admission::slots;
+/// use cardamomvalve::manifest::Priority;
+/// assert_eq!(slots(Priority::Urgent, 8), 8);
+/// assert_eq!(slots(Priority::Background, 8), 4);
+/// ```
+pub fn slots(priority: Priority, max_in_flight: u32) -> u32 {
+    let kept = match priority {
+        Priority::Urgent => 0,
+        Priority::Normal => max_in_flight / 8,
+        Priority::Background => max_in_flight / 2,
+    };
+    (max_in_flight - kept).max(1)
+}
+
+/// Milliseconds as whole seconds for a `Retry-After`, from 1 to 60.
+///
+/// ```
+/// assert_eq!(cardamomvalve::admission::whole_seconds(1_200.0), 2);
+/// ```
+pub fn whole_seconds(ms: f64) -> u32 {
+    (ms / 1_000.0).ceil().clamp(1.0, 60.0) as u32
+}
--- /dev/null
+++ b/src/admission/queue.rs
@@ -0,0 +1,140 @@
+//! The queue of one pool: strict by priority class, fair by workspace within a class.
+//!
+//! Fairness is start-time fair queueing: each workspace's requests get virtual start times that
+//! advance by cost over share, and the least start goes first.
+
+use crate::attempt;
+use crate::manifest::Priority;
+use crate::prelude::*;
+
+/// One waiting request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Entry {
+    /// The request.
+    pub request: attempt::Key,
+    /// Its class.
+    pub priority: Priority,
+    /// Its workspace.
+    pub workspace: String,
+    /// The workspace's share.
+    pub share: u32,
+    /// Its cost, in prompt and answer tokens.
+    pub cost: u32,
+    /// When it must have been sent.
+    pub deadline: Time,
+    /// Whether it goes before all others of its class: it was served already, and failed.
+    pub again: bool,
+}
+
+/// The queue has no room for the request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Full;
+
+type Place = (Priority, u64, u64);
+
+/// Fixed-point scale of virtual time, so that small costs over large shares stay apart.
+const SCALE: u64 = 1_000;
+
+/// The waiting requests of one pool.
+#[derive(Debug, Default)]
+pub struct Queue {
+    waiting: BTreeMap<Place, Entry>,
+    places: BTreeMap<attempt::Key, Place>,
+    deadlines: BTreeSet<(Time, attempt::Key)>,
+    virtual_time: BTreeMap<Priority, u64>,
+    next_start: BTreeMap<(Priority, String), u64>,
+    arrivals: u64,
+}
+
+impl Queue {
+    /// Number of waiting requests.
+    pub fn len(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Whether nothing waits.
+    pub fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+
+    /// Number of waiting requests that go before a new one of `priority`.
+    pub fn ahead(&self, priority: Priority) -> usize {
+        self.waiting.range(..(priority, u64::MAX, u64::MAX)).count()
+    }
+
+    /// Puts `entry` in its place. With `limit` waiting already, the last of a lower class makes
+    /// room and is returned; where there is none, the queue is full.
+    pub fn push(&mut self, entry: Entry, limit: usize) -> Result<Option<attempt::Key>, Full> {
+        let mut displaced = None;
+        if self.waiting.len() >= limit {
+            let (last, victim) = self.waiting.last_key_value().ok_or(Full)?;
+            if last.0 <= entry.priority {
+                return Err(Full);
+            }
+            let victim = victim.request;
+            self.remove(victim);
+            displaced = Some(victim);
+        }
+        let start = self.start(&entry);
+        let place = (entry.priority, start, self.arrivals);
+        self.arrivals += 1;
+        self.places.insert(entry.request, place);
+        self.deadlines.insert((entry.deadline, entry.request));
+        self.waiting.insert(place, entry);
+        Ok(displaced)
+    }
+
+    fn start(&mut self, entry: &Entry) -> u64 {
+        if entry.again {
+            return 0;
+        }
+        let now = self.virtual_time.get(&entry.priority).copied().unwrap_or(0);
+        let next = self
+            .next_start
+            .entry((entry.priority, entry.workspace.clone()))
+            .or_insert(0);
+        let start = now.max(*next);
+        *next = start + u64::from(entry.cost) * SCALE / u64::from(entry.share.max(1));
+        start
+    }
+
+    /// The waiting requests in the order in which they are to be served.
+    pub fn iter(&self) -> impl Iterator<Item = &Entry> {
+        self.waiting.values()
+    }
+
+    /// Takes a request out to be served; virtual time advances to its start.
+    pub fn take(&mut self, request: attempt::Key) -> Option<Entry> {
+        let place = *self.places.get(&request)?;
+        let time = self.virtual_time.entry(place.0).or_insert(0);
+        *time = (*time).max(place.1);
+        let entry = self.remove(request);
+        if self.waiting.is_empty() {
+            self.next_start.clear();
+            self.virtual_time.clear();
+        }
+        entry
+    }
+
+    /// Takes a request out that is not to be served.
+    pub fn remove(&mut self, request: attempt::Key) -> Option<Entry> {
+        let place = self.places.remove(&request)?;
+        let entry = self.waiting.remove(&place)?;
+        self.deadlines.remove(&(entry.deadline, request));
+        Some(entry)
+    }
+
+    /// Takes out every request whose deadline has come.
+    pub fn expire(&mut self, now: Time) -> Vec<attempt::Key> {
+        let expired: Vec<attempt::Key> = self
+            .deadlines
+            .iter()
+            .take_while(|(deadline, _)| *deadline <= now)
+            .map(|(_, request)| *request)
+            .collect();
+        for request in &expired {
+            self.remove(*request);
+        }
+        expired
+    }
+}
--- /dev/null
+++ b/src/attempt/mod.rs
@@ -0,0 +1,13 @@
+//! One request's life: waiting, dispatch, retry, resume, outcome.
+
+mod message;
+mod state;
+#[cfg(test)]
+mod tests;
+
+pub use message::{Arrival, Command, Dispatch, Outcome, Refusal, Report, Target};
+pub use state::{MAX_ATTEMPTS, Next, Phase, Request, lost, next};
+
+/// A request that this daemon has taken; never used again by the same daemon.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Key(pub u64);
--- /dev/null
+++ b/src/bin/cardamomvalved.rs
@@ -0,0 +1,20 @@
+//! The daemon: reads its settings and runs until a planned stop has ended.
+
+use std::process::ExitCode;
+
+use cardamomvalve::daemon::{Options, run};
+use cardamomvalve::settings::Settings;
+use clap::Parser;
+
+fn main() -> ExitCode {
+    let options = Options::parse();
+    let result = Settings::load(&options.settings)
+        .and_then(|settings| if options.check { Ok(()) } else { run(settings) });
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("cardamomvalved: {error}");
+            ExitCode::from(error.code.row().exit)
+        }
+    }
+}
--- /dev/null
+++ b/src/cli/check.rs
@@ -0,0 +1,48 @@
+//! `check`: everything that is wrong with a manifest.
+
+use serde_json::json;
+
+use super::options::Check;
+use super::{pretty, read_file};
+use crate::manifest::{Fault, Manifest, parse};
+use crate::prelude::*;
+
+/// Checks the file.
+pub(super) fn run(options: &Check) -> Result<String> {
+    let manifest = load(&options.file, options.json)?;
+    if options.json {
+        return Ok(pretty(&json!({ "valid": true, "faults": [] })));
+    }
+    Ok(format!(
+        "The manifest is valid: {} workspaces, {} models, {} services, {} pools.",
+        manifest.workspaces.len(),
+        manifest.models.len(),
+        manifest.services.len(),
+        manifest.pools.len()
+    ))
+}
+
+/// Reads a manifest; the error names every fault.
+pub(super) fn load(path: &std::path::Path, as_json: bool) -> Result<Manifest> {
+    parse(&read_file(path)?).map_err(|faults| {
+        let detail = if as_json {
+            as_json_faults(&faults)
+        } else {
+            as_lines(&faults)
+        };
+        Error::new(Code::ManifestInvalid, detail)
+    })
+}
+
+fn as_lines(faults: &[Fault]) -> String {
+    let lines: Vec<String> = faults.iter().map(|fault| format!("\n  {fault}")).collect();
+    format!("{} faults:{}", faults.len(), lines.concat())
+}
+
+fn as_json_faults(faults: &[Fault]) -> String {
+    let faults: Vec<_> = faults
+        .iter()
+        .map(|fault| json!({ "path": fault.path, "value": fault.value, "allowed": fault.allowed }))
+        .collect();
+    json!({ "valid": false, "faults": faults }).to_string()
+}
--- /dev/null
+++ b/src/cli/explain.rs
@@ -0,0 +1,45 @@
+//! `explain`: where a daemon would send a completion, and why.
+
+use http_types::Method;
+use serde_json::json;
+
+use super::options::Explain;
+use super::{ask, pretty, read_file};
+use crate::prelude::*;
+
+/// Asks the daemon.
+pub(super) fn run(options: &Explain) -> Result<String> {
+    let prompt = String::from_utf8_lossy(&read_file(&options.prompt)?).into_owned();
+    let question = json!({
+        "workspace": options.workspace,
+        "model": options.model,
+        "prompt": prompt,
+        "levels": options.levels,
+    });
+    let answer = ask(
+        options.daemon,
+        Method::Post,
+        "/explain",
+        Some(question.to_string()),
+    )?;
+    if options.json {
+        return Ok(pretty(&answer));
+    }
+    let mut lines = vec![format!(
+        "{:16} {:>4} {:>13} {:>13} {:>10} {:>5}",
+        "server", "rank", "cached tokens", "predicted ms", "cost", "free"
+    )];
+    for candidate in answer["candidates"].as_array().into_iter().flatten() {
+        lines.push(format!(
+            "{:16} {:>4} {:>13} {:>13.1} {:>10.1} {:>5}",
+            candidate["server"].as_str().unwrap_or_default(),
+            candidate["rank"].to_string(),
+            candidate["cached_tokens"].to_string(),
+            candidate["predicted_ms"].as_f64().unwrap_or_default(),
+            candidate["cost"].as_f64().unwrap_or_default(),
+            candidate["free"].to_string(),
+        ));
+    }
+    lines.push("The first candidate with a free slot is taken; a full one that is cheaper is waited for, for a while.".into());
+    Ok(lines.join("\n"))
+}
--- /dev/null
+++ b/src/control/candidates.rs
@@ -0,0 +1,212 @@
+//! How the servers look to this daemon: load, cached prefix, free slots.
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::Node;
+use crate::admission;
+use crate::attempt::{self, Phase, Request, Target};
+use crate::manifest::Objective;
+use crate::membership::{self, Role, Server};
+use crate::peer;
+use crate::placement::{Ask, Candidate, Scored, choose};
+use crate::prefix::{Depth, Key};
+use crate::prelude::*;
+
+/// Engine time a second that one copy of a first level is meant to carry, in milliseconds.
+const COPY_CARRIES_MS: f64 = 500.0;
+/// Milliseconds of engine time assumed for one answer token.
+const ANSWER_TOKEN_MS: f64 = 2.0;
+
+impl Node {
+    /// Digests of peers that are still fresh.
+    pub(super) fn fresh_peers(&self, now: Time) -> impl Iterator<Item = &peer::Digest> {
+        let lifetime = self.policy.digest_lifetime;
+        self.peers
+            .values()
+            .filter(move |peer| now.saturating_sub(peer.at) < lifetime)
+            .map(|peer| &peer.digest)
+    }
+
+    /// Servers that may be given `request` now.
+    pub(super) fn usable(
+        &self,
+        now: Time,
+        request: attempt::Key,
+    ) -> impl Iterator<Item = (membership::Key, &Server)> {
+        let state = self.requests.get(&request);
+        state.into_iter().flat_map(move |state| {
+            self.membership
+                .pool(&state.arrival.pool)
+                .filter(move |(_, server)| fits(now, state, server))
+        })
+    }
+
+    /// The candidates for `request` with their costs, the best first. Servers that failed it
+    /// before are left out as long as there are others.
+    pub(super) fn score(&self, now: Time, request: attempt::Key, free_only: bool) -> Vec<Scored> {
+        let Some(state) = self.requests.get(&request) else {
+            return Vec::new();
+        };
+        let usable: Vec<(membership::Key, &Server)> = self.usable(now, request).collect();
+        let untried: Vec<(membership::Key, &Server)> = usable
+            .iter()
+            .copied()
+            .filter(|(key, _)| !state.failed.contains(key))
+            .collect();
+        let servers = if untried.is_empty() { usable } else { untried };
+        let depth = self.residency.depth(&state.arrival.prefix.blocks);
+        let candidates: Vec<Candidate> = servers
+            .iter()
+            .map(|(key, server)| self.candidate(now, state, &depth, *key, server))
+            .collect();
+        let objective = match state.arrival.target {
+            Target::Model { objective, .. } => objective,
+            Target::Service { .. } => Objective::TimeToFirstToken,
+        };
+        let ask = Ask {
+            prefix: &state.arrival.prefix,
+            tokens: state.arrival.tokens,
+            objective,
+            copies: self.copies(now, state.arrival.prefix.level(0), candidates.len()),
+            free_only,
+        };
+        choose(ask, &candidates)
+    }
+
+    fn candidate(
+        &self,
+        now: Time,
+        state: &Request,
+        depth: &Depth,
+        key: membership::Key,
+        server: &Server,
+    ) -> Candidate {
+        let arrival = &state.arrival;
+        let busy = self.fleet_busy(now, key, &server.vm.id);
+        let force = self.manifest.force();
+        let limit = force
+            .and_then(|force| force.manifest.pools.get(&arrival.pool))
+            .map_or(1, |pool| pool.max_in_flight);
+        let free = busy.requests < admission::slots(arrival.priority, limit);
+        let token_ms = 1_000.0 / f64::from(server.load.prefill_tokens_per_s);
+        let queued = server
+            .load
+            .queued_tokens
+            .max(u64::from(busy.pending_tokens));
+        let hold_ms = self
+            .paces
+            .get(&arrival.pool)
+            .copied()
+            .unwrap_or_default()
+            .hold_ms;
+        let slot_ms = if free {
+            0.0
+        } else {
+            hold_ms / f64::from(limit.max(1))
+        };
+        let queue_ms = match server.vm.role {
+            Role::ServiceServer => f64::from(busy.requests) * hold_ms / f64::from(limit.max(1)),
+            _ => queued as f64 * token_ms,
+        };
+        Candidate {
+            key,
+            hash: xxh3_64(server.vm.id.as_bytes()),
+            free,
+            wait_ms: queue_ms + slot_ms,
+            token_ms,
+            depth: depth.get(&key).copied().unwrap_or(0),
+            near: server.vm.zone == self.identity.zone,
+        }
+    }
+
+    /// Work at a server from this daemon and, by their digests, from its peers.
+    fn fleet_busy(&self, now: Time, key: membership::Key, id: &str) -> peer::Busy {
+        let mut sum = self.busy.get(&key).copied().unwrap_or_default();
+        for digest in self.fresh_peers(now) {
+            if let Some(busy) = digest.busy.get(id) {
+                sum.requests = sum.requests.saturating_add(busy.requests);
+                sum.pending_tokens = sum.pending_tokens.saturating_add(busy.pending_tokens);
+            }
+        }
+        sum
+    }
+
+    /// How many servers may hold a copy of `level`, by the work it brings over all daemons.
+    fn copies(&self, now: Time, level: Option<Key>, servers: usize) -> usize {
+        let Some(level) = level else { return servers };
+        let peers: f64 = self
+            .fresh_peers(now)
+            .flat_map(|digest| &digest.heat)
+            .filter(|(key, _)| *key == level)
+            .map(|(_, rate)| rate)
+            .sum();
+        let work_ms = self.heat.rate(now, level) + peers;
+        let copies = (work_ms / COPY_CARRIES_MS).ceil().max(1.0);
+        (copies as usize).min(servers.max(1))
+    }
+
+    /// Notes that a request was dispatched: its slot, its prefill, the heat of its first level,
+    /// and the blocks that its server will hold.
+    pub(super) fn note_work(
+        &mut self,
+        now: Time,
+        server: membership::Key,
+        pending_tokens: u32,
+        blocks: &[Key],
+        level: Option<Key>,
+    ) {
+        let busy = self.busy.entry(server).or_default();
+        busy.requests += 1;
+        busy.pending_tokens = busy.pending_tokens.saturating_add(pending_tokens);
+        for block in blocks {
+            self.residency.insert(server, *block);
+        }
+        let Some(level) = level else { return };
+        let speed = self
+            .membership
+            .get(server)
+            .map_or(1, |s| s.load.prefill_tokens_per_s);
+        let work_ms = f64::from(pending_tokens) * 1_000.0 / f64::from(speed);
+        self.heat.note(now, level, work_ms + ANSWER_TOKEN_MS);
+    }
+
+    /// Notes that a server has computed a request's prompt.
+    pub(super) fn prompt_computed(&mut self, server: membership::Key, pending_tokens: u32) {
+        if let Some(busy) = self.busy.get_mut(&server) {
+            busy.pending_tokens = busy.pending_tokens.saturating_sub(pending_tokens);
+        }
+    }
+
+    /// Frees the slot of a request that was dispatched.
+    pub(super) fn release(&mut self, now: Time, state: &Request) {
+        let Phase::Sent {
+            server,
+            at,
+            pending_tokens,
+            begun,
+        } = state.phase
+        else {
+            return;
+        };
+        if !begun {
+            self.prompt_computed(server, pending_tokens);
+        }
+        if let Some(busy) = self.busy.get_mut(&server) {
+            busy.requests = busy.requests.saturating_sub(1);
+            if busy.requests == 0 {
+                self.busy.remove(&server);
+            }
+        }
+        let held_ms = now.saturating_sub(at).as_secs_f64() * 1_000.0;
+        let pace = self.paces.entry(state.arrival.pool.clone()).or_default();
+        pace.hold_ms += (held_ms - pace.hold_ms) * 0.05;
+    }
+}
+
+fn fits(now: Time, state: &Request, server: &Server) -> bool {
+    let serves = match &state.arrival.target {
+        Target::Model { model, weights, .. } => server.serves(model, weights),
+        Target::Service { .. } => server.vm.role == Role::ServiceServer,
+    };
+    serves && server.is_usable(now)
+}
--- /dev/null
+++ b/src/control/node.rs
@@ -0,0 +1,281 @@
+//! The node: its state, and where each message goes.
+
+use super::{Effect, Message, Stream};
+use crate::admission::{Budget, Queue};
+use crate::attempt::{self, Phase, Request};
+use crate::ledger;
+use crate::manifest;
+use crate::membership;
+use crate::peer;
+use crate::placement::Heat;
+use crate::prefix::Residency;
+use crate::prelude::*;
+
+/// Entries of the residency table at most; about 100 bytes each.
+const MAX_RESIDENCY: usize = 1_000_000;
+
+/// Who this daemon is.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Identity {
+    /// The VM's id in the VM list.
+    pub id: String,
+    /// Chosen at random at every start.
+    pub incarnation: u64,
+    /// Its availability zone.
+    pub zone: String,
+}
+
+/// Intervals and bounds of a node.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Policy {
+    /// Between polls of one engine.
+    pub poll_interval: Duration,
+    /// Between digests to peers.
+    pub digest_interval: Duration,
+    /// After which a peer's digest no longer counts.
+    pub digest_lifetime: Duration,
+    /// Time that a claim may take through the log.
+    pub claim_timeout: Duration,
+}
+
+impl Default for Policy {
+    fn default() -> Self {
+        Self {
+            poll_interval: Duration::from_millis(200),
+            digest_interval: Duration::from_millis(250),
+            digest_lifetime: Duration::from_secs(3),
+            claim_timeout: Duration::from_secs(3),
+        }
+    }
+}
+
+/// What is known of a peer.
+#[derive(Debug, Clone)]
+pub(super) struct Peer {
+    pub(super) digest: peer::Digest,
+    pub(super) at: Time,
+}
+
+/// State of one stream of the log as this daemon reads it.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct Reading {
+    /// Whether the last read succeeded.
+    pub(super) up: bool,
+    /// The tail that the first read since the start found.
+    pub(super) tail_at_start: Option<u64>,
+    /// Seconds for which the log keeps records.
+    pub(super) retention_s: u64,
+}
+
+/// Running means of one pool.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Pace {
+    /// Milliseconds for which a request holds its slot.
+    pub(super) hold_ms: f64,
+}
+
+impl Default for Pace {
+    fn default() -> Self {
+        Self { hold_ms: 500.0 }
+    }
+}
+
+/// Counts since the start, for operators.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Requests taken.
+    pub arrived: u64,
+    /// Requests finished.
+    pub finished: u64,
+    /// Requests given up.
+    pub refused: u64,
+    /// Attempts after the first.
+    pub retried: u64,
+    /// Prompt tokens of begun answers.
+    pub prompt_tokens: u64,
+    /// Of these, found in a cache.
+    pub cached_tokens: u64,
+    /// Log records that could not be read.
+    pub unreadable: u64,
+}
+
+/// The decision state of one daemon.
+#[derive(Debug)]
+pub struct Node {
+    pub(super) identity: Identity,
+    pub(super) policy: Policy,
+    pub(super) manifest: manifest::State,
+    pub(super) membership: membership::State,
+    pub(super) residency: Residency,
+    pub(super) heat: Heat,
+    pub(super) queues: BTreeMap<String, Queue>,
+    pub(super) paces: BTreeMap<String, Pace>,
+    pub(super) requests: BTreeMap<attempt::Key, Request>,
+    pub(super) busy: BTreeMap<membership::Key, peer::Busy>,
+    pub(super) budget: Budget,
+    pub(super) ledger: ledger::State,
+    pub(super) pending: ledger::Pending,
+    pub(super) claims: BTreeMap<attempt::Key, ledger::ClaimId>,
+    pub(super) readings: BTreeMap<Stream, Reading>,
+    pub(super) peers: BTreeMap<String, Peer>,
+    pub(super) polls: BTreeMap<membership::Key, Option<Time>>,
+    pub(super) next_digest: Time,
+    pub(super) next_ask: Time,
+    pub(super) checkpoint: super::platform::Checkpointing,
+    pub(super) vms_up: bool,
+    pub(super) vms_known: bool,
+    pub(super) draining: bool,
+    pub(super) counts: Counts,
+    pub(super) effects: Vec<Effect>,
+}
+
+impl Node {
+    /// A node that knows nothing yet.
+    pub fn new(identity: Identity, policy: Policy) -> Self {
+        let pending = ledger::Pending::new(identity.id.clone(), identity.incarnation);
+        Self {
+            identity,
+            policy,
+            manifest: manifest::State::default(),
+            membership: membership::State::default(),
+            residency: Residency::new(MAX_RESIDENCY),
+            heat: Heat::default(),
+            queues: BTreeMap::new(),
+            paces: BTreeMap::new(),
+            requests: BTreeMap::new(),
+            busy: BTreeMap::new(),
+            budget: Budget::default(),
+            ledger: ledger::State::default(),
+            pending,
+            claims: BTreeMap::new(),
+            readings: BTreeMap::new(),
+            peers: BTreeMap::new(),
+            polls: BTreeMap::new(),
+            next_digest: Time::ZERO,
+            next_ask: Time::ZERO,
+            checkpoint: super::platform::Checkpointing::default(),
+            vms_up: true,
+            vms_known: false,
+            draining: false,
+            counts: Counts::default(),
+            effects: Vec::new(),
+        }
+    }
+
+    /// Takes `message` at time `now`; returns what is to be done, in order.
+    pub fn apply(&mut self, now: Time, message: Message) -> Vec<Effect> {
+        match message {
+            Message::Arrive(arrival) => self.arrive(now, *arrival),
+            Message::Report {
+                request,
+                attempt,
+                report,
+            } => {
+                self.report(now, request, attempt, report);
+            }
+            Message::Leave(request) => self.leave(now, request),
+            Message::Records(stream, read) => self.records(now, stream, read),
+            Message::LogDown(stream) => self.log_down(stream),
+            Message::Appended { number, result } => self.appended(now, number, result),
+            Message::Checkpointed => self.checkpoint.ended(),
+            Message::Vms(vms) => self.vms(now, vms),
+            Message::VmsDown => self.vms_down(),
+            Message::Polled(server, report) => self.polled(now, server, *report),
+            Message::PollFailed(server) => self.poll_failed(now, server),
+            Message::Frame(frame) => self.frame(now, frame),
+            Message::Stop => self.stop(now),
+            Message::Tick => self.tick(now),
+        }
+        self.flush_ledger(now);
+        std::mem::take(&mut self.effects)
+    }
+
+    /// The offset from which `stream` is to be read next.
+    pub fn next_offset(&self, stream: Stream) -> u64 {
+        match stream {
+            Stream::Manifest => self.manifest.next(),
+            Stream::Ledger => self.ledger.next(),
+        }
+    }
+
+    /// Whether the platform's balancer may send callers here.
+    pub fn is_ready(&self) -> bool {
+        self.manifest.force().is_some() && self.vms_known && !self.draining
+    }
+
+    /// Whether a planned stop is under way.
+    pub fn is_draining(&self) -> bool {
+        self.draining
+    }
+
+    /// Whether a planned stop may end: no request is open and nothing waits to be appended.
+    pub fn is_drained(&self) -> bool {
+        self.draining && self.requests.is_empty() && self.pending.is_idle()
+    }
+
+    /// Counts since the start.
+    pub fn counts(&self) -> Counts {
+        self.counts
+    }
+
+    fn stop(&mut self, now: Time) {
+        if !self.draining {
+            self.draining = true;
+            self.event(Event::StopRequested, String::new());
+            self.send_digests(now);
+        }
+    }
+
+    fn tick(&mut self, now: Time) {
+        self.expire_requests(now);
+        self.schedule_polls(now);
+        self.schedule_peers(now);
+        self.schedule_checkpoint(now);
+        let pools: Vec<String> = self.queues.keys().cloned().collect();
+        for pool in pools {
+            self.pump(now, &pool);
+        }
+    }
+
+    pub(super) fn event(&mut self, event: Event, detail: String) {
+        self.effects.push(Effect::Event(event, detail));
+    }
+
+    pub(super) fn command(&mut self, request: attempt::Key, command: attempt::Command) {
+        self.effects
+            .push(Effect::Command(request, Box::new(command)));
+    }
+
+    /// Ends a request with a final answer that this router makes itself.
+    pub(super) fn refuse(
+        &mut self,
+        now: Time,
+        request: attempt::Key,
+        refusal: impl Into<attempt::Refusal>,
+    ) {
+        self.counts.refused += 1;
+        self.command(request, attempt::Command::Refuse(refusal.into()));
+        self.forget(now, request);
+    }
+
+    /// Removes a request and frees what it holds.
+    pub(super) fn forget(&mut self, now: Time, request: attempt::Key) {
+        self.claims.remove(&request);
+        let Some(state) = self.requests.remove(&request) else {
+            return;
+        };
+        let pool = state.arrival.pool.clone();
+        match state.phase {
+            Phase::Claiming => self.pending.abandon(request),
+            Phase::Waiting => {
+                if let Some(queue) = self.queues.get_mut(&pool) {
+                    queue.remove(request);
+                }
+            }
+            Phase::Sent { .. } => {
+                self.release(now, &state);
+                self.pump(now, &pool);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/control/outcomes.rs
@@ -0,0 +1,199 @@
+//! What follows from what traffic reports of an attempt.
+
+use super::Node;
+use crate::attempt::{self, Next, Outcome, Phase, Report, next};
+use crate::prelude::*;
+
+/// Time within which a stream that broke must go on.
+const RESUME_WITHIN: Duration = Duration::from_secs(10);
+
+impl Node {
+    pub(super) fn report(
+        &mut self,
+        now: Time,
+        request: attempt::Key,
+        attempt: u32,
+        report: Report,
+    ) {
+        let current = self.requests.get(&request).is_some_and(|state| {
+            state.attempts == attempt && matches!(state.phase, Phase::Sent { .. })
+        });
+        if !current {
+            return;
+        }
+        match report {
+            Report::Begun { cached_tokens } => self.begun(request, cached_tokens),
+            Report::Ended(outcome) => self.ended(now, request, outcome),
+        }
+    }
+
+    fn begun(&mut self, request: attempt::Key, cached_tokens: Option<u32>) {
+        let Some(state) = self.requests.get_mut(&request) else {
+            return;
+        };
+        let first = !state.begun;
+        state.begun = true;
+        state.maybe_ran = true;
+        let Phase::Sent {
+            server,
+            pending_tokens,
+            begun,
+            ..
+        } = &mut state.phase
+        else {
+            return;
+        };
+        let (server, pending_tokens, was_begun) =
+            (*server, *pending_tokens, std::mem::replace(begun, true));
+        let tokens = state.arrival.tokens;
+        let blocks = state.arrival.prefix.blocks.clone();
+        if !was_begun {
+            self.prompt_computed(server, pending_tokens);
+        }
+        self.membership.trust(server);
+        if let Some(cached) = cached_tokens
+            && first
+        {
+            self.counts.prompt_tokens += u64::from(tokens);
+            self.counts.cached_tokens += u64::from(cached.min(tokens));
+            // The prompt has been computed: now the server holds all of it.
+            for block in blocks {
+                self.residency.insert(server, block);
+            }
+        }
+    }
+
+    fn ended(&mut self, now: Time, request: attempt::Key, outcome: Outcome) {
+        self.note_failure(now, request, &outcome);
+        let may_retry = matches!(outcome, Outcome::Unsent(_)) || self.budget.spend();
+        let Some(state) = self.requests.get_mut(&request) else {
+            return;
+        };
+        if matches!(
+            outcome,
+            Outcome::Broken(_) | Outcome::Mismatch(_) | Outcome::TooLarge
+        ) {
+            state.maybe_ran = true;
+        }
+        match next(state, &outcome, may_retry) {
+            Next::Finish => self.finish(now, request, outcome),
+            Next::Retry => self.retry(now, request),
+            Next::GiveUp(code, detail) => {
+                let refusal = self.final_answer(request, code, detail);
+                self.release_and_refuse(now, request, refusal);
+            }
+        }
+    }
+
+    fn final_answer(&self, request: attempt::Key, code: Code, detail: String) -> attempt::Refusal {
+        let mut refusal = attempt::Refusal::from(Error::new(code, detail));
+        if self
+            .requests
+            .get(&request)
+            .is_some_and(|state| state.maybe_ran)
+        {
+            refusal.execution = refusal.execution.max(Execution::Unknown);
+        }
+        refusal
+    }
+
+    /// Corrects what is believed of the server that failed an attempt.
+    fn note_failure(&mut self, now: Time, request: attempt::Key, outcome: &Outcome) {
+        let Some(state) = self.requests.get(&request) else {
+            return;
+        };
+        let Phase::Sent { server, .. } = state.phase else {
+            return;
+        };
+        let id = self
+            .membership
+            .get(server)
+            .map_or("", |server| &server.vm.id)
+            .to_owned();
+        match outcome {
+            Outcome::Complete(_) => return self.membership.trust(server),
+            Outcome::CallerGone => return self.event(Event::CallerGone, id),
+            Outcome::TooLarge | Outcome::Late => return,
+            Outcome::Mismatch(reason) => {
+                self.residency.clear(server);
+                self.event(Event::AnswerDiscarded, format!("{id}: {reason}"));
+            }
+            Outcome::Unsent(reason) => {
+                self.membership.suspect(now, server);
+                self.event(Event::AttemptFailed, format!("{id}: {reason}"));
+            }
+            Outcome::Declined(reason) | Outcome::Broken(reason) => {
+                self.event(Event::AttemptFailed, format!("{id}: {reason}"));
+            }
+        }
+        let Some(state) = self.requests.get_mut(&request) else {
+            return;
+        };
+        if let Outcome::Broken(_) = outcome
+            && state.begun
+            && state.stream.is_none()
+        {
+            let incarnation = self
+                .membership
+                .get(server)
+                .and_then(|s| s.incarnation.clone());
+            state.stream = Some((server, incarnation));
+        } else {
+            state.stream = None;
+            state.failed.insert(server);
+        }
+    }
+
+    fn finish(&mut self, now: Time, request: attempt::Key, outcome: Outcome) {
+        let receipt = match outcome {
+            Outcome::Complete(receipt) => receipt,
+            _ => {
+                // The caller left: a call of a service may have run all the same.
+                if let Some(state) = self.requests.get_mut(&request) {
+                    state.maybe_ran = true;
+                }
+                None
+            }
+        };
+        self.settle_claim(request, receipt);
+        self.counts.finished += 1;
+        self.forget(now, request);
+    }
+
+    fn retry(&mut self, now: Time, request: attempt::Key) {
+        let Some(state) = self.requests.get(&request).cloned() else {
+            return;
+        };
+        self.release(now, &state);
+        self.counts.retried += 1;
+        let resumed = state.stream.is_some();
+        let Some(current) = self.requests.get_mut(&request) else {
+            return;
+        };
+        current.phase = Phase::Waiting;
+        if current.begun {
+            current.arrival.deadline = now + RESUME_WITHIN;
+            let event = if resumed {
+                Event::StreamResumed
+            } else {
+                Event::StreamContinued
+            };
+            self.event(event, String::new());
+        }
+        let pool = state.arrival.pool;
+        self.admit(now, request);
+        self.pump(now, &pool);
+    }
+
+    pub(super) fn leave(&mut self, now: Time, request: attempt::Key) {
+        let Some(state) = self.requests.get(&request) else {
+            return;
+        };
+        if matches!(state.phase, Phase::Sent { .. }) {
+            return;
+        }
+        self.settle_claim(request, None);
+        self.counts.finished += 1;
+        self.forget(now, request);
+    }
+}
--- /dev/null
+++ b/src/control/peers.rs
@@ -0,0 +1,194 @@
+//! What daemons tell each other: digests, and folded state for those that start or are behind.
+
+use std::net::SocketAddr;
+
+use super::node::Peer;
+use super::{Effect, Node, Stream};
+use crate::ledger;
+use crate::manifest;
+use crate::peer::{Busy, Digest, Frame, Snapshot};
+use crate::prelude::*;
+
+/// First levels that a digest names.
+const DIGEST_LEVELS: usize = 32;
+/// Time between two asks for a snapshot.
+const ASK_INTERVAL: Duration = Duration::from_millis(500);
+
+impl Node {
+    pub(super) fn schedule_peers(&mut self, now: Time) {
+        let listed: BTreeSet<String> = self.membership.routers().keys().cloned().collect();
+        let lifetime = self.policy.digest_lifetime;
+        self.peers
+            .retain(|id, peer| listed.contains(id) || now.saturating_sub(peer.at) < lifetime);
+        if now >= self.next_digest {
+            self.send_digests(now);
+        }
+        if now >= self.next_ask && self.is_behind() {
+            self.next_ask = now + ASK_INTERVAL;
+            self.ask_for_snapshot(now);
+        }
+    }
+
+    fn peer_addresses(&self) -> Vec<(String, SocketAddr)> {
+        self.membership
+            .routers()
+            .iter()
+            .filter(|(id, _)| **id != self.identity.id)
+            .map(|(id, vm)| (id.clone(), vm.address))
+            .collect()
+    }
+
+    pub(super) fn send_digests(&mut self, now: Time) {
+        self.next_digest = now + self.policy.digest_interval;
+        let digest = self.digest(now);
+        for (_, address) in self.peer_addresses() {
+            self.effects
+                .push(Effect::Send(address, Frame::Digest(digest.clone())));
+        }
+    }
+
+    fn digest(&self, now: Time) -> Digest {
+        let busy: BTreeMap<String, Busy> = self
+            .busy
+            .iter()
+            .filter_map(|(key, busy)| Some((self.membership.get(*key)?.vm.id.clone(), *busy)))
+            .collect();
+        let leaving = self
+            .membership
+            .iter()
+            .filter(|(_, server)| server.leaving)
+            .map(|(_, server)| server.vm.id.clone())
+            .collect();
+        Digest {
+            daemon: self.identity.id.clone(),
+            incarnation: self.identity.incarnation,
+            generation: self.manifest.generation(),
+            busy,
+            heat: self.heat.top(now, DIGEST_LEVELS),
+            leaving,
+            draining: self.draining,
+        }
+    }
+
+    /// Whether the log has not yet told this daemon what is in force or claimed, or a peer has a
+    /// newer manifest.
+    fn is_behind(&self) -> bool {
+        let newest = self
+            .peers
+            .values()
+            .map(|peer| peer.digest.generation)
+            .max()
+            .unwrap_or(0);
+        let manifest = self.manifest.force().is_none() || newest > self.manifest.generation();
+        manifest || !self.is_ledger_known()
+    }
+
+    pub(super) fn is_ledger_known(&self) -> bool {
+        let reading = self
+            .readings
+            .get(&Stream::Ledger)
+            .copied()
+            .unwrap_or_default();
+        reading
+            .tail_at_start
+            .is_some_and(|tail| self.ledger.next() >= tail)
+    }
+
+    /// Asks the peer with the newest manifest; before any digest has come, every peer.
+    fn ask_for_snapshot(&mut self, now: Time) {
+        let newest = self
+            .fresh_peers(now)
+            .max_by_key(|digest| digest.generation)
+            .map(|digest| digest.daemon.clone());
+        for (id, address) in self.peer_addresses() {
+            if newest.as_ref().is_none_or(|newest| *newest == id) {
+                let ask = Frame::Ask(self.identity.id.clone());
+                self.effects.push(Effect::Send(address, ask));
+            }
+        }
+    }
+
+    pub(super) fn frame(&mut self, now: Time, frame: Frame) {
+        match frame {
+            Frame::Digest(digest) => self.take_digest(now, digest),
+            Frame::Ask(daemon) => self.answer_ask(&daemon),
+            Frame::Snapshot(snapshot) => self.take_snapshot(now, snapshot),
+        }
+    }
+
+    fn take_digest(&mut self, now: Time, digest: Digest) {
+        if digest.daemon == self.identity.id {
+            return;
+        }
+        let leaving: Vec<_> = digest
+            .leaving
+            .iter()
+            .filter_map(|id| self.membership.find(id))
+            .collect();
+        for key in leaving {
+            let notices = self.membership.mark_leaving(key).into_iter().collect();
+            self.notices(now, notices);
+        }
+        if digest.generation > self.manifest.generation() {
+            self.next_ask = now;
+        }
+        self.peers
+            .insert(digest.daemon.clone(), Peer { digest, at: now });
+    }
+
+    fn answer_ask(&mut self, daemon: &str) {
+        let Some(vm) = self.membership.routers().get(daemon) else {
+            return;
+        };
+        let address = vm.address;
+        let snapshot = self.snapshot();
+        self.effects
+            .push(Effect::Send(address, Frame::Snapshot(snapshot)));
+    }
+
+    /// This daemon's folded state.
+    pub fn snapshot(&self) -> Snapshot {
+        let slots: Vec<(&ledger::Key, &ledger::Slot)> = self.ledger.iter().collect();
+        let force = self.manifest.force();
+        let json = |force: &Arc<manifest::Force>| serde_json::to_string(&force.manifest).ok();
+        Snapshot {
+            manifest_next: self.manifest.next(),
+            generation: self.manifest.generation(),
+            published: force.map_or_else(String::new, |force| force.published.clone()),
+            manifest: force.and_then(json).unwrap_or_default(),
+            ledger_next: self.ledger.next(),
+            ledger_time_ms: self.ledger.time_ms(),
+            ledger: serde_json::to_string(&slots).unwrap_or_default(),
+        }
+    }
+
+    /// Takes over what is ahead of this daemon in a peer's folded state.
+    fn take_snapshot(&mut self, now: Time, snapshot: Snapshot) {
+        let mut taken = Vec::new();
+        if let Ok(manifest) = manifest::parse(snapshot.manifest.as_bytes()) {
+            let force = manifest::Force::new(snapshot.generation, snapshot.published, manifest);
+            let force = Arc::new(force);
+            if self
+                .manifest
+                .merge(snapshot.manifest_next, Some(Arc::clone(&force)))
+            {
+                self.put_in_force(now, force);
+                taken.push("manifest");
+            }
+        }
+        let slots: Result<Vec<(ledger::Key, ledger::Slot)>, _> =
+            serde_json::from_str(&snapshot.ledger);
+        if let Ok(slots) = slots
+            && snapshot.ledger_next > self.ledger.next()
+        {
+            let slots = slots.into_iter().collect();
+            self.ledger =
+                ledger::State::rebuild(snapshot.ledger_next, snapshot.ledger_time_ms, slots);
+            self.resolve_claims(now);
+            taken.push("ledger");
+        }
+        if !taken.is_empty() {
+            self.event(Event::SnapshotTaken, taken.join(" and "));
+        }
+    }
+}
--- /dev/null
+++ b/src/control/platform.rs
@@ -0,0 +1,275 @@
+//! What follows from the platform's log and VM list, and from engines' reports.
+
+use super::message::{Appended, Read, Record, Stream};
+use super::{Effect, Node};
+use crate::manifest::{self, Verdict};
+use crate::membership::{self, Change, Notice, Role, Vm};
+use crate::prelude::*;
+
+/// A checkpoint is due when this part of the retention has passed since the last.
+const CHECKPOINT_PART: u64 = 4;
+/// Shortest time between two checkpoints.
+const MIN_CHECKPOINT: Duration = Duration::from_millis(500);
+
+/// When the manifest in force was last seen as a checkpoint, and whether one is under way.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct Checkpointing {
+    seen: Time,
+    under_way: bool,
+}
+
+impl Checkpointing {
+    pub(super) fn ended(&mut self) {
+        self.under_way = false;
+    }
+}
+
+impl Node {
+    pub(super) fn records(&mut self, now: Time, stream: Stream, read: Read) {
+        let reading = self.readings.entry(stream).or_default();
+        let was_up = std::mem::replace(&mut reading.up, true);
+        reading.tail_at_start.get_or_insert(read.next);
+        reading.retention_s = read.retention_s;
+        if !was_up {
+            self.event(Event::LogUp, stream.as_str().into());
+        }
+        let next = self.next_offset(stream);
+        if read.first > next {
+            let detail = format!("{} from {next} to {}", stream.as_str(), read.first);
+            self.event(Event::RecordsForgotten, detail);
+            match stream {
+                Stream::Manifest => self.manifest.skip_to(read.first),
+                Stream::Ledger => self.ledger.skip_to(read.first),
+            }
+        }
+        for record in &read.records {
+            // A gap in what was read is never folded over: the next read closes it.
+            if record.offset > self.next_offset(stream) {
+                break;
+            }
+            match stream {
+                Stream::Manifest => self.fold_manifest(now, record),
+                Stream::Ledger => self.fold_ledger(record),
+            }
+        }
+        if stream == Stream::Ledger {
+            self.resolve_claims(now);
+        }
+    }
+
+    fn fold_manifest(&mut self, now: Time, record: &Record) {
+        let offset = record.offset;
+        match self.manifest.fold(offset, &record.text) {
+            Verdict::Accepted(force) => self.put_in_force(now, force),
+            Verdict::Confirmed => self.checkpoint.seen = now,
+            Verdict::Known => {}
+            Verdict::Stale => {
+                self.event(
+                    Event::ManifestRefused,
+                    format!("offset {offset}: it lost a race"),
+                );
+            }
+            Verdict::Invalid(faults) => {
+                let detail = format!("offset {offset}: {faults} faults");
+                self.event(Event::ManifestRefused, detail);
+            }
+            Verdict::Unreadable => self.unreadable(Stream::Manifest, offset),
+        }
+    }
+
+    fn fold_ledger(&mut self, record: &Record) {
+        if self
+            .ledger
+            .fold(record.offset, record.time_ms, &record.text)
+            .is_none()
+        {
+            self.unreadable(Stream::Ledger, record.offset);
+        }
+    }
+
+    fn unreadable(&mut self, stream: Stream, offset: u64) {
+        self.counts.unreadable += 1;
+        self.event(
+            Event::RecordUnreadable,
+            format!("{} offset {offset}", stream.as_str()),
+        );
+    }
+
+    pub(super) fn put_in_force(&mut self, now: Time, force: Arc<manifest::Force>) {
+        let detail = format!("generation {}", force.generation);
+        self.event(Event::ManifestInForce, detail);
+        self.effects.push(Effect::Force(force));
+        self.next_digest = now;
+    }
+
+    pub(super) fn resolve_claims(&mut self, now: Time) {
+        let steps = self.pending.resolve(&self.ledger);
+        self.ledger_steps(now, steps);
+    }
+
+    pub(super) fn log_down(&mut self, stream: Stream) {
+        let reading = self.readings.entry(stream).or_default();
+        if std::mem::replace(&mut reading.up, false) {
+            self.event(Event::LogDown, stream.as_str().into());
+        }
+    }
+
+    pub(super) fn appended(&mut self, now: Time, number: u64, result: Appended) {
+        let steps = match result {
+            Appended::Landed => {
+                self.pending.appended(number);
+                Vec::new()
+            }
+            Appended::Refused => self.pending.failed(now, number, false),
+            Appended::Unknown => self.pending.failed(now, number, true),
+        };
+        self.ledger_steps(now, steps);
+    }
+
+    pub(super) fn flush_ledger(&mut self, now: Time) {
+        if let Some((number, text)) = self.pending.flush(now) {
+            self.effects.push(Effect::Append { number, text });
+        }
+    }
+
+    /// Appends the manifest in force again before the log forgets it. The daemon whose id comes
+    /// first among the live ones does so; two that both believe to be first do no harm, since a
+    /// checkpoint of a generation in force changes nothing.
+    pub(super) fn schedule_checkpoint(&mut self, now: Time) {
+        let reading = self
+            .readings
+            .get(&Stream::Manifest)
+            .copied()
+            .unwrap_or_default();
+        let Some(force) = self.manifest.force() else {
+            return;
+        };
+        let part = Duration::from_secs(reading.retention_s) / CHECKPOINT_PART as u32;
+        let due = self.checkpoint.seen + part.max(MIN_CHECKPOINT);
+        if !reading.up || self.checkpoint.under_way || now < due || !self.is_first(now) {
+            return;
+        }
+        let record = manifest::Record {
+            format: manifest::FORMAT,
+            id: format!(
+                "checkpoint-{}-{}",
+                self.identity.id, self.identity.incarnation
+            ),
+            body: manifest::Body::Checkpoint {
+                generation: force.generation,
+                published: force.published.clone(),
+                manifest: serde_json::to_value(&force.manifest).unwrap_or_default(),
+            },
+        };
+        self.checkpoint.under_way = true;
+        self.checkpoint.seen = now;
+        self.effects.push(Effect::Checkpoint(record.encode()));
+    }
+
+    fn is_first(&self, now: Time) -> bool {
+        self.fresh_peers(now)
+            .all(|digest| digest.daemon > self.identity.id || digest.draining)
+    }
+
+    pub(super) fn vms(&mut self, now: Time, vms: Vec<Vm>) {
+        if !std::mem::replace(&mut self.vms_up, true) {
+            self.event(Event::VmListUp, String::new());
+        }
+        self.vms_known = true;
+        let notices = self.membership.replace(vms);
+        self.notices(now, notices);
+    }
+
+    pub(super) fn vms_down(&mut self) {
+        if std::mem::replace(&mut self.vms_up, false) {
+            self.event(Event::VmListDown, String::new());
+        }
+    }
+
+    pub(super) fn polled(&mut self, now: Time, key: membership::Key, report: membership::Report) {
+        self.poll_ended(now, key);
+        let notices = self.membership.report(now, key, &report);
+        self.notices(now, notices);
+        for event in &report.events {
+            match event.change {
+                Change::Stored => self.residency.insert(key, event.key()),
+                Change::Evicted => self.residency.remove(key, event.key()),
+            }
+        }
+    }
+
+    pub(super) fn poll_failed(&mut self, now: Time, key: membership::Key) {
+        self.poll_ended(now, key);
+        let notices = self.membership.poll_failed(key).into_iter().collect();
+        self.notices(now, notices);
+    }
+
+    fn poll_ended(&mut self, now: Time, key: membership::Key) {
+        if self.membership.get(key).is_some() {
+            self.polls
+                .insert(key, Some(now + self.policy.poll_interval));
+        }
+    }
+
+    pub(super) fn notices(&mut self, now: Time, notices: Vec<Notice>) {
+        for notice in notices {
+            let (event, key) = match notice {
+                Notice::Added(key) => {
+                    self.added(now, key);
+                    (Event::ServerAdded, key)
+                }
+                Notice::Leaving(key) => (Event::ServerLeaving, key),
+                Notice::Unreachable(key) => (Event::ServerUnreachable, key),
+                Notice::Reachable(key) => (Event::ServerReachable, key),
+                Notice::Restarted(key) => {
+                    self.residency.clear(key);
+                    (Event::ServerRestarted, key)
+                }
+                Notice::Gap(key) => {
+                    self.residency.clear(key);
+                    (Event::CacheEventGap, key)
+                }
+                Notice::Removed(key, id) => {
+                    self.residency.clear(key);
+                    self.polls.remove(&key);
+                    self.event(Event::ServerRemoved, id);
+                    continue;
+                }
+            };
+            let id = self
+                .membership
+                .get(key)
+                .map_or_else(String::new, |s| s.vm.id.clone());
+            self.event(event, id);
+        }
+    }
+
+    fn added(&mut self, now: Time, key: membership::Key) {
+        let engine = self
+            .membership
+            .get(key)
+            .is_some_and(|server| server.vm.role == Role::ModelServer);
+        if engine {
+            self.polls.insert(key, Some(now));
+            self.schedule_polls(now);
+        }
+    }
+
+    /// Polls every engine that is due; one poll of an engine is under way at a time.
+    pub(super) fn schedule_polls(&mut self, now: Time) {
+        for (key, due) in &mut self.polls {
+            if due.is_none_or(|due| due > now) {
+                continue;
+            }
+            let Some(server) = self.membership.get(*key) else {
+                continue;
+            };
+            *due = None;
+            self.effects.push(Effect::Poll {
+                server: *key,
+                address: server.vm.address,
+                from: server.next_seq,
+            });
+        }
+    }
+}
--- /dev/null
+++ b/src/control/status.rs
@@ -0,0 +1,183 @@
+//! What operators may look at; nothing here changes a node.
+
+use serde::Serialize;
+
+use super::{Node, Stream};
+use crate::attempt::{self, Arrival, Phase, Request};
+use crate::placement::Scored;
+use crate::prelude::*;
+
+/// One server, for operators.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct ServerStatus {
+    /// Its id.
+    pub id: String,
+    /// Its pool.
+    pub pool: String,
+    /// Its availability zone.
+    pub zone: String,
+    /// Whether new work may go there.
+    pub usable: bool,
+    /// Whether it is leaving.
+    pub leaving: bool,
+    /// Whether it answers polls.
+    pub reachable: bool,
+    /// Its incarnation, if known.
+    pub incarnation: Option<String>,
+    /// Requests of this daemon in flight there.
+    pub in_flight: u32,
+    /// Prompt tokens that it has still to compute, as last reported.
+    pub queued_tokens: u64,
+}
+
+/// One daemon's state, for operators.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct Status {
+    /// The daemon's id.
+    pub daemon: String,
+    /// Its incarnation.
+    pub incarnation: u64,
+    /// Its availability zone.
+    pub zone: String,
+    /// Whether callers may be sent to it.
+    pub ready: bool,
+    /// Whether it is stopping.
+    pub draining: bool,
+    /// The manifest's generation; 0 for none.
+    pub generation: u64,
+    /// The id of the record that brought it into force.
+    pub published: Option<String>,
+    /// Whether the log answers.
+    pub log_up: bool,
+    /// Whether the VM list answers.
+    pub vm_list_up: bool,
+    /// Whether every claim up to the tail found at the start is known.
+    pub ledger_known: bool,
+    /// Idempotency keys remembered.
+    pub ledger_keys: usize,
+    /// Entries of the residency table.
+    pub residency_entries: usize,
+    /// Peers with a fresh digest.
+    pub peers: Vec<String>,
+    /// Backend servers.
+    pub servers: Vec<ServerStatus>,
+    /// Waiting requests by pool.
+    pub waiting: BTreeMap<String, usize>,
+    /// Open requests.
+    pub open: usize,
+    /// Requests taken since the start.
+    pub arrived: u64,
+    /// Requests finished.
+    pub finished: u64,
+    /// Requests given up.
+    pub refused: u64,
+    /// Attempts after the first.
+    pub retried: u64,
+    /// Prompt tokens of begun answers.
+    pub prompt_tokens: u64,
+    /// Of these, found in a cache.
+    pub cached_tokens: u64,
+    /// Log records that could not be read.
+    pub unreadable_records: u64,
+}
+
+/// One candidate of a placement, for operators.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct Explained {
+    /// The server's id.
+    pub server: String,
+    /// Its place in the rendezvous order of the first level, from 0.
+    pub rank: usize,
+    /// Prompt tokens believed cached.
+    pub cached_tokens: u32,
+    /// Predicted milliseconds to the first token.
+    pub predicted_ms: f64,
+    /// The cost that placement minimises.
+    pub cost: f64,
+    /// Whether it has a free slot.
+    pub free: bool,
+}
+
+impl Node {
+    /// The state for operators.
+    pub fn status(&self, now: Time) -> Status {
+        let servers = self.membership.iter().map(|(key, server)| ServerStatus {
+            id: server.vm.id.clone(),
+            pool: server.vm.pool.clone(),
+            zone: server.vm.zone.clone(),
+            usable: server.is_usable(now),
+            leaving: server.leaving,
+            reachable: server.is_reachable(),
+            incarnation: server.incarnation.clone(),
+            in_flight: self.busy.get(&key).map_or(0, |busy| busy.requests),
+            queued_tokens: server.load.queued_tokens,
+        });
+        let reading = self
+            .readings
+            .get(&Stream::Ledger)
+            .copied()
+            .unwrap_or_default();
+        let waiting = self
+            .queues
+            .iter()
+            .map(|(pool, queue)| (pool.clone(), queue.len()));
+        Status {
+            daemon: self.identity.id.clone(),
+            incarnation: self.identity.incarnation,
+            zone: self.identity.zone.clone(),
+            ready: self.is_ready(),
+            draining: self.draining,
+            generation: self.manifest.generation(),
+            published: self.manifest.force().map(|force| force.published.clone()),
+            log_up: reading.up,
+            vm_list_up: self.vms_up,
+            ledger_known: self.is_ledger_known(),
+            ledger_keys: self.ledger.len(),
+            residency_entries: self.residency.len(),
+            peers: self
+                .fresh_peers(now)
+                .map(|digest| digest.daemon.clone())
+                .collect(),
+            servers: servers.collect(),
+            waiting: waiting.collect(),
+            open: self.requests.len(),
+            arrived: self.counts.arrived,
+            finished: self.counts.finished,
+            refused: self.counts.refused,
+            retried: self.counts.retried,
+            prompt_tokens: self.counts.prompt_tokens,
+            cached_tokens: self.counts.cached_tokens,
+            unreadable_records: self.counts.unreadable,
+        }
+    }
+
+    /// Where a request would go now, the best candidate first, without taking it.
+    pub fn explain(&mut self, now: Time, arrival: Arrival) -> Vec<Explained> {
+        let request = arrival.request;
+        self.requests
+            .insert(request, Request::new(arrival, now, Phase::Waiting));
+        let scored = self.score(now, request, false);
+        self.requests.remove(&request);
+        scored
+            .into_iter()
+            .map(|scored| self.explained(scored))
+            .collect()
+    }
+
+    fn explained(&self, scored: Scored) -> Explained {
+        let server = self.membership.get(scored.key);
+        Explained {
+            server: server.map_or_else(String::new, |server| server.vm.id.clone()),
+            rank: scored.rank,
+            cached_tokens: scored.cached_tokens,
+            predicted_ms: scored.predicted_ms,
+            cost: scored.cost,
+            free: scored.free,
+        }
+    }
+
+    /// Whether `request` is open here.
+    pub fn is_open(&self, request: attempt::Key) -> bool {
+        self.requests.contains_key(&request)
+    }
+}
--- /dev/null
+++ b/src/daemon/carrier.rs
@@ -0,0 +1,78 @@
+//! Carries a node's effects out on the traffic threads, and sends back what came of them.
+
+use std::net::SocketAddr;
+
+use async_executor::Executor;
+
+use super::Control;
+use crate::control::{Appended, Effect, Message, Stream};
+use crate::membership;
+use crate::peer::{Frame, Links};
+use crate::platform;
+use crate::prelude::*;
+use crate::telemetry::emit;
+
+/// Carries effects out.
+pub(super) struct Carrier {
+    pub(super) executor: Arc<Executor<'static>>,
+    pub(super) control: Control,
+    pub(super) log_service: SocketAddr,
+    pub(super) links: Links,
+}
+
+impl Carrier {
+    /// Carries one effect out; those for requests and the manifest are not its own.
+    pub(super) fn carry(&mut self, effect: Effect) {
+        match effect {
+            Effect::Command(..) | Effect::Force(_) => {}
+            Effect::Append { number, text } => self.append(number, text),
+            Effect::Checkpoint(text) => self.checkpoint(text),
+            Effect::Poll {
+                server,
+                address,
+                from,
+            } => self.poll(server, address, from),
+            Effect::Send(address, frame) => self.send(address, frame),
+            Effect::Event(event, detail) => emit(event, &detail),
+        }
+    }
+
+    fn append(&self, number: u64, text: String) {
+        let (control, address) = (self.control.clone(), self.log_service);
+        let append = async move {
+            let result = match platform::log::append(address, Stream::Ledger, text).await {
+                Ok(_) => Appended::Landed,
+                Err(result) => result,
+            };
+            control.tell(Message::Appended { number, result });
+        };
+        self.executor.spawn(append).detach();
+    }
+
+    fn checkpoint(&self, text: String) {
+        let (control, address) = (self.control.clone(), self.log_service);
+        let append = async move {
+            platform::log::append(address, Stream::Manifest, text)
+                .await
+                .ok();
+            control.tell(Message::Checkpointed);
+        };
+        self.executor.spawn(append).detach();
+    }
+
+    fn poll(&self, server: membership::Key, address: SocketAddr, from: u64) {
+        let control = self.control.clone();
+        let poll = async move {
+            let message = match platform::engine::poll(address, from).await {
+                Ok(report) => Message::Polled(server, Box::new(report)),
+                Err(_) => Message::PollFailed(server),
+            };
+            control.tell(message);
+        };
+        self.executor.spawn(poll).detach();
+    }
+
+    fn send(&mut self, address: SocketAddr, frame: Frame) {
+        self.links.send(&self.executor, address, frame);
+    }
+}
--- /dev/null
+++ b/src/daemon/run.rs
@@ -0,0 +1,287 @@
+//! Starting, serving and stopping.
+
+use std::io::Write as _;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::thread;
+
+use async_executor::Executor;
+use async_io::{Async, Timer, block_on};
+use async_signal::{Signal, Signals};
+use futures_lite::{FutureExt, StreamExt};
+
+use super::carrier::Carrier;
+use super::control::{self, Control};
+use crate::control::{Identity, Message, Node, Policy, Stream};
+use crate::entry::{Connections, Entry};
+use crate::http::Socket;
+use crate::ops::Operators;
+use crate::peer::{self, Links};
+use crate::platform;
+use crate::prelude::*;
+use crate::settings::Settings;
+use crate::telemetry::metrics::Metrics;
+use crate::telemetry::{emit, init_logs, trace};
+
+/// Pause before the platform is asked again after a failure.
+const PLATFORM_PAUSE: Duration = Duration::from_millis(200);
+/// Time between two looks at whether a planned stop is over.
+const DRAIN_LOOK: Duration = Duration::from_millis(20);
+/// Time that a peer may stay silent.
+const PEER_IDLE: Duration = Duration::from_secs(10);
+/// Pause after a connection could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+struct Listeners {
+    entry: Async<TcpListener>,
+    peer: Async<TcpListener>,
+    operators: Async<TcpListener>,
+}
+
+impl Listeners {
+    fn bind(settings: &Settings) -> Result<Self> {
+        Ok(Self {
+            entry: bind("listen", settings.listen)?,
+            peer: bind("peer_listen", settings.peer_listen)?,
+            operators: bind("operators_listen", settings.operators_listen)?,
+        })
+    }
+}
+
+fn bind(name: &str, address: SocketAddr) -> Result<Async<TcpListener>> {
+    Async::<TcpListener>::bind(address)
+        .map_err(|error| Error::new(Code::AddressUnusable, format!("{name}: {address}: {error}")))
+}
+
+/// Runs a daemon until a planned stop has ended.
+pub fn run(settings: Settings) -> Result<()> {
+    init_logs(&settings.telemetry);
+    let listeners = Listeners::bind(&settings)?;
+    let traces = settings
+        .telemetry
+        .otlp
+        .map(|address| trace::init(address, &settings.id))
+        .transpose()
+        .map_err(|detail| Error::new(Code::SettingsInvalid, format!("telemetry.otlp: {detail}")))?;
+    let executor: Arc<Executor<'static>> = Arc::default();
+    let control = start_control(&settings, &executor);
+    start_traffic(settings.threads, &executor);
+    let result = block_on(executor.run(serve(settings, listeners, control, &executor)));
+    if let Some(provider) = traces {
+        provider.shutdown_with_timeout(Duration::from_secs(1)).ok();
+    }
+    result
+}
+
+fn start_control(settings: &Settings, executor: &Arc<Executor<'static>>) -> Control {
+    let (control, letters) = Control::new();
+    let identity = Identity {
+        id: settings.id.clone(),
+        incarnation: fastrand::u64(..),
+        zone: settings.zone.clone(),
+    };
+    let carrier = Carrier {
+        executor: Arc::clone(executor),
+        control: control.clone(),
+        log_service: settings.log_service,
+        links: Links::default(),
+    };
+    let node = Node::new(identity, Policy::default());
+    let handle = control.clone();
+    thread::spawn(move || control::run(node, letters, handle, carrier));
+    control
+}
+
+fn start_traffic(threads: u32, executor: &Arc<Executor<'static>>) {
+    for _ in 1..threads {
+        let executor = Arc::clone(executor);
+        thread::spawn(move || block_on(executor.run(std::future::pending::<()>())));
+    }
+}
+
+async fn serve(
+    settings: Settings,
+    listeners: Listeners,
+    control: Control,
+    executor: &Arc<Executor<'static>>,
+) -> Result<()> {
+    let metrics = Metrics::new()
+        .map_err(|detail| Error::new(Code::SettingsInvalid, detail))
+        .map(Arc::new)?;
+    let mut signals = Signals::new([Signal::Term, Signal::Int])
+        .map_err(|error| Error::new(Code::AddressUnusable, error.to_string()))?;
+    announce(&settings, &listeners);
+    let connections = Arc::new(Connections::new(settings.limits.connections));
+    let entry = Arc::new(Entry::new(
+        &settings,
+        control.clone(),
+        Arc::clone(&metrics),
+        executor,
+    ));
+    watch_log(executor, &control, settings.log_service);
+    watch_vms(executor, &control, &settings);
+    let operators = Arc::new(Operators::new(Arc::clone(&entry), control.clone(), metrics));
+    accept_operators(executor, listeners.operators, operators);
+    accept_peers(executor, listeners.peer, control.clone());
+    let callers = executor.spawn(accept_callers(
+        listeners.entry,
+        entry,
+        Arc::clone(&connections),
+    ));
+    signals.next().await;
+    stop(&settings, &control, &connections, callers).await;
+    Ok(())
+}
+
+fn announce(settings: &Settings, listeners: &Listeners) {
+    let address = |listener: &Async<TcpListener>| {
+        listener
+            .get_ref()
+            .local_addr()
+            .map_or_else(|_| "?".into(), |address| address.to_string())
+    };
+    let line = format!(
+        "cardamomvalved {} ready entry={} peer={} operators={}\n",
+        settings.id,
+        address(&listeners.entry),
+        address(&listeners.peer),
+        address(&listeners.operators)
+    );
+    let mut stdout = std::io::stdout();
+    stdout.write_all(line.as_bytes()).ok();
+    stdout.flush().ok();
+    emit(Event::Started, line.trim_end());
+}
+
+fn watch_log(executor: &Executor<'static>, control: &Control, address: SocketAddr) {
+    for stream in [Stream::Manifest, Stream::Ledger] {
+        let control = control.clone();
+        let watch = async move {
+            // The first read does not wait, so that the tail is known at once.
+            let mut wait_ms = 0;
+            loop {
+                let from = control.next_offset(stream);
+                match platform::log::read(address, stream, from, wait_ms).await {
+                    Ok(read) => {
+                        wait_ms = platform::log::WAIT_MS;
+                        let next = read.records.last().map(|record| record.offset + 1);
+                        control.tell(Message::Records(stream, read));
+                        folded(&control, stream, next).await;
+                    }
+                    Err(_) => {
+                        control.tell(Message::LogDown(stream));
+                        Timer::after(PLATFORM_PAUSE).await;
+                    }
+                }
+            }
+        };
+        executor.spawn(watch).detach();
+    }
+}
+
+/// Waits until the node has folded up to `next`, for a bounded time.
+async fn folded(control: &Control, stream: Stream, next: Option<u64>) {
+    const LOOKS: u32 = 500;
+    let Some(next) = next else { return };
+    for _ in 0..LOOKS {
+        if control.next_offset(stream) >= next {
+            return;
+        }
+        Timer::after(Duration::from_millis(1)).await;
+    }
+}
+
+fn watch_vms(executor: &Executor<'static>, control: &Control, settings: &Settings) {
+    let control = control.clone();
+    let address = settings.vm_list;
+    let interval = Duration::from_millis(settings.limits.vm_list_interval_ms);
+    let watch = async move {
+        loop {
+            let message = match platform::vms::read(address).await {
+                Ok(vms) => Message::Vms(vms),
+                Err(_) => Message::VmsDown,
+            };
+            control.tell(message);
+            Timer::after(interval).await;
+        }
+    };
+    executor.spawn(watch).detach();
+}
+
+async fn accept(listener: &Async<TcpListener>) -> Async<TcpStream> {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => return stream,
+            Err(_) => {
+                Timer::after(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn accept_callers(
+    listener: Async<TcpListener>,
+    entry: Arc<Entry>,
+    connections: Arc<Connections>,
+) {
+    loop {
+        let stream = accept(&listener).await;
+        entry.connect(stream, &connections);
+    }
+}
+
+fn accept_operators(
+    executor: &Arc<Executor<'static>>,
+    listener: Async<TcpListener>,
+    operators: Arc<Operators>,
+) {
+    let spawner = Arc::clone(executor);
+    let accepting = async move {
+        loop {
+            let stream = accept(&listener).await;
+            spawner.spawn(operators.clone().serve(stream)).detach();
+        }
+    };
+    executor.spawn(accepting).detach();
+}
+
+fn accept_peers(executor: &Arc<Executor<'static>>, listener: Async<TcpListener>, control: Control) {
+    let spawner = Arc::clone(executor);
+    let accepting = async move {
+        loop {
+            let stream = accept(&listener).await;
+            let control = control.clone();
+            let receiving = async move {
+                emit(Event::PeerUp, "");
+                let socket = Socket::new(stream, PEER_IDLE);
+                let take = |frame| control.tell(Message::Frame(frame));
+                let reason = peer::receive(socket, take).await.err().unwrap_or_default();
+                emit(Event::PeerDown, &reason);
+            };
+            spawner.spawn(receiving).detach();
+        }
+    };
+    executor.spawn(accepting).detach();
+}
+
+/// A planned stop: not ready first, then no new connections, then every request ends.
+async fn stop(
+    settings: &Settings,
+    control: &Control,
+    connections: &Connections,
+    callers: async_executor::Task<()>,
+) {
+    control.tell(Message::Stop);
+    Timer::after(Duration::from_millis(settings.limits.drain_notice_ms)).await;
+    callers.cancel().await;
+    let drained = async {
+        while !control.is_drained() || connections.is_busy() {
+            Timer::after(DRAIN_LOOK).await;
+        }
+        emit(Event::Stopped, "");
+    };
+    let cut_short = async {
+        Timer::after(Duration::from_millis(settings.limits.drain_ms)).await;
+        emit(Event::StopCutShort, "");
+    };
+    drained.or(cut_short).await;
+}
--- /dev/null
+++ b/src/entry/arrival.rs
@@ -0,0 +1,275 @@
+//! From a caller's request to an arrival: grants, priority, deadline, prefix.
+
+use http_types::headers::Headers;
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::openai::Completion;
+use super::{Call, Entry};
+use crate::attempt::{Arrival, Target};
+use crate::http::header;
+use crate::ledger;
+use crate::manifest::{self, Force, Model, Priority, Workspace};
+use crate::prefix::{self, BYTES_PER_TOKEN, Prefix, Scope};
+use crate::prelude::*;
+
+const MAX_DEADLINE_MS: u64 = 86_400_000;
+const MAX_LEVELS: usize = 16;
+const MAX_KEY: usize = 255;
+
+/// What a request's optional headers ask for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct Wishes {
+    priority: Option<Priority>,
+    deadline: Option<Duration>,
+    levels: Vec<usize>,
+}
+
+impl Wishes {
+    /// Reads the optional headers; a value that is not allowed is an error.
+    pub(super) fn read(headers: &Headers) -> Result<Self> {
+        let priority = header::single(headers, header::PRIORITY)?
+            .map(|name| {
+                Priority::from_name(name)
+                    .ok_or_else(|| invalid(header::PRIORITY, "urgent, normal or background"))
+            })
+            .transpose()?;
+        let deadline = header::single(headers, header::DEADLINE_MS)?
+            .map(|value| {
+                value
+                    .parse()
+                    .ok()
+                    .filter(|ms| (1..=MAX_DEADLINE_MS).contains(ms))
+                    .map(Duration::from_millis)
+                    .ok_or_else(|| invalid(header::DEADLINE_MS, "1 to 86400000"))
+            })
+            .transpose()?;
+        let levels = match header::single(headers, header::PREFIX_LEVELS)? {
+            None => Vec::new(),
+            Some(value) => parse_levels(value).ok_or_else(|| {
+                invalid(
+                    header::PREFIX_LEVELS,
+                    "up to 16 ascending byte offsets joined by commas",
+                )
+            })?,
+        };
+        Ok(Self {
+            priority,
+            deadline,
+            levels,
+        })
+    }
+}
+
+fn parse_levels(value: &str) -> Option<Vec<usize>> {
+    let levels: Vec<usize> = value
+        .split(',')
+        .map(|part| part.trim().parse().ok())
+        .collect::<Option<_>>()?;
+    let ascending = levels.windows(2).all(|pair| pair[0] < pair[1]);
+    (levels.len() <= MAX_LEVELS && ascending).then_some(levels)
+}
+
+fn invalid(name: &str, allowed: &str) -> Error {
+    Error::new(Code::HeaderInvalid, format!("{name}: give {allowed}"))
+}
+
+fn workspace<'a>(force: &'a Force, name: &str) -> Result<&'a Workspace> {
+    force
+        .manifest
+        .workspaces
+        .get(name)
+        .ok_or_else(|| Code::WrongKey.into())
+}
+
+fn priority(wishes: &Wishes, workspace: &Workspace) -> Priority {
+    wishes
+        .priority
+        .unwrap_or(workspace.default_priority)
+        .max(workspace.highest_priority)
+}
+
+/// The model of this name, if the workspace is granted it.
+pub(super) fn granted_model<'a>(
+    force: &'a Force,
+    workspace_name: &str,
+    name: &str,
+) -> Result<&'a Model> {
+    let model = force.manifest.models.get(name);
+    let model = model.ok_or_else(|| Error::new(Code::UnknownModel, format!("model {name:?}")))?;
+    let granted = workspace(force, workspace_name)?
+        .models
+        .iter()
+        .any(|granted| granted == name);
+    granted
+        .then_some(model)
+        .ok_or_else(|| Error::new(Code::ForeignModel, format!("model {name:?}")))
+}
+
+impl Entry {
+    /// The arrival of a completion.
+    pub(super) fn completion(
+        &self,
+        force: &Force,
+        workspace_name: &str,
+        headers: &Headers,
+        since: Time,
+        completion: &Completion,
+    ) -> Result<Arrival> {
+        let wishes = Wishes::read(headers)?;
+        let model = granted_model(force, workspace_name, &completion.model)?;
+        let workspace = workspace(force, workspace_name)?;
+        let salt = prefix::root(Scope {
+            workspace: workspace_name,
+            model: &completion.model,
+            weights: &model.weights,
+            adapter: model.adapter.as_deref().unwrap_or_default(),
+        });
+        let prompt = completion.prompt.as_bytes();
+        let deadline = wishes
+            .deadline
+            .unwrap_or(Duration::from_millis(model.default_deadline_ms));
+        Ok(Arrival {
+            request: self.control.next_request(),
+            workspace: workspace_name.to_owned(),
+            share: workspace.share,
+            target: Target::Model {
+                model: completion.model.clone(),
+                weights: model.weights.clone(),
+                objective: model.objective,
+                salt,
+            },
+            pool: model.pool.clone(),
+            priority: priority(&wishes, workspace),
+            deadline: since + deadline,
+            prefix: Prefix::new(salt, prompt, &wishes.levels),
+            tokens: (prompt.len() / BYTES_PER_TOKEN) as u32,
+            max_tokens: completion.max_tokens,
+            idempotent: true,
+            claim: None,
+        })
+    }
+
+    /// The arrival of a call of `service`, whose path within the service is `path`.
+    pub(super) fn service_call(&self, call: &Call, name: &str, path: &str) -> Result<Arrival> {
+        let headers: &Headers = call.whole.request.as_ref();
+        let wishes = Wishes::read(headers)?;
+        let named = || format!("service {name:?}");
+        let service = call.force.manifest.services.get(name);
+        let service = service.ok_or_else(|| Error::new(Code::UnknownService, named()))?;
+        let workspace = workspace(&call.force, &call.workspace)?;
+        if !workspace.services.iter().any(|granted| granted == name) {
+            return Err(Error::new(Code::ForeignService, named()));
+        }
+        let method = call.whole.request.method().to_string();
+        let idempotent = service.idempotent_methods.contains(&method);
+        let key = idempotency_key(headers)?;
+        let keyed = key.is_some();
+        let claim = key
+            .filter(|_| !idempotent && !service.deduplicates)
+            .map(|key| ledger::Ask {
+                key: ledger::Key {
+                    workspace: call.workspace.clone(),
+                    service: name.to_owned(),
+                    key,
+                },
+                digest: request_digest(&method, path, &call.whole.body),
+                window_s: call.force.manifest.idempotency_window_s,
+            });
+        let deadline = wishes
+            .deadline
+            .unwrap_or(Duration::from_millis(service.default_deadline_ms));
+        Ok(Arrival {
+            request: self.control.next_request(),
+            workspace: call.workspace.clone(),
+            share: workspace.share,
+            target: Target::Service {
+                service: name.to_owned(),
+            },
+            pool: service.pool.clone(),
+            priority: priority(&wishes, workspace),
+            deadline: call.since + deadline,
+            prefix: Prefix::default(),
+            tokens: 0,
+            max_tokens: 1,
+            idempotent: idempotent || (keyed && service.deduplicates),
+            claim,
+        })
+    }
+}
+
+/// The idempotency key; a quoted string as in the IETF draft, or bare.
+fn idempotency_key(headers: &Headers) -> Result<Option<String>> {
+    let Some(value) = header::single(headers, header::IDEMPOTENCY_KEY)? else {
+        return Ok(None);
+    };
+    let value = value.trim();
+    let key = value
+        .strip_prefix('"')
+        .and_then(|rest| rest.strip_suffix('"'))
+        .unwrap_or(value);
+    let printable = key
+        .bytes()
+        .all(|byte| byte.is_ascii_graphic() && byte != b'"');
+    if key.is_empty() || key.len() > MAX_KEY || !printable {
+        return Err(invalid(
+            header::IDEMPOTENCY_KEY,
+            "1 to 255 visible ASCII characters",
+        ));
+    }
+    Ok(Some(key.to_owned()))
+}
+
+fn request_digest(method: &str, path: &str, body: &[u8]) -> String {
+    let mut bytes = format!("{method} {path}\n").into_bytes();
+    bytes.extend_from_slice(body);
+    manifest::digest(&bytes)
+}
+
+/// A short id for one request, shown to callers and engines.
+pub(super) fn request_id(daemon: &str, incarnation: u64, request: crate::attempt::Key) -> String {
+    format!(
+        "{:016x}-{:x}",
+        xxh3_64(daemon.as_bytes()) ^ incarnation,
+        request.0
+    )
+}
+
+/// An operator's question where a completion would go.
+#[derive(Debug, serde::Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Question {
+    workspace: String,
+    model: String,
+    prompt: String,
+    #[serde(default)]
+    levels: Vec<usize>,
+    #[serde(default)]
+    priority: Option<Priority>,
+}
+
+impl Entry {
+    /// The arrival that an operator's question is about; nothing is run for it.
+    pub fn question(&self, body: &[u8]) -> Result<Arrival> {
+        let question: Question = serde_json::from_slice(body)
+            .map_err(|error| Error::new(Code::MalformedRequest, error.to_string()))?;
+        let force = self.control.force().ok_or(Code::NoManifest)?;
+        let body = serde_json::json!({ "model": question.model, "prompt": question.prompt });
+        let completion = Completion::parse(super::openai::Kind::Text, body.to_string().as_bytes())?;
+        let mut request = http_types::Request::new(http_types::Method::Get, "http://localhost/");
+        if let Some(priority) = question.priority {
+            request.insert_header(header::PRIORITY, priority.as_str());
+        }
+        if !question.levels.is_empty() {
+            let levels: Vec<String> = question.levels.iter().map(usize::to_string).collect();
+            request.insert_header(header::PREFIX_LEVELS, levels.join(","));
+        }
+        let now = self.control.clock.now();
+        self.completion(
+            &force,
+            &question.workspace,
+            request.as_ref(),
+            now,
+            &completion,
+        )
+    }
+}
--- /dev/null
+++ b/src/entry/mod.rs
@@ -0,0 +1,174 @@
+//! The entry: callers' HTTP requests, from the connection to the last byte of the answer.
+
+mod answer;
+mod arrival;
+mod connections;
+mod model;
+pub mod openai;
+mod pump;
+mod service;
+#[cfg(test)]
+mod tests;
+
+use std::net::TcpStream;
+
+use async_executor::Executor;
+use async_io::Async;
+use http_types::{Method, Request, Response};
+
+pub use connections::Connections;
+
+use crate::daemon::Control;
+use crate::http::server::{self, Whole};
+use crate::http::{Socket, client, header};
+use crate::manifest::Force;
+use crate::prelude::*;
+use crate::settings::{Limits, Settings};
+use crate::telemetry::metrics::Metrics;
+use crate::telemetry::trace::Hop;
+
+/// Serves callers.
+#[derive(Debug)]
+pub struct Entry {
+    id: String,
+    limits: Limits,
+    exchange: client::Limits,
+    control: Control,
+    metrics: Arc<Metrics>,
+    executor: Arc<Executor<'static>>,
+    incarnation: u64,
+}
+
+/// One caller's request, with what all paths need of it.
+struct Call {
+    whole: Whole,
+    force: Arc<Force>,
+    workspace: String,
+    hop: Hop,
+    since: Time,
+}
+
+impl Entry {
+    /// An entry that hands its requests to `control`.
+    pub fn new(
+        settings: &Settings,
+        control: Control,
+        metrics: Arc<Metrics>,
+        executor: &Arc<Executor<'static>>,
+    ) -> Self {
+        Self {
+            id: settings.id.clone(),
+            limits: settings.limits,
+            exchange: settings.limits.exchange(),
+            control,
+            metrics,
+            executor: Arc::clone(executor),
+            incarnation: fastrand::u64(..),
+        }
+    }
+
+    /// Serves a new connection, or refuses it where there are too many.
+    pub fn connect(self: &Arc<Self>, stream: Async<TcpStream>, connections: &Arc<Connections>) {
+        let socket = Socket::new(stream, Duration::from_millis(self.limits.idle_ms));
+        let entry = Arc::clone(self);
+        let Some(guard) = connections.add(socket.clone()) else {
+            let refusing = async move {
+                let refuse = |_, _| async {
+                    let mut answer = entry.refusal(&Code::TooManyConnections.into());
+                    answer.insert_header("connection", "close");
+                    Ok(answer)
+                };
+                server::serve(socket, refuse).await.ok();
+            };
+            return self.executor.spawn(refusing).detach();
+        };
+        let serving = async move {
+            let endpoint = |request, socket| entry.clone().answer(request, socket);
+            if let Err(error) = server::serve(socket, endpoint).await {
+                crate::telemetry::emit(Event::ConnectionFailed, &error.to_string());
+            }
+            drop(guard);
+        };
+        self.executor.spawn(serving).detach();
+    }
+
+    async fn answer(
+        self: Arc<Self>,
+        request: Request,
+        socket: Socket,
+    ) -> http_types::Result<Response> {
+        let mut close = true;
+        let mut answer = match server::read(request, &socket, self.limits.body_bytes).await {
+            Ok(whole) => {
+                close = whole.close;
+                self.route(whole).await
+            }
+            Err(error) => self.refusal(&error.into()),
+        };
+        if close || self.control.is_draining() {
+            answer.insert_header("connection", "close");
+        }
+        answer.insert_header(header::DAEMON, self.id.as_str());
+        Ok(answer)
+    }
+
+    async fn route(self: &Arc<Self>, whole: Whole) -> Response {
+        let since = self.control.clock.now();
+        let head = &whole.request;
+        let traceparent = header::single(head.as_ref(), header::TRACEPARENT)
+            .ok()
+            .flatten();
+        let hop = Hop::first("entry", traceparent);
+        let path = head.url().path().to_owned();
+        let (workspace, force) = match self.authenticate(head) {
+            Ok(found) => found,
+            Err(error) => return self.refusal(&error.into()),
+        };
+        hop.note("workspace", workspace.clone());
+        let call = Call {
+            whole,
+            force,
+            workspace,
+            hop,
+            since,
+        };
+        match (call.whole.request.method(), path.as_str()) {
+            (Method::Post, "/v1/chat/completions" | "/v1/completions") => self.model(call).await,
+            (Method::Get, "/v1/models") => models(&call),
+            (_, path) if path.starts_with("/services/") => self.service(call).await,
+            (_, "/v1/chat/completions" | "/v1/completions") => {
+                self.refusal(&Error::new(Code::MethodNotAllowed, "POST").into())
+            }
+            (_, "/v1/models") => self.refusal(&Error::new(Code::MethodNotAllowed, "GET").into()),
+            (_, path) => self.refusal(&Error::new(Code::UnknownPath, path).into()),
+        }
+    }
+
+    /// The workspace that the request's bearer key belongs to.
+    fn authenticate(&self, request: &Request) -> Result<(String, Arc<Force>)> {
+        let force = self.control.force().ok_or(Code::NoManifest)?;
+        let value = header::single(request.as_ref(), "authorization")?.ok_or(Code::MissingKey)?;
+        let key = match value.split_once(' ') {
+            Some((scheme, key)) if scheme.eq_ignore_ascii_case("bearer") => key.trim(),
+            _ => return Err(Code::MissingKey.into()),
+        };
+        let workspace = force
+            .owner(&crate::manifest::digest(key.as_bytes()))
+            .ok_or(Code::WrongKey)?
+            .to_owned();
+        Ok((workspace, force))
+    }
+}
+
+fn models(call: &Call) -> Response {
+    let workspace = call.force.manifest.workspaces.get(&call.workspace);
+    let models: Vec<serde_json::Value> = workspace
+        .into_iter()
+        .flat_map(|workspace| &workspace.models)
+        .map(|name| serde_json::json!({ "id": name, "object": "model", "owned_by": "operators" }))
+        .collect();
+    server::json(
+        200,
+        &serde_json::json!({ "object": "list", "data": models }),
+    )
+}
--- /dev/null
+++ b/src/entry/model.rs
@@ -0,0 +1,202 @@
+//! Completions: streamed as they come, or gathered into one JSON answer.
+
+use async_channel::Receiver;
+use futures_lite::StreamExt;
+use futures_lite::stream;
+use futures_util::TryStreamExt;
+use http_types::{Body, Response};
+use serde_json::Value;
+
+use super::answer::error_body;
+use super::arrival::request_id;
+use super::openai::{Completion, Kind, chunk_text, whole};
+use super::pump::{END, Piece, Pump};
+use super::{Call, Entry};
+use crate::attempt::{Refusal, Target};
+use crate::http::server;
+use crate::prelude::*;
+
+/// Chunks that may wait for a slow caller.
+const MAX_PIECES: usize = 16;
+
+impl Entry {
+    pub(super) async fn model(self: &Arc<Self>, call: Call) -> Response {
+        let kind = Kind::from_path(call.whole.request.url().path()).unwrap_or(Kind::Text);
+        let completion = match Completion::parse(kind, &call.whole.body) {
+            Ok(completion) => completion,
+            Err(error) => return self.refused(&call.workspace, "", error.into()),
+        };
+        let name = completion.model.clone();
+        let arrival = self.completion(
+            &call.force,
+            &call.workspace,
+            call.whole.request.as_ref(),
+            call.since,
+            &completion,
+        );
+        let arrival = match arrival {
+            Ok(arrival) => arrival,
+            Err(error) => return self.refused(&call.workspace, "", error.into()),
+        };
+        let Target::Model { weights, salt, .. } = arrival.target.clone() else {
+            return self.refused(&call.workspace, &name, Code::UnknownModel.into());
+        };
+        let (sender, pieces) = async_channel::bounded(MAX_PIECES);
+        let pump = Pump {
+            entry: Arc::clone(self),
+            request: arrival.request,
+            id: request_id(&self.id, self.incarnation, arrival.request),
+            completion: completion.clone(),
+            weights,
+            salt,
+            priority: arrival.priority.as_str(),
+            pieces: sender,
+            hop: call.hop,
+            since: call.since,
+            position: 0,
+            text: String::new(),
+        };
+        let id = pump.id.clone();
+        let commands = self.control.open(arrival);
+        self.executor.spawn(pump.run(commands)).detach();
+        let server = match pieces.recv().await {
+            Ok(Piece::Begin(server)) => server,
+            Ok(Piece::Failed(refusal)) => return self.refused(&call.workspace, &name, refusal),
+            // A complete answer without a single chunk is still an answer.
+            Ok(Piece::End) => return self.gathered(&completion, &id, "", None, ""),
+            _ => return self.refused(&call.workspace, &name, Code::GenerationFailed.into()),
+        };
+        if completion.stream {
+            return self.streamed(&call.workspace, &name, &server, pieces).await;
+        }
+        self.gather(&call.workspace, &completion, &id, &server, pieces)
+            .await
+    }
+
+    pub(super) fn refused(&self, workspace: &str, target: &str, refusal: Refusal) -> Response {
+        self.metrics
+            .answered(workspace, target, refusal.error.code.row().number);
+        self.refusal(&refusal)
+    }
+
+    /// A server-sent event stream of the pieces; it ends with `[DONE]` or with an error event.
+    async fn streamed(
+        &self,
+        workspace: &str,
+        name: &str,
+        server: &str,
+        pieces: Receiver<Piece>,
+    ) -> Response {
+        let first = pieces.recv().await;
+        if let Ok(Piece::Other(status, body)) = first {
+            return self.other(workspace, name, server, status, body);
+        }
+        let events = stream::once(first).chain(stream::unfold(pieces, |pieces| async {
+            let piece = pieces.recv().await;
+            Some((piece, pieces))
+        }));
+        let events = events.scan(false, |ended, piece| {
+            if *ended {
+                return None;
+            }
+            let (text, last) = sse(piece.ok());
+            *ended = last;
+            Some(Ok::<_, std::io::Error>(text.into_bytes()))
+        });
+        let reader = Box::pin(events).into_async_read();
+        let mut answer = server::empty(200);
+        answer.set_body(Body::from_reader(reader, None));
+        answer.insert_header("content-type", "text/event-stream");
+        answer.insert_header("cache-control", "no-cache");
+        self.mark_done(&mut answer, server);
+        self.metrics.answered(workspace, name, 0);
+        answer
+    }
+
+    async fn gather(
+        &self,
+        workspace: &str,
+        completion: &Completion,
+        id: &str,
+        server: &str,
+        pieces: Receiver<Piece>,
+    ) -> Response {
+        let mut text = String::new();
+        let mut last = None;
+        loop {
+            match pieces.recv().await {
+                Ok(Piece::Chunk(data)) => {
+                    let chunk: Value = serde_json::from_str(&data).unwrap_or_default();
+                    text.push_str(chunk_text(completion.kind, &chunk));
+                    last = Some(chunk);
+                }
+                Ok(Piece::End) => {
+                    self.metrics.answered(workspace, &completion.model, 0);
+                    return self.gathered(completion, id, &text, last.as_ref(), server);
+                }
+                Ok(Piece::Failed(refusal)) => {
+                    return self.refused(workspace, &completion.model, refusal);
+                }
+                Ok(Piece::Other(status, body)) => {
+                    return self.other(workspace, &completion.model, server, status, body);
+                }
+                Ok(Piece::Begin(_)) => {}
+                Err(_) => {
+                    let refusal = Code::GenerationFailed.into();
+                    return self.refused(workspace, &completion.model, refusal);
+                }
+            }
+        }
+    }
+
+    fn gathered(
+        &self,
+        completion: &Completion,
+        id: &str,
+        text: &str,
+        last: Option<&Value>,
+        server: &str,
+    ) -> Response {
+        let body = whole(completion.kind, id, &completion.model, text, last);
+        let mut answer = server::json(200, &body);
+        self.mark_done(&mut answer, server);
+        answer
+    }
+
+    fn other(
+        &self,
+        workspace: &str,
+        name: &str,
+        server: &str,
+        status: u16,
+        body: Vec<u8>,
+    ) -> Response {
+        let mut answer = server::empty(status);
+        answer.set_body(body);
+        answer.insert_header("content-type", "application/json");
+        self.mark_done(&mut answer, server);
+        answer.insert_header(crate::http::header::EXECUTION, Execution::NotRun.as_str());
+        self.metrics.answered(workspace, name, 0);
+        answer
+    }
+}
+
+/// One piece as an event, and whether it is the last.
+fn sse(piece: Option<Piece>) -> (String, bool) {
+    match piece {
+        Some(Piece::Chunk(data)) => (format!("data: {data}\n\n"), false),
+        Some(Piece::End) => (format!("data: {END}\n\n"), true),
+        Some(Piece::Failed(refusal)) => (
+            format!("event: error\ndata: {}\n\n", error_body(&refusal)),
+            true,
+        ),
+        Some(Piece::Begin(_) | Piece::Other(..)) => (String::from(": \n\n"), false),
+        None => {
+            let refusal = Refusal::from(Code::GenerationFailed);
+            (
+                format!("event: error\ndata: {}\n\n", error_body(&refusal)),
+                true,
+            )
+        }
+    }
+}
--- /dev/null
+++ b/src/entry/pump.rs
@@ -0,0 +1,291 @@
+//! Drives one completion through its attempts and passes its chunks on, complete and in order.
+
+use async_channel::{Receiver, Sender};
+use async_sse::Event as SseEvent;
+use futures_lite::{AsyncReadExt, StreamExt};
+use http_types::{Body, Method, StatusCode};
+use serde_json::Value;
+
+use super::Entry;
+use super::openai::{Completion, chunk_text};
+use crate::attempt::{self, Command, Dispatch, Outcome, Refusal, Report};
+use crate::control::Message;
+use crate::http::client::{self, Stage};
+use crate::http::header;
+use crate::prefix;
+use crate::prelude::*;
+use crate::telemetry::trace::Hop;
+
+/// The data of a stream's last event.
+pub(super) const END: &str = "[DONE]";
+/// Bytes of one engine's stream that are read at most.
+const MAX_STREAM: u64 = 1 << 30;
+
+/// What a pump hands to the caller's answer, in order.
+#[derive(Debug)]
+pub(super) enum Piece {
+    /// The first chunk is at hand; the id of the server that made it.
+    Begin(String),
+    /// One chunk's JSON.
+    Chunk(String),
+    /// The answer is complete.
+    End,
+    /// The request is given up.
+    Failed(Refusal),
+    /// The engine's own answer to a request that it does not take.
+    Other(u16, Vec<u8>),
+}
+
+/// One completion on its way.
+pub(super) struct Pump {
+    pub(super) entry: Arc<Entry>,
+    pub(super) request: attempt::Key,
+    pub(super) id: String,
+    pub(super) completion: Completion,
+    pub(super) weights: String,
+    pub(super) salt: prefix::Key,
+    pub(super) priority: &'static str,
+    pub(super) pieces: Sender<Piece>,
+    pub(super) hop: Hop,
+    pub(super) since: Time,
+    /// Position of the next chunk.
+    pub(super) position: u64,
+    /// The text passed on so far.
+    pub(super) text: String,
+}
+
+impl Pump {
+    /// Obeys commands until the request ends.
+    pub(super) async fn run(mut self, commands: Receiver<Command>) {
+        let mut waiting = self.hop.child("admission");
+        while let Ok(command) = commands.recv().await {
+            drop(waiting);
+            match command {
+                Command::Dispatch(dispatch) => {
+                    let outcome = self.attempt(&dispatch).await;
+                    let complete = matches!(outcome, Outcome::Complete(_));
+                    let gone = outcome == Outcome::CallerGone;
+                    self.report(&dispatch, Report::Ended(outcome));
+                    if complete {
+                        self.pieces.send(Piece::End).await.ok();
+                    }
+                    if complete || gone {
+                        return;
+                    }
+                }
+                Command::Refuse(refusal) => {
+                    self.pieces.send(Piece::Failed(refusal)).await.ok();
+                    return;
+                }
+                Command::Replay(_) => return,
+            }
+            waiting = self.hop.child("admission");
+        }
+    }
+
+    fn report(&self, dispatch: &Dispatch, report: Report) {
+        let (request, attempt) = (self.request, dispatch.attempt);
+        self.entry.control.tell(Message::Report {
+            request,
+            attempt,
+            report,
+        });
+    }
+
+    async fn attempt(&mut self, dispatch: &Dispatch) -> Outcome {
+        if self.entry.control.clock.now() >= dispatch.deadline {
+            return Outcome::Late;
+        }
+        let hop = self.hop.child("dispatch");
+        hop.note("server", dispatch.id.clone());
+        hop.note("attempt", i64::from(dispatch.attempt));
+        let attempt_id = format!("{}.{}", self.id, dispatch.attempt);
+        let request = match self.request_to(dispatch, &attempt_id, &hop) {
+            Ok(request) => request,
+            Err(error) => return Outcome::Unsent(error.message()),
+        };
+        match client::send(dispatch.address, request, self.entry.exchange).await {
+            Ok(answer) => self.receive(dispatch, &attempt_id, answer, &hop).await,
+            Err(failure) => match failure.stage {
+                Stage::Unsent => Outcome::Unsent(failure.reason),
+                Stage::Sent => Outcome::Broken(failure.reason),
+            },
+        }
+    }
+
+    fn request_to(
+        &self,
+        dispatch: &Dispatch,
+        attempt_id: &str,
+        hop: &Hop,
+    ) -> Result<http_types::Request> {
+        let path = self.completion.kind.path();
+        let mut request = client::request(Method::Post, dispatch.address, path)?;
+        request.insert_header(header::ATTEMPT, attempt_id);
+        request.insert_header(header::STREAM, self.id.as_str());
+        request.insert_header(header::CACHE_SALT, format!("{:016x}", self.salt.0));
+        request.insert_header(header::PRIORITY, self.priority);
+        request.insert_header(header::WEIGHTS, self.weights.as_str());
+        if let Some(incarnation) = &dispatch.incarnation {
+            request.insert_header(header::INCARNATION, incarnation.as_str());
+        }
+        if let Some(traceparent) = hop.traceparent() {
+            request.insert_header(header::TRACEPARENT, traceparent);
+        }
+        let mut body = self.completion.body.clone();
+        body["stream"] = Value::Bool(true);
+        if self.position > 0 {
+            request.insert_header(header::RESUME_FROM, self.position.to_string());
+            if !dispatch.resume {
+                body["continue_text"] = Value::from(self.text.as_str());
+            }
+        }
+        request.set_body(Body::from_string(body.to_string()));
+        request.insert_header("content-type", "application/json");
+        Ok(request)
+    }
+
+    async fn receive(
+        &mut self,
+        dispatch: &Dispatch,
+        attempt_id: &str,
+        answer: client::Answer,
+        hop: &Hop,
+    ) -> Outcome {
+        let headers = answer.response.as_ref();
+        let status = answer.response.status();
+        let declined = header::single(headers, header::EXECUTION)
+            .is_ok_and(|value| value == Some(Execution::NotRun.as_str()));
+        if declined && status != StatusCode::Ok {
+            return self.declined(dispatch, status, answer).await;
+        }
+        if status != StatusCode::Ok {
+            return Outcome::Broken(format!("the engine answered {status}"));
+        }
+        let expected = [
+            (header::ATTEMPT, Some(attempt_id)),
+            (header::INCARNATION, dispatch.incarnation.as_deref()),
+            (header::WEIGHTS, Some(self.weights.as_str())),
+        ];
+        for (name, value) in expected {
+            if header::single(headers, name).ok().flatten() != value {
+                return Outcome::Mismatch(format!("{name} is not {value:?}"));
+            }
+        }
+        let cached = header::single(headers, header::CACHED_TOKENS)
+            .ok()
+            .flatten()
+            .and_then(|value| value.parse().ok());
+        let stream = hop.child("stream");
+        let outcome = self.stream(dispatch, answer, cached).await;
+        stream.note("position", self.position as i64);
+        outcome
+    }
+
+    /// An engine that did not run the request: one that it will never take is answered as the
+    /// engine answered it, all else is tried elsewhere.
+    async fn declined(
+        &mut self,
+        dispatch: &Dispatch,
+        status: StatusCode,
+        answer: client::Answer,
+    ) -> Outcome {
+        let never = matches!(
+            status,
+            StatusCode::BadRequest | StatusCode::PayloadTooLarge | StatusCode::UnprocessableEntity
+        );
+        if !never || self.position > 0 {
+            return Outcome::Declined(format!("the engine answered {status}"));
+        }
+        match answer.whole().await {
+            Ok((head, body)) => {
+                let status = u16::from(head.status());
+                let passed = self
+                    .pieces
+                    .send(Piece::Begin(dispatch.id.clone()))
+                    .await
+                    .is_ok()
+                    && self.pieces.send(Piece::Other(status, body)).await.is_ok();
+                if passed {
+                    Outcome::Complete(None)
+                } else {
+                    Outcome::CallerGone
+                }
+            }
+            Err(failure) => Outcome::Declined(failure.reason),
+        }
+    }
+
+    async fn stream(
+        &mut self,
+        dispatch: &Dispatch,
+        mut answer: client::Answer,
+        cached_tokens: Option<u32>,
+    ) -> Outcome {
+        let body = answer.response.take_body().take(MAX_STREAM);
+        let mut events = async_sse::decode(futures_lite::io::BufReader::new(body));
+        let mut begun = false;
+        while let Some(event) = events.next().await {
+            let message = match event {
+                Ok(SseEvent::Message(message)) => message,
+                Ok(SseEvent::Retry(_)) => continue,
+                Err(error) => return Outcome::Broken(error.to_string()),
+            };
+            if message.name() != "message" {
+                let text = String::from_utf8_lossy(message.data()).into_owned();
+                return Outcome::Broken(format!("the engine sent {}: {text}", message.name()));
+            }
+            let Ok(data) = std::str::from_utf8(message.data()) else {
+                return Outcome::Broken("a chunk is no text".into());
+            };
+            let position = message.id().as_ref().and_then(|id| id.parse::<u64>().ok());
+            match position {
+                Some(position) if position < self.position => continue,
+                Some(position) if position == self.position => {}
+                _ => {
+                    let seen = message.id();
+                    return Outcome::Broken(format!(
+                        "chunk {seen:?} came where {} was due",
+                        self.position
+                    ));
+                }
+            }
+            if data == END {
+                return Outcome::Complete(None);
+            }
+            let Ok(chunk) = serde_json::from_str::<Value>(data) else {
+                return Outcome::Broken("a chunk is no JSON".into());
+            };
+            if !begun {
+                begun = true;
+                self.begin(dispatch, cached_tokens).await;
+            }
+            self.text.push_str(chunk_text(self.completion.kind, &chunk));
+            self.position += 1;
+            if self
+                .pieces
+                .send(Piece::Chunk(data.to_owned()))
+                .await
+                .is_err()
+            {
+                return Outcome::CallerGone;
+            }
+        }
+        Outcome::Broken("the stream ended early".into())
+    }
+
+    async fn begin(&self, dispatch: &Dispatch, cached_tokens: Option<u32>) {
+        self.report(dispatch, Report::Begun { cached_tokens });
+        if self.position > 0 {
+            return;
+        }
+        let time = self.entry.control.clock.now().saturating_sub(self.since);
+        self.entry
+            .metrics
+            .first_token(&self.completion.model, self.priority, time);
+        self.pieces
+            .send(Piece::Begin(dispatch.id.clone()))
+            .await
+            .ok();
+    }
+}
--- /dev/null
+++ b/src/entry/service.rs
@@ -0,0 +1,192 @@
+//! Calls of plain services: passed on whole, and answered whole.
+
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
+use http_types::{Method, Response};
+
+use super::arrival::request_id;
+use super::{Call, Entry};
+use crate::attempt::{self, Command, Dispatch, Outcome, Report, Target};
+use crate::control::Message;
+use crate::http::client::{self, Stage};
+use crate::http::{header, server};
+use crate::ledger::{MAX_KEPT_BODY, Receipt};
+use crate::prelude::*;
+use crate::telemetry::trace::Hop;
+
+/// Headers of a request that are passed on.
+const PASSED_ON: [&str; 6] = [
+    "content-type",
+    "accept",
+    "accept-language",
+    header::IDEMPOTENCY_KEY,
+    "if-match",
+    "if-none-match",
+];
+/// Headers of an answer that are passed back.
+const PASSED_BACK: [&str; 8] = [
+    "content-type",
+    "content-disposition",
+    "content-language",
+    "etag",
+    "last-modified",
+    "location",
+    "cache-control",
+    "retry-after",
+];
+
+impl Entry {
+    pub(super) async fn service(self: &Arc<Self>, call: Call) -> Response {
+        let url = call.whole.request.url();
+        let rest = url.path().strip_prefix("/services/").unwrap_or_default();
+        let (name, path) = rest.split_once('/').unwrap_or((rest, ""));
+        let query = url
+            .query()
+            .map(|query| format!("?{query}"))
+            .unwrap_or_default();
+        let path = format!("/{path}{query}");
+        let arrival = match self.service_call(&call, name, &path) {
+            Ok(arrival) => arrival,
+            Err(error) => return self.refused(&call.workspace, "", error.into()),
+        };
+        let keyed = arrival.claim.is_some();
+        let name = match &arrival.target {
+            Target::Service { service } => service.clone(),
+            Target::Model { .. } => String::new(),
+        };
+        let request = arrival.request;
+        let commands = self.control.open(arrival);
+        let mut waiting = call.hop.child(if keyed { "ledger" } else { "admission" });
+        while let Ok(command) = commands.recv().await {
+            drop(waiting);
+            let dispatch = match command {
+                Command::Dispatch(dispatch) => dispatch,
+                Command::Refuse(refusal) => return self.refused(&call.workspace, &name, refusal),
+                Command::Replay(receipt) => return self.replay(&receipt),
+            };
+            let hop = call.hop.child("dispatch");
+            hop.note("server", dispatch.id.clone());
+            let (outcome, answer) = self.exchange(&call, &path, request, &dispatch, &hop).await;
+            let attempt = dispatch.attempt;
+            let report = Report::Ended(outcome);
+            self.control.tell(Message::Report {
+                request,
+                attempt,
+                report,
+            });
+            if let Some(answer) = answer {
+                self.metrics.answered(&call.workspace, &name, 0);
+                return answer;
+            }
+            waiting = call.hop.child("admission");
+        }
+        self.refused(&call.workspace, &name, Code::OutcomeUnknown.into())
+    }
+
+    async fn exchange(
+        &self,
+        call: &Call,
+        path: &str,
+        request: attempt::Key,
+        dispatch: &Dispatch,
+        hop: &Hop,
+    ) -> (Outcome, Option<Response>) {
+        if self.control.clock.now() >= dispatch.deadline {
+            return (Outcome::Late, None);
+        }
+        let id = request_id(&self.id, self.incarnation, request);
+        let attempt_id = format!("{id}.{}", dispatch.attempt);
+        let sent = match self.request_to(call, path, dispatch, &attempt_id, hop) {
+            Ok(sent) => sent,
+            Err(error) => return (Outcome::Unsent(error.message()), None),
+        };
+        let answer = match client::send(dispatch.address, sent, self.exchange).await {
+            Ok(answer) => answer.whole().await,
+            Err(failure) => Err(failure),
+        };
+        match answer {
+            Ok((head, body)) => {
+                let kept = receipt(&head, &body);
+                let answer = self.passed_back(head, body, &dispatch.id);
+                (Outcome::Complete(Some(kept)), Some(answer))
+            }
+            Err(failure) if failure.too_large => (Outcome::TooLarge, None),
+            Err(failure) => match failure.stage {
+                Stage::Unsent => (Outcome::Unsent(failure.reason), None),
+                Stage::Sent => (Outcome::Broken(failure.reason), None),
+            },
+        }
+    }
+
+    fn request_to(
+        &self,
+        call: &Call,
+        path: &str,
+        dispatch: &Dispatch,
+        attempt_id: &str,
+        hop: &Hop,
+    ) -> Result<http_types::Request> {
+        let head = &call.whole.request;
+        let mut sent = client::request(head.method(), dispatch.address, path)?;
+        for name in PASSED_ON {
+            if let Some(value) = header::single(head.as_ref(), name)? {
+                sent.insert_header(name, value);
+            }
+        }
+        sent.insert_header(header::ATTEMPT, attempt_id);
+        sent.insert_header("x-workspace", call.workspace.as_str());
+        if let Some(traceparent) = hop.traceparent() {
+            sent.insert_header(header::TRACEPARENT, traceparent);
+        }
+        if !matches!(head.method(), Method::Get | Method::Head) || !call.whole.body.is_empty() {
+            let content_type = sent.header("content-type").cloned();
+            sent.set_body(call.whole.body.clone());
+            if let Some(content_type) = content_type {
+                sent.insert_header("content-type", &content_type);
+            }
+        }
+        Ok(sent)
+    }
+
+    fn passed_back(&self, head: Response, body: Vec<u8>, id: &str) -> Response {
+        let mut answer = server::empty(head.status().into());
+        answer.set_body(body);
+        answer.remove_header("content-type");
+        for name in PASSED_BACK {
+            if let Some(values) = head.header(name) {
+                answer.insert_header(name, values);
+            }
+        }
+        self.mark_done(&mut answer, id);
+        answer
+    }
+
+    /// The answer that was remembered for an idempotency key.
+    fn replay(&self, receipt: &Receipt) -> Response {
+        let body = receipt
+            .body
+            .as_deref()
+            .and_then(|body| STANDARD.decode(body).ok());
+        let mut answer = server::empty(receipt.status);
+        answer.set_body(body.unwrap_or_default());
+        if receipt.content_type.is_empty() {
+            answer.remove_header("content-type");
+        } else {
+            answer.insert_header("content-type", receipt.content_type.as_str());
+        }
+        answer.insert_header(header::EXECUTION, Execution::Done.as_str());
+        answer.insert_header("idempotent-replayed", "true");
+        answer
+    }
+}
+
+fn receipt(head: &Response, body: &[u8]) -> Receipt {
+    let content_type = head
+        .header("content-type")
+        .map(|values| values.as_str().to_owned());
+    Receipt {
+        status: head.status().into(),
+        content_type: content_type.unwrap_or_default(),
+        body: (body.len() <= MAX_KEPT_BODY).then(|| STANDARD.encode(body)),
+    }
+}
--- /dev/null
+++ b/src/http/body.rs
@@ -0,0 +1,106 @@
+//! Reading whole bodies, counted against what their head declared.
+
+use futures_lite::{AsyncRead, AsyncReadExt};
+use http_types::headers::{CONTENT_LENGTH, Headers, TRANSFER_ENCODING};
+
+use crate::prelude::*;
+
+/// How a message's body is delimited.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Framing {
+    /// By its length in bytes.
+    Length(u64),
+    /// By chunks.
+    Chunked,
+    /// Neither is declared.
+    Absent,
+}
+
+/// Reads the framing from the headers; contradictions and unknown codings are errors.
+pub fn framing(headers: &Headers) -> Result<Framing> {
+    let length = declared_length(headers)?;
+    let coding = headers.get(TRANSFER_ENCODING);
+    match (length, coding) {
+        (Some(_), Some(_)) => Err(Error::new(
+            Code::ConflictingLength,
+            "both length and transfer coding are given",
+        )),
+        (Some(length), None) => Ok(Framing::Length(length)),
+        (None, None) => Ok(Framing::Absent),
+        (None, Some(coding)) => {
+            let mut values = coding.iter();
+            let chunked = values
+                .next()
+                .is_some_and(|v| v.as_str().eq_ignore_ascii_case("chunked"));
+            if chunked && values.next().is_none() {
+                Ok(Framing::Chunked)
+            } else {
+                Err(Error::new(
+                    Code::ConflictingLength,
+                    "only the transfer coding chunked is taken",
+                ))
+            }
+        }
+    }
+}
+
+fn declared_length(headers: &Headers) -> Result<Option<u64>> {
+    let Some(values) = headers.get(CONTENT_LENGTH) else {
+        return Ok(None);
+    };
+    let mut declared = None;
+    for part in values.iter().flat_map(|value| value.as_str().split(',')) {
+        let digits = part.trim();
+        let length = digits
+            .parse::<u64>()
+            .ok()
+            .filter(|_| digits.bytes().all(|byte| byte.is_ascii_digit()))
+            .ok_or_else(|| Error::new(Code::ConflictingLength, "Content-Length is no number"))?;
+        if declared.is_some_and(|other| other != length) {
+            return Err(Error::new(
+                Code::ConflictingLength,
+                "two Content-Lengths differ",
+            ));
+        }
+        declared = Some(length);
+    }
+    Ok(declared)
+}
+
+/// Why a body could not be read whole.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Cut {
+    /// It is longer than the limit.
+    TooLarge,
+    /// It ended early or its connection failed.
+    Short(String),
+}
+
+/// Reads a whole body of at most `limit` bytes and counts it against `framing`.
+pub async fn read<R: AsyncRead + Unpin>(
+    reader: R,
+    framing: Framing,
+    limit: u64,
+) -> Result<Vec<u8>, Cut> {
+    if let Framing::Length(length) = framing
+        && length > limit
+    {
+        return Err(Cut::TooLarge);
+    }
+    let mut body = Vec::new();
+    let mut bounded = reader.take(limit + 1);
+    bounded
+        .read_to_end(&mut body)
+        .await
+        .map_err(|error| Cut::Short(error.to_string()))?;
+    let count = body.len() as u64;
+    if count > limit {
+        return Err(Cut::TooLarge);
+    }
+    match framing {
+        Framing::Length(length) if length != count => {
+            Err(Cut::Short(format!("{count} of {length} bytes arrived")))
+        }
+        _ => Ok(body),
+    }
+}
--- /dev/null
+++ b/src/http/client.rs
@@ -0,0 +1,164 @@
+//! One exchange on one fresh connection.
+//!
+//! A connection is never used twice, so an answer that comes late, twice or crossed has no
+//! request to be mistaken for; see `docs/DESIGN.md`.
+
+use std::net::SocketAddr;
+
+use async_io::Timer;
+use futures_lite::FutureExt;
+use http_types::{Body, Method, Request, Response, StatusCode, Url};
+
+use super::Socket;
+use super::body::{self, Cut, Framing};
+use crate::prelude::*;
+
+/// Bounds of one exchange.
+#[derive(Debug, Clone, Copy)]
+pub struct Limits {
+    /// Time for the connection to be made.
+    pub connect: Duration,
+    /// Time for the head of the answer to arrive.
+    pub head: Duration,
+    /// Time that a read or write may wait.
+    pub idle: Duration,
+    /// Bytes of an answer's body.
+    pub body: u64,
+}
+
+/// How far an exchange came that failed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Stage {
+    /// No byte of the request left this machine: it provably did not run.
+    Unsent,
+    /// At least one byte left: it may have run.
+    Sent,
+}
+
+/// An exchange that failed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Failure {
+    /// How far it came.
+    pub stage: Stage,
+    /// What was seen.
+    pub reason: String,
+    /// Whether the answer was larger than the limit.
+    pub too_large: bool,
+}
+
+impl Failure {
+    fn new(stage: Stage, reason: impl ToString) -> Self {
+        Self {
+            stage,
+            reason: reason.to_string(),
+            too_large: false,
+        }
+    }
+}
+
+/// The head of an answer, and its body still to be read.
+#[derive(Debug)]
+pub struct Answer {
+    /// Head and body reader.
+    pub response: Response,
+    /// How the body is delimited.
+    pub framing: Framing,
+    /// Largest body that [`Answer::whole`] reads, in bytes.
+    limit: u64,
+}
+
+impl Answer {
+    /// Reads the whole body.
+    pub async fn whole(mut self) -> Result<(Response, Vec<u8>), Failure> {
+        let body = self.response.take_body();
+        match body::read(body, self.framing, self.limit).await {
+            Ok(bytes) => Ok((self.response, bytes)),
+            Err(Cut::TooLarge) => Err(Failure {
+                stage: Stage::Sent,
+                reason: "the answer is too large".into(),
+                too_large: true,
+            }),
+            Err(Cut::Short(reason)) => Err(Failure::new(Stage::Sent, reason)),
+        }
+    }
+}
+
+/// A request to `path` (with query) at `address`; `Connection: close` is set.
+pub fn request(method: Method, address: SocketAddr, path: &str) -> Result<Request> {
+    let url = Url::parse(&format!("http://{address}{path}"))
+        .map_err(|error| Error::new(Code::MalformedRequest, error.to_string()))?;
+    let mut request = Request::new(method, url);
+    request.insert_header("connection", "close");
+    Ok(request)
+}
+
+/// Sends `request` to `address` and reads the head of the answer.
+pub async fn send(
+    address: SocketAddr,
+    request: Request,
+    limits: Limits,
+) -> Result<Answer, Failure> {
+    let head_only = request.method() == Method::Head;
+    let socket = Socket::connect(address, limits.connect, limits.idle)
+        .await
+        .map_err(|error| Failure::new(Stage::Unsent, error))?;
+    let exchange = async {
+        async_h1::connect(socket.clone(), request)
+            .await
+            .map_err(|error| error.to_string())
+    };
+    let expire = async {
+        Timer::after(limits.head).await;
+        Err("no answer within the time limit".to_owned())
+    };
+    let response = exchange.or(expire).await.map_err(|reason| {
+        let stage = if socket.written() == 0 {
+            Stage::Unsent
+        } else {
+            Stage::Sent
+        };
+        Failure::new(stage, reason)
+    })?;
+    let framing = answer_framing(&response, head_only)
+        .map_err(|error| Failure::new(Stage::Sent, error.detail))?;
+    Ok(Answer {
+        response,
+        framing,
+        limit: limits.body,
+    })
+}
+
+fn answer_framing(response: &Response, head_only: bool) -> Result<Framing> {
+    let bodiless = matches!(
+        response.status(),
+        StatusCode::NoContent | StatusCode::NotModified
+    );
+    if bodiless || head_only {
+        return Ok(Framing::Length(0));
+    }
+    match body::framing(response.as_ref())? {
+        Framing::Absent => Err(Error::new(
+            Code::ConflictingLength,
+            "the answer has neither length nor chunks",
+        )),
+        framing => Ok(framing),
+    }
+}
+
+/// Sends `request` with a JSON `body` and reads the whole answer.
+pub async fn send_json(
+    address: SocketAddr,
+    method: Method,
+    path: &str,
+    json: Option<String>,
+    limits: Limits,
+) -> Result<(StatusCode, Vec<u8>), Failure> {
+    let mut request = request(method, address, path)
+        .map_err(|error| Failure::new(Stage::Unsent, error.message()))?;
+    if let Some(json) = json {
+        request.set_body(Body::from_string(json));
+        request.insert_header("content-type", "application/json");
+    }
+    let (response, bytes) = send(address, request, limits).await?.whole().await?;
+    Ok((response.status(), bytes))
+}
--- /dev/null
+++ b/src/http/socket.rs
@@ -0,0 +1,200 @@
+//! A TCP connection that counts its bytes and gives up on an idle peer.
+
+use std::io;
+use std::net::{SocketAddr, TcpStream};
+use std::pin::Pin;
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::task::{Context, Poll};
+
+use async_io::{Async, Timer};
+use futures_lite::{AsyncRead, AsyncWrite, FutureExt};
+
+use crate::prelude::*;
+
+const HEAD_END: &[u8; 4] = b"\r\n\r\n";
+
+/// Finds where the head of the current exchange ends among the bytes read.
+#[derive(Debug, Default)]
+struct Scan {
+    total: u64,
+    matched: usize,
+    head: Option<u64>,
+}
+
+impl Scan {
+    fn read(&mut self, bytes: &[u8]) {
+        let before = self.total;
+        self.total += bytes.len() as u64;
+        if self.head.is_some() {
+            return;
+        }
+        for (index, byte) in bytes.iter().enumerate() {
+            self.matched = match *byte {
+                byte if byte == HEAD_END[self.matched] => self.matched + 1,
+                b'\r' => 1,
+                _ => 0,
+            };
+            if self.matched == HEAD_END.len() {
+                self.head = Some(before + index as u64 + 1);
+                return;
+            }
+        }
+    }
+}
+
+#[derive(Debug)]
+struct Shared {
+    stream: Async<TcpStream>,
+    written: AtomicU64,
+    scan: Mutex<Scan>,
+}
+
+/// One connection; clones share it.
+#[derive(Debug)]
+pub struct Socket {
+    shared: Arc<Shared>,
+    idle: Duration,
+    read_timer: Option<Timer>,
+    write_timer: Option<Timer>,
+}
+
+impl Socket {
+    /// Wraps `stream`; a read or write that waits longer than `idle` fails.
+    pub fn new(stream: Async<TcpStream>, idle: Duration) -> Self {
+        stream.get_ref().set_nodelay(true).ok();
+        let shared = Shared {
+            stream,
+            written: AtomicU64::new(0),
+            scan: Mutex::new(Scan::default()),
+        };
+        Self {
+            shared: Arc::new(shared),
+            idle,
+            read_timer: None,
+            write_timer: None,
+        }
+    }
+
+    /// Connects to `address` within `timeout`.
+    pub async fn connect(
+        address: SocketAddr,
+        timeout: Duration,
+        idle: Duration,
+    ) -> io::Result<Self> {
+        let connect = Async::<TcpStream>::connect(address);
+        let expire = async {
+            Timer::after(timeout).await;
+            Err(io::ErrorKind::TimedOut.into())
+        };
+        Ok(Self::new(connect.or(expire).await?, idle))
+    }
+
+    /// Bytes that the kernel has taken from this side so far.
+    pub fn written(&self) -> u64 {
+        self.shared.written.load(Ordering::Acquire)
+    }
+
+    /// Starts counting a new exchange.
+    pub fn begin(&self) {
+        self.shared.written.store(0, Ordering::Release);
+        if let Ok(mut scan) = self.shared.scan.lock() {
+            *scan = Scan::default();
+        }
+    }
+
+    /// Bytes read past the head of the current exchange.
+    pub fn read_past_head(&self) -> u64 {
+        let Ok(scan) = self.shared.scan.lock() else {
+            return 0;
+        };
+        scan.head.map_or(0, |head| scan.total - head)
+    }
+
+    /// Whether a whole head has been read in the current exchange.
+    pub fn has_head(&self) -> bool {
+        self.shared
+            .scan
+            .lock()
+            .is_ok_and(|scan| scan.head.is_some())
+    }
+
+    /// Whether any byte has been read in the current exchange.
+    pub fn has_bytes(&self) -> bool {
+        self.shared.scan.lock().is_ok_and(|scan| scan.total > 0)
+    }
+}
+
+impl Clone for Socket {
+    fn clone(&self) -> Self {
+        Self {
+            shared: Arc::clone(&self.shared),
+            idle: self.idle,
+            read_timer: None,
+            write_timer: None,
+        }
+    }
+}
+
+/// `Pending` until `idle` has passed since the first call with an empty `timer`.
+fn expire<T>(
+    timer: &mut Option<Timer>,
+    idle: Duration,
+    cx: &mut Context<'_>,
+) -> Poll<io::Result<T>> {
+    let timer = timer.get_or_insert_with(|| Timer::after(idle));
+    match timer.poll(cx) {
+        Poll::Ready(_) => Poll::Ready(Err(io::ErrorKind::TimedOut.into())),
+        Poll::Pending => Poll::Pending,
+    }
+}
+
+impl AsyncRead for Socket {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        let this = &mut *self;
+        match Pin::new(&mut &this.shared.stream).poll_read(cx, buf) {
+            Poll::Ready(result) => {
+                this.read_timer = None;
+                if let (Ok(count), Ok(mut scan)) = (&result, this.shared.scan.lock()) {
+                    scan.read(&buf[..*count]);
+                }
+                Poll::Ready(result)
+            }
+            Poll::Pending => expire(&mut this.read_timer, this.idle, cx),
+        }
+    }
+}
+
+impl AsyncWrite for Socket {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let this = &mut *self;
+        match Pin::new(&mut &this.shared.stream).poll_write(cx, buf) {
+            Poll::Ready(result) => {
+                this.write_timer = None;
+                if let Ok(count) = &result {
+                    this.shared
+                        .written
+                        .fetch_add(*count as u64, Ordering::AcqRel);
+                }
+                Poll::Ready(result)
+            }
+            Poll::Pending => expire(&mut this.write_timer, this.idle, cx),
+        }
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut &self.shared.stream).poll_flush(cx)
+    }
+
+    fn poll_close(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut &self.shared.stream).poll_close(cx)
+    }
+}
--- /dev/null
+++ b/src/ledger/pending.rs
@@ -0,0 +1,210 @@
+//! This daemon's own claims on their way through the log.
+
+use super::{Ask, Batch, ClaimId, Entry, Key, State};
+use crate::attempt;
+use crate::prelude::*;
+
+/// Entries that one append carries at most.
+const MAX_BATCH: usize = 256;
+/// Time after which entries whose append failed are tried again.
+const RETRY_AFTER: Duration = Duration::from_millis(200);
+
+/// What follows for a claiming request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Step {
+    /// Its claim is the first: dispatch it.
+    Won(attempt::Key),
+    /// Another claim was first: answer from what is known of the key.
+    Lost(attempt::Key),
+    /// Its claim was never appended: refuse it as not run.
+    Unclaimed(attempt::Key),
+    /// Its claim was abandoned and has now been released.
+    Released,
+}
+
+#[derive(Debug, Clone)]
+struct Claim {
+    request: attempt::Key,
+    key: Key,
+}
+
+/// Own claims, and entries that wait to be appended.
+#[derive(Debug)]
+pub struct Pending {
+    daemon: String,
+    incarnation: u64,
+    sequence: u64,
+    claims: BTreeMap<ClaimId, Claim>,
+    /// Claims given up on that may still land; released when they show up.
+    abandoned: BTreeMap<ClaimId, Key>,
+    buffer: Vec<Entry>,
+    in_flight: Option<(u64, Vec<Entry>)>,
+    appends: u64,
+    retry_at: Time,
+}
+
+impl Pending {
+    /// Nothing pending yet for this daemon and incarnation.
+    pub fn new(daemon: String, incarnation: u64) -> Self {
+        Self {
+            daemon,
+            incarnation,
+            sequence: 0,
+            claims: BTreeMap::new(),
+            abandoned: BTreeMap::new(),
+            buffer: Vec::new(),
+            in_flight: None,
+            appends: 0,
+            retry_at: Time::ZERO,
+        }
+    }
+
+    /// Whether nothing waits to be appended or confirmed.
+    pub fn is_idle(&self) -> bool {
+        self.buffer.is_empty() && self.in_flight.is_none() && self.claims.is_empty()
+    }
+
+    /// Whether this incarnation of this daemon made the claim.
+    pub fn is_own(&self, id: &ClaimId) -> bool {
+        id.daemon == self.daemon && id.incarnation == self.incarnation
+    }
+
+    /// Makes a claim for `request`.
+    pub fn claim(&mut self, request: attempt::Key, ask: &Ask) -> ClaimId {
+        self.sequence += 1;
+        let id = ClaimId {
+            daemon: self.daemon.clone(),
+            incarnation: self.incarnation,
+            sequence: self.sequence,
+        };
+        self.claims.insert(
+            id.clone(),
+            Claim {
+                request,
+                key: ask.key.clone(),
+            },
+        );
+        self.buffer.push(Entry::Claim {
+            id: id.clone(),
+            key: ask.key.clone(),
+            digest: ask.digest.clone(),
+            window_s: ask.window_s,
+        });
+        id
+    }
+
+    /// Notes an outcome, a loss or a release to be appended.
+    pub fn note(&mut self, entry: Entry) {
+        self.buffer.push(entry);
+    }
+
+    /// The next append, if one is due: its number and the record. One is under way at a time, and
+    /// what comes meanwhile goes together in the next.
+    pub fn flush(&mut self, now: Time) -> Option<(u64, String)> {
+        if self.in_flight.is_some() || self.buffer.is_empty() || now < self.retry_at {
+            return None;
+        }
+        let rest = self.buffer.split_off(self.buffer.len().min(MAX_BATCH));
+        let entries = std::mem::replace(&mut self.buffer, rest);
+        self.appends += 1;
+        let text = Batch::new(entries.clone()).encode();
+        self.in_flight = Some((self.appends, entries));
+        Some((self.appends, text))
+    }
+
+    /// The append of this number landed; what it carried is decided when it is folded.
+    pub fn appended(&mut self, number: u64) {
+        if self
+            .in_flight
+            .as_ref()
+            .is_some_and(|(current, _)| *current == number)
+        {
+            self.in_flight = None;
+        }
+    }
+
+    /// The append of this number failed; `landed` tells whether it may have landed all the same.
+    ///
+    /// Entries that settle a claim are appended again: folding them twice changes nothing. Claims
+    /// are not: a second record could land after the request was given up.
+    pub fn failed(&mut self, now: Time, number: u64, landed: bool) -> Vec<Step> {
+        let Some((current, entries)) = self.in_flight.take() else {
+            return Vec::new();
+        };
+        if current != number {
+            self.in_flight = Some((current, entries));
+            return Vec::new();
+        }
+        self.retry_at = now + RETRY_AFTER;
+        let mut steps = Vec::new();
+        let mut again = Vec::new();
+        for entry in entries {
+            match &entry {
+                Entry::Claim { .. } if landed => {}
+                Entry::Claim { id, .. } => {
+                    if let Some(claim) = self.claims.remove(id) {
+                        steps.push(Step::Unclaimed(claim.request));
+                    }
+                }
+                _ => again.push(entry),
+            }
+        }
+        again.append(&mut self.buffer);
+        self.buffer = again;
+        steps
+    }
+
+    /// Gives up on the claim of `request`, which was not dispatched and will not be.
+    pub fn abandon(&mut self, request: attempt::Key) {
+        let found = self
+            .claims
+            .iter()
+            .find(|(_, claim)| claim.request == request);
+        let Some(id) = found.map(|(id, _)| id.clone()) else {
+            return;
+        };
+        let Some(claim) = self.claims.remove(&id) else {
+            return;
+        };
+        let buffered = self.buffer.len();
+        self.buffer
+            .retain(|entry| !matches!(entry, Entry::Claim { id: other, .. } if *other == id));
+        if self.buffer.len() == buffered {
+            self.abandoned.insert(id, claim.key);
+        }
+    }
+
+    /// Looks at the fold for what became of own claims.
+    pub fn resolve(&mut self, state: &State) -> Vec<Step> {
+        let mut steps = Vec::new();
+        let ids: Vec<ClaimId> = self.claims.keys().cloned().collect();
+        for id in ids {
+            let Some(claim) = self.claims.get(&id) else {
+                continue;
+            };
+            let Some(slot) = state.get(&claim.key) else {
+                continue;
+            };
+            let request = claim.request;
+            self.claims.remove(&id);
+            steps.push(if slot.claim == id {
+                Step::Won(request)
+            } else {
+                Step::Lost(request)
+            });
+        }
+        let landed: Vec<ClaimId> = self
+            .abandoned
+            .iter()
+            .filter(|(id, key)| state.get(key).is_some_and(|slot| slot.claim == **id))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in landed {
+            if let Some(key) = self.abandoned.remove(&id) {
+                self.buffer.push(Entry::Release { id, key });
+                steps.push(Step::Released);
+            }
+        }
+        steps
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,25 @@
+//! cardamomvalve: a router for language-model traffic that carries long shared prompts.
+//!
+//! The decisions live in [`control::Node`], a deterministic state machine without I/O. Around it
+//! stand the edges of the process: [`entry`] (callers), [`platform`] (log service, VM list),
+//! [`peer`] (other daemons), [`ops`] (operators) and [`telemetry`].
+
+pub mod admission;
+pub mod attempt;
+pub mod cli;
+pub mod control;
+pub mod daemon;
+pub mod entry;
+pub mod error;
+pub mod http;
+pub mod ledger;
+pub mod manifest;
+pub mod membership;
+pub mod ops;
+pub mod peer;
+pub mod placement;
+pub mod platform;
+pub mod prefix;
+pub mod prelude;
+pub mod settings;
+pub mod telemetry;
--- /dev/null
+++ b/src/membership/state.rs
@@ -0,0 +1,280 @@
+//! The table of backend servers and of routers.
+
+use slotmap::SlotMap;
+
+use super::{Key, Report, Role, Standing, Vm};
+use crate::prelude::*;
+
+/// Polls in a row that must fail before an engine counts as unreachable.
+const FAILED_POLLS: u32 = 2;
+/// How long a server that could not be connected to is passed over, at first.
+const SUSPECT_BASE: Duration = Duration::from_millis(250);
+/// How long it is passed over at most.
+const SUSPECT_MAX: Duration = Duration::from_secs(8);
+/// Prompt tokens a second assumed of an engine that has not reported.
+const ASSUMED_PREFILL: u32 = 8_000;
+
+/// What an engine last reported of its load.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Load {
+    /// When the report was read.
+    pub at: Time,
+    /// Requests it generates for.
+    pub running: u32,
+    /// Requests it has queued.
+    pub waiting: u32,
+    /// Prompt tokens still to be computed.
+    pub queued_tokens: u64,
+    /// Prompt tokens computed in a second.
+    pub prefill_tokens_per_s: u32,
+}
+
+/// One backend server.
+#[derive(Debug, Clone)]
+pub struct Server {
+    /// What the VM list says.
+    pub vm: Vm,
+    /// Whether any source said that it is leaving; never taken back for the same VM.
+    pub leaving: bool,
+    /// The incarnation it last reported; `None` before the first report.
+    pub incarnation: Option<String>,
+    /// Weights versions by model.
+    pub weights: BTreeMap<String, BTreeSet<String>>,
+    /// Its last reported load.
+    pub load: Load,
+    /// The sequence number of the next cache event wanted.
+    pub next_seq: u64,
+    failed_polls: u32,
+    suspect: u32,
+    suspect_until: Time,
+}
+
+impl Server {
+    fn new(vm: Vm) -> Self {
+        let leaving = vm.standing == Standing::Leaving;
+        let load = Load {
+            at: Time::ZERO,
+            running: 0,
+            waiting: 0,
+            queued_tokens: 0,
+            prefill_tokens_per_s: ASSUMED_PREFILL,
+        };
+        Self {
+            vm,
+            leaving,
+            incarnation: None,
+            weights: BTreeMap::new(),
+            load,
+            next_seq: 0,
+            failed_polls: 0,
+            suspect: 0,
+            suspect_until: Time::ZERO,
+        }
+    }
+
+    /// Whether it may be given new work.
+    pub fn is_usable(&self, now: Time) -> bool {
+        let known = self.vm.role == Role::ServiceServer || self.incarnation.is_some();
+        known && !self.leaving && self.is_reachable() && self.suspect_until <= now
+    }
+
+    /// Whether its polls succeed.
+    pub fn is_reachable(&self) -> bool {
+        self.failed_polls < FAILED_POLLS
+    }
+
+    /// Whether it serves `weights` of `model`.
+    pub fn serves(&self, model: &str, weights: &str) -> bool {
+        self.weights
+            .get(model)
+            .is_some_and(|versions| versions.contains(weights))
+    }
+}
+
+/// What changed for one server.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Notice {
+    /// It was added.
+    Added(Key),
+    /// It is leaving.
+    Leaving(Key),
+    /// It is gone from the VM list.
+    Removed(Key, String),
+    /// It came back under a new incarnation.
+    Restarted(Key),
+    /// Its cache events have a gap.
+    Gap(Key),
+    /// It does not answer.
+    Unreachable(Key),
+    /// It answers again.
+    Reachable(Key),
+}
+
+/// All backend servers and routers that the VM list has.
+#[derive(Debug, Default)]
+pub struct State {
+    servers: SlotMap<Key, Server>,
+    ids: BTreeMap<String, Key>,
+    routers: BTreeMap<String, Vm>,
+}
+
+impl State {
+    /// The server of this key.
+    pub fn get(&self, key: Key) -> Option<&Server> {
+        self.servers.get(key)
+    }
+
+    /// The key of the server with this id.
+    pub fn find(&self, id: &str) -> Option<Key> {
+        self.ids.get(id).copied()
+    }
+
+    /// All servers, in the order of their ids.
+    pub fn iter(&self) -> impl Iterator<Item = (Key, &Server)> {
+        self.ids
+            .values()
+            .filter_map(|key| Some((*key, self.servers.get(*key)?)))
+    }
+
+    /// The servers of `pool`, in the order of their ids.
+    pub fn pool<'a>(&'a self, pool: &'a str) -> impl Iterator<Item = (Key, &'a Server)> {
+        self.iter()
+            .filter(move |(_, server)| server.vm.pool == pool)
+    }
+
+    /// All routers, by id.
+    pub fn routers(&self) -> &BTreeMap<String, Vm> {
+        &self.routers
+    }
+
+    /// Takes over a new VM list.
+    pub fn replace(&mut self, vms: Vec<Vm>) -> Vec<Notice> {
+        let mut notices = Vec::new();
+        let listed: BTreeSet<&str> = vms.iter().map(|vm| vm.id.as_str()).collect();
+        let gone: Vec<String> = self
+            .ids
+            .keys()
+            .filter(|id| !listed.contains(id.as_str()))
+            .cloned()
+            .collect();
+        for id in gone {
+            if let Some(key) = self.ids.remove(&id) {
+                self.servers.remove(key);
+                notices.push(Notice::Removed(key, id));
+            }
+        }
+        self.routers.retain(|id, _| listed.contains(id.as_str()));
+        for vm in vms {
+            match vm.role {
+                Role::Router => {
+                    self.routers.insert(vm.id.clone(), vm);
+                }
+                Role::ModelServer | Role::ServiceServer => self.update(vm, &mut notices),
+            }
+        }
+        notices
+    }
+
+    fn update(&mut self, vm: Vm, notices: &mut Vec<Notice>) {
+        let leaving = vm.standing == Standing::Leaving;
+        let Some(key) = self.ids.get(&vm.id).copied() else {
+            let id = vm.id.clone();
+            let key = self.servers.insert(Server::new(vm));
+            self.ids.insert(id, key);
+            notices.push(Notice::Added(key));
+            if leaving {
+                notices.push(Notice::Leaving(key));
+            }
+            return;
+        };
+        if let Some(server) = self.servers.get_mut(key) {
+            server.vm = vm;
+        }
+        if leaving {
+            notices.extend(self.mark_leaving(key));
+        }
+    }
+
+    /// Notes that `key` is leaving, whoever said so.
+    pub fn mark_leaving(&mut self, key: Key) -> Option<Notice> {
+        let server = self.servers.get_mut(key)?;
+        if server.leaving {
+            return None;
+        }
+        server.leaving = true;
+        Some(Notice::Leaving(key))
+    }
+
+    /// Takes over an engine's report. Its cache events are the caller's to fold, after the
+    /// notices returned here.
+    pub fn report(&mut self, now: Time, key: Key, report: &Report) -> Vec<Notice> {
+        let mut notices = Vec::new();
+        let Some(server) = self.servers.get_mut(key) else {
+            return notices;
+        };
+        if !server.is_reachable() {
+            notices.push(Notice::Reachable(key));
+        }
+        server.failed_polls = 0;
+        server.suspect = 0;
+        server.suspect_until = Time::ZERO;
+        let renewed = server.incarnation.as_ref() != Some(&report.incarnation);
+        if renewed && server.incarnation.is_some() {
+            notices.push(Notice::Restarted(key));
+        }
+        server.incarnation = Some(report.incarnation.clone());
+        if renewed && report.from > 0 {
+            // Asked with the former incarnation's number: read the new one's events from 0.
+            server.next_seq = 0;
+        } else {
+            if has_gap(report) {
+                notices.push(Notice::Gap(key));
+            }
+            server.next_seq = report.next_seq;
+        }
+        server.weights.clone_from(&report.weights);
+        server.load = Load {
+            at: now,
+            running: report.running,
+            waiting: report.waiting,
+            queued_tokens: report.queued_tokens,
+            prefill_tokens_per_s: report.prefill_tokens_per_s.max(1),
+        };
+        if report.leaving {
+            notices.extend(self.mark_leaving(key));
+        }
+        notices
+    }
+
+    /// Notes that a poll of `key` failed.
+    pub fn poll_failed(&mut self, key: Key) -> Option<Notice> {
+        let server = self.servers.get_mut(key)?;
+        server.failed_polls = server.failed_polls.saturating_add(1);
+        (server.failed_polls == FAILED_POLLS).then_some(Notice::Unreachable(key))
+    }
+
+    /// Passes over `key` for a while: an attempt could not reach it.
+    pub fn suspect(&mut self, now: Time, key: Key) {
+        let Some(server) = self.servers.get_mut(key) else {
+            return;
+        };
+        let pause = SUSPECT_BASE
+            .saturating_mul(1 << server.suspect.min(5))
+            .min(SUSPECT_MAX);
+        server.suspect = server.suspect.saturating_add(1);
+        server.suspect_until = now + pause;
+    }
+
+    /// Ends the suspicion of `key`: an attempt succeeded.
+    pub fn trust(&mut self, key: Key) {
+        if let Some(server) = self.servers.get_mut(key) {
+            server.suspect = 0;
+        }
+    }
+}
+
+/// Whether events between the number asked for and the newest are missing.
+fn has_gap(report: &Report) -> bool {
+    let expected = report.from..report.next_seq;
+    !report.events.iter().map(|event| event.seq).eq(expected)
+}
--- /dev/null
+++ b/src/ops/mod.rs
@@ -0,0 +1,104 @@
+//! The operators' address: health, readiness, metrics, status and explanations. Nothing here
+//! changes a running router.
+
+use std::net::TcpStream;
+
+use async_io::Async;
+use http_types::{Method, Request, Response};
+use serde_json::json;
+
+use crate::daemon::Control;
+use crate::entry::Entry;
+use crate::http::{Socket, server};
+use crate::prelude::*;
+use crate::telemetry::metrics::Metrics;
+
+/// Time that an operator's connection may stay silent.
+const IDLE: Duration = Duration::from_secs(10);
+/// Bytes of an operator's request.
+const MAX_BODY: u64 = 8 << 20;
+
+/// Serves operators and the platform's balancer.
+#[derive(Debug)]
+pub struct Operators {
+    entry: Arc<Entry>,
+    control: Control,
+    metrics: Arc<Metrics>,
+}
+
+impl Operators {
+    /// Serves what `control` and `metrics` show.
+    pub fn new(entry: Arc<Entry>, control: Control, metrics: Arc<Metrics>) -> Self {
+        Self {
+            entry,
+            control,
+            metrics,
+        }
+    }
+
+    /// Serves one connection.
+    pub async fn serve(self: Arc<Self>, stream: Async<TcpStream>) {
+        let socket = Socket::new(stream, IDLE);
+        let endpoint = |request, socket| {
+            let operators = Arc::clone(&self);
+            async move { Ok(operators.answer(request, socket).await) }
+        };
+        server::serve(socket, endpoint).await.ok();
+    }
+
+    async fn answer(&self, request: Request, socket: Socket) -> Response {
+        let whole = match server::read(request, &socket, MAX_BODY).await {
+            Ok(whole) => whole,
+            Err(error) => return refused(&error),
+        };
+        let mut answer = match (whole.request.method(), whole.request.url().path()) {
+            (Method::Get, "/healthz") => server::text(200, "ok\n".into(), "text/plain"),
+            (Method::Get, "/readyz") if self.control.is_ready() => {
+                server::text(200, "ready\n".into(), "text/plain")
+            }
+            (Method::Get, "/readyz") => server::text(503, "not ready\n".into(), "text/plain"),
+            (Method::Get, "/status") => self.status().await,
+            (Method::Get, "/metrics") => self.metrics().await,
+            (Method::Post, "/explain") => self.explain(&whole.body).await,
+            (_, path) => refused(&Error::new(Code::UnknownPath, path)),
+        };
+        if whole.close {
+            answer.insert_header("connection", "close");
+        }
+        answer
+    }
+
+    async fn status(&self) -> Response {
+        let status = self.control.status().await;
+        server::json(200, &serde_json::to_value(status).unwrap_or_default())
+    }
+
+    async fn metrics(&self) -> Response {
+        let text = self
+            .control
+            .status()
+            .await
+            .map(|status| self.metrics.text(&status));
+        server::text(200, text.unwrap_or_default(), "text/plain; version=0.0.4")
+    }
+
+    async fn explain(&self, body: &[u8]) -> Response {
+        let arrival = match self.entry.question(body) {
+            Ok(arrival) => arrival,
+            Err(error) => return refused(&error),
+        };
+        let candidates = self.control.explain(arrival).await;
+        server::json(
+            200,
+            &json!({ "candidates": candidates.unwrap_or_default() }),
+        )
+    }
+}
+
+fn refused(error: &Error) -> Response {
+    let row = error.code.row();
+    server::json(
+        row.status,
+        &json!({ "error": { "code": row.number, "message": error.message() } }),
+    )
+}
--- /dev/null
+++ b/src/peer/frame.rs
@@ -0,0 +1,261 @@
+//! What daemons tell each other, and its form on the wire.
+//!
+//! The wire types are derived with `prost`; the types that the rest of the program uses are made
+//! from them with `TryFrom`, so that a frame that is not well-formed goes no further.
+
+use prost::Message as _;
+
+use crate::prefix;
+use crate::prelude::*;
+
+/// Largest frame that is read, in bytes.
+pub const MAX_FRAME: usize = 64 * 1024 * 1024;
+
+/// Work that one daemon has at one server.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Busy {
+    /// Requests in flight.
+    pub requests: u32,
+    /// Prompt tokens still to be computed for them.
+    pub pending_tokens: u32,
+}
+
+/// What a daemon tells its peers a few times a second.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Digest {
+    /// The daemon's id.
+    pub daemon: String,
+    /// Its incarnation.
+    pub incarnation: u64,
+    /// The generation of the manifest in force there.
+    pub generation: u64,
+    /// Its work by server id.
+    pub busy: BTreeMap<String, Busy>,
+    /// Its hottest first levels, with their rates.
+    pub heat: Vec<(prefix::Key, f64)>,
+    /// Servers that it knows to be leaving.
+    pub leaving: Vec<String>,
+    /// Whether the daemon itself is stopping.
+    pub draining: bool,
+}
+
+/// Folded state, for a daemon that starts or is behind.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Snapshot {
+    /// The manifest stream's next offset.
+    pub manifest_next: u64,
+    /// The generation in force; 0 for none.
+    pub generation: u64,
+    /// The id of the record that brought it into force.
+    pub published: String,
+    /// The manifest as JSON text; empty for none.
+    pub manifest: String,
+    /// The ledger stream's next offset.
+    pub ledger_next: u64,
+    /// Log time of the newest ledger record.
+    pub ledger_time_ms: u64,
+    /// Every key with what is known of it, as JSON text of (key, slot) pairs.
+    pub ledger: String,
+}
+
+/// One frame between daemons.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Frame {
+    /// A daemon's digest.
+    Digest(Digest),
+    /// Asks for a snapshot, to be sent to the asking daemon.
+    Ask(String),
+    /// A snapshot.
+    Snapshot(Snapshot),
+}
+
+mod wire {
+    //! The prost types.
+
+    #[derive(Clone, PartialEq, prost::Message)]
+    pub struct Busy {
+        #[prost(string, tag = "1")]
+        pub server: String,
+        #[prost(uint32, tag = "2")]
+        pub requests: u32,
+        #[prost(uint32, tag = "3")]
+        pub pending_tokens: u32,
+    }
+
+    #[derive(Clone, PartialEq, prost::Message)]
+    pub struct Heat {
+        #[prost(fixed64, tag = "1")]
+        pub level: u64,
+        #[prost(float, tag = "2")]
+        pub rate: f32,
+    }
+
+    #[derive(Clone, PartialEq, prost::Message)]
+    pub struct Digest {
+        #[prost(string, tag = "1")]
+        pub daemon: String,
+        #[prost(fixed64, tag = "2")]
+        pub incarnation: u64,
+        #[prost(uint64, tag = "3")]
+        pub generation: u64,
+        #[prost(message, repeated, tag = "4")]
+        pub busy: Vec<Busy>,
+        #[prost(message, repeated, tag = "5")]
+        pub heat: Vec<Heat>,
+        #[prost(string, repeated, tag = "6")]
+        pub leaving: Vec<String>,
+        #[prost(bool, tag = "7")]
+        pub draining: bool,
+    }
+
+    #[derive(Clone, PartialEq, prost::Message)]
+    pub struct Snapshot {
+        #[prost(uint64, tag = "1")]
+        pub manifest_next: u64,
+        #[prost(uint64, tag = "2")]
+        pub generation: u64,
+        #[prost(string, tag = "3")]
+        pub published: String,
+        #[prost(string, tag = "4")]
+        pub manifest: String,
+        #[prost(uint64, tag = "5")]
+        pub ledger_next: u64,
+        #[prost(uint64, tag = "6")]
+        pub ledger_time_ms: u64,
+        #[prost(string, tag = "7")]
+        pub ledger: String,
+    }
+
+    #[derive(Clone, PartialEq, prost::Message)]
+    pub struct Frame {
+        #[prost(oneof = "Body", tags = "1, 2, 3")]
+        pub body: Option<Body>,
+    }
+
+    #[derive(Clone, PartialEq, prost::Oneof)]
+    pub enum Body {
+        #[prost(message, tag = "1")]
+        Digest(Digest),
+        #[prost(string, tag = "2")]
+        Ask(String),
+        #[prost(message, tag = "3")]
+        Snapshot(Snapshot),
+    }
+}
+
+/// A frame that can't be read.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Malformed(pub String);
+
+impl Frame {
+    /// Encodes the frame.
+    pub fn encode(self) -> Vec<u8> {
+        wire::Frame::from(self).encode_to_vec()
+    }
+
+    /// Reads a frame.
+    pub fn decode(bytes: &[u8]) -> Result<Self, Malformed> {
+        let frame = wire::Frame::decode(bytes).map_err(|error| Malformed(error.to_string()))?;
+        Self::try_from(frame)
+    }
+}
+
+impl From<Frame> for wire::Frame {
+    fn from(frame: Frame) -> Self {
+        let body = match frame {
+            Frame::Digest(digest) => wire::Body::Digest(digest.into()),
+            Frame::Ask(daemon) => wire::Body::Ask(daemon),
+            Frame::Snapshot(snapshot) => wire::Body::Snapshot(snapshot.into()),
+        };
+        Self { body: Some(body) }
+    }
+}
+
+impl TryFrom<wire::Frame> for Frame {
+    type Error = Malformed;
+
+    fn try_from(frame: wire::Frame) -> Result<Self, Malformed> {
+        match frame
+            .body
+            .ok_or_else(|| Malformed("the frame is empty".into()))?
+        {
+            wire::Body::Digest(digest) => Ok(Self::Digest(digest.try_into()?)),
+            wire::Body::Ask(daemon) => Ok(Self::Ask(daemon)),
+            wire::Body::Snapshot(snapshot) => Ok(Self::Snapshot(snapshot.into())),
+        }
+    }
+}
+
+impl From<Digest> for wire::Digest {
+    fn from(digest: Digest) -> Self {
+        let busy = digest.busy.into_iter().map(|(server, busy)| wire::Busy {
+            server,
+            requests: busy.requests,
+            pending_tokens: busy.pending_tokens,
+        });
+        let heat = digest.heat.into_iter().map(|(level, rate)| wire::Heat {
+            level: level.0,
+            rate: rate as f32,
+        });
+        Self {
+            daemon: digest.daemon,
+            incarnation: digest.incarnation,
+            generation: digest.generation,
+            busy: busy.collect(),
+            heat: heat.collect(),
+            leaving: digest.leaving,
+            draining: digest.draining,
+        }
+    }
+}
+
+impl TryFrom<wire::Digest> for Digest {
+    type Error = Malformed;
+
+    fn try_from(digest: wire::Digest) -> Result<Self, Malformed> {
+        if digest.daemon.is_empty() {
+            return Err(Malformed("the digest names no daemon".into()));
+        }
+        let valid = |heat: &wire::Heat| heat.rate.is_finite() && heat.rate >= 0.0;
+        if !digest.heat.iter().all(valid) {
+            return Err(Malformed("a rate is no finite number from 0".into()));
+        }
+        let busy = digest.busy.into_iter().map(|busy| {
+            (
+                busy.server,
+                Busy {
+                    requests: busy.requests,
+                    pending_tokens: busy.pending_tokens,
+                },
+            )
+        });
+        let heat = digest
+            .heat
+            .into_iter()
+            .map(|heat| (prefix::Key(heat.level), f64::from(heat.rate)));
+        Ok(Self {
+            daemon: digest.daemon,
+            incarnation: digest.incarnation,
+            generation: digest.generation,
+            busy: busy.collect(),
+            heat: heat.collect(),
+            leaving: digest.leaving,
+            draining: digest.draining,
+        })
+    }
+}
+
+macro_rules! same_fields {
+    ($from:ty => $to:ty: $($field:ident),*) => {
+        impl From<$from> for $to {
+            fn from(value: $from) -> Self {
+                Self { $($field: value.$field),* }
+            }
+        }
+    };
+}
+
+same_fields!(Snapshot => wire::Snapshot:
+    manifest_next, generation, published, manifest, ledger_next, ledger_time_ms, ledger);
+same_fields!(wire::Snapshot => Snapshot:
+    manifest_next, generation, published, manifest, ledger_next, ledger_time_ms, ledger);
--- /dev/null
+++ b/src/peer/link.rs
@@ -0,0 +1,88 @@
+//! Connections to and from other daemons: length-delimited frames over TCP, one way each.
+
+use std::net::SocketAddr;
+use std::time::Instant;
+
+use async_channel::{Receiver, Sender, TrySendError};
+use async_executor::Executor;
+use bytes::Bytes;
+use futures_util::{SinkExt, StreamExt};
+use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
+use tokio_util::compat::{FuturesAsyncReadCompatExt, FuturesAsyncWriteCompatExt};
+
+use super::{Frame, MAX_FRAME};
+use crate::http::Socket;
+use crate::prelude::*;
+
+/// Frames that wait for one peer at most; more are dropped, since digests repeat.
+const MAX_WAITING: usize = 16;
+/// Time for a connection to a peer.
+const CONNECT: Duration = Duration::from_millis(500);
+/// Time after which a connection is made anew.
+const LIFETIME: Duration = Duration::from_secs(15);
+/// Time that a write to a peer may wait, or a peer stay silent.
+const IDLE: Duration = Duration::from_secs(10);
+
+fn codec() -> LengthDelimitedCodec {
+    LengthDelimitedCodec::builder()
+        .max_frame_length(MAX_FRAME)
+        .new_codec()
+}
+
+/// Outgoing connections, by address.
+#[derive(Debug, Default)]
+pub struct Links {
+    senders: BTreeMap<SocketAddr, Sender<Bytes>>,
+}
+
+impl Links {
+    /// Sends `frame` to the peer at `address`, connecting first where needed. A frame that finds
+    /// no room is dropped.
+    pub fn send(&mut self, executor: &Executor<'static>, address: SocketAddr, frame: Frame) {
+        let bytes = Bytes::from(frame.encode());
+        let bytes = match self
+            .senders
+            .get(&address)
+            .map(|sender| sender.try_send(bytes.clone()))
+        {
+            Some(Ok(()) | Err(TrySendError::Full(_))) => return,
+            Some(Err(TrySendError::Closed(bytes))) => bytes,
+            None => bytes,
+        };
+        self.senders.retain(|_, sender| !sender.is_closed());
+        let (sender, receiver) = async_channel::bounded(MAX_WAITING);
+        sender.try_send(bytes).ok();
+        executor.spawn(transmit(address, receiver)).detach();
+        self.senders.insert(address, sender);
+    }
+}
+
+/// Writes frames to one peer until the connection, its lifetime or the queue ends. A lifetime is
+/// set so that a connection whose other end has vanished is not written to for long.
+async fn transmit(address: SocketAddr, frames: Receiver<Bytes>) {
+    let Ok(socket) = Socket::connect(address, CONNECT, IDLE).await else {
+        return;
+    };
+    let mut writer = FramedWrite::new(socket.compat_write(), codec());
+    let end = Instant::now() + LIFETIME;
+    while let Ok(bytes) = frames.recv().await {
+        if writer.send(bytes).await.is_err() {
+            return;
+        }
+        if Instant::now() >= end {
+            return;
+        }
+    }
+}
+
+/// Reads frames from one peer's connection and hands each to `take`, until the connection ends
+/// or a frame is not well-formed.
+pub async fn receive(socket: Socket, mut take: impl FnMut(Frame)) -> Result<(), String> {
+    let mut reader = FramedRead::new(socket.compat(), codec());
+    while let Some(bytes) = reader.next().await {
+        let bytes = bytes.map_err(|error| error.to_string())?;
+        let frame = Frame::decode(&bytes).map_err(|malformed| malformed.0)?;
+        take(frame);
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/placement/choose.rs
@@ -0,0 +1,166 @@
+//! The cost of each candidate, and the choice.
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::manifest::Objective;
+use crate::membership;
+use crate::prefix::{BLOCK_TOKENS, Key, Prefix};
+
+/// How much more a token computed again weighs than a token computed, where the objective is
+/// wasted recomputation.
+const WASTE_WEIGHT: f64 = 3.0;
+/// The part of the first level's prefill that a server off its homes is charged: a new copy
+/// displaces other blocks.
+const COPY_CHARGE: f64 = 0.5;
+/// The part of the second level's prefill that a home is charged when another is that level's own.
+const NEST_CHARGE: f64 = 0.25;
+/// Milliseconds charged for a server in another availability zone.
+const ZONE_CHARGE_MS: f64 = 1.0;
+
+/// One backend server as it looks to this daemon now.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Candidate {
+    /// The server.
+    pub key: membership::Key,
+    /// Hash of its id, the same on every daemon.
+    pub hash: u64,
+    /// Whether it has a free slot for the request's priority.
+    pub free: bool,
+    /// Predicted milliseconds until it begins the request's prefill.
+    pub wait_ms: f64,
+    /// Milliseconds that one prompt token takes to compute.
+    pub token_ms: f64,
+    /// Leading blocks of the prefix that it is believed to hold.
+    pub depth: usize,
+    /// Whether it is in this daemon's availability zone.
+    pub near: bool,
+}
+
+/// What is asked of placement.
+#[derive(Debug, Clone, Copy)]
+pub struct Ask<'a> {
+    /// The request's prefix.
+    pub prefix: &'a Prefix,
+    /// Estimated prompt tokens.
+    pub tokens: u32,
+    /// What is minimised first.
+    pub objective: Objective,
+    /// Servers that may hold a copy of the first level.
+    pub copies: usize,
+    /// Whether only servers with a free slot are taken.
+    pub free_only: bool,
+}
+
+/// One candidate with its cost.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Scored {
+    /// The server.
+    pub key: membership::Key,
+    /// Its place among the homes of the first level, from 0.
+    pub rank: usize,
+    /// Prompt tokens believed cached.
+    pub cached_tokens: u32,
+    /// Predicted milliseconds to the first token.
+    pub predicted_ms: f64,
+    /// The cost that placement minimises, in milliseconds.
+    pub cost: f64,
+    /// Whether it has a free slot.
+    pub free: bool,
+}
+
+/// Scores every candidate; the first is the choice. Equal costs go by rank, so the order is the
+/// same wherever the inputs are.
+pub fn choose(ask: Ask<'_>, candidates: &[Candidate]) -> Vec<Scored> {
+    let first = ask.prefix.level(0);
+    let second = ask.prefix.level(1);
+    let ranks = ranks(first, candidates);
+    let best = candidates
+        .iter()
+        .map(|candidate| candidate.depth)
+        .max()
+        .unwrap_or(0);
+    let nest = second.and_then(|level| nest_home(level, ask.copies, &ranks, candidates));
+    let nest_cold = ask.prefix.levels.get(1).is_some_and(|end| best < *end);
+    let mut scored: Vec<Scored> = candidates
+        .iter()
+        .zip(&ranks)
+        .filter(|(candidate, _)| candidate.free || !ask.free_only)
+        .map(|(candidate, rank)| {
+            let off_nest = nest_cold && nest.is_some_and(|home| home != candidate.key);
+            score(ask, candidate, *rank, best, off_nest)
+        })
+        .collect();
+    scored.sort_by(|a, b| a.cost.total_cmp(&b.cost).then(a.rank.cmp(&b.rank)));
+    scored
+}
+
+fn score(ask: Ask<'_>, candidate: &Candidate, rank: usize, best: usize, off_nest: bool) -> Scored {
+    let cached = (candidate.depth as u32)
+        .saturating_mul(BLOCK_TOKENS)
+        .min(ask.tokens);
+    let uncached = ask.tokens - cached;
+    let predicted_ms = candidate.wait_ms + f64::from(uncached) * candidate.token_ms;
+    let mut cost = predicted_ms;
+    if ask.objective == Objective::WastedRecomputation {
+        let wasted = tokens(best.saturating_sub(candidate.depth));
+        cost += wasted * candidate.token_ms * (WASTE_WEIGHT - 1.0);
+    }
+    let levels = &ask.prefix.levels;
+    if rank >= ask.copies && candidate.depth == 0 {
+        let first = levels.first().copied().unwrap_or(0);
+        cost += tokens(first) * candidate.token_ms * COPY_CHARGE;
+    }
+    if off_nest && let [first, second, ..] = levels[..] {
+        cost += tokens(second - first) * candidate.token_ms * NEST_CHARGE;
+    }
+    if !candidate.near {
+        cost += ZONE_CHARGE_MS;
+    }
+    Scored {
+        key: candidate.key,
+        rank,
+        cached_tokens: cached,
+        predicted_ms,
+        cost,
+        free: candidate.free,
+    }
+}
+
+fn tokens(blocks: usize) -> f64 {
+    blocks as f64 * f64::from(BLOCK_TOKENS)
+}
+
+/// The place of each candidate in the rendezvous order of `level`.
+fn ranks(level: Option<Key>, candidates: &[Candidate]) -> Vec<usize> {
+    let seed = level.map_or(0, |key| key.0);
+    let mut order: Vec<(u64, usize)> = candidates
+        .iter()
+        .enumerate()
+        .map(|(index, candidate)| (weight(seed, candidate.hash), index))
+        .collect();
+    order.sort_unstable_by(|a, b| b.cmp(a));
+    let mut ranks = vec![0; candidates.len()];
+    for (rank, (_, index)) in order.into_iter().enumerate() {
+        ranks[index] = rank;
+    }
+    ranks
+}
+
+/// The home of the second level among the homes of the first.
+fn nest_home(
+    level: Key,
+    copies: usize,
+    ranks: &[usize],
+    candidates: &[Candidate],
+) -> Option<membership::Key> {
+    candidates
+        .iter()
+        .zip(ranks)
+        .filter(|(_, rank)| **rank < copies)
+        .max_by_key(|(candidate, _)| weight(level.0, candidate.hash))
+        .map(|(candidate, _)| candidate.key)
+}
+
+fn weight(seed: u64, hash: u64) -> u64 {
+    xxh3_64_with_seed(&hash.to_le_bytes(), seed)
+}
--- /dev/null
+++ b/src/platform/log.rs
@@ -0,0 +1,106 @@
+//! The log service: append-only streams with offsets.
+
+use std::net::SocketAddr;
+
+use http_types::{Method, StatusCode};
+use serde::{Deserialize, Serialize};
+
+use super::LIMITS;
+use crate::control::{Appended, Read, Record, Stream};
+use crate::http::client::{Failure, Stage, send_json};
+use crate::prelude::*;
+
+/// Records that one read returns at most.
+pub const READ_LIMIT: u32 = 1_000;
+/// Milliseconds that a read waits for a new record.
+pub const WAIT_MS: u32 = 1_000;
+
+/// The answer to a read, on the wire.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct Page {
+    /// The oldest offset that the log still has.
+    pub first: u64,
+    /// The offset after the newest record.
+    pub next: u64,
+    /// Seconds for which the log keeps records.
+    pub retention_s: u64,
+    /// Records in ascending order of offset.
+    pub records: Vec<Line>,
+}
+
+/// One record, on the wire.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Line {
+    /// Its offset.
+    pub offset: u64,
+    /// When the log took it, in milliseconds of the log's clock.
+    pub time_ms: u64,
+    /// Its text.
+    pub text: String,
+}
+
+/// The answer to an append, on the wire.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+pub struct Landed {
+    /// The record's offset.
+    pub offset: u64,
+}
+
+impl From<Page> for Read {
+    fn from(page: Page) -> Self {
+        let records = page.records.into_iter().map(|line| Record {
+            offset: line.offset,
+            time_ms: line.time_ms,
+            text: line.text,
+        });
+        Self {
+            first: page.first,
+            next: page.next,
+            retention_s: page.retention_s,
+            records: records.collect(),
+        }
+    }
+}
+
+/// Reads `stream` from offset `from`, waiting up to `wait_ms` for a record.
+pub async fn read(
+    address: SocketAddr,
+    stream: Stream,
+    from: u64,
+    wait_ms: u32,
+) -> Result<Read, String> {
+    let name = stream.as_str();
+    let path = format!("/streams/{name}/records?from={from}&limit={READ_LIMIT}&wait_ms={wait_ms}");
+    let (status, body) = send_json(address, Method::Get, &path, None, LIMITS)
+        .await
+        .map_err(|failure| failure.reason)?;
+    if status != StatusCode::Ok {
+        return Err(format!("the log service answered {status}"));
+    }
+    let page: Page = serde_json::from_slice(&body).map_err(|error| error.to_string())?;
+    Ok(page.into())
+}
+
+/// Appends a record to `stream`; on success its offset.
+pub async fn append(address: SocketAddr, stream: Stream, text: String) -> Result<u64, Appended> {
+    let path = format!("/streams/{}/records", stream.as_str());
+    match send_json(address, Method::Post, &path, Some(text), LIMITS).await {
+        Ok((StatusCode::Created, body)) => {
+            let landed: Result<Landed, _> = serde_json::from_slice(&body);
+            landed
+                .map(|landed| landed.offset)
+                .map_err(|_| Appended::Unknown)
+        }
+        Ok((StatusCode::TooManyRequests | StatusCode::ServiceUnavailable, _)) => {
+            Err(Appended::Refused)
+        }
+        Ok(_) => Err(Appended::Unknown),
+        Err(Failure {
+            stage: Stage::Unsent,
+            ..
+        }) => Err(Appended::Refused),
+        Err(Failure {
+            stage: Stage::Sent, ..
+        }) => Err(Appended::Unknown),
+    }
+}
--- /dev/null
+++ b/src/prefix/mod.rs
@@ -0,0 +1,105 @@
+//! Prefix keys, and which backend server holds which blocks.
+//!
+//! A prompt is cut into blocks of [`BLOCK_BYTES`]; each block's key is chained from the one
+//! before it, and the first from a [`root`] made of workspace, model, weights version and adapter.
+//! So a key of another workspace or of older weights can never match.
+
+mod residency;
+#[cfg(test)]
+mod tests;
+
+pub use residency::{Depth, Residency};
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+/// Bytes of prompt text in one block; about 256 tokens.
+pub const BLOCK_BYTES: usize = 1024;
+/// Bytes of prompt text taken for one token in estimates.
+pub const BYTES_PER_TOKEN: usize = 4;
+/// Estimated tokens in one block.
+pub const BLOCK_TOKENS: u32 = (BLOCK_BYTES / BYTES_PER_TOKEN) as u32;
+/// Blocks that form the first level when a caller gives no level bounds.
+pub const DEFAULT_LEVEL_BLOCKS: usize = 4;
+
+/// The key of a block together with all text before it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Key(pub u64);
+
+/// What a prefix chain starts from.
+#[derive(Debug, Clone, Copy)]
+pub struct Scope<'a> {
+    /// Workspace name.
+    pub workspace: &'a str,
+    /// Model name.
+    pub model: &'a str,
+    /// Weights version.
+    pub weights: &'a str,
+    /// Adapter name; empty without one.
+    pub adapter: &'a str,
+}
+
+/// The key that a chain starts from.
+///
+/// ```
+/// use cardamomvalve::prefix::{root, Scope};
+/// let one = root(Scope { workspace: "a", model: "m", weights: "1", adapter: "" });
+/// let two = root(Scope { workspace: "b", model: "m", weights: "1", adapter: "" });
+/// assert_ne!(one, two);
+/// ```
+pub fn root(scope: Scope<'_>) -> Key {
+    let mut bytes = Vec::new();
+    for part in [scope.workspace, scope.model, scope.weights, scope.adapter] {
+        bytes.extend_from_slice(&(part.len() as u64).to_le_bytes());
+        bytes.extend_from_slice(part.as_bytes());
+    }
+    Key(xxh3_64(&bytes))
+}
+
+/// The keys of the whole blocks of `prompt`, chained from `root`.
+///
+/// ```
+/// use cardamomvalve::prefix::{chain, Key, BLOCK_BYTES};
+/// let prompt = "x".repeat(2 * BLOCK_BYTES + 1);
+/// assert_eq!(chain(Key(1), prompt.as_bytes()).len(), 2);
+/// ```
+pub fn chain(root: Key, prompt: &[u8]) -> Vec<Key> {
+    prompt
+        .chunks_exact(BLOCK_BYTES)
+        .scan(root, |previous, block| {
+            *previous = Key(xxh3_64_with_seed(block, previous.0));
+            Some(*previous)
+        })
+        .collect()
+}
+
+/// The prefix of one request: its block keys and the blocks at which its levels end.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Prefix {
+    /// Keys of the whole blocks, in order.
+    pub blocks: Vec<Key>,
+    /// Number of blocks at the end of each level, ascending, each at least 1.
+    pub levels: Vec<usize>,
+}
+
+impl Prefix {
+    /// Cuts `prompt` at `bounds` (byte offsets, ascending); without bounds the first
+    /// [`DEFAULT_LEVEL_BLOCKS`] blocks form one level.
+    pub fn new(root: Key, prompt: &[u8], bounds: &[usize]) -> Self {
+        let blocks = chain(root, prompt);
+        let mut levels: Vec<usize> = bounds
+            .iter()
+            .map(|bound| (bound / BLOCK_BYTES).min(blocks.len()))
+            .filter(|level| *level > 0)
+            .collect();
+        levels.dedup();
+        if levels.is_empty() && !blocks.is_empty() {
+            levels.push(DEFAULT_LEVEL_BLOCKS.min(blocks.len()));
+        }
+        Self { blocks, levels }
+    }
+
+    /// The key of level `index`, counted from 0; `None` where there is no such level.
+    pub fn level(&self, index: usize) -> Option<Key> {
+        let end = *self.levels.get(index)?;
+        self.blocks.get(end - 1).copied()
+    }
+}
--- /dev/null
+++ b/src/prefix/residency.rs
@@ -0,0 +1,100 @@
+//! Which backend server is believed to hold which blocks.
+//!
+//! Beliefs come from cache events and from answers; both may be late or lost, so they only move
+//! estimates. An entry counts only for the incarnation that it was learnt from.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::Key;
+use crate::membership;
+
+/// How many leading blocks of a prefix each server is believed to hold.
+pub type Depth = BTreeMap<membership::Key, usize>;
+
+/// Beliefs about the caches of all servers, bounded in entries.
+#[derive(Debug, Default)]
+pub struct Residency {
+    holders: BTreeMap<Key, Vec<membership::Key>>,
+    held: BTreeMap<membership::Key, BTreeSet<Key>>,
+    entries: usize,
+    limit: usize,
+}
+
+impl Residency {
+    /// An empty table of at most `limit` entries of (block, server).
+    pub fn new(limit: usize) -> Self {
+        Self {
+            limit,
+            ..Self::default()
+        }
+    }
+
+    /// Number of (block, server) entries.
+    pub fn len(&self) -> usize {
+        self.entries
+    }
+
+    /// Whether no entry is held.
+    pub fn is_empty(&self) -> bool {
+        self.entries == 0
+    }
+
+    /// Notes that `server` holds `block`. Ignored when the table is full.
+    pub fn insert(&mut self, server: membership::Key, block: Key) {
+        if self.entries >= self.limit {
+            return;
+        }
+        if self.held.entry(server).or_default().insert(block) {
+            self.holders.entry(block).or_default().push(server);
+            self.entries += 1;
+        }
+    }
+
+    /// Notes that `server` no longer holds `block`.
+    pub fn remove(&mut self, server: membership::Key, block: Key) {
+        let Some(held) = self.held.get_mut(&server) else {
+            return;
+        };
+        if !held.remove(&block) {
+            return;
+        }
+        self.entries -= 1;
+        let Some(holders) = self.holders.get_mut(&block) else {
+            return;
+        };
+        holders.retain(|holder| *holder != server);
+        if holders.is_empty() {
+            self.holders.remove(&block);
+        }
+    }
+
+    /// Drops all that is believed of `server`: it restarted, left, or its events have a gap.
+    pub fn clear(&mut self, server: membership::Key) {
+        let held = self.held.get(&server).cloned().unwrap_or_default();
+        for block in held {
+            self.remove(server, block);
+        }
+        self.held.remove(&server);
+    }
+
+    /// How many leading blocks of `blocks` each server holds; servers with none are left out.
+    pub fn depth(&self, blocks: &[Key]) -> Depth {
+        let mut depth = Depth::new();
+        for (index, block) in blocks.iter().enumerate() {
+            let Some(holders) = self.holders.get(block) else {
+                break;
+            };
+            let mut reached = false;
+            for holder in holders {
+                if index == 0 || depth.get(holder) == Some(&index) {
+                    depth.insert(*holder, index + 1);
+                    reached = true;
+                }
+            }
+            if !reached {
+                break;
+            }
+        }
+        depth
+    }
+}
--- /dev/null
+++ b/src/settings/mod.rs
@@ -0,0 +1,242 @@
+//! The settings of one daemon: one JSON file, checked whole before anything starts.
+
+#[cfg(test)]
+mod tests;
+
+use std::net::SocketAddr;
+use std::path::Path;
+
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+
+use crate::prelude::*;
+
+/// Everything that a daemon is told at its start.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// The VM's id in the VM list.
+    pub id: String,
+    /// The VM's region.
+    pub region: String,
+    /// The VM's availability zone.
+    pub zone: String,
+    /// Where callers connect.
+    #[schemars(with = "String")]
+    pub listen: SocketAddr,
+    /// Where other daemons connect.
+    #[schemars(with = "String")]
+    pub peer_listen: SocketAddr,
+    /// Where operators connect.
+    #[schemars(with = "String")]
+    pub operators_listen: SocketAddr,
+    /// The platform's log service.
+    #[schemars(with = "String")]
+    pub log_service: SocketAddr,
+    /// The platform's VM list.
+    #[schemars(with = "String")]
+    pub vm_list: SocketAddr,
+    /// Threads that carry traffic; control has one of its own.
+    #[serde(default = "default_threads")]
+    pub threads: u32,
+    /// Bounds.
+    #[serde(default)]
+    pub limits: Limits,
+    /// Logs and traces.
+    #[serde(default)]
+    pub telemetry: Telemetry,
+}
+
+fn default_threads() -> u32 {
+    2
+}
+
+/// Bounds of one daemon.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct Limits {
+    /// Bytes of a request's body.
+    pub body_bytes: u64,
+    /// Bytes of an answer's body that is passed on whole.
+    pub answer_bytes: u64,
+    /// Callers' connections at a time.
+    pub connections: u32,
+    /// Milliseconds that a read or write may wait.
+    pub idle_ms: u64,
+    /// Milliseconds that a connection to a backend server may take.
+    pub connect_ms: u64,
+    /// Milliseconds that a backend server may take to begin its answer.
+    pub answer_begin_ms: u64,
+    /// Milliseconds between two polls of the VM list.
+    pub vm_list_interval_ms: u64,
+    /// Milliseconds from a planned stop's start for which new connections are still taken, so
+    /// that the platform's balancer can notice.
+    pub drain_notice_ms: u64,
+    /// Milliseconds that a planned stop may take at most.
+    pub drain_ms: u64,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            body_bytes: 8 << 20,
+            answer_bytes: 16 << 20,
+            connections: 4_096,
+            idle_ms: 30_000,
+            connect_ms: 1_000,
+            answer_begin_ms: 120_000,
+            vm_list_interval_ms: 500,
+            drain_notice_ms: 2_000,
+            drain_ms: 300_000,
+        }
+    }
+}
+
+/// Logs and traces of one daemon.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct Telemetry {
+    /// The form of log lines.
+    pub log_format: LogFormat,
+    /// The least severe level that is logged.
+    pub log_level: LogLevel,
+    /// Where traces are sent as OTLP over HTTP; none by default.
+    #[schemars(with = "Option<String>")]
+    pub otlp: Option<SocketAddr>,
+}
+
+impl Default for Telemetry {
+    fn default() -> Self {
+        Self {
+            log_format: LogFormat::Text,
+            log_level: LogLevel::Info,
+            otlp: None,
+        }
+    }
+}
+
+/// The form of log lines.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "kebab-case")]
+pub enum LogFormat {
+    /// Text for people.
+    Text,
+    /// JSON for machines.
+    Json,
+}
+
+/// A level of log lines.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "kebab-case")]
+pub enum LogLevel {
+    /// Errors.
+    Error,
+    /// Also what needs attention.
+    Warn,
+    /// Also what operators want to see.
+    Info,
+    /// Also single requests.
+    Debug,
+}
+
+impl Settings {
+    /// Reads and checks a file.
+    pub fn load(path: &Path) -> Result<Self> {
+        let bytes = std::fs::read(path).map_err(|error| {
+            Error::new(Code::FileUnreadable, format!("{}: {error}", path.display()))
+        })?;
+        Self::parse(&bytes)
+    }
+
+    /// Reads and checks the text of a file.
+    ///
+    /// ```
+    /// let error = cardamomvalve::settings::Settings::parse(b"{\"id\": 7}").unwrap_err();
+    /// assert!(error.to_string().contains("id"));
+    /// ```
+    pub fn parse(bytes: &[u8]) -> Result<Self> {
+        let mut deserializer = serde_json::Deserializer::from_slice(bytes);
+        let settings: Self =
+            serde_path_to_error::deserialize(&mut deserializer).map_err(|error| {
+                let path = error.path().to_string();
+                Error::new(Code::SettingsInvalid, format!("{path}: {}", error.inner()))
+            })?;
+        deserializer
+            .end()
+            .map_err(|error| Error::new(Code::SettingsInvalid, format!("(file): {error}")))?;
+        settings.check()?;
+        Ok(settings)
+    }
+
+    fn check(&self) -> Result<()> {
+        for (path, name) in [
+            ("id", &self.id),
+            ("region", &self.region),
+            ("zone", &self.zone),
+        ] {
+            require(
+                !name.is_empty() && name.len() <= 128,
+                path,
+                name,
+                "1 to 128 characters",
+            )?;
+        }
+        require(
+            (1..=64).contains(&self.threads),
+            "threads",
+            self.threads,
+            "1 to 64",
+        )?;
+        let limits = &self.limits;
+        let bounds = [
+            ("limits.body_bytes", limits.body_bytes, 1 << 30),
+            ("limits.answer_bytes", limits.answer_bytes, 1 << 30),
+            ("limits.connections", u64::from(limits.connections), 1 << 20),
+            ("limits.idle_ms", limits.idle_ms, 3_600_000),
+            ("limits.connect_ms", limits.connect_ms, 60_000),
+            ("limits.answer_begin_ms", limits.answer_begin_ms, 3_600_000),
+            (
+                "limits.vm_list_interval_ms",
+                limits.vm_list_interval_ms,
+                60_000,
+            ),
+            ("limits.drain_ms", limits.drain_ms, 3_600_000),
+        ];
+        for (path, value, most) in bounds {
+            require(
+                (1..=most).contains(&value),
+                path,
+                value,
+                &format!("1 to {most}"),
+            )?;
+        }
+        let notice = limits.drain_notice_ms;
+        let allowed = "0 to drain_ms";
+        require(
+            notice <= limits.drain_ms,
+            "limits.drain_notice_ms",
+            notice,
+            allowed,
+        )
+    }
+}
+
+fn require(ok: bool, path: &str, value: impl std::fmt::Display, allowed: &str) -> Result<()> {
+    if ok {
+        return Ok(());
+    }
+    let detail = format!("{path}: {value} is not allowed, give {allowed}");
+    Err(Error::new(Code::SettingsInvalid, detail))
+}
+
+impl Limits {
+    /// The bounds of an exchange with a backend server.
+    pub fn exchange(&self) -> crate::http::client::Limits {
+        crate::http::client::Limits {
+            connect: Duration::from_millis(self.connect_ms),
+            head: Duration::from_millis(self.answer_begin_ms),
+            idle: Duration::from_millis(self.idle_ms),
+            body: self.answer_bytes,
+        }
+    }
+}
--- /dev/null
+++ b/src/telemetry/event.rs
@@ -0,0 +1,75 @@
+//! The catalogue of log events: one number, level and meaning each.
+
+use log::Level;
+
+macro_rules! events {
+    ($($name:ident = $number:literal, $level:ident, $text:literal;)*) => {
+        /// A numbered log event.
+        #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+        pub enum Event { $(#[doc = $text] $name,)* }
+
+        impl Event {
+            /// Every event, in ascending order of number.
+            pub const ALL: &[Self] = &[$(Self::$name,)*];
+
+            /// The number that log lines carry.
+            ///
+            /// ```
+            /// use cardamomvalve::telemetry::Event;
+            /// assert_eq!(Event::Started.number(), 100);
+            /// ```
+            pub const fn number(self) -> u16 {
+                match self { $(Self::$name => $number,)* }
+            }
+
+            /// The level that it is logged at.
+            pub const fn level(self) -> Level {
+                match self { $(Self::$name => Level::$level,)* }
+            }
+
+            /// What it means.
+            pub const fn text(self) -> &'static str {
+                match self { $(Self::$name => $text,)* }
+            }
+        }
+    };
+}
+
+events! {
+    Started = 100, Info, "The daemon listens on its addresses.";
+    StopRequested = 101, Info, "A planned stop was asked for; no new work is taken.";
+    Stopped = 102, Info, "Every request and stream has ended; the daemon exits.";
+    StopCutShort = 103, Warn, "The time for a planned stop ran out with requests still open.";
+    ConnectionFailed = 110, Debug, "A caller's connection ended with an error.";
+    ManifestInForce = 200, Info, "A manifest came into force.";
+    ManifestRefused = 201, Warn, "A published manifest record was not accepted; the one in force stays.";
+    RecordUnreadable = 202, Warn, "A log record could not be read and was skipped, as every daemon does.";
+    RecordsForgotten = 203, Warn, "The log dropped records before this daemon read them.";
+    LogDown = 210, Warn, "The log service could not be reached.";
+    LogUp = 211, Info, "The log service answers again.";
+    VmListDown = 220, Warn, "The VM list could not be reached; the last one read stays in use.";
+    VmListUp = 221, Info, "The VM list answers again.";
+    ServerAdded = 300, Info, "A backend server was added.";
+    ServerLeaving = 301, Info, "A backend server is leaving and gets no new work.";
+    ServerRemoved = 302, Info, "A backend server is gone from the VM list.";
+    ServerRestarted = 303, Warn, "A backend server came back under a new incarnation; its cache entries were dropped.";
+    ServerUnreachable = 304, Warn, "A backend server does not answer and gets no new work.";
+    ServerReachable = 305, Info, "A backend server answers again.";
+    CacheEventGap = 306, Debug, "Cache events of a backend server were lost; its cache entries were dropped.";
+    AttemptFailed = 400, Info, "An attempt at a backend server failed.";
+    AnswerDiscarded = 401, Warn, "An answer named another attempt, incarnation or weights version, and was discarded.";
+    StreamResumed = 402, Info, "A stream was resumed after its connection broke.";
+    StreamContinued = 403, Info, "A stream was continued on another backend server.";
+    CallerGone = 404, Debug, "A caller left before its answer ended; the work was cancelled.";
+    ClaimAbandoned = 500, Warn, "A claim was given up on; it is released when it shows up on the log.";
+    ClaimReleased = 501, Info, "A claim that was never dispatched was released.";
+    OutcomeAppendFailed = 502, Warn, "An outcome could not be appended yet; it is tried again.";
+    PeerUp = 600, Info, "A peer connection was established.";
+    PeerDown = 601, Debug, "A peer connection ended.";
+    SnapshotTaken = 602, Info, "Folded state was taken over from a peer.";
+}
+
+/// Writes one log line for `event`.
+pub fn emit(event: Event, detail: &str) {
+    log::log!(event.level(), event = event.number(), name:? = event; "CV-E{:03} {} {detail}", event.number(), event.text());
+}
--- /dev/null
+++ b/standin/src/bin/cardamomvalve-load.rs
@@ -0,0 +1,7 @@
+//! See `cardamomvalve_standin::load`.
+
+use clap::Parser;
+
+fn main() -> eyre::Result<()> {
+    cardamomvalve_standin::load::run(&cardamomvalve_standin::load::Options::parse())
+}
--- /dev/null
+++ b/standin/src/bin/standin-engine.rs
@@ -0,0 +1,7 @@
+//! See `cardamomvalve_standin::engine`.
+
+use clap::Parser;
+
+fn main() -> eyre::Result<()> {
+    cardamomvalve_standin::engine::run(&cardamomvalve_standin::engine::Options::parse())
+}
--- /dev/null
+++ b/standin/src/bin/standin-service.rs
@@ -0,0 +1,7 @@
+//! See `cardamomvalve_standin::service`.
+
+use clap::Parser;
+
+fn main() -> eyre::Result<()> {
+    cardamomvalve_standin::service::run(&cardamomvalve_standin::service::Options::parse())
+}
