--- /dev/null
+++ b/standin/src/engine.rs
@@ -0,0 +1,411 @@
+//! A model engine: batches, caches prompt blocks, streams a text that follows from the prompt.
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_executor::LocalExecutor;
+use async_io::Timer;
+use cardamomvalve::entry::openai::{self, Kind};
+use cardamomvalve::http::header;
+use cardamomvalve::http::server::{self, Whole};
+use cardamomvalve::membership::Report;
+use cardamomvalve::prefix::{self, BLOCK_TOKENS, BYTES_PER_TOKEN, Key};
+use clap::Parser;
+use futures_util::TryStreamExt;
+use http_types::{Body, Method, Response};
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+use crate::cache::Cache;
+use crate::serve;
+
+/// Answer tokens where a request does not say.
+const DEFAULT_TOKENS: u64 = 16;
+/// Time between two looks at whether it is a request's turn.
+const LOOK: Duration = Duration::from_millis(1);
+
+/// The engine's command line.
+#[derive(Debug, Clone, Parser)]
+#[command(
+    name = "standin-engine",
+    version,
+    about = "A stand-in for a model engine"
+)]
+pub struct Options {
+    /// Where to listen; port 0 takes a free one.
+    #[arg(long, default_value = "127.0.0.1:0")]
+    pub listen: SocketAddr,
+    /// A model and the weights version served, as MODEL=VERSION; may be repeated.
+    #[arg(long = "weights", value_name = "MODEL=VERSION", required = true)]
+    pub weights: Vec<String>,
+    /// Blocks that the cache holds.
+    #[arg(long, default_value_t = 4_096)]
+    pub cache_blocks: usize,
+    /// Prompt tokens computed in a second.
+    #[arg(long, default_value_t = 100_000)]
+    pub prefill_tokens_per_s: u32,
+    /// Milliseconds for one answer token.
+    #[arg(long, default_value_t = 2)]
+    pub token_ms: u64,
+}
+
+/// What is set with `PUT /faults`; each is done once, to the next answer.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Faults {
+    /// Cut the connection after this many chunks.
+    pub cut_after: Option<u64>,
+    /// Send this chunk twice.
+    pub repeat: Option<u64>,
+    /// Leave this chunk out.
+    pub omit: Option<u64>,
+    /// Name another attempt in the answer.
+    pub wrong_attempt: bool,
+    /// Name another incarnation in the answer.
+    pub wrong_incarnation: bool,
+    /// End the stream without its last event.
+    pub no_end: bool,
+    /// Decline with this status, as not run.
+    pub decline: Option<u16>,
+}
+
+#[derive(Debug)]
+struct State {
+    incarnation: String,
+    weights: BTreeMap<String, BTreeSet<String>>,
+    cache: Cache,
+    options: Options,
+    faults: Faults,
+    leaving: bool,
+    running: u32,
+    /// Prefills that wait or are under way, in order: priority, arrival, tokens.
+    prefills: BTreeMap<(u8, u64), u64>,
+    arrivals: u64,
+    generated: u64,
+    cancelled: u64,
+}
+
+/// The chunk text at `position` of the answer to `prompt`.
+///
+/// ```
+/// use cardamomvalve_standin::engine::token;
+/// assert_eq!(token("p", 0), token("p", 0));
+/// ```
+pub fn token(prompt: &str, position: u64) -> String {
+    let hash = xxh3_64_with_seed(&position.to_le_bytes(), xxh3_64(prompt.as_bytes()));
+    format!("w{:04x} ", hash & 0xffff)
+}
+
+/// The whole answer of `count` tokens to `prompt`.
+pub fn answer_text(prompt: &str, count: u64) -> String {
+    (0..count).map(|position| token(prompt, position)).collect()
+}
+
+/// Runs the engine.
+pub fn run(options: &Options) -> eyre::Result<()> {
+    let mut weights: BTreeMap<String, BTreeSet<String>> = BTreeMap::new();
+    for pair in &options.weights {
+        let (model, version) = pair
+            .split_once('=')
+            .ok_or_else(|| eyre::eyre!("{pair}: give MODEL=VERSION"))?;
+        weights
+            .entry(model.to_owned())
+            .or_default()
+            .insert(version.to_owned());
+    }
+    let state = State {
+        incarnation: format!("{:016x}", fastrand::u64(..)),
+        weights,
+        cache: Cache::new(options.cache_blocks),
+        options: options.clone(),
+        faults: Faults::default(),
+        leaving: false,
+        running: 0,
+        prefills: BTreeMap::new(),
+        arrivals: 0,
+        generated: 0,
+        cancelled: 0,
+    };
+    let state = Rc::new(RefCell::new(state));
+    serve::run("standin-engine", options.listen, move |executor, whole| {
+        answer(Rc::clone(&state), executor, whole)
+    })
+}
+
+async fn answer(
+    state: Rc<RefCell<State>>,
+    executor: Rc<LocalExecutor<'static>>,
+    whole: Whole,
+) -> Option<Response> {
+    let path = whole.request.url().path().to_owned();
+    match (whole.request.method(), path.as_str()) {
+        (Method::Put, "/faults") => {
+            state.borrow_mut().faults = serde_json::from_slice(&whole.body).unwrap_or_default();
+            Some(server::empty(204))
+        }
+        (Method::Put, "/leave") => {
+            state.borrow_mut().leaving = true;
+            Some(server::empty(204))
+        }
+        (Method::Put, "/weights") => {
+            state.borrow_mut().weights = serde_json::from_slice(&whole.body).ok()?;
+            Some(server::empty(204))
+        }
+        (Method::Get, "/report") => Some(report(&state, &whole)),
+        (Method::Get, "/counts") => {
+            let state = state.borrow();
+            let counts = json!({ "generated": state.generated, "cancelled": state.cancelled });
+            Some(server::json(200, &counts))
+        }
+        (Method::Post, path) => {
+            let kind = Kind::from_path(path)?;
+            Some(complete(state, executor, kind, &whole).await)
+        }
+        _ => Some(server::empty(404)),
+    }
+}
+
+fn report(state: &Rc<RefCell<State>>, whole: &Whole) -> Response {
+    let from: u64 = serve::query(&whole.request, "from").unwrap_or(0);
+    let state = state.borrow();
+    let report = Report {
+        incarnation: state.incarnation.clone(),
+        from,
+        leaving: state.leaving,
+        weights: state.weights.clone(),
+        running: state.running,
+        waiting: state.prefills.len() as u32,
+        queued_tokens: state.prefills.values().sum(),
+        prefill_tokens_per_s: state.options.prefill_tokens_per_s,
+        next_seq: state.cache.next_seq(),
+        events: state.cache.events(from),
+    };
+    server::json(200, &serde_json::to_value(report).unwrap_or_default())
+}
+
+/// One generation on its way.
+struct Generation {
+    state: Rc<RefCell<State>>,
+    kind: Kind,
+    prompt: String,
+    position: u64,
+    count: u64,
+    prompt_tokens: u64,
+    cached_tokens: u64,
+    faults: Faults,
+}
+
+fn declined(status: u16, why: &str) -> Response {
+    let mut answer = server::json(status, &json!({ "error": { "message": why } }));
+    answer.insert_header(header::EXECUTION, "not-run");
+    answer
+}
+
+async fn complete(
+    state: Rc<RefCell<State>>,
+    executor: Rc<LocalExecutor<'static>>,
+    kind: Kind,
+    whole: &Whole,
+) -> Response {
+    let Ok(body) = serde_json::from_slice::<Value>(&whole.body) else {
+        return declined(400, "the body is no JSON");
+    };
+    let Ok(prompt) = openai::prompt(kind, &body) else {
+        return declined(400, "the prompt is missing");
+    };
+    let model = body["model"].as_str().unwrap_or_default();
+    let wanted = serve::value(&whole.request, header::WEIGHTS).unwrap_or_default();
+    let served = state
+        .borrow()
+        .weights
+        .get(model)
+        .is_some_and(|versions| versions.contains(wanted));
+    if !served {
+        return declined(409, "these weights are not loaded");
+    }
+    let faults = std::mem::take(&mut state.borrow_mut().faults);
+    if let Some(status) = faults.decline {
+        return declined(status, "declined as told");
+    }
+    let salt = serve::value(&whole.request, header::CACHE_SALT).unwrap_or("0");
+    let blocks = prefix::chain(
+        Key(u64::from_str_radix(salt, 16).unwrap_or(0)),
+        prompt.as_bytes(),
+    );
+    let priority = match serve::value(&whole.request, header::PRIORITY) {
+        Some("urgent") => 0,
+        Some("background") => 2,
+        _ => 1,
+    };
+    let cached = prefill(&state, priority, &prompt, &blocks).await;
+    let from = serve::value(&whole.request, header::RESUME_FROM);
+    let generation = Generation {
+        position: from.and_then(|from| from.parse().ok()).unwrap_or(0),
+        count: body["max_tokens"].as_u64().unwrap_or(DEFAULT_TOKENS),
+        prompt_tokens: (prompt.len() / BYTES_PER_TOKEN) as u64,
+        cached_tokens: cached,
+        kind,
+        prompt,
+        faults: faults.clone(),
+        state: Rc::clone(&state),
+    };
+    respond(&state, executor, whole, generation, &faults, wanted)
+}
+
+/// Computes what is not cached of the prompt, in order of priority; returns the cached tokens.
+async fn prefill(state: &Rc<RefCell<State>>, priority: u8, prompt: &str, blocks: &[Key]) -> u64 {
+    let place = {
+        let mut state = state.borrow_mut();
+        state.arrivals += 1;
+        let place = (priority, state.arrivals);
+        state
+            .prefills
+            .insert(place, (prompt.len() / BYTES_PER_TOKEN) as u64);
+        place
+    };
+    while state
+        .borrow()
+        .prefills
+        .first_key_value()
+        .map(|(first, _)| *first)
+        != Some(place)
+    {
+        Timer::after(LOOK).await;
+    }
+    // First in line stays first while it computes: a later arrival may not overtake.
+    state.borrow_mut().prefills.remove(&place);
+    let held = state.borrow().cache.depth(blocks) as u64 * u64::from(BLOCK_TOKENS);
+    let total = (prompt.len() / BYTES_PER_TOKEN) as u64;
+    let under_way = (0, 0);
+    state
+        .borrow_mut()
+        .prefills
+        .insert(under_way, total.saturating_sub(held));
+    let speed = u64::from(state.borrow().options.prefill_tokens_per_s);
+    let micros = total.saturating_sub(held) * 1_000_000 / speed.max(1);
+    Timer::after(Duration::from_micros(micros)).await;
+    let mut state = state.borrow_mut();
+    state.prefills.remove(&under_way);
+    state.cache.use_blocks(blocks);
+    held.min(total)
+}
+
+fn respond(
+    state: &Rc<RefCell<State>>,
+    executor: Rc<LocalExecutor<'static>>,
+    whole: &Whole,
+    generation: Generation,
+    faults: &Faults,
+    weights: &str,
+) -> Response {
+    let attempt = serve::value(&whole.request, header::ATTEMPT).unwrap_or_default();
+    let attempt = if faults.wrong_attempt {
+        "another"
+    } else {
+        attempt
+    };
+    let incarnation = if faults.wrong_incarnation {
+        "another".into()
+    } else {
+        state.borrow().incarnation.clone()
+    };
+    let cached = generation.cached_tokens;
+    let (sender, receiver) = async_channel::bounded(1);
+    executor.spawn(generate(generation, sender)).detach();
+    let reader = Box::pin(receiver).into_async_read();
+    let mut answer = server::empty(200);
+    answer.set_body(Body::from_reader(reader, None));
+    answer.insert_header("content-type", "text/event-stream");
+    answer.insert_header(header::ATTEMPT, attempt);
+    answer.insert_header(header::INCARNATION, incarnation);
+    answer.insert_header(header::WEIGHTS, weights);
+    answer.insert_header(header::CACHED_TOKENS, cached.to_string());
+    answer
+}
+
+type Chunks = async_channel::Sender<std::io::Result<Vec<u8>>>;
+
+async fn generate(generation: Generation, sender: Chunks) {
+    let state = Rc::clone(&generation.state);
+    state.borrow_mut().running += 1;
+    let complete = send_chunks(&generation, &sender).await;
+    let mut state = state.borrow_mut();
+    state.running -= 1;
+    if complete.is_some() {
+        state.generated += 1;
+    } else {
+        state.cancelled += 1;
+    }
+}
+
+/// Sends the chunks; `None` where the stream was cut or its reader left.
+async fn send_chunks(generation: &Generation, sender: &Chunks) -> Option<()> {
+    let token_ms = generation.state.borrow().options.token_ms;
+    let faults = &generation.faults;
+    let mut sent = 0;
+    for position in generation.position..generation.count {
+        Timer::after(Duration::from_millis(token_ms)).await;
+        if faults.cut_after == Some(sent) {
+            sender
+                .send(Err(std::io::ErrorKind::ConnectionReset.into()))
+                .await
+                .ok();
+            return None;
+        }
+        sent += 1;
+        if faults.omit == Some(position) {
+            continue;
+        }
+        let copies = if faults.repeat == Some(position) {
+            2
+        } else {
+            1
+        };
+        for _ in 0..copies {
+            let event = format!("id: {position}\ndata: {}\n\n", chunk(generation, position));
+            sender.send(Ok(event.into_bytes())).await.ok()?;
+        }
+    }
+    if faults.cut_after == Some(sent) {
+        sender
+            .send(Err(std::io::ErrorKind::ConnectionReset.into()))
+            .await
+            .ok();
+        return None;
+    }
+    if !faults.no_end {
+        let end = format!("id: {}\ndata: [DONE]\n\n", generation.count);
+        sender.send(Ok(end.into_bytes())).await.ok()?;
+    }
+    Some(())
+}
+
+fn chunk(generation: &Generation, position: u64) -> Value {
+    let text = token(&generation.prompt, position);
+    let last = position + 1 == generation.count;
+    let reason = if last { json!("length") } else { Value::Null };
+    let (object, choice) = match generation.kind {
+        Kind::Text => (
+            "text_completion",
+            json!({ "index": 0, "text": text, "finish_reason": reason }),
+        ),
+        Kind::Chat => (
+            "chat.completion.chunk",
+            json!({ "index": 0, "delta": { "content": text }, "finish_reason": reason }),
+        ),
+    };
+    let mut chunk = json!({ "object": object, "choices": [choice] });
+    if last {
+        chunk["usage"] = json!({
+            "prompt_tokens": generation.prompt_tokens,
+            "completion_tokens": generation.count,
+            "total_tokens": generation.prompt_tokens + generation.count,
+            "prompt_tokens_details": { "cached_tokens": generation.cached_tokens },
+        });
+    }
+    chunk
+}
--- /dev/null
+++ b/standin/src/load.rs
@@ -0,0 +1,370 @@
+//! A load tool: completions with nested shared prefixes and keyed payments, each answer checked.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use async_executor::LocalExecutor;
+use async_io::{Timer, block_on};
+use async_sse::Event;
+use cardamomvalve::http::client::{self, Limits};
+use cardamomvalve::http::header;
+use clap::Parser;
+use futures_lite::StreamExt;
+use hdrhistogram::Histogram;
+use http_types::{Method, Request};
+use serde_json::{Value, json};
+
+use crate::engine::answer_text;
+
+const LIMITS: Limits = Limits {
+    connect: Duration::from_secs(2),
+    head: Duration::from_secs(60),
+    idle: Duration::from_secs(60),
+    body: 16 << 20,
+};
+/// Times that one request is asked again after a refusal that says "not run".
+const MAX_ASKS: u32 = 20;
+
+/// The load tool's command line.
+#[derive(Debug, Clone, Parser)]
+#[command(
+    name = "cardamomvalve-load",
+    version,
+    about = "Sends checked load to daemons on loopback"
+)]
+pub struct Options {
+    /// A daemon's entry address; may be repeated, and requests go to each in turn.
+    #[arg(long = "to", value_name = "ADDRESS", required = true)]
+    pub to: Vec<SocketAddr>,
+    /// The bearer key.
+    #[arg(long)]
+    pub key: String,
+    /// The model.
+    #[arg(long)]
+    pub model: String,
+    /// The service that payments go to; none without it.
+    #[arg(long)]
+    pub service: Option<String>,
+    /// Completions.
+    #[arg(long, default_value_t = 100)]
+    pub requests: u32,
+    /// Requests under way at a time.
+    #[arg(long, default_value_t = 8)]
+    pub concurrency: u32,
+    /// Clients that share the standard, each with its own prefix.
+    #[arg(long, default_value_t = 4)]
+    pub clients: u32,
+    /// Bytes of the standard that all prompts begin with.
+    #[arg(long, default_value_t = 32_768)]
+    pub standard_bytes: usize,
+    /// Bytes of each client's own prefix.
+    #[arg(long, default_value_t = 8_192)]
+    pub client_bytes: usize,
+    /// Answer tokens.
+    #[arg(long, default_value_t = 16)]
+    pub tokens: u64,
+    /// Milliseconds between the starts of two requests of one worker.
+    #[arg(long, default_value_t = 0)]
+    pub pause_ms: u64,
+    /// Print JSON.
+    #[arg(long)]
+    pub json: bool,
+}
+
+/// What came of a load.
+#[derive(Debug)]
+struct Tally {
+    first_token_us: Histogram<u64>,
+    complete: u64,
+    wrong: u64,
+    failed: u64,
+    asked_again: u64,
+    prompt_tokens: u64,
+    cached_tokens: u64,
+    payments: u64,
+    complaints: Vec<String>,
+}
+
+impl Tally {
+    fn new() -> eyre::Result<Self> {
+        Ok(Self {
+            first_token_us: Histogram::new(3)?,
+            complete: 0,
+            wrong: 0,
+            failed: 0,
+            asked_again: 0,
+            prompt_tokens: 0,
+            cached_tokens: 0,
+            payments: 0,
+            complaints: Vec::new(),
+        })
+    }
+
+    fn complain(&mut self, complaint: String) {
+        if self.complaints.len() < 10 {
+            self.complaints.push(complaint);
+        }
+    }
+}
+
+/// Sends the load and prints what came of it; an error where any answer was lost or wrong.
+pub fn run(options: &Options) -> eyre::Result<()> {
+    let outside = options
+        .to
+        .iter()
+        .find(|address| !address.ip().is_loopback());
+    if let Some(address) = outside {
+        eyre::bail!("{address} is not on loopback; this tool sends load nowhere else");
+    }
+    let tally = Rc::new(RefCell::new(Tally::new()?));
+    let executor = Rc::new(LocalExecutor::new());
+    let next = Rc::new(RefCell::new(0_u32));
+    let workers: Vec<_> = (0..options.concurrency)
+        .map(|_| executor.spawn(work(options.clone(), Rc::clone(&next), Rc::clone(&tally))))
+        .collect();
+    block_on(executor.run(async {
+        for worker in workers {
+            worker.await;
+        }
+    }));
+    let tally = tally.borrow();
+    print(options, &tally);
+    eyre::ensure!(
+        tally.wrong + tally.failed == 0,
+        "answers were wrong or lost"
+    );
+    Ok(())
+}
+
+async fn work(options: Options, next: Rc<RefCell<u32>>, tally: Rc<RefCell<Tally>>) {
+    loop {
+        let number = next.replace_with(|number| *number + 1);
+        if number >= options.requests {
+            return;
+        }
+        completion(&options, number, &tally).await;
+        if let Some(service) = &options.service {
+            payment(&options, service, number, &tally).await;
+        }
+        Timer::after(Duration::from_millis(options.pause_ms)).await;
+    }
+}
+
+fn filler(name: &str, bytes: usize) -> String {
+    name.chars().cycle().take(bytes).collect()
+}
+
+fn head(options: &Options, number: u32, path: &str) -> Option<(SocketAddr, Request)> {
+    let address = *options.to.get(number as usize % options.to.len())?;
+    let mut request = client::request(Method::Post, address, path).ok()?;
+    request.insert_header("authorization", format!("Bearer {}", options.key));
+    Some((address, request))
+}
+
+/// What came of one ask.
+enum Ask {
+    Answered,
+    Again(Duration),
+    Failed(String),
+}
+
+async fn completion(options: &Options, number: u32, tally: &Rc<RefCell<Tally>>) {
+    let client = number % options.clients.max(1);
+    let levels = (
+        options.standard_bytes,
+        options.standard_bytes + options.client_bytes,
+    );
+    let prompt = format!(
+        "{}{}case {number}",
+        filler("the standard says ", levels.0),
+        filler(&format!("client {client} "), options.client_bytes)
+    );
+    for turn in 0..MAX_ASKS {
+        match ask(options, number + turn, &prompt, levels, tally).await {
+            Ask::Answered => return,
+            Ask::Again(pause) => {
+                tally.borrow_mut().asked_again += 1;
+                Timer::after(pause).await;
+            }
+            Ask::Failed(why) => {
+                tally.borrow_mut().failed += 1;
+                tally
+                    .borrow_mut()
+                    .complain(format!("completion {number}: {why}"));
+                return;
+            }
+        }
+    }
+    tally.borrow_mut().failed += 1;
+    tally
+        .borrow_mut()
+        .complain(format!("completion {number}: refused {MAX_ASKS} times"));
+}
+
+async fn ask(
+    options: &Options,
+    turn: u32,
+    prompt: &str,
+    levels: (usize, usize),
+    tally: &Rc<RefCell<Tally>>,
+) -> Ask {
+    let Some((address, mut request)) = head(options, turn, "/v1/completions") else {
+        return Ask::Failed("no address".into());
+    };
+    request.insert_header(header::PREFIX_LEVELS, format!("{},{}", levels.0, levels.1));
+    let body = json!({
+        "model": options.model,
+        "prompt": prompt,
+        "stream": true,
+        "max_tokens": options.tokens,
+    });
+    request.set_body(body.to_string());
+    let start = Instant::now();
+    let mut answer = match client::send(address, request, LIMITS).await {
+        Ok(answer) => answer,
+        // A completion may be repeated: nothing hangs on its running once.
+        Err(failure) => return again_after(failure.reason),
+    };
+    if u16::from(answer.response.status()) != 200 {
+        return refused(answer).await;
+    }
+    let body = answer.response.take_body();
+    let mut events = async_sse::decode(futures_lite::io::BufReader::new(body));
+    let mut text = String::new();
+    let mut usage = Value::Null;
+    while let Some(event) = events.next().await {
+        let message = match event {
+            Ok(Event::Message(message)) => message,
+            Ok(Event::Retry(_)) => continue,
+            Err(error) => return again_after(error.to_string()),
+        };
+        if message.data() == b"[DONE]" {
+            return finish(options, prompt, &text, &usage, tally);
+        }
+        let chunk: Value = serde_json::from_slice(message.data()).unwrap_or_default();
+        if message.name() == "error" {
+            return Ask::Failed(chunk.to_string());
+        }
+        if text.is_empty() {
+            let micros = start.elapsed().as_micros() as u64;
+            tally.borrow_mut().first_token_us.record(micros).ok();
+        }
+        text.push_str(chunk["choices"][0]["text"].as_str().unwrap_or_default());
+        if !chunk["usage"].is_null() {
+            usage = chunk["usage"].clone();
+        }
+    }
+    again_after("the stream ended early".into())
+}
+
+fn again_after(_reason: String) -> Ask {
+    Ask::Again(Duration::from_millis(100))
+}
+
+async fn refused(answer: client::Answer) -> Ask {
+    let head = answer.response.as_ref();
+    let retry_after = header::single(head, "retry-after").ok().flatten();
+    let seconds: Option<u64> = retry_after.and_then(|value| value.parse().ok());
+    match seconds {
+        Some(seconds) => Ask::Again(Duration::from_secs(seconds)),
+        None => {
+            let body = answer
+                .whole()
+                .await
+                .map(|(_, body)| body)
+                .unwrap_or_default();
+            Ask::Failed(String::from_utf8_lossy(&body).into_owned())
+        }
+    }
+}
+
+fn finish(
+    options: &Options,
+    prompt: &str,
+    text: &str,
+    usage: &Value,
+    tally: &Rc<RefCell<Tally>>,
+) -> Ask {
+    let mut tally = tally.borrow_mut();
+    tally.prompt_tokens += usage["prompt_tokens"].as_u64().unwrap_or(0);
+    tally.cached_tokens += usage["prompt_tokens_details"]["cached_tokens"]
+        .as_u64()
+        .unwrap_or(0);
+    if text == answer_text(prompt, options.tokens) {
+        tally.complete += 1;
+    } else {
+        tally.wrong += 1;
+        tally.complain("a completion's text is not the prompt's answer".to_owned());
+    }
+    Ask::Answered
+}
+
+async fn payment(options: &Options, service: &str, number: u32, tally: &Rc<RefCell<Tally>>) {
+    let key = format!("payment-{}-{number}", options.key);
+    for turn in 0..MAX_ASKS {
+        let path = format!("/services/{service}/payments");
+        let Some((address, mut request)) = head(options, number + turn, &path) else {
+            return;
+        };
+        request.insert_header(header::IDEMPOTENCY_KEY, key.as_str());
+        request.set_body(format!("{{\"payment\":{number}}}"));
+        let sent = client::send(address, request, LIMITS).await;
+        let pause = match sent {
+            Ok(answer) if u16::from(answer.response.status()) == 200 => {
+                tally.borrow_mut().payments += 1;
+                return;
+            }
+            Ok(answer) => match refused(answer).await {
+                Ask::Again(pause) => pause,
+                // The outcome is not known, and the system says so: nothing was lost in silence.
+                _ => return,
+            },
+            // With a key it is safe to ask again.
+            Err(_) => Duration::from_millis(100),
+        };
+        tally.borrow_mut().asked_again += 1;
+        Timer::after(pause).await;
+    }
+    tally.borrow_mut().failed += 1;
+    tally
+        .borrow_mut()
+        .complain(format!("payment {number}: refused {MAX_ASKS} times"));
+}
+
+fn print(options: &Options, tally: &Tally) {
+    let ms = |quantile: f64| tally.first_token_us.value_at_quantile(quantile) as f64 / 1_000.0;
+    let hit_rate = tally.cached_tokens as f64 / tally.prompt_tokens.max(1) as f64;
+    if options.json {
+        let figures = json!({
+            "complete": tally.complete,
+            "wrong": tally.wrong,
+            "failed": tally.failed,
+            "asked_again": tally.asked_again,
+            "payments": tally.payments,
+            "hit_rate": hit_rate,
+            "first_token_ms": {
+                "p50": ms(0.5), "p95": ms(0.95), "p99": ms(0.99), "max": ms(1.0),
+            },
+        });
+        println!("{figures}");
+    } else {
+        println!(
+            "completions: {} complete, {} wrong, {} failed, {} asked again; payments: {}",
+            tally.complete, tally.wrong, tally.failed, tally.asked_again, tally.payments
+        );
+        println!("prefix hit rate: {:.1}% of prompt tokens", hit_rate * 100.0);
+        println!(
+            "time to first token: p50 {:.1} ms, p95 {:.1} ms, p99 {:.1} ms, max {:.1} ms ({} answers)",
+            ms(0.5),
+            ms(0.95),
+            ms(0.99),
+            ms(1.0),
+            tally.first_token_us.len()
+        );
+    }
+    for complaint in &tally.complaints {
+        eprintln!("{complaint}");
+    }
+}
--- /dev/null
+++ b/standin/src/log.rs
@@ -0,0 +1,206 @@
+//! The platform's log service: append-only streams with offsets, kept in memory.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use async_io::Timer;
+use cardamomvalve::http::server::{self, Whole};
+use cardamomvalve::platform::log::{Landed, Line, Page};
+use clap::Parser;
+use http_types::{Method, Response};
+use serde::{Deserialize, Serialize};
+
+use crate::serve;
+
+/// Records that a read returns at most.
+const MAX_RECORDS: usize = 10_000;
+/// Time between two looks for a new record while a read waits.
+const LOOK: Duration = Duration::from_millis(5);
+
+/// The log service's command line.
+#[derive(Debug, Parser)]
+#[command(
+    name = "standin-log",
+    version,
+    about = "A stand-in for the platform's log service"
+)]
+pub struct Options {
+    /// Where to listen; port 0 takes a free one.
+    #[arg(long, default_value = "127.0.0.1:0")]
+    pub listen: SocketAddr,
+    /// Seconds for which records are kept.
+    #[arg(long, default_value_t = 604_800)]
+    pub retention_s: u64,
+}
+
+/// How the log service misbehaves.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Mode {
+    /// Not at all.
+    #[default]
+    Up,
+    /// It refuses everything.
+    Down,
+    /// It appends, and then cuts the connection in place of an answer.
+    LoseAnswers,
+    /// It answers an append as failed, and appends it later.
+    LandLate,
+}
+
+/// What is set with `PUT /faults`.
+#[derive(Debug, Clone, Copy, Default, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Faults {
+    /// How it misbehaves.
+    pub mode: Mode,
+    /// Milliseconds that every answer is delayed by.
+    pub delay_ms: u64,
+}
+
+#[derive(Debug, Default)]
+struct Stream {
+    first: u64,
+    lines: Vec<Line>,
+}
+
+impl Stream {
+    fn next(&self) -> u64 {
+        self.first + self.lines.len() as u64
+    }
+
+    fn forget(&mut self, before_ms: u64) {
+        let old = self
+            .lines
+            .iter()
+            .take_while(|line| line.time_ms < before_ms)
+            .count();
+        self.lines.drain(..old);
+        self.first += old as u64;
+    }
+}
+
+#[derive(Debug, Default)]
+struct State {
+    streams: BTreeMap<String, Stream>,
+    faults: Faults,
+    retention_s: u64,
+}
+
+impl State {
+    fn append(&mut self, name: &str, text: String) -> u64 {
+        let stream = self.streams.entry(name.to_owned()).or_default();
+        let offset = stream.next();
+        stream.lines.push(Line {
+            offset,
+            time_ms: now_ms(),
+            text,
+        });
+        offset
+    }
+
+    fn read(&mut self, name: &str, from: u64, limit: usize) -> Page {
+        let before_ms = now_ms().saturating_sub(self.retention_s * 1_000);
+        let stream = self.streams.entry(name.to_owned()).or_default();
+        stream.forget(before_ms);
+        let records = stream
+            .lines
+            .iter()
+            .filter(|line| line.offset >= from)
+            .take(limit)
+            .cloned();
+        Page {
+            first: stream.first,
+            next: stream.next(),
+            retention_s: self.retention_s,
+            records: records.collect(),
+        }
+    }
+}
+
+fn now_ms() -> u64 {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |time| time.as_millis() as u64)
+}
+
+/// Runs the log service.
+pub fn run(options: &Options) -> eyre::Result<()> {
+    let state = State {
+        retention_s: options.retention_s,
+        ..State::default()
+    };
+    let state = Rc::new(RefCell::new(state));
+    serve::run("standin-log", options.listen, move |_, whole| {
+        answer(Rc::clone(&state), whole)
+    })
+}
+
+async fn answer(state: Rc<RefCell<State>>, whole: Whole) -> Option<Response> {
+    let path = whole.request.url().path().to_owned();
+    if path == "/faults" {
+        let faults = serde_json::from_slice(&whole.body).unwrap_or_default();
+        state.borrow_mut().faults = faults;
+        return Some(server::empty(204));
+    }
+    let faults = state.borrow().faults;
+    if faults.delay_ms > 0 {
+        Timer::after(Duration::from_millis(faults.delay_ms)).await;
+    }
+    if faults.mode == Mode::Down {
+        return Some(server::empty(503));
+    }
+    let name = path
+        .strip_prefix("/streams/")?
+        .strip_suffix("/records")?
+        .to_owned();
+    match whole.request.method() {
+        Method::Post => append(&state, &name, whole, faults.mode).await,
+        _ => Some(read(&state, &name, &whole).await),
+    }
+}
+
+async fn append(
+    state: &Rc<RefCell<State>>,
+    name: &str,
+    whole: Whole,
+    mode: Mode,
+) -> Option<Response> {
+    let text = String::from_utf8(whole.body).ok()?;
+    let landed = |text| {
+        let offset = state.borrow_mut().append(name, text);
+        let body = serde_json::to_value(Landed { offset }).unwrap_or_default();
+        server::json(201, &body)
+    };
+    match mode {
+        Mode::Up | Mode::Down => Some(landed(text)),
+        Mode::LoseAnswers => {
+            landed(text);
+            None
+        }
+        Mode::LandLate => {
+            // The caller's own time limit passes first.
+            Timer::after(Duration::from_secs(4)).await;
+            landed(text);
+            None
+        }
+    }
+}
+
+async fn read(state: &Rc<RefCell<State>>, name: &str, whole: &Whole) -> Response {
+    let from: u64 = serve::query(&whole.request, "from").unwrap_or(0);
+    let limit: usize = serve::query(&whole.request, "limit").unwrap_or(MAX_RECORDS);
+    let wait_ms: u64 = serve::query(&whole.request, "wait_ms").unwrap_or(0);
+    let mut looks = wait_ms / LOOK.as_millis() as u64;
+    loop {
+        let page = state.borrow_mut().read(name, from, limit.min(MAX_RECORDS));
+        if !page.records.is_empty() || looks == 0 || state.borrow().faults.mode == Mode::Down {
+            return server::json(200, &serde_json::to_value(page).unwrap_or_default());
+        }
+        looks -= 1;
+        Timer::after(LOOK).await;
+    }
+}
--- /dev/null
+++ b/standin/src/serve.rs
@@ -0,0 +1,87 @@
+//! Serving HTTP for a stand-in: one listener, one thread, one handler.
+
+use std::future::Future;
+use std::io::Write as _;
+use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_executor::LocalExecutor;
+use async_io::{Async, block_on};
+use cardamomvalve::http::server::{self, Whole};
+use cardamomvalve::http::{Socket, header};
+use http_types::{Request, Response};
+
+/// Time that a connection may stay silent.
+const IDLE: Duration = Duration::from_secs(60);
+/// Bytes of a request's body.
+const MAX_BODY: u64 = 64 << 20;
+
+/// Listens on `address`, prints a ready line, and serves until the process ends.
+///
+/// `handle` answers each request; `None` closes the connection without an answer.
+pub fn run<F, Fut>(name: &str, address: SocketAddr, handle: F) -> eyre::Result<()>
+where
+    F: Fn(Rc<LocalExecutor<'static>>, Whole) -> Fut + 'static,
+    Fut: Future<Output = Option<Response>> + 'static,
+{
+    let listener = Async::<TcpListener>::bind(address)?;
+    println!("{name} ready address={}", listener.get_ref().local_addr()?);
+    std::io::stdout().flush()?;
+    let executor = Rc::new(LocalExecutor::new());
+    let handle = Rc::new(handle);
+    block_on(executor.run(async {
+        loop {
+            let Ok((stream, _)) = listener.accept().await else {
+                continue;
+            };
+            let socket = Socket::new(stream, IDLE);
+            let (handle, spawner) = (Rc::clone(&handle), Rc::clone(&executor));
+            let serving = async move {
+                let endpoint = |request, socket| answer(&*handle, &spawner, request, socket);
+                server::serve(socket, endpoint).await.ok();
+            };
+            executor.spawn(serving).detach();
+        }
+    }))
+}
+
+async fn answer<F, Fut>(
+    handle: &F,
+    executor: &Rc<LocalExecutor<'static>>,
+    request: Request,
+    socket: Socket,
+) -> http_types::Result<Response>
+where
+    F: Fn(Rc<LocalExecutor<'static>>, Whole) -> Fut,
+    Fut: Future<Output = Option<Response>>,
+{
+    let whole = match server::read(request, &socket, MAX_BODY).await {
+        Ok(whole) => whole,
+        Err(error) => {
+            return Ok(server::json(
+                400,
+                &serde_json::json!({ "error": error.message() }),
+            ));
+        }
+    };
+    let close = whole.close;
+    let answer = handle(Rc::clone(executor), whole).await;
+    let mut answer = answer
+        .ok_or_else(|| http_types::Error::from_str(http_types::StatusCode::BadGateway, "cut"))?;
+    if close {
+        answer.insert_header("connection", "close");
+    }
+    Ok(answer)
+}
+
+/// The value of a query parameter.
+pub fn query<T: std::str::FromStr>(request: &Request, name: &str) -> Option<T> {
+    let (_, value) = request.url().query_pairs().find(|(key, _)| key == name)?;
+    value.parse().ok()
+}
+
+/// The value of a header that is given once.
+pub fn value<'a>(request: &'a Request, name: &str) -> Option<&'a str> {
+    header::single(request.as_ref(), name).ok().flatten()
+}
--- /dev/null
+++ b/standin/src/service.rs
@@ -0,0 +1,109 @@
+//! A plain service that must not run a payment twice, and counts what ran.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_io::Timer;
+use cardamomvalve::http::server::{self, Whole};
+use clap::Parser;
+use http_types::{Method, Response};
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+
+use crate::serve;
+
+/// The service's command line.
+#[derive(Debug, Parser)]
+#[command(
+    name = "standin-service",
+    version,
+    about = "A stand-in for a plain service"
+)]
+pub struct Options {
+    /// Where to listen; port 0 takes a free one.
+    #[arg(long, default_value = "127.0.0.1:0")]
+    pub listen: SocketAddr,
+}
+
+/// What is set with `PUT /faults`.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Faults {
+    /// Milliseconds that every answer is delayed by, after the run.
+    pub delay_ms: u64,
+    /// Run, and then cut the connection in place of an answer.
+    pub cut: bool,
+    /// Run, and answer with a body cut short of its length.
+    pub short: bool,
+    /// Run, and answer with neither length nor chunks.
+    pub lengthless: bool,
+    /// Bytes that the answer is filled up with.
+    pub filler: usize,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    faults: Faults,
+    /// Runs by workspace, path and body.
+    runs: BTreeMap<String, u64>,
+    receipts: u64,
+}
+
+/// Runs the service: every request to any path but `/runs` and `/faults` is a run.
+pub fn run(options: &Options) -> eyre::Result<()> {
+    let state = Rc::new(RefCell::new(State::default()));
+    serve::run("standin-service", options.listen, move |_, whole| {
+        answer(Rc::clone(&state), whole)
+    })
+}
+
+async fn answer(state: Rc<RefCell<State>>, whole: Whole) -> Option<Response> {
+    let path = whole.request.url().path().to_owned();
+    match (whole.request.method(), path.as_str()) {
+        (Method::Put, "/faults") => {
+            state.borrow_mut().faults = serde_json::from_slice(&whole.body).unwrap_or_default();
+            return Some(server::empty(204));
+        }
+        (Method::Get, "/runs") => {
+            return Some(server::json(200, &json!(state.borrow().runs)));
+        }
+        _ => {}
+    }
+    let workspace = serve::value(&whole.request, "x-workspace")
+        .unwrap_or_default()
+        .to_owned();
+    let body = String::from_utf8_lossy(&whole.body).into_owned();
+    let (receipt, faults) = {
+        let mut state = state.borrow_mut();
+        *state
+            .runs
+            .entry(format!("{workspace} {path} {body}"))
+            .or_default() += 1;
+        state.receipts += 1;
+        (state.receipts, state.faults.clone())
+    };
+    if faults.delay_ms > 0 {
+        Timer::after(Duration::from_millis(faults.delay_ms)).await;
+    }
+    if faults.cut {
+        return None;
+    }
+    let filler = "x".repeat(faults.filler);
+    let body = json!({ "receipt": receipt, "path": path, "request": body, "filler": filler });
+    let mut answer = server::json(200, &body);
+    if faults.short {
+        let text = body.to_string();
+        let reader = futures_lite::io::Cursor::new(text.clone().into_bytes());
+        answer.set_body(http_types::Body::from_reader(reader, Some(text.len() + 10)));
+        answer.insert_header("connection", "close");
+    }
+    if faults.lengthless {
+        answer = server::empty(200);
+        answer.insert_header("content-length", "1");
+        answer.insert_header("content-length", "2");
+    }
+    Some(answer)
+}
--- /dev/null
+++ b/standin/src/vms.rs
@@ -0,0 +1,66 @@
+//! The platform's VM list.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use cardamomvalve::http::server::{self, Whole};
+use cardamomvalve::platform::vms::List;
+use clap::Parser;
+use http_types::{Method, Response};
+
+use crate::serve;
+
+/// The VM list's command line.
+#[derive(Debug, Parser)]
+#[command(
+    name = "standin-vms",
+    version,
+    about = "A stand-in for the platform's VM list"
+)]
+pub struct Options {
+    /// Where to listen; port 0 takes a free one.
+    #[arg(long, default_value = "127.0.0.1:0")]
+    pub listen: SocketAddr,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    list: List,
+    down: bool,
+}
+
+/// Runs the VM list: `GET /vms` reads it, `PUT /vms` replaces it, `PUT /down` and `PUT /up` make
+/// it fail and work again.
+pub fn run(options: &Options) -> eyre::Result<()> {
+    let state = Rc::new(RefCell::new(State::default()));
+    serve::run("standin-vms", options.listen, move |_, whole| {
+        let answer = answer(&state, &whole);
+        async { Some(answer) }
+    })
+}
+
+fn answer(state: &Rc<RefCell<State>>, whole: &Whole) -> Response {
+    let mut state = state.borrow_mut();
+    match (whole.request.method(), whole.request.url().path()) {
+        (Method::Put, "/down") => {
+            state.down = true;
+            server::empty(204)
+        }
+        (Method::Put, "/up") => {
+            state.down = false;
+            server::empty(204)
+        }
+        (Method::Put, "/vms") => match serde_json::from_slice(&whole.body) {
+            Ok(list) => {
+                state.list = list;
+                server::empty(204)
+            }
+            Err(error) => server::json(400, &serde_json::json!({ "error": error.to_string() })),
+        },
+        (Method::Get, "/vms") if !state.down => {
+            server::json(200, &serde_json::to_value(&state.list).unwrap_or_default())
+        }
+        _ => server::empty(503),
+    }
+}
