--- a/src/attempt/message.rs
+++ b/src/attempt/message.rs
@@ -64,6 +64,8 @@
 pub enum Command {
     /// Send it to a server.
     Dispatch(Dispatch),
+    /// End the attempt of this number: its server does not answer, or has restarted.
+    Abort(u32),
     /// Answer it; it is given up.
     Refuse(Refusal),
     /// Answer it with the receipt of the run that its key names.
--- a/src/control/arrivals.rs
+++ b/src/control/arrivals.rs
@@ -78,7 +78,11 @@
         if slot.digest != ask.digest {
             return self.refuse(now, request, Code::KeyReused);
         }
-        match &slot.found {
+        let found = match self.pending.receipt(&ask.key) {
+            Some(receipt) => Found::Done(receipt.clone()),
+            None => slot.found.clone(),
+        };
+        match &found {
             Found::Done(receipt) if receipt.body.is_some() => {
                 let receipt = receipt.clone();
                 self.counts.finished += 1;
--- a/src/control/message.rs
+++ b/src/control/message.rs
@@ -76,8 +76,6 @@
         /// What happened.
         report: attempt::Report,
     },
-    /// The caller of a request that was not dispatched has left.
-    Leave(attempt::Key),
     /// A stream was read.
     Records(Stream, Read),
     /// A stream could not be read.
--- a/src/control/node.rs
+++ b/src/control/node.rs
@@ -122,6 +122,8 @@
     pub(super) next_digest: Time,
     pub(super) next_ask: Time,
     pub(super) checkpoint: super::platform::Checkpointing,
+    /// Whether a peer's ledger was taken over since the start.
+    pub(super) seeded: bool,
     pub(super) vms_up: bool,
     pub(super) vms_known: bool,
     pub(super) draining: bool,
@@ -154,6 +156,7 @@
             next_digest: Time::ZERO,
             next_ask: Time::ZERO,
             checkpoint: super::platform::Checkpointing::default(),
+            seeded: false,
             vms_up: true,
             vms_known: false,
             draining: false,
@@ -173,7 +176,6 @@
             } => {
                 self.report(now, request, attempt, report);
             }
-            Message::Leave(request) => self.leave(now, request),
             Message::Records(stream, read) => self.records(now, stream, read),
             Message::LogDown(stream) => self.log_down(stream),
             Message::Appended { number, result } => self.appended(now, number, result),
--- a/src/control/outcomes.rs
+++ b/src/control/outcomes.rs
@@ -184,16 +184,4 @@
         self.admit(now, request);
         self.pump(now, &pool);
     }
-
-    pub(super) fn leave(&mut self, now: Time, request: attempt::Key) {
-        let Some(state) = self.requests.get(&request) else {
-            return;
-        };
-        if matches!(state.phase, Phase::Sent { .. }) {
-            return;
-        }
-        self.settle_claim(request, None);
-        self.counts.finished += 1;
-        self.forget(now, request);
-    }
 }
--- a/src/control/peers.rs
+++ b/src/control/peers.rs
@@ -80,7 +80,7 @@
             .max()
             .unwrap_or(0);
         let manifest = self.manifest.force().is_none() || newest > self.manifest.generation();
-        manifest || !self.is_ledger_known()
+        manifest || !(self.seeded || self.is_ledger_known())
     }
 
     pub(super) fn is_ledger_known(&self) -> bool {
@@ -178,6 +178,7 @@
         }
         let slots: Result<Vec<(ledger::Key, ledger::Slot)>, _> =
             serde_json::from_str(&snapshot.ledger);
+        self.seeded |= slots.is_ok();
         if let Ok(slots) = slots
             && snapshot.ledger_next > self.ledger.next()
         {
--- a/src/control/platform.rs
+++ b/src/control/platform.rs
@@ -2,6 +2,7 @@
 
 use super::message::{Appended, Read, Record, Stream};
 use super::{Effect, Node};
+use crate::attempt::{self, Command, Phase};
 use crate::manifest::{self, Verdict};
 use crate::membership::{self, Change, Notice, Role, Vm};
 use crate::prelude::*;
@@ -219,10 +220,14 @@
                     (Event::ServerAdded, key)
                 }
                 Notice::Leaving(key) => (Event::ServerLeaving, key),
-                Notice::Unreachable(key) => (Event::ServerUnreachable, key),
+                Notice::Unreachable(key) => {
+                    self.abort_attempts(key);
+                    (Event::ServerUnreachable, key)
+                }
                 Notice::Reachable(key) => (Event::ServerReachable, key),
                 Notice::Restarted(key) => {
                     self.residency.clear(key);
+                    self.abort_attempts(key);
                     (Event::ServerRestarted, key)
                 }
                 Notice::Gap(key) => {
@@ -244,6 +249,20 @@
         }
     }
 
+    /// Ends the attempts at a server that will not answer them, where they may be repeated.
+    fn abort_attempts(&mut self, key: membership::Key) {
+        let aborted: Vec<(attempt::Key, u32)> = self
+            .requests
+            .iter()
+            .filter(|(_, state)| state.arrival.idempotent)
+            .filter(|(_, state)| matches!(state.phase, Phase::Sent { server, .. } if server == key))
+            .map(|(request, state)| (*request, state.attempts))
+            .collect();
+        for (request, attempt) in aborted {
+            self.command(request, Command::Abort(attempt));
+        }
+    }
+
     fn added(&mut self, now: Time, key: membership::Key) {
         let engine = self
             .membership
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -14,6 +14,7 @@
 
 use async_executor::Executor;
 use async_io::Async;
+use futures_lite::{AsyncWriteExt, FutureExt};
 use http_types::{Method, Request, Response};
 
 pub use connections::Connections;
@@ -27,6 +28,9 @@
 use crate::telemetry::metrics::Metrics;
 use crate::telemetry::trace::Hop;
 
+/// Time for a refused connection to end.
+const REFUSAL_LINGER: Duration = Duration::from_secs(1);
+
 /// Serves callers.
 #[derive(Debug)]
 pub struct Entry {
@@ -72,15 +76,7 @@
         let socket = Socket::new(stream, Duration::from_millis(self.limits.idle_ms));
         let entry = Arc::clone(self);
         let Some(guard) = connections.add(socket.clone()) else {
-            let refusing = async move {
-                let refuse = |_, _| async {
-                    let mut answer = entry.refusal(&Code::TooManyConnections.into());
-                    answer.insert_header("connection", "close");
-                    Ok(answer)
-                };
-                server::serve(socket, refuse).await.ok();
-            };
-            return self.executor.spawn(refusing).detach();
+            return self.executor.spawn(refuse_connection(socket)).detach();
         };
         let serving = async move {
             let endpoint = |request, socket| entry.clone().answer(request, socket);
@@ -160,6 +156,35 @@
     }
 }
 
+/// Answers a connection that is one too many, whatever it asks.
+async fn refuse_connection(mut socket: Socket) {
+    let row = Code::TooManyConnections.row();
+    let refusal = Code::TooManyConnections.into();
+    let body = answer::error_body(&refusal).to_string();
+    let text = format!(
+        "HTTP/1.1 {} Service Unavailable\r\nconnection: close\r\nretry-after: {}\r\n\
+         {}: {}\r\n{}: {}\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\r\n{body}",
+        row.status,
+        row.retry_after,
+        header::EXECUTION,
+        row.execution.as_str(),
+        header::CODE,
+        row.number,
+        body.len(),
+    );
+    let linger = async {
+        socket.write_all(text.as_bytes()).await?;
+        socket.close().await?;
+        // What the caller still sends is read, or a reset could overtake the answer.
+        futures_lite::io::copy(&mut socket, &mut futures_lite::io::sink()).await
+    };
+    let end = async {
+        async_io::Timer::after(REFUSAL_LINGER).await;
+        Ok(0)
+    };
+    linger.or(end).await.ok();
+}
+
 fn models(call: &Call) -> Response {
     let workspace = call.force.manifest.workspaces.get(&call.workspace);
     let models: Vec<serde_json::Value> = workspace
--- a/src/entry/pump.rs
+++ b/src/entry/pump.rs
@@ -2,7 +2,7 @@
 
 use async_channel::{Receiver, Sender};
 use async_sse::Event as SseEvent;
-use futures_lite::{AsyncReadExt, StreamExt};
+use futures_lite::{AsyncReadExt, FutureExt, StreamExt};
 use http_types::{Body, Method, StatusCode};
 use serde_json::Value;
 
@@ -62,7 +62,8 @@
             drop(waiting);
             match command {
                 Command::Dispatch(dispatch) => {
-                    let outcome = self.attempt(&dispatch).await;
+                    let number = dispatch.attempt;
+                    let outcome = self.attempt(&dispatch).or(aborted(&commands, number)).await;
                     let complete = matches!(outcome, Outcome::Complete(_));
                     let gone = outcome == Outcome::CallerGone;
                     self.report(&dispatch, Report::Ended(outcome));
@@ -77,6 +78,8 @@
                     self.pieces.send(Piece::Failed(refusal)).await.ok();
                     return;
                 }
+                // The attempt that it is meant for has ended already.
+                Command::Abort(_) => {}
                 Command::Replay(_) => return,
             }
             waiting = self.hop.child("admission");
@@ -289,3 +292,13 @@
             .ok();
     }
 }
+
+/// Ends when control ends the attempt of this number.
+async fn aborted(commands: &Receiver<Command>, number: u32) -> Outcome {
+    while let Ok(command) = commands.recv().await {
+        if command == Command::Abort(number) {
+            return Outcome::Broken("the server does not answer or has restarted".into());
+        }
+    }
+    std::future::pending().await
+}
--- a/src/entry/service.rs
+++ b/src/entry/service.rs
@@ -63,6 +63,11 @@
                 Command::Dispatch(dispatch) => dispatch,
                 Command::Refuse(refusal) => return self.refused(&call.workspace, &name, refusal),
                 Command::Replay(receipt) => return self.replay(&receipt),
+                // A call is waited for: an end from outside would tell less than the server.
+                Command::Abort(_) => {
+                    waiting = call.hop.child("admission");
+                    continue;
+                }
             };
             let hop = call.hop.child("dispatch");
             hop.note("server", dispatch.id.clone());
--- a/src/ledger/pending.rs
+++ b/src/ledger/pending.rs
@@ -1,6 +1,6 @@
 //! This daemon's own claims on their way through the log.
 
-use super::{Ask, Batch, ClaimId, Entry, Key, State};
+use super::{Ask, Batch, ClaimId, Entry, Found, Key, Receipt, State};
 use crate::attempt;
 use crate::prelude::*;
 
@@ -37,6 +37,8 @@
     claims: BTreeMap<ClaimId, Claim>,
     /// Claims given up on that may still land; released when they show up.
     abandoned: BTreeMap<ClaimId, Key>,
+    /// Receipts of own claims that the fold does not show yet.
+    receipts: BTreeMap<Key, Receipt>,
     buffer: Vec<Entry>,
     in_flight: Option<(u64, Vec<Entry>)>,
     appends: u64,
@@ -52,6 +54,7 @@
             sequence: 0,
             claims: BTreeMap::new(),
             abandoned: BTreeMap::new(),
+            receipts: BTreeMap::new(),
             buffer: Vec::new(),
             in_flight: None,
             appends: 0,
@@ -95,9 +98,17 @@
 
     /// Notes an outcome, a loss or a release to be appended.
     pub fn note(&mut self, entry: Entry) {
+        if let Entry::Outcome { key, receipt, .. } = &entry {
+            self.receipts.insert(key.clone(), receipt.clone());
+        }
         self.buffer.push(entry);
     }
 
+    /// The receipt of `key`, where this daemon ran it and the fold does not show it yet.
+    pub fn receipt(&self, key: &Key) -> Option<&Receipt> {
+        self.receipts.get(key)
+    }
+
     /// The next append, if one is due: its number and the record. One is under way at a time, and
     /// what comes meanwhile goes together in the next.
     pub fn flush(&mut self, now: Time) -> Option<(u64, String)> {
@@ -193,6 +204,11 @@
                 Step::Lost(request)
             });
         }
+        self.receipts.retain(|key, _| {
+            state
+                .get(key)
+                .is_some_and(|slot| slot.found == Found::Claimed)
+        });
         let landed: Vec<ClaimId> = self
             .abandoned
             .iter()
--- a/standin/src/call.rs
+++ b/standin/src/call.rs
@@ -65,7 +65,7 @@
     if options.show_head {
         println!("HTTP {}", u16::from(status));
         for (name, values) in &answer.response {
-            println!("{name}: {values}");
+            println!("{name}: {}", values.last());
         }
         println!();
     }
