Spend retries on failures only

Cause: every attempt that ended took one retry out of the budget, also those that succeeded. After some twenty requests nothing was ever tried again; a stream whose first chunk was lost ended with an error although another engine was free.

Ruled out: the engine's faults lasting longer than one answer (its counts show one attempt only), and the limit of attempts (it stood at 1 of 4).

Before: retries_left_after_many_successes fails at its second retry. After: passes, and stream_survives_each_fault with it.

--- a/src/control/outcomes.rs
+++ b/src/control/outcomes.rs
@@ -65,7 +65,11 @@
 
     fn ended(&mut self, now: Time, request: attempt::Key, outcome: Outcome) {
         self.note_failure(now, request, &outcome);
-        let may_retry = matches!(outcome, Outcome::Unsent(_)) || self.budget.spend();
+        let may_retry = match outcome {
+            Outcome::Unsent(_) => true,
+            Outcome::Broken(_) | Outcome::Declined(_) | Outcome::Mismatch(_) => self.budget.spend(),
+            _ => false,
+        };
         let Some(state) = self.requests.get_mut(&request) else {
             return;
         };
--- a/src/control/tests/servers.rs
+++ b/src/control/tests/servers.rs
@@ -362,6 +362,21 @@
     );
 }
 
+#[test]
+fn retries_left_after_many_successes() {
+    let mut bench = Bench::new();
+    for _ in 0..100 {
+        let (request, _) = bench.ask("w", "v1");
+        bench.ended(request, 1, Outcome::Complete(None));
+    }
+    for number in 0..5 {
+        let (request, _) = bench.ask("w", "v1");
+        let effects = bench.ended(request, 1, Outcome::Broken("cut".into()));
+        assert!(dispatched(&effects).is_some(), "retry {number} is not left");
+        bench.ended(request, 2, Outcome::Complete(None));
+    }
+}
+
 #[test]
 fn drain_waits_for_requests_and_outcomes() {
     let mut world = World::new(1, 1, Faults::default());
