--- a/standin/src/engine.rs
+++ b/standin/src/engine.rs
@@ -53,10 +53,12 @@
     pub token_ms: u64,
 }
 
-/// What is set with `PUT /faults`; each is done once, to the next answer.
+/// What is set with `PUT /faults`; done to the next answer, or to all.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Faults {
+    /// Do it to every answer, not only to the next.
+    pub always: bool,
     /// Cut the connection after this many chunks.
     pub cut_after: Option<u64>,
     /// Send this chunk twice.
@@ -227,7 +229,10 @@
     if !served {
         return declined(409, "these weights are not loaded");
     }
-    let faults = std::mem::take(&mut state.borrow_mut().faults);
+    let faults = state.borrow().faults.clone();
+    if !faults.always {
+        state.borrow_mut().faults = Faults::default();
+    }
     if let Some(status) = faults.decline {
         return declined(status, "declined as told");
     }
