Let the engine stand-in answer a crossed attempt with its text

Cause: with the check of the attempt's id off, the stream test still passed: the stand-in misnamed the attempt but sent the right text. A crossed answer carries another prompt's text.

--- a/standin/src/engine.rs
+++ b/standin/src/engine.rs
@@ -65,7 +65,7 @@
     pub repeat: Option<u64>,
     /// Leave this chunk out.
     pub omit: Option<u64>,
-    /// Name another attempt in the answer.
+    /// Answer another attempt, with its text.
     pub wrong_attempt: bool,
     /// Name another incarnation in the answer.
     pub wrong_incarnation: bool,
@@ -250,11 +250,15 @@
     let from = serve::value(&whole.request, header::RESUME_FROM);
     let generation = Generation {
         position: from.and_then(|from| from.parse().ok()).unwrap_or(0),
+        prompt: if faults.wrong_attempt {
+            "another prompt".into()
+        } else {
+            prompt.clone()
+        },
         count: body["max_tokens"].as_u64().unwrap_or(DEFAULT_TOKENS),
         prompt_tokens: (prompt.len() / BYTES_PER_TOKEN) as u64,
         cached_tokens: cached,
         kind,
-        prompt,
         faults: faults.clone(),
         state: Rc::clone(&state),
     };
