--- a/src/admission/queue.rs
+++ b/src/admission/queue.rs
@@ -89,10 +89,7 @@
             return 0;
         }
         let now = self.virtual_time.get(&entry.priority).copied().unwrap_or(0);
-        let next = self
-            .next_start
-            .entry((entry.priority, entry.workspace.clone()))
-            .or_insert(0);
+        let next = self.next_start.entry((entry.priority, entry.workspace.clone())).or_insert(0);
         let start = now.max(*next);
         *next = start + u64::from(entry.cost) * SCALE / u64::from(entry.share.max(1));
         start
--- a/src/admission/tests.rs
+++ b/src/admission/tests.rs
@@ -26,33 +26,22 @@
 #[test]
 fn push_urgent_before_background() {
     let mut queue = Queue::default();
-    for (number, priority) in [Priority::Background, Priority::Normal, Priority::Urgent]
-        .into_iter()
-        .enumerate()
+    for (number, priority) in
+        [Priority::Background, Priority::Normal, Priority::Urgent].into_iter().enumerate()
     {
-        queue
-            .push(entry(number as u64, priority, "w", 1), 10)
-            .expect("there is room");
+        queue.push(entry(number as u64, priority, "w", 1), 10).expect("there is room");
     }
-    let order: Vec<u64> = std::iter::from_fn(|| serve_next(&mut queue))
-        .map(|e| e.request.0)
-        .collect();
+    let order: Vec<u64> =
+        std::iter::from_fn(|| serve_next(&mut queue)).map(|e| e.request.0).collect();
     assert_eq!(order, [2, 1, 0]);
 }
 
 #[test]
 fn push_full_displaces_lower_class_only() {
     let mut queue = Queue::default();
-    queue
-        .push(entry(1, Priority::Background, "w", 1), 2)
-        .expect("there is room");
-    queue
-        .push(entry(2, Priority::Normal, "w", 1), 2)
-        .expect("there is room");
-    assert_eq!(
-        queue.push(entry(3, Priority::Normal, "w", 1), 2),
-        Ok(Some(Key(1)))
-    );
+    queue.push(entry(1, Priority::Background, "w", 1), 2).expect("there is room");
+    queue.push(entry(2, Priority::Normal, "w", 1), 2).expect("there is room");
+    assert_eq!(queue.push(entry(3, Priority::Normal, "w", 1), 2), Ok(Some(Key(1))));
     assert_eq!(queue.push(entry(4, Priority::Normal, "w", 1), 2), Err(Full));
     assert_eq!(queue.len(), 2);
 }
@@ -61,53 +50,30 @@
 fn take_shares_by_workspace() {
     let mut queue = Queue::default();
     for number in 0..300 {
-        let (workspace, share) = if number % 2 == 0 {
-            ("big", 3)
-        } else {
-            ("small", 1)
-        };
-        queue
-            .push(entry(number, Priority::Normal, workspace, share), 1_000)
-            .expect("room");
+        let (workspace, share) = if number % 2 == 0 { ("big", 3) } else { ("small", 1) };
+        queue.push(entry(number, Priority::Normal, workspace, share), 1_000).expect("room");
     }
-    let served: Vec<String> = (0..80)
-        .filter_map(|_| serve_next(&mut queue))
-        .map(|e| e.workspace)
-        .collect();
-    let big = served
-        .iter()
-        .filter(|workspace| *workspace == "big")
-        .count();
-    assert!(
-        (58..=62).contains(&big),
-        "{big} of 80 went to a share of 3 in 4"
-    );
+    let served: Vec<String> =
+        (0..80).filter_map(|_| serve_next(&mut queue)).map(|e| e.workspace).collect();
+    let big = served.iter().filter(|workspace| *workspace == "big").count();
+    assert!((58..=62).contains(&big), "{big} of 80 went to a share of 3 in 4");
 }
 
 #[test]
 fn take_no_credit_for_idle_workspace() {
     let mut queue = Queue::default();
     for number in 0..100 {
-        queue
-            .push(entry(number, Priority::Normal, "busy", 1), 1_000)
-            .expect("room");
+        queue.push(entry(number, Priority::Normal, "busy", 1), 1_000).expect("room");
     }
     for _ in 0..50 {
         serve_next(&mut queue);
     }
     for number in 100..150 {
-        queue
-            .push(entry(number, Priority::Normal, "late", 1), 1_000)
-            .expect("room");
+        queue.push(entry(number, Priority::Normal, "late", 1), 1_000).expect("room");
     }
-    let served: Vec<String> = (0..20)
-        .filter_map(|_| serve_next(&mut queue))
-        .map(|e| e.workspace)
-        .collect();
-    let late = served
-        .iter()
-        .filter(|workspace| *workspace == "late")
-        .count();
+    let served: Vec<String> =
+        (0..20).filter_map(|_| serve_next(&mut queue)).map(|e| e.workspace).collect();
+    let late = served.iter().filter(|workspace| *workspace == "late").count();
     assert!((9..=11).contains(&late), "{late} of 20");
 }
 
@@ -115,20 +81,10 @@
 fn take_again_before_new() {
     let mut queue = Queue::default();
     for number in 0..5 {
-        queue
-            .push(entry(number, Priority::Normal, "w", 1), 10)
-            .expect("room");
+        queue.push(entry(number, Priority::Normal, "w", 1), 10).expect("room");
     }
     serve_next(&mut queue);
-    queue
-        .push(
-            Entry {
-                again: true,
-                ..entry(9, Priority::Normal, "w", 1)
-            },
-            10,
-        )
-        .expect("room");
+    queue.push(Entry { again: true, ..entry(9, Priority::Normal, "w", 1) }, 10).expect("room");
     assert_eq!(serve_next(&mut queue).map(|e| e.request), Some(Key(9)));
 }
 
@@ -136,14 +92,9 @@
 fn expire_takes_what_is_due() {
     let mut queue = Queue::default();
     for number in 1..=5 {
-        queue
-            .push(entry(number, Priority::Normal, "w", 1), 10)
-            .expect("room");
+        queue.push(entry(number, Priority::Normal, "w", 1), 10).expect("room");
     }
-    assert_eq!(
-        queue.expire(Duration::from_secs(3)),
-        [Key(1), Key(2), Key(3)]
-    );
+    assert_eq!(queue.expire(Duration::from_secs(3)), [Key(1), Key(2), Key(3)]);
     assert_eq!(queue.len(), 2);
 }
 
--- a/src/attempt/state.rs
+++ b/src/attempt/state.rs
@@ -92,11 +92,7 @@
     if repeatable && may_retry && request.attempts < MAX_ATTEMPTS {
         return Next::Retry;
     }
-    let code = if ran || request.maybe_ran {
-        lost(request)
-    } else {
-        Code::RetriesExhausted
-    };
+    let code = if ran || request.maybe_ran { lost(request) } else { Code::RetriesExhausted };
     Next::GiveUp(code, reason.clone())
 }
 
--- a/src/cli/check.rs
+++ b/src/cli/check.rs
@@ -25,11 +25,7 @@
 /// Reads a manifest; the error names every fault.
 pub(super) fn load(path: &std::path::Path, as_json: bool) -> Result<Manifest> {
     parse(&read_file(path)?).map_err(|faults| {
-        let detail = if as_json {
-            as_json_faults(&faults)
-        } else {
-            as_lines(&faults)
-        };
+        let detail = if as_json { as_json_faults(&faults) } else { as_lines(&faults) };
         Error::new(Code::ManifestInvalid, detail)
     })
 }
--- a/src/cli/explain.rs
+++ b/src/cli/explain.rs
@@ -16,12 +16,7 @@
         "prompt": prompt,
         "levels": options.levels,
     });
-    let answer = ask(
-        options.daemon,
-        Method::Post,
-        "/explain",
-        Some(question.to_string()),
-    )?;
+    let answer = ask(options.daemon, Method::Post, "/explain", Some(question.to_string()))?;
     if options.json {
         return Ok(pretty(&answer));
     }
--- a/src/cli/publish.rs
+++ b/src/cli/publish.rs
@@ -37,17 +37,13 @@
         return Err(lost(&state, replaces));
     }
     let id = format!("{:016x}", fastrand::u64(..));
-    let record = Record {
-        format: FORMAT,
-        id: id.clone(),
-        body: Body::Publish { replaces, manifest },
-    };
+    let record =
+        Record { format: FORMAT, id: id.clone(), body: Body::Publish { replaces, manifest } };
     match log::append(address, Stream::Manifest, record.encode()).await {
         Ok(offset) => read_back(options, &mut state, replaces, &id, Some(offset)).await,
-        Err(Appended::Refused) => Err(Error::new(
-            Code::LogUnreachable,
-            format!("{address}: it took no record"),
-        )),
+        Err(Appended::Refused) => {
+            Err(Error::new(Code::LogUnreachable, format!("{address}: it took no record")))
+        }
         Err(_) => read_back(options, &mut state, replaces, &id, None).await,
     }
 }
--- a/src/cli/status.rs
+++ b/src/cli/status.rs
@@ -10,11 +10,7 @@
 /// Shows the state.
 pub(super) fn run(options: &Status) -> Result<String> {
     let status = ask(options.daemon, Method::Get, "/status", None)?;
-    Ok(if options.json {
-        pretty(&status)
-    } else {
-        table(&status)
-    })
+    Ok(if options.json { pretty(&status) } else { table(&status) })
 }
 
 fn table(status: &Value) -> String {
--- a/src/cli/tables.rs
+++ b/src/cli/tables.rs
@@ -22,11 +22,7 @@
             row.number,
             row.name,
             or_dash(u32::from(row.status)),
-            if row.status == 0 {
-                "-"
-            } else {
-                row.execution.as_str()
-            },
+            if row.status == 0 { "-" } else { row.execution.as_str() },
             or_dash(row.retry_after),
             or_dash(u32::from(row.exit)),
             row.text
@@ -76,9 +72,5 @@
 }
 
 fn or_dash(number: u32) -> String {
-    if number == 0 {
-        "-".into()
-    } else {
-        number.to_string()
-    }
+    if number == 0 { "-".into() } else { number.to_string() }
 }
--- a/src/cli/tests.rs
+++ b/src/cli/tests.rs
@@ -8,11 +8,7 @@
         assert!(page.contains(line), "the page lacks: {line}");
     }
     let rows = |text: &str| text.lines().filter(|line| line.starts_with("| ")).count();
-    assert_eq!(
-        rows(page),
-        rows(table),
-        "the page has rows that the code has not"
-    );
+    assert_eq!(rows(page), rows(table), "the page has rows that the code has not");
 }
 
 #[test]
--- a/src/control/arrivals.rs
+++ b/src/control/arrivals.rs
@@ -21,13 +21,8 @@
         if self.manifest.force().is_none() {
             return self.command(request, Command::Refuse(Code::NoManifest.into()));
         }
-        let phase = if claim.is_some() {
-            Phase::Claiming
-        } else {
-            Phase::Waiting
-        };
-        self.requests
-            .insert(request, Request::new(arrival, now, phase));
+        let phase = if claim.is_some() { Phase::Claiming } else { Phase::Waiting };
+        self.requests.insert(request, Request::new(arrival, now, phase));
         match claim {
             Some(ask) => self.claim(now, request, &ask),
             None => self.admit(now, request),
@@ -38,18 +33,11 @@
         if self.ledger.get(&ask.key).is_some() {
             return self.answer_known(now, request);
         }
-        let reading = self
-            .readings
-            .get(&Stream::Ledger)
-            .copied()
-            .unwrap_or_default();
+        let reading = self.readings.get(&Stream::Ledger).copied().unwrap_or_default();
         if !reading.up {
             return self.refuse(now, request, Code::LogUnavailable);
         }
-        if reading
-            .tail_at_start
-            .is_none_or(|tail| self.ledger.next() < tail)
-        {
+        if reading.tail_at_start.is_none_or(|tail| self.ledger.next() < tail) {
             return self.refuse(now, request, Code::LedgerBehind);
         }
         if reading.retention_s < ask.window_s {
@@ -65,11 +53,7 @@
 
     /// Answers a keyed request from what the ledger knows of its key.
     fn answer_known(&mut self, now: Time, request: attempt::Key) {
-        let Some(ask) = self
-            .requests
-            .get(&request)
-            .and_then(|r| r.arrival.claim.clone())
-        else {
+        let Some(ask) = self.requests.get(&request).and_then(|r| r.arrival.claim.clone()) else {
             return;
         };
         let Some(slot) = self.ledger.get(&ask.key) else {
@@ -94,11 +78,7 @@
             Found::Claimed => {
                 let claimant = slot.claim.clone();
                 let running = self.is_running(now, &claimant);
-                let code = if running {
-                    Code::KeyInProgress
-                } else {
-                    Code::KeyOutcomeUnknown
-                };
+                let code = if running { Code::KeyInProgress } else { Code::KeyOutcomeUnknown };
                 self.refuse(now, request, code);
             }
         }
@@ -221,11 +201,8 @@
             let Some(queue) = self.queues.get(pool) else {
                 return;
             };
-            let waiting: Vec<attempt::Key> = queue
-                .iter()
-                .take(MAX_SCAN)
-                .map(|entry| entry.request)
-                .collect();
+            let waiting: Vec<attempt::Key> =
+                queue.iter().take(MAX_SCAN).map(|entry| entry.request).collect();
             let placed = waiting.into_iter().find_map(|request| {
                 let server = self.place(now, request)?;
                 Some((request, server))
@@ -286,12 +263,7 @@
             return;
         };
         state.attempts += 1;
-        state.phase = Phase::Sent {
-            server,
-            at: now,
-            pending_tokens,
-            begun: false,
-        };
+        state.phase = Phase::Sent { server, at: now, pending_tokens, begun: false };
         let deadline = match state.begun {
             false => state.arrival.deadline,
             true => Time::MAX,
@@ -315,11 +287,8 @@
     }
 
     pub(super) fn expire_requests(&mut self, now: Time) {
-        let expired: Vec<attempt::Key> = self
-            .queues
-            .values_mut()
-            .flat_map(|queue| queue.expire(now))
-            .collect();
+        let expired: Vec<attempt::Key> =
+            self.queues.values_mut().flat_map(|queue| queue.expire(now)).collect();
         for request in expired {
             let ran = self.requests.get(&request).filter(|state| state.maybe_ran);
             let code = ran.map_or(Code::DeadlinePassed, attempt::lost);
@@ -341,8 +310,5 @@
 }
 
 fn queue_full(wait_ms: f64) -> Refusal {
-    Refusal {
-        retry_after: admission::whole_seconds(wait_ms),
-        ..Code::QueueFull.into()
-    }
+    Refusal { retry_after: admission::whole_seconds(wait_ms), ..Code::QueueFull.into() }
 }
--- a/src/control/candidates.rs
+++ b/src/control/candidates.rs
@@ -48,11 +48,8 @@
             return Vec::new();
         };
         let usable: Vec<(membership::Key, &Server)> = self.usable(now, request).collect();
-        let untried: Vec<(membership::Key, &Server)> = usable
-            .iter()
-            .copied()
-            .filter(|(key, _)| !state.failed.contains(key))
-            .collect();
+        let untried: Vec<(membership::Key, &Server)> =
+            usable.iter().copied().filter(|(key, _)| !state.failed.contains(key)).collect();
         let servers = if untried.is_empty() { usable } else { untried };
         let depth = self.residency.depth(&state.arrival.prefix.blocks);
         let candidates: Vec<Candidate> = servers
@@ -89,21 +86,9 @@
             .map_or(1, |pool| pool.max_in_flight);
         let free = busy.requests < admission::slots(arrival.priority, limit);
         let token_ms = 1_000.0 / f64::from(server.load.prefill_tokens_per_s);
-        let queued = server
-            .load
-            .queued_tokens
-            .max(u64::from(busy.pending_tokens));
-        let hold_ms = self
-            .paces
-            .get(&arrival.pool)
-            .copied()
-            .unwrap_or_default()
-            .hold_ms;
-        let slot_ms = if free {
-            0.0
-        } else {
-            hold_ms / f64::from(limit.max(1))
-        };
+        let queued = server.load.queued_tokens.max(u64::from(busy.pending_tokens));
+        let hold_ms = self.paces.get(&arrival.pool).copied().unwrap_or_default().hold_ms;
+        let slot_ms = if free { 0.0 } else { hold_ms / f64::from(limit.max(1)) };
         let queue_ms = match server.vm.role {
             Role::ServiceServer => f64::from(busy.requests) * hold_ms / f64::from(limit.max(1)),
             _ => queued as f64 * token_ms,
@@ -162,10 +147,7 @@
             self.residency.insert(server, *block);
         }
         let Some(level) = level else { return };
-        let speed = self
-            .membership
-            .get(server)
-            .map_or(1, |s| s.load.prefill_tokens_per_s);
+        let speed = self.membership.get(server).map_or(1, |s| s.load.prefill_tokens_per_s);
         let work_ms = f64::from(pending_tokens) * 1_000.0 / f64::from(speed);
         self.heat.note(now, level, work_ms + ANSWER_TOKEN_MS);
     }
@@ -179,13 +161,7 @@
 
     /// Frees the slot of a request that was dispatched.
     pub(super) fn release(&mut self, now: Time, state: &Request) {
-        let Phase::Sent {
-            server,
-            at,
-            pending_tokens,
-            begun,
-        } = state.phase
-        else {
+        let Phase::Sent { server, at, pending_tokens, begun } = state.phase else {
             return;
         };
         if !begun {
--- a/src/control/node.rs
+++ b/src/control/node.rs
@@ -169,11 +169,7 @@
     pub fn apply(&mut self, now: Time, message: Message) -> Vec<Effect> {
         match message {
             Message::Arrive(arrival) => self.arrive(now, *arrival),
-            Message::Report {
-                request,
-                attempt,
-                report,
-            } => {
+            Message::Report { request, attempt, report } => {
                 self.report(now, request, attempt, report);
             }
             Message::Records(stream, read) => self.records(now, stream, read),
@@ -244,8 +240,7 @@
     }
 
     pub(super) fn command(&mut self, request: attempt::Key, command: attempt::Command) {
-        self.effects
-            .push(Effect::Command(request, Box::new(command)));
+        self.effects.push(Effect::Command(request, Box::new(command)));
     }
 
     /// Ends a request with a final answer that this router makes itself.
--- a/src/control/outcomes.rs
+++ b/src/control/outcomes.rs
@@ -34,13 +34,7 @@
         let first = !state.begun;
         state.begun = true;
         state.maybe_ran = true;
-        let Phase::Sent {
-            server,
-            pending_tokens,
-            begun,
-            ..
-        } = &mut state.phase
-        else {
+        let Phase::Sent { server, pending_tokens, begun, .. } = &mut state.phase else {
             return;
         };
         let (server, pending_tokens, was_begun) =
@@ -73,10 +67,7 @@
         let Some(state) = self.requests.get_mut(&request) else {
             return;
         };
-        if matches!(
-            outcome,
-            Outcome::Broken(_) | Outcome::Mismatch(_) | Outcome::TooLarge
-        ) {
+        if matches!(outcome, Outcome::Broken(_) | Outcome::Mismatch(_) | Outcome::TooLarge) {
             state.maybe_ran = true;
         }
         match next(state, &outcome, may_retry) {
@@ -91,11 +82,7 @@
 
     fn final_answer(&self, request: attempt::Key, code: Code, detail: String) -> attempt::Refusal {
         let mut refusal = attempt::Refusal::from(Error::new(code, detail));
-        if self
-            .requests
-            .get(&request)
-            .is_some_and(|state| state.maybe_ran)
-        {
+        if self.requests.get(&request).is_some_and(|state| state.maybe_ran) {
             refusal.execution = refusal.execution.max(Execution::Unknown);
         }
         refusal
@@ -109,11 +96,7 @@
         let Phase::Sent { server, .. } = state.phase else {
             return;
         };
-        let id = self
-            .membership
-            .get(server)
-            .map_or("", |server| &server.vm.id)
-            .to_owned();
+        let id = self.membership.get(server).map_or("", |server| &server.vm.id).to_owned();
         match outcome {
             Outcome::Complete(_) => return self.membership.trust(server),
             Outcome::CallerGone => return self.event(Event::CallerGone, id),
@@ -137,10 +120,7 @@
             && state.begun
             && state.stream.is_none()
         {
-            let incarnation = self
-                .membership
-                .get(server)
-                .and_then(|s| s.incarnation.clone());
+            let incarnation = self.membership.get(server).and_then(|s| s.incarnation.clone());
             state.stream = Some((server, incarnation));
         } else {
             state.stream = None;
@@ -177,11 +157,7 @@
         current.phase = Phase::Waiting;
         if current.begun {
             current.arrival.deadline = now + RESUME_WITHIN;
-            let event = if resumed {
-                Event::StreamResumed
-            } else {
-                Event::StreamContinued
-            };
+            let event = if resumed { Event::StreamResumed } else { Event::StreamContinued };
             self.event(event, String::new());
         }
         let pool = state.arrival.pool;
--- a/src/control/peers.rs
+++ b/src/control/peers.rs
@@ -18,8 +18,7 @@
     pub(super) fn schedule_peers(&mut self, now: Time) {
         let listed: BTreeSet<String> = self.membership.routers().keys().cloned().collect();
         let lifetime = self.policy.digest_lifetime;
-        self.peers
-            .retain(|id, peer| listed.contains(id) || now.saturating_sub(peer.at) < lifetime);
+        self.peers.retain(|id, peer| listed.contains(id) || now.saturating_sub(peer.at) < lifetime);
         if now >= self.next_digest {
             self.send_digests(now);
         }
@@ -42,8 +41,7 @@
         self.next_digest = now + self.policy.digest_interval;
         let digest = self.digest(now);
         for (_, address) in self.peer_addresses() {
-            self.effects
-                .push(Effect::Send(address, Frame::Digest(digest.clone())));
+            self.effects.push(Effect::Send(address, Frame::Digest(digest.clone())));
         }
     }
 
@@ -73,25 +71,14 @@
     /// Whether the log has not yet told this daemon what is in force or claimed, or a peer has a
     /// newer manifest.
     fn is_behind(&self) -> bool {
-        let newest = self
-            .peers
-            .values()
-            .map(|peer| peer.digest.generation)
-            .max()
-            .unwrap_or(0);
+        let newest = self.peers.values().map(|peer| peer.digest.generation).max().unwrap_or(0);
         let manifest = self.manifest.force().is_none() || newest > self.manifest.generation();
         manifest || !(self.seeded || self.is_ledger_known())
     }
 
     pub(super) fn is_ledger_known(&self) -> bool {
-        let reading = self
-            .readings
-            .get(&Stream::Ledger)
-            .copied()
-            .unwrap_or_default();
-        reading
-            .tail_at_start
-            .is_some_and(|tail| self.ledger.next() >= tail)
+        let reading = self.readings.get(&Stream::Ledger).copied().unwrap_or_default();
+        reading.tail_at_start.is_some_and(|tail| self.ledger.next() >= tail)
     }
 
     /// Asks the peer with the newest manifest; before any digest has come, every peer.
@@ -120,11 +107,8 @@
         if digest.daemon == self.identity.id {
             return;
         }
-        let leaving: Vec<_> = digest
-            .leaving
-            .iter()
-            .filter_map(|id| self.membership.find(id))
-            .collect();
+        let leaving: Vec<_> =
+            digest.leaving.iter().filter_map(|id| self.membership.find(id)).collect();
         for key in leaving {
             let notices = self.membership.mark_leaving(key).into_iter().collect();
             self.notices(now, notices);
@@ -132,8 +116,7 @@
         if digest.generation > self.manifest.generation() {
             self.next_ask = now;
         }
-        self.peers
-            .insert(digest.daemon.clone(), Peer { digest, at: now });
+        self.peers.insert(digest.daemon.clone(), Peer { digest, at: now });
     }
 
     fn answer_ask(&mut self, daemon: &str) {
@@ -142,8 +125,7 @@
         };
         let address = vm.address;
         let snapshot = self.snapshot();
-        self.effects
-            .push(Effect::Send(address, Frame::Snapshot(snapshot)));
+        self.effects.push(Effect::Send(address, Frame::Snapshot(snapshot)));
     }
 
     /// This daemon's folded state.
@@ -168,10 +150,7 @@
         if let Ok(manifest) = manifest::parse(snapshot.manifest.as_bytes()) {
             let force = manifest::Force::new(snapshot.generation, snapshot.published, manifest);
             let force = Arc::new(force);
-            if self
-                .manifest
-                .merge(snapshot.manifest_next, Some(Arc::clone(&force)))
-            {
+            if self.manifest.merge(snapshot.manifest_next, Some(Arc::clone(&force))) {
                 self.put_in_force(now, force);
                 taken.push("manifest");
             }
--- a/src/control/platform.rs
+++ b/src/control/platform.rs
@@ -65,10 +65,7 @@
             Verdict::Confirmed => self.checkpoint.seen = now,
             Verdict::Known => {}
             Verdict::Stale => {
-                self.event(
-                    Event::ManifestRefused,
-                    format!("offset {offset}: it lost a race"),
-                );
+                self.event(Event::ManifestRefused, format!("offset {offset}: it lost a race"));
             }
             Verdict::Invalid(faults) => {
                 let detail = format!("offset {offset}: {faults} faults");
@@ -79,21 +76,14 @@
     }
 
     fn fold_ledger(&mut self, record: &Record) {
-        if self
-            .ledger
-            .fold(record.offset, record.time_ms, &record.text)
-            .is_none()
-        {
+        if self.ledger.fold(record.offset, record.time_ms, &record.text).is_none() {
             self.unreadable(Stream::Ledger, record.offset);
         }
     }
 
     fn unreadable(&mut self, stream: Stream, offset: u64) {
         self.counts.unreadable += 1;
-        self.event(
-            Event::RecordUnreadable,
-            format!("{} offset {offset}", stream.as_str()),
-        );
+        self.event(Event::RecordUnreadable, format!("{} offset {offset}", stream.as_str()));
     }
 
     pub(super) fn put_in_force(&mut self, now: Time, force: Arc<manifest::Force>) {
@@ -137,11 +127,7 @@
     /// first among the live ones does so; two that both believe to be first do no harm, since a
     /// checkpoint of a generation in force changes nothing.
     pub(super) fn schedule_checkpoint(&mut self, now: Time) {
-        let reading = self
-            .readings
-            .get(&Stream::Manifest)
-            .copied()
-            .unwrap_or_default();
+        let reading = self.readings.get(&Stream::Manifest).copied().unwrap_or_default();
         let Some(force) = self.manifest.force() else {
             return;
         };
@@ -152,10 +138,7 @@
         }
         let record = manifest::Record {
             format: manifest::FORMAT,
-            id: format!(
-                "checkpoint-{}-{}",
-                self.identity.id, self.identity.incarnation
-            ),
+            id: format!("checkpoint-{}-{}", self.identity.id, self.identity.incarnation),
             body: manifest::Body::Checkpoint {
                 generation: force.generation,
                 published: force.published.clone(),
@@ -168,8 +151,7 @@
     }
 
     fn is_first(&self, now: Time) -> bool {
-        self.fresh_peers(now)
-            .all(|digest| digest.daemon > self.identity.id || digest.draining)
+        self.fresh_peers(now).all(|digest| digest.daemon > self.identity.id || digest.draining)
     }
 
     pub(super) fn vms(&mut self, now: Time, vms: Vec<Vm>) {
@@ -207,8 +189,7 @@
 
     fn poll_ended(&mut self, now: Time, key: membership::Key) {
         if self.membership.get(key).is_some() {
-            self.polls
-                .insert(key, Some(now + self.policy.poll_interval));
+            self.polls.insert(key, Some(now + self.policy.poll_interval));
         }
     }
 
@@ -241,10 +222,7 @@
                     continue;
                 }
             };
-            let id = self
-                .membership
-                .get(key)
-                .map_or_else(String::new, |s| s.vm.id.clone());
+            let id = self.membership.get(key).map_or_else(String::new, |s| s.vm.id.clone());
             self.event(event, id);
         }
     }
@@ -264,10 +242,8 @@
     }
 
     fn added(&mut self, now: Time, key: membership::Key) {
-        let engine = self
-            .membership
-            .get(key)
-            .is_some_and(|server| server.vm.role == Role::ModelServer);
+        let engine =
+            self.membership.get(key).is_some_and(|server| server.vm.role == Role::ModelServer);
         if engine {
             self.polls.insert(key, Some(now));
             self.schedule_polls(now);
--- a/src/control/status.rs
+++ b/src/control/status.rs
@@ -112,15 +112,8 @@
             in_flight: self.busy.get(&key).map_or(0, |busy| busy.requests),
             queued_tokens: server.load.queued_tokens,
         });
-        let reading = self
-            .readings
-            .get(&Stream::Ledger)
-            .copied()
-            .unwrap_or_default();
-        let waiting = self
-            .queues
-            .iter()
-            .map(|(pool, queue)| (pool.clone(), queue.len()));
+        let reading = self.readings.get(&Stream::Ledger).copied().unwrap_or_default();
+        let waiting = self.queues.iter().map(|(pool, queue)| (pool.clone(), queue.len()));
         Status {
             daemon: self.identity.id.clone(),
             incarnation: self.identity.incarnation,
@@ -134,10 +127,7 @@
             ledger_known: self.is_ledger_known(),
             ledger_keys: self.ledger.len(),
             residency_entries: self.residency.len(),
-            peers: self
-                .fresh_peers(now)
-                .map(|digest| digest.daemon.clone())
-                .collect(),
+            peers: self.fresh_peers(now).map(|digest| digest.daemon.clone()).collect(),
             servers: servers.collect(),
             waiting: waiting.collect(),
             open: self.requests.len(),
@@ -154,14 +144,10 @@
     /// Where a request would go now, the best candidate first, without taking it.
     pub fn explain(&mut self, now: Time, arrival: Arrival) -> Vec<Explained> {
         let request = arrival.request;
-        self.requests
-            .insert(request, Request::new(arrival, now, Phase::Waiting));
+        self.requests.insert(request, Request::new(arrival, now, Phase::Waiting));
         let scored = self.score(now, request, false);
         self.requests.remove(&request);
-        scored
-            .into_iter()
-            .map(|scored| self.explained(scored))
-            .collect()
+        scored.into_iter().map(|scored| self.explained(scored)).collect()
     }
 
     fn explained(&self, scored: Scored) -> Explained {
--- a/src/control/tests/at_most_once.rs
+++ b/src/control/tests/at_most_once.rs
@@ -9,13 +9,7 @@
 const STEPS: usize = 250;
 const KEYS: u32 = 4;
 
-const FAULTS: Faults = Faults {
-    append: 30,
-    run: 30,
-    frame: 20,
-    kill: 8,
-    pause: 8,
-};
+const FAULTS: Faults = Faults { append: 30, run: 30, frame: 20, kill: 8, pause: 8 };
 
 fn history(seed: u64, nodes: usize, faults: Faults) -> World {
     let mut world = World::new(seed, nodes, faults);
@@ -53,17 +47,10 @@
             Answer::Run(_) => assert_eq!(own_runs, 1, "seed {seed}: {request:?}"),
             Answer::Replay(receipt) => {
                 let number = receipt.body.as_deref().and_then(|body| body.parse().ok());
-                assert_eq!(
-                    number,
-                    runs[key].first().copied(),
-                    "seed {seed}: {request:?}"
-                );
+                assert_eq!(number, runs[key].first().copied(), "seed {seed}: {request:?}");
             }
             Answer::Refused(code, Execution::NotRun) => {
-                assert_eq!(
-                    own_runs, 0,
-                    "seed {seed}: {request:?} answered {code} and ran"
-                );
+                assert_eq!(own_runs, 0, "seed {seed}: {request:?} answered {code} and ran");
             }
             Answer::Refused(..) => assert!(own_runs <= 1, "seed {seed}: {request:?}"),
         }
@@ -116,13 +103,7 @@
     let request = world.pay(0, Some("k"));
     assert_eq!(world.answers.get(&request), None);
     world.actions.clear();
-    world.tell(
-        0,
-        Message::Appended {
-            number: 1,
-            result: Appended::Unknown,
-        },
-    );
+    world.tell(0, Message::Appended { number: 1, result: Appended::Unknown });
     world.now += Duration::from_secs(5);
     world.tell(0, Message::Tick);
     let refused = Answer::Refused(Code::LogUnavailable, Execution::NotRun);
@@ -130,16 +111,8 @@
     // It lands after all: first unknown to others, then released, then free.
     world.log_down = false;
     let claim = crate::ledger::Batch::new(vec![crate::ledger::Entry::Claim {
-        id: crate::ledger::ClaimId {
-            daemon: "router-0".into(),
-            incarnation: 0,
-            sequence: 1,
-        },
-        key: crate::ledger::Key {
-            workspace: "w".into(),
-            service: "pay".into(),
-            key: "k".into(),
-        },
+        id: crate::ledger::ClaimId { daemon: "router-0".into(), incarnation: 0, sequence: 1 },
+        key: crate::ledger::Key { workspace: "w".into(), service: "pay".into(), key: "k".into() },
         digest: "digest".into(),
         window_s: 1_000,
     }]);
@@ -153,11 +126,7 @@
     world.quiet();
     let after = world.pay(1, Some("k"));
     world.quiet();
-    assert!(
-        matches!(world.answers[&after], Answer::Run(_)),
-        "{:?}",
-        world.answers
-    );
+    assert!(matches!(world.answers[&after], Answer::Run(_)), "{:?}", world.answers);
     assert_eq!(world.runs.len(), 1);
 }
 
@@ -171,33 +140,18 @@
     let next = world.nodes[0].next_offset(Stream::Ledger);
     assert!(next < 3, "the first read returned everything");
     let request = world.pay(0, Some("k"));
-    assert_eq!(
-        world.answers[&request],
-        Answer::Refused(Code::LedgerBehind, Execution::NotRun)
-    );
+    assert_eq!(world.answers[&request], Answer::Refused(Code::LedgerBehind, Execution::NotRun));
     let unkeyed = world.pay(0, None);
-    assert_eq!(
-        world.answers.get(&unkeyed),
-        None,
-        "calls without a key go on"
-    );
+    assert_eq!(world.answers.get(&unkeyed), None, "calls without a key go on");
 }
 
 #[test]
 fn claim_refused_on_short_retention() {
     let mut world = World::new(1, 1, Faults::default());
-    let read = Read {
-        first: 0,
-        next: 0,
-        retention_s: 999,
-        records: Vec::new(),
-    };
+    let read = Read { first: 0, next: 0, retention_s: 999, records: Vec::new() };
     world.tell(0, Message::Records(Stream::Ledger, read));
     let request = world.pay(0, Some("k"));
-    assert_eq!(
-        world.answers[&request],
-        Answer::Refused(Code::LogUnavailable, Execution::NotRun)
-    );
+    assert_eq!(world.answers[&request], Answer::Refused(Code::LogUnavailable, Execution::NotRun));
 }
 
 #[test]
@@ -224,22 +178,9 @@
         assert_eq!(node.counts().unreadable, 2);
         assert_eq!(node.ledger.len(), 1);
     }
-    let gap = Record {
-        offset: 99,
-        time_ms: 0,
-        text: String::new(),
-    };
-    let read = Read {
-        first: 0,
-        next: 100,
-        retention_s: 1,
-        records: vec![gap],
-    };
+    let gap = Record { offset: 99, time_ms: 0, text: String::new() };
+    let read = Read { first: 0, next: 100, retention_s: 1, records: vec![gap] };
     let before = world.nodes[0].next_offset(Stream::Ledger);
     world.tell(0, Message::Records(Stream::Ledger, read));
-    assert_eq!(
-        world.nodes[0].next_offset(Stream::Ledger),
-        before,
-        "a gap is not folded over"
-    );
+    assert_eq!(world.nodes[0].next_offset(Stream::Ledger), before, "a gap is not folded over");
 }
--- a/src/control/tests/manifests.rs
+++ b/src/control/tests/manifests.rs
@@ -11,24 +11,13 @@
 
 #[test]
 fn race_converges_and_never_reverts() {
-    let faults = Faults {
-        append: 0,
-        run: 0,
-        frame: 40,
-        kill: 10,
-        pause: 20,
-    };
+    let faults = Faults { append: 0, run: 0, frame: 40, kill: 10, pause: 20 };
     for seed in 0..300 {
         let mut world = World::new(seed, 4, faults);
         for step in 0..300 {
             if world.rng.u32(0..20) == 0 {
                 // Publishers race: some replace a generation that is no longer in force.
-                let newest = world
-                    .nodes
-                    .iter()
-                    .map(|n| n.manifest.generation())
-                    .max()
-                    .unwrap_or(0);
+                let newest = world.nodes.iter().map(|n| n.manifest.generation()).max().unwrap_or(0);
                 let replaces = newest.saturating_sub(world.rng.u64(0..2));
                 let record = publish_record(&step.to_string(), replaces, manifest_value("v1"));
                 world.land(Stream::Manifest, record);
@@ -46,10 +35,7 @@
             .collect();
         assert_eq!(forces.len(), 1, "seed {seed}: nodes differ: {forces:?}");
         for generations in &world.generations {
-            assert!(
-                in_order(generations),
-                "seed {seed}: {generations:?} reverts"
-            );
+            assert!(in_order(generations), "seed {seed}: {generations:?} reverts");
         }
     }
 }
@@ -57,23 +43,12 @@
 #[test]
 fn stale_record_and_frame_change_nothing() {
     let mut world = World::new(1, 1, Faults::default());
-    world.land(
-        Stream::Manifest,
-        publish_record("second", 1, manifest_value("v2")),
-    );
+    world.land(Stream::Manifest, publish_record("second", 1, manifest_value("v2")));
     world.quiet();
     let old = world.log[&Stream::Manifest][0].clone();
-    let replay = Read {
-        first: 0,
-        next: 2,
-        retention_s: 1,
-        records: vec![old],
-    };
+    let replay = Read { first: 0, next: 2, retention_s: 1, records: vec![old] };
     world.tell(0, Message::Records(Stream::Manifest, replay));
-    world.land(
-        Stream::Manifest,
-        publish_record("late", 0, manifest_value("v3")),
-    );
+    world.land(Stream::Manifest, publish_record("late", 0, manifest_value("v3")));
     world.quiet();
     let snapshot = Snapshot {
         manifest_next: 1_000,
@@ -90,10 +65,7 @@
 #[test]
 fn daemon_cut_off_from_log_learns_from_peers() {
     let mut world = World::new(1, 2, Faults::default());
-    world.land(
-        Stream::Manifest,
-        publish_record("second", 1, manifest_value("v2")),
-    );
+    world.land(Stream::Manifest, publish_record("second", 1, manifest_value("v2")));
     world.read(0, Stream::Manifest);
     world.read(0, Stream::Manifest);
     // Node 1 reads nothing; only frames reach it.
@@ -142,19 +114,11 @@
     let records = world.log[&Stream::Manifest].clone();
     let checkpoints = records.len() - 1;
     // Time jumps here, so neither daemon sees the other as fresh: at most one each.
-    assert!(
-        (5..=10).contains(&checkpoints),
-        "{checkpoints} checkpoints in 5 quarters"
-    );
+    assert!((5..=10).contains(&checkpoints), "{checkpoints} checkpoints in 5 quarters");
     // The log has forgotten the publication; a new daemon without peers starts from a checkpoint.
     let kept: Vec<Record> = records.into_iter().skip(2).collect();
     let first = kept[0].offset;
-    let read = Read {
-        first,
-        next: first + kept.len() as u64,
-        retention_s: 1,
-        records: kept,
-    };
+    let read = Read { first, next: first + kept.len() as u64, retention_s: 1, records: kept };
     let mut alone = World::new(1, 1, Faults::default());
     alone.log.clear();
     alone.log.insert(Stream::Manifest, Vec::new());
@@ -171,10 +135,7 @@
     let mut broken = manifest_value("v2");
     broken["pools"] = serde_json::json!({});
     world.land(Stream::Manifest, publish_record("broken", 1, broken));
-    world.land(
-        Stream::Manifest,
-        publish_record("sound", 1, manifest_value("v2")),
-    );
+    world.land(Stream::Manifest, publish_record("sound", 1, manifest_value("v2")));
     world.quiet();
     let force = world.nodes[0].manifest.force().expect("one is in force");
     assert_eq!((force.generation, force.published.as_str()), (2, "sound"));
--- a/src/control/tests/servers.rs
+++ b/src/control/tests/servers.rs
@@ -32,10 +32,7 @@
 
 impl Bench {
     fn new() -> Self {
-        let mut bench = Self {
-            world: World::new(1, 1, Faults::default()),
-            next: 0,
-        };
+        let mut bench = Self { world: World::new(1, 1, Faults::default()), next: 0 };
         for id in ["engine-0", "engine-1"] {
             bench.polled(id, report("one", "v1"));
         }
@@ -54,12 +51,7 @@
     fn ask(&mut self, workspace: &str, weights: &str) -> (attempt::Key, Vec<Effect>) {
         let request = attempt::Key(1_000 + self.next);
         self.next += 1;
-        let salt = root(Scope {
-            workspace,
-            model: "m",
-            weights,
-            adapter: "",
-        });
+        let salt = root(Scope { workspace, model: "m", weights, adapter: "" });
         let prompt = "p".repeat(8 * BLOCK_BYTES);
         let arrival = Arrival {
             request,
@@ -85,22 +77,12 @@
     }
 
     fn ended(&mut self, request: attempt::Key, attempt: u32, outcome: Outcome) -> Vec<Effect> {
-        self.apply(Message::Report {
-            request,
-            attempt,
-            report: Report::Ended(outcome),
-        })
+        self.apply(Message::Report { request, attempt, report: Report::Ended(outcome) })
     }
 
     fn begun(&mut self, request: attempt::Key, attempt: u32) {
-        let report = Report::Begun {
-            cached_tokens: Some(0),
-        };
-        self.apply(Message::Report {
-            request,
-            attempt,
-            report,
-        });
+        let report = Report::Begun { cached_tokens: Some(0) };
+        self.apply(Message::Report { request, attempt, report });
     }
 }
 
@@ -115,21 +97,17 @@
 }
 
 fn dispatched(effects: &[Effect]) -> Option<&Dispatch> {
-    commands(effects)
-        .into_iter()
-        .find_map(|command| match command {
-            Command::Dispatch(dispatch) => Some(dispatch),
-            _ => None,
-        })
+    commands(effects).into_iter().find_map(|command| match command {
+        Command::Dispatch(dispatch) => Some(dispatch),
+        _ => None,
+    })
 }
 
 fn refused(effects: &[Effect]) -> Option<(Code, Execution)> {
-    commands(effects)
-        .into_iter()
-        .find_map(|command| match command {
-            Command::Refuse(refusal) => Some((refusal.error.code, refusal.execution)),
-            _ => None,
-        })
+    commands(effects).into_iter().find_map(|command| match command {
+        Command::Refuse(refusal) => Some((refusal.error.code, refusal.execution)),
+        _ => None,
+    })
 }
 
 #[test]
@@ -143,10 +121,7 @@
     let mut renewed = report("two", "v1");
     renewed.from = 5;
     bench.polled(&first.id, renewed);
-    assert!(
-        bench.world.nodes[0].residency.is_empty(),
-        "entries of a dead engine"
-    );
+    assert!(bench.world.nodes[0].residency.is_empty(), "entries of a dead engine");
 }
 
 #[test]
@@ -154,12 +129,7 @@
     let mut bench = Bench::new();
     bench.ask("w", "v1");
     for (workspace, weights) in [("other", "v1"), ("w", "v2")] {
-        let salt = root(Scope {
-            workspace,
-            model: "m",
-            weights,
-            adapter: "",
-        });
+        let salt = root(Scope { workspace, model: "m", weights, adapter: "" });
         let prefix = Prefix::new(salt, "p".repeat(8 * BLOCK_BYTES).as_bytes(), &[]);
         let depth = bench.world.nodes[0].residency.depth(&prefix.blocks);
         assert!(depth.is_empty(), "{workspace} {weights}: {depth:?}");
@@ -169,35 +139,18 @@
 #[test]
 fn event_gap_drops_residency() {
     let mut bench = Bench::new();
-    let stored = |seq| CacheEvent {
-        seq,
-        change: Change::Stored,
-        block: seq,
-    };
+    let stored = |seq| CacheEvent { seq, change: Change::Stored, block: seq };
     let events = vec![stored(0), stored(1)];
     bench.polled(
         "engine-0",
-        crate::membership::Report {
-            next_seq: 2,
-            events,
-            ..report("one", "v1")
-        },
+        crate::membership::Report { next_seq: 2, events, ..report("one", "v1") },
     );
     assert_eq!(bench.world.nodes[0].residency.len(), 2);
     let events = vec![stored(4)];
-    let gap = crate::membership::Report {
-        from: 2,
-        next_seq: 5,
-        events,
-        ..report("one", "v1")
-    };
+    let gap = crate::membership::Report { from: 2, next_seq: 5, events, ..report("one", "v1") };
     bench.polled("engine-0", gap);
     let depth = bench.world.nodes[0].residency.depth(&[Key(4)]);
-    assert_eq!(
-        bench.world.nodes[0].residency.len(),
-        1,
-        "only what came after the gap"
-    );
+    assert_eq!(bench.world.nodes[0].residency.len(), 1, "only what came after the gap");
     assert_eq!(depth.len(), 1);
 }
 
@@ -221,19 +174,12 @@
                 bench.apply(Message::Vms(vms));
             }
             1 => {
-                let leaving = crate::membership::Report {
-                    leaving: true,
-                    ..report("one", "v1")
-                };
+                let leaving = crate::membership::Report { leaving: true, ..report("one", "v1") };
                 bench.polled("engine-0", leaving);
             }
             _ => {
                 let leaving = vec!["engine-0".to_owned()];
-                let digest = Digest {
-                    daemon: "router-9".into(),
-                    leaving,
-                    ..Digest::default()
-                };
+                let digest = Digest { daemon: "router-9".into(), leaving, ..Digest::default() };
                 bench.apply(Message::Frame(Frame::Digest(digest)));
             }
         }
@@ -257,10 +203,7 @@
     let effects = bench.apply(Message::PollFailed(server));
     assert_eq!(commands(&effects), [&Command::Abort(1)]);
     let effects = bench.ended(request, 1, Outcome::Broken("aborted".into()));
-    assert_ne!(
-        dispatched(&effects).expect("it is tried elsewhere").server,
-        server
-    );
+    assert_ne!(dispatched(&effects).expect("it is tried elsewhere").server, server);
 }
 
 #[test]
@@ -277,46 +220,29 @@
     assert!(!third.resume && third.server != server);
     bench.ended(request, 3, Outcome::Broken("cut".into()));
     let effects = bench.ended(request, 4, Outcome::Broken("cut".into()));
-    assert_eq!(
-        refused(&effects),
-        Some((Code::GenerationFailed, Execution::Unknown))
-    );
+    assert_eq!(refused(&effects), Some((Code::GenerationFailed, Execution::Unknown)));
 }
 
 #[test]
 fn failure_says_what_ran() {
     let cases = [
         (Outcome::Late, Code::DeadlinePassed, Execution::NotRun),
-        (
-            Outcome::Broken("b".into()),
-            Code::OutcomeUnknown,
-            Execution::Unknown,
-        ),
+        (Outcome::Broken("b".into()), Code::OutcomeUnknown, Execution::Unknown),
         (Outcome::TooLarge, Code::AnswerTooLarge, Execution::Unknown),
     ];
     for (outcome, code, execution) in cases {
         let mut world = World::new(1, 1, Faults::default());
         let request = world.pay(0, None);
         let report = Report::Ended(outcome.clone());
-        let effects = world.nodes[0].apply(
-            world.now,
-            Message::Report {
-                request,
-                attempt: 1,
-                report,
-            },
-        );
+        let effects =
+            world.nodes[0].apply(world.now, Message::Report { request, attempt: 1, report });
         assert_eq!(refused(&effects), Some((code, execution)), "{outcome:?}");
     }
     let mut world = World::new(1, 1, Faults::default());
     let request = world.pay(0, None);
     for attempt in 1..=attempt::MAX_ATTEMPTS {
         let report = Report::Ended(Outcome::Unsent("refused".into()));
-        let message = Message::Report {
-            request,
-            attempt,
-            report,
-        };
+        let message = Message::Report { request, attempt, report };
         let effects = world.nodes[0].apply(world.now, message);
         match refused(&effects) {
             None => world.now += Duration::from_millis(1),
@@ -336,10 +262,7 @@
     bench.ended(request, 1, Outcome::Broken("cut".into()));
     let effects = bench.ended(request, 1, Outcome::Complete(None));
     assert_eq!(effects, []);
-    assert!(
-        bench.world.nodes[0].is_open(request),
-        "the second attempt is still under way"
-    );
+    assert!(bench.world.nodes[0].is_open(request), "the second attempt is still under way");
 }
 
 #[test]
@@ -356,10 +279,7 @@
             retried += 1;
         }
     }
-    assert!(
-        (20..=31).contains(&retried),
-        "{retried} retries for 100 requests"
-    );
+    assert!((20..=31).contains(&retried), "{retried} retries for 100 requests");
 }
 
 #[test]
--- a/src/control/tests/world.rs
+++ b/src/control/tests/world.rs
@@ -104,12 +104,7 @@
 
 pub fn publish_record(id: &str, replaces: u64, manifest: serde_json::Value) -> String {
     let body = Body::Publish { replaces, manifest };
-    manifest::Record {
-        format: manifest::FORMAT,
-        id: id.into(),
-        body,
-    }
-    .encode()
+    manifest::Record { format: manifest::FORMAT, id: id.into(), body }.encode()
 }
 
 fn vm(id: String, role: Role, pool: &str, address: SocketAddr) -> Vm {
@@ -144,10 +139,7 @@
             events: Vec::new(),
             next_request: 0,
         };
-        world.land(
-            Stream::Manifest,
-            publish_record("first", 0, manifest_value("v1")),
-        );
+        world.land(Stream::Manifest, publish_record("first", 0, manifest_value("v1")));
         for index in 0..count {
             let node = world.new_node(index);
             world.nodes.push(node);
@@ -175,19 +167,9 @@
     pub fn vms(&self) -> Vec<Vm> {
         let routers = (0..self.incarnations.len())
             .map(|index| vm(format!("router-{index}"), Role::Router, "", address(index)));
-        let service = vm(
-            "service".into(),
-            Role::ServiceServer,
-            "service",
-            address(100),
-        );
+        let service = vm("service".into(), Role::ServiceServer, "service", address(100));
         let engines = (0..2).map(|index| {
-            vm(
-                format!("engine-{index}"),
-                Role::ModelServer,
-                "model",
-                address(200 + index),
-            )
+            vm(format!("engine-{index}"), Role::ModelServer, "model", address(200 + index))
         });
         routers.chain([service]).chain(engines).collect()
     }
@@ -195,11 +177,7 @@
     pub fn land(&mut self, stream: Stream, text: String) {
         let time_ms = self.now.as_millis() as u64;
         let records = self.log.entry(stream).or_default();
-        records.push(Record {
-            offset: records.len() as u64,
-            time_ms,
-            text,
-        });
+        records.push(Record { offset: records.len() as u64, time_ms, text });
     }
 
     pub fn read(&mut self, index: usize, stream: Stream) {
@@ -208,11 +186,7 @@
         }
         let from = self.nodes[index].next_offset(stream) as usize;
         let records = &self.log[&stream];
-        let some = if from < records.len() {
-            self.rng.usize(1..=records.len() - from)
-        } else {
-            0
-        };
+        let some = if from < records.len() { self.rng.usize(1..=records.len() - from) } else { 0 };
         let read = Read {
             first: 0,
             next: records.len() as u64,
@@ -235,8 +209,7 @@
 
     fn later(&mut self, index: usize, message: Message) {
         let incarnation = self.incarnations[index];
-        self.actions
-            .push(Action::Deliver(index, incarnation, Box::new(message)));
+        self.actions.push(Action::Deliver(index, incarnation, Box::new(message)));
     }
 
     fn take(&mut self, index: usize, effect: Effect) {
@@ -281,8 +254,7 @@
         let incarnation = self.incarnations[index];
         match command {
             Command::Dispatch(dispatch) => {
-                self.actions
-                    .push(Action::Run(index, incarnation, request, Box::new(dispatch)));
+                self.actions.push(Action::Run(index, incarnation, request, Box::new(dispatch)));
             }
             Command::Abort(_) => {}
             Command::Refuse(refusal) => {
@@ -302,14 +274,9 @@
     pub fn pay(&mut self, index: usize, key: Option<&str>) -> attempt::Key {
         let request = attempt::Key(self.next_request);
         self.next_request += 1;
-        self.asked
-            .insert(request, key.unwrap_or_default().to_owned());
+        self.asked.insert(request, key.unwrap_or_default().to_owned());
         let claim = key.map(|key| ledger::Ask {
-            key: ledger::Key {
-                workspace: "w".into(),
-                service: "pay".into(),
-                key: key.into(),
-            },
+            key: ledger::Key { workspace: "w".into(), service: "pay".into(), key: key.into() },
             digest: "digest".into(),
             window_s: 1_000,
         });
@@ -317,9 +284,7 @@
             request,
             workspace: "w".into(),
             share: 1,
-            target: Target::Service {
-                service: "pay".into(),
-            },
+            target: Target::Service { service: "pay".into() },
             pool: "service".into(),
             priority: Priority::Normal,
             deadline: self.now + Duration::from_secs(1),
@@ -373,9 +338,7 @@
             Action::Land(stream, text) => self.land(stream, text),
             Action::Deliver(index, incarnation, message) => {
                 if self.is_paused(index) {
-                    return self
-                        .actions
-                        .push(Action::Deliver(index, incarnation, message));
+                    return self.actions.push(Action::Deliver(index, incarnation, message));
                 }
                 if self.incarnations[index] == incarnation {
                     self.tell(index, *message);
@@ -383,9 +346,7 @@
             }
             Action::Run(index, incarnation, request, dispatch) => {
                 if self.is_paused(index) {
-                    return self
-                        .actions
-                        .push(Action::Run(index, incarnation, request, dispatch));
+                    return self.actions.push(Action::Run(index, incarnation, request, dispatch));
                 }
                 self.run(index, incarnation, request, &dispatch);
             }
@@ -405,11 +366,7 @@
         if !lives && self.rng.bool() {
             return;
         }
-        let fate = if self.chance(self.faults.run) {
-            self.rng.u32(1..=3)
-        } else {
-            0
-        };
+        let fate = if self.chance(self.faults.run) { self.rng.u32(1..=3) } else { 0 };
         let outcome = if lives && self.now >= dispatch.deadline {
             Outcome::Late
         } else if fate == 1 {
@@ -429,23 +386,12 @@
             self.answered(request, Answer::Run(number));
         }
         let report = Report::Ended(outcome);
-        self.tell(
-            index,
-            Message::Report {
-                request,
-                attempt: dispatch.attempt,
-                report,
-            },
-        );
+        self.tell(index, Message::Report { request, attempt: dispatch.attempt, report });
     }
 
     fn receipt(&self) -> ledger::Receipt {
         let run = self.runs.len();
-        ledger::Receipt {
-            status: 200,
-            content_type: String::new(),
-            body: Some(run.to_string()),
-        }
+        ledger::Receipt { status: 200, content_type: String::new(), body: Some(run.to_string()) }
     }
 
     /// Lets everything that is under way come to its end, without further faults.
@@ -468,9 +414,6 @@
 
     /// The key of the server with this id at a node.
     pub fn server(&self, index: usize, id: &str) -> membership::Key {
-        self.nodes[index]
-            .membership
-            .find(id)
-            .expect("the server is listed")
+        self.nodes[index].membership.find(id).expect("the server is listed")
     }
 }
--- a/src/daemon/carrier.rs
+++ b/src/daemon/carrier.rs
@@ -27,11 +27,7 @@
             Effect::Command(..) | Effect::Force(_) => {}
             Effect::Append { number, text } => self.append(number, text),
             Effect::Checkpoint(text) => self.checkpoint(text),
-            Effect::Poll {
-                server,
-                address,
-                from,
-            } => self.poll(server, address, from),
+            Effect::Poll { server, address, from } => self.poll(server, address, from),
             Effect::Send(address, frame) => self.send(address, frame),
             Effect::Event(event, detail) => emit(event, &detail),
         }
@@ -52,9 +48,7 @@
     fn checkpoint(&self, text: String) {
         let (control, address) = (self.control.clone(), self.log_service);
         let append = async move {
-            platform::log::append(address, Stream::Manifest, text)
-                .await
-                .ok();
+            platform::log::append(address, Stream::Manifest, text).await.ok();
             control.tell(Message::Checkpointed);
         };
         self.executor.spawn(append).detach();
--- a/src/daemon/control.rs
+++ b/src/daemon/control.rs
@@ -66,14 +66,7 @@
 impl Control {
     pub(super) fn new() -> (Self, Receiver<Letter>) {
         let (mailbox, letters) = async_channel::unbounded();
-        (
-            Self {
-                mailbox,
-                view: Arc::default(),
-                clock: Clock::start(),
-            },
-            letters,
-        )
+        (Self { mailbox, view: Arc::default(), clock: Clock::start() }, letters)
     }
 
     /// Sends a message; nothing comes back.
@@ -84,9 +77,7 @@
     /// Hands a request over; commands for it come on the channel returned.
     pub fn open(&self, arrival: Arrival) -> Receiver<Command> {
         let (sender, receiver) = async_channel::unbounded();
-        self.mailbox
-            .try_send(Letter::Open(Box::new(arrival), sender))
-            .ok();
+        self.mailbox.try_send(Letter::Open(Box::new(arrival), sender)).ok();
         receiver
     }
 
@@ -130,9 +121,7 @@
     /// Where a request would go now.
     pub async fn explain(&self, arrival: Arrival) -> Option<Vec<Explained>> {
         let (sender, receiver) = async_channel::bounded(1);
-        self.mailbox
-            .try_send(Letter::Explain(Box::new(arrival), sender))
-            .ok()?;
+        self.mailbox.try_send(Letter::Explain(Box::new(arrival), sender)).ok()?;
         receiver.recv().await.ok()
     }
 }
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -104,29 +104,19 @@
     control: Control,
     executor: &Arc<Executor<'static>>,
 ) -> Result<()> {
-    let metrics = Metrics::new()
-        .map_err(|detail| Error::new(Code::SettingsInvalid, detail))
-        .map(Arc::new)?;
+    let metrics =
+        Metrics::new().map_err(|detail| Error::new(Code::SettingsInvalid, detail)).map(Arc::new)?;
     let mut signals = Signals::new([Signal::Term, Signal::Int])
         .map_err(|error| Error::new(Code::AddressUnusable, error.to_string()))?;
     announce(&settings, &listeners);
     let connections = Arc::new(Connections::new(settings.limits.connections));
-    let entry = Arc::new(Entry::new(
-        &settings,
-        control.clone(),
-        Arc::clone(&metrics),
-        executor,
-    ));
+    let entry = Arc::new(Entry::new(&settings, control.clone(), Arc::clone(&metrics), executor));
     watch_log(executor, &control, settings.log_service);
     watch_vms(executor, &control, &settings);
     let operators = Arc::new(Operators::new(Arc::clone(&entry), control.clone(), metrics));
     accept_operators(executor, listeners.operators, operators);
     accept_peers(executor, listeners.peer, control.clone());
-    let callers = executor.spawn(accept_callers(
-        listeners.entry,
-        entry,
-        Arc::clone(&connections),
-    ));
+    let callers = executor.spawn(accept_callers(listeners.entry, entry, Arc::clone(&connections)));
     signals.next().await;
     stop(&settings, &control, &connections, callers).await;
     Ok(())
@@ -134,10 +124,7 @@
 
 fn announce(settings: &Settings, listeners: &Listeners) {
     let address = |listener: &Async<TcpListener>| {
-        listener
-            .get_ref()
-            .local_addr()
-            .map_or_else(|_| "?".into(), |address| address.to_string())
+        listener.get_ref().local_addr().map_or_else(|_| "?".into(), |address| address.to_string())
     };
     let line = format!(
         "cardamomvalved {} ready entry={} peer={} operators={}\n",
--- a/src/entry/arrival.rs
+++ b/src/entry/arrival.rs
@@ -46,25 +46,16 @@
         let levels = match header::single(headers, header::PREFIX_LEVELS)? {
             None => Vec::new(),
             Some(value) => parse_levels(value).ok_or_else(|| {
-                invalid(
-                    header::PREFIX_LEVELS,
-                    "up to 16 ascending byte offsets joined by commas",
-                )
+                invalid(header::PREFIX_LEVELS, "up to 16 ascending byte offsets joined by commas")
             })?,
         };
-        Ok(Self {
-            priority,
-            deadline,
-            levels,
-        })
+        Ok(Self { priority, deadline, levels })
     }
 }
 
 fn parse_levels(value: &str) -> Option<Vec<usize>> {
-    let levels: Vec<usize> = value
-        .split(',')
-        .map(|part| part.trim().parse().ok())
-        .collect::<Option<_>>()?;
+    let levels: Vec<usize> =
+        value.split(',').map(|part| part.trim().parse().ok()).collect::<Option<_>>()?;
     let ascending = levels.windows(2).all(|pair| pair[0] < pair[1]);
     (levels.len() <= MAX_LEVELS && ascending).then_some(levels)
 }
@@ -74,18 +65,11 @@
 }
 
 fn workspace<'a>(force: &'a Force, name: &str) -> Result<&'a Workspace> {
-    force
-        .manifest
-        .workspaces
-        .get(name)
-        .ok_or_else(|| Code::WrongKey.into())
+    force.manifest.workspaces.get(name).ok_or_else(|| Code::WrongKey.into())
 }
 
 fn priority(wishes: &Wishes, workspace: &Workspace) -> Priority {
-    wishes
-        .priority
-        .unwrap_or(workspace.default_priority)
-        .max(workspace.highest_priority)
+    wishes.priority.unwrap_or(workspace.default_priority).max(workspace.highest_priority)
 }
 
 /// The model of this name, if the workspace is granted it.
@@ -96,10 +80,7 @@
 ) -> Result<&'a Model> {
     let model = force.manifest.models.get(name);
     let model = model.ok_or_else(|| Error::new(Code::UnknownModel, format!("model {name:?}")))?;
-    let granted = workspace(force, workspace_name)?
-        .models
-        .iter()
-        .any(|granted| granted == name);
+    let granted = workspace(force, workspace_name)?.models.iter().any(|granted| granted == name);
     granted
         .then_some(model)
         .ok_or_else(|| Error::new(Code::ForeignModel, format!("model {name:?}")))
@@ -125,9 +106,7 @@
             adapter: model.adapter.as_deref().unwrap_or_default(),
         });
         let prompt = completion.prompt.as_bytes();
-        let deadline = wishes
-            .deadline
-            .unwrap_or(Duration::from_millis(model.default_deadline_ms));
+        let deadline = wishes.deadline.unwrap_or(Duration::from_millis(model.default_deadline_ms));
         Ok(Arrival {
             request: self.control.next_request(),
             workspace: workspace_name.to_owned(),
@@ -164,27 +143,18 @@
         let idempotent = service.idempotent_methods.contains(&method);
         let key = idempotency_key(headers)?;
         let keyed = key.is_some();
-        let claim = key
-            .filter(|_| !idempotent && !service.deduplicates)
-            .map(|key| ledger::Ask {
-                key: ledger::Key {
-                    workspace: call.workspace.clone(),
-                    service: name.to_owned(),
-                    key,
-                },
-                digest: request_digest(&method, path, &call.whole.body),
-                window_s: call.force.manifest.idempotency_window_s,
-            });
-        let deadline = wishes
-            .deadline
-            .unwrap_or(Duration::from_millis(service.default_deadline_ms));
+        let claim = key.filter(|_| !idempotent && !service.deduplicates).map(|key| ledger::Ask {
+            key: ledger::Key { workspace: call.workspace.clone(), service: name.to_owned(), key },
+            digest: request_digest(&method, path, &call.whole.body),
+            window_s: call.force.manifest.idempotency_window_s,
+        });
+        let deadline =
+            wishes.deadline.unwrap_or(Duration::from_millis(service.default_deadline_ms));
         Ok(Arrival {
             request: self.control.next_request(),
             workspace: call.workspace.clone(),
             share: workspace.share,
-            target: Target::Service {
-                service: name.to_owned(),
-            },
+            target: Target::Service { service: name.to_owned() },
             pool: service.pool.clone(),
             priority: priority(&wishes, workspace),
             deadline: call.since + deadline,
@@ -203,18 +173,10 @@
         return Ok(None);
     };
     let value = value.trim();
-    let key = value
-        .strip_prefix('"')
-        .and_then(|rest| rest.strip_suffix('"'))
-        .unwrap_or(value);
-    let printable = key
-        .bytes()
-        .all(|byte| byte.is_ascii_graphic() && byte != b'"');
+    let key = value.strip_prefix('"').and_then(|rest| rest.strip_suffix('"')).unwrap_or(value);
+    let printable = key.bytes().all(|byte| byte.is_ascii_graphic() && byte != b'"');
     if key.is_empty() || key.len() > MAX_KEY || !printable {
-        return Err(invalid(
-            header::IDEMPOTENCY_KEY,
-            "1 to 255 visible ASCII characters",
-        ));
+        return Err(invalid(header::IDEMPOTENCY_KEY, "1 to 255 visible ASCII characters"));
     }
     Ok(Some(key.to_owned()))
 }
@@ -227,11 +189,7 @@
 
 /// A short id for one request, shown to callers and engines.
 pub(super) fn request_id(daemon: &str, incarnation: u64, request: crate::attempt::Key) -> String {
-    format!(
-        "{:016x}-{:x}",
-        xxh3_64(daemon.as_bytes()) ^ incarnation,
-        request.0
-    )
+    format!("{:016x}-{:x}", xxh3_64(daemon.as_bytes()) ^ incarnation, request.0)
 }
 
 /// An operator's question where a completion would go.
@@ -264,12 +222,6 @@
             request.insert_header(header::PREFIX_LEVELS, levels.join(","));
         }
         let now = self.control.clock.now();
-        self.completion(
-            &force,
-            &question.workspace,
-            request.as_ref(),
-            now,
-            &completion,
-        )
+        self.completion(&force, &question.workspace, request.as_ref(), now, &completion)
     }
 }
--- a/src/entry/connections.rs
+++ b/src/entry/connections.rs
@@ -35,10 +35,7 @@
 impl Connections {
     /// An empty table of at most `limit` connections.
     pub fn new(limit: u32) -> Self {
-        Self {
-            limit: limit as usize,
-            table: Mutex::default(),
-        }
+        Self { limit: limit as usize, table: Mutex::default() }
     }
 
     /// Adds a connection; `None` where the table is full.
@@ -50,16 +47,11 @@
         let number = table.next;
         table.next += 1;
         table.open.insert(number, socket);
-        Some(Guard {
-            connections: Arc::clone(self),
-            number,
-        })
+        Some(Guard { connections: Arc::clone(self), number })
     }
 
     /// Whether any connection has a request that is not wholly answered.
     pub fn is_busy(&self) -> bool {
-        self.table
-            .lock()
-            .is_ok_and(|table| table.open.values().any(Socket::has_bytes))
+        self.table.lock().is_ok_and(|table| table.open.values().any(Socket::has_bytes))
     }
 }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -111,9 +111,7 @@
     async fn route(self: &Arc<Self>, whole: Whole) -> Response {
         let since = self.control.clock.now();
         let head = &whole.request;
-        let traceparent = header::single(head.as_ref(), header::TRACEPARENT)
-            .ok()
-            .flatten();
+        let traceparent = header::single(head.as_ref(), header::TRACEPARENT).ok().flatten();
         let hop = Hop::first("entry", traceparent);
         let path = head.url().path().to_owned();
         let (workspace, force) = match self.authenticate(head) {
@@ -121,13 +119,7 @@
             Err(error) => return self.refusal(&error.into()),
         };
         hop.note("workspace", workspace.clone());
-        let call = Call {
-            whole,
-            force,
-            workspace,
-            hop,
-            since,
-        };
+        let call = Call { whole, force, workspace, hop, since };
         match (call.whole.request.method(), path.as_str()) {
             (Method::Post, "/v1/chat/completions" | "/v1/completions") => self.model(call).await,
             (Method::Get, "/v1/models") => models(&call),
@@ -148,10 +140,8 @@
             Some((scheme, key)) if scheme.eq_ignore_ascii_case("bearer") => key.trim(),
             _ => return Err(Code::MissingKey.into()),
         };
-        let workspace = force
-            .owner(&crate::manifest::digest(key.as_bytes()))
-            .ok_or(Code::WrongKey)?
-            .to_owned();
+        let workspace =
+            force.owner(&crate::manifest::digest(key.as_bytes())).ok_or(Code::WrongKey)?.to_owned();
         Ok((workspace, force))
     }
 }
@@ -192,8 +182,5 @@
         .flat_map(|workspace| &workspace.models)
         .map(|name| serde_json::json!({ "id": name, "object": "model", "owned_by": "operators" }))
         .collect();
-    server::json(
-        200,
-        &serde_json::json!({ "object": "list", "data": models }),
-    )
+    server::json(200, &serde_json::json!({ "object": "list", "data": models }))
 }
--- a/src/entry/model.rs
+++ b/src/entry/model.rs
@@ -69,13 +69,11 @@
         if completion.stream {
             return self.streamed(&call.workspace, &name, &server, pieces).await;
         }
-        self.gather(&call.workspace, &completion, &id, &server, pieces)
-            .await
+        self.gather(&call.workspace, &completion, &id, &server, pieces).await
     }
 
     pub(super) fn refused(&self, workspace: &str, target: &str, refusal: Refusal) -> Response {
-        self.metrics
-            .answered(workspace, target, refusal.error.code.row().number);
+        self.metrics.answered(workspace, target, refusal.error.code.row().number);
         self.refusal(&refusal)
     }
 
@@ -186,17 +184,13 @@
     match piece {
         Some(Piece::Chunk(data)) => (format!("data: {data}\n\n"), false),
         Some(Piece::End) => (format!("data: {END}\n\n"), true),
-        Some(Piece::Failed(refusal)) => (
-            format!("event: error\ndata: {}\n\n", error_body(&refusal)),
-            true,
-        ),
+        Some(Piece::Failed(refusal)) => {
+            (format!("event: error\ndata: {}\n\n", error_body(&refusal)), true)
+        }
         Some(Piece::Begin(_) | Piece::Other(..)) => (String::from(": \n\n"), false),
         None => {
             let refusal = Refusal::from(Code::GenerationFailed);
-            (
-                format!("event: error\ndata: {}\n\n", error_body(&refusal)),
-                true,
-            )
+            (format!("event: error\ndata: {}\n\n", error_body(&refusal)), true)
         }
     }
 }
--- a/src/entry/openai.rs
+++ b/src/entry/openai.rs
@@ -95,14 +95,7 @@
                 .filter(|count| *count > 0)
                 .ok_or_else(|| malformed("max_tokens: a number from 1 is required".into()))?,
         };
-        Ok(Self {
-            kind,
-            model,
-            prompt,
-            stream,
-            max_tokens,
-            body,
-        })
+        Ok(Self { kind, model, prompt, stream, max_tokens, body })
     }
 }
 
--- a/src/entry/pump.rs
+++ b/src/entry/pump.rs
@@ -88,11 +88,7 @@
 
     fn report(&self, dispatch: &Dispatch, report: Report) {
         let (request, attempt) = (self.request, dispatch.attempt);
-        self.entry.control.tell(Message::Report {
-            request,
-            attempt,
-            report,
-        });
+        self.entry.control.tell(Message::Report { request, attempt, report });
     }
 
     async fn attempt(&mut self, dispatch: &Dispatch) -> Outcome {
@@ -203,17 +199,9 @@
         match answer.whole().await {
             Ok((head, body)) => {
                 let status = u16::from(head.status());
-                let passed = self
-                    .pieces
-                    .send(Piece::Begin(dispatch.id.clone()))
-                    .await
-                    .is_ok()
+                let passed = self.pieces.send(Piece::Begin(dispatch.id.clone())).await.is_ok()
                     && self.pieces.send(Piece::Other(status, body)).await.is_ok();
-                if passed {
-                    Outcome::Complete(None)
-                } else {
-                    Outcome::CallerGone
-                }
+                if passed { Outcome::Complete(None) } else { Outcome::CallerGone }
             }
             Err(failure) => Outcome::Declined(failure.reason),
         }
@@ -265,12 +253,7 @@
             }
             self.text.push_str(chunk_text(self.completion.kind, &chunk));
             self.position += 1;
-            if self
-                .pieces
-                .send(Piece::Chunk(data.to_owned()))
-                .await
-                .is_err()
-            {
+            if self.pieces.send(Piece::Chunk(data.to_owned())).await.is_err() {
                 return Outcome::CallerGone;
             }
         }
@@ -283,13 +266,8 @@
             return;
         }
         let time = self.entry.control.clock.now().saturating_sub(self.since);
-        self.entry
-            .metrics
-            .first_token(&self.completion.model, self.priority, time);
-        self.pieces
-            .send(Piece::Begin(dispatch.id.clone()))
-            .await
-            .ok();
+        self.entry.metrics.first_token(&self.completion.model, self.priority, time);
+        self.pieces.send(Piece::Begin(dispatch.id.clone())).await.ok();
     }
 }
 
--- a/src/entry/service.rs
+++ b/src/entry/service.rs
@@ -40,10 +40,7 @@
         let url = call.whole.request.url();
         let rest = url.path().strip_prefix("/services/").unwrap_or_default();
         let (name, path) = rest.split_once('/').unwrap_or((rest, ""));
-        let query = url
-            .query()
-            .map(|query| format!("?{query}"))
-            .unwrap_or_default();
+        let query = url.query().map(|query| format!("?{query}")).unwrap_or_default();
         let path = format!("/{path}{query}");
         let arrival = match self.service_call(&call, name, &path) {
             Ok(arrival) => arrival,
@@ -74,11 +71,7 @@
             let (outcome, answer) = self.exchange(&call, &path, request, &dispatch, &hop).await;
             let attempt = dispatch.attempt;
             let report = Report::Ended(outcome);
-            self.control.tell(Message::Report {
-                request,
-                attempt,
-                report,
-            });
+            self.control.tell(Message::Report { request, attempt, report });
             if let Some(answer) = answer {
                 self.metrics.answered(&call.workspace, &name, 0);
                 return answer;
@@ -168,10 +161,7 @@
 
     /// The answer that was remembered for an idempotency key.
     fn replay(&self, receipt: &Receipt) -> Response {
-        let body = receipt
-            .body
-            .as_deref()
-            .and_then(|body| STANDARD.decode(body).ok());
+        let body = receipt.body.as_deref().and_then(|body| STANDARD.decode(body).ok());
         let mut answer = server::empty(receipt.status);
         answer.set_body(body.unwrap_or_default());
         if receipt.content_type.is_empty() {
@@ -186,9 +176,7 @@
 }
 
 fn receipt(head: &Response, body: &[u8]) -> Receipt {
-    let content_type = head
-        .header("content-type")
-        .map(|values| values.as_str().to_owned());
+    let content_type = head.header("content-type").map(|values| values.as_str().to_owned());
     Receipt {
         status: head.status().into(),
         content_type: content_type.unwrap_or_default(),
--- a/src/entry/tests.rs
+++ b/src/entry/tests.rs
@@ -10,31 +10,11 @@
     let cases = [
         (Kind::Text, json!({ "prompt": "p" }), "model"),
         (Kind::Text, json!({ "model": "m" }), "prompt"),
-        (
-            Kind::Text,
-            json!({ "model": "m", "prompt": ["p"] }),
-            "prompt",
-        ),
-        (
-            Kind::Text,
-            json!({ "model": "m", "prompt": "p", "stream": 1 }),
-            "stream",
-        ),
-        (
-            Kind::Text,
-            json!({ "model": "m", "prompt": "p", "n": 2 }),
-            "n:",
-        ),
-        (
-            Kind::Text,
-            json!({ "model": "m", "prompt": "p", "max_tokens": 0 }),
-            "max_tokens",
-        ),
-        (
-            Kind::Chat,
-            json!({ "model": "m", "messages": [] }),
-            "messages",
-        ),
+        (Kind::Text, json!({ "model": "m", "prompt": ["p"] }), "prompt"),
+        (Kind::Text, json!({ "model": "m", "prompt": "p", "stream": 1 }), "stream"),
+        (Kind::Text, json!({ "model": "m", "prompt": "p", "n": 2 }), "n:"),
+        (Kind::Text, json!({ "model": "m", "prompt": "p", "max_tokens": 0 }), "max_tokens"),
+        (Kind::Chat, json!({ "model": "m", "messages": [] }), "messages"),
         (
             Kind::Chat,
             json!({ "model": "m", "messages": [{ "role": "user" }] }),
@@ -43,11 +23,7 @@
     ];
     for (kind, body, expected) in cases {
         let error = Completion::parse(kind, body.to_string().as_bytes()).expect_err(expected);
-        assert!(
-            error.detail.contains(expected),
-            "{expected}: {}",
-            error.detail
-        );
+        assert!(error.detail.contains(expected), "{expected}: {}", error.detail);
     }
 }
 
@@ -56,10 +32,7 @@
     let body = json!({ "messages": [
         { "role": "system", "content": "one" }, { "role": "user", "content": "two" },
     ] });
-    assert_eq!(
-        prompt(Kind::Chat, &body).as_deref(),
-        Ok("system\none\nuser\ntwo\n")
-    );
+    assert_eq!(prompt(Kind::Chat, &body).as_deref(), Ok("system\none\nuser\ntwo\n"));
 }
 
 #[test]
--- a/src/error.rs
+++ b/src/error.rs
@@ -154,20 +154,13 @@
     /// assert!(error.to_string().contains("CV1009"));
     /// ```
     pub fn new(code: Code, detail: impl Into<String>) -> Self {
-        Self {
-            code,
-            detail: detail.into(),
-        }
+        Self { code, detail: detail.into() }
     }
 
     /// The text for a caller: the code's sentence and what was seen.
     pub fn message(&self) -> String {
         let text = self.code.row().text;
-        if self.detail.is_empty() {
-            text.to_owned()
-        } else {
-            format!("{text} ({})", self.detail)
-        }
+        if self.detail.is_empty() { text.to_owned() } else { format!("{text} ({})", self.detail) }
     }
 }
 
--- a/src/http/body.rs
+++ b/src/http/body.rs
@@ -21,17 +21,14 @@
     let length = declared_length(headers)?;
     let coding = headers.get(TRANSFER_ENCODING);
     match (length, coding) {
-        (Some(_), Some(_)) => Err(Error::new(
-            Code::ConflictingLength,
-            "both length and transfer coding are given",
-        )),
+        (Some(_), Some(_)) => {
+            Err(Error::new(Code::ConflictingLength, "both length and transfer coding are given"))
+        }
         (Some(length), None) => Ok(Framing::Length(length)),
         (None, None) => Ok(Framing::Absent),
         (None, Some(coding)) => {
             let mut values = coding.iter();
-            let chunked = values
-                .next()
-                .is_some_and(|v| v.as_str().eq_ignore_ascii_case("chunked"));
+            let chunked = values.next().is_some_and(|v| v.as_str().eq_ignore_ascii_case("chunked"));
             if chunked && values.next().is_none() {
                 Ok(Framing::Chunked)
             } else {
@@ -57,10 +54,7 @@
             .filter(|_| digits.bytes().all(|byte| byte.is_ascii_digit()))
             .ok_or_else(|| Error::new(Code::ConflictingLength, "Content-Length is no number"))?;
         if declared.is_some_and(|other| other != length) {
-            return Err(Error::new(
-                Code::ConflictingLength,
-                "two Content-Lengths differ",
-            ));
+            return Err(Error::new(Code::ConflictingLength, "two Content-Lengths differ"));
         }
         declared = Some(length);
     }
@@ -89,10 +83,7 @@
     }
     let mut body = Vec::new();
     let mut bounded = reader.take(limit + 1);
-    bounded
-        .read_to_end(&mut body)
-        .await
-        .map_err(|error| Cut::Short(error.to_string()))?;
+    bounded.read_to_end(&mut body).await.map_err(|error| Cut::Short(error.to_string()))?;
     let count = body.len() as u64;
     if count > limit {
         return Err(Cut::TooLarge);
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -48,11 +48,7 @@
 
 impl Failure {
     fn new(stage: Stage, reason: impl ToString) -> Self {
-        Self {
-            stage,
-            reason: reason.to_string(),
-            too_large: false,
-        }
+        Self { stage, reason: reason.to_string(), too_large: false }
     }
 }
 
@@ -103,44 +99,30 @@
         .await
         .map_err(|error| Failure::new(Stage::Unsent, error))?;
     let exchange = async {
-        async_h1::connect(socket.clone(), request)
-            .await
-            .map_err(|error| error.to_string())
+        async_h1::connect(socket.clone(), request).await.map_err(|error| error.to_string())
     };
     let expire = async {
         Timer::after(limits.head).await;
         Err("no answer within the time limit".to_owned())
     };
     let response = exchange.or(expire).await.map_err(|reason| {
-        let stage = if socket.written() == 0 {
-            Stage::Unsent
-        } else {
-            Stage::Sent
-        };
+        let stage = if socket.written() == 0 { Stage::Unsent } else { Stage::Sent };
         Failure::new(stage, reason)
     })?;
     let framing = answer_framing(&response, head_only)
         .map_err(|error| Failure::new(Stage::Sent, error.detail))?;
-    Ok(Answer {
-        response,
-        framing,
-        limit: limits.body,
-    })
+    Ok(Answer { response, framing, limit: limits.body })
 }
 
 fn answer_framing(response: &Response, head_only: bool) -> Result<Framing> {
-    let bodiless = matches!(
-        response.status(),
-        StatusCode::NoContent | StatusCode::NotModified
-    );
+    let bodiless = matches!(response.status(), StatusCode::NoContent | StatusCode::NotModified);
     if bodiless || head_only {
         return Ok(Framing::Length(0));
     }
     match body::framing(response.as_ref())? {
-        Framing::Absent => Err(Error::new(
-            Code::ConflictingLength,
-            "the answer has neither length nor chunks",
-        )),
+        Framing::Absent => {
+            Err(Error::new(Code::ConflictingLength, "the answer has neither length nor chunks"))
+        }
         framing => Ok(framing),
     }
 }
--- a/src/http/header.rs
+++ b/src/http/header.rs
@@ -46,9 +46,6 @@
     let first = values.next().map(|value| value.as_str());
     match values.next() {
         None => Ok(first),
-        Some(_) => Err(Error::new(
-            Code::HeaderInvalid,
-            format!("{name} is given more than once"),
-        )),
+        Some(_) => Err(Error::new(Code::HeaderInvalid, format!("{name} is given more than once"))),
     }
 }
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -75,21 +75,13 @@
     let framing = body::framing(request.as_ref())?;
     let body = match framing {
         Framing::Absent => Vec::new(),
-        _ => body::read(request.take_body(), framing, limit)
-            .await
-            .map_err(|cut| match cut {
-                Cut::TooLarge => {
-                    Error::new(Code::BodyTooLarge, format!("the limit is {limit} bytes"))
-                }
-                Cut::Short(reason) => Error::new(Code::BodyTruncated, reason),
-            })?,
+        _ => body::read(request.take_body(), framing, limit).await.map_err(|cut| match cut {
+            Cut::TooLarge => Error::new(Code::BodyTooLarge, format!("the limit is {limit} bytes")),
+            Cut::Short(reason) => Error::new(Code::BodyTruncated, reason),
+        })?,
     };
     let close = is_pipelined(socket, framing);
-    Ok(Whole {
-        request,
-        body,
-        close,
-    })
+    Ok(Whole { request, body, close })
 }
 
 /// Whether bytes beyond this request were read; the library would lose them. What follows a
@@ -103,15 +95,9 @@
 }
 
 fn check_head(request: &Request) -> Result<()> {
-    let count: usize = request
-        .iter()
-        .map(|(_, values)| values.iter().count())
-        .sum();
+    let count: usize = request.iter().map(|(_, values)| values.iter().count()).sum();
     if count > MAX_HEADERS {
-        return Err(Error::new(
-            Code::HeaderInvalid,
-            format!("more than {MAX_HEADERS} headers"),
-        ));
+        return Err(Error::new(Code::HeaderInvalid, format!("more than {MAX_HEADERS} headers")));
     }
     let host = super::header::single(request.as_ref(), "host")?.unwrap_or_default();
     let url = request.url();
--- a/src/http/socket.rs
+++ b/src/http/socket.rs
@@ -63,17 +63,9 @@
     /// Wraps `stream`; a read or write that waits longer than `idle` fails.
     pub fn new(stream: Async<TcpStream>, idle: Duration) -> Self {
         stream.get_ref().set_nodelay(true).ok();
-        let shared = Shared {
-            stream,
-            written: AtomicU64::new(0),
-            scan: Mutex::new(Scan::default()),
-        };
-        Self {
-            shared: Arc::new(shared),
-            idle,
-            read_timer: None,
-            write_timer: None,
-        }
+        let shared =
+            Shared { stream, written: AtomicU64::new(0), scan: Mutex::new(Scan::default()) };
+        Self { shared: Arc::new(shared), idle, read_timer: None, write_timer: None }
     }
 
     /// Connects to `address` within `timeout`.
@@ -113,10 +105,7 @@
 
     /// Whether a whole head has been read in the current exchange.
     pub fn has_head(&self) -> bool {
-        self.shared
-            .scan
-            .lock()
-            .is_ok_and(|scan| scan.head.is_some())
+        self.shared.scan.lock().is_ok_and(|scan| scan.head.is_some())
     }
 
     /// Whether any byte has been read in the current exchange.
@@ -180,9 +169,7 @@
             Poll::Ready(result) => {
                 this.write_timer = None;
                 if let Ok(count) = &result {
-                    this.shared
-                        .written
-                        .fetch_add(*count as u64, Ordering::AcqRel);
+                    this.shared.written.fetch_add(*count as u64, Ordering::AcqRel);
                 }
                 Poll::Ready(result)
             }
--- a/src/http/tests.rs
+++ b/src/http/tests.rs
@@ -35,10 +35,7 @@
 fn exchange(address: SocketAddr, limits: Limits) -> Result<String, client::Failure> {
     let request = client::request(Method::Get, address, "/").expect("a request");
     block_on(async {
-        let (_, body) = client::send(address, request, limits)
-            .await?
-            .whole()
-            .await?;
+        let (_, body) = client::send(address, request, limits).await?.whole().await?;
         Ok(String::from_utf8_lossy(&body).into_owned())
     })
 }
@@ -72,11 +69,7 @@
         assert_eq!(failure.stage, Stage::Sent, "{answer:?}: {}", failure.reason);
     }
     let long = server("HTTP/1.1 200 OK\r\ncontent-length: 1001\r\n\r\n");
-    assert!(
-        exchange(long, LIMITS)
-            .expect_err("it is too large")
-            .too_large
-    );
+    assert!(exchange(long, LIMITS).expect_err("it is too large").too_large);
 }
 
 #[test]
@@ -84,10 +77,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").expect("an address");
     let address = listener.local_addr().expect("an address");
     drop(listener);
-    assert_eq!(
-        exchange(address, LIMITS).expect_err("refused").stage,
-        Stage::Unsent
-    );
+    assert_eq!(exchange(address, LIMITS).expect_err("refused").stage, Stage::Unsent);
 }
 
 #[test]
@@ -95,18 +85,9 @@
     let listener = TcpListener::bind("127.0.0.1:0").expect("an address");
     let address = listener.local_addr().expect("an address");
     for limits in [
-        Limits {
-            head: Duration::from_millis(50),
-            ..LIMITS
-        },
-        Limits {
-            idle: Duration::from_millis(50),
-            ..LIMITS
-        },
+        Limits { head: Duration::from_millis(50), ..LIMITS },
+        Limits { idle: Duration::from_millis(50), ..LIMITS },
     ] {
-        assert_eq!(
-            exchange(address, limits).expect_err("silence").stage,
-            Stage::Sent
-        );
+        assert_eq!(exchange(address, limits).expect_err("silence").stage, Stage::Sent);
     }
 }
--- a/src/ledger/pending.rs
+++ b/src/ledger/pending.rs
@@ -80,13 +80,7 @@
             incarnation: self.incarnation,
             sequence: self.sequence,
         };
-        self.claims.insert(
-            id.clone(),
-            Claim {
-                request,
-                key: ask.key.clone(),
-            },
-        );
+        self.claims.insert(id.clone(), Claim { request, key: ask.key.clone() });
         self.buffer.push(Entry::Claim {
             id: id.clone(),
             key: ask.key.clone(),
@@ -125,11 +119,7 @@
 
     /// The append of this number landed; what it carried is decided when it is folded.
     pub fn appended(&mut self, number: u64) {
-        if self
-            .in_flight
-            .as_ref()
-            .is_some_and(|(current, _)| *current == number)
-        {
+        if self.in_flight.as_ref().is_some_and(|(current, _)| *current == number) {
             self.in_flight = None;
         }
     }
@@ -167,10 +157,7 @@
 
     /// Gives up on the claim of `request`, which was not dispatched and will not be.
     pub fn abandon(&mut self, request: attempt::Key) {
-        let found = self
-            .claims
-            .iter()
-            .find(|(_, claim)| claim.request == request);
+        let found = self.claims.iter().find(|(_, claim)| claim.request == request);
         let Some(id) = found.map(|(id, _)| id.clone()) else {
             return;
         };
@@ -198,17 +185,10 @@
             };
             let request = claim.request;
             self.claims.remove(&id);
-            steps.push(if slot.claim == id {
-                Step::Won(request)
-            } else {
-                Step::Lost(request)
-            });
+            steps.push(if slot.claim == id { Step::Won(request) } else { Step::Lost(request) });
         }
-        self.receipts.retain(|key, _| {
-            state
-                .get(key)
-                .is_some_and(|slot| slot.found == Found::Claimed)
-        });
+        self.receipts
+            .retain(|key, _| state.get(key).is_some_and(|slot| slot.found == Found::Claimed));
         let landed: Vec<ClaimId> = self
             .abandoned
             .iter()
--- a/src/ledger/record.rs
+++ b/src/ledger/record.rs
@@ -59,10 +59,7 @@
 impl Batch {
     /// A record of these entries.
     pub fn new(entries: Vec<Entry>) -> Self {
-        Self {
-            format: FORMAT,
-            entries,
-        }
+        Self { format: FORMAT, entries }
     }
 
     /// Encodes the record as JSON text.
--- a/src/ledger/state.rs
+++ b/src/ledger/state.rs
@@ -72,16 +72,8 @@
 
     /// A state rebuilt from a peer's slots.
     pub fn rebuild(next: u64, time_ms: u64, slots: BTreeMap<Key, Slot>) -> Self {
-        let expiry = slots
-            .iter()
-            .map(|(key, slot)| (slot.expires_ms, key.clone()))
-            .collect();
-        Self {
-            slots,
-            expiry,
-            next,
-            time_ms,
-        }
+        let expiry = slots.iter().map(|(key, slot)| (slot.expires_ms, key.clone())).collect();
+        Self { slots, expiry, next, time_ms }
     }
 
     /// Continues at `offset`, where the log no longer has what comes before it.
@@ -117,23 +109,13 @@
 
     fn apply(&mut self, entry: Entry) {
         match entry {
-            Entry::Claim {
-                id,
-                key,
-                digest,
-                window_s,
-            } => {
+            Entry::Claim { id, key, digest, window_s } => {
                 if self.slots.contains_key(&key) {
                     return;
                 }
                 let expires_ms = self.time_ms.saturating_add(window_s.saturating_mul(1_000));
                 self.expiry.insert((expires_ms, key.clone()));
-                let slot = Slot {
-                    claim: id,
-                    digest,
-                    expires_ms,
-                    found: Found::Claimed,
-                };
+                let slot = Slot { claim: id, digest, expires_ms, found: Found::Claimed };
                 self.slots.insert(key, slot);
             }
             Entry::Outcome { id, key, receipt } => {
--- a/src/manifest/checks.rs
+++ b/src/manifest/checks.rs
@@ -15,14 +15,8 @@
 const MAX_WINDOW_S: u64 = 7 * 86_400;
 const DIGEST_DIGITS: usize = 64;
 const METHODS: [&str; 6] = ["GET", "HEAD", "PUT", "DELETE", "POST", "PATCH"];
-const FIELDS: [&str; 6] = [
-    "format",
-    "pools",
-    "models",
-    "services",
-    "workspaces",
-    "idempotency_window_s",
-];
+const FIELDS: [&str; 6] =
+    ["format", "pools", "models", "services", "workspaces", "idempotency_window_s"];
 
 /// One thing wrong with a manifest or a settings file.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -37,11 +31,7 @@
 
 impl fmt::Display for Fault {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(
-            f,
-            "{}: {} is not allowed; give {}.",
-            self.path, self.value, self.allowed
-        )
+        write!(f, "{}: {} is not allowed; give {}.", self.path, self.value, self.allowed)
     }
 }
 
@@ -69,17 +59,10 @@
         checks.fault("(file)", &value, "one JSON object");
         return Err(checks.faults);
     };
-    let unknown: Vec<String> = fields
-        .keys()
-        .filter(|key| !FIELDS.contains(&key.as_str()))
-        .cloned()
-        .collect();
+    let unknown: Vec<String> =
+        fields.keys().filter(|key| !FIELDS.contains(&key.as_str())).cloned().collect();
     for key in unknown {
-        checks.fault(
-            &key,
-            &Value::from(key.as_str()),
-            &format!("only {}", FIELDS.join(", ")),
-        );
+        checks.fault(&key, &Value::from(key.as_str()), &format!("only {}", FIELDS.join(", ")));
     }
     let manifest = Manifest {
         format: checks.field(&mut fields, "format", None),
@@ -94,11 +77,7 @@
         ),
     };
     checks.manifest(&manifest);
-    if checks.faults.is_empty() {
-        Ok(manifest)
-    } else {
-        Err(checks.faults)
-    }
+    if checks.faults.is_empty() { Ok(manifest) } else { Err(checks.faults) }
 }
 
 #[derive(Default)]
@@ -110,11 +89,7 @@
 
 impl Checks {
     fn fault(&mut self, path: &str, value: &Value, allowed: &str) {
-        let fault = Fault {
-            path: path.into(),
-            value: value.to_string(),
-            allowed: allowed.into(),
-        };
+        let fault = Fault { path: path.into(), value: value.to_string(), allowed: allowed.into() };
         self.faults.push(fault);
     }
 
@@ -153,24 +128,14 @@
                 return BTreeMap::new();
             }
             None => {
-                self.require(
-                    !required,
-                    name,
-                    Value::Null,
-                    "this section, which is required",
-                );
+                self.require(!required, name, Value::Null, "this section, which is required");
                 return BTreeMap::new();
             }
         };
         let mut section = BTreeMap::new();
         for (key, value) in entries {
             let path = format!("{name}.{key}");
-            self.require(
-                is_name(&key),
-                &path,
-                key.as_str(),
-                "a name of 1 to 64 of a-z 0-9 - _ .",
-            );
+            self.require(is_name(&key), &path, key.as_str(), "a name of 1 to 64 of a-z 0-9 - _ .");
             match self.read(&path, value) {
                 Some(entry) => {
                     section.insert(key, entry);
@@ -188,11 +153,7 @@
             Ok(entry) => Some(entry),
             Err(error) => {
                 let inner = error.path().to_string();
-                let path = if inner == "." {
-                    path.to_owned()
-                } else {
-                    format!("{path}.{inner}")
-                };
+                let path = if inner == "." { path.to_owned() } else { format!("{path}.{inner}") };
                 let seen = value.pointer(&format!("/{}", inner.replace('.', "/")));
                 let seen = seen.unwrap_or(&value).clone();
                 self.fault(&path, &seen, &error.inner().to_string());
@@ -205,23 +166,13 @@
         self.require(manifest.format == FORMAT, "format", manifest.format, "1");
         let window = manifest.idempotency_window_s;
         let allowed = "1 to 604800 seconds";
-        self.require(
-            (1..=MAX_WINDOW_S).contains(&window),
-            "idempotency_window_s",
-            window,
-            allowed,
-        );
+        self.require((1..=MAX_WINDOW_S).contains(&window), "idempotency_window_s", window, allowed);
         for (name, pool) in &manifest.pools {
             self.pool(&format!("pools.{name}"), pool);
         }
         for (name, model) in &manifest.models {
             let path = format!("models.{name}");
-            self.reference(
-                manifest.pools.contains_key(&model.pool),
-                &path,
-                "pool",
-                &model.pool,
-            );
+            self.reference(manifest.pools.contains_key(&model.pool), &path, "pool", &model.pool);
             self.deadline(&path, model.default_deadline_ms);
             let path = format!("{path}.weights");
             self.require(
@@ -239,12 +190,7 @@
             for method in &service.idempotent_methods {
                 let known = METHODS.contains(&method.as_str());
                 let path = format!("{path}.idempotent_methods");
-                self.require(
-                    known,
-                    &path,
-                    method.as_str(),
-                    &format!("any of {METHODS:?}"),
-                );
+                self.require(known, &path, method.as_str(), &format!("any of {METHODS:?}"));
             }
         }
         self.workspaces(manifest);
@@ -252,10 +198,9 @@
 
     fn pool(&mut self, path: &str, pool: &Pool) {
         let allowed = "1 to 100000";
-        for (name, count) in [
-            ("max_in_flight", pool.max_in_flight),
-            ("max_waiting", pool.max_waiting),
-        ] {
+        for (name, count) in
+            [("max_in_flight", pool.max_in_flight), ("max_waiting", pool.max_waiting)]
+        {
             let path = format!("{path}.{name}");
             self.require((1..=MAX_COUNT).contains(&count), &path, count, allowed);
         }
@@ -264,12 +209,7 @@
     fn deadline(&mut self, path: &str, deadline: u64) {
         let path = format!("{path}.default_deadline_ms");
         let allowed = "1 to 86400000 milliseconds";
-        self.require(
-            (1..=MAX_DEADLINE_MS).contains(&deadline),
-            &path,
-            deadline,
-            allowed,
-        );
+        self.require((1..=MAX_DEADLINE_MS).contains(&deadline), &path, deadline, allowed);
     }
 
     fn reference(&mut self, known: bool, path: &str, section: &str, name: &str) {
@@ -277,11 +217,7 @@
             return;
         }
         let path = format!("{path}.{section}");
-        self.fault(
-            &path,
-            &Value::from(name),
-            &format!("the name of an entry of {section}s"),
-        );
+        self.fault(&path, &Value::from(name), &format!("the name of an entry of {section}s"));
     }
 
     fn workspaces(&mut self, manifest: &Manifest) {
@@ -290,22 +226,12 @@
             let path = format!("workspaces.{name}");
             let share = workspace.share;
             let share_path = format!("{path}.share");
-            self.require(
-                (1..=MAX_SHARE).contains(&share),
-                &share_path,
-                share,
-                "1 to 1000",
-            );
+            self.require((1..=MAX_SHARE).contains(&share), &share_path, share, "1 to 1000");
             for model in &workspace.models {
                 self.reference(manifest.models.contains_key(model), &path, "model", model);
             }
             for service in &workspace.services {
-                self.reference(
-                    manifest.services.contains_key(service),
-                    &path,
-                    "service",
-                    service,
-                );
+                self.reference(manifest.services.contains_key(service), &path, "service", service);
             }
             let ordered = workspace.highest_priority <= workspace.default_priority;
             let priority_path = format!("{path}.default_priority");
@@ -332,7 +258,5 @@
 
 fn is_digest(digest: &str) -> bool {
     digest.len() == DIGEST_DIGITS
-        && digest
-            .bytes()
-            .all(|byte| byte.is_ascii_digit() || (b'a'..=b'f').contains(&byte))
+        && digest.bytes().all(|byte| byte.is_ascii_digit() || (b'a'..=b'f').contains(&byte))
 }
--- a/src/manifest/mod.rs
+++ b/src/manifest/mod.rs
@@ -155,9 +155,7 @@
     /// assert_eq!(Priority::from_name("urgent"), Some(Priority::Urgent));
     /// ```
     pub fn from_name(name: &str) -> Option<Self> {
-        Self::ALL
-            .into_iter()
-            .find(|priority| priority.as_str() == name)
+        Self::ALL.into_iter().find(|priority| priority.as_str() == name)
     }
 }
 
@@ -169,10 +167,8 @@
 pub fn digest(bytes: &[u8]) -> String {
     use sha2::{Digest, Sha256};
     use std::fmt::Write;
-    Sha256::digest(bytes)
-        .iter()
-        .fold(String::new(), |mut text, byte| {
-            write!(text, "{byte:02x}").ok();
-            text
-        })
+    Sha256::digest(bytes).iter().fold(String::new(), |mut text, byte| {
+        write!(text, "{byte:02x}").ok();
+        text
+    })
 }
--- a/src/manifest/state.rs
+++ b/src/manifest/state.rs
@@ -30,12 +30,7 @@
                 owners.insert(digest.clone(), name.clone());
             }
         }
-        Self {
-            generation,
-            published,
-            manifest,
-            owners,
-        }
+        Self { generation, published, manifest, owners }
     }
 
     /// The workspace that the key with this digest belongs to.
@@ -105,15 +100,13 @@
                 }
                 self.accept(replaces.saturating_add(1), record.id, manifest)
             }
-            Body::Checkpoint {
-                generation,
-                published,
-                manifest,
-            } => match generation.cmp(&self.generation()) {
-                Ordering::Less => Verdict::Known,
-                Ordering::Equal => Verdict::Confirmed,
-                Ordering::Greater => self.accept(generation, published, manifest),
-            },
+            Body::Checkpoint { generation, published, manifest } => {
+                match generation.cmp(&self.generation()) {
+                    Ordering::Less => Verdict::Known,
+                    Ordering::Equal => Verdict::Confirmed,
+                    Ordering::Greater => self.accept(generation, published, manifest),
+                }
+            }
         }
     }
 
--- a/src/manifest/tests.rs
+++ b/src/manifest/tests.rs
@@ -46,33 +46,13 @@
         ("/models/m/pool", json!("none"), "models.m.pool"),
         ("/models/m/objective", json!("fast"), "models.m.objective"),
         ("/models/m/weights", json!(""), "models.m.weights"),
-        (
-            "/models/m/default_deadline_ms",
-            json!(0),
-            "models.m.default_deadline_ms",
-        ),
+        ("/models/m/default_deadline_ms", json!(0), "models.m.default_deadline_ms"),
         ("/services/s/pool", json!("none"), "services.s.pool"),
-        (
-            "/services/s/idempotent_methods",
-            json!(["FETCH"]),
-            "services.s.idempotent_methods",
-        ),
+        ("/services/s/idempotent_methods", json!(["FETCH"]), "services.s.idempotent_methods"),
         ("/workspaces/w/share", json!(1001), "workspaces.w.share"),
-        (
-            "/workspaces/w/models",
-            json!(["none"]),
-            "workspaces.w.model",
-        ),
-        (
-            "/workspaces/w/keys_sha256",
-            json!(["0"]),
-            "workspaces.w.keys_sha256",
-        ),
-        (
-            "/workspaces/w/default_priority",
-            json!("high"),
-            "workspaces.w.default_priority",
-        ),
+        ("/workspaces/w/models", json!(["none"]), "workspaces.w.model"),
+        ("/workspaces/w/keys_sha256", json!(["0"]), "workspaces.w.keys_sha256"),
+        ("/workspaces/w/default_priority", json!("high"), "workspaces.w.default_priority"),
         ("/idempotency_window_s", json!(0), "idempotency_window_s"),
     ];
     for (pointer, value, path) in cases {
@@ -91,12 +71,7 @@
     manifest["models"]["m"]["pool"] = json!("none");
     manifest["workspaces"]["w"]["share"] = json!("one");
     manifest["workspaces"]["BAD"] = json!({});
-    let paths = [
-        "models.m.pool",
-        "pools.p.max_in_flight",
-        "workspaces.BAD",
-        "workspaces.w.share",
-    ];
+    let paths = ["models.m.pool", "pools.p.max_in_flight", "workspaces.BAD", "workspaces.w.share"];
     assert_eq!(faults_of(&manifest), paths.map(str::to_owned).into());
     assert_eq!(faults_of(&json!([])).len(), 1);
     assert!(faults_of(&json!({})).contains("workspaces"));
@@ -106,10 +81,7 @@
 fn parse_refuses_shared_key() {
     let mut manifest = sound();
     manifest["workspaces"]["x"] = manifest["workspaces"]["w"].clone();
-    assert_eq!(
-        faults_of(&manifest),
-        BTreeSet::from(["workspaces.x.keys_sha256".to_owned()])
-    );
+    assert_eq!(faults_of(&manifest), BTreeSet::from(["workspaces.x.keys_sha256".to_owned()]));
 }
 
 quickcheck! {
--- a/src/membership/state.rs
+++ b/src/membership/state.rs
@@ -85,9 +85,7 @@
 
     /// Whether it serves `weights` of `model`.
     pub fn serves(&self, model: &str, weights: &str) -> bool {
-        self.weights
-            .get(model)
-            .is_some_and(|versions| versions.contains(weights))
+        self.weights.get(model).is_some_and(|versions| versions.contains(weights))
     }
 }
 
@@ -131,15 +129,12 @@
 
     /// All servers, in the order of their ids.
     pub fn iter(&self) -> impl Iterator<Item = (Key, &Server)> {
-        self.ids
-            .values()
-            .filter_map(|key| Some((*key, self.servers.get(*key)?)))
+        self.ids.values().filter_map(|key| Some((*key, self.servers.get(*key)?)))
     }
 
     /// The servers of `pool`, in the order of their ids.
     pub fn pool<'a>(&'a self, pool: &'a str) -> impl Iterator<Item = (Key, &'a Server)> {
-        self.iter()
-            .filter(move |(_, server)| server.vm.pool == pool)
+        self.iter().filter(move |(_, server)| server.vm.pool == pool)
     }
 
     /// All routers, by id.
@@ -151,12 +146,8 @@
     pub fn replace(&mut self, vms: Vec<Vm>) -> Vec<Notice> {
         let mut notices = Vec::new();
         let listed: BTreeSet<&str> = vms.iter().map(|vm| vm.id.as_str()).collect();
-        let gone: Vec<String> = self
-            .ids
-            .keys()
-            .filter(|id| !listed.contains(id.as_str()))
-            .cloned()
-            .collect();
+        let gone: Vec<String> =
+            self.ids.keys().filter(|id| !listed.contains(id.as_str())).cloned().collect();
         for id in gone {
             if let Some(key) = self.ids.remove(&id) {
                 self.servers.remove(key);
@@ -258,9 +249,7 @@
         let Some(server) = self.servers.get_mut(key) else {
             return;
         };
-        let pause = SUSPECT_BASE
-            .saturating_mul(1 << server.suspect.min(5))
-            .min(SUSPECT_MAX);
+        let pause = SUSPECT_BASE.saturating_mul(1 << server.suspect.min(5)).min(SUSPECT_MAX);
         server.suspect = server.suspect.saturating_add(1);
         server.suspect_until = now + pause;
     }
--- a/src/membership/tests.rs
+++ b/src/membership/tests.rs
@@ -28,13 +28,7 @@
         queued_tokens: 0,
         prefill_tokens_per_s: 0,
         next_seq,
-        events: seqs
-            .map(|seq| CacheEvent {
-                seq,
-                change: Change::Stored,
-                block: seq,
-            })
-            .collect(),
+        events: seqs.map(|seq| CacheEvent { seq, change: Change::Stored, block: seq }).collect(),
     }
 }
 
@@ -87,9 +81,7 @@
     let a = state.find("a").expect("it is listed");
     state.report(Time::ZERO, a, &report("one", 0, 0..0, 0));
     let usable = |state: &State, ms| {
-        state
-            .get(a)
-            .is_some_and(|server| server.is_usable(Duration::from_millis(ms)))
+        state.get(a).is_some_and(|server| server.is_usable(Duration::from_millis(ms)))
     };
     assert!(usable(&state, 0));
     state.suspect(Time::ZERO, a);
--- a/src/ops/mod.rs
+++ b/src/ops/mod.rs
@@ -29,11 +29,7 @@
 impl Operators {
     /// Serves what `control` and `metrics` show.
     pub fn new(entry: Arc<Entry>, control: Control, metrics: Arc<Metrics>) -> Self {
-        Self {
-            entry,
-            control,
-            metrics,
-        }
+        Self { entry, control, metrics }
     }
 
     /// Serves one connection.
@@ -74,11 +70,7 @@
     }
 
     async fn metrics(&self) -> Response {
-        let text = self
-            .control
-            .status()
-            .await
-            .map(|status| self.metrics.text(&status));
+        let text = self.control.status().await.map(|status| self.metrics.text(&status));
         server::text(200, text.unwrap_or_default(), "text/plain; version=0.0.4")
     }
 
@@ -88,10 +80,7 @@
             Err(error) => return refused(&error),
         };
         let candidates = self.control.explain(arrival).await;
-        server::json(
-            200,
-            &json!({ "candidates": candidates.unwrap_or_default() }),
-        )
+        server::json(200, &json!({ "candidates": candidates.unwrap_or_default() }))
     }
 }
 
--- a/src/peer/frame.rs
+++ b/src/peer/frame.rs
@@ -175,10 +175,7 @@
     type Error = Malformed;
 
     fn try_from(frame: wire::Frame) -> Result<Self, Malformed> {
-        match frame
-            .body
-            .ok_or_else(|| Malformed("the frame is empty".into()))?
-        {
+        match frame.body.ok_or_else(|| Malformed("the frame is empty".into()))? {
             wire::Body::Digest(digest) => Ok(Self::Digest(digest.try_into()?)),
             wire::Body::Ask(daemon) => Ok(Self::Ask(daemon)),
             wire::Body::Snapshot(snapshot) => Ok(Self::Snapshot(snapshot.into())),
@@ -193,10 +190,10 @@
             requests: busy.requests,
             pending_tokens: busy.pending_tokens,
         });
-        let heat = digest.heat.into_iter().map(|(level, rate)| wire::Heat {
-            level: level.0,
-            rate: rate as f32,
-        });
+        let heat = digest
+            .heat
+            .into_iter()
+            .map(|(level, rate)| wire::Heat { level: level.0, rate: rate as f32 });
         Self {
             daemon: digest.daemon,
             incarnation: digest.incarnation,
@@ -221,18 +218,10 @@
             return Err(Malformed("a rate is no finite number from 0".into()));
         }
         let busy = digest.busy.into_iter().map(|busy| {
-            (
-                busy.server,
-                Busy {
-                    requests: busy.requests,
-                    pending_tokens: busy.pending_tokens,
-                },
-            )
+            (busy.server, Busy { requests: busy.requests, pending_tokens: busy.pending_tokens })
         });
-        let heat = digest
-            .heat
-            .into_iter()
-            .map(|heat| (prefix::Key(heat.level), f64::from(heat.rate)));
+        let heat =
+            digest.heat.into_iter().map(|heat| (prefix::Key(heat.level), f64::from(heat.rate)));
         Ok(Self {
             daemon: digest.daemon,
             incarnation: digest.incarnation,
--- a/src/peer/link.rs
+++ b/src/peer/link.rs
@@ -24,9 +24,7 @@
 const IDLE: Duration = Duration::from_secs(10);
 
 fn codec() -> LengthDelimitedCodec {
-    LengthDelimitedCodec::builder()
-        .max_frame_length(MAX_FRAME)
-        .new_codec()
+    LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME).new_codec()
 }
 
 /// Outgoing connections, by address.
@@ -40,11 +38,7 @@
     /// no room is dropped.
     pub fn send(&mut self, executor: &Executor<'static>, address: SocketAddr, frame: Frame) {
         let bytes = Bytes::from(frame.encode());
-        let bytes = match self
-            .senders
-            .get(&address)
-            .map(|sender| sender.try_send(bytes.clone()))
-        {
+        let bytes = match self.senders.get(&address).map(|sender| sender.try_send(bytes.clone())) {
             Some(Ok(()) | Err(TrySendError::Full(_))) => return,
             Some(Err(TrySendError::Closed(bytes))) => bytes,
             None => bytes,
--- a/src/peer/tests.rs
+++ b/src/peer/tests.rs
@@ -11,13 +11,7 @@
         daemon: "router-0".into(),
         incarnation: 7,
         generation: 3,
-        busy: BTreeMap::from([(
-            "engine".into(),
-            Busy {
-                requests: 1,
-                pending_tokens: 2,
-            },
-        )]),
+        busy: BTreeMap::from([("engine".into(), Busy { requests: 1, pending_tokens: 2 })]),
         heat: vec![(Key(u64::MAX), 0.5)],
         leaving: vec!["gone".into()],
         draining: true,
@@ -26,30 +20,16 @@
 
 #[test]
 fn decode_what_was_encoded() {
-    let snapshot = Snapshot {
-        generation: 4,
-        manifest: "{}".into(),
-        ..Snapshot::default()
-    };
-    for frame in [
-        Frame::Digest(digest()),
-        Frame::Ask("r".into()),
-        Frame::Snapshot(snapshot),
-    ] {
+    let snapshot = Snapshot { generation: 4, manifest: "{}".into(), ..Snapshot::default() };
+    for frame in [Frame::Digest(digest()), Frame::Ask("r".into()), Frame::Snapshot(snapshot)] {
         assert_eq!(Frame::decode(&frame.clone().encode()), Ok(frame));
     }
 }
 
 #[test]
 fn decode_refuses_nonsense() {
-    let nameless = Frame::Digest(Digest {
-        daemon: String::new(),
-        ..digest()
-    });
-    let endless = Frame::Digest(Digest {
-        heat: vec![(Key(1), f64::INFINITY)],
-        ..digest()
-    });
+    let nameless = Frame::Digest(Digest { daemon: String::new(), ..digest() });
+    let endless = Frame::Digest(Digest { heat: vec![(Key(1), f64::INFINITY)], ..digest() });
     for frame in [nameless, endless] {
         assert!(Frame::decode(&frame.encode()).is_err());
     }
--- a/src/placement/choose.rs
+++ b/src/placement/choose.rs
@@ -74,11 +74,7 @@
     let first = ask.prefix.level(0);
     let second = ask.prefix.level(1);
     let ranks = ranks(first, candidates);
-    let best = candidates
-        .iter()
-        .map(|candidate| candidate.depth)
-        .max()
-        .unwrap_or(0);
+    let best = candidates.iter().map(|candidate| candidate.depth).max().unwrap_or(0);
     let nest = second.and_then(|level| nest_home(level, ask.copies, &ranks, candidates));
     let nest_cold = ask.prefix.levels.get(1).is_some_and(|end| best < *end);
     let mut scored: Vec<Scored> = candidates
@@ -95,9 +91,7 @@
 }
 
 fn score(ask: Ask<'_>, candidate: &Candidate, rank: usize, best: usize, off_nest: bool) -> Scored {
-    let cached = (candidate.depth as u32)
-        .saturating_mul(BLOCK_TOKENS)
-        .min(ask.tokens);
+    let cached = (candidate.depth as u32).saturating_mul(BLOCK_TOKENS).min(ask.tokens);
     let uncached = ask.tokens - cached;
     let predicted_ms = candidate.wait_ms + f64::from(uncached) * candidate.token_ms;
     let mut cost = predicted_ms;
--- a/src/placement/heat.rs
+++ b/src/placement/heat.rs
@@ -31,14 +31,8 @@
     /// Notes a request of `level` that takes `work_ms` of engine time.
     pub fn note(&mut self, now: Time, level: Key, work_ms: f64) {
         let gain = work_ms * std::f64::consts::LN_2 / HALF_LIFE.as_secs_f64();
-        let rate = self.own.entry(level).or_insert(Rate {
-            per_s: 0.0,
-            at: now,
-        });
-        *rate = Rate {
-            per_s: rate.now(now) + gain,
-            at: now,
-        };
+        let rate = self.own.entry(level).or_insert(Rate { per_s: 0.0, at: now });
+        *rate = Rate { per_s: rate.now(now) + gain, at: now };
         if self.own.len() > MAX_LEVELS {
             self.forget_coldest(now);
         }
@@ -51,11 +45,8 @@
 
     /// The `count` hottest levels with their rates.
     pub fn top(&self, now: Time, count: usize) -> Vec<(Key, f64)> {
-        let mut rates: Vec<(Key, f64)> = self
-            .own
-            .iter()
-            .map(|(key, rate)| (*key, rate.now(now)))
-            .collect();
+        let mut rates: Vec<(Key, f64)> =
+            self.own.iter().map(|(key, rate)| (*key, rate.now(now))).collect();
         rates.sort_by(|a, b| b.1.total_cmp(&a.1).then(a.0.cmp(&b.0)));
         rates.truncate(count);
         rates
@@ -63,9 +54,6 @@
 
     fn forget_coldest(&mut self, now: Time) {
         let kept = self.top(now, MAX_LEVELS / 2);
-        self.own = kept
-            .into_iter()
-            .map(|(key, per_s)| (key, Rate { per_s, at: now }))
-            .collect();
+        self.own = kept.into_iter().map(|(key, per_s)| (key, Rate { per_s, at: now })).collect();
     }
 }
--- a/src/placement/tests.rs
+++ b/src/placement/tests.rs
@@ -66,14 +66,7 @@
             for (index, candidate) in busy.iter_mut().enumerate() {
                 candidate.wait_ms = f64::from((load * 7 + index as u32 * 13) % 40 * 3);
             }
-            choose(
-                Ask {
-                    copies: 4,
-                    ..ask(&prefix)
-                },
-                &busy,
-            )[0]
-            .rank
+            choose(Ask { copies: 4, ..ask(&prefix) }, &busy)[0].rank
         })
         .collect();
     assert!(homes.iter().all(|rank| *rank < 4), "{homes:?}");
@@ -85,10 +78,7 @@
     let prefix = prefix(1);
     let mut servers = candidates(4);
     let home = choose(ask(&prefix), &servers)[0].key;
-    let holder = servers
-        .iter_mut()
-        .find(|candidate| candidate.key != home)
-        .expect("another");
+    let holder = servers.iter_mut().find(|candidate| candidate.key != home).expect("another");
     holder.depth = 12;
     let holder = holder.key;
     assert_eq!(choose(ask(&prefix), &servers)[0].key, holder);
@@ -98,17 +88,10 @@
     };
     wait(&mut servers, 1_000.0);
     assert_ne!(choose(ask(&prefix), &servers)[0].key, holder);
-    let waste = Ask {
-        objective: Objective::WastedRecomputation,
-        ..ask(&prefix)
-    };
+    let waste = Ask { objective: Objective::WastedRecomputation, ..ask(&prefix) };
     wait(&mut servers, 400.0);
     assert_ne!(choose(ask(&prefix), &servers)[0].key, holder);
-    assert_eq!(
-        choose(waste, &servers)[0].key,
-        holder,
-        "waste weighs more there"
-    );
+    assert_eq!(choose(waste, &servers)[0].key, holder, "waste weighs more there");
 }
 
 #[test]
@@ -117,16 +100,7 @@
     let mut servers = candidates(2);
     servers[0].free = false;
     servers[1].free = false;
-    assert!(
-        choose(
-            Ask {
-                free_only: true,
-                ..ask(&prefix)
-            },
-            &servers
-        )
-        .is_empty()
-    );
+    assert!(choose(Ask { free_only: true, ..ask(&prefix) }, &servers).is_empty());
     assert_eq!(choose(ask(&prefix), &servers).len(), 2);
 }
 
@@ -140,17 +114,8 @@
     for level in 0..10_000 {
         heat.note(Duration::from_secs(1), Key(level), 0.001);
     }
-    assert_eq!(
-        heat.top(Duration::from_secs(1), usize::MAX)
-            .len()
-            .max(4_096),
-        4_096
-    );
-    assert_eq!(
-        heat.top(Duration::from_secs(1), 1)[0].0,
-        Key(1),
-        "the hottest is kept"
-    );
+    assert_eq!(heat.top(Duration::from_secs(1), usize::MAX).len().max(4_096), 4_096);
+    assert_eq!(heat.top(Duration::from_secs(1), 1)[0].0, Key(1), "the hottest is kept");
 }
 
 quickcheck! {
--- a/src/platform/log.rs
+++ b/src/platform/log.rs
@@ -87,20 +87,13 @@
     match send_json(address, Method::Post, &path, Some(text), LIMITS).await {
         Ok((StatusCode::Created, body)) => {
             let landed: Result<Landed, _> = serde_json::from_slice(&body);
-            landed
-                .map(|landed| landed.offset)
-                .map_err(|_| Appended::Unknown)
+            landed.map(|landed| landed.offset).map_err(|_| Appended::Unknown)
         }
         Ok((StatusCode::TooManyRequests | StatusCode::ServiceUnavailable, _)) => {
             Err(Appended::Refused)
         }
         Ok(_) => Err(Appended::Unknown),
-        Err(Failure {
-            stage: Stage::Unsent,
-            ..
-        }) => Err(Appended::Refused),
-        Err(Failure {
-            stage: Stage::Sent, ..
-        }) => Err(Appended::Unknown),
+        Err(Failure { stage: Stage::Unsent, .. }) => Err(Appended::Refused),
+        Err(Failure { stage: Stage::Sent, .. }) => Err(Appended::Unknown),
     }
 }
--- a/src/prefix/residency.rs
+++ b/src/prefix/residency.rs
@@ -23,10 +23,7 @@
 impl Residency {
     /// An empty table of at most `limit` entries of (block, server).
     pub fn new(limit: usize) -> Self {
-        Self {
-            limit,
-            ..Self::default()
-        }
+        Self { limit, ..Self::default() }
     }
 
     /// Number of (block, server) entries.
--- a/src/prefix/tests.rs
+++ b/src/prefix/tests.rs
@@ -13,14 +13,7 @@
 
 #[test]
 fn root_parts_do_not_run_together() {
-    let scope = |workspace, model| {
-        root(Scope {
-            workspace,
-            model,
-            weights: "",
-            adapter: "",
-        })
-    };
+    let scope = |workspace, model| root(Scope { workspace, model, weights: "", adapter: "" });
     assert_ne!(scope("ab", "c"), scope("a", "bc"));
 }
 
@@ -41,11 +34,7 @@
     let levels = |bounds: &[usize]| Prefix::new(Key(1), &prompt, bounds).levels;
     assert_eq!(levels(&[]), [DEFAULT_LEVEL_BLOCKS]);
     assert_eq!(levels(&[2 * BLOCK_BYTES, 5 * BLOCK_BYTES + 1]), [2, 5]);
-    assert_eq!(
-        levels(&[1, 2]),
-        [DEFAULT_LEVEL_BLOCKS],
-        "bounds within the first block"
-    );
+    assert_eq!(levels(&[1, 2]), [DEFAULT_LEVEL_BLOCKS], "bounds within the first block");
     assert_eq!(levels(&[usize::MAX]), [10]);
     assert_eq!(Prefix::new(Key(1), b"short", &[3]).level(0), None);
 }
@@ -73,9 +62,7 @@
         let blocks: Vec<Key> = (0..8).map(Key).collect();
         let depth = residency.depth(&blocks);
         let same = (0..3).all(|holder| {
-            let held = (0..8)
-                .take_while(|block| model.contains(&(holder, *block)))
-                .count();
+            let held = (0..8).take_while(|block| model.contains(&(holder, *block))).count();
             depth.get(&server(holder)).copied().unwrap_or(0) == held
         });
         if !same || residency.len() != model.len() {
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -107,11 +107,7 @@
 
 impl Default for Telemetry {
     fn default() -> Self {
-        Self {
-            log_format: LogFormat::Text,
-            log_level: LogLevel::Info,
-            otlp: None,
-        }
+        Self { log_format: LogFormat::Text, log_level: LogLevel::Info, otlp: None }
     }
 }
 
@@ -169,24 +165,10 @@
     }
 
     fn check(&self) -> Result<()> {
-        for (path, name) in [
-            ("id", &self.id),
-            ("region", &self.region),
-            ("zone", &self.zone),
-        ] {
-            require(
-                !name.is_empty() && name.len() <= 128,
-                path,
-                name,
-                "1 to 128 characters",
-            )?;
+        for (path, name) in [("id", &self.id), ("region", &self.region), ("zone", &self.zone)] {
+            require(!name.is_empty() && name.len() <= 128, path, name, "1 to 128 characters")?;
         }
-        require(
-            (1..=64).contains(&self.threads),
-            "threads",
-            self.threads,
-            "1 to 64",
-        )?;
+        require((1..=64).contains(&self.threads), "threads", self.threads, "1 to 64")?;
         let limits = &self.limits;
         let bounds = [
             ("limits.body_bytes", limits.body_bytes, 1 << 30),
@@ -195,29 +177,15 @@
             ("limits.idle_ms", limits.idle_ms, 3_600_000),
             ("limits.connect_ms", limits.connect_ms, 60_000),
             ("limits.answer_begin_ms", limits.answer_begin_ms, 3_600_000),
-            (
-                "limits.vm_list_interval_ms",
-                limits.vm_list_interval_ms,
-                60_000,
-            ),
+            ("limits.vm_list_interval_ms", limits.vm_list_interval_ms, 60_000),
             ("limits.drain_ms", limits.drain_ms, 3_600_000),
         ];
         for (path, value, most) in bounds {
-            require(
-                (1..=most).contains(&value),
-                path,
-                value,
-                &format!("1 to {most}"),
-            )?;
+            require((1..=most).contains(&value), path, value, &format!("1 to {most}"))?;
         }
         let notice = limits.drain_notice_ms;
         let allowed = "0 to drain_ms";
-        require(
-            notice <= limits.drain_ms,
-            "limits.drain_notice_ms",
-            notice,
-            allowed,
-        )
+        require(notice <= limits.drain_ms, "limits.drain_notice_ms", notice, allowed)
     }
 }
 
--- a/src/settings/tests.rs
+++ b/src/settings/tests.rs
@@ -23,27 +23,11 @@
     let cases = [
         ("id", json!(""), "id: "),
         ("listen", json!("here"), "listen: "),
-        (
-            "threads",
-            json!(0),
-            "threads: 0 is not allowed, give 1 to 64",
-        ),
-        (
-            "limits",
-            json!({ "idle_ms": 0 }),
-            "limits.idle_ms: 0 is not allowed",
-        ),
+        ("threads", json!(0), "threads: 0 is not allowed, give 1 to 64"),
+        ("limits", json!({ "idle_ms": 0 }), "limits.idle_ms: 0 is not allowed"),
         ("limits", json!({ "idle": 1 }), "limits.idle: unknown field"),
-        (
-            "limits",
-            json!({ "drain_notice_ms": 9, "drain_ms": 8 }),
-            "limits.drain_notice_ms: 9",
-        ),
-        (
-            "telemetry",
-            json!({ "log_format": "xml" }),
-            "telemetry.log_format: unknown variant",
-        ),
+        ("limits", json!({ "drain_notice_ms": 9, "drain_ms": 8 }), "limits.drain_notice_ms: 9"),
+        ("telemetry", json!({ "log_format": "xml" }), "telemetry.log_format: unknown variant"),
         ("extra", json!(1), "extra: unknown field"),
     ];
     for (field, value, expected) in cases {
@@ -51,11 +35,7 @@
         settings[field] = value;
         let error = Settings::parse(settings.to_string().as_bytes()).expect_err("a fault");
         assert_eq!(error.code, Code::SettingsInvalid);
-        assert!(
-            error.detail.starts_with(expected),
-            "{expected}: {}",
-            error.detail
-        );
+        assert!(error.detail.starts_with(expected), "{expected}: {}", error.detail);
     }
     assert!(Settings::parse(b"{} {}").is_err());
 }
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -9,9 +9,7 @@
 use crate::prelude::*;
 
 /// Upper bounds of the time-to-first-token buckets, in seconds.
-const TTFT_BOUNDS: [f64; 12] = [
-    0.01, 0.025, 0.05, 0.1, 0.2, 0.37, 0.5, 1.0, 2.0, 5.0, 15.0, 60.0,
-];
+const TTFT_BOUNDS: [f64; 12] = [0.01, 0.025, 0.05, 0.1, 0.2, 0.37, 0.5, 1.0, 2.0, 5.0, 15.0, 60.0];
 
 /// The instruments of one daemon.
 #[derive(Debug)]
@@ -47,13 +45,7 @@
             .u64_gauge("cardamomvalve_state")
             .with_description("The daemon's state, by name")
             .build();
-        Ok(Self {
-            registry,
-            _provider: provider,
-            answers,
-            first_token,
-            state,
-        })
+        Ok(Self { registry, _provider: provider, answers, first_token, state })
     }
 
     /// Counts an answer; `code` is 0 where it is the backend server's own.
@@ -70,10 +62,8 @@
 
     /// Notes the time from a request's arrival to its first token.
     pub fn first_token(&self, model: &str, priority: &'static str, time: Duration) {
-        let labels = [
-            KeyValue::new("model", model.to_owned()),
-            KeyValue::new("priority", priority),
-        ];
+        let labels =
+            [KeyValue::new("model", model.to_owned()), KeyValue::new("priority", priority)];
         self.first_token.record(time.as_secs_f64(), &labels);
     }
 
@@ -104,8 +94,6 @@
         for (name, value) in values {
             self.state.record(value, &[KeyValue::new("name", name)]);
         }
-        TextEncoder::new()
-            .encode_to_string(&self.registry.gather())
-            .unwrap_or_default()
+        TextEncoder::new().encode_to_string(&self.registry.gather()).unwrap_or_default()
     }
 }
--- a/src/telemetry/trace.rs
+++ b/src/telemetry/trace.rs
@@ -41,9 +41,7 @@
             sent.insert_header(name.as_str(), value.to_str()?);
         }
         sent.set_body(request.body().to_vec());
-        let answer = client::send(self.address, sent, LIMITS)
-            .await
-            .map_err(|f| f.reason)?;
+        let answer = client::send(self.address, sent, LIMITS).await.map_err(|f| f.reason)?;
         let (head, body) = answer.whole().await.map_err(|failure| failure.reason)?;
         let status = u16::from(head.status());
         Ok(Response::builder().status(status).body(Bytes::from(body))?)
@@ -63,10 +61,8 @@
         .with_attribute(KeyValue::new("service.name", SCOPE))
         .with_attribute(KeyValue::new("service.instance.id", daemon.to_owned()))
         .build();
-    let provider = SdkTracerProvider::builder()
-        .with_batch_exporter(exporter)
-        .with_resource(resource)
-        .build();
+    let provider =
+        SdkTracerProvider::builder().with_batch_exporter(exporter).with_resource(resource).build();
     global::set_tracer_provider(provider.clone());
     Ok(provider)
 }
@@ -98,9 +94,7 @@
 
     /// Notes an attribute.
     pub fn note(&self, key: &'static str, value: impl Into<opentelemetry::Value>) {
-        self.0
-            .span()
-            .set_attribute(KeyValue::new(key, value.into()));
+        self.0.span().set_attribute(KeyValue::new(key, value.into()));
     }
 
     /// The header that passes this span on; `None` where nothing is traced.
--- a/standin/src/cache.rs
+++ b/standin/src/cache.rs
@@ -34,10 +34,7 @@
 
     /// How many leading blocks of `blocks` are held.
     pub fn depth(&self, blocks: &[Key]) -> usize {
-        blocks
-            .iter()
-            .take_while(|block| self.used.contains_key(block))
-            .count()
+        blocks.iter().take_while(|block| self.used.contains_key(block)).count()
     }
 
     /// Uses `blocks`: those that are not held are stored, and the least recently used go.
@@ -63,11 +60,7 @@
     }
 
     fn note(&mut self, change: Change, block: Key) {
-        self.events.push_back(CacheEvent {
-            seq: self.next_seq,
-            change,
-            block: block.0,
-        });
+        self.events.push_back(CacheEvent { seq: self.next_seq, change, block: block.0 });
         self.next_seq += 1;
         if self.events.len() > MAX_EVENTS {
             self.events.pop_front();
--- a/standin/src/call.rs
+++ b/standin/src/call.rs
@@ -19,11 +19,7 @@
 
 /// The command line.
 #[derive(Debug, Parser)]
-#[command(
-    name = "standin-call",
-    version,
-    about = "Sends one HTTP request and prints the answer"
-)]
+#[command(name = "standin-call", version, about = "Sends one HTTP request and prints the answer")]
 pub struct Options {
     /// The method.
     pub method: Method,
@@ -50,9 +46,8 @@
 async fn call(options: &Options) -> eyre::Result<()> {
     let mut request = client::request(options.method, options.address, &options.path)?;
     for pair in &options.headers {
-        let (name, value) = pair
-            .split_once('=')
-            .ok_or_else(|| eyre::eyre!("{pair}: give NAME=VALUE"))?;
+        let (name, value) =
+            pair.split_once('=').ok_or_else(|| eyre::eyre!("{pair}: give NAME=VALUE"))?;
         request.insert_header(name, value);
     }
     if let Some(body) = &options.body {
--- a/standin/src/engine.rs
+++ b/standin/src/engine.rs
@@ -30,11 +30,7 @@
 
 /// The engine's command line.
 #[derive(Debug, Clone, Parser)]
-#[command(
-    name = "standin-engine",
-    version,
-    about = "A stand-in for a model engine"
-)]
+#[command(name = "standin-engine", version, about = "A stand-in for a model engine")]
 pub struct Options {
     /// Where to listen; port 0 takes a free one.
     #[arg(long, default_value = "127.0.0.1:0")]
@@ -111,13 +107,9 @@
 pub fn run(options: &Options) -> eyre::Result<()> {
     let mut weights: BTreeMap<String, BTreeSet<String>> = BTreeMap::new();
     for pair in &options.weights {
-        let (model, version) = pair
-            .split_once('=')
-            .ok_or_else(|| eyre::eyre!("{pair}: give MODEL=VERSION"))?;
-        weights
-            .entry(model.to_owned())
-            .or_default()
-            .insert(version.to_owned());
+        let (model, version) =
+            pair.split_once('=').ok_or_else(|| eyre::eyre!("{pair}: give MODEL=VERSION"))?;
+        weights.entry(model.to_owned()).or_default().insert(version.to_owned());
     }
     let state = State {
         incarnation: format!("{:016x}", fastrand::u64(..)),
@@ -221,11 +213,8 @@
     };
     let model = body["model"].as_str().unwrap_or_default();
     let wanted = serve::value(&whole.request, header::WEIGHTS).unwrap_or_default();
-    let served = state
-        .borrow()
-        .weights
-        .get(model)
-        .is_some_and(|versions| versions.contains(wanted));
+    let served =
+        state.borrow().weights.get(model).is_some_and(|versions| versions.contains(wanted));
     if !served {
         return declined(409, "these weights are not loaded");
     }
@@ -237,10 +226,7 @@
         return declined(status, "declined as told");
     }
     let salt = serve::value(&whole.request, header::CACHE_SALT).unwrap_or("0");
-    let blocks = prefix::chain(
-        Key(u64::from_str_radix(salt, 16).unwrap_or(0)),
-        prompt.as_bytes(),
-    );
+    let blocks = prefix::chain(Key(u64::from_str_radix(salt, 16).unwrap_or(0)), prompt.as_bytes());
     let priority = match serve::value(&whole.request, header::PRIORITY) {
         Some("urgent") => 0,
         Some("background") => 2,
@@ -250,11 +236,7 @@
     let from = serve::value(&whole.request, header::RESUME_FROM);
     let generation = Generation {
         position: from.and_then(|from| from.parse().ok()).unwrap_or(0),
-        prompt: if faults.wrong_attempt {
-            "another prompt".into()
-        } else {
-            prompt.clone()
-        },
+        prompt: if faults.wrong_attempt { "another prompt".into() } else { prompt.clone() },
         count: body["max_tokens"].as_u64().unwrap_or(DEFAULT_TOKENS),
         prompt_tokens: (prompt.len() / BYTES_PER_TOKEN) as u64,
         cached_tokens: cached,
@@ -271,18 +253,10 @@
         let mut state = state.borrow_mut();
         state.arrivals += 1;
         let place = (priority, state.arrivals);
-        state
-            .prefills
-            .insert(place, (prompt.len() / BYTES_PER_TOKEN) as u64);
+        state.prefills.insert(place, (prompt.len() / BYTES_PER_TOKEN) as u64);
         place
     };
-    while state
-        .borrow()
-        .prefills
-        .first_key_value()
-        .map(|(first, _)| *first)
-        != Some(place)
-    {
+    while state.borrow().prefills.first_key_value().map(|(first, _)| *first) != Some(place) {
         Timer::after(LOOK).await;
     }
     // First in line stays first while it computes: a later arrival may not overtake.
@@ -290,10 +264,7 @@
     let held = state.borrow().cache.depth(blocks) as u64 * u64::from(BLOCK_TOKENS);
     let total = (prompt.len() / BYTES_PER_TOKEN) as u64;
     let under_way = (0, 0);
-    state
-        .borrow_mut()
-        .prefills
-        .insert(under_way, total.saturating_sub(held));
+    state.borrow_mut().prefills.insert(under_way, total.saturating_sub(held));
     let speed = u64::from(state.borrow().options.prefill_tokens_per_s);
     let micros = total.saturating_sub(held) * 1_000_000 / speed.max(1);
     Timer::after(Duration::from_micros(micros)).await;
@@ -312,11 +283,7 @@
     weights: &str,
 ) -> Response {
     let attempt = serve::value(&whole.request, header::ATTEMPT).unwrap_or_default();
-    let attempt = if faults.wrong_attempt {
-        "another"
-    } else {
-        attempt
-    };
+    let attempt = if faults.wrong_attempt { "another" } else { attempt };
     let incarnation = if faults.wrong_incarnation {
         "another".into()
     } else {
@@ -359,31 +326,21 @@
     for position in generation.position..generation.count {
         Timer::after(Duration::from_millis(token_ms)).await;
         if faults.cut_after == Some(sent) {
-            sender
-                .send(Err(std::io::ErrorKind::ConnectionReset.into()))
-                .await
-                .ok();
+            sender.send(Err(std::io::ErrorKind::ConnectionReset.into())).await.ok();
             return None;
         }
         sent += 1;
         if faults.omit == Some(position) {
             continue;
         }
-        let copies = if faults.repeat == Some(position) {
-            2
-        } else {
-            1
-        };
+        let copies = if faults.repeat == Some(position) { 2 } else { 1 };
         for _ in 0..copies {
             let event = format!("id: {position}\ndata: {}\n\n", chunk(generation, position));
             sender.send(Ok(event.into_bytes())).await.ok()?;
         }
     }
     if faults.cut_after == Some(sent) {
-        sender
-            .send(Err(std::io::ErrorKind::ConnectionReset.into()))
-            .await
-            .ok();
+        sender.send(Err(std::io::ErrorKind::ConnectionReset.into())).await.ok();
         return None;
     }
     if !faults.no_end {
@@ -398,10 +355,9 @@
     let last = position + 1 == generation.count;
     let reason = if last { json!("length") } else { Value::Null };
     let (object, choice) = match generation.kind {
-        Kind::Text => (
-            "text_completion",
-            json!({ "index": 0, "text": text, "finish_reason": reason }),
-        ),
+        Kind::Text => {
+            ("text_completion", json!({ "index": 0, "text": text, "finish_reason": reason }))
+        }
         Kind::Chat => (
             "chat.completion.chunk",
             json!({ "index": 0, "delta": { "content": text }, "finish_reason": reason }),
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod engine;
 pub mod load;
 pub mod log;
+pub mod replay;
 pub mod serve;
 pub mod service;
 pub mod vms;
--- a/standin/src/load.rs
+++ b/standin/src/load.rs
@@ -111,10 +111,7 @@
 
 /// Sends the load and prints what came of it; an error where any answer was lost or wrong.
 pub fn run(options: &Options) -> eyre::Result<()> {
-    let outside = options
-        .to
-        .iter()
-        .find(|address| !address.ip().is_loopback());
+    let outside = options.to.iter().find(|address| !address.ip().is_loopback());
     if let Some(address) = outside {
         eyre::bail!("{address} is not on loopback; this tool sends load nowhere else");
     }
@@ -131,10 +128,7 @@
     }));
     let tally = tally.borrow();
     print(options, &tally);
-    eyre::ensure!(
-        tally.wrong + tally.failed == 0,
-        "answers were wrong or lost"
-    );
+    eyre::ensure!(tally.wrong + tally.failed == 0, "answers were wrong or lost");
     Ok(())
 }
 
@@ -172,10 +166,7 @@
 
 async fn completion(options: &Options, number: u32, tally: &Rc<RefCell<Tally>>) {
     let client = number % options.clients.max(1);
-    let levels = (
-        options.standard_bytes,
-        options.standard_bytes + options.client_bytes,
-    );
+    let levels = (options.standard_bytes, options.standard_bytes + options.client_bytes);
     let prompt = format!(
         "{}{}case {number}",
         filler("the standard says ", levels.0),
@@ -190,17 +181,13 @@
             }
             Ask::Failed(why) => {
                 tally.borrow_mut().failed += 1;
-                tally
-                    .borrow_mut()
-                    .complain(format!("completion {number}: {why}"));
+                tally.borrow_mut().complain(format!("completion {number}: {why}"));
                 return;
             }
         }
     }
     tally.borrow_mut().failed += 1;
-    tally
-        .borrow_mut()
-        .complain(format!("completion {number}: refused {MAX_ASKS} times"));
+    tally.borrow_mut().complain(format!("completion {number}: refused {MAX_ASKS} times"));
 }
 
 async fn ask(
@@ -270,11 +257,7 @@
     match seconds {
         Some(seconds) => Ask::Again(Duration::from_secs(seconds)),
         None => {
-            let body = answer
-                .whole()
-                .await
-                .map(|(_, body)| body)
-                .unwrap_or_default();
+            let body = answer.whole().await.map(|(_, body)| body).unwrap_or_default();
             Ask::Failed(String::from_utf8_lossy(&body).into_owned())
         }
     }
@@ -289,9 +272,7 @@
 ) -> Ask {
     let mut tally = tally.borrow_mut();
     tally.prompt_tokens += usage["prompt_tokens"].as_u64().unwrap_or(0);
-    tally.cached_tokens += usage["prompt_tokens_details"]["cached_tokens"]
-        .as_u64()
-        .unwrap_or(0);
+    tally.cached_tokens += usage["prompt_tokens_details"]["cached_tokens"].as_u64().unwrap_or(0);
     if text == answer_text(prompt, options.tokens) {
         tally.complete += 1;
     } else {
@@ -328,9 +309,7 @@
         Timer::after(pause).await;
     }
     tally.borrow_mut().failed += 1;
-    tally
-        .borrow_mut()
-        .complain(format!("payment {number}: refused {MAX_ASKS} times"));
+    tally.borrow_mut().complain(format!("payment {number}: refused {MAX_ASKS} times"));
 }
 
 fn print(options: &Options, tally: &Tally) {
--- a/standin/src/log.rs
+++ b/standin/src/log.rs
@@ -22,11 +22,7 @@
 
 /// The log service's command line.
 #[derive(Debug, Parser)]
-#[command(
-    name = "standin-log",
-    version,
-    about = "A stand-in for the platform's log service"
-)]
+#[command(name = "standin-log", version, about = "A stand-in for the platform's log service")]
 pub struct Options {
     /// Where to listen; port 0 takes a free one.
     #[arg(long, default_value = "127.0.0.1:0")]
@@ -73,11 +69,7 @@
     }
 
     fn forget(&mut self, before_ms: u64) {
-        let old = self
-            .lines
-            .iter()
-            .take_while(|line| line.time_ms < before_ms)
-            .count();
+        let old = self.lines.iter().take_while(|line| line.time_ms < before_ms).count();
         self.lines.drain(..old);
         self.first += old as u64;
     }
@@ -94,11 +86,7 @@
     fn append(&mut self, name: &str, text: String) -> u64 {
         let stream = self.streams.entry(name.to_owned()).or_default();
         let offset = stream.next();
-        stream.lines.push(Line {
-            offset,
-            time_ms: now_ms(),
-            text,
-        });
+        stream.lines.push(Line { offset, time_ms: now_ms(), text });
         offset
     }
 
@@ -106,12 +94,7 @@
         let before_ms = now_ms().saturating_sub(self.retention_s * 1_000);
         let stream = self.streams.entry(name.to_owned()).or_default();
         stream.forget(before_ms);
-        let records = stream
-            .lines
-            .iter()
-            .filter(|line| line.offset >= from)
-            .take(limit)
-            .cloned();
+        let records = stream.lines.iter().filter(|line| line.offset >= from).take(limit).cloned();
         Page {
             first: stream.first,
             next: stream.next(),
@@ -122,21 +105,14 @@
 }
 
 fn now_ms() -> u64 {
-    SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .map_or(0, |time| time.as_millis() as u64)
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |time| time.as_millis() as u64)
 }
 
 /// Runs the log service.
 pub fn run(options: &Options) -> eyre::Result<()> {
-    let state = State {
-        retention_s: options.retention_s,
-        ..State::default()
-    };
+    let state = State { retention_s: options.retention_s, ..State::default() };
     let state = Rc::new(RefCell::new(state));
-    serve::run("standin-log", options.listen, move |_, whole| {
-        answer(Rc::clone(&state), whole)
-    })
+    serve::run("standin-log", options.listen, move |_, whole| answer(Rc::clone(&state), whole))
 }
 
 async fn answer(state: Rc<RefCell<State>>, whole: Whole) -> Option<Response> {
@@ -153,10 +129,7 @@
     if faults.mode == Mode::Down {
         return Some(server::empty(503));
     }
-    let name = path
-        .strip_prefix("/streams/")?
-        .strip_suffix("/records")?
-        .to_owned();
+    let name = path.strip_prefix("/streams/")?.strip_suffix("/records")?.to_owned();
     match whole.request.method() {
         Method::Post => append(&state, &name, whole, faults.mode).await,
         _ => Some(read(&state, &name, &whole).await),
--- /dev/null
+++ b/standin/src/replay/world/baselines.rs
@@ -0,0 +1,29 @@
+//! Baselines: daemons that place each request at once, by a simple rule.
+
+use super::*;
+
+impl World {
+    /// What baselines know of load: reported every 200 ms, as late as daemons' own polls.
+    pub(super) fn reports(&mut self) {
+        self.after(Duration::from_millis(REPORT_LAG_MS), Event::Reports);
+        let loads: Vec<u64> = self.engines.iter().map(Engine::queued_tokens).collect();
+        for memory in &mut self.memories {
+            memory.reported.clone_from(&loads);
+        }
+    }
+
+    pub(super) fn place(&mut self, daemon: usize, index: usize, attempt: u32) {
+        let job = self.job(daemon, index, attempt);
+        let prefix = &self.prefixes[index];
+        let objective = self.objective();
+        let policy = self.setup.policy;
+        let memory = &mut self.memories[daemon];
+        let engine = place(policy, memory, &self.engines, &job, prefix, objective, &mut self.rng);
+        let Some(engine) = engine else {
+            return self.after(Duration::from_millis(100), Event::Arrive(index));
+        };
+        self.memories[daemon].reported[engine] += u64::from(job.tokens);
+        self.open.insert(index, (daemon, attempt));
+        self.after(CALLER + APART, Event::Push(engine, Box::new(job)));
+    }
+}
--- a/standin/src/serve.rs
+++ b/standin/src/serve.rs
@@ -59,10 +59,7 @@
     let whole = match server::read(request, &socket, MAX_BODY).await {
         Ok(whole) => whole,
         Err(error) => {
-            return Ok(server::json(
-                400,
-                &serde_json::json!({ "error": error.message() }),
-            ));
+            return Ok(server::json(400, &serde_json::json!({ "error": error.message() })));
         }
     };
     let close = whole.close;
--- a/standin/src/service.rs
+++ b/standin/src/service.rs
@@ -17,11 +17,7 @@
 
 /// The service's command line.
 #[derive(Debug, Parser)]
-#[command(
-    name = "standin-service",
-    version,
-    about = "A stand-in for a plain service"
-)]
+#[command(name = "standin-service", version, about = "A stand-in for a plain service")]
 pub struct Options {
     /// Where to listen; port 0 takes a free one.
     #[arg(long, default_value = "127.0.0.1:0")]
@@ -53,9 +49,7 @@
 /// Runs the service: every request to any path but `/runs` and `/faults` is a run.
 pub fn run(options: &Options) -> eyre::Result<()> {
     let state = Rc::new(RefCell::new(State::default()));
-    serve::run("standin-service", options.listen, move |_, whole| {
-        answer(Rc::clone(&state), whole)
-    })
+    serve::run("standin-service", options.listen, move |_, whole| answer(Rc::clone(&state), whole))
 }
 
 async fn answer(state: Rc<RefCell<State>>, whole: Whole) -> Option<Response> {
@@ -70,16 +64,11 @@
         }
         _ => {}
     }
-    let workspace = serve::value(&whole.request, "x-workspace")
-        .unwrap_or_default()
-        .to_owned();
+    let workspace = serve::value(&whole.request, "x-workspace").unwrap_or_default().to_owned();
     let body = String::from_utf8_lossy(&whole.body).into_owned();
     let (receipt, faults) = {
         let mut state = state.borrow_mut();
-        *state
-            .runs
-            .entry(format!("{workspace} {path} {body}"))
-            .or_default() += 1;
+        *state.runs.entry(format!("{workspace} {path} {body}")).or_default() += 1;
         state.receipts += 1;
         (state.receipts, state.faults.clone())
     };
--- a/standin/src/vms.rs
+++ b/standin/src/vms.rs
@@ -13,11 +13,7 @@
 
 /// The VM list's command line.
 #[derive(Debug, Parser)]
-#[command(
-    name = "standin-vms",
-    version,
-    about = "A stand-in for the platform's VM list"
-)]
+#[command(name = "standin-vms", version, about = "A stand-in for the platform's VM list")]
 pub struct Options {
     /// Where to listen; port 0 takes a free one.
     #[arg(long, default_value = "127.0.0.1:0")]
--- a/standin/tests/common/mod.rs
+++ b/standin/tests/common/mod.rs
@@ -56,13 +56,9 @@
             .expect("the program starts");
         let mut line = String::new();
         let stdout = child.stdout.as_mut().expect("standard output is piped");
-        BufReader::new(stdout)
-            .read_line(&mut line)
-            .expect("a ready line is printed");
+        BufReader::new(stdout).read_line(&mut line).expect("a ready line is printed");
         assert!(line.contains(" ready "), "{name} printed {line:?}");
-        let fields = line
-            .split_whitespace()
-            .filter_map(|word| word.split_once('='));
+        let fields = line.split_whitespace().filter_map(|word| word.split_once('='));
         let ready = fields
             .filter_map(|(name, address)| Some((name.to_owned(), address.parse().ok()?)))
             .collect();
@@ -128,10 +124,7 @@
 
     /// The data of each event of a stream.
     pub fn events(&self) -> Vec<&str> {
-        self.body
-            .lines()
-            .filter_map(|line| line.strip_prefix("data: "))
-            .collect()
+        self.body.lines().filter_map(|line| line.strip_prefix("data: ")).collect()
     }
 
     /// The text of a streamed or whole text completion.
@@ -140,13 +133,8 @@
         if let Some(text) = chunk_text(&self.json()) {
             return text;
         }
-        let chunks = self
-            .events()
-            .into_iter()
-            .filter_map(|data| serde_json::from_str(data).ok());
-        chunks
-            .filter_map(|chunk: Value| chunk_text(&chunk))
-            .collect()
+        let chunks = self.events().into_iter().filter_map(|data| serde_json::from_str(data).ok());
+        chunks.filter_map(|chunk: Value| chunk_text(&chunk)).collect()
     }
 }
 
@@ -166,13 +154,10 @@
         request.insert_header(*name, *value);
     }
     block_on(async {
-        let answer = client::send(address, request, LIMITS)
-            .await
-            .map_err(|f| f.reason)?;
+        let answer = client::send(address, request, LIMITS).await.map_err(|f| f.reason)?;
         let (head, body) = answer.whole().await.map_err(|failure| failure.reason)?;
-        let headers = head
-            .iter()
-            .map(|(name, values)| (name.to_string(), values.last().to_string()));
+        let headers =
+            head.iter().map(|(name, values)| (name.to_string(), values.last().to_string()));
         Ok(Answer {
             status: head.status().into(),
             headers: headers.collect(),
@@ -264,19 +249,11 @@
         }
         for index in 0..fleet.plan.daemons {
             let daemon = fleet.new_daemon(index);
-            fleet.list_vm(
-                &format!("router-{index}"),
-                "router",
-                "",
-                daemon.ready["peer"],
-                index,
-            );
+            fleet.list_vm(&format!("router-{index}"), "router", "", daemon.ready["peer"], index);
             fleet.daemons.push(daemon);
         }
         fleet.put_list();
-        fleet
-            .publish(&manifest())
-            .expect("the manifest is published");
+        fleet.publish(&manifest()).expect("the manifest is published");
         fleet.settle();
         fleet
     }
@@ -336,9 +313,7 @@
 
     /// Publishes with the operators' client; its output, or its exit code and complaint.
     pub fn publish(&self, manifest: &Value) -> Result<String, (i32, String)> {
-        let path = self
-            .dir
-            .join(format!("manifest-{:x}.json", fastrand::u64(..)));
+        let path = self.dir.join(format!("manifest-{:x}.json", fastrand::u64(..)));
         std::fs::write(&path, manifest.to_string()).expect("the manifest is written");
         let output = Command::new(program("cardamomvalve"))
             .arg("publish")
@@ -397,13 +372,7 @@
             json!({ "model": "dga", "prompt": prompt, "max_tokens": tokens, "stream": stream });
         let key = format!("Bearer {LAB}");
         let headers = [("authorization", key.as_str())];
-        call(
-            Method::Post,
-            self.entry(index),
-            "/v1/completions",
-            &headers,
-            &body.to_string(),
-        )
+        call(Method::Post, self.entry(index), "/v1/completions", &headers, &body.to_string())
     }
 
     /// Asks a daemon for a payment.
@@ -411,13 +380,7 @@
         let bearer = format!("Bearer {LAB}");
         let mut headers = vec![("authorization", bearer.as_str())];
         headers.extend(key.map(|key| ("idempotency-key", key)));
-        call(
-            Method::Post,
-            self.entry(index),
-            "/services/pay/payments",
-            &headers,
-            body,
-        )
+        call(Method::Post, self.entry(index), "/services/pay/payments", &headers, body)
     }
 
     /// How often each payment ran, over all services.
@@ -438,11 +401,7 @@
     /// How often the payment with this body ran.
     pub fn runs_of(&self, body: &str) -> u64 {
         let suffix = format!(" {body}");
-        self.runs()
-            .iter()
-            .filter(|(run, _)| run.ends_with(&suffix))
-            .map(|(_, n)| n)
-            .sum()
+        self.runs().iter().filter(|(run, _)| run.ends_with(&suffix)).map(|(_, n)| n).sum()
     }
 }
 
@@ -498,9 +457,7 @@
 pub fn raw(address: SocketAddr, bytes: &[u8]) -> String {
     use std::io::Write;
     let mut stream = std::net::TcpStream::connect(address).expect("it accepts");
-    stream
-        .set_read_timeout(Some(PATIENCE))
-        .expect("a read timeout is set");
+    stream.set_read_timeout(Some(PATIENCE)).expect("a read timeout is set");
     stream.write_all(bytes).expect("it reads");
     stream.shutdown(std::net::Shutdown::Write).ok();
     let mut answer = Vec::new();
--- a/standin/tests/path.rs
+++ b/standin/tests/path.rs
@@ -8,14 +8,7 @@
 use serde_json::{Value, json};
 
 /// Code, status, path, authorization, further headers, body.
-type Case<'a> = (
-    u16,
-    u16,
-    &'a str,
-    Option<&'a str>,
-    &'a [(&'a str, &'a str)],
-    &'a str,
-);
+type Case<'a> = (u16, u16, &'a str, Option<&'a str>, &'a [(&'a str, &'a str)], &'a str);
 
 fn bearer(key: &str) -> String {
     format!("Bearer {key}")
@@ -34,28 +27,17 @@
     let key = bearer(LAB);
     let headers = [("authorization", key.as_str())];
     let body = json!({ "model": "dga", "max_tokens": 2, "messages": [{ "role": "user", "content": "hello" }] });
-    let chat = call(
-        Method::Post,
-        fleet.entry(0),
-        "/v1/chat/completions",
-        &headers,
-        &body.to_string(),
-    )
-    .expect("an answer");
-    assert_eq!(
-        chat.json()["choices"][0]["message"]["content"],
-        answer_text("user\nhello\n", 2)
-    );
+    let chat =
+        call(Method::Post, fleet.entry(0), "/v1/chat/completions", &headers, &body.to_string())
+            .expect("an answer");
+    assert_eq!(chat.json()["choices"][0]["message"]["content"], answer_text("user\nhello\n", 2));
     let models = call(Method::Get, fleet.entry(0), "/v1/models", &headers, "").expect("an answer");
     assert_eq!(models.json()["data"][0]["id"], "dga");
 }
 
 #[test]
 fn refuse_numbered() {
-    let fleet = Fleet::start(Plan {
-        daemons: 1,
-        ..Plan::default()
-    });
+    let fleet = Fleet::start(Plan { daemons: 1, ..Plan::default() });
     let entry = fleet.entry(0);
     let (lab, court) = (bearer(LAB), bearer(COURT));
     let ask = |path: &str, key: Option<&str>, extra: &[(&str, &str)], body: &str| {
@@ -68,69 +50,23 @@
     let cases: [Case; 15] = [
         (1007, 401, path, None, &[], completion),
         (1008, 401, path, Some("Bearer other"), &[], completion),
-        (
-            1009,
-            404,
-            path,
-            Some(&lab),
-            &[],
-            r#"{"model":"none","prompt":"p"}"#,
-        ),
+        (1009, 404, path, Some(&lab), &[], r#"{"model":"none","prompt":"p"}"#),
         (1010, 403, path, Some(&court), &[], completion),
-        (
-            1010,
-            403,
-            path,
-            Some(&lab),
-            &[],
-            r#"{"model":"fees","prompt":"p"}"#,
-        ),
+        (1010, 403, path, Some(&lab), &[], r#"{"model":"fees","prompt":"p"}"#),
         (1011, 404, "/services/none/x", Some(&lab), &[], "x"),
         (1012, 403, "/services/pay/x", Some(&court), &[], "x"),
         (1013, 404, "/v2/other", Some(&lab), &[], ""),
         (1014, 405, "/v1/models", Some(&lab), &[], "x"),
         (1001, 400, path, Some(&lab), &[], "{"),
         (1001, 400, path, Some(&lab), &[], r#"{"model":"dga"}"#),
-        (
-            1006,
-            400,
-            path,
-            Some(&lab),
-            &[("x-priority", "high")],
-            completion,
-        ),
-        (
-            1006,
-            400,
-            path,
-            Some(&lab),
-            &[("x-deadline-ms", "0")],
-            completion,
-        ),
-        (
-            1006,
-            400,
-            path,
-            Some(&lab),
-            &[("x-prefix-levels", "9,5")],
-            completion,
-        ),
-        (
-            1006,
-            400,
-            "/services/pay/x",
-            Some(&lab),
-            &[("idempotency-key", "")],
-            "x",
-        ),
+        (1006, 400, path, Some(&lab), &[("x-priority", "high")], completion),
+        (1006, 400, path, Some(&lab), &[("x-deadline-ms", "0")], completion),
+        (1006, 400, path, Some(&lab), &[("x-prefix-levels", "9,5")], completion),
+        (1006, 400, "/services/pay/x", Some(&lab), &[("idempotency-key", "")], "x"),
     ];
     for (code, status, path, key, extra, body) in cases {
         let answer = ask(path, key, extra, body);
-        assert_eq!(
-            (answer.code(), answer.status),
-            (code, status),
-            "{path} {extra:?} {body}"
-        );
+        assert_eq!((answer.code(), answer.status), (code, status), "{path} {extra:?} {body}");
         assert_eq!(answer.execution(), "not-run");
         assert_eq!(answer.json()["error"]["code"], code);
     }
@@ -139,11 +75,7 @@
 
 #[test]
 fn refuse_raw_framing() {
-    let plan = Plan {
-        daemons: 1,
-        settings: json!({ "body_bytes": 1000 }),
-        ..Plan::default()
-    };
+    let plan = Plan { daemons: 1, settings: json!({ "body_bytes": 1000 }), ..Plan::default() };
     let fleet = Fleet::start(plan);
     let entry = fleet.entry(0);
     let head = format!(
@@ -152,20 +84,11 @@
     let many: String = (0..70).map(|number| format!("x-{number}: 1\r\n")).collect();
     let cases = [
         (1003, "content-length: 100\r\n\r\nshort".to_owned()),
-        (
-            1004,
-            "content-length: 5\r\ncontent-length: 6\r\n\r\nhello!".to_owned(),
-        ),
+        (1004, "content-length: 5\r\ncontent-length: 6\r\n\r\nhello!".to_owned()),
         (1001, "content-length: 5, 6\r\n\r\nhello!".to_owned()),
-        (
-            1001,
-            "content-length: 5\r\ntransfer-encoding: chunked\r\n\r\nhello".to_owned(),
-        ),
+        (1001, "content-length: 5\r\ntransfer-encoding: chunked\r\n\r\nhello".to_owned()),
         (1004, "transfer-encoding: gzip\r\n\r\nhello".to_owned()),
-        (
-            1003,
-            "transfer-encoding: chunked\r\n\r\n5\r\nhel".to_owned(),
-        ),
+        (1003, "transfer-encoding: chunked\r\n\r\n5\r\nhel".to_owned()),
         (1002, "content-length: 1001\r\n\r\n".to_owned()),
         (1006, format!("{many}content-length: 1\r\n\r\nx")),
     ];
@@ -184,10 +107,7 @@
 
 #[test]
 fn close_after_pipelined() {
-    let fleet = Fleet::start(Plan {
-        daemons: 1,
-        ..Plan::default()
-    });
+    let fleet = Fleet::start(Plan { daemons: 1, ..Plan::default() });
     let entry = fleet.entry(0);
     let one = format!(
         "POST /services/pay/x HTTP/1.1\r\nhost: {entry}\r\nauthorization: Bearer {LAB}\r\ncontent-length: 1\r\n\r\n"
@@ -197,51 +117,31 @@
     assert!(answer.contains("connection: close"), "{answer}");
     let reused = raw(entry, format!("{one}c").as_bytes());
     assert!(!reused.contains("connection: close"), "{reused}");
-    assert_eq!(
-        fleet.runs_of("b"),
-        0,
-        "the second request was not run and not answered"
-    );
+    assert_eq!(fleet.runs_of("b"), 0, "the second request was not run and not answered");
 }
 
 #[test]
 fn limit_connections() {
-    let plan = Plan {
-        daemons: 1,
-        settings: json!({ "connections": 2 }),
-        ..Plan::default()
-    };
+    let plan = Plan { daemons: 1, settings: json!({ "connections": 2 }), ..Plan::default() };
     let fleet = Fleet::start(plan);
-    let held: Vec<_> = (0..2)
-        .map(|_| std::net::TcpStream::connect(fleet.entry(0)).expect("it accepts"))
-        .collect();
+    let held: Vec<_> =
+        (0..2).map(|_| std::net::TcpStream::connect(fleet.entry(0)).expect("it accepts")).collect();
     until("a refusal", || {
-        fleet
-            .complete(0, "p", 1, false)
-            .is_ok_and(|answer| answer.code() == 1016)
+        fleet.complete(0, "p", 1, false).is_ok_and(|answer| answer.code() == 1016)
     });
     drop(held);
     until("an answer", || {
-        fleet
-            .complete(0, "p", 1, false)
-            .is_ok_and(|answer| answer.status == 200)
+        fleet.complete(0, "p", 1, false).is_ok_and(|answer| answer.status == 200)
     });
 }
 
 #[test]
 fn service_passes_answers_on() {
-    let fleet = Fleet::start(Plan {
-        services: 2,
-        ..Plan::default()
-    });
+    let fleet = Fleet::start(Plan { services: 2, ..Plan::default() });
     let answer = fleet.pay(0, None, "one").expect("an answer");
     assert_eq!((answer.status, answer.execution()), (200, "done"));
     assert_eq!(answer.json()["request"], "one");
-    assert!(
-        answer
-            .header("x-cardamomvalve-server")
-            .starts_with("service-")
-    );
+    assert!(answer.header("x-cardamomvalve-server").starts_with("service-"));
     let keyed = fleet.pay(0, Some("k1"), "two").expect("an answer");
     let again = fleet.pay(0, Some("\"k1\""), "two").expect("an answer");
     assert_eq!(keyed.body, again.body);
@@ -257,27 +157,17 @@
     let operators = fleet.daemons[0].ready["operators"];
     let get = |path: &str| call(Method::Get, operators, path, &[], "").expect("an answer");
     assert_eq!(get("/healthz").status, 200);
-    fleet
-        .complete(0, &"x".repeat(10_000), 1, false)
-        .expect("an answer");
+    fleet.complete(0, &"x".repeat(10_000), 1, false).expect("an answer");
     let metrics = get("/metrics").body;
-    for name in [
-        "cardamomvalve_answers_total",
-        "cardamomvalve_time_to_first_token_seconds_bucket",
-    ] {
+    for name in ["cardamomvalve_answers_total", "cardamomvalve_time_to_first_token_seconds_bucket"]
+    {
         assert!(metrics.contains(name), "{name} in {metrics}");
     }
     assert_eq!(get("/status").json()["generation"], 1);
     assert_eq!(get("/elsewhere").status, 404);
     let question = json!({ "workspace": "lab", "model": "dga", "prompt": "x".repeat(10_000) });
     let before = get("/status").json()["arrived"].clone();
-    let answer = call(
-        Method::Post,
-        operators,
-        "/explain",
-        &[],
-        &question.to_string(),
-    );
+    let answer = call(Method::Post, operators, "/explain", &[], &question.to_string());
     let candidates = answer.expect("an answer").json()["candidates"].clone();
     assert_eq!(candidates.as_array().map(Vec::len), Some(2));
     assert_eq!(candidates[0]["cached_tokens"], 2304);
@@ -290,9 +180,7 @@
     let Some((head, _)) = text.split_once("\r\n\r\n") else {
         return false;
     };
-    let length = head
-        .lines()
-        .find_map(|line| line.strip_prefix("content-length: "));
+    let length = head.lines().find_map(|line| line.strip_prefix("content-length: "));
     let length: usize = length.and_then(|length| length.parse().ok()).unwrap_or(0);
     bytes.len() >= head.len() + 4 + length
 }
@@ -317,11 +205,7 @@
                 .ok();
         }
     });
-    let plan = Plan {
-        daemons: 1,
-        telemetry: json!({ "otlp": address }),
-        ..Plan::default()
-    };
+    let plan = Plan { daemons: 1, telemetry: json!({ "otlp": address }), ..Plan::default() };
     let fleet = Fleet::start(plan);
     fleet.complete(0, "p", 1, false).expect("an answer");
     fleet.pay(0, Some("k"), "b").expect("an answer");
@@ -337,35 +221,19 @@
 #[test]
 fn serve_without_collector() {
     let telemetry = json!({ "otlp": "127.0.0.1:9" });
-    let fleet = Fleet::start(Plan {
-        daemons: 1,
-        telemetry,
-        ..Plan::default()
-    });
+    let fleet = Fleet::start(Plan { daemons: 1, telemetry, ..Plan::default() });
     for _ in 0..20 {
-        assert_eq!(
-            fleet.complete(0, "p", 1, false).expect("an answer").status,
-            200
-        );
+        assert_eq!(fleet.complete(0, "p", 1, false).expect("an answer").status, 200);
     }
 }
 
 #[test]
 fn publish_race_names_winner() {
-    let fleet = Fleet::start(Plan {
-        daemons: 1,
-        engines: 1,
-        services: 0,
-        ..Plan::default()
-    });
+    let fleet = Fleet::start(Plan { daemons: 1, engines: 1, services: 0, ..Plan::default() });
     let results: Vec<_> = std::thread::scope(|scope| {
-        let publishers: Vec<_> = (0..4)
-            .map(|_| scope.spawn(|| fleet.publish(&manifest())))
-            .collect();
-        publishers
-            .into_iter()
-            .map(|publisher| publisher.join().expect("it ends"))
-            .collect()
+        let publishers: Vec<_> =
+            (0..4).map(|_| scope.spawn(|| fleet.publish(&manifest()))).collect();
+        publishers.into_iter().map(|publisher| publisher.join().expect("it ends")).collect()
     });
     let generation = |index| fleet.status(index)["generation"].as_u64().unwrap_or(0);
     let won = results.iter().filter(|result| result.is_ok()).count() as u64;
@@ -379,22 +247,10 @@
 
 #[test]
 fn publish_lost_answer_reads_back() {
-    let fleet = Fleet::start(Plan {
-        daemons: 1,
-        engines: 1,
-        services: 0,
-        ..Plan::default()
-    });
-    common::put(
-        fleet.log.address(),
-        "/faults",
-        &json!({ "mode": "lose-answers" }),
-    );
+    let fleet = Fleet::start(Plan { daemons: 1, engines: 1, services: 0, ..Plan::default() });
+    common::put(fleet.log.address(), "/faults", &json!({ "mode": "lose-answers" }));
     let result = fleet.publish(&manifest());
-    assert_eq!(
-        result.as_deref().map(str::trim_end),
-        Ok("Generation 2 is in force.")
-    );
+    assert_eq!(result.as_deref().map(str::trim_end), Ok("Generation 2 is in force."));
     let mut invalid: Value = manifest();
     invalid["pools"]["model"]["max_in_flight"] = json!(0);
     assert_eq!(fleet.publish(&invalid).expect_err("it is refused").0, 4);
--- a/standin/tests/stops.rs
+++ b/standin/tests/stops.rs
@@ -10,25 +10,10 @@
 
 /// Sends checked load to all daemons in a thread; it fails where an answer is lost or wrong.
 fn start_load(fleet: &Fleet, requests: u32) -> std::thread::JoinHandle<eyre::Result<()>> {
-    let mut args = vec![
-        "load".to_owned(),
-        "--key".into(),
-        LAB.into(),
-        "--model".into(),
-        "dga".into(),
-    ];
-    args.extend([
-        "--service".into(),
-        "pay".into(),
-        "--concurrency".into(),
-        "6".into(),
-    ]);
-    args.extend([
-        "--pause-ms".into(),
-        "5".into(),
-        "--requests".into(),
-        requests.to_string(),
-    ]);
+    let mut args =
+        vec!["load".to_owned(), "--key".into(), LAB.into(), "--model".into(), "dga".into()];
+    args.extend(["--service".into(), "pay".into(), "--concurrency".into(), "6".into()]);
+    args.extend(["--pause-ms".into(), "5".into(), "--requests".into(), requests.to_string()]);
     for index in 0..fleet.daemons.len() {
         args.extend(["--to".into(), fleet.entry(index).to_string()]);
     }
@@ -37,30 +22,19 @@
 
 #[test]
 fn planned_stop_of_each_daemon_cuts_nothing() {
-    let mut fleet = Fleet::start(Plan {
-        daemons: 3,
-        ..Plan::default()
-    });
+    let mut fleet = Fleet::start(Plan { daemons: 3, ..Plan::default() });
     let load = start_load(&fleet, 600);
     for index in 0..2 {
-        until("load on it", || {
-            fleet.status(index)["arrived"].as_u64() > Some(20)
-        });
+        until("load on it", || fleet.status(index)["arrived"].as_u64() > Some(20));
         fleet.daemons[index].signal(Signal::TERM);
         assert!(fleet.daemons[index].wait(), "the stop ends well");
     }
-    load.join()
-        .expect("it ends")
-        .expect("no answer is lost or wrong");
+    load.join().expect("it ends").expect("no answer is lost or wrong");
 }
 
 #[test]
 fn planned_stop_waits_for_its_streams() {
-    let plan = Plan {
-        daemons: 1,
-        engine_args: vec!["--token-ms", "10"],
-        ..Plan::default()
-    };
+    let plan = Plan { daemons: 1, engine_args: vec!["--token-ms", "10"], ..Plan::default() };
     let mut fleet = Fleet::start(plan);
     std::thread::scope(|scope| {
         let asking = scope.spawn(|| fleet.complete(0, "p", 150, true));
@@ -76,69 +50,42 @@
 
 #[test]
 fn daemon_killed_under_load_loses_nothing_and_serves_again() {
-    let mut fleet = Fleet::start(Plan {
-        daemons: 3,
-        ..Plan::default()
-    });
+    let mut fleet = Fleet::start(Plan { daemons: 3, ..Plan::default() });
     let load = start_load(&fleet, 600);
-    until("load on it", || {
-        fleet.status(0)["arrived"].as_u64() > Some(20)
-    });
+    until("load on it", || fleet.status(0)["arrived"].as_u64() > Some(20));
     fleet.daemons[0].kill();
     fleet.restart_daemon(0);
     until("it is ready", || fleet.is_ready(0));
-    until("it serves", || {
-        fleet
-            .complete(0, "p", 1, false)
-            .is_ok_and(|a| a.status == 200)
-    });
-    load.join()
-        .expect("it ends")
-        .expect("no answer is lost or wrong");
+    until("it serves", || fleet.complete(0, "p", 1, false).is_ok_and(|a| a.status == 200));
+    load.join().expect("it ends").expect("no answer is lost or wrong");
 }
 
 #[test]
 fn restart_with_log_down_serves_from_peers() {
-    let mut fleet = Fleet::start(Plan {
-        daemons: 2,
-        ..Plan::default()
-    });
+    let mut fleet = Fleet::start(Plan { daemons: 2, ..Plan::default() });
     let paid = fleet.pay(0, Some("k"), "paid").expect("an answer");
     until("the peer knows", || {
-        fleet
-            .pay(1, Some("k"), "paid")
-            .is_ok_and(|answer| answer.body == paid.body)
+        fleet.pay(1, Some("k"), "paid").is_ok_and(|answer| answer.body == paid.body)
     });
     put(fleet.log.address(), "/faults", &json!({ "mode": "down" }));
     fleet.daemons[0].kill();
     fleet.restart_daemon(0);
     until("it is ready", || fleet.is_ready(0));
-    until("it serves", || {
-        fleet
-            .complete(0, "p", 1, false)
-            .is_ok_and(|a| a.status == 200)
-    });
+    until("it serves", || fleet.complete(0, "p", 1, false).is_ok_and(|a| a.status == 200));
     // What the peer knew of the ledger came along.
     until("the receipt", || {
-        fleet
-            .pay(0, Some("k"), "paid")
-            .is_ok_and(|answer| answer.body == paid.body)
+        fleet.pay(0, Some("k"), "paid").is_ok_and(|answer| answer.body == paid.body)
     });
     assert_eq!(fleet.runs_of("paid"), 1);
 }
 
 #[test]
 fn herd_restart_serves_from_the_log() {
-    let mut fleet = Fleet::start(Plan {
-        daemons: 4,
-        ..Plan::default()
-    });
+    let mut fleet = Fleet::start(Plan { daemons: 4, ..Plan::default() });
     let paid = fleet.pay(0, Some("k"), "paid").expect("an answer");
     assert_eq!(paid.status, 200);
     until("the outcome on the log", || {
-        fleet
-            .pay(1, Some("k"), "paid")
-            .is_ok_and(|answer| answer.body == paid.body)
+        fleet.pay(1, Some("k"), "paid").is_ok_and(|answer| answer.body == paid.body)
     });
     for daemon in &mut fleet.daemons {
         daemon.kill();
@@ -148,35 +95,20 @@
     }
     fleet.settle();
     for index in 0..4 {
-        assert_eq!(
-            fleet
-                .complete(index, "p", 1, false)
-                .expect("an answer")
-                .status,
-            200
-        );
-        assert_eq!(
-            fleet.pay(index, Some("k"), "paid").expect("an answer").body,
-            paid.body
-        );
+        assert_eq!(fleet.complete(index, "p", 1, false).expect("an answer").status, 200);
+        assert_eq!(fleet.pay(index, Some("k"), "paid").expect("an answer").body, paid.body);
     }
     assert_eq!(fleet.runs_of("paid"), 1);
 }
 
 #[test]
 fn restart_of_all_with_log_down_says_so() {
-    let mut fleet = Fleet::start(Plan {
-        daemons: 1,
-        ..Plan::default()
-    });
+    let mut fleet = Fleet::start(Plan { daemons: 1, ..Plan::default() });
     put(fleet.log.address(), "/faults", &json!({ "mode": "down" }));
     fleet.daemons[0].kill();
     fleet.restart_daemon(0);
     let answer = fleet.complete(0, "p", 1, false).expect("an answer");
-    assert_eq!(
-        (answer.status, answer.code(), answer.execution()),
-        (503, 2001, "not-run")
-    );
+    assert_eq!((answer.status, answer.code(), answer.execution()), (503, 2001, "not-run"));
     assert!(!fleet.is_ready(0));
     put(fleet.log.address(), "/faults", &json!({}));
     until("it is ready", || fleet.is_ready(0));
@@ -196,26 +128,19 @@
     let generated = |index: usize| {
         let address = fleet.engines[index].address();
         let answer = common::call(http_types::Method::Get, address, "/counts", &[], "");
-        answer.expect("it answers").json()["generated"]
-            .as_u64()
-            .unwrap_or(0)
+        answer.expect("it answers").json()["generated"].as_u64().unwrap_or(0)
     };
     let before = generated(0);
     for number in 0..20 {
         let prompt = number.to_string().repeat(5_000);
-        fleet
-            .complete(number % 2, &prompt, 1, false)
-            .expect("an answer");
+        fleet.complete(number % 2, &prompt, 1, false).expect("an answer");
     }
     assert_eq!((generated(0), generated(1)), (before, 20));
 }
 
 #[test]
 fn manifest_reaches_cut_off_and_frozen_daemons() {
-    let fleet = Fleet::start(Plan {
-        daemons: 3,
-        ..Plan::default()
-    });
+    let fleet = Fleet::start(Plan { daemons: 3, ..Plan::default() });
     fleet.daemons[2].signal(Signal::STOP);
     for generation in 2..=4 {
         fleet.publish(&manifest()).expect("it is published");
@@ -224,29 +149,21 @@
         });
     }
     fleet.daemons[2].signal(Signal::CONT);
-    until("the frozen one has it", || {
-        fleet.status(2)["generation"] == 4
-    });
+    until("the frozen one has it", || fleet.status(2)["generation"] == 4);
     // A grant that is taken away is refused everywhere at once.
     let mut without = manifest();
     without["workspaces"]["lab"]["models"] = json!([]);
     fleet.publish(&without).expect("it is published");
     for index in 0..3 {
         until("the grant is gone", || {
-            fleet
-                .complete(index, "p", 1, false)
-                .is_ok_and(|answer| answer.code() == 1010)
+            fleet.complete(index, "p", 1, false).is_ok_and(|answer| answer.code() == 1010)
         });
     }
 }
 
 #[test]
 fn manifest_outlives_retention() {
-    let mut fleet = Fleet::start(Plan {
-        daemons: 1,
-        retention_s: 2,
-        ..Plan::default()
-    });
+    let mut fleet = Fleet::start(Plan { daemons: 1, retention_s: 2, ..Plan::default() });
     // The first publication is forgotten; checkpoints carry it on.
     std::thread::sleep(std::time::Duration::from_secs(4));
     fleet.daemons[0].kill();
--- a/standin/tests/streams.rs
+++ b/standin/tests/streams.rs
@@ -21,24 +21,14 @@
 
 /// Whether a streamed answer is whole and in order.
 fn assert_whole(answer: &common::Answer, prompt: &str, tokens: u64) {
-    assert_eq!(
-        answer.text(),
-        answer_text(prompt, tokens),
-        "{}",
-        answer.body
-    );
+    assert_eq!(answer.text(), answer_text(prompt, tokens), "{}", answer.body);
     assert_eq!(answer.events().last(), Some(&"[DONE]"));
 }
 
 #[test]
 fn stream_survives_each_fault() {
-    let fleet = Fleet::start(Plan {
-        daemons: 1,
-        ..Plan::default()
-    });
-    let mut faults: Vec<Value> = (0..=TOKENS)
-        .map(|cut| json!({ "cut_after": cut }))
-        .collect();
+    let fleet = Fleet::start(Plan { daemons: 1, ..Plan::default() });
+    let mut faults: Vec<Value> = (0..=TOKENS).map(|cut| json!({ "cut_after": cut })).collect();
     faults.extend((0..TOKENS).map(|position| json!({ "repeat": position })));
     faults.extend((0..TOKENS).map(|position| json!({ "omit": position })));
     faults.extend([
@@ -51,18 +41,11 @@
     for (index, fault) in faults.iter().enumerate() {
         fault_all(&fleet, fault);
         let prompt = format!("prompt {index}");
-        let answer = fleet
-            .complete(0, &prompt, TOKENS, index % 2 == 0)
-            .expect("an answer");
+        let answer = fleet.complete(0, &prompt, TOKENS, index % 2 == 0).expect("an answer");
         if index % 2 == 0 {
             assert_whole(&answer, &prompt, TOKENS);
         } else {
-            assert_eq!(
-                answer.text(),
-                answer_text(&prompt, TOKENS),
-                "{fault}: {}",
-                answer.body
-            );
+            assert_eq!(answer.text(), answer_text(&prompt, TOKENS), "{fault}: {}", answer.body);
         }
         fault_all(&fleet, &json!({}));
         // Retries are budgeted: a tenth of one is earned with each request.
@@ -74,18 +57,10 @@
 
 #[test]
 fn stream_error_is_explicit() {
-    let fleet = Fleet::start(Plan {
-        engines: 1,
-        daemons: 1,
-        ..Plan::default()
-    });
+    let fleet = Fleet::start(Plan { engines: 1, daemons: 1, ..Plan::default() });
     fault_all(&fleet, &json!({ "omit": 3, "always": true }));
     let answer = fleet.complete(0, "p", TOKENS, true).expect("a whole body");
-    assert!(
-        answer.body.contains("event: error\ndata: "),
-        "{}",
-        answer.body
-    );
+    assert!(answer.body.contains("event: error\ndata: "), "{}", answer.body);
     assert!(answer.body.contains("\"code\":3004"), "{}", answer.body);
     assert!(!answer.body.contains("[DONE]"));
     assert_eq!(answer.text(), answer_text("p", 3));
@@ -93,10 +68,7 @@
 
 #[test]
 fn decline_for_good_is_passed_on() {
-    let fleet = Fleet::start(Plan {
-        daemons: 1,
-        ..Plan::default()
-    });
+    let fleet = Fleet::start(Plan { daemons: 1, ..Plan::default() });
     fault_all(&fleet, &json!({ "decline": 422 }));
     let answer = fleet.complete(0, "p", 1, false).expect("an answer");
     assert_eq!((answer.status, answer.execution()), (422, "not-run"));
@@ -110,24 +82,12 @@
         let body = json!({ "model": "dga", "prompt": "slow", "max_tokens": 40, "stream": true });
         let key = format!("Bearer {LAB}");
         let headers = [("authorization", key.as_str())];
-        call(
-            Method::Post,
-            entry,
-            "/v1/completions",
-            &headers,
-            &body.to_string(),
-        )
+        call(Method::Post, entry, "/v1/completions", &headers, &body.to_string())
     });
     let mut busy = 0;
     until("a stream under way", || {
         let running = |index: usize| {
-            let report = call(
-                Method::Get,
-                fleet.engines[index].address(),
-                "/report",
-                &[],
-                "",
-            );
+            let report = call(Method::Get, fleet.engines[index].address(), "/report", &[], "");
             report.is_ok_and(|report| report.json()["running"] != 0)
         };
         let found = (0..fleet.engines.len()).find(|index| running(*index));
@@ -140,11 +100,7 @@
 }
 
 fn slow() -> Plan {
-    Plan {
-        daemons: 1,
-        engine_args: vec!["--token-ms", "20"],
-        ..Plan::default()
-    }
+    Plan { daemons: 1, engine_args: vec!["--token-ms", "20"], ..Plan::default() }
 }
 
 #[test]
@@ -155,9 +111,8 @@
 
 #[test]
 fn stream_continues_when_engine_freezes() {
-    let (_fleet, answer) = harm_mid_stream(slow(), |fleet, busy| {
-        fleet.engines[busy].signal(Signal::STOP)
-    });
+    let (_fleet, answer) =
+        harm_mid_stream(slow(), |fleet, busy| fleet.engines[busy].signal(Signal::STOP));
     assert_whole(&answer, "slow", 40);
 }
 
@@ -171,11 +126,7 @@
     });
     assert_whole(&answer, "slow", 40);
     until("both engines in use", || fleet.sees_all(0));
-    assert_whole(
-        &fleet.complete(0, "again", 3, true).expect("an answer"),
-        "again",
-        3,
-    );
+    assert_whole(&fleet.complete(0, "again", 3, true).expect("an answer"), "again", 3);
 }
 
 #[test]
@@ -187,26 +138,18 @@
             }
         }
         until("the change is seen", || {
-            fleet.status(0)["servers"]
-                .as_array()
-                .is_some_and(|servers| servers.len() == 3)
+            fleet.status(0)["servers"].as_array().is_some_and(|servers| servers.len() == 3)
         });
         std::thread::sleep(Duration::from_millis(500));
         fleet.engines[busy].kill();
     });
     assert!(answer.body.contains("event: error"), "{}", answer.body);
-    assert!(
-        answer_text("slow", 40).starts_with(&answer.text()),
-        "nothing of other weights"
-    );
+    assert!(answer_text("slow", 40).starts_with(&answer.text()), "nothing of other weights");
 }
 
 #[test]
 fn caller_who_leaves_is_cancelled() {
-    let fleet = Fleet::start(Plan {
-        engines: 1,
-        ..slow()
-    });
+    let fleet = Fleet::start(Plan { engines: 1, ..slow() });
     let body = json!({ "model": "dga", "prompt": "p", "max_tokens": 100_000, "stream": true });
     let body = body.to_string();
     let mut stream = std::net::TcpStream::connect(fleet.entry(0)).expect("it accepts");
@@ -227,11 +170,7 @@
 
 #[test]
 fn slow_caller_gets_it_whole() {
-    let plan = Plan {
-        daemons: 1,
-        engine_args: vec!["--token-ms", "0"],
-        ..Plan::default()
-    };
+    let plan = Plan { daemons: 1, engine_args: vec!["--token-ms", "0"], ..Plan::default() };
     let fleet = Fleet::start(plan);
     let body = json!({ "model": "dga", "prompt": "p", "max_tokens": 3_000, "stream": true });
     let body = body.to_string();
@@ -244,13 +183,7 @@
     stream.write_all(request.as_bytes()).expect("it reads");
     // Others are served while this one does not read.
     for _ in 0..5 {
-        assert_eq!(
-            fleet
-                .complete(0, "other", 2, false)
-                .expect("an answer")
-                .status,
-            200
-        );
+        assert_eq!(fleet.complete(0, "other", 2, false).expect("an answer").status, 200);
     }
     let mut answer = String::new();
     stream.read_to_string(&mut answer).expect("it answers");
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -3,17 +3,11 @@
 use std::process::{Command, Output};
 
 fn client(args: &[&str]) -> Output {
-    Command::new(env!("CARGO_BIN_EXE_cardamomvalve"))
-        .args(args)
-        .output()
-        .expect("it runs")
+    Command::new(env!("CARGO_BIN_EXE_cardamomvalve")).args(args).output().expect("it runs")
 }
 
 fn daemon(args: &[&str]) -> Output {
-    Command::new(env!("CARGO_BIN_EXE_cardamomvalved"))
-        .args(args)
-        .output()
-        .expect("it runs")
+    Command::new(env!("CARGO_BIN_EXE_cardamomvalved")).args(args).output().expect("it runs")
 }
 
 fn text(bytes: &[u8]) -> String {
@@ -56,11 +50,7 @@
     let cases: Vec<(Output, i32, &str)> = vec![
         (client(&["check", "/nowhere"]), 9, "CV4008"),
         (client(&["check", broken.path()]), 4, "CV4003"),
-        (
-            client(&["publish", manifest.path(), "--log-service", "127.0.0.1:1"]),
-            6,
-            "CV4005",
-        ),
+        (client(&["publish", manifest.path(), "--log-service", "127.0.0.1:1"]), 6, "CV4005"),
         (client(&["status", "--daemon", "127.0.0.1:1"]), 7, "CV4006"),
         (client(&["status"]), 2, "--daemon"),
         (client(&["unknown"]), 2, "unrecognized"),
@@ -84,16 +74,10 @@
     );
     let complaint = text(&client(&["check", broken.path()]).stderr);
     for path in ["format", "pools.p.max_in_flight", "x"] {
-        assert!(
-            complaint.contains(&format!("\n  {path}: ")),
-            "{path}: {complaint}"
-        );
+        assert!(complaint.contains(&format!("\n  {path}: ")), "{path}: {complaint}");
     }
     let json = text(&client(&["check", broken.path(), "--json"]).stderr);
-    assert!(
-        json.contains("\"path\":\"pools.p.max_in_flight\""),
-        "{json}"
-    );
+    assert!(json.contains("\"path\":\"pools.p.max_in_flight\""), "{json}");
 }
 
 #[test]
@@ -106,12 +90,9 @@
 
 #[test]
 fn client_prints_schemas_tables_and_completions() {
-    for args in [
-        ["schema", "settings"],
-        ["schema", "manifest"],
-        ["codes", "--json"],
-        ["events", "--json"],
-    ] {
+    for args in
+        [["schema", "settings"], ["schema", "manifest"], ["codes", "--json"], ["events", "--json"]]
+    {
         let output = client(&args);
         let value: Result<serde_json::Value, _> = serde_json::from_slice(&output.stdout);
         assert!(output.status.success() && value.is_ok(), "{args:?}");
