Tighten tests that passed with their mechanism off

Cause: 31 mechanisms were turned off one at a time and the tests run; 26 were caught. Missed: a lagging VM list that takes 'leaving' back (every prompt of that test had its home elsewhere), a stream that ends cleanly too early (only unclean ends were tried), and the look at the deadline right before sending (control's own expiry came first). Each now has a case of its own.

--- a/src/control/tests/servers.rs
+++ b/src/control/tests/servers.rs
@@ -49,10 +49,19 @@
     }
 
     fn ask(&mut self, workspace: &str, weights: &str) -> (attempt::Key, Vec<Effect>) {
+        self.ask_about("p", workspace, weights)
+    }
+
+    fn ask_about(
+        &mut self,
+        text: &str,
+        workspace: &str,
+        weights: &str,
+    ) -> (attempt::Key, Vec<Effect>) {
         let request = attempt::Key(1_000 + self.next);
         self.next += 1;
         let salt = root(Scope { workspace, model: "m", weights, adapter: "" });
-        let prompt = "p".repeat(8 * BLOCK_BYTES);
+        let prompt = text.repeat(8 * BLOCK_BYTES);
         let arrival = Arrival {
             request,
             workspace: workspace.into(),
@@ -186,10 +195,11 @@
         // The VM list lags and still calls it live.
         let vms = bench.world.vms();
         bench.apply(Message::Vms(vms));
-        for _ in 0..4 {
-            let (_, effects) = bench.ask("w", "v1");
+        for text in ["a", "b", "c", "d", "e", "f"] {
+            let (request, effects) = bench.ask_about(text, "w", "v1");
             let dispatch = dispatched(&effects).expect("it is dispatched");
             assert_eq!(dispatch.id, "engine-1", "source {source}");
+            bench.ended(request, 1, Outcome::Complete(None));
         }
     }
 }
--- a/src/daemon/control.rs
+++ b/src/daemon/control.rs
@@ -36,7 +36,7 @@
 }
 
 /// What the control thread is sent.
-pub(super) enum Letter {
+pub(crate) enum Letter {
     Message(Message),
     Open(Box<Arrival>, Sender<Command>),
     Status(Sender<Status>),
@@ -64,7 +64,7 @@
 }
 
 impl Control {
-    pub(super) fn new() -> (Self, Receiver<Letter>) {
+    pub(crate) fn new() -> (Self, Receiver<Letter>) {
         let (mailbox, letters) = async_channel::unbounded();
         (Self { mailbox, view: Arc::default(), clock: Clock::start() }, letters)
     }
--- a/src/entry/service.rs
+++ b/src/entry/service.rs
@@ -81,7 +81,7 @@
         self.refused(&call.workspace, &name, Code::OutcomeUnknown.into())
     }
 
-    async fn exchange(
+    pub(super) async fn exchange(
         &self,
         call: &Call,
         path: &str,
--- a/src/entry/tests.rs
+++ b/src/entry/tests.rs
@@ -1,9 +1,23 @@
 //! Request bodies of any shape.
 
+use std::net::TcpListener;
+
+use async_io::block_on;
+use http_types::{Method, Request};
 use quickcheck::quickcheck;
 use serde_json::json;
 
 use super::openai::{Completion, Kind, chunk_text, prompt, whole};
+use super::{Call, Entry};
+use crate::attempt::{self, Dispatch, Outcome};
+use crate::daemon::Control;
+use crate::http::server::Whole;
+use crate::manifest::{self, Force};
+use crate::membership;
+use crate::prelude::*;
+use crate::settings::Settings;
+use crate::telemetry::metrics::Metrics;
+use crate::telemetry::trace::Hop;
 
 #[test]
 fn parse_refuses_each_fault() {
@@ -46,6 +60,53 @@
     assert_eq!(answer["usage"]["x"], 1);
 }
 
+/// An entry without a control thread behind it.
+fn entry() -> Entry {
+    let settings = json!({
+        "id": "router-0", "region": "r", "zone": "z",
+        "listen": "127.0.0.1:0", "peer_listen": "127.0.0.1:0", "operators_listen": "127.0.0.1:0",
+        "log_service": "127.0.0.1:1", "vm_list": "127.0.0.1:1",
+    });
+    let settings = Settings::parse(settings.to_string().as_bytes()).expect("they are sound");
+    let metrics = Arc::new(Metrics::new().expect("instruments"));
+    Entry::new(&settings, Control::new().0, metrics, &Arc::default())
+}
+
+#[test]
+fn exchange_late_sends_nothing() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("an address");
+    let address = listener.local_addr().expect("an address");
+    listener.set_nonblocking(true).expect("it does not wait");
+    let manifest = json!({ "format": 1, "pools": {}, "workspaces": {} }).to_string();
+    let manifest = manifest::parse(manifest.as_bytes()).expect("it is sound");
+    let call = Call {
+        whole: Whole {
+            request: Request::new(Method::Post, "http://localhost/services/pay/x"),
+            body: b"payment".to_vec(),
+            close: false,
+        },
+        force: Arc::new(Force::new(1, String::new(), manifest)),
+        workspace: "w".into(),
+        hop: Hop::first("entry", None),
+        since: Time::ZERO,
+    };
+    let dispatch = Dispatch {
+        attempt: 1,
+        server: membership::Key::default(),
+        id: "service-0".into(),
+        address,
+        incarnation: None,
+        resume: false,
+        deadline: Time::ZERO,
+    };
+    let exchange = entry();
+    let (outcome, answer) =
+        block_on(exchange.exchange(&call, "/x", attempt::Key(0), &dispatch, &call.hop));
+    assert_eq!(outcome, Outcome::Late);
+    assert!(answer.is_none());
+    assert!(listener.accept().is_err(), "no connection was made");
+}
+
 quickcheck! {
     fn parse_any_bytes(bytes: Vec<u8>) -> bool {
         Completion::parse(Kind::Chat, &bytes).is_err()
--- a/standin/src/engine.rs
+++ b/standin/src/engine.rs
@@ -65,6 +65,8 @@
     pub wrong_attempt: bool,
     /// Name another incarnation in the answer.
     pub wrong_incarnation: bool,
+    /// End the stream cleanly, but after this many chunks.
+    pub end_after: Option<u64>,
     /// End the stream without its last event.
     pub no_end: bool,
     /// Decline with this status, as not run.
@@ -329,6 +331,9 @@
             sender.send(Err(std::io::ErrorKind::ConnectionReset.into())).await.ok();
             return None;
         }
+        if faults.end_after == Some(sent) {
+            return None;
+        }
         sent += 1;
         if faults.omit == Some(position) {
             continue;
--- a/standin/tests/streams.rs
+++ b/standin/tests/streams.rs
@@ -31,6 +31,7 @@
     let mut faults: Vec<Value> = (0..=TOKENS).map(|cut| json!({ "cut_after": cut })).collect();
     faults.extend((0..TOKENS).map(|position| json!({ "repeat": position })));
     faults.extend((0..TOKENS).map(|position| json!({ "omit": position })));
+    faults.extend((0..TOKENS).map(|end| json!({ "end_after": end })));
     faults.extend([
         json!({ "no_end": true }),
         json!({ "wrong_attempt": true }),
