Import blocks from an engine that holds them, and charge what a copy displaces

Cause: a hot text's second copy was computed again although an engine held it. Engines that can import now say so and at what cost; a dispatch names the holder, its incarnation and the blocks. An import from an engine that has restarted is computed instead.

Ruled out: import alone. The cost lacked what a copy displaces.

Now 8 where the objective is wasted recomputation and 1 where it is the time to first token.

--- a/src/attempt/message.rs
+++ b/src/attempt/message.rs
@@ -87,10 +87,23 @@
     pub incarnation: Option<String>,
     /// Whether the server holds the stream of an earlier attempt, to be resumed.
     pub resume: bool,
+    /// The blocks that the server is to import rather than compute.
+    pub import: Option<Import>,
     /// When it must have been sent.
     pub deadline: Time,
 }
 
+/// Leading blocks of the prompt that another engine is believed to hold.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Import {
+    /// Where the holder listens.
+    pub address: SocketAddr,
+    /// The incarnation that held them; another one does not.
+    pub incarnation: String,
+    /// How many leading blocks.
+    pub blocks: usize,
+}
+
 /// A final answer that the router makes itself.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Refusal {
--- a/src/attempt/mod.rs
+++ b/src/attempt/mod.rs
@@ -3,7 +3,7 @@
 mod message;
 mod state;
 
-pub use message::{Arrival, Command, Dispatch, Outcome, Refusal, Report, Target};
+pub use message::{Arrival, Command, Dispatch, Import, Outcome, Refusal, Report, Target};
 pub use state::{MAX_ATTEMPTS, Next, Phase, Request, lost, next};
 
 /// A request that this daemon has taken; never used again by the same daemon.
--- a/src/control/arrivals.rs
+++ b/src/control/arrivals.rs
@@ -2,7 +2,7 @@
 
 use super::{Node, Stream};
 use crate::admission::{self, Entry, Full};
-use crate::attempt::{self, Arrival, Command, Dispatch, Phase, Refusal, Request, Target};
+use crate::attempt::{self, Arrival, Command, Dispatch, Import, Phase, Refusal, Request, Target};
 use crate::ledger::{self, Found, Step};
 use crate::membership;
 use crate::prelude::*;
@@ -12,6 +12,16 @@
 /// The part of the time to its deadline that a request is held for a better, full server.
 const HOLD_PART: u32 = 4;
 
+/// Where a request goes, and what it costs there.
+#[derive(Debug, Clone, Copy)]
+struct Choice {
+    server: membership::Key,
+    /// Prompt tokens that the work until the first token is worth.
+    pending_tokens: u32,
+    /// Leading blocks to have after an import; 0 for none.
+    import_blocks: usize,
+}
+
 impl Node {
     pub(super) fn arrive(&mut self, now: Time, arrival: Arrival) {
         self.counts.arrived += 1;
@@ -204,33 +214,35 @@
             let waiting: Vec<attempt::Key> =
                 queue.iter().take(MAX_SCAN).map(|entry| entry.request).collect();
             let placed = waiting.into_iter().find_map(|request| {
-                let server = self.place(now, request)?;
-                Some((request, server))
+                let choice = self.place(now, request)?;
+                Some((request, choice))
             });
-            let Some((request, (server, pending_tokens))) = placed else {
-                return;
-            };
+            let Some((request, choice)) = placed else { return };
             if let Some(queue) = self.queues.get_mut(pool) {
                 queue.take(request);
             }
-            self.dispatch(now, request, server, pending_tokens);
+            self.dispatch(now, request, choice);
         }
     }
 
-    /// The server for a waiting request, with the prompt tokens it has to compute; `None` while
-    /// every fitting one is full, or a full one is worth waiting for.
-    fn place(&self, now: Time, request: attempt::Key) -> Option<(membership::Key, u32)> {
+    /// The server for a waiting request; `None` while every fitting one is full, or a full one is
+    /// worth waiting for.
+    fn place(&self, now: Time, request: attempt::Key) -> Option<Choice> {
         let state = self.requests.get(&request)?;
         if let Some((server, _)) = &state.stream
             && self.holds_stream(now, state)
         {
-            return Some((*server, 0));
+            return Some(Choice { server: *server, pending_tokens: 0, import_blocks: 0 });
         }
         let left = state.arrival.deadline.saturating_sub(state.since);
         let free_only = now >= state.since + left / HOLD_PART;
         let scored = self.score(now, request, free_only);
         let best = scored.first().filter(|scored| scored.free)?;
-        Some((best.key, state.arrival.tokens - best.cached_tokens))
+        Some(Choice {
+            server: best.key,
+            pending_tokens: best.work_tokens,
+            import_blocks: best.import_blocks,
+        })
     }
 
     /// Whether the server that holds the request's broken stream can resume it.
@@ -243,16 +255,35 @@
         })
     }
 
-    fn dispatch(
-        &mut self,
+    /// Where `server` is to import the first `blocks` blocks from: the holder that is least busy.
+    fn import(
+        &self,
         now: Time,
-        request: attempt::Key,
+        state: &Request,
         server: membership::Key,
-        pending_tokens: u32,
-    ) {
-        let Some(state) = self.requests.get(&request) else {
-            return;
-        };
+        blocks: usize,
+    ) -> Option<Import> {
+        if blocks == 0 {
+            return None;
+        }
+        let depth = self.residency.depth(&state.arrival.prefix.blocks);
+        let holders = depth
+            .iter()
+            .filter(|(key, held)| **held >= blocks && **key != server)
+            .filter_map(|(key, _)| Some((*key, self.membership.get(*key)?)))
+            .filter(|(_, holder)| holder.is_reachable());
+        let (_, holder) = holders.min_by_key(|(key, holder)| {
+            let busy = self.fleet_busy(now, *key, &holder.vm.id);
+            (busy.pending_tokens, holder.load.queued_tokens, holder.vm.id.clone())
+        })?;
+        let incarnation = holder.incarnation.clone()?;
+        Some(Import { address: holder.vm.address, incarnation, blocks })
+    }
+
+    fn dispatch(&mut self, now: Time, request: attempt::Key, choice: Choice) {
+        let Choice { server, pending_tokens, import_blocks } = choice;
+        let Some(state) = self.requests.get(&request) else { return };
+        let import = self.import(now, state, server, import_blocks);
         let resume = self.holds_stream(now, state);
         let Some(target) = self.membership.get(server) else {
             return;
@@ -275,6 +306,7 @@
             address,
             incarnation,
             resume,
+            import,
             deadline,
         };
         let blocks = match (&state.arrival.target, state.begun) {
--- a/src/control/candidates.rs
+++ b/src/control/candidates.rs
@@ -100,12 +100,13 @@
             wait_ms: queue_ms + slot_ms,
             token_ms,
             depth: depth.get(&key).copied().unwrap_or(0),
+            import_ms: server.load.import_ms,
             near: server.vm.zone == self.identity.zone,
         }
     }
 
     /// Work at a server from this daemon and, by their digests, from its peers.
-    fn fleet_busy(&self, now: Time, key: membership::Key, id: &str) -> peer::Busy {
+    pub(super) fn fleet_busy(&self, now: Time, key: membership::Key, id: &str) -> peer::Busy {
         let mut sum = self.busy.get(&key).copied().unwrap_or_default();
         for digest in self.fresh_peers(now) {
             if let Some(busy) = digest.busy.get(id) {
--- a/src/control/tests/servers.rs
+++ b/src/control/tests/servers.rs
@@ -19,6 +19,7 @@
         waiting: 0,
         queued_tokens: 0,
         prefill_tokens_per_s: 1_000,
+        import_ms: None,
         next_seq: 0,
         events: Vec::new(),
     }
--- a/src/entry/pump.rs
+++ b/src/entry/pump.rs
@@ -128,6 +128,10 @@
         if let Some(incarnation) = &dispatch.incarnation {
             request.insert_header(header::INCARNATION, incarnation.as_str());
         }
+        if let Some(import) = &dispatch.import {
+            let value = format!("{};{};{}", import.address, import.incarnation, import.blocks);
+            request.insert_header(header::KV_IMPORT, value);
+        }
         if let Some(traceparent) = hop.traceparent() {
             request.insert_header(header::TRACEPARENT, traceparent);
         }
--- a/src/entry/tests.rs
+++ b/src/entry/tests.rs
@@ -97,6 +97,7 @@
         address,
         incarnation: None,
         resume: false,
+        import: None,
         deadline: Time::ZERO,
     };
     let exchange = entry();
--- a/src/http/header.rs
+++ b/src/http/header.rs
@@ -32,6 +32,8 @@
 pub const STREAM: &str = "x-stream-id";
 /// To engines: position of the first event wanted.
 pub const RESUME_FROM: &str = "x-resume-from";
+/// To engines: leading blocks to import, as `ADDRESS;INCARNATION;BLOCKS`.
+pub const KV_IMPORT: &str = "x-kv-import";
 /// From engines: prompt tokens that were found in the cache.
 pub const CACHED_TOKENS: &str = "x-cached-tokens";
 /// W3C trace context, taken and passed on.
--- a/src/membership/report.rs
+++ b/src/membership/report.rs
@@ -34,7 +34,7 @@
 }
 
 /// An engine's state and its cache events since the sequence number asked for.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Report {
     /// Changes at every start of the engine.
     pub incarnation: String,
@@ -53,6 +53,9 @@
     pub queued_tokens: u64,
     /// Prompt tokens that it computes in a second.
     pub prefill_tokens_per_s: u32,
+    /// Milliseconds in which it imports one block from another engine; `None` where it can't.
+    #[serde(default)]
+    pub import_ms: Option<f64>,
     /// The sequence number after the newest event.
     pub next_seq: u64,
     /// Events from the number asked for, as far as they are still kept.
--- a/src/membership/state.rs
+++ b/src/membership/state.rs
@@ -15,7 +15,7 @@
 const ASSUMED_PREFILL: u32 = 8_000;
 
 /// What an engine last reported of its load.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Load {
     /// When the report was read.
     pub at: Time,
@@ -27,6 +27,8 @@
     pub queued_tokens: u64,
     /// Prompt tokens computed in a second.
     pub prefill_tokens_per_s: u32,
+    /// Milliseconds for the import of one block; `None` where it can't.
+    pub import_ms: Option<f64>,
 }
 
 /// One backend server.
@@ -58,6 +60,7 @@
             waiting: 0,
             queued_tokens: 0,
             prefill_tokens_per_s: ASSUMED_PREFILL,
+            import_ms: None,
         };
         Self {
             vm,
@@ -230,6 +233,7 @@
             waiting: report.waiting,
             queued_tokens: report.queued_tokens,
             prefill_tokens_per_s: report.prefill_tokens_per_s.max(1),
+            import_ms: report.import_ms.filter(|ms| ms.is_finite() && *ms >= 0.0),
         };
         if report.leaving {
             notices.extend(self.mark_leaving(key));
--- a/src/placement/choose.rs
+++ b/src/placement/choose.rs
@@ -6,9 +6,10 @@
 use crate::membership;
 use crate::prefix::{BLOCK_TOKENS, Key, Prefix};
 
-/// How much more a token computed again weighs than a token computed, where the objective is
-/// wasted recomputation.
-const WASTE_WEIGHT: f64 = 3.0;
+/// What a token that a server has to store, and another holds, is charged besides its own work, in
+/// parts of its computation: it displaces another that may be wanted again. By objective.
+const DISPLACEMENT_WASTE: f64 = 8.0;
+const DISPLACEMENT_FIRST_TOKEN: f64 = 1.0;
 /// The part of the first level's prefill that a server off its homes is charged: a new copy
 /// displaces other blocks.
 const COPY_CHARGE: f64 = 0.5;
@@ -32,6 +33,8 @@
     pub token_ms: f64,
     /// Leading blocks of the prefix that it is believed to hold.
     pub depth: usize,
+    /// Milliseconds for the import of one block; `None` where it can't.
+    pub import_ms: Option<f64>,
     /// Whether it is in this daemon's availability zone.
     pub near: bool,
 }
@@ -60,6 +63,10 @@
     pub rank: usize,
     /// Prompt tokens believed cached.
     pub cached_tokens: u32,
+    /// Leading blocks to have after an import from the deepest holder; 0 where none is worth it.
+    pub import_blocks: usize,
+    /// Prompt tokens that its work until the first token is worth, imports included.
+    pub work_tokens: u32,
     /// Predicted milliseconds to the first token.
     pub predicted_ms: f64,
     /// The cost that placement minimises, in milliseconds.
@@ -92,13 +99,19 @@
 
 fn score(ask: Ask<'_>, candidate: &Candidate, rank: usize, best: usize, off_nest: bool) -> Scored {
     let cached = (candidate.depth as u32).saturating_mul(BLOCK_TOKENS).min(ask.tokens);
-    let uncached = ask.tokens - cached;
-    let predicted_ms = candidate.wait_ms + f64::from(uncached) * candidate.token_ms;
-    let mut cost = predicted_ms;
-    if ask.objective == Objective::WastedRecomputation {
-        let wasted = tokens(best.saturating_sub(candidate.depth));
-        cost += wasted * candidate.token_ms * (WASTE_WEIGHT - 1.0);
-    }
+    let missing = best.saturating_sub(candidate.depth);
+    let block_ms = f64::from(BLOCK_TOKENS) * candidate.token_ms;
+    let import_ms = candidate.import_ms.filter(|ms| *ms < block_ms && missing > 0);
+    let imported = if import_ms.is_some() { missing } else { 0 };
+    let computed = (ask.tokens - cached).saturating_sub(imported as u32 * BLOCK_TOKENS);
+    let work_ms =
+        f64::from(computed) * candidate.token_ms + imported as f64 * import_ms.unwrap_or_default();
+    let predicted_ms = candidate.wait_ms + work_ms;
+    let displacement = match ask.objective {
+        Objective::WastedRecomputation => DISPLACEMENT_WASTE,
+        Objective::TimeToFirstToken => DISPLACEMENT_FIRST_TOKEN,
+    };
+    let mut cost = predicted_ms + tokens(missing) * candidate.token_ms * displacement;
     let levels = &ask.prefix.levels;
     if rank >= ask.copies && candidate.depth == 0 {
         let first = levels.first().copied().unwrap_or(0);
@@ -114,6 +127,8 @@
         key: candidate.key,
         rank,
         cached_tokens: cached,
+        import_blocks: if imported > 0 { best } else { 0 },
+        work_tokens: (work_ms / candidate.token_ms) as u32,
         predicted_ms,
         cost,
         free: candidate.free,
--- a/standin/src/engine.rs
+++ b/standin/src/engine.rs
@@ -9,9 +9,10 @@
 use async_executor::LocalExecutor;
 use async_io::Timer;
 use cardamomvalve::entry::openai::{self, Kind};
-use cardamomvalve::http::header;
 use cardamomvalve::http::server::{self, Whole};
+use cardamomvalve::http::{client, header};
 use cardamomvalve::membership::Report;
+use cardamomvalve::platform;
 use cardamomvalve::prefix::{self, BLOCK_TOKENS, BYTES_PER_TOKEN, Key};
 use clap::Parser;
 use futures_util::TryStreamExt;
@@ -44,6 +45,9 @@
     /// Prompt tokens computed in a second.
     #[arg(long, default_value_t = 100_000)]
     pub prefill_tokens_per_s: u32,
+    /// Milliseconds in which one block is imported; no imports without it.
+    #[arg(long)]
+    pub import_ms: Option<f64>,
     /// Milliseconds for one answer token.
     #[arg(long, default_value_t = 2)]
     pub token_ms: u64,
@@ -87,6 +91,8 @@
     arrivals: u64,
     generated: u64,
     cancelled: u64,
+    /// Blocks imported from other engines.
+    imported: u64,
 }
 
 /// The chunk text at `position` of the answer to `prompt`.
@@ -125,6 +131,7 @@
         arrivals: 0,
         generated: 0,
         cancelled: 0,
+        imported: 0,
     };
     let state = Rc::new(RefCell::new(state));
     serve::run("standin-engine", options.listen, move |executor, whole| {
@@ -152,9 +159,14 @@
             Some(server::empty(204))
         }
         (Method::Get, "/report") => Some(report(&state, &whole)),
+        (Method::Post, "/kv") => Some(export(&state, &whole)),
         (Method::Get, "/counts") => {
             let state = state.borrow();
-            let counts = json!({ "generated": state.generated, "cancelled": state.cancelled });
+            let counts = json!({
+                "generated": state.generated,
+                "cancelled": state.cancelled,
+                "imported": state.imported,
+            });
             Some(server::json(200, &counts))
         }
         (Method::Post, path) => {
@@ -177,6 +189,7 @@
         waiting: state.prefills.len() as u32,
         queued_tokens: state.prefills.values().sum(),
         prefill_tokens_per_s: state.options.prefill_tokens_per_s,
+        import_ms: state.options.import_ms,
         next_seq: state.cache.next_seq(),
         events: state.cache.events(from),
     };
@@ -234,6 +247,9 @@
         Some("background") => 2,
         _ => 1,
     };
+    if let Some(value) = serve::value(&whole.request, header::KV_IMPORT) {
+        import(&state, value, &blocks).await;
+    }
     let cached = prefill(&state, priority, &prompt, &blocks).await;
     let from = serve::value(&whole.request, header::RESUME_FROM);
     let generation = Generation {
@@ -249,6 +265,50 @@
     respond(&state, executor, whole, generation, &faults, wanted)
 }
 
+/// What one engine asks another for.
+#[derive(Debug, Serialize, Deserialize)]
+struct Export {
+    incarnation: String,
+    blocks: Vec<u64>,
+}
+
+/// How many of the leading blocks this engine holds, if it is the incarnation that is meant.
+fn export(state: &Rc<RefCell<State>>, whole: &Whole) -> Response {
+    let state = state.borrow();
+    let held = match serde_json::from_slice::<Export>(&whole.body) {
+        Ok(ask) if ask.incarnation == state.incarnation => {
+            let blocks: Vec<Key> = ask.blocks.into_iter().map(Key).collect();
+            state.cache.depth(&blocks)
+        }
+        _ => 0,
+    };
+    server::json(200, &json!({ "held": held }))
+}
+
+/// Imports leading blocks from the engine that `value` names, as far as it still holds them.
+async fn import(state: &Rc<RefCell<State>>, value: &str, blocks: &[Key]) -> Option<()> {
+    let import_ms = state.borrow().options.import_ms?;
+    let mut parts = value.split(';');
+    let address = parts.next()?.parse().ok()?;
+    let incarnation = parts.next()?.to_owned();
+    let count: usize = parts.next()?.parse().ok()?;
+    let wanted = &blocks[..count.min(blocks.len())];
+    let cached = state.borrow().cache.depth(wanted);
+    let ask = Export { incarnation, blocks: wanted.iter().map(|key| key.0).collect() };
+    let body = serde_json::to_string(&ask).ok()?;
+    let (_, answer) =
+        client::send_json(address, Method::Post, "/kv", Some(body), platform::LIMITS).await.ok()?;
+    let answer: Value = serde_json::from_slice(&answer).ok()?;
+    let held = answer["held"].as_u64()? as usize;
+    let imported = held.saturating_sub(cached);
+    let micros = imported as f64 * import_ms * 1_000.0;
+    Timer::after(Duration::from_micros(micros as u64)).await;
+    let mut state = state.borrow_mut();
+    state.imported += imported as u64;
+    state.cache.use_blocks(&wanted[..held.min(wanted.len())]);
+    Some(())
+}
+
 /// Computes what is not cached of the prompt, in order of priority; returns the cached tokens.
 async fn prefill(state: &Rc<RefCell<State>>, priority: u8, prompt: &str, blocks: &[Key]) -> u64 {
     let place = {
--- a/standin/src/replay/policy.rs
+++ b/standin/src/replay/policy.rs
@@ -7,7 +7,7 @@
 use slotmap::KeyData;
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::engine::{Engine, Job, TOKEN_US};
+use super::engine::{Engine, IMPORT_US, Job, TOKEN_US};
 
 /// Who places requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, ValueEnum)]
@@ -124,6 +124,7 @@
             wait_ms: engines[*index].wait_ms(job.priority),
             token_ms: TOKEN_US as f64 / 1_000.0,
             depth: engines[*index].cache.depth(&job.blocks),
+            import_ms: Some(IMPORT_US as f64 / 1_000.0),
             near: true,
         })
         .collect();
--- a/standin/src/replay/world/baselines.rs
+++ b/standin/src/replay/world/baselines.rs
@@ -13,7 +13,7 @@
     }
 
     pub(super) fn place(&mut self, daemon: usize, index: usize, attempt: u32) {
-        let job = self.job(daemon, index, attempt);
+        let mut job = self.job(daemon, index, attempt);
         let prefix = &self.prefixes[index];
         let objective = self.objective();
         let policy = self.setup.policy;
@@ -22,8 +22,21 @@
         let Some(engine) = engine else {
             return self.after(Duration::from_millis(100), Event::Arrive(index));
         };
+        if policy == Policy::Oracle {
+            job.import_blocks = self.best_export(engine, &job);
+        }
         self.memories[daemon].reported[engine] += u64::from(job.tokens);
         self.open.insert(index, (daemon, attempt));
         self.after(CALLER + APART, Event::Push(engine, Box::new(job)));
     }
+
+    /// Leading blocks that the oracle has imported from the engine that holds most.
+    fn best_export(&mut self, engine: usize, job: &Job) -> usize {
+        let depth = |index: &usize| self.engines[*index].cache.depth(&job.blocks);
+        let Some(holder) = (0..ENGINES).max_by_key(depth) else { return 0 };
+        if depth(&holder) <= depth(&engine) {
+            return 0;
+        }
+        self.engines[holder].export(&job.blocks)
+    }
 }
--- a/standin/src/replay/world/daemons.rs
+++ b/standin/src/replay/world/daemons.rs
@@ -53,7 +53,11 @@
     pub(super) fn dispatch(&mut self, daemon: usize, index: usize, dispatch: &Dispatch) {
         let engine = usize::from(dispatch.address.port()) - 200;
         self.open.insert(index, (daemon, dispatch.attempt));
-        let job = self.job(daemon, index, dispatch.attempt);
+        let mut job = self.job(daemon, index, dispatch.attempt);
+        if let Some(import) = &dispatch.import {
+            let holder = usize::from(import.address.port()) - 200;
+            job.import_blocks = self.export(holder, &import.incarnation, &job, import.blocks);
+        }
         self.after(APART, Event::Push(engine, Box::new(job)));
     }
 
@@ -67,7 +71,17 @@
             blocks: self.prefixes[index].blocks.clone(),
             tokens: request.tokens(),
             answer_tokens: request.answer_tokens,
+            import_blocks: 0,
+        }
+    }
+
+    /// Leading blocks that a holder exports, if it is still the one that is meant.
+    fn export(&mut self, holder: usize, incarnation: &str, job: &Job, blocks: usize) -> usize {
+        let engine = &mut self.engines[holder];
+        if !engine.up || engine.incarnation.to_string() != incarnation {
+            return 0;
         }
+        engine.export(&job.blocks[..blocks.min(job.blocks.len())])
     }
 
     pub(super) fn report(&mut self, daemon: usize, index: usize, attempt: u32, report: Report) {
@@ -148,6 +162,7 @@
                 waiting: state.waiting(),
                 queued_tokens: state.queued_tokens(),
                 prefill_tokens_per_s: (1_000_000 / TOKEN_US) as u32,
+                import_ms: Some(IMPORT_US as f64 / 1_000.0),
                 next_seq: state.cache.next_seq(),
                 events,
             };
--- a/standin/src/replay/world/mod.rs
+++ b/standin/src/replay/world/mod.rs
@@ -21,7 +21,7 @@
 use serde_json::json;
 
 use self::daemons::new_node;
-use super::engine::{Computed, Engine, Job, TOKEN_US};
+use super::engine::{Computed, Engine, IMPORT_US, Job, TOKEN_US};
 use super::faults::Fault;
 use super::figures::Figures;
 use super::generate::Kind;
--- a/standin/tests/streams.rs
+++ b/standin/tests/streams.rs
@@ -148,6 +148,56 @@
     assert!(answer_text("slow", 40).starts_with(&answer.text()), "nothing of other weights");
 }
 
+fn imported(fleet: &Fleet) -> u64 {
+    let count = |engine: &Process| {
+        let counts = call(Method::Get, engine.address(), "/counts", &[], "");
+        counts.expect("it answers").json()["imported"].as_u64().unwrap_or(0)
+    };
+    fleet.engines.iter().map(count).sum()
+}
+
+/// Two engines, one of which holds `prompt`; asks for more of it at once than that one may take.
+fn ask_past_the_holder(fleet: &Fleet, prompt: &str) {
+    std::thread::scope(|scope| {
+        for _ in 0..24 {
+            scope.spawn(|| {
+                let answer = fleet.complete(0, prompt, 30, true).expect("an answer");
+                assert_whole(&answer, prompt, 30);
+            });
+        }
+    });
+}
+
+#[test]
+fn import_from_a_holder() {
+    let engine_args =
+        vec!["--import-ms", "0.1", "--prefill-tokens-per-s", "20000", "--token-ms", "20"];
+    let fleet = Fleet::start(Plan { daemons: 1, engine_args, ..Plan::default() });
+    let prompt = "long ".repeat(8_000);
+    fleet.complete(0, &prompt, 1, false).expect("an answer");
+    ask_past_the_holder(&fleet, &prompt);
+    assert!(imported(&fleet) >= 39, "{} blocks were imported", imported(&fleet));
+}
+
+#[test]
+fn import_from_a_restarted_holder_is_computed() {
+    let engine_args =
+        vec!["--import-ms", "0.1", "--prefill-tokens-per-s", "20000", "--token-ms", "20"];
+    let mut fleet = Fleet::start(Plan { daemons: 1, engine_args, ..Plan::default() });
+    let prompt = "long ".repeat(8_000);
+    let first = fleet.complete(0, &prompt, 1, false).expect("an answer");
+    let holder = usize::from(first.header("x-cardamomvalve-server") == "engine-1");
+    // It comes back cold at its address, and the daemon does not know yet.
+    fleet.daemons[0].signal(Signal::STOP);
+    let address = fleet.engines[holder].address().to_string();
+    fleet.engines[holder].kill();
+    let mut args = vec!["--weights", "dga=v1", "--listen", &address];
+    args.extend(&fleet.plan.engine_args);
+    fleet.engines[holder] = Process::start("standin-engine", &args);
+    fleet.daemons[0].signal(Signal::CONT);
+    ask_past_the_holder(&fleet, &prompt);
+}
+
 #[test]
 fn caller_who_leaves_is_cancelled() {
     let fleet = Fleet::start(Plan { engines: 1, ..slow() });
