Tell peers which server computes a cold first level

A prefill of 12,000 tokens takes 1.5 s, and no cache event comes before its end, so daemons whose rendezvous home was busy had it computed elsewhere at the same time.

Change: digests name the first levels that a daemon has sent somewhere cold within the lifetime of a digest, with the server's incarnation; peers count on them as on cache events, and on no other incarnation.

Failed try: naming every dispatch, not only cold ones.

--- a/src/control/arrivals.rs
+++ b/src/control/arrivals.rs
@@ -266,7 +266,7 @@
         if blocks == 0 {
             return None;
         }
-        let depth = self.residency.depth(&state.arrival.prefix.blocks);
+        let depth = self.depth(now, &state.arrival.prefix);
         let holders = depth
             .iter()
             .filter(|(key, held)| **held >= blocks && **key != server)
--- a/src/control/candidates.rs
+++ b/src/control/candidates.rs
@@ -9,7 +9,7 @@
 use crate::membership::{self, Role, Server};
 use crate::peer;
 use crate::placement::{Ask, Candidate, Scored, choose};
-use crate::prefix::{Depth, Key};
+use crate::prefix::{BLOCK_TOKENS, Depth, Key, Prefix};
 use crate::prelude::*;
 
 /// Engine time a second that one copy of a first level is meant to carry, in milliseconds.
@@ -51,7 +51,7 @@
         let untried: Vec<(membership::Key, &Server)> =
             usable.iter().copied().filter(|(key, _)| !state.failed.contains(key)).collect();
         let servers = if untried.is_empty() { usable } else { untried };
-        let depth = self.residency.depth(&state.arrival.prefix.blocks);
+        let depth = self.depth(now, &state.arrival.prefix);
         let candidates: Vec<Candidate> = servers
             .iter()
             .map(|(key, server)| self.candidate(now, state, &depth, *key, server))
@@ -70,6 +70,24 @@
         choose(ask, &candidates)
     }
 
+    /// Leading blocks that each server holds or, by peers' digests, soon will.
+    pub(super) fn depth(&self, now: Time, prefix: &Prefix) -> Depth {
+        let mut depth = self.residency.depth(&prefix.blocks);
+        let (Some(level), Some(end)) = (prefix.level(0), prefix.levels.first()) else {
+            return depth;
+        };
+        let copies = self.fresh_peers(now).flat_map(|digest| &digest.copies);
+        for copy in copies.filter(|copy| copy.level == level) {
+            let Some(key) = self.membership.find(&copy.server) else { continue };
+            let server = self.membership.get(key);
+            if server.is_some_and(|s| s.incarnation.as_ref() == Some(&copy.incarnation)) {
+                let held = depth.entry(key).or_insert(0);
+                *held = (*held).max(*end);
+            }
+        }
+        depth
+    }
+
     fn candidate(
         &self,
         now: Time,
@@ -148,6 +166,10 @@
             self.residency.insert(server, *block);
         }
         let Some(level) = level else { return };
+        let first = blocks.iter().position(|block| *block == level).map_or(0, |end| end + 1);
+        if first > 0 && pending_tokens as usize >= first * BLOCK_TOKENS as usize {
+            self.copies.insert((level, server), now);
+        }
         let speed = self.membership.get(server).map_or(1, |s| s.load.prefill_tokens_per_s);
         let work_ms = f64::from(pending_tokens) * 1_000.0 / f64::from(speed);
         self.heat.note(now, level, work_ms + ANSWER_TOKEN_MS);
--- a/src/control/node.rs
+++ b/src/control/node.rs
@@ -8,7 +8,7 @@
 use crate::membership;
 use crate::peer;
 use crate::placement::Heat;
-use crate::prefix::Residency;
+use crate::prefix::{self, Residency};
 use crate::prelude::*;
 
 /// Entries of the residency table at most; about 100 bytes each.
@@ -108,6 +108,8 @@
     pub(super) membership: membership::State,
     pub(super) residency: Residency,
     pub(super) heat: Heat,
+    /// When this daemon last sent a first level somewhere.
+    pub(super) copies: BTreeMap<(prefix::Key, membership::Key), Time>,
     pub(super) queues: BTreeMap<String, Queue>,
     pub(super) paces: BTreeMap<String, Pace>,
     pub(super) requests: BTreeMap<attempt::Key, Request>,
@@ -142,6 +144,7 @@
             membership: membership::State::default(),
             residency: Residency::new(MAX_RESIDENCY),
             heat: Heat::default(),
+            copies: BTreeMap::new(),
             queues: BTreeMap::new(),
             paces: BTreeMap::new(),
             requests: BTreeMap::new(),
--- a/src/control/peers.rs
+++ b/src/control/peers.rs
@@ -6,11 +6,13 @@
 use super::{Effect, Node, Stream};
 use crate::ledger;
 use crate::manifest;
-use crate::peer::{Busy, Digest, Frame, Snapshot};
+use crate::peer::{Busy, Copy, Digest, Frame, Snapshot};
 use crate::prelude::*;
 
 /// First levels that a digest names.
 const DIGEST_LEVELS: usize = 32;
+/// Copies that a digest names.
+const DIGEST_COPIES: usize = 64;
 /// Time between two asks for a snapshot.
 const ASK_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -18,6 +20,7 @@
     pub(super) fn schedule_peers(&mut self, now: Time) {
         let listed: BTreeSet<String> = self.membership.routers().keys().cloned().collect();
         let lifetime = self.policy.digest_lifetime;
+        self.copies.retain(|_, at| now.saturating_sub(*at) < lifetime);
         self.peers.retain(|id, peer| listed.contains(id) || now.saturating_sub(peer.at) < lifetime);
         if now >= self.next_digest {
             self.send_digests(now);
@@ -63,11 +66,26 @@
             generation: self.manifest.generation(),
             busy,
             heat: self.heat.top(now, DIGEST_LEVELS),
+            copies: self.recent_copies(now),
             leaving,
             draining: self.draining,
         }
     }
 
+    /// The first levels that were sent somewhere within the lifetime of a digest.
+    fn recent_copies(&self, now: Time) -> Vec<Copy> {
+        self.copies
+            .iter()
+            .filter(|(_, at)| now.saturating_sub(**at) < self.policy.digest_lifetime)
+            .filter_map(|((level, key), _)| {
+                let server = self.membership.get(*key)?;
+                let incarnation = server.incarnation.clone()?;
+                Some(Copy { level: *level, server: server.vm.id.clone(), incarnation })
+            })
+            .take(DIGEST_COPIES)
+            .collect()
+    }
+
     /// Whether the log has not yet told this daemon what is in force or claimed, or a peer has a
     /// newer manifest.
     fn is_behind(&self) -> bool {
--- a/src/control/tests/servers.rs
+++ b/src/control/tests/servers.rs
@@ -5,7 +5,7 @@
 use crate::control::{Effect, Message};
 use crate::manifest::{Objective, Priority};
 use crate::membership::{CacheEvent, Change, Standing};
-use crate::peer::{Digest, Frame};
+use crate::peer::{Copy, Digest, Frame};
 use crate::prefix::{BLOCK_BYTES, Key, Prefix, Scope, root};
 use crate::prelude::*;
 
@@ -146,6 +146,21 @@
     }
 }
 
+#[test]
+fn copy_of_another_incarnation_is_not_relied_on() {
+    let mut bench = Bench::new();
+    let salt = root(Scope { workspace: "w", model: "m", weights: "v1", adapter: "" });
+    let prefix = Prefix::new(salt, "p".repeat(8 * BLOCK_BYTES).as_bytes(), &[]);
+    let level = prefix.level(0).expect("a level");
+    for (incarnation, holders) in [("one", 1), ("two", 0)] {
+        let copy = Copy { level, server: "engine-1".into(), incarnation: incarnation.into() };
+        let digest = Digest { daemon: "router-9".into(), copies: vec![copy], ..Digest::default() };
+        bench.apply(Message::Frame(Frame::Digest(digest)));
+        let depth = bench.world.nodes[0].depth(bench.world.now, &prefix);
+        assert_eq!(depth.len(), holders, "{incarnation}");
+    }
+}
+
 #[test]
 fn event_gap_drops_residency() {
     let mut bench = Bench::new();
--- a/src/peer/frame.rs
+++ b/src/peer/frame.rs
@@ -20,6 +20,17 @@
     pub pending_tokens: u32,
 }
 
+/// A first level that a server holds, or soon will.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Copy {
+    /// The level.
+    pub level: prefix::Key,
+    /// The server's id.
+    pub server: String,
+    /// The server's incarnation; another one does not hold it.
+    pub incarnation: String,
+}
+
 /// What a daemon tells its peers a few times a second.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Digest {
@@ -33,6 +44,8 @@
     pub busy: BTreeMap<String, Busy>,
     /// Its hottest first levels, with their rates.
     pub heat: Vec<(prefix::Key, f64)>,
+    /// First levels that it has lately sent somewhere to be computed.
+    pub copies: Vec<Copy>,
     /// Servers that it knows to be leaving.
     pub leaving: Vec<String>,
     /// Whether the daemon itself is stopping.
@@ -90,6 +103,16 @@
         pub rate: f32,
     }
 
+    #[derive(Clone, PartialEq, prost::Message)]
+    pub struct Copy {
+        #[prost(fixed64, tag = "1")]
+        pub level: u64,
+        #[prost(string, tag = "2")]
+        pub server: String,
+        #[prost(string, tag = "3")]
+        pub incarnation: String,
+    }
+
     #[derive(Clone, PartialEq, prost::Message)]
     pub struct Digest {
         #[prost(string, tag = "1")]
@@ -106,6 +129,8 @@
         pub leaving: Vec<String>,
         #[prost(bool, tag = "7")]
         pub draining: bool,
+        #[prost(message, repeated, tag = "8")]
+        pub copies: Vec<Copy>,
     }
 
     #[derive(Clone, PartialEq, prost::Message)]
@@ -202,6 +227,7 @@
             heat: heat.collect(),
             leaving: digest.leaving,
             draining: digest.draining,
+            copies: digest.copies.into_iter().map(wire::Copy::from).collect(),
         }
     }
 }
@@ -230,6 +256,7 @@
             heat: heat.collect(),
             leaving: digest.leaving,
             draining: digest.draining,
+            copies: digest.copies.into_iter().map(Copy::from).collect(),
         })
     }
 }
@@ -248,3 +275,16 @@
     manifest_next, generation, published, manifest, ledger_next, ledger_time_ms, ledger);
 same_fields!(wire::Snapshot => Snapshot:
     manifest_next, generation, published, manifest, ledger_next, ledger_time_ms, ledger);
+
+impl From<Copy> for wire::Copy {
+    fn from(copy: Copy) -> Self {
+        Self { level: copy.level.0, server: copy.server, incarnation: copy.incarnation }
+    }
+}
+
+impl From<wire::Copy> for Copy {
+    fn from(copy: wire::Copy) -> Self {
+        let level = prefix::Key(copy.level);
+        Self { level, server: copy.server, incarnation: copy.incarnation }
+    }
+}
--- a/src/peer/tests.rs
+++ b/src/peer/tests.rs
@@ -13,6 +13,7 @@
         generation: 3,
         busy: BTreeMap::from([("engine".into(), Busy { requests: 1, pending_tokens: 2 })]),
         heat: vec![(Key(u64::MAX), 0.5)],
+        copies: vec![Copy { level: Key(1), server: "engine".into(), incarnation: "one".into() }],
         leaving: vec!["gone".into()],
         draining: true,
     }
