Order engines to load weights, under a lease on the log

Cause: a manifest that names a new weights version left no engine to serve it; nobody ordered its loading.

A lease stream on the log names the daemon that may order; its fencing number is the offset at which it took the lease. Engines that ignore the number are given nothing before a second TTL has passed since the takeover.

--- a/src/control/message.rs
+++ b/src/control/message.rs
@@ -5,6 +5,7 @@
 use crate::attempt;
 use crate::manifest;
 use crate::membership::{self, Vm};
+use crate::order::Order;
 use crate::peer::Frame;
 use crate::prelude::*;
 
@@ -15,14 +16,20 @@
     Manifest,
     /// Claims and outcomes of keyed requests.
     Ledger,
+    /// The lease to order engines.
+    Lease,
 }
 
 impl Stream {
+    /// Every stream.
+    pub const ALL: [Self; 3] = [Self::Manifest, Self::Ledger, Self::Lease];
+
     /// Its name on the log.
     pub const fn as_str(self) -> &'static str {
         match self {
             Self::Manifest => "manifest",
             Self::Ledger => "ledger",
+            Self::Lease => "lease",
         }
     }
 }
@@ -87,6 +94,8 @@
         /// How it ended.
         result: Appended,
     },
+    /// An order to an engine ended; whether the engine took it.
+    Ordered(membership::Key, bool),
     /// An append of a checkpoint ended.
     Checkpointed,
     /// The VM list was read.
@@ -117,6 +126,17 @@
         /// The record.
         text: String,
     },
+    /// Append a record to the lease stream.
+    AppendLease(String),
+    /// Give an order to an engine.
+    Order {
+        /// The engine.
+        server: membership::Key,
+        /// Where it listens.
+        address: SocketAddr,
+        /// The order.
+        order: Order,
+    },
     /// Append a checkpoint to the manifest stream.
     Checkpoint(String),
     /// Make this manifest the one that traffic uses.
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -8,6 +8,7 @@
 mod candidates;
 mod message;
 mod node;
+mod orders;
 mod outcomes;
 mod peers;
 mod platform;
--- a/src/control/node.rs
+++ b/src/control/node.rs
@@ -3,6 +3,7 @@
 use super::{Effect, Message, Stream};
 use crate::admission::{Budget, Queue};
 use crate::attempt::{self, Phase, Request};
+use crate::lease;
 use crate::ledger;
 use crate::manifest;
 use crate::membership;
@@ -115,6 +116,11 @@
     pub(super) requests: BTreeMap<attempt::Key, Request>,
     pub(super) busy: BTreeMap<membership::Key, peer::Busy>,
     pub(super) budget: Budget,
+    pub(super) lease: lease::State,
+    /// When engines were given the orders that they carry out.
+    pub(super) ordered: BTreeMap<membership::Key, Time>,
+    /// When the manifest in force was taken over.
+    pub(super) force_since: Time,
     pub(super) ledger: ledger::State,
     pub(super) pending: ledger::Pending,
     pub(super) claims: BTreeMap<attempt::Key, ledger::ClaimId>,
@@ -137,6 +143,7 @@
     /// A node that knows nothing yet.
     pub fn new(identity: Identity, policy: Policy) -> Self {
         let pending = ledger::Pending::new(identity.id.clone(), identity.incarnation);
+        let lease = lease::State::new(identity.id.clone(), identity.incarnation);
         Self {
             identity,
             policy,
@@ -150,6 +157,9 @@
             requests: BTreeMap::new(),
             busy: BTreeMap::new(),
             budget: Budget::default(),
+            lease,
+            ordered: BTreeMap::new(),
+            force_since: Time::ZERO,
             ledger: ledger::State::default(),
             pending,
             claims: BTreeMap::new(),
@@ -179,6 +189,7 @@
             Message::LogDown(stream) => self.log_down(stream),
             Message::Appended { number, result } => self.appended(now, number, result),
             Message::Checkpointed => self.checkpoint.ended(),
+            Message::Ordered(server, accepted) => self.order_ended(server, accepted),
             Message::Vms(vms) => self.vms(now, vms),
             Message::VmsDown => self.vms_down(),
             Message::Polled(server, report) => self.polled(now, server, *report),
@@ -196,6 +207,7 @@
         match stream {
             Stream::Manifest => self.manifest.next(),
             Stream::Ledger => self.ledger.next(),
+            Stream::Lease => self.lease.next(),
         }
     }
 
@@ -232,6 +244,8 @@
         self.schedule_polls(now);
         self.schedule_peers(now);
         self.schedule_checkpoint(now);
+        self.schedule_lease(now);
+        self.schedule_orders(now);
         let pools: Vec<String> = self.queues.keys().cloned().collect();
         for pool in pools {
             self.pump(now, &pool);
--- /dev/null
+++ b/src/control/orders.rs
@@ -0,0 +1,66 @@
+//! The lease on the log, and the orders that its holder gives.
+
+use super::{Effect, Node, Stream};
+use crate::membership;
+use crate::order::{Order, Want, plan};
+use crate::prelude::*;
+
+/// Time after which an order that had no effect is given again.
+const ORDER_AGAIN: Duration = Duration::from_secs(30);
+/// Time for which versions stay loaded that the manifest no longer names: streams under them end.
+const UNLOAD_AFTER: Duration = Duration::from_secs(60);
+
+impl Node {
+    pub(super) fn schedule_lease(&mut self, now: Time) {
+        let reading = self.readings.get(&Stream::Lease).copied().unwrap_or_default();
+        if !reading.up || self.draining || self.manifest.force().is_none() {
+            return;
+        }
+        let candidate = self.is_first(now);
+        if let Some(record) = self.lease.due(now, candidate) {
+            self.effects.push(Effect::AppendLease(record.encode()));
+        }
+    }
+
+    /// Gives the orders that are due, while this daemon holds the lease.
+    pub(super) fn schedule_orders(&mut self, now: Time) {
+        self.ordered.retain(|_, at| now < *at + ORDER_AGAIN);
+        let Some(fence) = self.lease.fence(now) else { return };
+        let Some(force) = self.manifest.force().cloned() else { return };
+        let want = Want {
+            settled: self.lease.is_settled(now),
+            unload: now >= self.force_since + UNLOAD_AFTER,
+        };
+        let busy: BTreeSet<membership::Key> = self.ordered.keys().copied().collect();
+        for due in plan(&force.manifest, &self.membership, &busy, want) {
+            let Some(server) = self.membership.get(due.server) else { continue };
+            let (id, address) = (server.vm.id.clone(), server.vm.address);
+            self.ordered.insert(due.server, now);
+            self.event(Event::OrderGiven, format!("{id}: {:?}, fence {fence}", due.action));
+            let order = Order { fence, action: due.action };
+            self.effects.push(Effect::Order { server: due.server, address, order });
+        }
+    }
+
+    /// An order ended; one that was refused is given again after a while.
+    pub(super) fn order_ended(&mut self, server: membership::Key, accepted: bool) {
+        if accepted {
+            self.ordered.remove(&server);
+            return;
+        }
+        let id = self.membership.get(server).map_or_else(String::new, |s| s.vm.id.clone());
+        self.event(Event::OrderRefused, id);
+    }
+
+    pub(super) fn fold_lease(&mut self, now: Time, offset: u64, text: &str) -> Option<()> {
+        let before = self.lease.held().map(|held| held.fence);
+        self.lease.fold(now, offset, text)?;
+        if let Some(held) = self.lease.held()
+            && before != Some(held.fence)
+        {
+            let detail = format!("{}, fence {}", held.daemon, held.fence);
+            self.event(Event::LeaseTaken, detail);
+        }
+        Some(())
+    }
+}
--- a/src/control/platform.rs
+++ b/src/control/platform.rs
@@ -41,6 +41,7 @@
             match stream {
                 Stream::Manifest => self.manifest.skip_to(read.first),
                 Stream::Ledger => self.ledger.skip_to(read.first),
+                Stream::Lease => self.lease.skip_to(read.first),
             }
         }
         for record in &read.records {
@@ -51,6 +52,11 @@
             match stream {
                 Stream::Manifest => self.fold_manifest(now, record),
                 Stream::Ledger => self.fold_ledger(record),
+                Stream::Lease => {
+                    if self.fold_lease(now, record.offset, &record.text).is_none() {
+                        self.unreadable(stream, record.offset);
+                    }
+                }
             }
         }
         if stream == Stream::Ledger {
@@ -89,6 +95,7 @@
     pub(super) fn put_in_force(&mut self, now: Time, force: Arc<manifest::Force>) {
         let detail = format!("generation {}", force.generation);
         self.event(Event::ManifestInForce, detail);
+        self.force_since = now;
         self.effects.push(Effect::Force(force));
         self.next_digest = now;
     }
@@ -150,7 +157,7 @@
         self.effects.push(Effect::Checkpoint(record.encode()));
     }
 
-    fn is_first(&self, now: Time) -> bool {
+    pub(super) fn is_first(&self, now: Time) -> bool {
         self.fresh_peers(now).all(|digest| digest.daemon > self.identity.id || digest.draining)
     }
 
@@ -218,6 +225,7 @@
                 Notice::Removed(key, id) => {
                     self.residency.clear(key);
                     self.polls.remove(&key);
+                    self.ordered.remove(&key);
                     self.event(Event::ServerRemoved, id);
                     continue;
                 }
--- a/src/control/status.rs
+++ b/src/control/status.rs
@@ -24,6 +24,8 @@
     pub reachable: bool,
     /// Its incarnation, if known.
     pub incarnation: Option<String>,
+    /// Weights versions that it serves, by model.
+    pub weights: BTreeMap<String, BTreeSet<String>>,
     /// Requests of this daemon in flight there.
     pub in_flight: u32,
     /// Prompt tokens that it has still to compute, as last reported.
@@ -47,6 +49,8 @@
     pub generation: u64,
     /// The id of the record that brought it into force.
     pub published: Option<String>,
+    /// The daemon that holds the lease to order engines, as last read.
+    pub lease_holder: Option<String>,
     /// Whether the log answers.
     pub log_up: bool,
     /// Whether the VM list answers.
@@ -109,6 +113,7 @@
             leaving: server.leaving,
             reachable: server.is_reachable(),
             incarnation: server.incarnation.clone(),
+            weights: server.weights.clone(),
             in_flight: self.busy.get(&key).map_or(0, |busy| busy.requests),
             queued_tokens: server.load.queued_tokens,
         });
@@ -122,6 +127,7 @@
             draining: self.draining,
             generation: self.manifest.generation(),
             published: self.manifest.force().map(|force| force.published.clone()),
+            lease_holder: self.lease.held().map(|held| held.daemon.clone()),
             log_up: reading.up,
             vm_list_up: self.vms_up,
             ledger_known: self.is_ledger_known(),
--- a/src/control/tests/mod.rs
+++ b/src/control/tests/mod.rs
@@ -2,5 +2,6 @@
 
 mod at_most_once;
 mod manifests;
+mod orders;
 mod servers;
 mod world;
--- a/src/control/tests/world.rs
+++ b/src/control/tests/world.rs
@@ -10,6 +10,7 @@
 use crate::ledger;
 use crate::manifest::{self, Body, Priority};
 use crate::membership::{self, Role, Standing, Vm};
+use crate::order::Order;
 use crate::prefix::Prefix;
 use crate::prelude::*;
 
@@ -71,6 +72,8 @@
     /// Generations that each node had in force, in order.
     pub generations: Vec<Vec<u64>>,
     pub events: Vec<(usize, Event)>,
+    /// Orders that were given: by which node, to which engine.
+    pub orders: Vec<(usize, membership::Key, Order)>,
     next_request: u64,
 }
 
@@ -128,7 +131,11 @@
             nodes: Vec::new(),
             incarnations: vec![0; count],
             paused_until: vec![Time::ZERO; count],
-            log: BTreeMap::from([(Stream::Manifest, Vec::new()), (Stream::Ledger, Vec::new())]),
+            log: BTreeMap::from([
+                (Stream::Manifest, Vec::new()),
+                (Stream::Ledger, Vec::new()),
+                (Stream::Lease, Vec::new()),
+            ]),
             actions: Vec::new(),
             faults,
             log_down: false,
@@ -137,6 +144,7 @@
             runs: Vec::new(),
             generations: vec![Vec::new(); count],
             events: Vec::new(),
+            orders: Vec::new(),
             next_request: 0,
         };
         world.land(Stream::Manifest, publish_record("first", 0, manifest_value("v1")));
@@ -162,6 +170,7 @@
         self.tell(index, Message::Vms(self.vms()));
         self.read(index, Stream::Manifest);
         self.read(index, Stream::Ledger);
+        self.read(index, Stream::Lease);
     }
 
     pub fn vms(&self) -> Vec<Vm> {
@@ -216,6 +225,8 @@
         match effect {
             Effect::Command(request, command) => self.command(index, request, *command),
             Effect::Append { number, text } => self.append(index, number, text),
+            Effect::AppendLease(text) => self.land(Stream::Lease, text),
+            Effect::Order { server, order, .. } => self.orders.push((index, server, order)),
             Effect::Checkpoint(text) => {
                 self.actions.push(Action::Land(Stream::Manifest, text));
                 self.later(index, Message::Checkpointed);
@@ -404,6 +415,7 @@
                 self.tell(index, Message::Tick);
                 self.read(index, Stream::Ledger);
                 self.read(index, Stream::Manifest);
+                self.read(index, Stream::Lease);
             }
             for _ in 0..self.actions.len() {
                 self.act();
--- a/src/daemon/carrier.rs
+++ b/src/daemon/carrier.rs
@@ -7,6 +7,7 @@
 use super::Control;
 use crate::control::{Appended, Effect, Message, Stream};
 use crate::membership;
+use crate::order::Order;
 use crate::peer::{Frame, Links};
 use crate::platform;
 use crate::prelude::*;
@@ -26,6 +27,8 @@
         match effect {
             Effect::Command(..) | Effect::Force(_) => {}
             Effect::Append { number, text } => self.append(number, text),
+            Effect::AppendLease(text) => self.append_lease(text),
+            Effect::Order { server, address, order } => self.order(server, address, &order),
             Effect::Checkpoint(text) => self.checkpoint(text),
             Effect::Poll { server, address, from } => self.poll(server, address, from),
             Effect::Send(address, frame) => self.send(address, frame),
@@ -45,6 +48,25 @@
         self.executor.spawn(append).detach();
     }
 
+    /// A lost answer needs no care: what counts is what is read.
+    fn append_lease(&self, text: String) {
+        let address = self.log_service;
+        let append = async move {
+            platform::log::append(address, Stream::Lease, text).await.ok();
+        };
+        self.executor.spawn(append).detach();
+    }
+
+    fn order(&self, server: membership::Key, address: SocketAddr, order: &Order) {
+        let control = self.control.clone();
+        let body = serde_json::to_string(order).unwrap_or_default();
+        let give = async move {
+            let accepted = platform::engine::order(address, body).await;
+            control.tell(Message::Ordered(server, accepted));
+        };
+        self.executor.spawn(give).detach();
+    }
+
     fn checkpoint(&self, text: String) {
         let (control, address) = (self.control.clone(), self.log_service);
         let append = async move {
--- a/src/daemon/control.rs
+++ b/src/daemon/control.rs
@@ -51,7 +51,7 @@
     draining: AtomicBool,
     drained: AtomicBool,
     next_request: AtomicU64,
-    offsets: [AtomicU64; 2],
+    offsets: [AtomicU64; Stream::ALL.len()],
 }
 
 /// A handle to the control thread.
@@ -218,7 +218,7 @@
     view.ready.store(node.is_ready(), Ordering::Release);
     view.draining.store(node.is_draining(), Ordering::Release);
     view.drained.store(node.is_drained(), Ordering::Release);
-    for stream in [Stream::Manifest, Stream::Ledger] {
+    for stream in Stream::ALL {
         view.offsets[stream as usize].store(node.next_offset(stream), Ordering::Release);
     }
 }
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -140,7 +140,7 @@
 }
 
 fn watch_log(executor: &Executor<'static>, control: &Control, address: SocketAddr) {
-    for stream in [Stream::Manifest, Stream::Ledger] {
+    for stream in Stream::ALL {
         let control = control.clone();
         let watch = async move {
             // The first read does not wait, so that the tail is known at once.
--- /dev/null
+++ b/src/lease/mod.rs
@@ -0,0 +1,23 @@
+//! The lease on the log: which daemon may order engines about, and with which fencing number.
+//!
+//! Each record names the last accepted one that its writer has read, and is accepted if and only if
+//! that is still the last: so a daemon that has not read a renewal can't take the lease past it. The
+//! fence is the offset of the record that took the lease. The holder stops early by its own clock;
+//! others take over only a whole [`TTL`] and [`MARGIN`] after they read the last accepted record.
+
+mod record;
+mod state;
+#[cfg(test)]
+mod tests;
+
+pub use record::{Body, Record};
+pub use state::{Held, State};
+
+use crate::prelude::*;
+
+/// Time for which an accepted record holds the lease.
+pub const TTL: Duration = Duration::from_secs(5);
+/// Time by which the holder stops early and others wait longer, for clocks that run apart.
+pub const MARGIN: Duration = Duration::from_secs(1);
+/// Time between two renewals.
+pub const RENEWAL: Duration = Duration::from_millis(1_500);
--- /dev/null
+++ b/src/lease/state.rs
@@ -0,0 +1,164 @@
+//! The fold over the lease stream, and this daemon's own part in it.
+
+use super::{Body, MARGIN, RENEWAL, Record, TTL};
+use crate::prelude::*;
+
+/// Own records whose sending time is remembered.
+const MAX_SENT: usize = 16;
+
+/// Who holds the lease, by the log's order.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Held {
+    /// The daemon.
+    pub daemon: String,
+    /// Its incarnation.
+    pub incarnation: u64,
+    /// The fencing number: the offset of the record that took the lease.
+    pub fence: u64,
+}
+
+/// The lease as one daemon sees it.
+#[derive(Debug)]
+pub struct State {
+    daemon: String,
+    incarnation: u64,
+    sequence: u64,
+    held: Option<Held>,
+    next: u64,
+    /// Offset of the last accepted record.
+    last: Option<u64>,
+    /// The oldest offset that was read.
+    first: u64,
+    /// Whether all records since the last forgotten one are known to have been judged as by all.
+    base_known: bool,
+    /// When the last accepted record was read.
+    read_at: Time,
+    /// When own records were sent, by sequence.
+    sent: BTreeMap<u64, Time>,
+    last_sent: Option<Time>,
+    /// Until when this daemon may act as the holder, by its own clock.
+    own_until: Time,
+    /// When this daemon read that it had taken the lease.
+    taken_at: Time,
+}
+
+impl State {
+    /// The lease as seen by this daemon, which has read nothing yet.
+    pub fn new(daemon: String, incarnation: u64) -> Self {
+        Self {
+            daemon,
+            incarnation,
+            sequence: 0,
+            held: None,
+            next: 0,
+            last: None,
+            first: 0,
+            base_known: true,
+            read_at: Time::ZERO,
+            sent: BTreeMap::new(),
+            last_sent: None,
+            own_until: Time::ZERO,
+            taken_at: Time::ZERO,
+        }
+    }
+
+    /// The offset of the next record to fold.
+    pub fn next(&self) -> u64 {
+        self.next
+    }
+
+    /// Who holds the lease, whether or not it has run out.
+    pub fn held(&self) -> Option<&Held> {
+        self.held.as_ref()
+    }
+
+    /// Continues at `offset`, where the log no longer has what comes before it.
+    pub fn skip_to(&mut self, offset: u64) {
+        if offset > self.next {
+            self.next = offset;
+            self.first = offset;
+            self.base_known = false;
+        }
+    }
+
+    /// Folds the record at `offset`, read now; `None` where it could not be read.
+    pub fn fold(&mut self, now: Time, offset: u64, text: &str) -> Option<()> {
+        if offset < self.next {
+            return Some(());
+        }
+        self.next = offset + 1;
+        let record = Record::decode(text)?;
+        if !self.is_next(&record) {
+            return Some(());
+        }
+        self.base_known |= record.after == self.last;
+        self.last = Some(offset);
+        let fence = match record.body {
+            Body::Take => offset,
+            Body::Renew { fence } => fence,
+        };
+        if record.body == Body::Take && self.is_own(&record) {
+            self.taken_at = now;
+        }
+        self.held =
+            Some(Held { daemon: record.daemon.clone(), incarnation: record.incarnation, fence });
+        self.read_at = now;
+        if self.is_own(&record)
+            && let Some(sent) = self.sent.get(&record.sequence)
+        {
+            self.own_until = *sent + TTL - MARGIN;
+        }
+        Some(())
+    }
+
+    /// Whether the record follows the last accepted one. What a log has forgotten can't be compared:
+    /// until a record names one that was read, those that name a forgotten one are taken at their
+    /// word, since only a daemon that had accepted it would name it.
+    fn is_next(&self, record: &Record) -> bool {
+        let forgotten = record.after.is_some_and(|after| after < self.first);
+        record.after == self.last || (!self.base_known && forgotten)
+    }
+
+    fn is_own(&self, record: &Record) -> bool {
+        record.daemon == self.daemon && record.incarnation == self.incarnation
+    }
+
+    /// The fencing number, while this daemon may act as the holder.
+    pub fn fence(&self, now: Time) -> Option<u64> {
+        let held = self.held.as_ref()?;
+        let own = held.daemon == self.daemon && held.incarnation == self.incarnation;
+        (own && now < self.own_until).then_some(held.fence)
+    }
+
+    /// Whether a whole [`TTL`] has passed since this daemon took the lease: a former holder that
+    /// engines would not refuse has stopped by then.
+    pub fn is_settled(&self, now: Time) -> bool {
+        now >= self.taken_at + TTL
+    }
+
+    /// The record to append now, if one is due. `candidate` tells whether this daemon is the one
+    /// to take a lease that has run out.
+    pub fn due(&mut self, now: Time, candidate: bool) -> Option<Record> {
+        if self.last_sent.is_some_and(|sent| now < sent + RENEWAL) {
+            return None;
+        }
+        let own = self
+            .held
+            .as_ref()
+            .is_some_and(|held| held.daemon == self.daemon && held.incarnation == self.incarnation);
+        let ran_out = now >= self.read_at + TTL + MARGIN;
+        let fence = self.held.as_ref().map(|held| held.fence);
+        let body = match fence {
+            Some(fence) if own && now < self.own_until => Body::Renew { fence },
+            _ if candidate && ran_out => Body::Take,
+            _ => return None,
+        };
+        self.sequence += 1;
+        self.sent.insert(self.sequence, now);
+        if self.sent.len() > MAX_SENT {
+            self.sent.pop_first();
+        }
+        self.last_sent = Some(now);
+        Some(Record::new(&self.daemon, self.incarnation, self.sequence, self.last, body))
+    }
+}
--- /dev/null
+++ b/src/lease/tests.rs
@@ -0,0 +1,121 @@
+//! The lease over seeded histories: never two holders, and fences that only grow.
+
+use super::*;
+
+const DAEMONS: usize = 3;
+
+/// Daemons that send, lose, delay and pause; the log keeps an order.
+fn history(seed: u64) {
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let mut states: Vec<State> =
+        (0..DAEMONS).map(|index| State::new(format!("router-{index}"), seed)).collect();
+    let mut log: Vec<String> = Vec::new();
+    let mut late: Vec<String> = Vec::new();
+    let mut paused = [Time::ZERO; DAEMONS];
+    let mut now = Time::ZERO;
+    let mut highest = None;
+    let mut held_by_anyone = 0;
+    for _ in 0..3_000 {
+        now += Duration::from_millis(rng.u64(0..100));
+        let index = rng.usize(0..DAEMONS);
+        if rng.u32(0..200) == 0 {
+            paused[index] = now + Duration::from_millis(rng.u64(0..15_000));
+        }
+        if rng.u32(0..20) == 0 && !late.is_empty() {
+            let landed = late.swap_remove(rng.usize(0..late.len()));
+            log.push(landed);
+        }
+        if now < paused[index] {
+            continue;
+        }
+        // A holder that acts looks at its clock first; nobody else may act at the same time.
+        let holders: Vec<u64> = states.iter().filter_map(|state| state.fence(now)).collect();
+        assert!(holders.len() <= 1, "seed {seed}: {holders:?} hold the lease at once");
+        if let Some(fence) = holders.first() {
+            held_by_anyone += 1;
+            assert!(Some(*fence) >= highest, "seed {seed}: fence {fence} after {highest:?}");
+            highest = Some(*fence);
+        }
+        let state = &mut states[index];
+        match rng.u32(0..3) {
+            0 => {
+                if let Some(record) = state.due(now, rng.bool()) {
+                    match rng.u32(0..10) {
+                        0 => {}
+                        1 => late.push(record.encode()),
+                        _ => log.push(record.encode()),
+                    }
+                }
+            }
+            _ => {
+                let next = state.next() as usize;
+                for (offset, text) in log.iter().enumerate().skip(next).take(rng.usize(0..4)) {
+                    state.fold(now, offset as u64, text).expect("it is readable");
+                }
+            }
+        }
+    }
+    assert!(held_by_anyone > 100, "seed {seed}: the lease was hardly ever held");
+}
+
+#[test]
+fn history_one_holder_and_growing_fences() {
+    for seed in 0..300 {
+        history(seed);
+    }
+}
+
+#[test]
+fn fold_paused_holder_stops_by_its_own_clock() {
+    let mut state = State::new("router-0".into(), 1);
+    let start = Duration::from_secs(10);
+    let take = state.due(start, true).expect("nobody holds it");
+    state.fold(start, 0, &take.encode());
+    assert_eq!(state.fence(start), Some(0));
+    let early = start + TTL - MARGIN;
+    assert_eq!(state.fence(early - Duration::from_millis(1)), Some(0));
+    // The process was frozen until now; its own clock says that it is no longer the holder.
+    assert_eq!(state.fence(early), None);
+    assert!(!state.is_settled(early) && state.is_settled(start + TTL));
+}
+
+#[test]
+fn fold_second_taker_loses() {
+    let mut states = [State::new("router-0".into(), 1), State::new("router-1".into(), 2)];
+    let now = Duration::from_secs(10);
+    let takes: Vec<Record> = states.iter_mut().filter_map(|state| state.due(now, true)).collect();
+    assert_eq!(takes.len(), 2);
+    for state in &mut states {
+        for (offset, take) in takes.iter().enumerate() {
+            state.fold(now, offset as u64, &take.encode());
+        }
+    }
+    assert_eq!(states[0].fence(now), Some(0));
+    assert_eq!(states[1].fence(now), None);
+}
+
+#[test]
+fn fold_forgotten_base_heals() {
+    let record = |daemon: &str, after, body| Record::new(daemon, 1, 1, after, body).encode();
+    let mut newcomer = State::new("router-9".into(), 1);
+    newcomer.skip_to(10);
+    // The first that is left was refused by all who knew what came before: it named a record that
+    // was no longer the last.
+    newcomer.fold(Time::ZERO, 10, &record("loser", Some(3), Body::Take));
+    newcomer.fold(Time::ZERO, 11, &record("holder", Some(9), Body::Renew { fence: 5 }));
+    newcomer.fold(Time::ZERO, 12, &record("holder", Some(11), Body::Renew { fence: 5 }));
+    let held = newcomer.held().expect("it is held");
+    assert_eq!((held.daemon.as_str(), held.fence), ("holder", 5));
+    newcomer.fold(Time::ZERO, 13, &record("loser", Some(3), Body::Take));
+    assert_eq!(newcomer.held().map(|held| held.fence), Some(5));
+}
+
+quickcheck::quickcheck! {
+    fn fold_any_text(texts: Vec<String>) -> bool {
+        let mut state = State::new("router-0".into(), 1);
+        for (offset, text) in texts.iter().enumerate() {
+            state.fold(Time::ZERO, offset as u64, text);
+        }
+        state.held().is_none()
+    }
+}
--- a/src/manifest/checks.rs
+++ b/src/manifest/checks.rs
@@ -174,13 +174,13 @@
             let path = format!("models.{name}");
             self.reference(manifest.pools.contains_key(&model.pool), &path, "pool", &model.pool);
             self.deadline(&path, model.default_deadline_ms);
-            let path = format!("{path}.weights");
-            self.require(
-                is_name(&model.weights),
-                &path,
-                model.weights.as_str(),
-                "a name of 1 to 64 of a-z 0-9 - _ .",
-            );
+            let versions = std::iter::once(("weights", &model.weights))
+                .chain(model.preload.iter().map(|version| ("preload", version)));
+            for (field, version) in versions {
+                let path = format!("{path}.{field}");
+                let allowed = "a name of 1 to 64 of a-z 0-9 - _ .";
+                self.require(is_name(version), &path, version.as_str(), allowed);
+            }
         }
         for (name, service) in &manifest.services {
             let path = format!("services.{name}");
--- a/src/manifest/mod.rs
+++ b/src/manifest/mod.rs
@@ -56,6 +56,9 @@
     pub max_in_flight: u32,
     /// Requests that one router lets wait for this pool.
     pub max_waiting: u32,
+    /// Whether its engines refuse an order with an old fencing number.
+    #[serde(default)]
+    pub checks_fencing: bool,
 }
 
 /// One model, in the version that is served.
@@ -66,6 +69,9 @@
     pub pool: String,
     /// The weights version that answers must come from.
     pub weights: String,
+    /// Versions that engines are to load besides, before they are put in force.
+    #[serde(default)]
+    pub preload: Vec<String>,
     /// The adapter; none by default.
     #[serde(default)]
     pub adapter: Option<String>,
--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -5,7 +5,7 @@
 use http_types::{Method, StatusCode};
 
 use super::LIMITS;
-use crate::http::client::send_json;
+use crate::http::client::{Limits, send_json};
 use crate::membership::Report;
 use crate::prelude::*;
 
@@ -20,3 +20,13 @@
     }
     serde_json::from_slice(&body).map_err(|error| error.to_string())
 }
+
+/// Bounds of an order: a version may take long to load.
+const ORDER_LIMITS: Limits =
+    Limits { head: Duration::from_secs(600), idle: Duration::from_secs(600), ..LIMITS };
+
+/// Gives an engine an order, as JSON; whether it was carried out.
+pub async fn order(address: SocketAddr, order: String) -> bool {
+    let answer = send_json(address, Method::Post, "/orders", Some(order), ORDER_LIMITS).await;
+    answer.is_ok_and(|(status, _)| status.is_success())
+}
--- a/src/telemetry/event.rs
+++ b/src/telemetry/event.rs
@@ -64,6 +64,9 @@
     ClaimAbandoned = 500, Warn, "A claim was given up on; it is released when it shows up on the log.";
     ClaimReleased = 501, Info, "A claim that was never dispatched was released.";
     OutcomeAppendFailed = 502, Warn, "An outcome could not be appended yet; it is tried again.";
+    LeaseTaken = 510, Info, "A daemon took the lease to order engines.";
+    OrderGiven = 511, Info, "An engine was given an order.";
+    OrderRefused = 512, Warn, "An engine did not take an order; it is given again later.";
     PeerUp = 600, Info, "A peer connection was established.";
     PeerDown = 601, Debug, "A peer connection ended.";
     SnapshotTaken = 602, Info, "Folded state was taken over from a peer.";
--- a/standin/src/engine.rs
+++ b/standin/src/engine.rs
@@ -12,6 +12,7 @@
 use cardamomvalve::http::server::{self, Whole};
 use cardamomvalve::http::{client, header};
 use cardamomvalve::membership::Report;
+use cardamomvalve::order::{Action, Order};
 use cardamomvalve::platform;
 use cardamomvalve::prefix::{self, BLOCK_TOKENS, BYTES_PER_TOKEN, Key};
 use clap::Parser;
@@ -48,6 +49,12 @@
     /// Milliseconds in which one block is imported; no imports without it.
     #[arg(long)]
     pub import_ms: Option<f64>,
+    /// Milliseconds in which a weights version is loaded.
+    #[arg(long, default_value_t = 50)]
+    pub load_ms: u64,
+    /// Refuse orders that carry an older fencing number than one seen.
+    #[arg(long)]
+    pub checks_fencing: bool,
     /// Milliseconds for one answer token.
     #[arg(long, default_value_t = 2)]
     pub token_ms: u64,
@@ -91,6 +98,10 @@
     arrivals: u64,
     generated: u64,
     cancelled: u64,
+    /// The highest fencing number seen.
+    fence: u64,
+    orders: u64,
+    orders_refused: u64,
     /// Blocks imported from other engines.
     imported: u64,
 }
@@ -132,6 +143,9 @@
         generated: 0,
         cancelled: 0,
         imported: 0,
+        fence: 0,
+        orders: 0,
+        orders_refused: 0,
     };
     let state = Rc::new(RefCell::new(state));
     serve::run("standin-engine", options.listen, move |executor, whole| {
@@ -159,6 +173,7 @@
             Some(server::empty(204))
         }
         (Method::Get, "/report") => Some(report(&state, &whole)),
+        (Method::Post, "/orders") => Some(obey(&state, &whole).await),
         (Method::Post, "/kv") => Some(export(&state, &whole)),
         (Method::Get, "/counts") => {
             let state = state.borrow();
@@ -166,6 +181,8 @@
                 "generated": state.generated,
                 "cancelled": state.cancelled,
                 "imported": state.imported,
+                "orders": state.orders,
+                "orders_refused": state.orders_refused,
             });
             Some(server::json(200, &counts))
         }
@@ -265,6 +282,33 @@
     respond(&state, executor, whole, generation, &faults, wanted)
 }
 
+/// Carries an order out, unless its fencing number is old and this engine checks it.
+async fn obey(state: &Rc<RefCell<State>>, whole: &Whole) -> Response {
+    let Ok(order) = serde_json::from_slice::<Order>(&whole.body) else { return server::empty(400) };
+    {
+        let mut state = state.borrow_mut();
+        if state.options.checks_fencing && order.fence < state.fence {
+            state.orders_refused += 1;
+            return server::empty(409);
+        }
+        state.fence = state.fence.max(order.fence);
+        state.orders += 1;
+    }
+    let load_ms = state.borrow().options.load_ms;
+    match order.action {
+        Action::Load { model, weights, .. } => {
+            Timer::after(Duration::from_millis(load_ms)).await;
+            state.borrow_mut().weights.entry(model).or_default().insert(weights);
+        }
+        Action::Unload { model, weights } => {
+            if let Some(versions) = state.borrow_mut().weights.get_mut(&model) {
+                versions.remove(&weights);
+            }
+        }
+    }
+    server::empty(204)
+}
+
 /// What one engine asks another for.
 #[derive(Debug, Serialize, Deserialize)]
 struct Export {
--- a/standin/src/replay/world/daemons.rs
+++ b/standin/src/replay/world/daemons.rs
@@ -32,6 +32,8 @@
             }
             // A checkpoint is not due within a trace, and nothing is keyed.
             Effect::Append { .. }
+            | Effect::AppendLease(_)
+            | Effect::Order { .. }
             | Effect::Checkpoint(_)
             | Effect::Force(_)
             | Effect::Event(..) => {}
@@ -112,7 +114,7 @@
     pub(super) fn log_read(&self, stream: Stream) -> Read {
         let records = match stream {
             Stream::Manifest => vec![Record { offset: 0, time_ms: 0, text: manifest_record() }],
-            Stream::Ledger => Vec::new(),
+            Stream::Ledger | Stream::Lease => Vec::new(),
         };
         Read { first: 0, next: records.len() as u64, retention_s: 1_000_000, records }
     }
--- a/standin/tests/stops.rs
+++ b/standin/tests/stops.rs
@@ -176,3 +176,37 @@
     let keyed = fleet.pay(0, Some("k"), "b").expect("an answer");
     assert_eq!((keyed.code(), keyed.execution()), (2007, "not-run"));
 }
+
+#[test]
+fn weights_are_preloaded_then_put_in_force() {
+    let plan = Plan { engine_args: vec!["--checks-fencing"], ..Plan::default() };
+    let mut fleet = Fleet::start(plan);
+    let mut preload = manifest();
+    preload["pools"]["model"]["checks_fencing"] = json!(true);
+    preload["models"]["dga"]["preload"] = json!(["v2"]);
+    fleet.publish(&preload).expect("it is published");
+    let loaded = |fleet: &Fleet, index: usize| {
+        let servers = fleet.status(index)["servers"].clone();
+        (0..2).all(|engine| servers[engine]["weights"]["dga"] == json!(["v1", "v2"]))
+    };
+    until("both engines have it", || loaded(&fleet, 1));
+    let mut switch = preload;
+    switch["models"]["dga"]["weights"] = json!("v2");
+    switch["models"]["dga"]["preload"] = json!([]);
+    fleet.publish(&switch).expect("it is published");
+    for index in 0..2 {
+        until("the new version serves", || fleet.status(index)["generation"] == 3);
+        assert_eq!(fleet.complete(index, "p", 1, false).expect("an answer").status, 200);
+    }
+    // The holder of the lease dies; the next version is ordered by another.
+    let holder = fleet.status(0)["lease_holder"].clone();
+    let dead = usize::from(holder == "router-1");
+    fleet.daemons[dead].kill();
+    let mut next = switch;
+    next["models"]["dga"]["preload"] = json!(["v3"]);
+    fleet.publish(&next).expect("it is published");
+    until("another takes over", || {
+        let servers = fleet.status(1 - dead)["servers"].clone();
+        (0..2).all(|engine| servers[engine]["weights"]["dga"].to_string().contains("v3"))
+    });
+}
