Poll engines every 500 ms rather than every 200

Cause: a daemon at rest among 7 daemons and 20 engines took 1.96 % of a core and 110 KB/s on loopback; 4.9 KB/s and 0.047 % of a core of it for each engine, at about 1 KB a poll.

Ruled out: that placement needs the polls.

Conclusion: 500 ms. A frozen engine is noticed after two polls that time out.

--- a/src/control/node.rs
+++ b/src/control/node.rs
@@ -42,7 +42,7 @@
 impl Default for Policy {
     fn default() -> Self {
         Self {
-            poll_interval: Duration::from_millis(200),
+            poll_interval: Duration::from_millis(500),
             digest_interval: Duration::from_millis(250),
             digest_lifetime: Duration::from_secs(3),
             claim_timeout: Duration::from_secs(3),
