Let a manifest record carry only what changes

The records' shape had to change before anyone relies on it.

A record may now be a JSON merge patch of the generation that it names; the result is validated whole, so all daemons judge it alike. 'publish' sends the shorter of the two. Ruled out: records by section with a generation each; two sections that refer to each other could then be accepted in an order that makes neither valid.

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -197,6 +197,21 @@
     });
 }
 
+/// One change of one workspace's share, in a manifest of this many.
+#[divan::bench(args = [8, 52, 520])]
+fn fold_one_change(bencher: Bencher, workspaces: usize) {
+    let mut state = manifest::State::default();
+    state.fold(0, &publish(workspaces));
+    let mut share = 1;
+    bencher.bench_local(|| {
+        share = share % 1_000 + 1;
+        let patch = json!({ "workspaces": { "workspace-0": { "share": share } } });
+        let body = manifest::Body::Change { replaces: state.generation(), patch };
+        let record = manifest::Record { format: manifest::FORMAT, id: "bench".into(), body };
+        state.fold(state.next(), &record.encode())
+    });
+}
+
 /// One record of 100 claims, among this many keys.
 #[divan::bench(args = [1_000, 10_000, 100_000])]
 fn fold_100_claims(bencher: Bencher, keys: u64) {
--- a/src/cli/publish.rs
+++ b/src/cli/publish.rs
@@ -4,12 +4,12 @@
 use std::time::Instant;
 
 use async_io::{Timer, block_on};
-use serde_json::json;
+use serde_json::{Value, json};
 
 use super::options::Publish;
 use super::{check, pretty};
 use crate::control::{Appended, Stream};
-use crate::manifest::{Body, FORMAT, Record, State};
+use crate::manifest::{Body, FORMAT, Record, State, difference};
 use crate::platform::log;
 use crate::prelude::*;
 
@@ -28,7 +28,7 @@
     Ok(format!("Generation {generation} is in force."))
 }
 
-async fn publish(options: &Publish, manifest: serde_json::Value) -> Result<u64> {
+async fn publish(options: &Publish, manifest: Value) -> Result<u64> {
     let address = options.log_service;
     let mut state = State::default();
     catch_up(address, &mut state).await?;
@@ -37,8 +37,8 @@
         return Err(lost(&state, replaces));
     }
     let id = format!("{:016x}", fastrand::u64(..));
-    let record =
-        Record { format: FORMAT, id: id.clone(), body: Body::Publish { replaces, manifest } };
+    let body = smaller(&state, replaces, manifest);
+    let record = Record { format: FORMAT, id: id.clone(), body };
     match log::append(address, Stream::Manifest, record.encode()).await {
         Ok(offset) => read_back(options, &mut state, replaces, &id, Some(offset)).await,
         Err(Appended::Refused) => {
@@ -48,6 +48,21 @@
     }
 }
 
+/// The whole manifest, or only what changes where that is shorter.
+fn smaller(state: &State, replaces: u64, manifest: Value) -> Body {
+    let patch = difference(&state.value(), &manifest);
+    let changed = {
+        let mut merged = state.value();
+        json_patch::merge(&mut merged, &patch);
+        merged == manifest
+    };
+    // A patch can't set a field to null; the whole manifest then says so.
+    if changed && state.force().is_some() && patch.to_string().len() < manifest.to_string().len() {
+        return Body::Change { replaces, patch };
+    }
+    Body::Publish { replaces, manifest }
+}
+
 /// Folds the log until this record's fate is known.
 async fn read_back(
     options: &Publish,
--- a/src/manifest/mod.rs
+++ b/src/manifest/mod.rs
@@ -13,7 +13,7 @@
 use serde::{Deserialize, Serialize};
 
 pub use checks::{Fault, parse};
-pub use record::{Body, Record};
+pub use record::{Body, Record, difference};
 pub use state::{Force, State, Verdict};
 
 use crate::prelude::*;
@@ -73,7 +73,7 @@
     #[serde(default)]
     pub preload: Vec<String>,
     /// The adapter; none by default.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub adapter: Option<String>,
     /// What placement minimises first.
     pub objective: Objective,
--- a/src/manifest/record.rs
+++ b/src/manifest/record.rs
@@ -26,6 +26,13 @@
         /// The manifest, unchecked.
         manifest: Value,
     },
+    /// An operator's change of the manifest in force.
+    Change {
+        /// The generation that it changes.
+        replaces: u64,
+        /// What changes, as a JSON merge patch (RFC 7396).
+        patch: Value,
+    },
     /// The manifest in force, appended again before the log forgets it.
     Checkpoint {
         /// Its generation.
@@ -49,3 +56,33 @@
         (record.format == super::FORMAT).then_some(record)
     }
 }
+
+/// The JSON merge patch (RFC 7396) that makes `after` of `before`.
+///
+/// ```
+/// use cardamomvalve::manifest::difference;
+/// use serde_json::json;
+/// let patch = difference(&json!({"a": 1, "b": 2}), &json!({"a": 1, "c": 3}));
+/// assert_eq!(patch, json!({"b": null, "c": 3}));
+/// ```
+pub fn difference(before: &Value, after: &Value) -> Value {
+    let (Value::Object(before), Value::Object(after)) = (before, after) else {
+        return after.clone();
+    };
+    let mut patch = serde_json::Map::new();
+    for key in before.keys().filter(|key| !after.contains_key(*key)) {
+        patch.insert(key.clone(), Value::Null);
+    }
+    for (key, value) in after {
+        match before.get(key) {
+            Some(same) if same == value => {}
+            Some(other) => {
+                patch.insert(key.clone(), difference(other, value));
+            }
+            None => {
+                patch.insert(key.clone(), value.clone());
+            }
+        }
+    }
+    Value::Object(patch)
+}
--- a/src/manifest/state.rs
+++ b/src/manifest/state.rs
@@ -69,6 +69,12 @@
         self.force.as_ref()
     }
 
+    /// The manifest in force as JSON; null before the first.
+    pub fn value(&self) -> Value {
+        let value = self.force.as_ref().map(|force| serde_json::to_value(&force.manifest));
+        value.and_then(Result::ok).unwrap_or_default()
+    }
+
     /// The generation in force; 0 before the first.
     pub fn generation(&self) -> u64 {
         self.force.as_ref().map_or(0, |force| force.generation)
@@ -100,6 +106,14 @@
                 }
                 self.accept(replaces.saturating_add(1), record.id, manifest)
             }
+            Body::Change { replaces, patch } => {
+                if replaces != self.generation() {
+                    return Verdict::Stale;
+                }
+                let mut manifest = self.value();
+                json_patch::merge(&mut manifest, &patch);
+                self.accept(replaces.saturating_add(1), record.id, manifest)
+            }
             Body::Checkpoint { generation, published, manifest } => {
                 match generation.cmp(&self.generation()) {
                     Ordering::Less => Verdict::Known,
--- a/src/manifest/tests.rs
+++ b/src/manifest/tests.rs
@@ -84,7 +84,41 @@
     assert_eq!(faults_of(&manifest), BTreeSet::from(["workspaces.x.keys_sha256".to_owned()]));
 }
 
+fn fold(state: &mut State, body: Body) -> Verdict {
+    let record = Record { format: FORMAT, id: "id".into(), body };
+    state.fold(state.next(), &record.encode())
+}
+
+#[test]
+fn fold_change_of_a_section() {
+    let mut state = State::default();
+    let patch = json!({ "workspaces": { "w": { "share": 7 } } });
+    let change = |replaces| Body::Change { replaces, patch: patch.clone() };
+    assert_eq!(fold(&mut state, change(1)), Verdict::Stale, "there is nothing to change yet");
+    fold(&mut state, Body::Publish { replaces: 0, manifest: sound() });
+    assert!(matches!(fold(&mut state, change(1)), Verdict::Accepted(_)));
+    let force = state.force().expect("it is in force");
+    assert_eq!((force.generation, force.manifest.workspaces["w"].share), (2, 7));
+    assert_eq!(fold(&mut state, change(1)), Verdict::Stale);
+    let broken = json!({ "models": { "m": { "pool": "none" } } });
+    let verdict = fold(&mut state, Body::Change { replaces: 2, patch: broken });
+    assert_eq!(verdict, Verdict::Invalid(1));
+    assert_eq!(state.generation(), 2);
+}
+
 quickcheck! {
+    fn difference_makes_after_of_before(before: Vec<(u8, u8)>, after: Vec<(u8, u8)>) -> bool {
+        let value = |pairs: &[(u8, u8)]| {
+            let inner: BTreeMap<String, u8> =
+                pairs.iter().map(|(key, value)| (key.to_string(), *value)).collect();
+            json!({ "inner": inner, "count": pairs.len() })
+        };
+        let (mut before, after) = (value(&before), value(&after));
+        let patch = difference(&before, &after);
+        json_patch::merge(&mut before, &patch);
+        before == after
+    }
+
     fn parse_any_bytes(bytes: Vec<u8>) -> bool {
         parse(&bytes).is_err()
     }
