--- a/src/control/tests/servers.rs
+++ b/src/control/tests/servers.rs
@@ -334,3 +334,32 @@
     assert!(world.nodes[0].is_drained());
     assert_eq!(world.runs.len(), 1, "the request was not cut");
 }
+
+/// Number asked for, next number, and events: number, whether stored, block.
+type AnyReport = (u64, u64, Vec<(u64, bool, u8)>);
+
+quickcheck::quickcheck! {
+    /// Reports with any events, in any order, never panic, and hold no more than they named.
+    fn report_any_events(reports: Vec<AnyReport>) -> bool {
+        let mut bench = Bench::new();
+        let mut named = 0;
+        for (from, next_seq, events) in reports {
+            named += events.len();
+            let event = |(seq, stored, block): (u64, bool, u8)| CacheEvent {
+                seq,
+                change: if stored { Change::Stored } else { Change::Evicted },
+                block: block.into(),
+            };
+            let events = events.into_iter().map(event).collect();
+            bench.polled("engine-0", crate::membership::Report {
+                from,
+                next_seq,
+                events,
+                import_ms: Some(f64::NAN),
+                ..report("one", "v1")
+            });
+        }
+        let (_, effects) = bench.ask("w", "v1");
+        bench.world.nodes[0].residency.len() <= named + 8 && dispatched(&effects).is_some()
+    }
+}
--- a/src/ledger/mod.rs
+++ b/src/ledger/mod.rs
@@ -7,6 +7,8 @@
 mod pending;
 mod record;
 mod state;
+#[cfg(test)]
+mod tests;
 
 pub use pending::{Pending, Step};
 pub use record::{Batch, Entry};
--- a/standin/tests/stops.rs
+++ b/standin/tests/stops.rs
@@ -210,3 +210,18 @@
         (0..2).all(|engine| servers[engine]["weights"]["dga"].to_string().contains("v3"))
     });
 }
+
+#[test]
+fn old_fence_is_refused_by_engines_that_check() {
+    let plan =
+        Plan { engines: 1, daemons: 1, engine_args: vec!["--checks-fencing"], ..Plan::default() };
+    let fleet = Fleet::start(plan);
+    let order = |fence: u64| {
+        let body = json!({ "fence": fence, "action": "load", "model": "dga", "weights": "v9", "adapter": null });
+        let address = fleet.engines[0].address();
+        common::call(http_types::Method::Post, address, "/orders", &[], &body.to_string())
+            .expect("it answers")
+            .status
+    };
+    assert_eq!((order(7), order(6), order(7)), (204, 409, 204));
+}
--- a/standin/tests/streams.rs
+++ b/standin/tests/streams.rs
@@ -199,6 +199,28 @@
     assert_eq!(imported(&fleet), 0);
 }
 
+#[test]
+fn workspaces_share_no_cache() {
+    let fleet = Fleet::start(Plan { engines: 1, daemons: 1, ..Plan::default() });
+    let mut both = common::manifest();
+    both["workspaces"]["court"]["models"] = json!(["dga"]);
+    fleet.publish(&both).expect("it is published");
+    until("it is in force", || fleet.status(0)["generation"] == 2);
+    let prompt = "same ".repeat(2_000);
+    let cached = |key: &str| {
+        let body = json!({ "model": "dga", "prompt": prompt, "max_tokens": 1 });
+        let key = format!("Bearer {key}");
+        let headers = [("authorization", key.as_str())];
+        let answer =
+            call(Method::Post, fleet.entry(0), "/v1/completions", &headers, &body.to_string());
+        let usage = answer.expect("an answer").json()["usage"].clone();
+        usage["prompt_tokens_details"]["cached_tokens"].as_u64()
+    };
+    assert_eq!(cached(LAB), Some(0));
+    assert_eq!(cached(LAB), Some(2_304));
+    assert_eq!(cached(common::COURT), Some(0), "another workspace's blocks");
+}
+
 #[test]
 fn caller_who_leaves_is_cancelled() {
     let fleet = Fleet::start(Plan { engines: 1, ..slow() });
