Never say 'not run' of a request that may have run

Cause: read while mending: a request whose attempt broke and that then found no server, no room or no time was refused with its code's own word, 'not run'. Only the path from an attempt's end corrected it.

Ruled out: callers that ran twice by it; only repeatable requests are tried again. Before: refusal_after_an_attempt_that_may_have_run_is_unknown fails (not-run).

--- a/src/control/node.rs
+++ b/src/control/node.rs
@@ -260,7 +260,8 @@
         self.effects.push(Effect::Command(request, Box::new(command)));
     }
 
-    /// Ends a request with a final answer that this router makes itself.
+    /// Ends a request with a final answer that this router makes itself; it never says "not run" of
+    /// one that may have run.
     pub(super) fn refuse(
         &mut self,
         now: Time,
@@ -268,7 +269,11 @@
         refusal: impl Into<attempt::Refusal>,
     ) {
         self.counts.refused += 1;
-        self.command(request, attempt::Command::Refuse(refusal.into()));
+        let mut refusal = refusal.into();
+        if self.requests.get(&request).is_some_and(|state| state.maybe_ran) {
+            refusal.execution = refusal.execution.max(Execution::Unknown);
+        }
+        self.command(request, attempt::Command::Refuse(refusal));
         self.forget(now, request);
     }
 
--- a/src/control/outcomes.rs
+++ b/src/control/outcomes.rs
@@ -74,20 +74,11 @@
             Next::Finish => self.finish(now, request, outcome),
             Next::Retry => self.retry(now, request),
             Next::GiveUp(code, detail) => {
-                let refusal = self.final_answer(request, code, detail);
-                self.release_and_refuse(now, request, refusal);
+                self.release_and_refuse(now, request, Error::new(code, detail).into());
             }
         }
     }
 
-    fn final_answer(&self, request: attempt::Key, code: Code, detail: String) -> attempt::Refusal {
-        let mut refusal = attempt::Refusal::from(Error::new(code, detail));
-        if self.requests.get(&request).is_some_and(|state| state.maybe_ran) {
-            refusal.execution = refusal.execution.max(Execution::Unknown);
-        }
-        refusal
-    }
-
     /// Corrects what is believed of the server that failed an attempt.
     fn note_failure(&mut self, now: Time, request: attempt::Key, outcome: &Outcome) {
         let Some(state) = self.requests.get(&request) else {
--- a/src/control/tests/servers.rs
+++ b/src/control/tests/servers.rs
@@ -281,6 +281,19 @@
     panic!("it was never given up");
 }
 
+#[test]
+fn refusal_after_an_attempt_that_may_have_run_is_unknown() {
+    let mut bench = Bench::new();
+    let (request, _) = bench.ask("w", "v1");
+    for id in ["engine-0", "engine-1"] {
+        let server = bench.world.server(0, id);
+        bench.apply(Message::PollFailed(server));
+        bench.apply(Message::PollFailed(server));
+    }
+    let effects = bench.ended(request, 1, Outcome::Broken("cut".into()));
+    assert_eq!(refused(&effects), Some((Code::NoServer, Execution::Unknown)));
+}
+
 #[test]
 fn late_report_of_an_ended_attempt_changes_nothing() {
     let mut bench = Bench::new();
