Mend what reads badly: claims, dispatch and arrivals apart; no twins

Arrivals held three duties; each has its file now. Status carries the node's counts rather than copies of them, tests build reports from a default, the two scripts share what starts and ends programs.

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -54,15 +54,11 @@
     Report {
         incarnation: "one".into(),
         from,
-        leaving: false,
         weights: BTreeMap::from([("m".into(), BTreeSet::from(["v1".to_owned()]))]),
-        running: 0,
-        waiting: 0,
-        queued_tokens: 0,
         prefill_tokens_per_s: 8_000,
-        import_ms: None,
         next_seq,
         events,
+        ..Report::default()
     }
 }
 
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -6,38 +6,8 @@
 
 cargo build --workspace --locked --quiet
 bin="${CARGO_TARGET_DIR:-target}/debug"
-dir="$(mktemp -d)"
-pids=()
-
-cleanup() {
-    for pid in "${pids[@]}"; do kill -KILL "$pid" 2>/dev/null || true; done
-    wait 2>/dev/null || true
-    rm -rf "$dir"
-}
-trap cleanup EXIT
-
-fail() {
-    echo "demo: $1" >&2
-    exit 1
-}
-
-# start NAME COMMAND...: runs a program, waits for its ready line, and leaves its pid in $pid.
-start() {
-    local name="$1"
-    shift
-    "$@" >"$dir/$name.out" 2>"$dir/$name.err" &
-    pid=$!
-    pids+=("$pid")
-    for _ in $(seq 500); do
-        grep -q ' ready ' "$dir/$name.out" && return
-        sleep 0.02
-    done
-    cat "$dir/$name.err" >&2
-    fail "$name did not start"
-}
-
-# address NAME FIELD: an address from a program's ready line.
-address() { sed -n "s/.* ready .*$2=\([^ ]*\).*/\1/p" "$dir/$1.out"; }
+name=demo
+. scripts/common.sh
 
 call() { "$bin/standin-call" "$@"; }
 
--- a/scripts/scale.sh
+++ b/scripts/scale.sh
@@ -10,31 +10,8 @@
 
 cargo build --workspace --locked --release --quiet
 bin="${CARGO_TARGET_DIR:-target}/release"
-dir="$(mktemp -d)"
-pids=()
-
-cleanup() {
-    for pid in "${pids[@]}"; do kill -KILL "$pid" 2>/dev/null || true; done
-    wait 2>/dev/null || true
-    rm -rf "$dir"
-}
-trap cleanup EXIT
-
-start() {
-    local name="$1"
-    shift
-    "$@" >"$dir/$name.out" 2>/dev/null &
-    pid=$!
-    pids+=("$pid")
-    for _ in $(seq 500); do
-        grep -q ' ready ' "$dir/$name.out" && return
-        sleep 0.02
-    done
-    echo "scale: $name did not start" >&2
-    exit 1
-}
-
-address() { sed -n "s/.* ready .*$2=\([^ ]*\).*/\1/p" "$dir/$1.out"; }
+name=scale
+. scripts/common.sh
 
 start log "$bin/standin-log"
 start vms "$bin/standin-vms"
@@ -77,7 +54,7 @@
         sees_all "$i" && break
         sleep 0.1
     done
-    sees_all "$i" || { echo "scale: router-$i does not see all" >&2; exit 1; }
+    sees_all "$i" || { fail "router-$i does not see all"; }
 done
 
 # Clock ticks of all daemons, kilobytes resident of all daemons, bytes on loopback.
--- /dev/null
+++ b/src/control/claims.rs
@@ -0,0 +1,141 @@
+//! Keyed requests: claimed on the log before they may run, and answered from what is known.
+
+use super::{Node, Stream};
+use crate::attempt::{self, Command, Phase, Refusal};
+use crate::ledger::{self, Found, Step};
+use crate::prelude::*;
+
+impl Node {
+    /// Answers a keyed request from what is known of its key, or claims it.
+    pub(super) fn claim(&mut self, now: Time, request: attempt::Key, ask: &ledger::Ask) {
+        if self.ledger.get(&ask.key).is_some() {
+            return self.answer_known(now, request);
+        }
+        let reading = self.readings.get(&Stream::Ledger).copied().unwrap_or_default();
+        if !reading.up {
+            return self.refuse(now, request, Code::LogUnavailable);
+        }
+        if reading.tail_at_start.is_none_or(|tail| self.ledger.next() < tail) {
+            return self.refuse(now, request, Code::LedgerBehind);
+        }
+        if reading.retention_s < ask.window_s {
+            let detail = format!(
+                "the log keeps records for {} s, the window is {} s",
+                reading.retention_s, ask.window_s
+            );
+            return self.refuse(now, request, Error::new(Code::LogUnavailable, detail));
+        }
+        let id = self.pending.claim(request, ask);
+        self.claims.insert(request, id);
+    }
+
+    /// Answers a keyed request from what the ledger knows of its key.
+    fn answer_known(&mut self, now: Time, request: attempt::Key) {
+        let Some(ask) = self.requests.get(&request).and_then(|r| r.arrival.claim.clone()) else {
+            return;
+        };
+        let Some(slot) = self.ledger.get(&ask.key) else {
+            return;
+        };
+        if slot.digest != ask.digest {
+            return self.refuse(now, request, Code::KeyReused);
+        }
+        let found = match self.pending.receipt(&ask.key) {
+            Some(receipt) => Found::Done(receipt.clone()),
+            None => slot.found.clone(),
+        };
+        match &found {
+            Found::Done(receipt) if receipt.body.is_some() => {
+                let receipt = receipt.clone();
+                self.counts.finished += 1;
+                self.command(request, Command::Replay(receipt));
+                self.forget(now, request);
+            }
+            Found::Done(_) => self.refuse(now, request, Code::ReceiptNotKept),
+            Found::Lost => self.refuse(now, request, Code::KeyOutcomeUnknown),
+            Found::Claimed => {
+                let claimant = slot.claim.clone();
+                let running = self.is_running(now, &claimant);
+                let code = if running { Code::KeyInProgress } else { Code::KeyOutcomeUnknown };
+                self.refuse(now, request, code);
+            }
+        }
+    }
+
+    /// Whether the incarnation that made the claim still runs, as far as is known.
+    fn is_running(&self, now: Time, claim: &ledger::ClaimId) -> bool {
+        if self.pending.is_own(claim) {
+            return true;
+        }
+        self.fresh_peers(now)
+            .any(|digest| digest.daemon == claim.daemon && digest.incarnation == claim.incarnation)
+    }
+
+    pub(super) fn ledger_steps(&mut self, now: Time, steps: Vec<Step>) {
+        for step in steps {
+            match step {
+                Step::Won(request) => self.claimed(now, request),
+                Step::Lost(request) => self.answer_known(now, request),
+                Step::Unclaimed(request) => self.refuse(now, request, Code::LogUnavailable),
+                Step::Released => self.event(Event::ClaimReleased, String::new()),
+            }
+        }
+    }
+
+    fn claimed(&mut self, now: Time, request: attempt::Key) {
+        let Some(state) = self.requests.get_mut(&request) else {
+            return;
+        };
+        state.phase = Phase::Waiting;
+        self.admit(now, request);
+    }
+
+    /// Refuses a request, and releases its claim if no attempt of it may have run.
+    pub(super) fn release_and_refuse(
+        &mut self,
+        now: Time,
+        request: attempt::Key,
+        refusal: Refusal,
+    ) {
+        self.settle_claim(request, None);
+        self.refuse(now, request, refusal);
+    }
+
+    /// Notes on the ledger what came of a claimed request that ends now.
+    pub(super) fn settle_claim(&mut self, request: attempt::Key, receipt: Option<ledger::Receipt>) {
+        let Some(state) = self.requests.get(&request) else {
+            return;
+        };
+        if state.phase == Phase::Claiming {
+            return;
+        }
+        let maybe_ran = state.maybe_ran;
+        let Some(key) = state.arrival.claim.as_ref().map(|ask| ask.key.clone()) else {
+            return;
+        };
+        let Some(id) = self.claims.remove(&request) else {
+            return;
+        };
+        self.pending.note(match receipt {
+            Some(receipt) => ledger::Entry::Outcome { id, key, receipt },
+            None if maybe_ran => ledger::Entry::Lost { id, key },
+            None => ledger::Entry::Release { id, key },
+        });
+    }
+
+    /// Gives up claims that took too long through the log.
+    pub(super) fn expire_claims(&mut self, now: Time) {
+        let claim_timeout = self.policy.claim_timeout;
+        let stuck: Vec<attempt::Key> = self
+            .requests
+            .iter()
+            .filter(|(_, state)| state.phase == Phase::Claiming)
+            .filter(|(_, state)| now >= state.arrival.deadline.min(state.since + claim_timeout))
+            .map(|(request, _)| *request)
+            .collect();
+        for request in stuck {
+            self.event(Event::ClaimAbandoned, String::new());
+            self.refuse(now, request, Code::LogUnavailable);
+        }
+    }
+}
--- /dev/null
+++ b/src/control/dispatch.rs
@@ -0,0 +1,136 @@
+//! Waiting requests sent to servers: which goes next, where, and with what import.
+
+use super::Node;
+use crate::attempt::{self, Command, Dispatch, Import, Phase, Request, Target};
+use crate::membership;
+use crate::prelude::*;
+
+/// Waiting requests that are looked at for a free server, at most.
+const MAX_SCAN: usize = 32;
+/// The part of the time to its deadline that a request is held for a better, full server.
+const HOLD_PART: u32 = 4;
+
+/// Where a request goes, and what it costs there.
+#[derive(Debug, Clone, Copy)]
+struct Choice {
+    server: membership::Key,
+    /// Prompt tokens that the work until the first token is worth.
+    pending_tokens: u32,
+    /// Leading blocks to have after an import; 0 for none.
+    import_blocks: usize,
+}
+
+impl Node {
+    /// Sends waiting requests of `pool` to servers with free slots, in the queue's order.
+    pub(super) fn pump(&mut self, now: Time, pool: &str) {
+        loop {
+            let Some(queue) = self.queues.get(pool) else {
+                return;
+            };
+            let waiting: Vec<attempt::Key> =
+                queue.iter().take(MAX_SCAN).map(|entry| entry.request).collect();
+            let placed = waiting.into_iter().find_map(|request| {
+                let choice = self.place(now, request)?;
+                Some((request, choice))
+            });
+            let Some((request, choice)) = placed else { return };
+            if let Some(queue) = self.queues.get_mut(pool) {
+                queue.take(request);
+            }
+            self.dispatch(now, request, choice);
+        }
+    }
+
+    /// The server for a waiting request; `None` while every fitting one is full, or a full one is
+    /// worth waiting for.
+    fn place(&self, now: Time, request: attempt::Key) -> Option<Choice> {
+        let state = self.requests.get(&request)?;
+        if let Some((server, _)) = &state.stream
+            && self.holds_stream(now, state)
+        {
+            return Some(Choice { server: *server, pending_tokens: 0, import_blocks: 0 });
+        }
+        let left = state.arrival.deadline.saturating_sub(state.since);
+        let free_only = now >= state.since + left / HOLD_PART;
+        let scored = self.score(now, request, free_only);
+        let best = scored.first().filter(|scored| scored.free)?;
+        Some(Choice {
+            server: best.key,
+            pending_tokens: best.work_tokens,
+            import_blocks: best.import_blocks,
+        })
+    }
+
+    /// Whether the server that holds the request's broken stream can resume it.
+    fn holds_stream(&self, now: Time, state: &Request) -> bool {
+        let Some((key, incarnation)) = &state.stream else {
+            return false;
+        };
+        self.membership.get(*key).is_some_and(|server| {
+            server.is_reachable() && server.incarnation == *incarnation && server.is_usable(now)
+        })
+    }
+
+    /// Where `server` is to import the first `blocks` blocks from: the holder that is least busy.
+    fn import(
+        &self,
+        now: Time,
+        state: &Request,
+        server: membership::Key,
+        blocks: usize,
+    ) -> Option<Import> {
+        if blocks == 0 {
+            return None;
+        }
+        let depth = self.depth(now, &state.arrival.prefix);
+        let holders = depth
+            .iter()
+            .filter(|(key, held)| **held >= blocks && **key != server)
+            .filter_map(|(key, _)| Some((*key, self.membership.get(*key)?)))
+            .filter(|(_, holder)| holder.is_reachable());
+        let (_, holder) = holders.min_by_key(|(key, holder)| {
+            let busy = self.fleet_busy(now, *key, &holder.vm.id);
+            (busy.pending_tokens, holder.load.queued_tokens, holder.vm.id.clone())
+        })?;
+        let incarnation = holder.incarnation.clone()?;
+        Some(Import { address: holder.vm.address, incarnation, blocks })
+    }
+
+    fn dispatch(&mut self, now: Time, request: attempt::Key, choice: Choice) {
+        let Choice { server, pending_tokens, import_blocks } = choice;
+        let Some(state) = self.requests.get(&request) else { return };
+        let import = self.import(now, state, server, import_blocks);
+        let resume = self.holds_stream(now, state);
+        let Some(target) = self.membership.get(server) else {
+            return;
+        };
+        let (id, address) = (target.vm.id.clone(), target.vm.address);
+        let incarnation = target.incarnation.clone();
+        let Some(state) = self.requests.get_mut(&request) else {
+            return;
+        };
+        state.attempts += 1;
+        state.phase = Phase::Sent { server, at: now, pending_tokens, begun: false };
+        let deadline = match state.begun {
+            false => state.arrival.deadline,
+            true => Time::MAX,
+        };
+        let dispatch = Dispatch {
+            attempt: state.attempts,
+            server,
+            id,
+            address,
+            incarnation,
+            resume,
+            import,
+            deadline,
+        };
+        let blocks = match (&state.arrival.target, state.begun) {
+            (Target::Model { .. }, false) => state.arrival.prefix.blocks.clone(),
+            _ => Vec::new(),
+        };
+        let level = state.arrival.prefix.level(0);
+        self.note_work(now, server, pending_tokens, &blocks, level);
+        self.command(request, Command::Dispatch(dispatch));
+    }
+}
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -6,6 +6,8 @@
 
 mod arrivals;
 mod candidates;
+mod claims;
+mod dispatch;
 mod message;
 mod node;
 mod orders;
--- a/src/control/node.rs
+++ b/src/control/node.rs
@@ -1,5 +1,7 @@
 //! The node: its state, and where each message goes.
 
+use serde::Serialize;
+
 use super::{Effect, Message, Stream};
 use crate::admission::{Budget, Queue};
 use crate::attempt::{self, Phase, Request};
@@ -82,7 +84,7 @@
 }
 
 /// Counts since the start, for operators.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
 pub struct Counts {
     /// Requests taken.
     pub arrived: u64,
@@ -97,7 +99,7 @@
     /// Of these, found in a cache.
     pub cached_tokens: u64,
     /// Log records that could not be read.
-    pub unreadable: u64,
+    pub unreadable_records: u64,
 }
 
 /// The decision state of one daemon.
--- a/src/control/platform.rs
+++ b/src/control/platform.rs
@@ -88,7 +88,7 @@
     }
 
     fn unreadable(&mut self, stream: Stream, offset: u64) {
-        self.counts.unreadable += 1;
+        self.counts.unreadable_records += 1;
         self.event(Event::RecordUnreadable, format!("{} offset {offset}", stream.as_str()));
     }
 
--- a/src/control/status.rs
+++ b/src/control/status.rs
@@ -2,7 +2,7 @@
 
 use serde::Serialize;
 
-use super::{Node, Stream};
+use super::{Counts, Node, Stream};
 use crate::attempt::{self, Arrival, Phase, Request};
 use crate::placement::Scored;
 use crate::prelude::*;
@@ -69,20 +69,9 @@
     pub waiting: BTreeMap<String, usize>,
     /// Open requests.
     pub open: usize,
-    /// Requests taken since the start.
-    pub arrived: u64,
-    /// Requests finished.
-    pub finished: u64,
-    /// Requests given up.
-    pub refused: u64,
-    /// Attempts after the first.
-    pub retried: u64,
-    /// Prompt tokens of begun answers.
-    pub prompt_tokens: u64,
-    /// Of these, found in a cache.
-    pub cached_tokens: u64,
-    /// Log records that could not be read.
-    pub unreadable_records: u64,
+    /// Counts since the start.
+    #[serde(flatten)]
+    pub counts: Counts,
 }
 
 /// One candidate of a placement, for operators.
@@ -137,13 +126,7 @@
             servers: servers.collect(),
             waiting: waiting.collect(),
             open: self.requests.len(),
-            arrived: self.counts.arrived,
-            finished: self.counts.finished,
-            refused: self.counts.refused,
-            retried: self.counts.retried,
-            prompt_tokens: self.counts.prompt_tokens,
-            cached_tokens: self.counts.cached_tokens,
-            unreadable_records: self.counts.unreadable,
+            counts: self.counts,
         }
     }
 
--- a/src/control/tests/at_most_once.rs
+++ b/src/control/tests/at_most_once.rs
@@ -175,7 +175,7 @@
     world.pay(0, Some("k"));
     world.quiet();
     for node in &world.nodes {
-        assert_eq!(node.counts().unreadable, 2);
+        assert_eq!(node.counts().unreadable_records, 2);
         assert_eq!(node.ledger.len(), 1);
     }
     let gap = Record { offset: 99, time_ms: 0, text: String::new() };
--- a/src/control/tests/manifests.rs
+++ b/src/control/tests/manifests.rs
@@ -62,14 +62,9 @@
     assert!(in_order(&world.generations[0]));
 }
 
-#[test]
-fn daemon_cut_off_from_log_learns_from_peers() {
-    let mut world = World::new(1, 2, Faults::default());
-    world.land(Stream::Manifest, publish_record("second", 1, manifest_value("v2")));
-    world.read(0, Stream::Manifest);
-    world.read(0, Stream::Manifest);
-    // Node 1 reads nothing; only frames reach it.
-    for _ in 0..100 {
+/// Ticks of two nodes, each round's messages delivered between them, and nothing read.
+fn exchange(world: &mut World, rounds: usize) {
+    for _ in 0..rounds {
         for index in 0..2 {
             world.tell(index, Message::Tick);
         }
@@ -80,6 +75,16 @@
         }
         world.now += Duration::from_millis(100);
     }
+}
+
+#[test]
+fn daemon_cut_off_from_log_learns_from_peers() {
+    let mut world = World::new(1, 2, Faults::default());
+    world.land(Stream::Manifest, publish_record("second", 1, manifest_value("v2")));
+    world.read(0, Stream::Manifest);
+    world.read(0, Stream::Manifest);
+    // Node 1 reads nothing; only frames reach it.
+    exchange(&mut world, 100);
     assert_eq!(world.nodes[1].manifest.generation(), 2);
 }
 
@@ -89,17 +94,7 @@
     world.log_down = true;
     world.kill(0);
     assert!(!world.nodes[0].is_ready());
-    for _ in 0..20 {
-        for index in 0..2 {
-            world.tell(index, Message::Tick);
-        }
-        for action in std::mem::take(&mut world.actions) {
-            if let super::world::Action::Deliver(index, _, message) = action {
-                world.tell(index, *message);
-            }
-        }
-        world.now += Duration::from_millis(100);
-    }
+    exchange(&mut world, 20);
     assert!(world.nodes[0].is_ready());
 }
 
--- a/src/control/tests/orders.rs
+++ b/src/control/tests/orders.rs
@@ -20,16 +20,8 @@
             let server = world.server(index, id);
             let report = Report {
                 incarnation: "one".into(),
-                from: 0,
-                leaving: false,
                 weights: BTreeMap::from([("m".into(), BTreeSet::from([version.to_owned()]))]),
-                running: 0,
-                waiting: 0,
-                queued_tokens: 0,
-                prefill_tokens_per_s: 1,
-                import_ms: None,
-                next_seq: 0,
-                events: Vec::new(),
+                ..Report::default()
             };
             world.tell(index, Message::Polled(server, Box::new(report)));
         }
--- a/src/control/tests/servers.rs
+++ b/src/control/tests/servers.rs
@@ -12,16 +12,9 @@
 fn report(incarnation: &str, weights: &str) -> crate::membership::Report {
     crate::membership::Report {
         incarnation: incarnation.into(),
-        from: 0,
-        leaving: false,
         weights: BTreeMap::from([("m".into(), BTreeSet::from([weights.to_owned()]))]),
-        running: 0,
-        waiting: 0,
-        queued_tokens: 0,
         prefill_tokens_per_s: 1_000,
-        import_ms: None,
-        next_seq: 0,
-        events: Vec::new(),
+        ..crate::membership::Report::default()
     }
 }
 
--- a/src/membership/report.rs
+++ b/src/membership/report.rs
@@ -34,7 +34,7 @@
 }
 
 /// An engine's state and its cache events since the sequence number asked for.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Report {
     /// Changes at every start of the engine.
     pub incarnation: String,
--- a/src/membership/tests.rs
+++ b/src/membership/tests.rs
@@ -21,15 +21,9 @@
     Report {
         incarnation: incarnation.into(),
         from,
-        leaving: false,
-        weights: BTreeMap::new(),
-        running: 0,
-        waiting: 0,
-        queued_tokens: 0,
-        prefill_tokens_per_s: 0,
-        import_ms: None,
         next_seq,
         events: seqs.map(|seq| CacheEvent { seq, change: Change::Stored, block: seq }).collect(),
+        ..Report::default()
     }
 }
 
--- a/src/order/tests.rs
+++ b/src/order/tests.rs
@@ -41,16 +41,8 @@
     let versions = versions.iter().map(|version| (*version).to_owned()).collect();
     let report = Report {
         incarnation: "one".into(),
-        from: 0,
-        leaving: false,
         weights: BTreeMap::from([("m".into(), versions)]),
-        running: 0,
-        waiting: 0,
-        queued_tokens: 0,
-        prefill_tokens_per_s: 1,
-        import_ms: None,
-        next_seq: 0,
-        events: Vec::new(),
+        ..Report::default()
     };
     for key in &keys {
         state.report(Time::ZERO, *key, &report);
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -81,15 +81,15 @@
             ("peers", status.peers.len() as u64),
             ("waiting", waiting as u64),
             ("open", status.open as u64),
-            ("arrived", status.arrived),
-            ("finished", status.finished),
-            ("refused", status.refused),
-            ("retried", status.retried),
-            ("prompt_tokens", status.prompt_tokens),
-            ("cached_tokens", status.cached_tokens),
+            ("arrived", status.counts.arrived),
+            ("finished", status.counts.finished),
+            ("refused", status.counts.refused),
+            ("retried", status.counts.retried),
+            ("prompt_tokens", status.counts.prompt_tokens),
+            ("cached_tokens", status.counts.cached_tokens),
             ("ledger_keys", status.ledger_keys as u64),
             ("residency_entries", status.residency_entries as u64),
-            ("unreadable_records", status.unreadable_records),
+            ("unreadable_records", status.counts.unreadable_records),
         ];
         for (name, value) in values {
             self.state.record(value, &[KeyValue::new("name", name)]);
