Keep what is believed of an engine through a few lost events

Each gap dropped everything believed of that engine, so each engine was forgotten every 2.5 s.

Ruled out: wrong beliefs as the cost; a belief that is wrong costs one computation at an engine that then holds the text again. Safety does not hang on it either: a new incarnation still drops everything.

Now lost events are counted, and beliefs dropped once these could touch a quarter of them.

--- a/src/control/platform.rs
+++ b/src/control/platform.rs
@@ -218,8 +218,8 @@
                     self.abort_attempts(key);
                     (Event::ServerRestarted, key)
                 }
-                Notice::Gap(key) => {
-                    self.residency.clear(key);
+                Notice::Gap(key, lost) => {
+                    self.residency.lose(key, lost);
                     (Event::CacheEventGap, key)
                 }
                 Notice::Removed(key, id) => {
--- a/src/membership/state.rs
+++ b/src/membership/state.rs
@@ -103,8 +103,8 @@
     Removed(Key, String),
     /// It came back under a new incarnation.
     Restarted(Key),
-    /// Its cache events have a gap.
-    Gap(Key),
+    /// So many of its cache events were lost.
+    Gap(Key, u64),
     /// It does not answer.
     Unreachable(Key),
     /// It answers again.
@@ -221,8 +221,9 @@
             // Asked with the former incarnation's number: read the new one's events from 0.
             server.next_seq = 0;
         } else {
-            if has_gap(report) {
-                notices.push(Notice::Gap(key));
+            let lost = lost_events(report);
+            if lost > 0 {
+                notices.push(Notice::Gap(key, lost));
             }
             server.next_seq = report.next_seq;
         }
@@ -266,8 +267,19 @@
     }
 }
 
-/// Whether events between the number asked for and the newest are missing.
-fn has_gap(report: &Report) -> bool {
+/// How many events between the number asked for and the newest are missing; events that do not
+/// belong there count as missing too.
+fn lost_events(report: &Report) -> u64 {
     let expected = report.from..report.next_seq;
-    !report.events.iter().map(|event| event.seq).eq(expected)
+    let mut next = expected.start;
+    let mut lost = 0_u64;
+    for event in &report.events {
+        if event.seq < next || event.seq >= expected.end {
+            lost = lost.saturating_add(1);
+            continue;
+        }
+        lost = lost.saturating_add(event.seq - next);
+        next = event.seq + 1;
+    }
+    lost.saturating_add(expected.end.saturating_sub(next))
 }
--- a/src/membership/tests.rs
+++ b/src/membership/tests.rs
@@ -49,8 +49,8 @@
     let cases = [
         (report("one", 0, 0..3, 3), vec![]),
         (report("one", 3, 3..3, 3), vec![]),
-        (report("one", 3, 5..6, 6), vec![Notice::Gap(a)]),
-        (report("one", 6, 6..7, 9), vec![Notice::Gap(a)]),
+        (report("one", 3, 5..6, 6), vec![Notice::Gap(a, 2)]),
+        (report("one", 6, 6..7, 9), vec![Notice::Gap(a, 2)]),
         (report("two", 9, 0..0, 1), vec![Notice::Restarted(a)]),
         (report("two", 0, 0..1, 1), vec![]),
     ];
--- a/src/prefix/residency.rs
+++ b/src/prefix/residency.rs
@@ -11,11 +11,16 @@
 /// How many leading blocks of a prefix each server is believed to hold.
 pub type Depth = BTreeMap<membership::Key, usize>;
 
+/// Beliefs about a server are dropped once this part of them, as a divisor, may be wrong.
+const LOST_PART: u64 = 4;
+
 /// Beliefs about the caches of all servers, bounded in entries.
 #[derive(Debug, Default)]
 pub struct Residency {
     holders: BTreeMap<Key, Vec<membership::Key>>,
     held: BTreeMap<membership::Key, BTreeSet<Key>>,
+    /// Events of each server that were lost since its beliefs were last dropped.
+    lost: BTreeMap<membership::Key, u64>,
     entries: usize,
     limit: usize,
 }
@@ -72,6 +77,19 @@
             self.remove(server, block);
         }
         self.held.remove(&server);
+        self.lost.remove(&server);
+    }
+
+    /// Notes that `count` events of `server` were lost: each may have been an eviction. Once they
+    /// could have touched a quarter of what is believed, all of it is dropped; until then a wrong
+    /// belief costs one computation, and a dropped one costs many.
+    pub fn lose(&mut self, server: membership::Key, count: u64) {
+        let lost = self.lost.entry(server).or_insert(0);
+        *lost = lost.saturating_add(count);
+        let held = self.held.get(&server).map_or(0, BTreeSet::len) as u64;
+        if lost.saturating_mul(LOST_PART) >= held {
+            self.clear(server);
+        }
     }
 
     /// How many leading blocks of `blocks` each server holds; servers with none are left out.
--- a/src/prefix/tests.rs
+++ b/src/prefix/tests.rs
@@ -72,6 +72,23 @@
     true
 }
 
+#[test]
+fn residency_outlives_few_lost_events_only() {
+    let mut residency = Residency::new(100);
+    for block in 0..40 {
+        residency.insert(server(1), Key(block));
+        residency.insert(server(2), Key(block));
+    }
+    for _ in 0..9 {
+        residency.lose(server(1), 1);
+    }
+    assert_eq!(residency.len(), 80);
+    residency.lose(server(1), 1);
+    assert_eq!(residency.len(), 40, "what was believed of the other stays");
+    residency.lose(server(2), u64::MAX);
+    assert!(residency.is_empty());
+}
+
 #[test]
 fn residency_is_bounded() {
     let mut residency = Residency::new(10);
--- a/src/telemetry/event.rs
+++ b/src/telemetry/event.rs
@@ -55,7 +55,7 @@
     ServerRestarted = 303, Warn, "A backend server came back under a new incarnation; its cache entries were dropped.";
     ServerUnreachable = 304, Warn, "A backend server does not answer and gets no new work.";
     ServerReachable = 305, Info, "A backend server answers again.";
-    CacheEventGap = 306, Debug, "Cache events of a backend server were lost; its cache entries were dropped.";
+    CacheEventGap = 306, Debug, "Cache events of a backend server were lost; past a quarter of its cache entries, these are dropped.";
     AttemptFailed = 400, Info, "An attempt at a backend server failed.";
     AnswerDiscarded = 401, Warn, "An answer named another attempt, incarnation or weights version, and was discarded.";
     StreamResumed = 402, Info, "A stream was resumed after its connection broke.";
