--- a/standin/src/replay/figures.rs
+++ b/standin/src/replay/figures.rs
@@ -147,6 +147,17 @@
         if mean == 0.0 { 1.0 } else { most as f64 / mean }
     }
 
+    /// Hit rates over windows of so many seconds, in order.
+    fn hit_rates(&self, window_s: u64) -> Vec<f64> {
+        let mut sums: BTreeMap<u64, (u64, u64)> = BTreeMap::new();
+        for (at, second) in &self.seconds {
+            let sum = sums.entry(at / window_s).or_default();
+            sum.0 += second.cached_tokens;
+            sum.1 += second.prompt_tokens;
+        }
+        sums.values().map(|(cached, prompt)| ratio(*cached, *prompt)).collect()
+    }
+
     /// All figures as JSON.
     pub fn json(&self, kind: Kind, fault: Fault, policy: Policy) -> Value {
         let classes: Vec<Value> = self
@@ -177,6 +188,7 @@
             "classes": classes,
             "refused_rightly": self.refused_rightly,
             "unanswered": self.unanswered,
+            "hit_rate_by_5s": self.hit_rates(5),
             "fairness": self.fairness(),
             "busiest": self.busiest(),
             "frames_per_s": self.frames.0 as f64 / self.length_s,
