Be ready only once engines have answered

A daemon is now ready when every pool has a server that has reported or needs no report, or all its engines were asked in vain.

--- a/src/control/node.rs
+++ b/src/control/node.rs
@@ -215,7 +215,19 @@
 
     /// Whether the platform's balancer may send callers here.
     pub fn is_ready(&self) -> bool {
-        self.manifest.force().is_some() && self.vms_known && !self.draining
+        self.manifest.force().is_some() && self.membership_known() && !self.draining
+    }
+
+    /// Whether the VM list was read and every pool has a server that is known, or whose engines
+    /// have all been asked in vain.
+    fn membership_known(&self) -> bool {
+        let mut pools: BTreeMap<&str, (bool, bool)> = BTreeMap::new();
+        for (_, server) in self.membership.iter() {
+            let (known, waiting) = pools.entry(&server.vm.pool).or_default();
+            *known |= server.is_known();
+            *waiting |= server.is_awaited();
+        }
+        self.vms_known && pools.values().all(|(known, waiting)| *known || !*waiting)
     }
 
     /// Whether a planned stop is under way.
--- a/src/control/tests/servers.rs
+++ b/src/control/tests/servers.rs
@@ -329,6 +329,20 @@
     }
 }
 
+#[test]
+fn ready_once_engines_have_answered_or_not() {
+    let mut world = World::new(1, 1, Faults::default());
+    assert!(!world.nodes[0].is_ready(), "nothing could be served yet");
+    let servers = ["engine-0", "engine-1"].map(|id| world.server(0, id));
+    world.nodes[0].apply(world.now, Message::Polled(servers[0], Box::new(report("one", "v1"))));
+    assert!(world.nodes[0].is_ready());
+    let mut world = World::new(1, 1, Faults::default());
+    for server in servers {
+        world.nodes[0].apply(world.now, Message::PollFailed(server));
+    }
+    assert!(world.nodes[0].is_ready(), "a pool that is down holds nothing else back");
+}
+
 #[test]
 fn drain_waits_for_requests_and_outcomes() {
     let mut world = World::new(1, 1, Faults::default());
--- a/src/membership/state.rs
+++ b/src/membership/state.rs
@@ -77,8 +77,17 @@
 
     /// Whether it may be given new work.
     pub fn is_usable(&self, now: Time) -> bool {
-        let known = self.vm.role == Role::ServiceServer || self.incarnation.is_some();
-        known && !self.leaving && self.is_reachable() && self.suspect_until <= now
+        self.is_known() && !self.leaving && self.is_reachable() && self.suspect_until <= now
+    }
+
+    /// Whether it needs no report, or has reported.
+    pub fn is_known(&self) -> bool {
+        self.vm.role == Role::ServiceServer || self.incarnation.is_some()
+    }
+
+    /// Whether its first report has neither come nor failed.
+    pub fn is_awaited(&self) -> bool {
+        !self.is_known() && self.failed_polls == 0
     }
 
     /// Whether its polls succeed.
--- a/standin/src/replay/world/callers.rs
+++ b/standin/src/replay/world/callers.rs
@@ -4,8 +4,12 @@
 
 impl World {
     pub(super) fn arrive(&mut self, index: usize) {
-        let up: Vec<usize> = (0..DAEMONS).filter(|daemon| self.daemon_up[*daemon]).collect();
-        let daemon = up[self.rng.usize(0..up.len())];
+        // The platform's balancer sends callers to daemons that are ready.
+        let ready: Vec<usize> = (0..DAEMONS).filter(|daemon| self.is_ready(*daemon)).collect();
+        if ready.is_empty() {
+            return self.after(CALLER, Event::Arrive(index));
+        }
+        let daemon = ready[self.rng.usize(0..ready.len())];
         if self.setup.policy == Policy::Cardamomvalve {
             let message = Message::Arrive(Box::new(self.arrival(index)));
             self.after(
@@ -18,6 +22,11 @@
         }
     }
 
+    fn is_ready(&self, daemon: usize) -> bool {
+        let decides = self.setup.policy == Policy::Cardamomvalve;
+        self.daemon_up[daemon] && (!decides || self.nodes[daemon].is_ready())
+    }
+
     /// Asks again on another daemon: the one that had the request is gone.
     pub(super) fn arrive_again(&mut self, index: usize) {
         if !self.seen[index].ended {
--- a/standin/src/replay/world/daemons.rs
+++ b/standin/src/replay/world/daemons.rs
@@ -94,21 +94,26 @@
 
     pub(super) fn platform(&mut self) {
         self.after(PLATFORM, Event::Platform);
-        if self.setup.policy != Policy::Cardamomvalve {
+        for index in 0..DAEMONS {
+            self.read_platform(index);
+        }
+    }
+
+    /// One daemon's reads of the log and the VM list.
+    pub(super) fn read_platform(&mut self, index: usize) {
+        if self.setup.policy != Policy::Cardamomvalve || !self.daemon_up[index] {
             return;
         }
         let down = self.setup.fault == Fault::PlatformOutage && self.in_outage();
-        for index in (0..DAEMONS).filter(|index| self.daemon_up[*index]).collect::<Vec<_>>() {
-            for stream in [Stream::Manifest, Stream::Ledger] {
-                let message = match down {
-                    true => Message::LogDown(stream),
-                    false => Message::Records(stream, self.log_read(stream)),
-                };
-                self.tell(index, message);
-            }
-            let message = if down { Message::VmsDown } else { Message::Vms(self.vms()) };
+        for stream in [Stream::Manifest, Stream::Ledger] {
+            let message = match down {
+                true => Message::LogDown(stream),
+                false => Message::Records(stream, self.log_read(stream)),
+            };
             self.tell(index, message);
         }
+        let message = if down { Message::VmsDown } else { Message::Vms(self.vms()) };
+        self.tell(index, message);
     }
 
     pub(super) fn log_read(&self, stream: Stream) -> Read {
--- a/standin/src/replay/world/faults.rs
+++ b/standin/src/replay/world/faults.rs
@@ -20,6 +20,7 @@
             let zones = self.setup.kind.zones();
             self.nodes[index] = new_node(index, self.incarnations[index], zones);
             self.memories[index] = Memory::new(ENGINES);
+            self.read_platform(index);
             let lost: Vec<usize> = self
                 .open
                 .iter()
@@ -51,6 +52,7 @@
     pub(super) fn zone_back(&mut self) {
         for index in 0..DAEMONS {
             self.daemon_up[index] = true;
+            self.read_platform(index);
         }
         for engine in std::mem::take(&mut self.engine_zone_down) {
             self.engines[engine].up = true;
