--- a/standin/tests/calls.rs
+++ b/standin/tests/calls.rs
@@ -162,7 +162,9 @@
     until("the claim lands, is released, and the key runs", || {
         fleet.pay(1, Some("k"), "late").is_ok_and(|answer| answer.status == 200)
     });
-    std::thread::sleep(Duration::from_secs(1));
+    for daemon in 0..2 {
+        assert_eq!(settled(&fleet, daemon, "k", "late").status, 200);
+    }
     assert_eq!(fleet.runs_of("late"), 1);
 }
 
--- a/standin/tests/stops.rs
+++ b/standin/tests/stops.rs
@@ -164,8 +164,12 @@
 #[test]
 fn manifest_outlives_retention() {
     let mut fleet = Fleet::start(Plan { daemons: 1, retention_s: 2, ..Plan::default() });
-    // The first publication is forgotten; checkpoints carry it on.
-    std::thread::sleep(std::time::Duration::from_secs(4));
+    let forgotten = |fleet: &Fleet| {
+        let path = "/streams/manifest/records?from=0&limit=1";
+        let page = common::call(http_types::Method::Get, fleet.log.address(), path, &[], "");
+        page.is_ok_and(|page| page.json()["first"].as_u64() > Some(0))
+    };
+    until("the first publication is forgotten", || forgotten(&fleet));
     fleet.daemons[0].kill();
     fleet.restart_daemon(0);
     until("it is ready", || fleet.is_ready(0));
--- a/standin/tests/streams.rs
+++ b/standin/tests/streams.rs
@@ -3,7 +3,6 @@
 mod common;
 
 use std::io::{Read, Write};
-use std::time::Duration;
 
 use cardamomvalve_standin::engine::answer_text;
 use common::{Fleet, LAB, Plan, Process, call, put, until};
@@ -139,9 +138,8 @@
             }
         }
         until("the change is seen", || {
-            fleet.status(0)["servers"].as_array().is_some_and(|servers| servers.len() == 3)
+            fleet.status(0)["servers"][1 - busy]["weights"]["dga"] == json!(["v2"])
         });
-        std::thread::sleep(Duration::from_millis(500));
         fleet.engines[busy].kill();
     });
     assert!(answer.body.contains("event: error"), "{}", answer.body);
