Bound the abandoned claims that a daemon looks out for

Cause: read while mending: a claim that was given up on and never lands was looked out for until the daemon stopped, so long log outages grew the table without end. At most 10,000 are kept; the oldest go first. abandon_is_bounded did not compile before (no bound to name); with it 4 ledger tests passed.

--- a/src/ledger/pending.rs
+++ b/src/ledger/pending.rs
@@ -6,6 +6,9 @@
 
 /// Entries that one append carries at most.
 const MAX_BATCH: usize = 256;
+/// Abandoned claims that are looked out for at most; the oldest are forgotten first. Should one of
+/// those still land, its key answers *unknown* for its window.
+pub(super) const MAX_ABANDONED: usize = 10_000;
 /// Time after which entries whose append failed are tried again.
 const RETRY_AFTER: Duration = Duration::from_millis(200);
 
@@ -36,7 +39,7 @@
     sequence: u64,
     claims: BTreeMap<ClaimId, Claim>,
     /// Claims given up on that may still land; released when they show up.
-    abandoned: BTreeMap<ClaimId, Key>,
+    pub(super) abandoned: BTreeMap<ClaimId, Key>,
     /// Receipts of own claims that the fold does not show yet.
     receipts: BTreeMap<Key, Receipt>,
     buffer: Vec<Entry>,
@@ -169,6 +172,9 @@
             .retain(|entry| !matches!(entry, Entry::Claim { id: other, .. } if *other == id));
         if self.buffer.len() == buffered {
             self.abandoned.insert(id, claim.key);
+            if self.abandoned.len() > MAX_ABANDONED {
+                self.abandoned.pop_first();
+            }
         }
     }
 
--- a/src/ledger/tests.rs
+++ b/src/ledger/tests.rs
@@ -26,6 +26,21 @@
     }
 }
 
+#[test]
+fn abandon_is_bounded() {
+    let mut pending = Pending::new("router-0".into(), 1);
+    for number in 0..20_000 {
+        let request = crate::attempt::Key(number);
+        pending.claim(request, &Ask { key: key(0), digest: "d".into(), window_s: 10 });
+        // It is on its way, so that it can't be taken back.
+        let now = std::time::Duration::from_secs(number);
+        let (append, _) = pending.flush(now).expect("one is due");
+        pending.failed(now, append, true);
+        pending.abandon(request);
+    }
+    assert_eq!(pending.abandoned.len(), super::pending::MAX_ABANDONED);
+}
+
 quickcheck! {
     fn fold_any_text(texts: Vec<String>) -> bool {
         let mut state = State::default();
