--- a/src/entry/model.rs
+++ b/src/entry/model.rs
@@ -12,8 +12,9 @@
 use super::openai::{Completion, Kind, chunk_text, whole};
 use super::pump::{END, Piece, Pump};
 use super::{Call, Entry};
-use crate::attempt::{Refusal, Target};
+use crate::attempt::{Arrival, Refusal, Target};
 use crate::http::server;
+use crate::prefix;
 use crate::prelude::*;
 
 /// Chunks that may wait for a slow caller.
@@ -21,32 +22,54 @@
 
 impl Entry {
     pub(super) async fn model(self: &Arc<Self>, call: Call) -> Response {
-        let kind = Kind::from_path(call.whole.request.url().path()).unwrap_or(Kind::Text);
-        let completion = match Completion::parse(kind, &call.whole.body) {
-            Ok(completion) => completion,
-            Err(error) => return self.refused(&call.workspace, "", error.into()),
+        let workspace = call.workspace.clone();
+        let (completion, arrival) = match self.read_completion(&call) {
+            Ok(read) => read,
+            Err(error) => return self.refused(&workspace, "", error.into()),
         };
         let name = completion.model.clone();
-        let arrival = self.completion(
-            &call.force,
-            &call.workspace,
-            call.whole.request.as_ref(),
-            call.since,
-            &completion,
-        );
-        let arrival = match arrival {
-            Ok(arrival) => arrival,
-            Err(error) => return self.refused(&call.workspace, "", error.into()),
-        };
-        let Target::Model { weights, salt, .. } = arrival.target.clone() else {
-            return self.refused(&call.workspace, &name, Code::UnknownModel.into());
+        let (id, pieces) = self.start(call, arrival, completion.clone());
+        let server = match pieces.recv().await {
+            Ok(Piece::Begin(server)) => server,
+            Ok(Piece::Failed(refusal)) => return self.refused(&workspace, &name, refusal),
+            // A complete answer without a single chunk is still an answer.
+            Ok(Piece::End) => return self.gathered(&completion, &id, "", None, ""),
+            _ => return self.refused(&workspace, &name, Code::GenerationFailed.into()),
         };
+        if completion.stream {
+            return self.streamed(&workspace, &name, &server, pieces).await;
+        }
+        self.gather(&workspace, &completion, &id, &server, pieces).await
+    }
+
+    fn read_completion(&self, call: &Call) -> Result<(Completion, Arrival)> {
+        let request = &call.whole.request;
+        let kind = Kind::from_path(request.url().path()).unwrap_or(Kind::Text);
+        let completion = Completion::parse(kind, &call.whole.body)?;
+        let headers = request.as_ref();
+        let arrival =
+            self.completion(&call.force, &call.workspace, headers, call.since, &completion)?;
+        Ok((completion, arrival))
+    }
+
+    /// Hands a completion over to control and to a pump; its id, and the pieces of its answer.
+    fn start(
+        self: &Arc<Self>,
+        call: Call,
+        arrival: Arrival,
+        completion: Completion,
+    ) -> (String, Receiver<Piece>) {
         let (sender, pieces) = async_channel::bounded(MAX_PIECES);
+        let id = request_id(&self.id, self.incarnation, arrival.request);
+        let (weights, salt) = match &arrival.target {
+            Target::Model { weights, salt, .. } => (weights.clone(), *salt),
+            Target::Service { .. } => (String::new(), prefix::Key(0)),
+        };
         let pump = Pump {
             entry: Arc::clone(self),
             request: arrival.request,
-            id: request_id(&self.id, self.incarnation, arrival.request),
-            completion: completion.clone(),
+            id: id.clone(),
+            completion,
             weights,
             salt,
             priority: arrival.priority.as_str(),
@@ -56,20 +79,9 @@
             position: 0,
             text: String::new(),
         };
-        let id = pump.id.clone();
         let commands = self.control.open(arrival);
         self.executor.spawn(pump.run(commands)).detach();
-        let server = match pieces.recv().await {
-            Ok(Piece::Begin(server)) => server,
-            Ok(Piece::Failed(refusal)) => return self.refused(&call.workspace, &name, refusal),
-            // A complete answer without a single chunk is still an answer.
-            Ok(Piece::End) => return self.gathered(&completion, &id, "", None, ""),
-            _ => return self.refused(&call.workspace, &name, Code::GenerationFailed.into()),
-        };
-        if completion.stream {
-            return self.streamed(&call.workspace, &name, &server, pieces).await;
-        }
-        self.gather(&call.workspace, &completion, &id, &server, pieces).await
+        (id, pieces)
     }
 
     pub(super) fn refused(&self, workspace: &str, target: &str, refusal: Refusal) -> Response {
