--- a/src/entry/pump.rs
+++ b/src/entry/pump.rs
@@ -36,6 +36,16 @@
     Other(u16, Vec<u8>),
 }
 
+/// One event of an engine's stream.
+enum Chunk {
+    /// It was passed on before.
+    Repeated,
+    /// The chunk that is due: its text, and the same as JSON.
+    Next(String, Value),
+    /// The stream is complete.
+    End,
+}
+
 /// One completion on its way.
 pub(super) struct Pump {
     pub(super) entry: Arc<Entry>,
@@ -226,30 +236,11 @@
                 Ok(SseEvent::Retry(_)) => continue,
                 Err(error) => return Outcome::Broken(error.to_string()),
             };
-            if message.name() != "message" {
-                let text = String::from_utf8_lossy(message.data()).into_owned();
-                return Outcome::Broken(format!("the engine sent {}: {text}", message.name()));
-            }
-            let Ok(data) = std::str::from_utf8(message.data()) else {
-                return Outcome::Broken("a chunk is no text".into());
-            };
-            let position = message.id().as_ref().and_then(|id| id.parse::<u64>().ok());
-            match position {
-                Some(position) if position < self.position => continue,
-                Some(position) if position == self.position => {}
-                _ => {
-                    let seen = message.id();
-                    return Outcome::Broken(format!(
-                        "chunk {seen:?} came where {} was due",
-                        self.position
-                    ));
-                }
-            }
-            if data == END {
-                return Outcome::Complete(None);
-            }
-            let Ok(chunk) = serde_json::from_str::<Value>(data) else {
-                return Outcome::Broken("a chunk is no JSON".into());
+            let (data, chunk) = match self.read_chunk(&message) {
+                Ok(Chunk::Repeated) => continue,
+                Ok(Chunk::End) => return Outcome::Complete(None),
+                Ok(Chunk::Next(data, chunk)) => (data, chunk),
+                Err(reason) => return Outcome::Broken(reason),
             };
             if !begun {
                 begun = true;
@@ -257,13 +248,36 @@
             }
             self.text.push_str(chunk_text(self.completion.kind, &chunk));
             self.position += 1;
-            if self.pieces.send(Piece::Chunk(data.to_owned())).await.is_err() {
+            if self.pieces.send(Piece::Chunk(data)).await.is_err() {
                 return Outcome::CallerGone;
             }
         }
         Outcome::Broken("the stream ended early".into())
     }
 
+    /// What an event is: the chunk that is due, one that was passed on before, or the end. All else
+    /// ends the attempt.
+    fn read_chunk(&self, message: &async_sse::Message) -> Result<Chunk, String> {
+        let data = std::str::from_utf8(message.data()).map_err(|_| "a chunk is no text")?;
+        if message.name() != "message" {
+            return Err(format!("the engine sent {}: {data}", message.name()));
+        }
+        let position = message.id().as_ref().and_then(|id| id.parse::<u64>().ok());
+        match position {
+            Some(position) if position < self.position => return Ok(Chunk::Repeated),
+            Some(position) if position == self.position => {}
+            _ => {
+                let seen = message.id();
+                return Err(format!("chunk {seen:?} came where {} was due", self.position));
+            }
+        }
+        if data == END {
+            return Ok(Chunk::End);
+        }
+        let chunk = serde_json::from_str(data).map_err(|_| "a chunk is no JSON")?;
+        Ok(Chunk::Next(data.to_owned(), chunk))
+    }
+
     async fn begin(&self, dispatch: &Dispatch, cached_tokens: Option<u32>) {
         self.report(dispatch, Report::Begun { cached_tokens });
         if self.position > 0 {
