Show placement as a hop of its own, and hold that trace context is passed on

Cause: of the hops that operators were promised, placement had no span; and that a caller's trace context is passed on, with a collector or without one, had no test, nor had callers that write slowly.

--- a/src/entry/pump.rs
+++ b/src/entry/pump.rs
@@ -72,6 +72,7 @@
             drop(waiting);
             match command {
                 Command::Dispatch(dispatch) => {
+                    self.hop.placed(&dispatch);
                     let number = dispatch.attempt;
                     let outcome = self.attempt(&dispatch).or(aborted(&commands, number)).await;
                     let complete = matches!(outcome, Outcome::Complete(_));
--- a/src/entry/service.rs
+++ b/src/entry/service.rs
@@ -66,6 +66,7 @@
                     continue;
                 }
             };
+            call.hop.placed(&dispatch);
             let hop = call.hop.child("dispatch");
             hop.note("server", dispatch.id.clone());
             let (outcome, answer) = self.exchange(&call, &path, request, &dispatch, &hop).await;
--- a/src/telemetry/trace.rs
+++ b/src/telemetry/trace.rs
@@ -15,6 +15,7 @@
 use opentelemetry_sdk::propagation::TraceContextPropagator;
 use opentelemetry_sdk::trace::SdkTracerProvider;
 
+use crate::attempt::Dispatch;
 use crate::http::{client, header};
 use crate::prelude::*;
 
@@ -92,6 +93,15 @@
         Self(parent.with_span(span))
     }
 
+    /// A hop for where control sent an attempt.
+    pub fn placed(&self, dispatch: &Dispatch) {
+        let hop = self.child("placement");
+        hop.note("server", dispatch.id.clone());
+        hop.note("attempt", i64::from(dispatch.attempt));
+        hop.note("resume", dispatch.resume);
+        hop.note("import_blocks", dispatch.import.as_ref().map_or(0, |i| i.blocks as i64));
+    }
+
     /// Notes an attribute.
     pub fn note(&self, key: &'static str, value: impl Into<opentelemetry::Value>) {
         self.0.span().set_attribute(KeyValue::new(key, value.into()));
--- a/standin/src/service.rs
+++ b/standin/src/service.rs
@@ -79,7 +79,8 @@
         return None;
     }
     let filler = "x".repeat(faults.filler);
-    let body = json!({ "receipt": receipt, "path": path, "request": body, "filler": filler });
+    let trace = serve::value(&whole.request, "traceparent").unwrap_or_default();
+    let body = json!({ "receipt": receipt, "path": path, "request": body, "filler": filler, "trace": trace });
     let mut answer = server::json(200, &body);
     if faults.short {
         let text = body.to_string();
--- a/standin/tests/path.rs
+++ b/standin/tests/path.rs
@@ -135,6 +135,29 @@
     });
 }
 
+#[test]
+fn slow_writers_hold_only_their_connections() {
+    use std::io::Write;
+    let fleet = Fleet::start(Plan { daemons: 1, ..Plan::default() });
+    let entry = fleet.entry(0);
+    let head = format!(
+        "POST /services/pay/x HTTP/1.1\r\nhost: {entry}\r\nauthorization: Bearer {LAB}\r\n"
+    );
+    let parts = ["POST /serv".to_owned(), format!("{head}content-length: 9\r\n\r\nhalf")];
+    let held: Vec<_> = (0..60)
+        .map(|index| {
+            let mut stream = std::net::TcpStream::connect(entry).expect("it accepts");
+            stream.write_all(parts[index % 2].as_bytes()).expect("it reads");
+            stream
+        })
+        .collect();
+    for _ in 0..10 {
+        assert_eq!(fleet.complete(0, "p", 1, false).expect("an answer").status, 200);
+    }
+    assert!(fleet.runs().is_empty(), "half a call is not passed on");
+    drop(held);
+}
+
 #[test]
 fn service_passes_answers_on() {
     let fleet = Fleet::start(Plan { services: 2, ..Plan::default() });
@@ -210,7 +233,7 @@
     fleet.complete(0, "p", 1, false).expect("an answer");
     fleet.pay(0, Some("k"), "b").expect("an answer");
     let mut seen = Vec::new();
-    let hops = ["entry", "admission", "ledger", "dispatch", "stream"];
+    let hops = ["entry", "admission", "placement", "ledger", "dispatch", "stream"];
     until("a span for every hop", || {
         seen.extend(received.try_iter().flatten());
         let text = String::from_utf8_lossy(&seen);
@@ -218,6 +241,21 @@
     });
 }
 
+#[test]
+fn trace_context_passed_on() {
+    let collector = json!({ "otlp": "127.0.0.1:9" });
+    for telemetry in [json!({}), collector] {
+        let fleet = Fleet::start(Plan { daemons: 1, telemetry, ..Plan::default() });
+        let trace = "4bf92f3577b34da6a3ce929d0e0e4736";
+        let parent = format!("00-{trace}-00f067aa0ba902b7-01");
+        let key = bearer(LAB);
+        let headers = [("authorization", key.as_str()), ("traceparent", parent.as_str())];
+        let answer = call(Method::Post, fleet.entry(0), "/services/pay/x", &headers, "body");
+        let passed = answer.expect("an answer").json()["trace"].to_string();
+        assert!(passed.contains(trace), "{passed}");
+    }
+}
+
 #[test]
 fn serve_without_collector() {
     let telemetry = json!({ "otlp": "127.0.0.1:9" });
