Explain how far beliefs about a cache can be trusted

Cause: 'explain' named candidates and scores, but not the confidence in what is believed cached, which operators were promised. It is the part of the beliefs that no lost event can have touched.

--- a/src/cli/explain.rs
+++ b/src/cli/explain.rs
@@ -21,15 +21,16 @@
         return Ok(pretty(&answer));
     }
     let mut lines = vec![format!(
-        "{:16} {:>4} {:>13} {:>13} {:>10} {:>5}",
-        "server", "rank", "cached tokens", "predicted ms", "cost", "free"
+        "{:16} {:>4} {:>13} {:>10} {:>13} {:>10} {:>5}",
+        "server", "rank", "cached tokens", "confidence", "predicted ms", "cost", "free"
     )];
     for candidate in answer["candidates"].as_array().into_iter().flatten() {
         lines.push(format!(
-            "{:16} {:>4} {:>13} {:>13.1} {:>10.1} {:>5}",
+            "{:16} {:>4} {:>13} {:>10.2} {:>13.1} {:>10.1} {:>5}",
             candidate["server"].as_str().unwrap_or_default(),
             candidate["rank"].to_string(),
             candidate["cached_tokens"].to_string(),
+            candidate["cache_confidence"].as_f64().unwrap_or_default(),
             candidate["predicted_ms"].as_f64().unwrap_or_default(),
             candidate["cost"].as_f64().unwrap_or_default(),
             candidate["free"].to_string(),
--- a/src/control/status.rs
+++ b/src/control/status.rs
@@ -83,6 +83,8 @@
     pub rank: usize,
     /// Prompt tokens believed cached.
     pub cached_tokens: u32,
+    /// How far what is believed of its cache can be trusted, from 0 to 1.
+    pub cache_confidence: f64,
     /// Predicted milliseconds to the first token.
     pub predicted_ms: f64,
     /// The cost that placement minimises.
@@ -145,6 +147,7 @@
             server: server.map_or_else(String::new, |server| server.vm.id.clone()),
             rank: scored.rank,
             cached_tokens: scored.cached_tokens,
+            cache_confidence: self.residency.confidence(scored.key),
             predicted_ms: scored.predicted_ms,
             cost: scored.cost,
             free: scored.free,
--- a/src/prefix/residency.rs
+++ b/src/prefix/residency.rs
@@ -92,6 +92,14 @@
         }
     }
 
+    /// How far what is believed of `server` can be trusted, from 0 to 1: the part that no lost event
+    /// can have touched.
+    pub fn confidence(&self, server: membership::Key) -> f64 {
+        let held = self.held.get(&server).map_or(0, BTreeSet::len) as f64;
+        let lost = self.lost.get(&server).copied().unwrap_or(0) as f64;
+        if held == 0.0 { 0.0 } else { (1.0 - lost / held).max(0.0) }
+    }
+
     /// How many leading blocks of `blocks` each server holds; servers with none are left out.
     pub fn depth(&self, blocks: &[Key]) -> Depth {
         let mut depth = Depth::new();
--- a/src/prefix/tests.rs
+++ b/src/prefix/tests.rs
@@ -83,6 +83,8 @@
         residency.lose(server(1), 1);
     }
     assert_eq!(residency.len(), 80);
+    assert!((residency.confidence(server(1)) - 31.0 / 40.0).abs() < 1e-9);
+    assert!((residency.confidence(server(2)) - 1.0).abs() < 1e-9);
     residency.lose(server(1), 1);
     assert_eq!(residency.len(), 40, "what was believed of the other stays");
     residency.lose(server(2), u64::MAX);
--- a/standin/tests/path.rs
+++ b/standin/tests/path.rs
@@ -194,6 +194,7 @@
     let candidates = answer.expect("an answer").json()["candidates"].clone();
     assert_eq!(candidates.as_array().map(Vec::len), Some(2));
     assert_eq!(candidates[0]["cached_tokens"], 2304);
+    assert_eq!(candidates[0]["cache_confidence"], 1.0);
     assert_eq!(get("/status").json()["arrived"], before);
 }
 
