--- a/standin/src/replay/world/callers.rs
+++ b/standin/src/replay/world/callers.rs
@@ -64,7 +64,7 @@
         }
     }
 
-    pub(super) fn refused(&mut self, index: usize, _execution: cardamomvalve::error::Execution) {
+    pub(super) fn refused(&mut self, index: usize) {
         if std::mem::replace(&mut self.seen[index].ended, true) {
             return;
         }
--- a/standin/src/replay/world/daemons.rs
+++ b/standin/src/replay/world/daemons.rs
@@ -47,7 +47,7 @@
                 let ended = Report::Ended(Outcome::Broken("aborted".into()));
                 self.report(daemon, index, attempt, ended);
             }
-            Command::Refuse(refusal) => self.refused(index, refusal.execution),
+            Command::Refuse(_) => self.refused(index),
             Command::Replay(_) => {}
         }
     }
--- a/standin/src/replay/world/engines.rs
+++ b/standin/src/replay/world/engines.rs
@@ -26,7 +26,7 @@
         if let Some(computed) = state.end_chunk() {
             let step = state.step();
             self.note_computed(engine, &computed);
-            self.first_token(engine, &computed, step);
+            self.first_token(&computed, step);
             let length = step * computed.job.answer_tokens;
             self.after(length, Event::Finish(engine, incarnation, Box::new(computed.job)));
         }
@@ -77,9 +77,8 @@
         }
     }
 
-    pub(super) fn first_token(&mut self, engine: usize, computed: &Computed, step: Duration) {
+    pub(super) fn first_token(&mut self, computed: &Computed, step: Duration) {
         let job = &computed.job;
-        let _ = engine;
         let cached = computed.cached_blocks as u32 * BLOCK_TOKENS;
         if self.setup.policy == Policy::Cardamomvalve {
             let report = Report::Begun { cached_tokens: Some(cached.min(job.tokens)) };
