Never break an attempt off whose bytes are on their way to the caller

The attempt was then dropped half way through its write, and the next one's bytes followed on the same connection. Ruled out: taking the report earlier (the write and the command still cross). Test: an answer of 6 MiB to a caller that does not read stops half way; a second dispatch, or a recall, comes then. Conclusion: a command that comes during a write is kept aside and counts only if the attempt fails. A control thread that has ended no longer makes a sent request look as if it had not run.

--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -31,5 +31,7 @@
 pub use node::{Identity, Node, Policy};
 pub use prompt::{Part, Prompt};
 pub use retry::Budget;
+#[cfg(test)]
+pub(crate) use run::Letter;
 pub use run::{Clock, Control, Fleet};
 pub use server::{Entry, Server};
--- a/src/fleet/run.rs
+++ b/src/fleet/run.rs
@@ -45,8 +45,12 @@
     Duration::from_secs(seconds) + Duration::from_nanos(u64::try_from(time.tv_nsec).unwrap_or(0))
 }
 
-enum Letter {
+/// What the control thread is sent.
+#[derive(Debug)]
+pub(crate) enum Letter {
+    /// A message to the node.
     Message(Message),
+    /// A request, and where its commands go.
     Open(Box<Arrival>, Sender<Command>),
 }
 
@@ -81,9 +85,8 @@
 impl Fleet {
     /// Starts the control thread; frames to peers are sent on `executor`.
     pub fn start(node: Node, executor: &Arc<Executor<'static>>) -> Self {
-        let (mailbox, letters) = async_channel::unbounded();
+        let (control, letters) = Control::new();
         let (outward, effects) = async_channel::unbounded();
-        let control = Control { mailbox, view: Arc::default(), clock: Clock::start() };
         let worker = Worker {
             node,
             control: control.clone(),
@@ -98,6 +101,12 @@
 }
 
 impl Control {
+    /// A handle, and the letters that are sent with it.
+    pub(crate) fn new() -> (Self, Receiver<Letter>) {
+        let (mailbox, letters) = async_channel::unbounded();
+        (Self { mailbox, view: Arc::default(), clock: Clock::start() }, letters)
+    }
+
     /// Sends a message; nothing comes back.
     pub fn tell(&self, message: Message) {
         self.mailbox.try_send(Letter::Message(message)).ok();
@@ -120,6 +129,13 @@
         self.view.table.read().ok()?.clone()
     }
 
+    /// Makes this the table in force.
+    pub(crate) fn show(&self, table: Arc<Table>) {
+        if let Ok(mut current) = self.view.table.write() {
+            *current = Some(table);
+        }
+    }
+
     /// Whether the platform's balancer may send callers here.
     pub fn is_ready(&self) -> bool {
         self.view.ready.load(Ordering::Acquire)
@@ -206,11 +222,7 @@
         for effect in effects {
             match effect {
                 Effect::Command(key, command) => self.command(key, command),
-                Effect::Table(table) => {
-                    if let Ok(mut current) = self.control.view.table.write() {
-                        *current = Some(table);
-                    }
-                }
+                Effect::Table(table) => self.control.show(table),
                 Effect::Send(address, frame) => {
                     self.links.send(&self.executor, address, frame.encode());
                 }
--- a/src/relay/passage.rs
+++ b/src/relay/passage.rs
@@ -3,6 +3,7 @@
 use std::net::TcpStream;
 use std::sync::atomic::{AtomicBool, Ordering};
 
+use async_channel::Receiver;
 use async_io::Async;
 use futures_lite::{AsyncWriteExt, FutureExt};
 
@@ -37,6 +38,16 @@
     sent: AtomicBool,
     /// A byte of its answer has gone to the caller.
     answering: AtomicBool,
+    /// The attempt under way has begun to write to the caller.
+    writing: AtomicBool,
+}
+
+impl Progress {
+    /// Notes that the attempt under way is about to write to the caller.
+    fn write(&self) {
+        self.answering.store(true, Ordering::Release);
+        self.writing.store(true, Ordering::Release);
+    }
 }
 
 /// One request on its way.
@@ -89,14 +100,19 @@
                 None => commands.recv().await.ok(),
             };
             let Some(command) = command else {
-                return End::Code(Code::NoServer, Some(NOT_TAKEN));
+                // The control thread has ended.
+                return match self.progress.sent.load(Ordering::Acquire) {
+                    true => self.given_up(failure),
+                    false => End::Code(Code::NoServer, Some(NOT_TAKEN)),
+                };
             };
             let dispatch = match command {
                 Command::Dispatch(dispatch) => dispatch,
                 Command::Refuse(code, after) => return End::Code(code, Some(after)),
                 Command::GiveUp => return self.given_up(failure),
             };
-            let moved = async { Attempt::Moved(commands.recv().await.ok()) };
+            self.progress.writing.store(false, Ordering::Release);
+            let moved = self.moved(&commands, &mut next);
             let attempt = self.attempt(writer, &dispatch, &mut events).or(moved).await;
             let report = match attempt {
                 Attempt::Ended(end) => {
@@ -104,10 +120,7 @@
                     return end;
                 }
                 Attempt::CallerGone => return End::Cut,
-                Attempt::Moved(command) => {
-                    next = command;
-                    continue;
-                }
+                Attempt::Moved => continue,
                 Attempt::Failed(answer) => {
                     failure = Some(answer);
                     Report::Failed
@@ -121,6 +134,18 @@
         }
     }
 
+    /// Waits until control wants the attempt under way broken off, and leaves what it wants instead
+    /// in `next`. An attempt that has begun to write to the caller is not broken off: what another
+    /// one writes would follow the half of it that is out. The command then counts only if the
+    /// attempt fails.
+    async fn moved(&self, commands: &Receiver<Command>, next: &mut Option<Command>) -> Attempt {
+        *next = commands.recv().await.ok();
+        if next.is_none() || self.progress.writing.load(Ordering::Acquire) {
+            std::future::pending::<()>().await;
+        }
+        Attempt::Moved
+    }
+
     fn given_up(&self, failure: Option<Box<(Response, Vec<u8>)>>) -> End {
         if self.progress.answering.load(Ordering::Acquire) {
             return End::Cut;
@@ -209,7 +234,7 @@
             return Attempt::Failed(Box::new((response, body)));
         }
         let close = self.entry.control.is_draining();
-        self.progress.answering.store(true, Ordering::Release);
+        self.progress.write();
         let mut writer = writer;
         match writer.write_all(&whole_answer(&response, &body, close)).await {
             Ok(()) => Attempt::Ended(End::Answered),
@@ -248,12 +273,14 @@
             if (complete || !whole.is_empty()) && !self.progress.answering.load(Ordering::Acquire) {
                 let close = self.entry.control.is_draining();
                 out.extend_from_slice(stream_head(&answer.response, close).as_bytes());
-                self.progress.answering.store(true, Ordering::Release);
             }
             push_chunk(&mut out, &whole);
             if complete {
                 out.extend_from_slice(b"0\r\n\r\n");
             }
+            if !out.is_empty() {
+                self.progress.write();
+            }
             if writer.write_all(&out).await.is_err() {
                 return Attempt::CallerGone;
             }
@@ -271,8 +298,8 @@
     Ended(End),
     /// The caller can't be written to.
     CallerGone,
-    /// It was broken off in favour of this.
-    Moved(Option<Command>),
+    /// It was broken off for what control wants instead.
+    Moved,
     /// The server answered with a failure.
     Failed(Box<(Response, Vec<u8>)>),
     /// It is over without an answer.
--- a/src/relay/tests.rs
+++ b/src/relay/tests.rs
@@ -1,5 +1,7 @@
 //! Heads, bodies and events, whole and cut anywhere.
 
+mod passage;
+
 use super::*;
 
 fn request(text: &str) -> Result<Option<(Request, usize)>, Malformed> {
--- /dev/null
+++ b/src/relay/tests/passage.rs
@@ -0,0 +1,196 @@
+//! One caller's connection under a control thread that the test plays by hand.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::thread;
+
+use async_channel::{Receiver, Sender};
+use async_io::{Async, block_on};
+
+use crate::fleet::{Arrival, Command, Control, Dispatch, Letter, Message, Report};
+use crate::prelude::*;
+use crate::relay::*;
+use crate::route::{Limits, Repeat, Route, Split, Table, Workspace};
+
+/// Bytes of an answer that no socket's buffers hold, so that its write stops half way.
+const LARGE: usize = 6 << 20;
+
+/// Header fields of no platform.
+struct Bare;
+
+impl Dialect for Bare {
+    fn ask(&self, _: &Request) -> Result<Ask, Malformed> {
+        Ok(Ask { id: "r-1".into(), patience: None, key: None, prompt: None, after: None })
+    }
+
+    fn forward(
+        &self,
+        _: &Request,
+        _: &Ask,
+        _: Option<&Workspace>,
+        _: &Dispatch,
+        _: Option<Duration>,
+        _: Option<u64>,
+    ) -> Fields {
+        Fields::default()
+    }
+
+    fn verdict(&self, _: &Ask, _: &Response) -> Verdict {
+        Verdict::Answer(None)
+    }
+
+    fn own_fields(&self, _: &Ask) -> Fields {
+        Fields::default()
+    }
+}
+
+fn table(streams: bool) -> Arc<Table> {
+    let route = Route {
+        name: "only".into(),
+        host: "a.example".into(),
+        prefix: "/".into(),
+        repeat: Repeat::Resumable,
+        streams,
+        timeout: Duration::from_secs(20),
+        target: Duration::from_secs(1),
+        priority: 0,
+        splits: vec![Split { pool: "engines".into(), weight: 1 }],
+        attempts: 2,
+        public: true,
+    };
+    let table = Table::new(1, vec![route], BTreeMap::new(), Vec::new(), Limits::default());
+    Arc::new(table.expect("it is valid"))
+}
+
+/// A server that answers each connection's first request with `answer`.
+fn serve_once(answer: Vec<u8>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let address = listener.local_addr().expect("it is bound");
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let Ok(mut stream) = stream else { return };
+            let mut head = [0; 4_096];
+            stream.read(&mut head).ok();
+            stream.write_all(&answer).ok();
+        }
+    });
+    address
+}
+
+fn dispatch(attempt: u32, address: SocketAddr) -> Command {
+    Command::Dispatch(Dispatch {
+        attempt,
+        server: format!("s-{attempt}"),
+        address,
+        salt: None,
+        weights: None,
+        fetch_from: None,
+        save_to: None,
+        priority: 5,
+    })
+}
+
+fn large_answer(streams: bool, letter: char) -> Vec<u8> {
+    let piece = letter.to_string().repeat(LARGE);
+    let body = if streams { format!("id: 1\ndata: {piece}\n\n") } else { piece };
+    format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()).into_bytes()
+}
+
+/// A caller's connection, and the control thread's side of it.
+struct Scene {
+    caller: TcpStream,
+    letters: Receiver<Letter>,
+}
+
+impl Scene {
+    fn start(streams: bool) -> Self {
+        let (control, letters) = Control::new();
+        control.show(table(streams));
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+        let caller = TcpStream::connect(listener.local_addr().expect("it is bound"));
+        let mut caller = caller.expect("it listens");
+        let (stream, _) = listener.accept().expect("it connects");
+        let (closer, closing) = async_channel::bounded(1);
+        let entry = Entry::new(Arc::new(Bare), control, Arc::default(), closing);
+        thread::spawn(move || {
+            let stream = Async::new(stream).expect("it can be waited for");
+            block_on(serve(Arc::new(entry), stream));
+            drop(closer);
+        });
+        caller.write_all(b"GET / HTTP/1.1\r\nHost: a.example\r\n\r\n").expect("it is read");
+        Self { caller, letters }
+    }
+
+    fn opened(&self) -> (Box<Arrival>, Sender<Command>) {
+        match self.letters.recv_blocking() {
+            Ok(Letter::Open(arrival, commands)) => (arrival, commands),
+            other => panic!("a request was expected: {other:?}"),
+        }
+    }
+
+    fn report(&self) -> (u32, Report) {
+        match self.letters.recv_blocking() {
+            Ok(Letter::Message(Message::Report { attempt, report, .. })) => (attempt, report),
+            other => panic!("a report was expected: {other:?}"),
+        }
+    }
+
+    /// Waits until bytes of an answer have reached the caller, who has read none of them.
+    fn answer_begins(&self) {
+        let mut byte = [0];
+        assert_eq!(self.caller.peek(&mut byte).expect("it is open"), 1);
+    }
+
+    /// Reads the answer's body to the end of the connection or of the chunks.
+    fn body(&mut self) -> Vec<u8> {
+        let mut conn = Conn::new(Async::new(self.caller.try_clone().expect("open")).expect("open"));
+        block_on(async {
+            let response = conn.read_response(false).await.expect("a head comes");
+            conn.read_whole(response.framing, 4 * LARGE).await.expect("a whole body comes")
+        })
+    }
+}
+
+#[test]
+fn command_while_an_answer_is_being_written_does_not_break_it_off() {
+    for streams in [true, false] {
+        for late in [false, true] {
+            let mut scene = Scene::start(streams);
+            let first = serve_once(large_answer(streams, 'a'));
+            let second = serve_once(large_answer(streams, 'b'));
+            let (_, commands) = scene.opened();
+            commands.try_send(dispatch(1, first)).expect("it waits");
+            assert_eq!(scene.report(), (1, Report::Begun(None)));
+            scene.answer_begins();
+            let command = if late { Command::GiveUp } else { dispatch(2, second) };
+            commands.try_send(command).expect("it may be sent");
+            thread::sleep(Duration::from_millis(50));
+            let body = scene.body();
+            assert!(body.len() >= LARGE && !body.contains(&b'b'), "{streams} {late}");
+            assert_eq!(scene.report(), (1, Report::Ended));
+        }
+    }
+}
+
+#[test]
+fn command_kept_aside_counts_once_the_attempt_fails() {
+    let mut scene = Scene::start(true);
+    let mut cut = large_answer(true, 'a');
+    let length = cut.len() - cut.windows(4).position(|w| w == b"\r\n\r\n").expect("a head") - 4;
+    let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", length + 100);
+    cut = [head.as_bytes(), &cut[cut.len() - length..], b"id: 2\nda"].concat();
+    let first = serve_once(cut);
+    let rest = "id: 2\ndata: b\n\n";
+    let whole = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{rest}", rest.len());
+    let second = serve_once(whole.into_bytes());
+    let (_, commands) = scene.opened();
+    commands.try_send(dispatch(1, first)).expect("it waits");
+    assert_eq!(scene.report(), (1, Report::Begun(None)));
+    scene.answer_begins();
+    commands.try_send(dispatch(2, second)).expect("it may be sent");
+    let body = scene.body();
+    assert!(body.len() == length + rest.len() && body.ends_with(rest.as_bytes()));
+    assert_eq!(scene.report(), (1, Report::Lost));
+    assert_eq!(scene.report(), (2, Report::Begun(None)));
+    assert_eq!(scene.report(), (2, Report::Ended));
+}
