Take weights told by a peer as those seen by this daemon itself

Cause: a digest's weights went into the server's state past Node::saw_weights, so they were neither logged (514) nor told on, and a request that waited for the new weights was sent only at the next tick. Ruled out: telling in circles; weights that are known already are not told again. Test: weights_told_by_a_peer_are_logged_told_on_and_sent_to; failed before (no dispatch), passes now.

--- a/src/fleet/gossip.rs
+++ b/src/fleet/gossip.rs
@@ -158,10 +158,8 @@
             self.meet(now, digest.daemon.clone(), address);
         }
         for (id, model, version) in &digest.weights {
-            if let Some(key) = self.ids.get(id).copied()
-                && let Some(server) = self.servers.get_mut(key)
-            {
-                server.loaded(model, *version);
+            if let Some(key) = self.ids.get(id).copied() {
+                self.saw_weights(now, key, model, *version);
             }
         }
         if let Some(peer) = self.peers.get_mut(&digest.daemon) {
--- a/src/fleet/tests/peers.rs
+++ b/src/fleet/tests/peers.rs
@@ -95,3 +95,27 @@
     );
     assert_eq!(commands(&daemons[1].arrive(ms(3_001), &route, None).1).len(), 1);
 }
+
+#[test]
+fn weights_told_by_a_peer_are_logged_told_on_and_sent_to() {
+    let mut daemon = Daemon::with(1, &[("e-1", "engine 21 ready 1")]);
+    daemon.put(ms(100), Topic::Operator, &[("version/m", "weights 2")]);
+    let route = route("engines", Repeat::Resumable, 2);
+    let (_, effects) = daemon.arrive(ms(9_000), &route, Some(prompt(1, 2)));
+    assert!(commands(&effects).is_empty());
+    let weights = vec![("e-1".into(), "m".into(), 2)];
+    let digest = Digest {
+        daemon: "router-3".into(),
+        address: address(3).to_string(),
+        weights: weights.clone(),
+        ..Digest::default()
+    };
+    let effects = daemon.node.apply(ms(9_010), Message::Frame(Frame::Digest(digest)));
+    assert_eq!(dispatch(&effects).weights, Some(2));
+    assert!(effects.iter().any(|effect| matches!(effect, Effect::Event(Event::WeightsLoaded, _))));
+    let told = daemon.tick(ms(9_300)).into_iter().find_map(|effect| match effect {
+        Effect::Send(_, Frame::Digest(digest)) => Some(digest.weights),
+        _ => None,
+    });
+    assert_eq!(told, Some(weights));
+}
--- a/src/relay/tests/passage.rs
+++ b/src/relay/tests/passage.rs
@@ -70,7 +70,8 @@
         for stream in listener.incoming() {
             let Ok(mut stream) = stream else { return };
             let mut head = [0; 4_096];
-            stream.read(&mut head).ok();
+            let read = stream.read(&mut head).expect("a request comes");
+            assert!(head[..read].ends_with(b"\r\n\r\n"), "its head came in pieces");
             stream.write_all(&answer).ok();
         }
     });
