--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -14,7 +14,7 @@
 use crate::clients;
 use crate::control::{Identity, Message, Node, Policy, Stream};
 use crate::entry::{Connections, Entry};
-use crate::http::{Socket, accept};
+use crate::http::accept;
 use crate::ops::Operators;
 use crate::peer::{self, Frame, Links};
 use crate::prelude::*;
@@ -26,8 +26,6 @@
 const PLATFORM_PAUSE: Duration = Duration::from_millis(200);
 /// Time between two looks at whether a planned stop is over.
 const DRAIN_LOOK: Duration = Duration::from_millis(20);
-/// Time that a peer may stay silent.
-const PEER_IDLE: Duration = Duration::from_secs(10);
 
 struct Listeners {
     entry: Async<TcpListener>,
@@ -219,26 +217,12 @@
 }
 
 fn accept_peers(executor: &Arc<Executor<'static>>, listener: Async<TcpListener>, control: Control) {
-    let spawner = Arc::clone(executor);
-    let accepting = async move {
-        loop {
-            let stream = accept(&listener).await;
-            let control = control.clone();
-            let receiving = async move {
-                emit(Event::PeerUp, "");
-                let socket = Socket::new(stream, PEER_IDLE);
-                let take = |bytes: &[u8]| {
-                    let frame = Frame::decode(bytes).map_err(|malformed| malformed.0)?;
-                    control.tell(Message::Frame(frame));
-                    Ok(())
-                };
-                let reason = peer::receive(socket, take).await.err().unwrap_or_default();
-                emit(Event::PeerDown, &reason);
-            };
-            spawner.spawn(receiving).detach();
-        }
+    let take = move |bytes: &[u8]| {
+        let frame = Frame::decode(bytes).map_err(|malformed| malformed.0)?;
+        control.tell(Message::Frame(frame));
+        Ok(())
     };
-    executor.spawn(accepting).detach();
+    executor.spawn(peer::listen(listener, Arc::clone(executor), take)).detach();
 }
 
 /// A planned stop: not ready first, then no new connections, then every request ends.
--- a/src/peer/link.rs
+++ b/src/peer/link.rs
@@ -1,18 +1,20 @@
 //! Connections to and from other daemons: length-delimited frames over TCP, one way each.
 
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 use std::time::Instant;
 
 use async_channel::{Receiver, Sender, TrySendError};
 use async_executor::Executor;
+use async_io::Async;
 use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
 use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
 use tokio_util::compat::{FuturesAsyncReadCompatExt, FuturesAsyncWriteCompatExt};
 
 use super::MAX_FRAME;
-use crate::http::Socket;
+use crate::http::{Socket, accept};
 use crate::prelude::*;
+use crate::telemetry::emit;
 
 /// Frames that wait for one peer at most; more are dropped, since digests repeat.
 const MAX_WAITING: usize = 16;
@@ -69,12 +71,26 @@
     }
 }
 
-/// Reads frames from one peer's connection and hands each to `take`, until the connection ends
-/// or `take` finds a frame not well-formed.
-pub async fn receive(
-    socket: Socket,
-    mut take: impl FnMut(&[u8]) -> Result<(), String>,
-) -> Result<(), String> {
+/// Takes peers' connections and hands each of their frames to `take`; a connection ends at the first
+/// frame that `take` finds not well-formed.
+pub async fn listen<F>(listener: Async<TcpListener>, executor: Arc<Executor<'static>>, take: F)
+where
+    F: Fn(&[u8]) -> Result<(), String> + Clone + Send + 'static,
+{
+    loop {
+        let socket = Socket::new(accept(&listener).await, IDLE);
+        let take = take.clone();
+        let receiving = async move {
+            emit(Event::PeerUp, "");
+            let reason = receive(socket, take).await.err().unwrap_or_default();
+            emit(Event::PeerDown, &reason);
+        };
+        executor.spawn(receiving).detach();
+    }
+}
+
+/// Reads frames from one peer's connection until it ends or a frame is not well-formed.
+async fn receive(socket: Socket, take: impl Fn(&[u8]) -> Result<(), String>) -> Result<(), String> {
     let mut reader = FramedRead::new(socket.compat(), codec());
     while let Some(bytes) = reader.next().await {
         take(&bytes.map_err(|error| error.to_string())?)?;
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -6,4 +6,4 @@
 mod tests;
 
 pub use frame::{Busy, Copy, Digest, Frame, MAX_FRAME, Malformed, Snapshot};
-pub use link::{Links, receive};
+pub use link::{Links, listen};
