Share the reading of the platform's store between daemons

A batch names its range of offsets, so that one that leaves a gap is taken but the gap is still asked for. Ruled out: a few elected readers (their loss would have to be noticed first).

--- a/src/fleet/catalog.rs
+++ b/src/fleet/catalog.rs
@@ -41,10 +41,23 @@
     pub value: Option<Vec<u8>>,
 }
 
+/// The newest records of all keys in a range of a topic's offsets.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Batch {
+    /// The topic.
+    pub topic: Topic,
+    /// The first offset of the range.
+    pub from: u64,
+    /// The offset after the range.
+    pub to: u64,
+    /// The records, in order; some may lie after the range.
+    pub records: Vec<Record>,
+}
+
 #[derive(Debug, Default)]
 struct Shelf {
     records: BTreeMap<String, (u64, Option<Vec<u8>>)>,
-    /// The offset after the newest record.
+    /// The offset before which nothing is missing.
     end: u64,
 }
 
@@ -66,7 +79,6 @@
     /// ```
     pub fn take(&mut self, topic: Topic, record: &Record) -> bool {
         let shelf = self.shelves.entry(topic).or_default();
-        shelf.end = shelf.end.max(record.offset + 1);
         if shelf.records.get(&record.key).is_some_and(|(offset, _)| *offset >= record.offset) {
             return false;
         }
@@ -91,7 +103,16 @@
             .collect()
     }
 
-    /// The offset after the newest record that is known.
+    /// Notes that every record of a range was taken. One that begins past what is known leaves a gap
+    /// and changes nothing.
+    pub fn advance(&mut self, topic: Topic, from: u64, to: u64) {
+        let shelf = self.shelves.entry(topic).or_default();
+        if from <= shelf.end {
+            shelf.end = shelf.end.max(to);
+        }
+    }
+
+    /// The offset before which no record is missing.
     pub fn end(&self, topic: Topic) -> u64 {
         self.shelves.get(&topic).map_or(0, |shelf| shelf.end)
     }
--- a/src/fleet/frame.rs
+++ b/src/fleet/frame.rs
@@ -2,7 +2,7 @@
 
 use prost::Message as _;
 
-use super::{Record, Topic};
+use super::{Batch, Record, Topic};
 use crate::prelude::*;
 
 /// A frame that is not well-formed.
@@ -35,7 +35,7 @@
     pub incarnation: u64,
     /// Whether it is stopping.
     pub draining: bool,
-    /// The offsets after the newest records it knows, in the order of [`Topic::ALL`].
+    /// The offsets before which it misses no record, in the order of [`Topic::ALL`].
     pub ends: Vec<u64>,
     /// Its work by server id.
     pub busy: BTreeMap<String, Busy>,
@@ -50,8 +50,8 @@
     Digest(Digest),
     /// Wants the records of a topic from an offset: who asks, the topic, the offset.
     Ask(String, Topic, u64),
-    /// Records of a topic.
-    Records(Topic, Vec<Record>),
+    /// Records of a topic, asked for or new.
+    Records(Batch),
 }
 
 mod wire {
@@ -125,6 +125,10 @@
         pub(super) topic: u32,
         #[prost(message, repeated, tag = "2")]
         pub(super) records: Vec<Record>,
+        #[prost(uint64, tag = "3")]
+        pub(super) from: u64,
+        #[prost(uint64, tag = "4")]
+        pub(super) to: u64,
     }
 
     #[derive(Clone, PartialEq, prost::Oneof)]
@@ -158,9 +162,11 @@
             Self::Ask(daemon, topic, from) => {
                 wire::Body::Ask(wire::Ask { daemon, topic: topic as u32, from })
             }
-            Self::Records(topic, records) => wire::Body::Records(wire::Records {
-                topic: topic as u32,
-                records: records.into_iter().map(wire::Record::from).collect(),
+            Self::Records(batch) => wire::Body::Records(wire::Records {
+                topic: batch.topic as u32,
+                records: batch.records.into_iter().map(wire::Record::from).collect(),
+                from: batch.from,
+                to: batch.to,
             }),
         };
         wire::Frame { body: Some(body) }.encode_to_vec()
@@ -176,10 +182,12 @@
             None => Err(Malformed("the frame is empty".into())),
             Some(wire::Body::Digest(digest)) => Ok(Self::Digest(digest.try_into()?)),
             Some(wire::Body::Ask(ask)) => Ok(Self::Ask(ask.daemon, topic(ask.topic)?, ask.from)),
-            Some(wire::Body::Records(records)) => Ok(Self::Records(
-                topic(records.topic)?,
-                records.records.into_iter().map(Record::from).collect(),
-            )),
+            Some(wire::Body::Records(records)) => Ok(Self::Records(Batch {
+                topic: topic(records.topic)?,
+                from: records.from,
+                to: records.to,
+                records: records.records.into_iter().map(Record::from).collect(),
+            })),
         }
     }
 }
--- a/src/fleet/gossip.rs
+++ b/src/fleet/gossip.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use super::{Busy, Digest, Effect, Frame, Node, Topic};
+use super::{Batch, Busy, Digest, Effect, Frame, Node, Topic};
 use crate::prelude::*;
 
 /// Time between two digests.
@@ -17,6 +17,9 @@
 const BEHIND: Duration = Duration::from_millis(250);
 /// Time for which weights that were seen are told.
 const TELL_WEIGHTS: Duration = Duration::from_millis(2_500);
+/// Peers that are told of new records at once: those told tell as many each, so that some 19 of 20
+/// daemons hear of them within a few crossings.
+const TOLD_PEERS: usize = 3;
 /// Daemons that are assumed to share the retry budget until their registrations are read.
 const ASSUMED_DAEMONS: usize = 16;
 
@@ -70,6 +73,11 @@
         self.peers.iter().filter_map(|(id, peer)| Some((id.as_str(), peer.heard?)))
     }
 
+    /// How many peers were heard of lately.
+    pub(super) fn fresh_peers(&self, now: Time) -> usize {
+        self.peers.values().filter(|peer| peer.is_fresh(now)).count()
+    }
+
     /// How many daemons go before this one in taking the lease.
     pub(super) fn rank_among_daemons(&self, now: Time) -> u32 {
         let before = self.peers.iter().filter(|(id, peer)| {
@@ -145,19 +153,30 @@
             Frame::Ask(daemon, topic, from) => {
                 let Some(peer) = self.peers.get(&daemon) else { return };
                 let records = self.catalog.since(topic, from);
-                self.effects.push(Effect::Send(peer.address, Frame::Records(topic, records)));
+                let batch = Batch { topic, from, to: self.catalog.end(topic), records };
+                self.effects.push(Effect::Send(peer.address, Frame::Records(batch)));
             }
-            Frame::Records(topic, records) => {
-                self.event(
-                    Event::SnapshotTaken,
-                    Detail::of("topic", format!("{topic:?}")).and("records", records.len()),
-                );
-                self.take_records(now, topic, &records);
-                self.known.insert(topic);
+            Frame::Records(batch) => {
+                if !self.known.contains(&batch.topic) {
+                    let detail = Detail::of("topic", format!("{:?}", batch.topic))
+                        .and("records", batch.records.len());
+                    self.event(Event::SnapshotTaken, detail);
+                }
+                self.take(now, batch, true);
             }
         }
     }
 
+    /// Tells a few peers of new records; they tell others, and who is missed asks by the digests.
+    pub(super) fn tell_records(&mut self, now: Time, batch: Batch) {
+        let fresh = self.peers.values().filter(|peer| peer.is_fresh(now));
+        let mut addresses: Vec<SocketAddr> = fresh.map(|peer| peer.address).collect();
+        self.rng.shuffle(&mut addresses);
+        for address in addresses.into_iter().take(TOLD_PEERS) {
+            self.effects.push(Effect::Send(address, Frame::Records(batch.clone())));
+        }
+    }
+
     fn digest_came(&mut self, now: Time, digest: Digest) {
         if let Ok(address) = digest.address.parse() {
             self.meet(now, digest.daemon.clone(), address);
--- /dev/null
+++ b/src/fleet/load.rs
@@ -0,0 +1,83 @@
+//! The work of all daemons at a server.
+
+use super::{Busy, Node, Server, server};
+use crate::prelude::*;
+use crate::route::Kind;
+
+/// Work at a server, from peers or from all daemons.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct Load {
+    pub(super) running: u32,
+    pub(super) pending_tokens: u32,
+    pub(super) ordered: bool,
+    heard_at: Option<Time>,
+    unanswered_since: Option<Time>,
+    /// When the oldest of the peers' words that count came.
+    told_at: Option<Time>,
+}
+
+impl Load {
+    /// When the oldest of the peers' words that count came; `None` where no peer has work there.
+    pub(super) fn told_at(&self) -> Option<Time> {
+        self.told_at
+    }
+
+    /// Adds what a peer told at time `told`.
+    pub(super) fn add(&mut self, told: Time, busy: &Busy) {
+        let before = |ms: Option<u32>| {
+            ms.map(|ms| told.saturating_sub(Duration::from_millis(u64::from(ms))))
+        };
+        self.running += busy.running;
+        self.pending_tokens = self.pending_tokens.saturating_add(busy.pending_tokens);
+        self.ordered |= busy.ordered;
+        self.told_at = earlier(self.told_at, Some(told));
+        self.heard_at = self.heard_at.max(before(busy.heard_ms));
+        self.unanswered_since = earlier(self.unanswered_since, before(busy.unanswered_ms));
+    }
+
+    /// For how long the server has answered no daemon though some wait for it.
+    pub(super) fn silence(&self, now: Time) -> Duration {
+        let Some(since) = self.unanswered_since else { return Duration::ZERO };
+        now.saturating_sub(self.heard_at.map_or(since, |heard| heard.max(since)))
+    }
+}
+
+fn earlier(a: Option<Time>, b: Option<Time>) -> Option<Time> {
+    match (a, b) {
+        (Some(a), Some(b)) => Some(a.min(b)),
+        (a, b) => a.or(b),
+    }
+}
+
+impl Node {
+    /// The work of all daemons at a server.
+    pub(super) fn load(&self, key: server::Key, server: &Server) -> Load {
+        let others = self.others.get(&key).copied().unwrap_or_default();
+        Load {
+            running: others.running + server.running,
+            pending_tokens: others.pending_tokens.saturating_add(server.pending_tokens),
+            ordered: others.ordered,
+            heard_at: others.heard_at.max(server.heard_at),
+            unanswered_since: earlier(others.unanswered_since, server.unanswered_since),
+            told_at: others.told_at,
+        }
+    }
+
+    /// Whether a server may be given work at all: it is up, stays, and loads no weights.
+    pub(super) fn is_open(&self, now: Time, key: server::Key, server: &Server) -> bool {
+        server.is_usable(now) && !self.load(key, server).ordered
+    }
+
+    /// Whether a server has a place for one more request.
+    pub(super) fn has_room(&self, now: Time, key: server::Key, server: &Server) -> bool {
+        self.is_open(now, key, server) && self.load(key, server).running < self.slots(server)
+    }
+
+    fn slots(&self, server: &Server) -> u32 {
+        let pool = self.table.as_ref().and_then(|table| table.pool(&server.entry.pool));
+        match pool.map(|pool| pool.kind) {
+            Some(Kind::Engine(engine)) => engine.slots,
+            _ => server.entry.slots,
+        }
+    }
+}
--- a/src/fleet/message.rs
+++ b/src/fleet/message.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use super::{Entry, Frame, Prompt, Record, StoreRead, Topic, server};
+use super::{Batch, Entry, Frame, Prompt, StoreRead, Topic, server};
 use crate::prelude::*;
 use crate::route::{Route, Table, Workspace};
 
@@ -112,10 +112,8 @@
 /// A successful read of a topic.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Read {
-    /// The topic.
-    pub topic: Topic,
-    /// Its records, in order.
-    pub records: Vec<Record>,
+    /// What was read.
+    pub batch: Batch,
     /// Whether these are the newest records of all keys, so that a key without one has none.
     pub whole: bool,
 }
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -12,6 +12,7 @@
 mod kept;
 mod message;
 mod node;
+mod pace;
 mod place;
 mod prompt;
 mod records;
@@ -23,7 +24,7 @@
 #[cfg(test)]
 mod tests;
 
-pub use catalog::{Catalog, Record, Topic};
+pub use catalog::{Batch, Catalog, Record, Topic};
 pub use figures::Counts;
 pub use frame::{Busy, Digest, Frame, Malformed};
 pub use kept::{StoreRead, Stored};
--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -179,6 +179,11 @@
         self.lease.next()
     }
 
+    /// The offset of a topic before which no record is missing.
+    pub fn end(&self, topic: Topic) -> u64 {
+        self.catalog.end(topic)
+    }
+
     fn stop(&mut self, now: Time) {
         if !self.draining {
             self.draining = true;
--- a/src/fleet/records.rs
+++ b/src/fleet/records.rs
@@ -1,29 +1,42 @@
 //! Records of the platform's store, and what they change.
 
-use super::{Change, Effect, Entry, Node, Read, Record, Server, Topic, Tracked, server};
+use super::{Batch, Change, Effect, Entry, Node, Read, Record, Server, Topic, Tracked, server};
 use crate::prelude::*;
 use crate::route::Table;
 
 /// After the store is back, registrations that lapsed meanwhile have this long to return.
 const LAPSED_RETURN: Duration = Duration::from_millis(2_200);
+/// Records that are told to peers at once; a peer asks for more when it sees that it is behind.
+const MAX_TOLD: usize = 64;
 
 impl Node {
     pub(super) fn read(&mut self, now: Time, read: Read) {
-        let tracked = Tracked::Topic(read.topic);
-        let unread = self.unread_since.remove(&read.topic);
+        let Read { batch, whole } = read;
+        let topic = batch.topic;
+        let tracked = Tracked::Topic(topic);
+        let unread = self.unread_since.remove(&topic);
         if self.down.remove(&tracked.number()) {
             self.event(
                 Event::LogUp,
-                Detail::of("topic", format!("{:?}", read.topic))
+                Detail::of("topic", format!("{topic:?}"))
                     .and_some("down_ms", unread.map(|since| now.saturating_sub(since))),
             );
         }
-        if read.whole {
-            let gone = self.catalog.missing(read.topic, &read.records);
-            self.take_records(now, read.topic, &gone);
+        if whole {
+            let gone = self.catalog.missing(topic, &batch.records);
+            self.take_records(now, topic, &gone);
+        }
+        self.take(now, batch, !whole);
+    }
+
+    /// Takes a batch from the store or from a peer, and tells some peers of what was new in it.
+    pub(super) fn take(&mut self, now: Time, batch: Batch, tell: bool) {
+        let any_new = self.take_records(now, batch.topic, &batch.records);
+        self.catalog.advance(batch.topic, batch.from, batch.to);
+        self.known.insert(batch.topic);
+        if tell && any_new && batch.records.len() <= MAX_TOLD {
+            self.tell_records(now, batch);
         }
-        self.take_records(now, read.topic, &read.records);
-        self.known.insert(read.topic);
     }
 
     pub(super) fn went_down(&mut self, now: Time, tracked: Tracked, reason: &str) {
@@ -41,13 +54,15 @@
         }
     }
 
-    /// Takes records in, from the store or from a peer.
-    pub(super) fn take_records(&mut self, now: Time, topic: Topic, records: &[Record]) {
+    /// Takes records in; whether any was new.
+    fn take_records(&mut self, now: Time, topic: Topic, records: &[Record]) -> bool {
+        let mut any_new = false;
         self.rollout.named_before = !self.known.contains(&Topic::Operator);
         for record in records {
             if !self.catalog.take(topic, record) {
                 continue;
             }
+            any_new = true;
             match (self.decode)(topic, record) {
                 Ok(change) => self.change(now, change),
                 Err(reason) => {
@@ -60,7 +75,10 @@
             }
         }
         self.catalog.trim();
-        self.pump(now);
+        if any_new {
+            self.pump(now);
+        }
+        any_new
     }
 
     pub(super) fn change(&mut self, now: Time, change: Change) {
--- a/src/fleet/run.rs
+++ b/src/fleet/run.rs
@@ -9,7 +9,7 @@
 use async_io::{Timer, block_on};
 use futures_lite::FutureExt;
 
-use super::{Arrival, Command, Effect, Key, Message, Node};
+use super::{Arrival, Command, Effect, Key, Message, Node, Topic, Tracked};
 use crate::clock::Clock;
 use crate::peer::Links;
 use crate::prelude::*;
@@ -44,6 +44,11 @@
     open: AtomicUsize,
     next_request: AtomicU64,
     next_lease: AtomicU64,
+    /// The offset before which no record is missing, by topic.
+    ends: [AtomicU64; Topic::ALL.len()],
+    /// Milliseconds between two reads, by topic.
+    paces: [AtomicU64; Topic::ALL.len()],
+    lease_pace: AtomicU64,
 }
 
 /// A handle to the control thread.
@@ -143,6 +148,20 @@
     pub fn next_lease(&self) -> u64 {
         self.view.next_lease.load(Ordering::Acquire)
     }
+
+    /// The offset of a topic before which no record is missing, whoever told of it.
+    pub fn end(&self, topic: Topic) -> u64 {
+        self.view.ends[topic as usize].load(Ordering::Acquire)
+    }
+
+    /// Time from a read that brought something to the next one.
+    pub fn pace(&self, tracked: Tracked) -> Duration {
+        let pace = match tracked {
+            Tracked::Topic(topic) => &self.view.paces[topic as usize],
+            Tracked::Lease => &self.view.lease_pace,
+        };
+        Duration::from_millis(pace.load(Ordering::Acquire))
+    }
 }
 
 /// The control thread's own state.
@@ -163,6 +182,7 @@
             if now >= next_tick {
                 let effects = self.node.apply(now, Message::Tick);
                 self.carry(effects);
+                self.publish_paces(now);
                 next_tick = now + if self.node.is_pressed() { TICK } else { QUIET_TICK };
             }
             self.publish();
@@ -232,11 +252,26 @@
         }
     }
 
+    fn publish_paces(&self, now: Time) {
+        let pace = |tracked| {
+            let pace = self.node.pace(now, tracked).as_millis();
+            u64::try_from(pace).unwrap_or(u64::MAX)
+        };
+        let view = &self.control.view;
+        for topic in Topic::ALL {
+            view.paces[topic as usize].store(pace(Tracked::Topic(topic)), Ordering::Release);
+        }
+        view.lease_pace.store(pace(Tracked::Lease), Ordering::Release);
+    }
+
     fn publish(&self) {
         let view = &self.control.view;
         view.ready.store(self.node.is_ready(), Ordering::Release);
         view.draining.store(self.node.is_draining(), Ordering::Release);
         view.open.store(self.node.open(), Ordering::Release);
         view.next_lease.store(self.node.next_lease(), Ordering::Release);
+        for topic in Topic::ALL {
+            view.ends[topic as usize].store(self.node.end(topic), Ordering::Release);
+        }
     }
 }
--- a/src/fleet/tests/catalog.rs
+++ b/src/fleet/tests/catalog.rs
@@ -14,6 +14,18 @@
     assert!(catalog.take(Topic::Operator, &record("config", 7, Some("new"))));
     assert!(!catalog.take(Topic::Operator, &record("config", 3, Some("old"))));
     assert_eq!(catalog.since(Topic::Operator, 0), [record("config", 7, Some("new"))]);
+}
+
+#[test]
+fn advance_past_a_gap_changes_nothing() {
+    let mut catalog = Catalog::default();
+    catalog.advance(Topic::Operator, 0, 4);
+    catalog.take(Topic::Operator, &record("config", 7, Some("new")));
+    catalog.advance(Topic::Operator, 6, 8);
+    assert_eq!(catalog.end(Topic::Operator), 4);
+    catalog.advance(Topic::Operator, 3, 8);
+    assert_eq!(catalog.end(Topic::Operator), 8);
+    catalog.advance(Topic::Operator, 0, 5);
     assert_eq!(catalog.end(Topic::Operator), 8);
 }
 
--- a/src/fleet/tests/frames.rs
+++ b/src/fleet/tests/frames.rs
@@ -31,7 +31,7 @@
     for frame in [
         Frame::Digest(digest()),
         Frame::Ask("router-1".into(), Topic::Operator, 8),
-        Frame::Records(Topic::Servers, records),
+        Frame::Records(Batch { topic: Topic::Servers, from: 1, to: 3, records }),
     ] {
         assert_eq!(Frame::decode(&frame.encode()), Ok(frame));
     }
--- a/src/fleet/tests/peers.rs
+++ b/src/fleet/tests/peers.rs
@@ -119,3 +119,87 @@
     });
     assert_eq!(told, Some(weights));
 }
+
+/// A node that hears of `count` peers at `now`.
+fn hearing_of(count: u8, now: Time) -> Daemon {
+    let mut daemon = Daemon::with(1, &[("s-1", "plain 11 ready")]);
+    for last in 2..count + 2 {
+        let digest = Digest {
+            daemon: format!("router-{last:03}"),
+            address: address(last).to_string(),
+            ..Digest::default()
+        };
+        daemon.node.apply(now, Message::Frame(Frame::Digest(digest)));
+    }
+    daemon
+}
+
+#[test]
+fn news_from_the_store_is_told_at_once_and_told_on_once() {
+    let mut daemon = hearing_of(10, ms(1_000));
+    let told = |effects: &[Effect]| {
+        let told = effects.iter().filter(|effect| {
+            matches!(effect, Effect::Send(_, Frame::Records(batch)) if batch.records.len() == 1)
+        });
+        told.count()
+    };
+    let effects = daemon.put(ms(1_010), Topic::Servers, &[("s-2", "plain 12 ready")]);
+    assert_eq!(told(&effects), 3);
+    let record = Record { key: "s-3".into(), offset: 2, value: Some(b"plain 13 ready".to_vec()) };
+    let batch = Batch { topic: Topic::Servers, from: 2, to: 3, records: vec![record] };
+    let frame = Frame::Records(batch);
+    assert_eq!(told(&daemon.node.apply(ms(1_020), Message::Frame(frame.clone()))), 3);
+    assert_eq!(told(&daemon.node.apply(ms(1_030), Message::Frame(frame))), 0);
+    assert_eq!(daemon.node.end(Topic::Servers), 3);
+}
+
+#[test]
+fn news_after_a_gap_is_taken_and_the_gap_is_asked_for() {
+    let mut daemon = hearing_of(1, ms(1_000));
+    let record = Record { key: "s-9".into(), offset: 8, value: Some(b"plain 19 ready".to_vec()) };
+    let batch = Batch { topic: Topic::Servers, from: 8, to: 9, records: vec![record] };
+    daemon.node.apply(ms(1_010), Message::Frame(Frame::Records(batch)));
+    assert_eq!(daemon.node.end(Topic::Servers), 1);
+    let digest = Digest {
+        daemon: "router-002".into(),
+        address: address(2).to_string(),
+        ends: vec![1, 9, 0],
+        ..Digest::default()
+    };
+    daemon.node.apply(ms(1_100), Message::Frame(Frame::Digest(digest)));
+    daemon.tick(ms(1_110));
+    let asked = daemon.tick(ms(1_400)).into_iter().find_map(|effect| match effect {
+        Effect::Send(_, Frame::Ask(_, Topic::Servers, from)) => Some(from),
+        _ => None,
+    });
+    assert_eq!(asked, Some(1));
+}
+
+#[test]
+fn daemons_share_the_reading_of_the_store() {
+    let servers = Tracked::Topic(Topic::Servers);
+    let alone = hearing_of(0, ms(1_000)).node.pace(ms(1_010), servers);
+    let few = hearing_of(6, ms(1_000)).node.pace(ms(1_010), servers);
+    let many = hearing_of(60, ms(1_000)).node.pace(ms(1_010), servers);
+    assert!(alone < few && few < many && many <= ms(1_200), "{alone:?} {few:?} {many:?}");
+    // Peers that fall silent no longer read for this daemon.
+    assert_eq!(hearing_of(60, ms(1_000)).node.pace(ms(9_000), servers), alone);
+    let mut operators = hearing_of(60, ms(1_000));
+    assert_eq!(operators.node.pace(ms(1_010), Tracked::Topic(Topic::Operator)), ms(0));
+    operators.tick(ms(1_010));
+}
+
+#[test]
+fn lease_is_read_often_by_those_who_may_take_it_next() {
+    let mut last = Daemon::new(200);
+    for number in 2..6 {
+        let digest = Digest {
+            daemon: format!("router-1{number}"),
+            address: address(number).to_string(),
+            ..Digest::default()
+        };
+        last.node.apply(ms(1_000), Message::Frame(Frame::Digest(digest)));
+    }
+    assert!(last.node.pace(ms(1_010), Tracked::Lease) > ms(2_000));
+    assert!(last.node.pace(ms(9_000), Tracked::Lease) < ms(1_000));
+}
--- a/src/fleet/tests/servers.rs
+++ b/src/fleet/tests/servers.rs
@@ -47,7 +47,8 @@
 fn whole_read_without_a_server_takes_it_out() {
     let mut daemon = Daemon::with(1, &[("s-1", "plain 11 ready"), ("s-2", "plain 12 ready")]);
     let record = Record { key: "s-2".into(), offset: 9, value: Some(b"plain 12 ready".to_vec()) };
-    let read = Read { topic: Topic::Servers, records: vec![record], whole: true };
+    let batch = Batch { topic: Topic::Servers, from: 0, to: 100, records: vec![record] };
+    let read = Read { batch, whole: true };
     daemon.node.apply(ms(50), Message::Read(read));
     for at in 0..4 {
         let seen = ask(&mut daemon, ms(60 + at));
--- a/src/fleet/tests/world.rs
+++ b/src/fleet/tests/world.rs
@@ -138,12 +138,15 @@
     /// The store gives new records of a topic.
     pub fn put(&mut self, now: Time, topic: Topic, records: &[(&str, &str)]) -> Vec<Effect> {
         let next = self.offsets.entry(topic).or_default();
+        let from = *next;
         let records = records.iter().map(|(key, value)| {
             *next += 1;
             let value = (!value.is_empty()).then(|| value.as_bytes().to_vec());
-            Record { key: (*key).into(), offset: *next, value }
+            Record { key: (*key).into(), offset: *next - 1, value }
         });
-        let read = Read { topic, records: records.collect(), whole: false };
+        let records = records.collect();
+        let batch = Batch { topic, from, to: *next, records };
+        let read = Read { batch, whole: false };
         self.node.apply(now, Message::Read(read))
     }
 
