Let a request that owes a repeat wait for the retry budget

Ruled out: a larger share (all daemons together must keep the bound). Now the next send pays when it is made; until then the request waits as it would for a server. Test: stream_that_broke_waits_for_the_retry_budget.

--- a/src/fleet/requests.rs
+++ b/src/fleet/requests.rs
@@ -40,6 +40,8 @@
     pub(super) weights: Option<u64>,
     /// Servers that it was sent to.
     pub(super) tried: Vec<server::Key>,
+    /// Whether its next send draws on the retry budget.
+    pub(super) owes: bool,
 }
 
 impl Request {
@@ -83,6 +85,7 @@
             runs: 0,
             weights: None,
             tried: Vec::new(),
+            owes: false,
         };
         self.requests.insert(key, request);
         self.send_or_wait(now, key);
@@ -121,10 +124,26 @@
     pub(super) fn try_send(&mut self, now: Time, key: Key) -> bool {
         self.refill_link(now);
         let Some(choice) = self.place(now, key) else { return false };
+        if !self.pay(now, key) {
+            return false;
+        }
         self.dispatch(now, key, choice);
         true
     }
 
+    /// Draws what a request owes to the retry budget; false where nothing is left of it now.
+    fn pay(&mut self, now: Time, key: Key) -> bool {
+        let Some(request) = self.requests.get(&key) else { return false };
+        let pool = request.pool.clone();
+        if request.owes && !self.spend(now, &pool) {
+            return false;
+        }
+        if let Some(request) = self.requests.get_mut(&key) {
+            request.owes = false;
+        }
+        true
+    }
+
     /// Sends waiting requests for which there is room, the most urgent first.
     pub(super) fn pump(&mut self, now: Time) {
         let waiting: Vec<(u8, Key)> = self.waiting.iter().copied().collect();
@@ -367,12 +386,13 @@
     }
 
     /// Sends a request once more that provably did not run; `arrived` tells whether it reached its
-    /// server, which counts against the budget.
+    /// server, which counts against the budget. Where that is used up the request waits for it as it
+    /// would for a server.
     pub(super) fn again(&mut self, now: Time, key: Key, arrived: bool, code: Code) {
-        let Some(request) = self.requests.get(&key) else { return };
-        let (sends, pool) = (request.sends, request.pool.clone());
         self.release(key);
-        if sends >= MAX_SENDS || (arrived && !self.spend(now, &pool)) {
+        let Some(request) = self.requests.get_mut(&key) else { return };
+        request.owes |= arrived;
+        if request.sends >= MAX_SENDS {
             return self.refuse(now, key, code);
         }
         self.send_or_wait(now, key);
@@ -380,11 +400,10 @@
 
     /// Sends a request once more that may have run, where its route allows it.
     pub(super) fn repeat(&mut self, now: Time, key: Key) {
-        let Some(request) = self.requests.get(&key) else { return };
-        let allowed = request.may_repeat();
-        let pool = request.pool.clone();
         self.release(key);
-        if allowed && self.spend(now, &pool) {
+        let Some(request) = self.requests.get_mut(&key) else { return };
+        if request.may_repeat() {
+            request.owes = true;
             return self.send_or_wait(now, key);
         }
         self.effects.push(Effect::Command(key, Command::GiveUp));
--- a/src/fleet/tests/requests.rs
+++ b/src/fleet/tests/requests.rs
@@ -178,3 +178,20 @@
     let effects = daemon.node.apply(ms(12), Message::Leave(first));
     assert_eq!(commands(&effects).len(), 1);
 }
+
+#[test]
+fn stream_that_broke_waits_for_the_retry_budget() {
+    let mut daemon = Daemon::with(1, &[("e-1", "engine 21 ready 1"), ("e-2", "engine 22 ready 1")]);
+    let resumable = route("engines", Repeat::Resumable, 2);
+    // Repeats that use the budget of the window up to 11.0 s.
+    for _ in 0..200 {
+        let (request, _) = daemon.arrive(ms(1_000), &resumable, Some(prompt(1, 2)));
+        daemon.report(ms(1_000), request, 1, Report::Failed);
+        daemon.node.apply(ms(1_000), Message::Leave(request));
+    }
+    let (request, _) = daemon.arrive(ms(10_900), &resumable, Some(prompt(1, 2)));
+    daemon.report(ms(10_910), request, 1, Report::Begun(Some(1)));
+    let effects = daemon.report(ms(10_950), request, 1, Report::Lost);
+    assert!(commands(&effects).is_empty(), "{:?}", commands(&effects));
+    assert_eq!(dispatch(&daemon.tick(ms(11_050))).attempt, 2);
+}
