Homes that daemons agree on; digests to every peer twice a second; no waiting for a home that is full

The home of a part was the first in the hash among servers that this daemon believed usable, with as many copies as this daemon's own traffic times the number of daemons called for: one request seen made two homes, a server full by one daemon's belief moved the home for that daemon alone, and neither then fetched from the other. Besides, a peer was heard of every two seconds but counted for 1.5 s, so that half of all load was unknown; and what peers told of load never lapsed while no peer spoke. Now: homes over all servers that stay, copies in powers of two by the work that all daemons tell of, stand-ins for homes that load; whoever is no home fetches from the likeliest holder; digests reach each peer every half second, up to 32 a round; where no home has a place, an idle engine reads the parts. Ruled out: the common part alone (copies for it cover the pool on all sites).

--- a/src/fleet/frame.rs
+++ b/src/fleet/frame.rs
@@ -25,7 +25,7 @@
 }
 
 /// What a daemon tells its peers several times a second.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct Digest {
     /// The daemon's id.
     pub daemon: String,
@@ -41,10 +41,13 @@
     pub busy: BTreeMap<String, Busy>,
     /// Weights that servers were seen to have: server, model, version.
     pub weights: Vec<(String, String, u64)>,
+    /// The parts of prompts that most of its work is for, with milliseconds of work a second; none
+    /// in most digests.
+    pub heat: Vec<(u64, f32)>,
 }
 
 /// What daemons send each other.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub enum Frame {
     /// How a daemon is.
     Digest(Digest),
@@ -97,6 +100,11 @@
         pub(super) weights: Vec<Weights>,
         #[prost(string, tag = "7")]
         pub(super) address: String,
+        /// Parts, beside their work.
+        #[prost(fixed64, repeated, tag = "8")]
+        pub(super) hot_parts: Vec<u64>,
+        #[prost(float, repeated, tag = "9")]
+        pub(super) hot_work_ms: Vec<f32>,
     }
 
     #[derive(Clone, PartialEq, prost::Message)]
@@ -227,6 +235,8 @@
             ends: digest.ends,
             busy: busy.collect(),
             weights: weights.collect(),
+            hot_parts: digest.heat.iter().map(|(part, _)| *part).collect(),
+            hot_work_ms: digest.heat.iter().map(|(_, work_ms)| *work_ms).collect(),
         }
     }
 }
@@ -238,6 +248,11 @@
         if digest.daemon.is_empty() {
             return Err(Malformed("the digest names no daemon".into()));
         }
+        if digest.hot_parts.len() != digest.hot_work_ms.len()
+            || !digest.hot_work_ms.iter().all(|work_ms| *work_ms >= 0.0 && work_ms.is_finite())
+        {
+            return Err(Malformed("the digest's parts and their work do not match".into()));
+        }
         let busy = digest.busy.into_iter().map(|busy| {
             let wire::Busy { server, running, pending_tokens, ordered, heard_ms, unanswered_ms } =
                 busy;
@@ -255,6 +270,7 @@
                 .into_iter()
                 .map(|weights| (weights.server, weights.model, weights.version))
                 .collect(),
+            heat: digest.hot_parts.into_iter().zip(digest.hot_work_ms).collect(),
         })
     }
 }
--- a/src/fleet/gossip.rs
+++ b/src/fleet/gossip.rs
@@ -7,16 +7,27 @@
 
 /// Time between two digests.
 const INTERVAL: Duration = Duration::from_millis(250);
-/// Time after which a peer's digest no longer counts.
-const LIFETIME: Duration = Duration::from_millis(1_500);
-/// Peers that one digest goes to at most.
-const FANOUT: usize = 8;
+/// Time after which a peer's digest no longer counts, beyond the time between two of its digests.
+const LIFETIME: Duration = Duration::from_millis(1_250);
+/// Rounds of digests in which every peer is sent one: what is told of a server's work is stale by
+/// then, since a short answer takes no longer.
+const ROUNDS: usize = 2;
+/// Peers that one digest goes to at most, to bound what many daemons cost each other.
+const MAX_FANOUT: usize = 32;
+/// Peers that one digest goes to at least.
+const MIN_FANOUT: usize = 8;
 /// Time between two digests to a peer that was not heard of.
 const SILENT_INTERVAL: Duration = Duration::from_secs(2);
 /// Time for which the store may be behind a peer before the peer is asked.
 const BEHIND: Duration = Duration::from_millis(250);
 /// Time for which weights that were seen are told.
 const TELL_WEIGHTS: Duration = Duration::from_millis(2_500);
+/// Time between two digests that tell of hot parts: work is measured over some ten seconds.
+const HEAT_INTERVAL: Duration = Duration::from_secs(1);
+/// Time for which what a peer told of hot parts counts: with many peers each hears seldom of one.
+const HEAT_LIFETIME: Duration = Duration::from_secs(15);
+/// Parts that a digest tells of: more than can be hot at a time.
+const HEAT_PARTS: usize = 24;
 /// Peers that are told of new records at once: those told tell as many each, so that some 19 of 20
 /// daemons hear of them within a few crossings.
 const TOLD_PEERS: usize = 3;
@@ -31,11 +42,21 @@
     heard: Option<Time>,
     /// When a frame was last sent to it.
     sent: Option<Time>,
+    /// Its work by part, and when it told of it.
+    heat: BTreeMap<u64, f32>,
+    heat_at: Time,
 }
 
 impl Peer {
     fn new(address: SocketAddr) -> Self {
-        Self { address, digest: None, heard: None, sent: None }
+        Self {
+            address,
+            digest: None,
+            heard: None,
+            sent: None,
+            heat: BTreeMap::new(),
+            heat_at: Time::ZERO,
+        }
     }
 
     /// Peers that may be at these addresses, under the address until their ids are known.
@@ -44,8 +65,8 @@
         others.map(|seed| (seed.to_string(), Self::new(*seed))).collect()
     }
 
-    fn is_fresh(&self, now: Time) -> bool {
-        self.heard.is_some_and(|heard| now < heard + LIFETIME)
+    fn is_fresh(&self, now: Time, lifetime: Duration) -> bool {
+        self.heard.is_some_and(|heard| now < heard + lifetime)
     }
 }
 
@@ -63,6 +84,23 @@
         }
     }
 
+    /// Peers that one digest goes to.
+    fn fanout(&self) -> usize {
+        self.peers.len().div_ceil(ROUNDS).clamp(MIN_FANOUT, MAX_FANOUT)
+    }
+
+    /// Time after which a peer's digest no longer counts.
+    fn lifetime(&self) -> Duration {
+        let rounds = self.peers.len().div_ceil(self.fanout()).max(1);
+        LIFETIME + INTERVAL * u32::try_from(rounds).unwrap_or(u32::MAX)
+    }
+
+    /// Peers that were heard of lately.
+    fn fresh(&self, now: Time) -> impl Iterator<Item = (&String, &Peer)> {
+        let lifetime = self.lifetime();
+        self.peers.iter().filter(move |(_, peer)| peer.is_fresh(now, lifetime))
+    }
+
     /// Daemons that share the retry budget.
     pub(super) fn daemons(&self) -> usize {
         if self.known.contains(&Topic::Routers) { self.peers.len() + 1 } else { ASSUMED_DAEMONS }
@@ -75,14 +113,14 @@
 
     /// How many peers were heard of lately.
     pub(super) fn fresh_peers(&self, now: Time) -> usize {
-        self.peers.values().filter(|peer| peer.is_fresh(now)).count()
+        self.fresh(now).count()
     }
 
     /// How many daemons go before this one in taking the lease.
     pub(super) fn rank_among_daemons(&self, now: Time) -> u32 {
-        let before = self.peers.iter().filter(|(id, peer)| {
+        let before = self.fresh(now).filter(|(id, peer)| {
             let stopping = peer.digest.as_ref().is_some_and(|digest| digest.draining);
-            peer.is_fresh(now) && !stopping && **id < self.identity.id
+            !stopping && **id < self.identity.id
         });
         u32::try_from(before.count()).unwrap_or(u32::MAX)
     }
@@ -90,6 +128,8 @@
     /// Sends digests that are due, and asks for records that peers know of and this daemon doesn't.
     pub(super) fn gossip(&mut self, now: Time) {
         if now >= self.next_digest {
+            // Peers that have fallen silent no longer count.
+            self.sum_others(now);
             self.send_digests(now);
         }
         self.ask_for_records(now);
@@ -99,18 +139,13 @@
     pub(super) fn send_digests(&mut self, now: Time) {
         self.next_digest = now + INTERVAL;
         self.rollout.seen.retain(|(.., at)| now < *at + TELL_WEIGHTS);
-        let digest = self.digest(now);
-        let mut due: Vec<String> = self
-            .peers
-            .iter()
-            .filter(|(_, peer)| {
-                let quiet = peer.sent.is_some_and(|sent| now < sent + SILENT_INTERVAL);
-                peer.is_fresh(now) || !quiet
-            })
-            .map(|(id, _)| id.clone())
-            .collect();
-        self.rng.shuffle(&mut due);
-        for id in due.into_iter().take(FANOUT) {
+        let mut digest = self.digest(now);
+        if now >= self.next_heat {
+            self.next_heat = now + HEAT_INTERVAL;
+            let hottest = self.heat.top(now, HEAT_PARTS).into_iter();
+            digest.heat = hottest.map(|(part, work_ms)| (part.0, work_ms as f32)).collect();
+        }
+        for id in self.due(now) {
             if let Some(peer) = self.peers.get_mut(&id) {
                 peer.sent = Some(now);
                 let frame = Frame::Digest(digest.clone());
@@ -119,6 +154,18 @@
         }
     }
 
+    /// The peers that a digest goes to now: those that have waited longest for one.
+    fn due(&self, now: Time) -> Vec<String> {
+        let lifetime = self.lifetime();
+        let due = self.peers.iter().filter(|(_, peer)| {
+            let quiet = peer.sent.is_some_and(|sent| now < sent + SILENT_INTERVAL);
+            peer.is_fresh(now, lifetime) || !quiet
+        });
+        let mut due: Vec<(Option<Time>, &String)> = due.map(|(id, peer)| (peer.sent, id)).collect();
+        due.sort_unstable();
+        due.into_iter().take(self.fanout()).map(|(_, id)| id.clone()).collect()
+    }
+
     fn digest(&self, now: Time) -> Digest {
         let busy = self
             .servers
@@ -143,6 +190,7 @@
             ends: Topic::ALL.iter().map(|topic| self.catalog.end(*topic)).collect(),
             busy: busy.collect(),
             weights: seen.map(|(id, model, v, _)| (id.clone(), model.clone(), *v)).collect(),
+            heat: Vec::new(),
         }
     }
 
@@ -169,8 +217,8 @@
 
     /// Tells a few peers of new records; they tell others, and who is missed asks by the digests.
     pub(super) fn tell_records(&mut self, now: Time, batch: Batch) {
-        let fresh = self.peers.values().filter(|peer| peer.is_fresh(now));
-        let mut addresses: Vec<SocketAddr> = fresh.map(|peer| peer.address).collect();
+        let mut addresses: Vec<SocketAddr> =
+            self.fresh(now).map(|(_, peer)| peer.address).collect();
         self.rng.shuffle(&mut addresses);
         for address in addresses.into_iter().take(TOLD_PEERS) {
             self.effects.push(Effect::Send(address, Frame::Records(batch.clone())));
@@ -188,15 +236,26 @@
         }
         if let Some(peer) = self.peers.get_mut(&digest.daemon) {
             peer.heard = Some(now);
+            if !digest.heat.is_empty() {
+                peer.heat = digest.heat.iter().copied().collect();
+                peer.heat_at = now;
+            }
             peer.digest = Some(digest);
         }
         self.sum_others(now);
     }
 
+    /// Milliseconds of work a second that peers have for a part, as far as they told of it.
+    pub(super) fn told_heat(&self, now: Time, part: u64) -> f64 {
+        let told = self.peers.values().filter(|peer| now < peer.heat_at + HEAT_LIFETIME);
+        told.filter_map(|peer| peer.heat.get(&part)).map(|work_ms| f64::from(*work_ms)).sum()
+    }
+
     /// Adds up what peers have at each server.
     fn sum_others(&mut self, now: Time) {
         self.others.clear();
-        for peer in self.peers.values().filter(|peer| peer.is_fresh(now)) {
+        let lifetime = self.lifetime();
+        for peer in self.peers.values().filter(|peer| peer.is_fresh(now, lifetime)) {
             let (Some(digest), Some(told)) = (&peer.digest, peer.heard) else { continue };
             for (id, busy) in &digest.busy {
                 if let Some(key) = self.ids.get(id) {
@@ -209,9 +268,11 @@
     fn ask_for_records(&mut self, now: Time) {
         for (index, topic) in Topic::ALL.into_iter().enumerate() {
             let own = self.catalog.end(topic);
-            let fresh = self.peers.values().filter(|peer| peer.is_fresh(now));
-            let ahead = fresh
-                .filter_map(|peer| Some((*peer.digest.as_ref()?.ends.get(index)?, peer.address)))
+            let ahead = self
+                .fresh(now)
+                .filter_map(|(_, peer)| {
+                    Some((*peer.digest.as_ref()?.ends.get(index)?, peer.address))
+                })
                 .max_by_key(|(end, _)| *end)
                 .filter(|(end, _)| *end > own);
             let Some((_, address)) = ahead else {
--- a/src/fleet/homes.rs
+++ b/src/fleet/homes.rs
@@ -67,19 +67,23 @@
             .filter_map(|key| Some((*key, self.servers.get(*key)?)))
             .filter(|(_, server)| !server.entry.leaving)
             .collect();
-        let mut count = 0;
-        for part in shared(&prompt.parts) {
-            let part = keyed(owner, part.id);
+        let Some((last, earlier)) = shared(&prompt.parts).split_last() else {
+            return Homes::default();
+        };
+        let servers = ranked.len();
+        let mut narrow = |part: u64, spare: fn(usize) -> usize| {
+            let part = keyed(owner, part);
             ranked.sort_by_cached_key(|(_, server)| {
                 std::cmp::Reverse(xxh3_64_with_seed(server.entry.id.as_bytes(), part))
             });
-            count = copies(self.work_ms(now, part), ranked.len());
-            ranked.truncate(count + STAND_INS);
-        }
-        if count == 0 {
-            return Homes::default();
+            let count = copies(self.work_ms(now, part), servers);
+            ranked.truncate(spare(count));
+            count
+        };
+        for part in earlier {
+            narrow(part.id, |count| count.max(1 + STAND_INS));
         }
-        let count = count.min(ranked.len());
+        let count = narrow(last.id, |count| count + STAND_INS).min(ranked.len());
         let homes = &ranked[..count];
         let shut = homes.iter().filter(|(key, server)| !self.is_open(now, *key, server)).count();
         Homes { ranked: ranked.into_iter().map(|(key, _)| key).collect(), count, standing_in: shut }
--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -6,7 +6,7 @@
 
 use super::gossip::Peer;
 use super::kept::{Kept, Link};
-use super::place::Load;
+use super::load::Load;
 use super::requests::Request;
 use super::rollout::Rollout;
 use super::{
@@ -86,6 +86,7 @@
     /// Since when topics can't be read from the store.
     pub(super) unread_since: BTreeMap<Topic, Time>,
     pub(super) next_digest: Time,
+    pub(super) next_heat: Time,
     pub(super) behind: BTreeMap<Topic, Time>,
     pub(super) draining: bool,
     pub(super) counts: Counts,
@@ -123,6 +124,7 @@
             down_at: None,
             unread_since: BTreeMap::new(),
             next_digest: Time::ZERO,
+            next_heat: Time::ZERO,
             behind: BTreeMap::new(),
             draining: false,
             counts: Counts::default(),
--- a/src/fleet/place.rs
+++ b/src/fleet/place.rs
@@ -2,26 +2,22 @@
 
 use std::net::SocketAddr;
 
-use xxhash_rust::xxh3::xxh3_64_with_seed;
-
+use super::homes::{Homes, Role};
+use super::load::Load;
 use super::prompt::{keyed, salt, shared, shared_tokens};
 use super::requests::Request;
-use super::{Busy, Key, Node, Prompt, Server, server};
-use crate::prefix;
+use super::{Key, Node, Prompt, Server, server};
 use crate::prelude::*;
-use crate::route::Kind;
 
 /// Prompt tokens that an engine reads in a millisecond, as its maker states; the platform's sheet
 /// gives 51.
-const PREFILL_TOKENS_PER_MS: f64 = 50.0;
-/// Milliseconds of delay that a shared token is worth which a server lacks: a transfer takes 0.01, and
-/// reading it again, where the transfer fails, costs more than a late answer does. Measured: 0.01,
-/// 0.03 and 0.06 were tried.
-const MISS_MS_PER_TOKEN: f64 = 0.05;
-/// Milliseconds of an engine that a token of an answer takes, where some dozen are made together.
-const ANSWER_TOKEN_MS: f64 = 0.5;
-/// Milliseconds of work a second that one copy of a part is to carry.
-const COPY_CARRIES_MS: f64 = 200.0;
+pub(super) const PREFILL_TOKENS_PER_MS: f64 = 50.0;
+/// Milliseconds of delay that a shared token is worth which a server lacks and another holds: a
+/// transfer takes 0.01, and reading it again, where the transfer fails, costs more than a late answer
+/// does. Measured: 0.01, 0.03 and 0.06 were tried.
+const AGAIN_MS_PER_TOKEN: f64 = 0.05;
+/// The same where no server with these weights is believed to hold it: somebody has to read it.
+const FIRST_MS_PER_TOKEN: f64 = 1.0 / PREFILL_TOKENS_PER_MS;
 /// Silence of a server that says nothing: a large prompt takes so long, and peers tell late.
 const USUAL_SILENCE: Duration = Duration::from_millis(350);
 /// By how much silence beyond that counts more than waiting time: a server that has failed answers
@@ -56,51 +52,6 @@
 /// Milliseconds by which a server that was tried in vain is passed over for others.
 const TRIED_MS: f64 = 10_000.0;
 
-/// Work at a server, from peers or from all daemons.
-#[derive(Debug, Clone, Copy, Default)]
-pub(super) struct Load {
-    pub(super) running: u32,
-    pub(super) pending_tokens: u32,
-    pub(super) ordered: bool,
-    heard_at: Option<Time>,
-    unanswered_since: Option<Time>,
-    /// When the oldest of the peers' words that count came.
-    told_at: Option<Time>,
-}
-
-impl Load {
-    /// When the oldest of the peers' words that count came; `None` where no peer has work there.
-    pub(super) fn told_at(&self) -> Option<Time> {
-        self.told_at
-    }
-
-    /// Adds what a peer told at time `told`.
-    pub(super) fn add(&mut self, told: Time, busy: &Busy) {
-        let before = |ms: Option<u32>| {
-            ms.map(|ms| told.saturating_sub(Duration::from_millis(u64::from(ms))))
-        };
-        self.running += busy.running;
-        self.pending_tokens = self.pending_tokens.saturating_add(busy.pending_tokens);
-        self.ordered |= busy.ordered;
-        self.told_at = earlier(self.told_at, Some(told));
-        self.heard_at = self.heard_at.max(before(busy.heard_ms));
-        self.unanswered_since = earlier(self.unanswered_since, before(busy.unanswered_ms));
-    }
-
-    /// For how long the server has answered no daemon though some wait for it.
-    pub(super) fn silence(&self, now: Time) -> Duration {
-        let Some(since) = self.unanswered_since else { return Duration::ZERO };
-        now.saturating_sub(self.heard_at.map_or(since, |heard| heard.max(since)))
-    }
-}
-
-fn earlier(a: Option<Time>, b: Option<Time>) -> Option<Time> {
-    match (a, b) {
-        (Some(a), Some(b)) => Some(a.min(b)),
-        (a, b) => a.or(b),
-    }
-}
-
 /// Where a request goes, and what it costs there.
 #[derive(Debug, Clone, PartialEq)]
 pub(super) struct Choice {
@@ -133,32 +84,6 @@
         }
     }
 
-    /// The work of all daemons at a server.
-    pub(super) fn load(&self, key: server::Key, server: &Server) -> Load {
-        let others = self.others.get(&key).copied().unwrap_or_default();
-        Load {
-            running: others.running + server.running,
-            pending_tokens: others.pending_tokens.saturating_add(server.pending_tokens),
-            ordered: others.ordered,
-            heard_at: others.heard_at.max(server.heard_at),
-            unanswered_since: earlier(others.unanswered_since, server.unanswered_since),
-            told_at: others.told_at,
-        }
-    }
-
-    fn has_room(&self, now: Time, key: server::Key, server: &Server) -> bool {
-        let load = self.load(key, server);
-        server.is_usable(now) && !load.ordered && load.running < self.slots(server)
-    }
-
-    fn slots(&self, server: &Server) -> u32 {
-        let pool = self.table.as_ref().and_then(|table| table.pool(&server.entry.pool));
-        match pool.map(|pool| pool.kind) {
-            Some(Kind::Engine(engine)) => engine.slots,
-            _ => server.entry.slots,
-        }
-    }
-
     fn zone_ms(&self, server: &Server) -> f64 {
         if server.entry.zone == self.identity.zone { 0.0 } else { OTHER_ZONE_MS }
     }
@@ -199,32 +124,36 @@
         usable: &[(server::Key, &Server)],
     ) -> Option<Choice> {
         let isolated = request.arrival.workspace.as_ref().filter(|owner| owner.isolated);
-        let fitting = usable.iter().filter_map(|(key, server)| {
+        let isolated = isolated.map(|owner| owner.name.as_str());
+        let homes = self.homes(now, isolated.unwrap_or_default(), &request.pool, prompt);
+        let most_ms = request.arrival.route.target.as_secs_f64() * 1_000.0 * QUEUED_PART;
+        let own = prompt.input.saturating_sub(shared_tokens(prompt));
+        // What a home will soon have room for waits for it; where no home has a place, another engine
+        // that is idle reads the parts in time.
+        let has_home = usable.iter().any(|(key, server)| {
+            let version = server.version(&prompt.model);
+            let begins = |version| self.old_weights_ms(now, &prompt.model, version).is_some();
+            homes.role(*key) == Role::Home && version.is_some_and(begins)
+        });
+        let bound_ms = if has_home { AGAIN_MS_PER_TOKEN } else { FIRST_MS_PER_TOKEN };
+        let scored = usable.iter().filter_map(|(key, server)| {
             let version = server.version(&prompt.model)?;
             let old_ms = self.old_weights_ms(now, &prompt.model, version)?;
-            Some((*key, *server, version, old_ms))
-        });
-        let fitting: Vec<(server::Key, &Server, u64, f64)> = fitting.collect();
-        let owner = isolated.map_or("", |owner| owner.name.as_str());
-        let candidates = fitting.iter().map(|(key, server, ..)| (*key, *server));
-        let homes = self.homes(now, owner, prompt, candidates.collect());
-        let most_ms = request.arrival.route.target.as_secs_f64() * 1_000.0 * QUEUED_PART;
-        let scored = fitting.iter().filter_map(|(key, server, version, old_ms)| {
             let load = self.load(*key, server);
             let wait_ms = f64::from(load.pending_tokens) / PREFILL_TOKENS_PER_MS
                 + f64::from(load.running) * RUNNING_MS
                 + silence_ms(now, load);
-            let salt = salt(*version, isolated.map(|owner| owner.name.as_str()));
-            let held = match homes.contains(key) {
-                true => shared_tokens(prompt),
-                false => held_tokens(now, prompt, server, &salt),
+            let salt = salt(version, isolated);
+            let missing = match homes.role(*key) {
+                Role::Home => 0,
+                Role::StandIn | Role::Other => {
+                    shared_tokens(prompt) - held_tokens(now, prompt, server, &salt)
+                }
             };
-            let missing = shared_tokens(prompt) - held;
-            let miss_ms = f64::from(missing) * MISS_MS_PER_TOKEN;
-            if wait_ms + miss_ms > most_ms {
+            let miss_ms = f64::from(missing) * self.miss_ms(prompt, version, &homes, *key);
+            if wait_ms + f64::from(missing) * bound_ms > most_ms {
                 return None;
             }
-            let own = prompt.input.saturating_sub(shared_tokens(prompt));
             let tried = if request.tried.contains(key) { TRIED_MS } else { 0.0 };
             let cost_ms = wait_ms
                 + f64::from(own) / PREFILL_TOKENS_PER_MS
@@ -232,17 +161,14 @@
                 + self.zone_ms(server)
                 + old_ms
                 + tried;
-            Some((cost_ms, *key, own.saturating_add(missing), *version))
+            Some((cost_ms, *key, own.saturating_add(missing), version))
         });
         let (cost_ms, server, tokens, version) = scored.min_by(|a, b| a.0.total_cmp(&b.0))?;
-        let salt = salt(version, isolated.map(|owner| owner.name.as_str()));
-        let home = homes.first().filter(|_| !homes.contains(&server));
-        let home = home.and_then(|home| self.servers.get(*home));
-        let home = home.filter(|home| home.version(&prompt.model) == Some(version));
+        let salt = salt(version, isolated);
+        let source = self.source(now, prompt, version, &homes, server);
         let token_bytes = self.token_bytes(&request.pool);
-        let home = home.map(|home| home.entry.address);
         let (fetch_from, save_to, moved_bytes) =
-            self.kv_moves(now, prompt, &salt, home, token_bytes);
+            self.kv_moves(now, prompt, &salt, source, token_bytes);
         Some(Choice {
             server,
             tokens,
@@ -251,20 +177,49 @@
             fetch_from,
             save_to,
             moved_bytes,
-            at_home: homes.contains(&server),
+            at_home: homes.role(server) == Role::Home,
             cost_ms,
         })
     }
 
+    /// What a shared token costs that `server` lacks, under `version`.
+    fn miss_ms(&self, prompt: &Prompt, version: u64, homes: &Homes, server: server::Key) -> f64 {
+        let has_version = |key: &server::Key| {
+            self.servers.get(*key).is_some_and(|s| s.version(&prompt.model) == Some(version))
+        };
+        let mut holders = homes.ranked().iter().filter(|key| homes.role(**key) == Role::Home);
+        let held = holders.any(|key| *key != server && has_version(key));
+        match homes.role(server) {
+            Role::Other if held => AGAIN_MS_PER_TOKEN,
+            Role::Home | Role::StandIn | Role::Other => FIRST_MS_PER_TOKEN,
+        }
+    }
+
+    /// The server that most likely holds the shared parts under `version`, beside `server` itself.
+    fn source(
+        &self,
+        now: Time,
+        prompt: &Prompt,
+        version: u64,
+        homes: &Homes,
+        server: server::Key,
+    ) -> Option<SocketAddr> {
+        let others = homes.ranked().iter().filter(|key| **key != server);
+        let mut others = others.filter_map(|key| self.servers.get(*key));
+        let holder = others
+            .find(|other| other.version(&prompt.model) == Some(version) && !other.is_suspect(now));
+        holder.map(|holder| holder.entry.address)
+    }
+
     /// Where the shared parts of a prompt are fetched from and sent to, and the bytes that this moves
     /// over the KV store's link: the store where it keeps them and its link has room, else the
-    /// server that is their home.
+    /// server that likely holds them.
     fn kv_moves(
         &self,
         now: Time,
         prompt: &Prompt,
         salt: &str,
-        home: Option<SocketAddr>,
+        holder: Option<SocketAddr>,
         token_bytes: f64,
     ) -> (Option<SocketAddr>, Option<SocketAddr>, f64) {
         let parts = shared(&prompt.parts);
@@ -277,12 +232,12 @@
         let kept = parts.iter().all(|part| self.kept.has(salt, part.id));
         if kept {
             let room = store.filter(|_| self.link.has(fetched));
-            return (room.or(home), None, if room.is_some() { fetched } else { 0.0 });
+            return (room.or(holder), None, if room.is_some() { fetched } else { 0.0 });
         }
         let sent = f64::from(prompt.input) * token_bytes;
         let on_its_way = parts.iter().all(|part| self.kept.will_have(now, salt, part.id));
         let save_to = store.filter(|_| !on_its_way && self.link.has(sent));
-        (home.or(store), save_to, if save_to.is_some() { sent } else { 0.0 })
+        (holder.or(store), save_to, if save_to.is_some() { sent } else { 0.0 })
     }
 
     fn token_bytes(&self, pool: &str) -> f64 {
@@ -297,42 +252,6 @@
         self.link.refill(now, store.map_or(0, |store| store.link), daemons);
     }
 
-    /// The servers that hold the shared parts of a prompt by every daemon's reckoning. Each part
-    /// narrows the choice that the parts before it left: to the highest in a rendezvous hash, as
-    /// many as the part's work needs. So daemons agree without asking, and servers keep few of
-    /// the parts that many prompts begin with.
-    fn homes(
-        &self,
-        now: Time,
-        owner: &str,
-        prompt: &Prompt,
-        mut servers: Vec<(server::Key, &Server)>,
-    ) -> Vec<server::Key> {
-        for part in shared(&prompt.parts) {
-            let part = keyed(owner, part.id);
-            let work_ms = self.heat.rate(now, prefix::Key(part)) * self.daemons() as f64;
-            let copies = (work_ms / COPY_CARRIES_MS).ceil().max(1.0) as usize;
-            servers.sort_by_cached_key(|(_, server)| {
-                std::cmp::Reverse(xxh3_64_with_seed(server.entry.id.as_bytes(), part))
-            });
-            servers.truncate(copies);
-        }
-        if shared(&prompt.parts).is_empty() {
-            servers.clear();
-        }
-        servers.into_iter().map(|(key, _)| key).collect()
-    }
-
-    /// Notes the work of a request for each part that it shares.
-    pub(super) fn note_heat(&mut self, now: Time, owner: &str, prompt: &Prompt) {
-        let own = prompt.input.saturating_sub(shared_tokens(prompt));
-        let work_ms =
-            f64::from(own) / PREFILL_TOKENS_PER_MS + f64::from(prompt.output) * ANSWER_TOKEN_MS;
-        for part in shared(&prompt.parts) {
-            self.heat.note(now, prefix::Key(keyed(owner, part.id)), work_ms);
-        }
-    }
-
     /// What a start on this version costs; `None` where it may no longer be used.
     fn old_weights_ms(&self, now: Time, model: &str, version: u64) -> Option<f64> {
         let Some(age) = self.rollout.overtaken_for(now, model, version) else {
--- a/src/fleet/tests/frames.rs
+++ b/src/fleet/tests/frames.rs
@@ -19,6 +19,7 @@
         ends: vec![4, 0, 9],
         busy: BTreeMap::from([("server-1".into(), busy)]),
         weights: vec![("server-1".into(), "m".into(), 4)],
+        heat: vec![(9, 120.5), (10, 0.0)],
     }
 }
 
