Tell the refused when to come back by what drains, and serve those who come back before newcomers

Load pattern: a pool takes less than what comes for seconds. Cause: every refusal said 0.4 s, so those refused together came back together, to a queue in which they stood behind newcomers. Now: the time to come back counts what waits ahead here and as much at each peer, over the open servers of the pool, within a third of what the caller has left, spread by a quarter; who comes back is known by what it asks for and for whom, at every daemon, since digests name what was refused. What waits is a module of its own (fleet/admission.rs). Ruled out: knowing callers by their connection (they come back to other daemons). Tests: fleet/tests/admission.rs.

--- /dev/null
+++ b/src/fleet/admission.rs
@@ -0,0 +1,182 @@
+//! What waits, in which order it is sent, what is refused, and when that may come back.
+//!
+//! Load pattern: for some seconds a pool takes less than what comes (engines gone or loading, a burst,
+//! callers that ask again at once). What can't be sent within a part of its route's target would be
+//! answered late, and holds up what could be answered in time; so it is refused while its caller can
+//! still come back, and told when, by what drains ahead of it. Callers that come back go before
+//! newcomers of their rank, whichever daemon refused them.
+
+use super::place::{PLAIN_MS, own_ms};
+use super::requests::{Phase, Request};
+use super::{Command, Effect, Key, Node};
+use crate::prelude::*;
+
+/// Time that a request waits for a server, as a part of its route's target: 1 / this.
+const WAIT_PART: u32 = 2;
+/// Least time after which a caller may come back: what made its request wait has lasted longer.
+const COME_BACK_LEAST: Duration = Duration::from_millis(200);
+/// Time after which a caller may come back where no server of its pool is open: a load of weights, and
+/// a pause after failures, take about this long.
+const COME_BACK_SHUT: Duration = Duration::from_millis(600);
+/// Most of its remaining time after which a caller may come back: 1 / this.
+const COME_BACK_PART: u32 = 3;
+/// Part by which the time to come back is spread, so that those refused together do not come together.
+const SPREAD: f64 = 0.25;
+/// Time for which a refused caller is expected back: the longest it is told to stay away, and a second.
+const EXPECTED_FOR: Duration = Duration::from_millis(4_000);
+/// Refused callers that are remembered, and told to peers in one digest.
+const MAX_EXPECTED: usize = 256;
+
+/// A waiting request's turn: by rank, callers that come back first, then by age.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Turn {
+    rank: u8,
+    newcomer: bool,
+    pub(super) key: Key,
+}
+
+impl Turn {
+    pub(super) fn of(key: Key, request: &Request) -> Self {
+        Self { rank: Node::rank(request), newcomer: !request.returned, key }
+    }
+}
+
+/// Callers that were refused and are expected back, by what they asked for.
+#[derive(Debug, Default)]
+pub(super) struct Expected {
+    own: BTreeMap<u64, Time>,
+    told: BTreeMap<u64, Time>,
+}
+
+impl Expected {
+    fn refused(&mut self, now: Time, likeness: u64) {
+        self.trim(now);
+        if self.own.len() < MAX_EXPECTED {
+            self.own.insert(likeness, now);
+        }
+    }
+
+    /// Takes over whom a peer refused.
+    pub(super) fn hear(&mut self, now: Time, likenesses: &[u64]) {
+        self.trim(now);
+        for likeness in likenesses.iter().take(MAX_EXPECTED) {
+            self.told.entry(*likeness).or_insert(now);
+        }
+    }
+
+    /// Whether a caller with this request was refused lately; it is expected once.
+    pub(super) fn is_back(&mut self, now: Time, likeness: u64) -> bool {
+        let lately = |at: Option<Time>| at.is_some_and(|at| now < at + EXPECTED_FOR);
+        let own = lately(self.own.remove(&likeness));
+        // What peers told may be told again, so it is kept until it lapses.
+        own || lately(self.told.get(&likeness).copied())
+    }
+
+    /// Whom this daemon refused lately.
+    pub(super) fn own(&self) -> Vec<u64> {
+        self.own.keys().copied().collect()
+    }
+
+    fn trim(&mut self, now: Time) {
+        self.own.retain(|_, at| now < *at + EXPECTED_FOR);
+        self.told.retain(|_, at| now < *at + EXPECTED_FOR);
+    }
+}
+
+impl Node {
+    pub(super) fn rank(request: &Request) -> u8 {
+        let workspace = request.arrival.workspace.as_ref().and_then(|owner| owner.priority);
+        workspace.unwrap_or(request.arrival.route.priority)
+    }
+
+    pub(super) fn send_or_wait(&mut self, now: Time, key: Key) {
+        if self.try_send(now, key) {
+            return;
+        }
+        if let Some(request) = self.requests.get_mut(&key) {
+            request.phase = Phase::Waiting(now);
+            self.waiting.insert(Turn::of(key, request));
+            self.log_waits(now, key);
+        }
+    }
+
+    /// Sends waiting requests for which there is room, in turn.
+    pub(super) fn pump(&mut self, now: Time) {
+        let waiting: Vec<Turn> = self.waiting.iter().copied().collect();
+        for turn in waiting {
+            if self.try_send(now, turn.key) {
+                self.waiting.remove(&turn);
+            }
+        }
+    }
+
+    /// Refuses what has waited as long as it may.
+    pub(super) fn expire(&mut self, now: Time) {
+        let expired: Vec<Key> = self
+            .waiting
+            .iter()
+            .map(|turn| turn.key)
+            .filter(|key| self.requests.get(key).is_some_and(|r| has_waited(now, r)))
+            .collect();
+        // Those refused together come back in turn, so each counts those before it.
+        let expired: Vec<(Key, Duration)> =
+            expired.into_iter().map(|key| (key, self.come_back(now, key))).collect();
+        for (key, after) in expired {
+            self.refuse_until(now, key, Code::NoServer, after);
+        }
+    }
+
+    /// Ends a request that has not run with `code` and the time to come back; one that may have run is
+    /// given up with what is known of its last attempt.
+    pub(super) fn refuse(&mut self, now: Time, key: Key, code: Code) {
+        let after = self.come_back(now, key);
+        self.refuse_until(now, key, code, after);
+    }
+
+    fn refuse_until(&mut self, now: Time, key: Key, code: Code, after: Duration) {
+        let Some(request) = self.requests.get(&key) else { return };
+        let command = match request.runs {
+            0 => Command::Refuse(code, after),
+            _ => Command::GiveUp,
+        };
+        let likeness = request.arrival.likeness;
+        self.log_refused(now, key, code, after);
+        if matches!(command, Command::Refuse(..)) {
+            self.expected.refused(now, likeness);
+        }
+        self.effects.push(Effect::Command(key, command));
+        self.forget(now, key);
+    }
+
+    /// When a caller should come back: once what waits ahead of it, here and as much at each other
+    /// daemon, has been taken by the open servers of its pool.
+    fn come_back(&mut self, now: Time, key: Key) -> Duration {
+        let Some(request) = self.requests.get(&key) else { return COME_BACK_LEAST };
+        let keys = self.pools.get(&request.pool).map(Vec::as_slice).unwrap_or_default();
+        let servers = keys.iter().filter_map(|key| Some((*key, self.servers.get(*key)?)));
+        let open = servers.filter(|(key, server)| self.is_open(now, *key, server));
+        // An engine reads one prompt after another; a plain server works on several at a time.
+        let (each_ms, at_a_time) = match &request.arrival.prompt {
+            Some(prompt) => (own_ms(prompt), open.count()),
+            None => (PLAIN_MS, open.map(|(_, server)| server.entry.slots as usize).sum()),
+        };
+        let left = request.arrival.deadline.saturating_sub(now) / COME_BACK_PART;
+        let own = Turn::of(key, request);
+        let ahead = self.waiting.iter().take_while(|turn| **turn < own);
+        let ahead = ahead.filter(|turn| {
+            self.requests.get(&turn.key).is_some_and(|other| other.pool == request.pool)
+        });
+        let work_ms = (ahead.count() + 1) as f64 * (self.fresh_peers(now) + 1) as f64 * each_ms;
+        let drained = match at_a_time {
+            0 => COME_BACK_SHUT,
+            _ => Duration::from_secs_f64(work_ms / at_a_time as f64 / 1_000.0),
+        };
+        let spread = 1.0 + SPREAD * (self.rng.f64() * 2.0 - 1.0);
+        drained.max(COME_BACK_LEAST).mul_f64(spread).min(left.max(COME_BACK_LEAST / 2))
+    }
+}
+
+fn has_waited(now: Time, request: &Request) -> bool {
+    let Phase::Waiting(since) = request.phase else { return false };
+    now >= since + request.arrival.route.target / WAIT_PART || now >= request.arrival.deadline
+}
--- a/src/fleet/frame.rs
+++ b/src/fleet/frame.rs
@@ -44,6 +44,8 @@
     /// The parts of prompts that most of its work is for, with milliseconds of work a second; none
     /// in most digests.
     pub heat: Vec<(u64, f32)>,
+    /// Likenesses of the requests that it refused lately.
+    pub refused: Vec<u64>,
 }
 
 /// What daemons send each other.
@@ -105,6 +107,8 @@
         pub(super) hot_parts: Vec<u64>,
         #[prost(float, repeated, tag = "9")]
         pub(super) hot_work_ms: Vec<f32>,
+        #[prost(fixed64, repeated, tag = "10")]
+        pub(super) refused: Vec<u64>,
     }
 
     #[derive(Clone, PartialEq, prost::Message)]
@@ -237,6 +241,7 @@
             weights: weights.collect(),
             hot_parts: digest.heat.iter().map(|(part, _)| *part).collect(),
             hot_work_ms: digest.heat.iter().map(|(_, work_ms)| *work_ms).collect(),
+            refused: digest.refused,
         }
     }
 }
@@ -271,6 +276,7 @@
                 .map(|weights| (weights.server, weights.model, weights.version))
                 .collect(),
             heat: digest.hot_parts.into_iter().zip(digest.hot_work_ms).collect(),
+            refused: digest.refused,
         })
     }
 }
--- a/src/fleet/gossip.rs
+++ b/src/fleet/gossip.rs
@@ -191,6 +191,7 @@
             busy: busy.collect(),
             weights: seen.map(|(id, model, v, _)| (id.clone(), model.clone(), *v)).collect(),
             heat: Vec::new(),
+            refused: self.expected.own(),
         }
     }
 
@@ -234,6 +235,7 @@
                 self.saw_weights(now, key, model, *version);
             }
         }
+        self.expected.hear(now, &digest.refused);
         if let Some(peer) = self.peers.get_mut(&digest.daemon) {
             peer.heard = Some(now);
             if !digest.heat.is_empty() {
--- a/src/fleet/homes.rs
+++ b/src/fleet/homes.rs
@@ -7,7 +7,8 @@
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use super::prompt::{keyed, shared, shared_tokens};
+use super::place::own_ms;
+use super::prompt::{keyed, shared};
 use super::{Node, Prompt, Server, server};
 use crate::prefix;
 use crate::prelude::*;
@@ -97,9 +98,7 @@
 
     /// Notes the work of a request for each part that it shares.
     pub(super) fn note_heat(&mut self, now: Time, owner: &str, prompt: &Prompt) {
-        let own = prompt.input.saturating_sub(shared_tokens(prompt));
-        let work_ms = f64::from(own) / super::place::PREFILL_TOKENS_PER_MS
-            + f64::from(prompt.output) * ANSWER_TOKEN_MS;
+        let work_ms = own_ms(prompt) + f64::from(prompt.output) * ANSWER_TOKEN_MS;
         for part in shared(&prompt.parts) {
             self.heat.note(now, prefix::Key(keyed(owner, part.id)), work_ms);
         }
--- a/src/fleet/message.rs
+++ b/src/fleet/message.rs
@@ -25,6 +25,8 @@
     pub deadline: Time,
     /// Its prompt, where it goes to an engine.
     pub prompt: Option<Prompt>,
+    /// Hash of what it asks for and for whom: the same where a refused caller comes back.
+    pub likeness: u64,
 }
 
 /// Why a server did not run a request, by its own word.
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -4,6 +4,7 @@
 //! [`Node`] is a deterministic state machine without I/O, as [`crate::control::Node`] is for the
 //! product's own interface.
 
+mod admission;
 mod catalog;
 mod explain;
 mod figures;
--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -4,6 +4,7 @@
 
 use slotmap::SlotMap;
 
+use super::admission::{Expected, Turn};
 use super::gossip::Peer;
 use super::kept::{Kept, Link};
 use super::load::Load;
@@ -63,8 +64,10 @@
     /// Servers by pool.
     pub(super) pools: BTreeMap<String, Vec<server::Key>>,
     pub(super) requests: BTreeMap<Key, Request>,
-    /// Waiting requests by rank, then by age.
-    pub(super) waiting: BTreeSet<(u8, Key)>,
+    /// Waiting requests in turn.
+    pub(super) waiting: BTreeSet<Turn>,
+    /// Refused callers that may come back.
+    pub(super) expected: Expected,
     pub(super) budgets: BTreeMap<String, Budget>,
     pub(super) peers: BTreeMap<String, Peer>,
     /// Peers' work by server.
@@ -111,6 +114,7 @@
             pools: BTreeMap::new(),
             requests: BTreeMap::new(),
             waiting: BTreeSet::new(),
+            expected: Expected::default(),
             budgets: BTreeMap::new(),
             peers: Peer::seeds(seeds, identity.address),
             others: BTreeMap::new(),
--- a/src/fleet/place.rs
+++ b/src/fleet/place.rs
@@ -42,7 +42,7 @@
 /// Time before the limit at which those are taken back that have not begun: the engine must notice.
 const RECALL_MARGIN: Duration = Duration::from_millis(400);
 /// Milliseconds that a plain server's running request is assumed to hold its slot.
-const PLAIN_MS: f64 = 40.0;
+pub(super) const PLAIN_MS: f64 = 40.0;
 /// The part of a route's target that a request may wait at an engine for what was sent before it, what
 /// the engine lacks of its prompt included. With more, a pool that is overloaded for seconds (engines
 /// gone, weights loading) answers everything late, and reads everywhere what one engine holds; what
@@ -270,6 +270,11 @@
     }
 }
 
+/// Milliseconds of an engine for what a prompt shares with no other.
+pub(super) fn own_ms(prompt: &Prompt) -> f64 {
+    f64::from(prompt.input.saturating_sub(shared_tokens(prompt))) / PREFILL_TOKENS_PER_MS
+}
+
 /// What the silence of a server adds to the time that is expected there.
 fn silence_ms(now: Time, load: Load) -> f64 {
     let silence = load.silence(now).saturating_sub(USUAL_SILENCE);
--- a/src/fleet/requests.rs
+++ b/src/fleet/requests.rs
@@ -1,5 +1,6 @@
 //! The life of a request: it arrives, waits, is sent, and is sent again, refused or given up.
 
+use super::admission::Turn;
 use super::place::Choice;
 use super::prompt::{keyed, shared};
 use super::retry::Terms;
@@ -9,13 +10,9 @@
 
 /// Sends of one request at most, those that were refused or never left included.
 const MAX_SENDS: u32 = 6;
-/// Time that a request waits for a server, as a part of its route's target: 1 / this.
-const WAIT_PART: u32 = 2;
 /// Silence of a server, to all daemons, after which requests that wait for it are sent elsewhere:
 /// longer than the largest prompts take, and than peers need to tell of an answer.
 const SILENT_AFTER: Duration = Duration::from_millis(700);
-/// Time after which a caller that was refused may find room.
-const COME_BACK: Duration = Duration::from_millis(400);
 
 /// Where a request stands.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -42,6 +39,8 @@
     pub(super) tried: Vec<server::Key>,
     /// Whether its next send draws on the retry budget.
     pub(super) owes: bool,
+    /// Whether its caller was refused lately and has come back.
+    pub(super) returned: bool,
 }
 
 impl Request {
@@ -77,6 +76,7 @@
             self.note_heat(now, owner, prompt);
         }
         let key = arrival.request;
+        let returned = self.expected.is_back(now, arrival.likeness);
         let request = Request {
             arrival,
             pool,
@@ -86,6 +86,7 @@
             weights: None,
             tried: Vec::new(),
             owes: false,
+            returned,
         };
         self.requests.insert(key, request);
         self.send_or_wait(now, key);
@@ -105,22 +106,6 @@
         String::new()
     }
 
-    pub(super) fn rank(request: &Request) -> u8 {
-        let workspace = request.arrival.workspace.as_ref().and_then(|owner| owner.priority);
-        workspace.unwrap_or(request.arrival.route.priority)
-    }
-
-    pub(super) fn send_or_wait(&mut self, now: Time, key: Key) {
-        if self.try_send(now, key) {
-            return;
-        }
-        if let Some(request) = self.requests.get_mut(&key) {
-            request.phase = Phase::Waiting(now);
-            self.waiting.insert((Self::rank(request), key));
-            self.log_waits(now, key);
-        }
-    }
-
     pub(super) fn try_send(&mut self, now: Time, key: Key) -> bool {
         self.refill_link(now);
         let Some(choice) = self.place(now, key) else { return false };
@@ -144,16 +129,6 @@
         true
     }
 
-    /// Sends waiting requests for which there is room, the most urgent first.
-    pub(super) fn pump(&mut self, now: Time) {
-        let waiting: Vec<(u8, Key)> = self.waiting.iter().copied().collect();
-        for (rank, key) in waiting {
-            if self.try_send(now, key) {
-                self.waiting.remove(&(rank, key));
-            }
-        }
-    }
-
     /// Notes for each server since when requests wait for its answer, and moves those away that may
     /// be repeated from servers that have fallen silent.
     pub(super) fn look_at_unanswered(&mut self, now: Time) {
@@ -219,29 +194,6 @@
         self.dispatch(now, key, choice);
     }
 
-    pub(super) fn expire(&mut self, now: Time) {
-        let expired: Vec<Key> = self
-            .waiting
-            .iter()
-            .map(|(_, key)| *key)
-            .filter(|key| self.requests.get(key).is_some_and(|r| has_waited(now, r)))
-            .collect();
-        for key in expired {
-            self.refuse(now, key, Code::NoServer);
-        }
-    }
-
-    pub(super) fn refuse(&mut self, now: Time, key: Key, code: Code) {
-        let Some(request) = self.requests.get(&key) else { return };
-        let command = match request.runs {
-            0 => Command::Refuse(code, COME_BACK),
-            _ => Command::GiveUp,
-        };
-        self.log_refused(now, key, code, COME_BACK);
-        self.effects.push(Effect::Command(key, command));
-        self.forget(now, key);
-    }
-
     pub(super) fn dispatch(&mut self, now: Time, key: Key, choice: Choice) {
         let Some(request) = self.requests.get_mut(&key) else { return };
         let Some(server) = self.servers.get_mut(choice.server) else { return };
@@ -426,15 +378,10 @@
     pub(super) fn forget(&mut self, now: Time, key: Key) {
         self.release(key);
         if let Some(request) = self.requests.remove(&key) {
-            self.waiting.remove(&(Self::rank(&request), key));
+            self.waiting.remove(&Turn::of(key, &request));
             if !self.waiting.is_empty() {
                 self.pump(now);
             }
         }
     }
 }
-
-fn has_waited(now: Time, request: &Request) -> bool {
-    let Phase::Waiting(since) = request.phase else { return false };
-    now >= since + request.arrival.route.target / WAIT_PART || now >= request.arrival.deadline
-}
--- /dev/null
+++ b/src/fleet/tests/admission.rs
@@ -0,0 +1,135 @@
+//! Load at its worst: what waits, in which order, what is refused, and when it may come back.
+
+use super::world::*;
+use crate::fleet::*;
+use crate::prelude::*;
+use crate::route::Repeat;
+
+/// The commands among `effects` by request.
+fn by_request(effects: &[Effect]) -> Vec<(Key, Command)> {
+    let command = |effect: &Effect| match effect {
+        Effect::Command(key, command) => Some((*key, command.clone())),
+        _ => None,
+    };
+    effects.iter().filter_map(command).collect()
+}
+
+/// A daemon whose only server is full, and the request whose end makes room.
+fn full() -> (Daemon, Key) {
+    let mut daemon = Daemon::with(1, &[("s-1", "plain 11 ready")]);
+    let route = route("plain", Repeat::AtMostOnce, 1);
+    let (first, _) = daemon.arrive(ms(10), &route, None);
+    daemon.arrive(ms(10), &route, None);
+    (daemon, first)
+}
+
+fn refused_after(effects: &[Effect]) -> Vec<Duration> {
+    let after = |command| match command {
+        Command::Refuse(_, after) => Some(after),
+        _ => None,
+    };
+    commands(effects).into_iter().filter_map(after).collect()
+}
+
+#[test]
+fn caller_that_comes_back_goes_before_newcomers() {
+    let (mut daemon, first) = full();
+    let route = route("plain", Repeat::AtMostOnce, 1);
+    daemon.likeness = 77;
+    daemon.arrive(ms(20), &route, None);
+    assert_eq!(refused_after(&daemon.tick(ms(330))).len(), 1);
+    daemon.likeness = 78;
+    let (_newcomer, _) = daemon.arrive(ms(500), &route, None);
+    daemon.likeness = 77;
+    let (back, _) = daemon.arrive(ms(600), &route, None);
+    let effects = daemon.report(ms(610), first, 1, Report::Ended);
+    assert!(matches!(&by_request(&effects)[..], [(key, Command::Dispatch(_))] if *key == back));
+}
+
+#[test]
+fn caller_that_another_daemon_refused_goes_before_newcomers() {
+    let (mut daemon, first) = full();
+    let route = route("plain", Repeat::AtMostOnce, 1);
+    let digest = Digest {
+        daemon: "router-2".into(),
+        address: address(2).to_string(),
+        refused: vec![77],
+        ..Digest::default()
+    };
+    daemon.node.apply(ms(400), Message::Frame(Frame::Digest(digest)));
+    daemon.likeness = 78;
+    daemon.arrive(ms(500), &route, None);
+    daemon.likeness = 77;
+    let (back, _) = daemon.arrive(ms(600), &route, None);
+    let effects = daemon.report(ms(610), first, 1, Report::Ended);
+    assert!(matches!(&by_request(&effects)[..], [(key, Command::Dispatch(_))] if *key == back));
+}
+
+#[test]
+fn caller_that_comes_back_never_goes_before_a_more_urgent_one() {
+    let (mut daemon, first) = full();
+    let usual = route("plain", Repeat::AtMostOnce, 1);
+    daemon.likeness = 77;
+    daemon.arrive(ms(20), &usual, None);
+    daemon.tick(ms(330));
+    daemon.arrive(ms(500), &usual, None);
+    let mut urgent = (*usual).clone();
+    urgent.priority = 0;
+    daemon.likeness = 78;
+    let (urgent, _) = daemon.arrive(ms(510), &Arc::new(urgent), None);
+    let effects = daemon.report(ms(520), first, 1, Report::Ended);
+    assert!(matches!(&by_request(&effects)[..], [(key, Command::Dispatch(_))] if *key == urgent));
+}
+
+#[test]
+fn refused_are_told_to_come_back_by_what_drains_and_not_together() {
+    // 200 at once for one server of two slots, some 20 ms each.
+    let (mut daemon, _) = full();
+    let route = route("plain", Repeat::AtMostOnce, 1);
+    for number in 0..200 {
+        daemon.likeness = number;
+        daemon.arrive(ms(20), &route, None);
+    }
+    let after = refused_after(&daemon.tick(ms(330)));
+    assert_eq!(after.len(), 200);
+    let (least, most) = (after.iter().min(), after.iter().max());
+    assert!(least.is_some_and(|least| *least >= ms(100)), "{least:?}");
+    // Within a third of the 5 s that the caller has.
+    assert!(most.is_some_and(|most| *most > ms(1_000) && *most < ms(1_667)), "{most:?}");
+    let together = after.iter().filter(|after| (ms(200)..ms(230)).contains(after)).count();
+    assert!(together < 60, "{together} of 200 come back within 30 ms of each other");
+}
+
+#[test]
+fn refused_with_little_time_left_is_told_to_come_back_within_it() {
+    let (mut daemon, _) = full();
+    let mut short = (*route("plain", Repeat::AtMostOnce, 1)).clone();
+    short.timeout = ms(900);
+    daemon.arrive(ms(20), &Arc::new(short), None);
+    let after = refused_after(&daemon.tick(ms(330)));
+    assert!(after.len() == 1 && after[0] <= ms(200), "{after:?}");
+}
+
+#[test]
+fn burst_is_decided_within_the_time_that_it_may_wait() {
+    let (mut daemon, _) = full();
+    let route = route("plain", Repeat::AtMostOnce, 1);
+    let mut open = BTreeSet::new();
+    let mut now = ms(1_000);
+    for number in 0..300 {
+        now += ms(2);
+        daemon.likeness = number;
+        let (key, effects) = daemon.arrive(now, &route, None);
+        open.insert(key);
+        for (key, _) in by_request(&effects) {
+            open.remove(&key);
+        }
+        for (key, _) in by_request(&daemon.tick(now)) {
+            open.remove(&key);
+        }
+    }
+    for (key, _) in by_request(&daemon.tick(now + ms(300))) {
+        open.remove(&key);
+    }
+    assert!(open.is_empty(), "{} neither sent nor refused", open.len());
+}
--- a/src/fleet/tests/frames.rs
+++ b/src/fleet/tests/frames.rs
@@ -20,6 +20,7 @@
         busy: BTreeMap::from([("server-1".into(), busy)]),
         weights: vec![("server-1".into(), "m".into(), 4)],
         heat: vec![(9, 120.5), (10, 0.0)],
+        refused: vec![7],
     }
 }
 
--- a/src/fleet/tests/mod.rs
+++ b/src/fleet/tests/mod.rs
@@ -1,5 +1,6 @@
 //! Histories of nodes, driven by messages alone.
 
+mod admission;
 mod catalog;
 mod frames;
 mod peers;
--- a/src/fleet/tests/world.rs
+++ b/src/fleet/tests/world.rs
@@ -108,6 +108,8 @@
     pub node: Node,
     offsets: BTreeMap<Topic, u64>,
     next_request: u64,
+    /// Of the requests that come next.
+    pub likeness: u64,
 }
 
 impl Daemon {
@@ -119,7 +121,7 @@
             address: address(last),
         };
         let node = Node::new(identity, POLICY, decode, &[]);
-        Self { node, offsets: BTreeMap::new(), next_request: 0 }
+        Self { node, offsets: BTreeMap::new(), next_request: 0, likeness: 0 }
     }
 
     /// A daemon that has read a table and these servers.
@@ -177,6 +179,7 @@
             workspace: workspace.map(Arc::new),
             deadline: now + route.timeout,
             prompt,
+            likeness: self.likeness,
         };
         (request, self.node.apply(now, Message::Arrive(Box::new(arrival))))
     }
--- a/src/relay/passage.rs
+++ b/src/relay/passage.rs
@@ -8,6 +8,8 @@
 use async_io::Async;
 use futures_lite::{AsyncWriteExt, FutureExt};
 
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
 use super::answer::{push_chunk, stream_head, whole_answer};
 use super::exchange::{self, Answer, Failure};
 use super::{Ask, Entry, Events, Request, Response, Verdict, head};
@@ -101,6 +103,7 @@
             workspace: self.workspace.clone(),
             deadline: self.deadline,
             prompt: self.ask.prompt.clone(),
+            likeness: self.likeness(),
         });
         let mut events = Events::after(self.ask.after);
         let mut failure = None;
@@ -157,6 +160,14 @@
         Attempt::Moved
     }
 
+    /// Hash of what is asked for and for whom.
+    fn likeness(&self) -> u64 {
+        let workspace = self.workspace.as_ref().map_or("", |owner| owner.name.as_str());
+        let own_part = self.ask.prompt.as_ref().and_then(|prompt| prompt.parts.last());
+        let seed = xxh3_64_with_seed(workspace.as_bytes(), own_part.map_or(0, |part| part.id));
+        xxh3_64_with_seed(self.request.target.as_bytes(), seed ^ xxh3_64(self.body))
+    }
+
     fn given_up(&self, failure: Option<Box<(Response, Vec<u8>)>>) -> End {
         if self.progress.answering.load(Ordering::Acquire) {
             return End::Cut;
