--- a/src/fleet/message.rs
+++ b/src/fleet/message.rs
@@ -87,6 +87,8 @@
     pub save_to: Option<SocketAddr>,
     /// Its rank at the engine; 0 is the most urgent.
     pub priority: u8,
+    /// Idle connections to the server that this daemon may keep.
+    pub most_idle: usize,
 }
 
 /// What a record of the platform's store means.
--- a/src/fleet/requests.rs
+++ b/src/fleet/requests.rs
@@ -10,6 +10,9 @@
 
 /// Sends of one request at most, those that were refused or never left included.
 const MAX_SENDS: u32 = 6;
+/// Idle connections to one server that a daemon keeps at most: what it has in flight there at its
+/// share of the load.
+const MAX_IDLE: usize = 16;
 /// Silence of a server, to all daemons, after which requests that wait for it are sent elsewhere:
 /// longer than the largest prompts take, and than peers need to tell of an answer.
 const SILENT_AFTER: Duration = Duration::from_millis(700);
@@ -194,7 +197,17 @@
         self.dispatch(now, key, choice);
     }
 
+    /// Idle connections to one server that this daemon may keep: its part of half of what the server
+    /// accepts from all callers, since those at work count too.
+    fn most_idle(&self, key: Key) -> usize {
+        let table = self.table.as_ref();
+        let pool = self.requests.get(&key).and_then(|request| table?.pool(&request.pool));
+        let accepted = pool.map_or(u32::MAX, |pool| pool.max_connections) as usize;
+        (accepted / 2 / self.daemons()).clamp(1, MAX_IDLE)
+    }
+
     pub(super) fn dispatch(&mut self, now: Time, key: Key, choice: Choice) {
+        let most_idle = self.most_idle(key);
         let Some(request) = self.requests.get_mut(&key) else { return };
         let Some(server) = self.servers.get_mut(choice.server) else { return };
         request.sends += 1;
@@ -224,6 +237,7 @@
             fetch_from: choice.fetch_from,
             save_to: choice.save_to,
             priority: Self::rank(request).min(9),
+            most_idle,
         };
         self.log_sent(now, key, &choice);
         self.effects.push(Effect::Command(key, Command::Dispatch(dispatch)));
--- a/src/fleet/tests/servers.rs
+++ b/src/fleet/tests/servers.rs
@@ -282,3 +282,19 @@
     }
     assert_eq!(homes.len(), 4, "{homes:?}");
 }
+
+#[test]
+fn idle_connections_are_shared_by_all_daemons() {
+    // The pool accepts 100 connections from all callers.
+    let mut alone = with_sixteen(1);
+    assert_eq!(send(&mut alone, ms(10), None, 3).most_idle, 16);
+    let mut many = with_sixteen(1);
+    for last in 2..11 {
+        told(&mut many, ms(10), last, &[], &[]);
+    }
+    assert_eq!(send(&mut many, ms(20), None, 3).most_idle, 5);
+    for last in 11..100 {
+        told(&mut many, ms(20), last, &[], &[]);
+    }
+    assert_eq!(send(&mut many, ms(30), None, 3).most_idle, 1);
+}
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -12,6 +12,9 @@
 /// another server within a caller's target.
 const CONNECT: Duration = Duration::from_millis(400);
 
+/// Idle connections kept for calls of this router: long polls and the calls beside them.
+const CALLS_IDLE: usize = 8;
+
 /// An exchange that failed.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Failure {
@@ -49,10 +52,10 @@
         Ok(body)
     }
 
-    /// Keeps the connection, where it may be used again.
-    pub fn finish(self, pool: &Pool) {
+    /// Keeps the connection, where it may be used again, and `most` idle ones to its server.
+    pub fn finish(self, pool: &Pool, most: usize) {
         if self.response.keep && self.decoder.is_complete() {
-            pool.put(self.address, self.conn, &self.response.fields);
+            pool.put(self.address, self.conn, &self.response.fields, most);
         }
     }
 }
@@ -125,7 +128,7 @@
         let mut answer = send(pool, address, &message, false, || {}).await?;
         let body = answer.whole(most).await.map_err(Failure::Lost)?;
         let status = answer.response.status;
-        answer.finish(pool);
+        answer.finish(pool, CALLS_IDLE);
         Ok((status, body))
     };
     let expire = async {
--- a/src/relay/passage.rs
+++ b/src/relay/passage.rs
@@ -223,7 +223,7 @@
         };
         match self.entry.dialect.verdict(&self.ask, &answer.response) {
             Verdict::Foreign => Attempt::Over(Report::Lost),
-            Verdict::Refused(refused) => self.refused(answer, refused).await,
+            Verdict::Refused(refused) => self.refused(dispatch, answer, refused).await,
             Verdict::Answer(weights) if self.route.streams && answer.response.status == 200 => {
                 self.stream(writer, dispatch, answer, weights, events).await
             }
@@ -231,9 +231,9 @@
         }
     }
 
-    async fn refused(&self, mut answer: Answer, refused: Refused) -> Attempt {
+    async fn refused(&self, dispatch: &Dispatch, mut answer: Answer, refused: Refused) -> Attempt {
         if answer.whole(MAX_ANSWER).await.is_ok() {
-            answer.finish(&self.entry.pool);
+            answer.finish(&self.entry.pool, dispatch.most_idle);
         }
         Attempt::Over(Report::Refused(refused))
     }
@@ -251,7 +251,7 @@
             return Attempt::Over(Report::Lost);
         };
         let response = answer.response.clone();
-        answer.finish(&self.entry.pool);
+        answer.finish(&self.entry.pool, dispatch.most_idle);
         if response.status >= 500 {
             return Attempt::Failed(Box::new((response, body)));
         }
@@ -307,7 +307,7 @@
                 return Attempt::CallerGone;
             }
             if complete {
-                answer.finish(&self.entry.pool);
+                answer.finish(&self.entry.pool, dispatch.most_idle);
                 return Attempt::Ended(End::Answered);
             }
         }
--- a/src/relay/pool.rs
+++ b/src/relay/pool.rs
@@ -7,8 +7,6 @@
 use super::{Conn, Fields};
 use crate::prelude::*;
 
-/// Idle connections kept to one address.
-const MAX_IDLE: usize = 16;
 /// Time that an idle connection is kept where the server states none.
 const DEFAULT_KEEP: Duration = Duration::from_secs(2);
 /// Time before the stated end at which a connection is no longer used: a request must not cross
@@ -42,20 +40,20 @@
         None
     }
 
-    /// Keeps a connection whose exchange has ended; `fields` are those of its answer.
-    pub fn put(&self, address: SocketAddr, conn: Conn, fields: &Fields) {
+    /// Keeps a connection whose exchange has ended, and `most` idle ones to its address; `fields` are
+    /// those of its answer.
+    pub fn put(&self, address: SocketAddr, conn: Conn, fields: &Fields, most: usize) {
         let keep =
             stated_keep(fields).map_or(DEFAULT_KEEP, |stated| stated.saturating_sub(KEEP_MARGIN));
-        if keep.is_zero() || conn.is_disturbed() {
+        if most == 0 || keep.is_zero() || conn.is_disturbed() {
             return;
         }
         let now = Instant::now();
         let Ok(mut idle) = self.idle.lock() else { return };
         let kept = idle.entry(address).or_default();
         kept.retain(|idle| idle.until > now);
-        if kept.len() >= MAX_IDLE {
-            kept.remove(0);
-        }
+        let surplus = (kept.len() + 1).saturating_sub(most);
+        kept.drain(..surplus);
         kept.push(Idle { conn, until: now + keep });
     }
 }
--- a/src/relay/tests.rs
+++ b/src/relay/tests.rs
@@ -184,3 +184,28 @@
     let mut events = Events::after(Some(4));
     assert_eq!(events.take(b"id: 4\n\nid: 5\n\n"), b"id: 5\n\n");
 }
+
+quickcheck::quickcheck! {
+    /// A head that is mutated anywhere is refused, or is one request whose parts can't end a line early.
+    fn parse_mutated_heads_hide_no_second_request(changes: Vec<(usize, u8)>, inserts: Vec<(usize, u8)>) -> bool {
+        let text = "POST /a/b?c=1 HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: 7\r\n\
+                    Content-Length: 3\r\nConnection: keep-alive\r\n\r\nabc";
+        let mut bytes = text.as_bytes().to_vec();
+        for (at, byte) in changes.into_iter().take(4) {
+            let at = at % bytes.len();
+            bytes[at] = byte;
+        }
+        for (at, byte) in inserts.into_iter().take(4) {
+            let at = at % bytes.len();
+            bytes.insert(at, [b'\r', b'\n', b':', b' ', 0, byte][usize::from(byte) % 6]);
+        }
+        let Ok(Some((head, length))) = Request::parse(&bytes) else { return true };
+        let clean = |text: &str| !text.contains(['\r', '\n', '\0']);
+        let fields = head.fields.iter().all(|(name, value)| {
+            clean(name) && clean(value) && !name.contains([' ', ':']) && !name.is_empty()
+        });
+        let framed = head.fields.all("content-length").count()
+            + head.fields.all("transfer-encoding").count() <= 1;
+        fields && framed && clean(&head.target) && !head.target.contains(' ') && length <= bytes.len()
+    }
+}
--- a/src/relay/tests/passage.rs
+++ b/src/relay/tests/passage.rs
@@ -31,9 +31,13 @@
         _: Option<&Workspace>,
         _: &Dispatch,
         _: Option<Duration>,
-        _: Option<u64>,
+        after: Option<u64>,
     ) -> Fields {
-        Fields::default()
+        let mut fields = Fields::default();
+        if let Some(after) = after {
+            fields.push("Last-Event-Id", after.to_string());
+        }
+        fields
     }
 
     fn verdict(&self, _: &Ask, _: &Response) -> Verdict {
@@ -79,6 +83,27 @@
     address
 }
 
+/// A server that streams `events` after the one that the request names.
+fn serve_stream(events: &[&'static str]) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let address = listener.local_addr().expect("it is bound");
+    let events = events.to_vec();
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let Ok(mut stream) = stream else { return };
+            let mut head = [0; 4_096];
+            let read = stream.read(&mut head).expect("a request comes");
+            let head = String::from_utf8_lossy(&head[..read]).into_owned();
+            let after = head.lines().find_map(|line| line.strip_prefix("Last-Event-Id: "));
+            let after: usize = after.map_or(0, |after| after.trim().parse().expect("a number"));
+            let body = events[after..].concat();
+            let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+            stream.write_all(answer.as_bytes()).ok();
+        }
+    });
+    address
+}
+
 fn dispatch(attempt: u32, address: SocketAddr) -> Command {
     Command::Dispatch(Dispatch {
         attempt,
@@ -89,6 +114,7 @@
         fetch_from: None,
         save_to: None,
         priority: 5,
+        most_idle: 4,
     })
 }
 
@@ -197,3 +223,20 @@
     assert_eq!(scene.report(), (2, Report::Begun(None)));
     assert_eq!(scene.report(), (2, Report::Ended));
 }
+
+#[test]
+fn stream_cut_at_any_byte_goes_on_without_gap_or_repeat() {
+    let events = ["id: 1\ndata: a\n\n", "id: 2\r\ndata: b\r\n\r\n", "id: 3\ndata: c\n\n"];
+    let whole = events.concat();
+    let second = serve_stream(&events);
+    for cut in 0..whole.len() {
+        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", whole.len());
+        let first = serve_once(format!("{head}{}", &whole[..cut]).into_bytes());
+        let mut scene = Scene::start(true);
+        let (_, commands) = scene.opened();
+        commands.try_send(dispatch(1, first)).expect("it waits");
+        while scene.report() != (1, Report::Lost) {}
+        commands.try_send(dispatch(2, second)).expect("it waits");
+        assert_eq!(String::from_utf8_lossy(&scene.body()), whole, "cut after {cut} bytes");
+    }
+}
