--- a/src/fleet/explain.rs
+++ b/src/fleet/explain.rs
@@ -3,7 +3,7 @@
 
 use super::place::Choice;
 use super::requests::{Phase, Request};
-use super::{Key, Node, Refused, server};
+use super::{Key, Node, Refused, Topic, Tracked, server};
 use crate::prelude::*;
 
 impl Node {
@@ -17,7 +17,7 @@
     /// has not told of servers.
     fn beliefs(&self, now: Time, detail: Detail) -> Detail {
         let table = self.table.as_ref().map_or(0, |table| table.version());
-        let unread = self.unread_since.get(&super::Topic::Servers);
+        let unread = self.unread_since.get(&Tracked::Topic(Topic::Servers));
         detail
             .and("table", table)
             .and_some("servers_unread_ms", unread.map(|since| now.saturating_sub(*since)))
--- a/src/fleet/figures.rs
+++ b/src/fleet/figures.rs
@@ -1,6 +1,6 @@
 //! What metrics show of a node: its beliefs and their ages, its servers, its queue and its budgets.
 
-use super::{Node, Topic};
+use super::{Node, Tracked};
 use crate::prelude::*;
 use crate::telemetry::metrics::Figure;
 
@@ -100,10 +100,10 @@
 
     /// For how long the store has not told of each topic, and how old each peer's word is.
     fn show_ages(&self, now: Time, figures: &mut Vec<Figure>) {
-        for topic in Topic::ALL {
-            let unread = self.unread_since.get(&topic);
+        for tracked in Tracked::ALL {
+            let unread = self.unread_since.get(&tracked);
             let unread = unread.map_or(0, |since| ms(now.saturating_sub(*since)));
-            figures.push(Figure::of("unread_ms", "topic", format!("{topic:?}"), unread));
+            figures.push(Figure::of("unread_ms", "topic", tracked.name(), unread));
         }
         for (id, heard) in self.heard_peers() {
             let age = ms(now.saturating_sub(heard));
--- a/src/fleet/message.rs
+++ b/src/fleet/message.rs
@@ -151,7 +151,7 @@
 }
 
 /// A dependency that is lost and regained.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Tracked {
     /// Reads of this topic.
     Topic(Topic),
@@ -159,6 +159,26 @@
     Lease,
 }
 
+impl Tracked {
+    /// All of them.
+    pub const ALL: [Self; 4] = [
+        Self::Topic(Topic::Operator),
+        Self::Topic(Topic::Servers),
+        Self::Topic(Topic::Routers),
+        Self::Lease,
+    ];
+
+    /// Its name in logs and metrics.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Topic(Topic::Operator) => "operator",
+            Self::Topic(Topic::Servers) => "servers",
+            Self::Topic(Topic::Routers) => "routers",
+            Self::Lease => "lease",
+        }
+    }
+}
+
 /// What a node is told.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Message {
--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -84,12 +84,10 @@
     pub(super) lease: lease::State,
     /// Topics that were read at least once, from the store or from a peer.
     pub(super) known: BTreeSet<Topic>,
-    /// What can't be read now.
-    pub(super) down: BTreeSet<u8>,
     /// When the servers' topic could last not be read.
     pub(super) down_at: Option<Time>,
-    /// Since when topics can't be read from the store.
-    pub(super) unread_since: BTreeMap<Topic, Time>,
+    /// Since when what the store does not give can't be read.
+    pub(super) unread_since: BTreeMap<Tracked, Time>,
     pub(super) next_digest: Time,
     pub(super) next_heat: Time,
     pub(super) behind: BTreeMap<Topic, Time>,
@@ -127,7 +125,6 @@
             link: Link::default(),
             lease,
             known: BTreeSet::new(),
-            down: BTreeSet::new(),
             down_at: None,
             unread_since: BTreeMap::new(),
             next_digest: Time::ZERO,
@@ -215,13 +212,3 @@
         self.effects.push(Effect::Event(event, detail));
     }
 }
-
-impl Tracked {
-    /// A small number of its own.
-    pub(super) fn number(self) -> u8 {
-        match self {
-            Self::Topic(topic) => topic as u8,
-            Self::Lease => u8::MAX,
-        }
-    }
-}
--- a/src/fleet/records.rs
+++ b/src/fleet/records.rs
@@ -13,15 +13,7 @@
     pub(super) fn read(&mut self, now: Time, read: Read) {
         let Read { batch, whole } = read;
         let topic = batch.topic;
-        let tracked = Tracked::Topic(topic);
-        let unread = self.unread_since.remove(&topic);
-        if self.down.remove(&tracked.number()) {
-            self.event(
-                Event::LogUp,
-                Detail::of("topic", format!("{topic:?}"))
-                    .and_some("down_ms", unread.map(|since| now.saturating_sub(since))),
-            );
-        }
+        self.came_up(now, Tracked::Topic(topic));
         if whole {
             let gone = self.catalog.missing(topic, &batch.records);
             self.take_records(now, topic, &gone);
@@ -40,17 +32,23 @@
     }
 
     pub(super) fn went_down(&mut self, now: Time, tracked: Tracked, reason: &str) {
-        if let Tracked::Topic(topic) = tracked {
-            self.unread_since.entry(topic).or_insert(now);
-        }
         if tracked == Tracked::Topic(Topic::Servers) {
             self.down_at = Some(now);
         }
-        if self.down.insert(tracked.number()) {
-            self.event(
-                Event::LogDown,
-                Detail::of("topic", format!("{tracked:?}")).and("reason", reason),
-            );
+        if self.unread_since.contains_key(&tracked) {
+            return;
+        }
+        self.unread_since.insert(tracked, now);
+        let detail = Detail::of("topic", tracked.name()).and("reason", reason);
+        self.event(Event::LogDown, detail);
+    }
+
+    /// Notes that what is tracked was read.
+    pub(super) fn came_up(&mut self, now: Time, tracked: Tracked) {
+        if let Some(since) = self.unread_since.remove(&tracked) {
+            let detail =
+                Detail::of("topic", tracked.name()).and("down_ms", now.saturating_sub(since));
+            self.event(Event::LogUp, detail);
         }
     }
 
--- a/src/fleet/rollout.rs
+++ b/src/fleet/rollout.rs
@@ -2,7 +2,7 @@
 //! many at once.
 
 use super::server::Ordered;
-use super::{Effect, Node, OrderEnd, State, server};
+use super::{Effect, Node, OrderEnd, State, Tracked, server};
 use crate::prelude::*;
 
 /// Versions of one model that are remembered with the time at which they were named.
@@ -248,6 +248,7 @@
 
     /// Takes over records of the lease.
     pub(super) fn lease_read(&mut self, now: Time, first: u64, records: &[(u64, String)]) {
+        self.came_up(now, Tracked::Lease);
         let before = self.lease.held().map(|held| held.fence);
         self.lease.skip_to(first);
         for (offset, text) in records {
--- a/src/fleet/tests/peers.rs
+++ b/src/fleet/tests/peers.rs
@@ -206,3 +206,32 @@
     assert!(last.node.pace(ms(1_010), Tracked::Lease) > ms(2_000));
     assert!(last.node.pace(ms(9_000), Tracked::Lease) < ms(1_000));
 }
+
+#[test]
+fn lost_and_regained_dependencies_are_logged_once_each() {
+    let mut daemon = Daemon::with(1, &[]);
+    let mut seen = Vec::new();
+    for tracked in Tracked::ALL {
+        for at in [100, 400, 700] {
+            let message = Message::Down(tracked, "it refused".into());
+            seen.extend(daemon.node.apply(ms(at), message));
+        }
+    }
+    for topic in Topic::ALL {
+        let batch = Batch { topic, from: 9, to: 9, records: Vec::new() };
+        let read = Read { batch, whole: false };
+        seen.extend(daemon.node.apply(ms(1_100), Message::Read(read)));
+    }
+    seen.extend(daemon.node.apply(ms(1_100), Message::Lease(0, Vec::new())));
+    let lines = |event: Event| {
+        let line = |effect: &Effect| match effect {
+            Effect::Event(seen, detail) if *seen == event => Some(detail.to_string()),
+            _ => None,
+        };
+        seen.iter().filter_map(line).collect::<Vec<String>>()
+    };
+    assert_eq!(lines(Event::LogDown).len(), 4);
+    let up = lines(Event::LogUp);
+    assert_eq!(up.len(), 4);
+    assert!(up.iter().all(|line| line.ends_with("down_ms=1000")), "{up:?}");
+}
