Send a prompt that waited in vain for its home to an idle engine

Now: after half of the time that it may wait, the bound counts only what the reading takes. Test: prompt_that_waited_in_vain_for_its_home_goes_to_an_idle_engine.

--- a/src/fleet/admission.rs
+++ b/src/fleet/admission.rs
@@ -176,6 +176,15 @@
     }
 }
 
+impl Node {
+    /// Whether a request has waited long enough for a server that holds its parts: half of the time
+    /// that it may wait at all.
+    pub(super) fn has_waited_for_home(&self, now: Time, request: &Request) -> bool {
+        let Phase::Waiting(since) = request.phase else { return false };
+        now >= since + request.arrival.route.target / WAIT_PART / 2
+    }
+}
+
 fn has_waited(now: Time, request: &Request) -> bool {
     let Phase::Waiting(since) = request.phase else { return false };
     now >= since + request.arrival.route.target / WAIT_PART || now >= request.arrival.deadline
--- a/src/fleet/place.rs
+++ b/src/fleet/place.rs
@@ -128,14 +128,15 @@
         let homes = self.homes(now, isolated.unwrap_or_default(), &request.pool, prompt);
         let most_ms = request.arrival.route.target.as_secs_f64() * 1_000.0 * QUEUED_PART;
         let own = prompt.input.saturating_sub(shared_tokens(prompt));
-        // What a home will soon have room for waits for it; where no home has a place, another engine
-        // that is idle reads the parts in time.
+        // What a home will soon have room for waits for it; where no home has a place, or it has waited
+        // for one in vain, another engine that is idle reads the parts in time.
         let has_home = usable.iter().any(|(key, server)| {
             let version = server.version(&prompt.model);
             let begins = |version| self.old_weights_ms(now, &prompt.model, version).is_some();
             homes.role(*key) == Role::Home && version.is_some_and(begins)
         });
-        let bound_ms = if has_home { AGAIN_MS_PER_TOKEN } else { FIRST_MS_PER_TOKEN };
+        let waits = has_home && !self.has_waited_for_home(now, request);
+        let bound_ms = if waits { AGAIN_MS_PER_TOKEN } else { FIRST_MS_PER_TOKEN };
         let scored = usable.iter().filter_map(|(key, server)| {
             let version = server.version(&prompt.model)?;
             let old_ms = self.old_weights_ms(now, &prompt.model, version)?;
--- a/src/fleet/tests/admission.rs
+++ b/src/fleet/tests/admission.rs
@@ -133,3 +133,27 @@
     }
     assert!(open.is_empty(), "{} neither sent nor refused", open.len());
 }
+
+#[test]
+fn prompt_that_waited_in_vain_for_its_home_goes_to_an_idle_engine() {
+    let engines = [("e-1", "engine 21 ready 1"), ("e-2", "engine 22 ready 1")];
+    let mut daemon = Daemon::with(1, &engines);
+    let route = route("engines", Repeat::Resumable, 2);
+    let mut homes = BTreeSet::new();
+    for number in 0..8 {
+        daemon.likeness = number;
+        let (_, effects) = daemon.arrive(ms(10), &route, Some(prompt(7, 3)));
+        for command in commands(&effects) {
+            let Command::Dispatch(dispatch) = command else { panic!("{command:?}") };
+            homes.insert(dispatch.server);
+        }
+    }
+    assert_eq!(homes.len(), 1, "its home takes what it can begin in time: {homes:?}");
+    assert!(commands(&daemon.tick(ms(140))).is_empty());
+    let spilled = commands(&daemon.tick(ms(165)));
+    assert!(!spilled.is_empty());
+    for command in spilled {
+        let Command::Dispatch(dispatch) = command else { panic!("{command:?}") };
+        assert!(!homes.contains(&dispatch.server) && dispatch.fetch_from.is_some());
+    }
+}
--- a/src/relay/caller.rs
+++ b/src/relay/caller.rs
@@ -156,6 +156,7 @@
     log.route = route.name.clone();
     log.workspace = workspace.as_ref().map_or_else(String::new, |owner| owner.name.clone());
     let limit = ask.patience.map_or(route.timeout, |patience| patience.min(route.timeout));
+    log.limit = limit;
     let passage = Passage {
         entry,
         request,
@@ -205,13 +206,16 @@
     table: u64,
     route: String,
     workspace: String,
+    /// The time that the request has at most; zero where it has no route.
+    limit: Duration,
 }
 
 impl<'a> Outcome<'a> {
     fn new(entry: &'a Entry, ask: &Ask) -> Self {
         let (route, workspace) = (String::new(), String::new());
         let started = entry.control.clock.now();
-        Self { entry, id: ask.id.clone(), started, table: 0, route, workspace }
+        let id = ask.id.clone();
+        Self { entry, id, started, table: 0, route, workspace, limit: Duration::ZERO }
     }
 
     fn ended(&self, end: &End) {
@@ -232,6 +236,7 @@
             .and_some("execution", code.map(|code| code.row().execution.as_str()))
             .and_some("retry_after_ms", after)
             .and("total_ms", self.entry.control.clock.now().saturating_sub(self.started))
+            .and("limit_ms", self.limit)
             .and("table", self.table);
         emit(Event::RequestEnded, detail);
     }
