Read a program's addresses from its ready line alone

Cause: log lines now go to standard output, and the line of event 100 holds the ready line's words, so that the demo found two addresses where it wants one. scripts/demo.sh in a fresh clone: exit 1 before (readiness did not come about), exit 0 after. Scripts only; no program changes.

--- a/scripts/common.sh
+++ b/scripts/common.sh
@@ -31,4 +31,4 @@
 }
 
 # address NAME FIELD: an address from a program's ready line.
-address() { sed -n "s/.* ready .*$2=\([^ ]*\).*/\1/p" "$dir/$1.out"; }
+address() { sed -n "/ ready /{s/.* ready .*$2=\([^ ]*\).*/\1/p;q}" "$dir/$1.out"; }
