Let a stopping process live until what it has read is answered

Cause: a planned stop ended once control had no open request. Control forgets a request when it tells traffic what to answer, so a process could end between a refusal and its writing: a stream that two engines had refused waited 0.4 s, was refused, and the process ended with its caller's connection. The main thread polls the stop before the tasks that write, and then slept, so on a slow core the gap is some 50 ms wide.

Now traffic counts requests from their first byte read to their answer written, and the stop waits for that count. Shortly before the platform's kill, what waits is refused as not run and what was sent without an answer is ended as unknown, instead of closing in silence.

Ruled out: the notice time (the accept loop ends, open connections stay), the platform's kill (grace ends at 17 s there).

Tests: stop_waits_until_what_control_has_refused_is_answered asserts that control's count is 0 while the caller has no answer, which is what the old stop went by; end_of_a_stop_... failed first on refused requests being sent to places that given up ones left.

--- a/src/fleet/message.rs
+++ b/src/fleet/message.rs
@@ -211,6 +211,8 @@
     Frame(Frame),
     /// A planned stop was asked for.
     Stop,
+    /// The time of a planned stop is nearly over.
+    StopEnds,
     /// Time has passed.
     Tick,
 }
--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -8,10 +8,11 @@
 use super::gossip::Peer;
 use super::kept::{Kept, Link};
 use super::load::Load;
-use super::requests::Request;
+use super::requests::{Phase, Request};
 use super::rollout::Rollout;
 use super::{
-    Budget, Catalog, Change, Counts, Effect, Key, Message, Record, Server, Topic, Tracked, server,
+    Budget, Catalog, Change, Command, Counts, Effect, Key, Message, Record, Server, Topic, Tracked,
+    server,
 };
 use crate::lease;
 use crate::placement::Heat;
@@ -155,6 +156,7 @@
             Message::Stored(read) => self.kept.read(read.as_ref()),
             Message::Frame(frame) => self.frame(now, frame),
             Message::Stop => self.stop(now),
+            Message::StopEnds => self.stop_ends(now),
             Message::Tick => self.tick(now),
         }
         std::mem::take(&mut self.effects)
@@ -198,6 +200,24 @@
         }
     }
 
+    /// Ends what has no answer yet while it can still be told so: what waits has not run, and of what
+    /// was sent nothing is known. Answers that have begun go on as long as they can.
+    fn stop_ends(&mut self, now: Time) {
+        // What waits goes first, or it would be sent to the places that the others leave.
+        let waiting: Vec<Key> = self.waiting.iter().map(|turn| turn.key).collect();
+        for key in waiting {
+            self.refuse(now, key, Code::Draining);
+        }
+        let unanswered =
+            |request: &Request| matches!(request.phase, Phase::Sent { begun: false, .. });
+        let sent = self.requests.iter().filter(|(_, request)| unanswered(request));
+        let sent: Vec<Key> = sent.map(|(key, _)| *key).collect();
+        for key in sent {
+            self.effects.push(Effect::Command(key, Command::GiveUp));
+            self.forget(now, key);
+        }
+    }
+
     fn tick(&mut self, now: Time) {
         self.gossip(now);
         self.sum_others(now);
--- a/src/fleet/tests/requests.rs
+++ b/src/fleet/tests/requests.rs
@@ -195,3 +195,28 @@
     assert!(commands(&effects).is_empty(), "{:?}", commands(&effects));
     assert_eq!(dispatch(&daemon.tick(ms(11_050))).attempt, 2);
 }
+
+#[test]
+fn end_of_a_stop_answers_what_can_still_be_answered_truly() {
+    let mut daemon = Daemon::with(1, &[("s-1", "plain 11 ready")]);
+    let route = route("plain", Repeat::AtMostOnce, 1);
+    let (begun, _) = daemon.arrive(ms(10), &route, None);
+    daemon.report(ms(20), begun, 1, Report::Begun(None));
+    let (sent, _) = daemon.arrive(ms(30), &route, None);
+    let (waiting, _) = daemon.arrive(ms(40), &route, None);
+    daemon.node.apply(ms(50), Message::Stop);
+    let effects = daemon.node.apply(ms(60), Message::StopEnds);
+    let told: Vec<(Key, Command)> = effects
+        .into_iter()
+        .filter_map(|effect| match effect {
+            Effect::Command(key, command) => Some((key, command)),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(told.len(), 2, "{told:?}");
+    assert!(told.contains(&(sent, Command::GiveUp)));
+    let refused = |(key, command): &(Key, Command)| {
+        *key == waiting && matches!(command, Command::Refuse(Code::Draining, _))
+    };
+    assert!(told.iter().any(refused), "{told:?}");
+}
--- a/src/relay/caller.rs
+++ b/src/relay/caller.rs
@@ -1,6 +1,7 @@
 //! One caller's connection: its requests are read, passed on and answered in turn.
 
 use std::net::TcpStream;
+use std::sync::atomic::{AtomicUsize, Ordering};
 
 use async_channel::Receiver;
 use async_io::{Async, Timer};
@@ -28,6 +29,8 @@
     metrics: Arc<Metrics>,
     /// Closed once idle connections are to be closed.
     closing: Receiver<()>,
+    /// Requests of which a byte was read and that have no whole answer yet.
+    unanswered: AtomicUsize,
 }
 
 impl Entry {
@@ -39,7 +42,14 @@
         metrics: Arc<Metrics>,
         closing: Receiver<()>,
     ) -> Self {
-        Self { dialect, control, pool, metrics, closing }
+        let unanswered = AtomicUsize::new(0);
+        Self { dialect, control, pool, metrics, closing, unanswered }
+    }
+
+    /// Requests of which a byte was read and whose answer has not gone out: control forgets a request
+    /// when it tells what to answer, so only this says whether the process may end.
+    pub fn unanswered(&self) -> usize {
+        self.unanswered.load(Ordering::Acquire)
     }
 
     fn limits(&self) -> Limits {
@@ -47,6 +57,22 @@
     }
 }
 
+/// Counts a request as unanswered until dropped.
+struct Unanswered<'a>(&'a AtomicUsize);
+
+impl<'a> Unanswered<'a> {
+    fn begin(entry: &'a Entry) -> Self {
+        entry.unanswered.fetch_add(1, Ordering::AcqRel);
+        Self(&entry.unanswered)
+    }
+}
+
+impl Drop for Unanswered<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
 /// Serves one caller's connection until it closes.
 pub async fn serve(entry: Arc<Entry>, stream: Async<TcpStream>) {
     let mut conn = Conn::new(stream);
@@ -55,6 +81,7 @@
         if !wait_for_request(&entry, &mut conn, limits).await {
             return;
         }
+        let _unanswered = Unanswered::begin(&entry);
         let (request, body) = match read_request(&mut conn, limits).await {
             Ok(read) => read,
             Err(code) => {
--- a/src/relay/tests/passage.rs
+++ b/src/relay/tests/passage.rs
@@ -126,6 +126,7 @@
 
 /// A caller's connection, and the control thread's side of it.
 struct Scene {
+    entry: Arc<Entry>,
     caller: TcpStream,
     letters: Receiver<Letter>,
 }
@@ -141,13 +142,15 @@
         let (closer, closing) = async_channel::bounded(1);
         let metrics = Arc::new(Metrics::new().expect("instruments can be made"));
         let entry = Entry::new(Arc::new(Bare), control, Arc::default(), metrics, closing);
+        let entry = Arc::new(entry);
+        let serving = Arc::clone(&entry);
         thread::spawn(move || {
             let stream = Async::new(stream).expect("it can be waited for");
-            block_on(serve(Arc::new(entry), stream));
+            block_on(serve(serving, stream));
             drop(closer);
         });
         caller.write_all(b"GET / HTTP/1.1\r\nHost: a.example\r\n\r\n").expect("it is read");
-        Self { caller, letters }
+        Self { entry, caller, letters }
     }
 
     fn opened(&self) -> (Box<Arrival>, Sender<Command>) {
@@ -240,3 +243,18 @@
         assert_eq!(String::from_utf8_lossy(&scene.body()), whole, "cut after {cut} bytes");
     }
 }
+
+#[test]
+fn stop_waits_until_what_control_has_refused_is_answered() {
+    let mut scene = Scene::start(true);
+    let (_, commands) = scene.opened();
+    // Control has no open request by now, and the caller no answer.
+    assert_eq!(scene.entry.control.open_requests(), 0);
+    assert_eq!(block_on(drain(&scene.entry, Duration::from_millis(50))), 1);
+    assert!(matches!(scene.letters.recv_blocking(), Ok(Letter::Message(Message::StopEnds))));
+    commands.try_send(Command::Refuse(Code::NoServer, Duration::ZERO)).expect("it waits");
+    assert_eq!(block_on(drain(&scene.entry, Duration::from_secs(20))), 0);
+    let mut answer = [0; 12];
+    scene.caller.read_exact(&mut answer).expect("an answer comes");
+    assert_eq!(&answer, b"HTTP/1.1 503");
+}
