Believe what is believed of a server of one of its lives

Cause: servers may start again under their id and then hold and know nothing of before. Beliefs (held parts, weights, load told by peers, orders taken, pauses after failures, idle connections) were kept by id and outlived the server that they were about.

A server is now a `Life` (id and start). A registration or a report with a later start begins a new server in the arena, so that every belief that is keyed by server ends with the former one; an earlier start changes nothing, also once the server is gone; what peers tell names the life. What ran in the former life is sent again at once where it may be, and idle connections to its address are closed.

--- a/src/fleet/explain.rs
+++ b/src/fleet/explain.rs
@@ -30,7 +30,7 @@
         let load = self.load(choice.server, server);
         let detail = Self::about(request)
             .and("attempt", request.sends)
-            .and("server", server.entry.id.as_str())
+            .and("server", server.entry.life.id.as_str())
             .and("address", server.entry.address)
             .and("cost_ms", choice.cost_ms.round())
             .and("read_tokens", choice.tokens)
@@ -80,7 +80,7 @@
     /// Logs an attempt that failed, and what its request does next.
     pub(super) fn log_failed(&mut self, key: Key, server: server::Key, reason: &str) {
         let Some(request) = self.requests.get(&key) else { return };
-        let id = self.servers.get(server).map_or("", |server| server.entry.id.as_str());
+        let id = self.servers.get(server).map_or("", |server| server.entry.life.id.as_str());
         let detail = Self::about(request)
             .and("attempt", request.sends)
             .and("server", id)
@@ -92,7 +92,7 @@
 
     pub(super) fn log_declined(&mut self, key: Key, server: server::Key, refused: Refused) {
         let Some(request) = self.requests.get(&key) else { return };
-        let id = self.servers.get(server).map_or("", |server| server.entry.id.as_str());
+        let id = self.servers.get(server).map_or("", |server| server.entry.life.id.as_str());
         let (reason, weights) = match refused {
             Refused::Busy => ("it has no room, or is leaving or loading", None),
             Refused::Gone => ("another server has its address", None),
@@ -110,7 +110,7 @@
     pub(super) fn log_taken_back(&mut self, event: Event, now: Time, key: Key) {
         let Some(request) = self.requests.get(&key) else { return };
         let Phase::Sent { server, at, .. } = request.phase else { return };
-        let id = self.servers.get(server).map_or("", |server| server.entry.id.as_str());
+        let id = self.servers.get(server).map_or("", |server| server.entry.life.id.as_str());
         let detail = Self::about(request)
             .and("attempt", request.sends)
             .and("server", id)
--- a/src/fleet/figures.rs
+++ b/src/fleet/figures.rs
@@ -84,7 +84,7 @@
 
     fn show_servers(&self, now: Time, figures: &mut Vec<Figure>) {
         for (key, server) in &self.servers {
-            let id = server.entry.id.as_str();
+            let id = server.entry.life.id.as_str();
             let load = self.load(key, server);
             let mut show = |name, value| figures.push(Figure::of(name, "server", id, value));
             show("running", u64::from(load.running));
--- a/src/fleet/frame.rs
+++ b/src/fleet/frame.rs
@@ -2,7 +2,7 @@
 
 use prost::Message as _;
 
-use super::{Batch, Record, Topic};
+use super::{Batch, Life, Record, Topic};
 use crate::prelude::*;
 
 /// A frame that is not well-formed.
@@ -37,10 +37,10 @@
     pub draining: bool,
     /// The offsets before which it misses no record, in the order of [`Topic::ALL`].
     pub ends: Vec<u64>,
-    /// Its work by server id.
-    pub busy: BTreeMap<String, Busy>,
+    /// Its work by server.
+    pub busy: BTreeMap<Life, Busy>,
     /// Weights that servers were seen to have: server, model, version.
-    pub weights: Vec<(String, String, u64)>,
+    pub weights: Vec<(Life, String, u64)>,
     /// The parts of prompts that most of its work is for, with milliseconds of work a second; none
     /// in most digests.
     pub heat: Vec<(u64, f32)>,
@@ -74,6 +74,8 @@
         pub(super) heard_ms: Option<u32>,
         #[prost(uint32, optional, tag = "6")]
         pub(super) unanswered_ms: Option<u32>,
+        #[prost(uint64, tag = "7")]
+        pub(super) born: u64,
     }
 
     #[derive(Clone, PartialEq, prost::Message)]
@@ -84,6 +86,8 @@
         pub(super) model: String,
         #[prost(uint64, tag = "3")]
         pub(super) version: u64,
+        #[prost(uint64, tag = "4")]
+        pub(super) born: u64,
     }
 
     #[derive(Clone, PartialEq, prost::Message)]
@@ -218,16 +222,18 @@
 
 impl From<Digest> for wire::Digest {
     fn from(digest: Digest) -> Self {
-        let busy = digest.busy.into_iter().map(|(server, busy)| wire::Busy {
-            server,
+        let busy = digest.busy.into_iter().map(|(life, busy)| wire::Busy {
+            server: life.id,
+            born: life.born,
             running: busy.running,
             pending_tokens: busy.pending_tokens,
             ordered: busy.ordered,
             heard_ms: busy.heard_ms,
             unanswered_ms: busy.unanswered_ms,
         });
-        let weights = digest.weights.into_iter().map(|(server, model, version)| wire::Weights {
-            server,
+        let weights = digest.weights.into_iter().map(|(life, model, version)| wire::Weights {
+            server: life.id,
+            born: life.born,
             model,
             version,
         });
@@ -259,9 +265,19 @@
             return Err(Malformed("the digest's parts and their work do not match".into()));
         }
         let busy = digest.busy.into_iter().map(|busy| {
-            let wire::Busy { server, running, pending_tokens, ordered, heard_ms, unanswered_ms } =
-                busy;
-            (server, Busy { running, pending_tokens, ordered, heard_ms, unanswered_ms })
+            let wire::Busy {
+                server,
+                running,
+                pending_tokens,
+                ordered,
+                heard_ms,
+                unanswered_ms,
+                born,
+            } = busy;
+            (
+                Life::new(server, born),
+                Busy { running, pending_tokens, ordered, heard_ms, unanswered_ms },
+            )
         });
         Ok(Self {
             daemon: digest.daemon,
@@ -273,7 +289,9 @@
             weights: digest
                 .weights
                 .into_iter()
-                .map(|weights| (weights.server, weights.model, weights.version))
+                .map(|weights| {
+                    (Life::new(weights.server, weights.born), weights.model, weights.version)
+                })
                 .collect(),
             heat: digest.hot_parts.into_iter().zip(digest.hot_work_ms).collect(),
             refused: digest.refused,
--- a/src/fleet/gossip.rs
+++ b/src/fleet/gossip.rs
@@ -183,7 +183,7 @@
                     heard_ms: server.heard_at.map(|at| age_ms(now, at)),
                     unanswered_ms: server.unanswered_since.map(|at| age_ms(now, at)),
                 };
-                (server.entry.id.clone(), busy)
+                (server.entry.life.clone(), busy)
             });
         let seen = self.rollout.seen.iter();
         Digest {
@@ -193,7 +193,7 @@
             draining: self.draining,
             ends: Topic::ALL.iter().map(|topic| self.catalog.end(*topic)).collect(),
             busy: busy.collect(),
-            weights: seen.map(|(id, model, v, _)| (id.clone(), model.clone(), *v)).collect(),
+            weights: seen.map(|(life, model, v, _)| (life.clone(), model.clone(), *v)).collect(),
             heat: Vec::new(),
             refused: self.expected.own(),
         }
@@ -235,8 +235,8 @@
         if let Ok(address) = digest.address.parse() {
             self.meet(now, digest.daemon.clone(), address);
         }
-        for (id, model, version) in &digest.weights {
-            if let Some(key) = self.ids.get(id).copied() {
+        for (life, model, version) in &digest.weights {
+            if let Some(key) = self.lives.server(life) {
                 self.saw_weights(now, key, model, *version);
             }
         }
@@ -268,9 +268,9 @@
         let lifetime = self.lifetime();
         for peer in self.peers.values().filter(|peer| peer.is_fresh(now, lifetime)) {
             let (Some(digest), Some(told)) = (&peer.digest, peer.heard) else { continue };
-            for (id, busy) in &digest.busy {
-                if let Some(key) = self.ids.get(id) {
-                    self.others.entry(*key).or_default().add(told, busy);
+            for (life, busy) in &digest.busy {
+                if let Some(key) = self.lives.server(life) {
+                    self.others.entry(key).or_default().add(told, busy);
                 }
             }
         }
--- a/src/fleet/homes.rs
+++ b/src/fleet/homes.rs
@@ -75,7 +75,7 @@
         let mut narrow = |part: u64, spare: fn(usize) -> usize| {
             let part = keyed(owner, part);
             ranked.sort_by_cached_key(|(_, server)| {
-                std::cmp::Reverse(xxh3_64_with_seed(server.entry.id.as_bytes(), part))
+                std::cmp::Reverse(xxh3_64_with_seed(server.entry.life.id.as_bytes(), part))
             });
             let count = copies(self.work_ms(now, part), servers);
             ranked.truncate(spare(count));
--- a/src/fleet/message.rs
+++ b/src/fleet/message.rs
@@ -148,6 +148,8 @@
     pub busy: bool,
     /// How many orders it has taken.
     pub sequence: u64,
+    /// When it started, in Unix milliseconds; 0 where it does not say.
+    pub born: u64,
 }
 
 /// A dependency that is lost and regained.
@@ -243,6 +245,8 @@
         /// How many orders the engine is expected to have taken.
         expect: u64,
     },
+    /// Give up idle connections to this address: who listened there has ended.
+    Disconnect(SocketAddr),
     /// Ask an engine for its state.
     Poll(server::Key, String, SocketAddr),
     /// Send a frame to peers.
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -12,6 +12,7 @@
 mod gossip;
 mod homes;
 mod kept;
+mod life;
 mod load;
 mod message;
 mod node;
@@ -31,6 +32,7 @@
 pub use figures::Counts;
 pub use frame::{Busy, Digest, Frame, Malformed};
 pub use kept::{StoreRead, Stored};
+pub use life::Life;
 pub use message::{
     Arrival, Change, Command, Dispatch, Effect, Key, Message, OrderEnd, Read, Refused, Report,
     State, Tracked,
--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -7,6 +7,7 @@
 use super::admission::{Expected, Turn};
 use super::gossip::Peer;
 use super::kept::{Kept, Link};
+use super::life::Lives;
 use super::load::Load;
 use super::requests::{Phase, Request};
 use super::rollout::Rollout;
@@ -61,7 +62,7 @@
     pub(super) catalog: Catalog,
     pub(super) table: Option<Arc<Table>>,
     pub(super) servers: SlotMap<server::Key, Server>,
-    pub(super) ids: BTreeMap<String, server::Key>,
+    pub(super) lives: Lives,
     /// Servers by pool.
     pub(super) pools: BTreeMap<String, Vec<server::Key>>,
     pub(super) requests: BTreeMap<Key, Request>,
@@ -111,7 +112,7 @@
             catalog: Catalog::default(),
             table: None,
             servers: SlotMap::with_key(),
-            ids: BTreeMap::new(),
+            lives: Lives::default(),
             pools: BTreeMap::new(),
             requests: BTreeMap::new(),
             waiting: BTreeSet::new(),
--- a/src/fleet/records.rs
+++ b/src/fleet/records.rs
@@ -1,6 +1,10 @@
 //! Records of the platform's store, and what they change.
 
-use super::{Batch, Change, Effect, Entry, Node, Read, Record, Server, Topic, Tracked, server};
+use super::life::Known;
+use super::requests::Phase;
+use super::{
+    Batch, Change, Effect, Entry, Key, Node, Read, Record, Server, Topic, Tracked, server,
+};
 use crate::prelude::*;
 use crate::route::Table;
 
@@ -83,7 +87,7 @@
         match change {
             Change::Table(table) => self.adopt(table),
             Change::Weights { model, version } => self.name_weights(now, &model, version),
-            Change::Server(entry) => self.register(entry),
+            Change::Server(entry) => self.register(now, entry),
             Change::ServerGone(id) => self.unregister(now, &id),
             Change::Router(id, address) => self.meet(now, id, address),
             Change::Nothing => {}
@@ -100,32 +104,65 @@
         self.effects.push(Effect::Table(table));
     }
 
-    pub(super) fn register(&mut self, entry: Entry) {
-        if let Some(server) = self.ids.get(&entry.id).and_then(|key| self.servers.get_mut(*key)) {
-            let was_leaving = server.entry.leaving;
-            let id = entry.id.clone();
-            server.update(entry);
-            if server.entry.leaving && !was_leaving {
-                self.event(Event::ServerLeaving, Detail::of("server", id));
-            }
-            return;
+    /// Takes over a registration: of a server that is known, of a new one, or of one that has started
+    /// again. One from a life that has ended changes nothing.
+    pub(super) fn register(&mut self, now: Time, entry: Entry) {
+        match self.lives.find(&entry.life) {
+            Known::Ended => {}
+            Known::Same(key) => self.update(key, entry),
+            Known::New => self.add(entry),
+            Known::Next(former) => self.begin_anew(now, former, entry),
+        }
+    }
+
+    fn update(&mut self, key: server::Key, entry: Entry) {
+        let Some(server) = self.servers.get_mut(key) else { return };
+        let was_leaving = server.entry.leaving;
+        let id = entry.life.id.clone();
+        server.update(entry);
+        if server.entry.leaving && !was_leaving {
+            self.event(Event::ServerLeaving, Detail::of("server", id));
         }
+    }
+
+    fn add(&mut self, entry: Entry) {
         self.event(
             Event::ServerAdded,
-            Detail::of("server", entry.id.as_str())
+            Detail::of("server", entry.life.id.as_str())
                 .and("pool", entry.pool.as_str())
-                .and("address", entry.address),
+                .and("address", entry.address)
+                .and("born", entry.life.born),
         );
-        let (id, pool) = (entry.id.clone(), entry.pool.clone());
+        let (life, pool) = (entry.life.clone(), entry.pool.clone());
         let key = self.servers.insert(Server::new(entry));
-        self.ids.insert(id, key);
+        self.lives.begin(&life, key);
         self.pools.entry(pool).or_default().push(key);
+        // What peers told of this life before it was known counts from now on.
+        self.others_are_stale = true;
+    }
+
+    /// Ends what was believed of a server's former life. What it ran there has ended with it, so that
+    /// which may be repeated is sent again at once instead of waiting for silence.
+    fn begin_anew(&mut self, now: Time, former: server::Key, entry: Entry) {
+        let address = self.servers.get(former).map(|server| server.entry.address);
+        self.remove(former);
+        self.add(entry);
+        self.effects.extend(address.map(Effect::Disconnect));
+        let lost = self.requests.iter().filter(|(_, request)| {
+            let at_former = matches!(request.phase, Phase::Sent { server, .. } if server == former);
+            at_former && request.may_repeat()
+        });
+        let lost: Vec<Key> = lost.map(|(key, _)| *key).collect();
+        for key in lost {
+            self.log_failed(key, former, "its server has started again");
+            self.repeat(now, key);
+        }
     }
 
     /// Takes a server out whose registration is gone; one that may have lapsed only because the
     /// store was away is kept until it has had time to return.
     pub(super) fn unregister(&mut self, now: Time, id: &str) {
-        let Some(key) = self.ids.get(id).copied() else { return };
+        let Some(key) = self.lives.registered(id) else { return };
         if self.down_at.is_some_and(|at| now < at + LAPSED_RETURN) {
             if let Some(server) = self.servers.get_mut(key) {
                 server.doubted_at = Some(now);
@@ -154,11 +191,11 @@
 
     pub(super) fn remove(&mut self, key: server::Key) {
         let Some(server) = self.servers.remove(key) else { return };
-        self.ids.remove(&server.entry.id);
+        self.lives.end(&server.entry.life);
         self.others.remove(&key);
         if let Some(keys) = self.pools.get_mut(&server.entry.pool) {
             keys.retain(|other| *other != key);
         }
-        self.event(Event::ServerRemoved, Detail::of("server", server.entry.id));
+        self.event(Event::ServerRemoved, Detail::of("server", server.entry.life.id));
     }
 }
--- a/src/fleet/requests.rs
+++ b/src/fleet/requests.rs
@@ -231,7 +231,7 @@
         }
         let dispatch = Dispatch {
             attempt: request.sends,
-            server: server.entry.id.clone(),
+            server: server.entry.life.id.clone(),
             address: server.entry.address,
             salt: choice.salt.clone(),
             weights: choice.weights,
--- a/src/fleet/rollout.rs
+++ b/src/fleet/rollout.rs
@@ -1,8 +1,9 @@
 //! Bringing engines to the weights that operators named: who orders, which engine next, and how
 //! many at once.
 
+use super::life::Known;
 use super::server::Ordered;
-use super::{Effect, Node, OrderEnd, State, Tracked, server};
+use super::{Effect, Entry, Life, Node, OrderEnd, State, Tracked, server};
 use crate::prelude::*;
 
 /// Versions of one model that are remembered with the time at which they were named.
@@ -38,8 +39,8 @@
     pub(super) named_before: bool,
     /// Since when engines lack what was named.
     wanting_since: Option<Time>,
-    /// Weights that were seen lately: server id, model, version, and when.
-    pub(super) seen: Vec<(String, String, u64, Time)>,
+    /// Weights that were seen lately: server, model, version, and when.
+    pub(super) seen: Vec<(Life, String, u64, Time)>,
 }
 
 impl Rollout {
@@ -83,10 +84,11 @@
             return;
         }
         server.loaded(model, version);
-        let id = server.entry.id.clone();
-        let detail = Detail::of("server", id.as_str()).and("model", model).and("version", version);
+        let life = server.entry.life.clone();
+        let detail =
+            Detail::of("server", life.id.as_str()).and("model", model).and("version", version);
         self.event(Event::WeightsLoaded, detail);
-        self.rollout.seen.push((id, model.to_owned(), version, now));
+        self.rollout.seen.push((life, model.to_owned(), version, now));
         self.pump(now);
     }
 
@@ -172,14 +174,14 @@
         let entry = &server.entry;
         let effect = Effect::Order {
             server: key,
-            id: entry.id.clone(),
+            id: entry.life.id.clone(),
             address: entry.address,
             model: model.clone(),
             version,
             fence,
             expect: entry.sequence,
         };
-        let detail = Detail::of("server", entry.id.as_str())
+        let detail = Detail::of("server", entry.life.id.as_str())
             .and("model", model)
             .and("version", version)
             .and("fence", fence)
@@ -197,7 +199,7 @@
                 server.ordered = None;
             } else if now >= ordered.poll_at {
                 ordered.poll_at = now + POLL;
-                let (id, address) = (server.entry.id.clone(), server.entry.address);
+                let (id, address) = (server.entry.life.id.clone(), server.entry.address);
                 self.effects.push(Effect::Poll(key, id, address));
             }
         }
@@ -226,13 +228,30 @@
                 server.refused(now);
             }
         }
-        let detail = Detail::of("server", server.entry.id.as_str()).and("end", format!("{end:?}"));
+        let detail =
+            Detail::of("server", server.entry.life.id.as_str()).and("end", format!("{end:?}"));
         self.event(Event::OrderRefused, detail);
     }
 
     /// Takes over what an engine reported of itself.
     pub(super) fn polled(&mut self, now: Time, key: server::Key, state: Option<State>) {
         let Some(state) = state else { return };
+        let Some(server) = self.servers.get(key) else { return };
+        // An engine that does not say when it started is taken to be the one that is known.
+        let born = if state.born == 0 { server.entry.life.born } else { state.born };
+        let life = Life::new(server.entry.life.id.as_str(), born);
+        match self.lives.find(&life) {
+            Known::Same(_) | Known::New => {}
+            // Its registration has yet to say so.
+            Known::Next(_) => {
+                let sequence = state.sequence;
+                let entry =
+                    Entry { life, sequence, weights: state.weights, ..server.entry.clone() };
+                return self.register(now, entry);
+            }
+            // The answer is older than what is known.
+            Known::Ended => return,
+        }
         for (model, version) in &state.weights {
             self.saw_weights(now, key, model, *version);
         }
--- a/src/fleet/run.rs
+++ b/src/fleet/run.rs
@@ -243,7 +243,10 @@
                     }
                 }
                 Effect::Event(event, detail) => emit(event, detail),
-                outward @ (Effect::AppendLease(_) | Effect::Order { .. } | Effect::Poll(..)) => {
+                outward @ (Effect::AppendLease(_)
+                | Effect::Order { .. }
+                | Effect::Poll(..)
+                | Effect::Disconnect(_)) => {
                     self.outward.try_send(outward).ok();
                 }
             }
--- a/src/fleet/server.rs
+++ b/src/fleet/server.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use super::Life;
 use crate::prelude::*;
 
 slotmap::new_key_type! {
@@ -22,8 +23,8 @@
 /// A server's registration.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Entry {
-    /// Its id; a new one at every start.
-    pub id: String,
+    /// Which server, and since when.
+    pub life: Life,
     /// The pool that it belongs to.
     pub pool: String,
     /// Where it listens.
--- a/src/fleet/tests/frames.rs
+++ b/src/fleet/tests/frames.rs
@@ -17,8 +17,8 @@
         incarnation: u64::MAX,
         draining: true,
         ends: vec![4, 0, 9],
-        busy: BTreeMap::from([("server-1".into(), busy)]),
-        weights: vec![("server-1".into(), "m".into(), 4)],
+        busy: BTreeMap::from([(Life::new("server-1", 1_764_000_000_123), busy)]),
+        weights: vec![(Life::new("server-1", 9), "m".into(), 4)],
         heat: vec![(9, 120.5), (10, 0.0)],
         refused: vec![7],
     }
--- a/src/fleet/tests/mod.rs
+++ b/src/fleet/tests/mod.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod catalog;
 mod frames;
+mod lives;
 mod peers;
 mod requests;
 mod rollout;
--- a/src/fleet/tests/peers.rs
+++ b/src/fleet/tests/peers.rs
@@ -105,7 +105,7 @@
     let route = route("engines", Repeat::Resumable, 2);
     let (_, effects) = daemon.arrive(ms(9_000), &route, Some(prompt(1, 2)));
     assert!(commands(&effects).is_empty());
-    let weights = vec![("e-1".into(), "m".into(), 2)];
+    let weights = vec![(Life::new("e-1", 0), "m".into(), 2)];
     let digest = Digest {
         daemon: "router-3".into(),
         address: address(3).to_string(),
--- a/src/fleet/tests/rollout.rs
+++ b/src/fleet/tests/rollout.rs
@@ -251,7 +251,7 @@
     assert!(!effects.iter().any(|effect| matches!(effect, Effect::Order { .. })));
     // It had been taken: the engine has taken one order, and is told so by the next.
     let weights = BTreeMap::from([("m".to_owned(), 1)]);
-    let state = State { weights, busy: false, sequence: 1 };
+    let state = State { weights, busy: false, sequence: 1, born: 0 };
     daemon.node.apply(ms(4_200), Message::Polled(server, Some(state)));
     let effects = daemon.tick(ms(4_220));
     assert!(effects.iter().any(|effect| matches!(effect, Effect::Order { expect: 1, .. })));
--- a/src/fleet/tests/world.rs
+++ b/src/fleet/tests/world.rs
@@ -39,6 +39,16 @@
     };
     let words = String::from_utf8_lossy(value).into_owned();
     let words: Vec<&str> = words.split(' ').collect();
+    if let [rest @ .., born] = words.as_slice()
+        && let Some(born) = born.strip_prefix("born:")
+    {
+        let value = Some(rest.join(" ").into_bytes());
+        let Change::Server(mut entry) = decode(topic, &Record { value, ..record.clone() })? else {
+            return Err("only servers are born".into());
+        };
+        entry.life.born = number(born)?;
+        return Ok(Change::Server(entry));
+    }
     match words.as_slice() {
         ["table", version] => Ok(Change::Table(Arc::new(table(number(version)?)))),
         ["weights", version] => {
@@ -63,7 +73,7 @@
 
 fn plain(id: &str, last: &str, state: &str) -> Result<Entry, String> {
     Ok(Entry {
-        id: id.into(),
+        life: Life::new(id, 0),
         pool: "plain".into(),
         address: address(number(last)? as u8),
         zone: "zone-1".into(),
--- a/src/relay/pool.rs
+++ b/src/relay/pool.rs
@@ -40,6 +40,13 @@
         None
     }
 
+    /// Closes the idle connections to `address`: who listened there has ended.
+    pub fn forget(&self, address: SocketAddr) {
+        if let Ok(mut idle) = self.idle.lock() {
+            idle.remove(&address);
+        }
+    }
+
     /// Keeps a connection whose exchange has ended, and `most` idle ones to its address; `fields` are
     /// those of its answer.
     pub fn put(&self, address: SocketAddr, conn: Conn, fields: &Fields, most: usize) {
