Take entries of another writer for what they are: no server

Cause: the store may hold entries that no server wrote. A registration without slots or of an unknown state was taken for a server (an unknown state even made it leave for good); one value that could not be decoded made the whole reading of a topic fail; one route of an unknown kind shut out the configuration.

An unreadable registration names no server, also where its key did before; a configuration is in force with what can be read of it, each entry left out is told of (event 204); an unreadable configuration changes nothing. Told of once for each key and reason, and counted (records_unreadable). Engines of a service that no configuration names are given no orders.

--- a/src/fleet/figures.rs
+++ b/src/fleet/figures.rs
@@ -21,6 +21,8 @@
     pub moved: u64,
     /// Those that were taken back before weights that were too old.
     pub recalled: u64,
+    /// Records of the platform's store that could not be read.
+    pub unreadable: u64,
 }
 
 impl Counts {
@@ -53,6 +55,7 @@
             Figure::new("lease_mine", u64::from(self.lease.fence(now).is_some())),
             Figure::new("lease_fence", self.lease.held().map_or(0, |held| held.fence)),
             Figure::new("kv_store_up", u64::from(self.kept.is_up())),
+            Figure::new("records_unreadable", self.counts.unreadable),
         ];
         figures.extend(
             self.counts.rows().map(|(outcome, n)| Figure::of("attempts", "outcome", outcome, n)),
--- a/src/fleet/message.rs
+++ b/src/fleet/message.rs
@@ -95,7 +95,12 @@
 #[derive(Debug, Clone, PartialEq)]
 pub enum Change {
     /// A configuration.
-    Table(Arc<Table>),
+    Table {
+        /// What can be read of it.
+        table: Arc<Table>,
+        /// Why entries of it are left out.
+        left_out: Vec<String>,
+    },
     /// Weights that a model is to have.
     Weights {
         /// The model.
--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -86,6 +86,8 @@
     pub(super) lease: lease::State,
     /// Topics that were read at least once, from the store or from a peer.
     pub(super) known: BTreeSet<Topic>,
+    /// Keys whose newest record can't be read, and why.
+    pub(super) unreadable: BTreeMap<(Topic, String), String>,
     /// When the servers' topic could last not be read.
     pub(super) down_at: Option<Time>,
     /// Since when what the store does not give can't be read.
@@ -127,6 +129,7 @@
             link: Link::default(),
             lease,
             known: BTreeSet::new(),
+            unreadable: BTreeMap::new(),
             down_at: None,
             unread_since: BTreeMap::new(),
             next_digest: Time::ZERO,
--- a/src/fleet/records.rs
+++ b/src/fleet/records.rs
@@ -10,6 +10,8 @@
 
 /// After the store is back, registrations that lapsed meanwhile have this long to return.
 const LAPSED_RETURN: Duration = Duration::from_millis(2_200);
+/// Unreadable records that are remembered, so that each is told of once.
+const MAX_UNREADABLE: usize = 1_024;
 /// Records that are told to peers at once; a peer asks for more when it sees that it is behind.
 const MAX_TOLD: usize = 64;
 
@@ -66,14 +68,11 @@
             }
             any_new = true;
             match (self.decode)(topic, record) {
-                Ok(change) => self.change(now, change),
-                Err(reason) => {
-                    let detail = Detail::of("topic", format!("{topic:?}"))
-                        .and("key", record.key.as_str())
-                        .and("offset", record.offset)
-                        .and("reason", reason);
-                    self.event(Event::RecordUnreadable, detail);
+                Ok(change) => {
+                    self.unreadable.remove(&(topic, record.key.clone()));
+                    self.change(now, change);
                 }
+                Err(reason) => self.unreadable(topic, record, reason),
             }
         }
         self.catalog.trim();
@@ -83,9 +82,34 @@
         any_new
     }
 
+    /// Takes over a record that can't be read: it names no server, also where its key once did; the
+    /// last configuration and the last weights that were named hold. Told of once for each key and
+    /// reason, since another writer may repeat it as often as servers register.
+    fn unreadable(&mut self, topic: Topic, record: &Record, reason: String) {
+        self.counts.unreadable += 1;
+        if topic == Topic::Servers
+            && let Some(key) = self.lives.registered(&record.key)
+        {
+            self.remove(key);
+        }
+        let detail = Detail::of("topic", format!("{topic:?}"))
+            .and("key", record.key.as_str())
+            .and("offset", record.offset)
+            .and("reason", reason.as_str());
+        let key = (topic, record.key.clone());
+        if self.unreadable.get(&key) == Some(&reason) {
+            return;
+        }
+        if self.unreadable.len() >= MAX_UNREADABLE {
+            self.unreadable.pop_first();
+        }
+        self.unreadable.insert(key, reason);
+        self.event(Event::RecordUnreadable, detail);
+    }
+
     pub(super) fn change(&mut self, now: Time, change: Change) {
         match change {
-            Change::Table(table) => self.adopt(table),
+            Change::Table { table, left_out } => self.adopt(table, &left_out),
             Change::Weights { model, version } => self.name_weights(now, &model, version),
             Change::Server(entry) => self.register(now, entry),
             Change::ServerGone(id) => self.unregister(now, &id),
@@ -94,11 +118,15 @@
         }
     }
 
-    pub(super) fn adopt(&mut self, table: Arc<Table>) {
+    pub(super) fn adopt(&mut self, table: Arc<Table>, left_out: &[String]) {
         let current = self.table.as_ref().map_or(0, |table| table.version());
         if self.table.is_some() && table.version() <= current {
             return;
         }
+        for reason in left_out {
+            let detail = Detail::of("version", table.version()).and("reason", reason.as_str());
+            self.event(Event::EntryLeftOut, detail);
+        }
         self.event(Event::ManifestInForce, Detail::of("version", table.version()));
         self.table = Some(Arc::clone(&table));
         self.effects.push(Effect::Table(table));
@@ -145,6 +173,8 @@
     /// which may be repeated is sent again at once instead of waiting for silence.
     fn begin_anew(&mut self, now: Time, former: server::Key, entry: Entry) {
         let address = self.servers.get(former).map(|server| server.entry.address);
+        let detail = Detail::of("server", entry.life.id.as_str()).and("born", entry.life.born);
+        self.event(Event::ServerRestarted, detail);
         self.remove(former);
         self.add(entry);
         self.effects.extend(address.map(Effect::Disconnect));
--- a/src/fleet/rollout.rs
+++ b/src/fleet/rollout.rs
@@ -92,11 +92,17 @@
         self.pump(now);
     }
 
+    /// Whether the configuration names this pool as one of engines: a registration that names another
+    /// need not be of a server.
+    fn is_engine(&self, pool: &str) -> bool {
+        self.table.as_ref().is_some_and(|table| table.engine(pool).is_some())
+    }
+
     /// Engines that lack what was named, by model, with the version.
     fn wanting(&self) -> Vec<(server::Key, String, u64)> {
         let mut wanting = Vec::new();
         for (key, server) in &self.servers {
-            if server.entry.leaving {
+            if server.entry.leaving || !self.is_engine(&server.entry.pool) {
                 continue;
             }
             for (model, version) in &server.entry.weights {
--- a/src/fleet/tests/catalog.rs
+++ b/src/fleet/tests/catalog.rs
@@ -3,6 +3,7 @@
 use super::world::*;
 use crate::fleet::*;
 use crate::prelude::*;
+use crate::route::Repeat;
 
 fn record(key: &str, offset: u64, value: Option<&str>) -> Record {
     Record { key: key.into(), offset, value: value.map(|value| value.as_bytes().to_vec()) }
@@ -65,6 +66,42 @@
     assert!(!is_table(&daemon.put(ms(2), Topic::Operator, &[("config", "table 8")])));
 }
 
+#[test]
+fn unreadable_registration_names_no_server_and_the_others_hold() {
+    let mut daemon = Daemon::with(1, &[("s-1", "plain 11 ready"), ("s-2", "plain 12 ready")]);
+    let told = |effects: &[Effect]| {
+        let unreadable =
+            |effect: &&Effect| matches!(effect, Effect::Event(Event::RecordUnreadable, _));
+        effects.iter().filter(unreadable).count()
+    };
+    // Told of once, however often another writer repeats it.
+    assert_eq!(told(&daemon.put(ms(10), Topic::Servers, &[("s-1", "nonsense")])), 1);
+    assert_eq!(told(&daemon.put(ms(20), Topic::Servers, &[("s-1", "nonsense")])), 0);
+    assert_eq!(told(&daemon.put(ms(30), Topic::Servers, &[("s-9", "plain x ready")])), 1);
+    let route = route("plain", Repeat::AtMostOnce, 1);
+    for at in 40..44 {
+        let (request, effects) = daemon.arrive(ms(at), &route, None);
+        assert_eq!(dispatch(&effects).server, "s-2");
+        daemon.node.apply(ms(at), Message::Leave(request));
+    }
+    // Its own next registration brings it back.
+    daemon.put(ms(50), Topic::Servers, &[("s-1", "plain 11 ready"), ("s-2", "")]);
+    let (_, effects) = daemon.arrive(ms(60), &route, None);
+    assert_eq!(dispatch(&effects).server, "s-1");
+    assert_eq!(told(&daemon.put(ms(70), Topic::Servers, &[("s-1", "nonsense")])), 1);
+}
+
+#[test]
+fn unreadable_registration_from_a_peer_shuts_out_none_beside_it() {
+    let mut daemon = Daemon::with(1, &[]);
+    let records =
+        vec![record("s-1", 0, Some("nonsense")), record("s-2", 1, Some("plain 12 ready"))];
+    let batch = Batch { topic: Topic::Servers, from: 0, to: 2, records };
+    daemon.node.apply(ms(10), Message::Frame(Frame::Records(batch)));
+    let (_, effects) = daemon.arrive(ms(20), &route("plain", Repeat::AtMostOnce, 1), None);
+    assert_eq!(dispatch(&effects).server, "s-2");
+}
+
 #[test]
 fn unreadable_record_changes_nothing() {
     let mut daemon = Daemon::with(1, &[]);
--- a/src/telemetry/event.rs
+++ b/src/telemetry/event.rs
@@ -53,6 +53,7 @@
     ManifestRefused = 201, Warn, "A published manifest record was not accepted; the one in force stays.";
     RecordUnreadable = 202, Warn, "A log record could not be read and was skipped, as every daemon does.";
     RecordsForgotten = 203, Warn, "The log dropped records before this daemon read them.";
+    EntryLeftOut = 204, Warn, "An entry of a configuration could not be read and is left out; the others are in force.";
     LogDown = 210, Warn, "The log service could not be reached.";
     LogUp = 211, Info, "The log service answers again.";
     VmListDown = 220, Warn, "The VM list could not be reached; the last one read stays in use.";
