Tell peers which parts an engine begins to read; fetch only what events show

Hypothesis: of 53 large prompts that were read cold though their parts had been used in the last 10 s, 17 came within a second of the first: other daemons did not know that an engine was reading them. Notices now name the parts that a prompt brings to an engine.

So what is being read makes its engine the place to go, and only what events show is fetched.

The tests found two faults of the commit before: a keeper that started again was told to peers as a change instead of whole, so that what it had held before stayed believed; and what others moved over the KV store's link was taken off before what had become free was added, so that daemons which send seldom did not count it.

--- a/src/fleet/frame.rs
+++ b/src/fleet/frame.rs
@@ -2,7 +2,7 @@
 
 use prost::Message as _;
 
-use super::{Batch, Keeper, Life, Record, Told, Topic};
+use super::{Batch, Keeper, Life, Notice, Record, Told, Topic};
 use crate::prelude::*;
 
 /// A frame that is not well-formed.
@@ -59,8 +59,8 @@
     Ask(String, Topic, u64),
     /// Records of a topic, asked for or new.
     Records(Batch),
-    /// What a daemon has at one server now: the daemon, the server, its work.
-    Busy(String, Life, Busy),
+    /// What a daemon has at one server now.
+    Notice(Notice),
     /// What an engine or the KV store keeps.
     Held(Told),
     /// Wants to be told everything that is kept there: who asks, and of what.
@@ -163,6 +163,8 @@
         pub(super) daemon: String,
         #[prost(message, optional, tag = "2")]
         pub(super) busy: Option<Busy>,
+        #[prost(fixed64, repeated, tag = "3")]
+        pub(super) parts: Vec<u64>,
     }
 
     /// An engine, or the KV store, which has an address instead of an id.
@@ -244,8 +246,9 @@
                 from: batch.from,
                 to: batch.to,
             }),
-            Self::Busy(daemon, life, busy) => {
-                wire::Body::Notice(wire::Notice { daemon, busy: Some((life, busy).into()) })
+            Self::Notice(notice) => {
+                let Notice { daemon, life, busy, parts } = notice;
+                wire::Body::Notice(wire::Notice { daemon, busy: Some((life, busy).into()), parts })
             }
             Self::Held(told) => wire::Body::Held(told.into()),
             Self::AskHeld(daemon, keeper) => {
@@ -274,7 +277,7 @@
             Some(wire::Body::Notice(notice)) => {
                 let busy = notice.busy.ok_or_else(|| Malformed("a notice tells nothing".into()))?;
                 let (life, busy) = busy.into();
-                Ok(Self::Busy(notice.daemon, life, busy))
+                Ok(Self::Notice(Notice { daemon: notice.daemon, life, busy, parts: notice.parts }))
             }
             Some(wire::Body::Held(held)) => Ok(Self::Held(held.try_into()?)),
             Some(wire::Body::AskHeld(ask)) => Ok(Self::AskHeld(ask.daemon, named(ask.keeper)?)),
--- a/src/fleet/gossip.rs
+++ b/src/fleet/gossip.rs
@@ -210,7 +210,7 @@
     pub(super) fn frame(&mut self, now: Time, frame: Frame) {
         match frame {
             Frame::Digest(digest) => self.digest_came(now, digest),
-            Frame::Busy(daemon, life, busy) => self.notice_came(&daemon, life, busy),
+            Frame::Notice(notice) => self.notice_came(now, notice),
             Frame::Held(told) => self.told_came(now, &told),
             Frame::AskHeld(daemon, keeper) => self.asked_held(&daemon, keeper),
             Frame::Ask(daemon, topic, from) => {
@@ -250,6 +250,8 @@
             }
         }
         self.expected.hear(now, &digest.refused);
+        // What others moved is taken off what is free by now, not off what was free at the last send.
+        self.refill_link(now);
         if let Some(peer) = self.peers.get_mut(&digest.daemon) {
             let known =
                 peer.digest.as_ref().filter(|known| known.incarnation == digest.incarnation);
@@ -265,8 +267,8 @@
         self.others_are_stale = true;
     }
 
-    /// Takes over what a peer has at one server now; its next digest tells so too.
-    fn notice_came(&mut self, daemon: &str, life: Life, busy: Busy) {
+    /// Takes over what a peer has at one server now.
+    pub(super) fn peer_has(&mut self, daemon: &str, life: Life, busy: Busy) {
         let Some(digest) = self.peers.get_mut(daemon).and_then(|peer| peer.digest.as_mut()) else {
             return;
         };
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -38,6 +38,7 @@
     State, Tracked,
 };
 pub use node::{Identity, Node, Policy};
+pub use notice::Notice;
 pub use prompt::{Part, Prompt};
 pub use residency::{EventsRead, Keeper, Place, Stored, Told};
 pub use retry::Budget;
--- a/src/fleet/notice.rs
+++ b/src/fleet/notice.rs
@@ -1,4 +1,5 @@
-//! Peers are told at once of a large prompt that goes to an engine, and of the begin of its answer.
+//! Peers are told at once of a large prompt that goes to an engine, of the shared parts that it will
+//! hold by that, and of the begin of its answer.
 //!
 //! Load pattern: an engine that reads a prompt of 17,000 tokens answers nobody else for a third of a
 //! second, which is about the time between two digests. Requests that other daemons sent to it
@@ -6,7 +7,7 @@
 //! 150 ms later than predicted, and to 981 of them a large prompt was ahead that their daemon had not
 //! been told of.
 
-use super::{Busy, Effect, Frame, Node, server};
+use super::{Busy, Effect, Frame, Life, Node, server};
 use crate::prelude::*;
 
 /// Prompt tokens from which a request is a large one: some 20 ms of an engine.
@@ -35,16 +36,44 @@
     }
 }
 
+/// What a daemon has at one server now.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Notice {
+    /// The daemon.
+    pub daemon: String,
+    /// The server.
+    pub life: Life,
+    /// The daemon's work at it.
+    pub busy: Busy,
+    /// Parts, by what they are kept under, that the server begins to read or fetch.
+    pub parts: Vec<u64>,
+}
+
 impl Node {
     /// Tells peers what this daemon has at a server, where the change is of a large prompt.
-    pub(super) fn notice(&mut self, now: Time, key: server::Key, tokens: u32) {
+    pub(super) fn notice(&mut self, now: Time, key: server::Key, tokens: u32, parts: Vec<u64>) {
         let Some(server) = self.servers.get(key).filter(|_| tokens >= LARGE) else { return };
         let (life, busy) = (server.entry.life.clone(), server.busy(now));
         let peers = self.fresh_addresses(now);
         if !peers.is_empty() && self.allowance.spend(now, peers.len()) {
-            let notice = Frame::Busy(self.identity.id.clone(), life, busy);
-            self.effects.push(Effect::Send(peers, notice));
+            let daemon = self.identity.id.clone();
+            let notice = Notice { daemon, life, busy, parts };
+            self.effects.push(Effect::Send(peers, Frame::Notice(notice)));
+        }
+    }
+}
+
+impl Node {
+    /// Takes over what a peer has at one server now; its next digest tells of the work too. What the
+    /// server begins to read for others need not be read at another one.
+    pub(super) fn notice_came(&mut self, now: Time, notice: Notice) {
+        let Notice { daemon, life, busy, parts } = notice;
+        if let Some(server) = self.lives.server(&life).and_then(|key| self.servers.get_mut(key)) {
+            for part in parts {
+                server.held.note_sent(now, part);
+            }
         }
+        self.peer_has(&daemon, life, busy);
     }
 }
 
--- a/src/fleet/place.rs
+++ b/src/fleet/place.rs
@@ -163,7 +163,7 @@
             let held = match role {
                 Role::Home if !server.held.is_current(now) => shared,
                 Role::Home | Role::StandIn | Role::Other => {
-                    held_tokens(now, prompt, &server.held, salt)
+                    held_tokens(prompt, salt, |part, tokens| server.held.tokens(now, part, tokens))
                 }
             };
             let supply = sources.supply(*key, held, shared);
--- a/src/fleet/prompt.rs
+++ b/src/fleet/prompt.rs
@@ -2,9 +2,6 @@
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use super::residency::Held;
-use crate::prelude::*;
-
 /// One part of a prompt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Part {
@@ -52,11 +49,12 @@
     xxh3_64_with_seed(salt.as_bytes(), part)
 }
 
-/// Tokens of a prompt's shared beginning that are believed to be held.
-pub(super) fn held_tokens(now: Time, prompt: &Prompt, held: &Held, salt: &str) -> u32 {
+/// Tokens of a prompt's shared beginning of which `tokens` tells how many of a part are held, by what
+/// the part is kept under and its tokens.
+pub(super) fn held_tokens(prompt: &Prompt, salt: &str, tokens: impl Fn(u64, u32) -> u32) -> u32 {
     let mut sum = 0;
     for part in shared(&prompt.parts) {
-        let tokens = held.tokens(now, keyed(salt, part.id), part.tokens);
+        let tokens = tokens(keyed(salt, part.id), part.tokens);
         sum += tokens;
         if tokens < part.tokens {
             break;
--- a/src/fleet/requests.rs
+++ b/src/fleet/requests.rs
@@ -220,9 +220,11 @@
         server.running += 1;
         self.link.spend(choice.moved_bytes);
         server.pending_tokens = server.pending_tokens.saturating_add(choice.tokens);
+        let mut parts = Vec::new();
         if let Some(prompt) = &request.arrival.prompt {
             let salt = choice.salt.as_deref().unwrap_or_default();
             for part in shared(&prompt.parts) {
+                parts.push(keyed(salt, part.id));
                 server.held.note_sent(now, keyed(salt, part.id));
                 if choice.save_to.is_some() {
                     self.kept.note(now, salt, part.id);
@@ -241,7 +243,7 @@
             most_idle,
         };
         self.log_sent(now, key, &choice);
-        self.notice(now, choice.server, choice.tokens);
+        self.notice(now, choice.server, choice.tokens, parts);
         self.effects.push(Effect::Command(key, Command::Dispatch(dispatch)));
     }
 
@@ -327,7 +329,7 @@
         if let Some(request) = self.requests.get_mut(&key) {
             request.phase = Phase::Sent { server, tokens, begun: true, at };
         }
-        self.notice(now, server, tokens);
+        self.notice(now, server, tokens, Vec::new());
     }
 
     pub(super) fn note_refusal(
--- a/src/fleet/residency/held.rs
+++ b/src/fleet/residency/held.rs
@@ -114,12 +114,19 @@
         self.heard = None;
     }
 
-    /// How many of a part's `tokens` are believed to be held.
+    /// How many of a part's `tokens` are believed to be held by the time that one more request with it
+    /// is begun there.
     pub(in crate::fleet) fn tokens(&self, now: Time, part: u64, tokens: u32) -> u32 {
         let believed_for = if self.is_current(now) { SHOWN_AFTER } else { ASSUMED_FOR };
         if self.sent.get(&part).is_some_and(|at| now < *at + believed_for) {
             return tokens;
         }
+        self.shown(now, part, tokens)
+    }
+
+    /// How many of a part's `tokens` events show, so that others can fetch them now: what is still being
+    /// read is not found there.
+    pub(in crate::fleet) fn shown(&self, now: Time, part: u64, tokens: u32) -> u32 {
         if !self.is_current(now) {
             return 0;
         }
@@ -131,8 +138,9 @@
     pub(in crate::fleet) fn read(&mut self, now: Time, read: &EventsRead) -> Heard {
         let known = self.epoch == Some(read.epoch);
         if !known && self.next > 0 {
-            // The keeper has started again, and what it told before the number asked for is missing.
-            (self.epoch, self.next) = (Some(read.epoch), 0);
+            // The keeper has started again, and what it told before the number asked for is missing:
+            // it is read from the start, and told whole.
+            (self.epoch, self.next) = (None, 0);
             self.parts.clear();
             return Heard::Missed;
         }
--- a/src/fleet/residency/sources.rs
+++ b/src/fleet/residency/sources.rs
@@ -118,8 +118,11 @@
                 return None;
             }
             let assumed = !server.held.is_current(now) && homes.rank(*key).is_some();
-            let held =
-                if assumed { shared_tokens } else { held_tokens(now, prompt, &server.held, salt) };
+            let held = if assumed {
+                shared_tokens
+            } else {
+                held_tokens(prompt, salt, |part, tokens| server.held.shown(now, part, tokens))
+            };
             Some(Source {
                 place: Place::Engine(*key),
                 address: server.entry.address,
@@ -150,7 +153,8 @@
         token_bytes: f64,
     ) -> Option<Source> {
         let store = self.table.as_ref()?.kv_store().filter(|_| self.kept.is_up(now))?;
-        let tokens = held_tokens(now, prompt, &self.kept.held, salt);
+        let tokens =
+            held_tokens(prompt, salt, |part, tokens| self.kept.held.shown(now, part, tokens));
         let has_room = self.link.has(f64::from(tokens) * token_bytes);
         (tokens >= WORTH_MOVING && has_room).then_some(Source {
             place: Place::Store,
--- a/src/fleet/tests/frames.rs
+++ b/src/fleet/tests/frames.rs
@@ -34,6 +34,20 @@
     for frame in [
         Frame::Digest(digest()),
         Frame::Ask("router-1".into(), Topic::Operator, 8),
+        Frame::Notice(Notice {
+            daemon: "router-1".into(),
+            life: Life::new("server-1", 4),
+            busy: Busy { running: 2, ..Busy::default() },
+            parts: vec![7, u64::MAX],
+        }),
+        Frame::Held(Told {
+            daemon: "router-1".into(),
+            keeper: Keeper::Engine(Life::new("server-1", 4)),
+            number: 9,
+            whole: true,
+            changes: vec![(7, 0), (8, 13_300)],
+        }),
+        Frame::AskHeld("router-2".into(), Keeper::Store(([10, 0, 0, 9], 80).into())),
         Frame::Records(Batch { topic: Topic::Servers, from: 1, to: 3, records }),
     ] {
         assert_eq!(Frame::decode(&frame.encode()), Ok(frame));
--- a/src/fleet/tests/mod.rs
+++ b/src/fleet/tests/mod.rs
@@ -6,6 +6,7 @@
 mod lives;
 mod peers;
 mod requests;
+mod residency;
 mod rollout;
 mod servers;
 mod world;
--- /dev/null
+++ b/src/fleet/tests/residency.rs
@@ -0,0 +1,278 @@
+//! What engines hold: who reads their events, what peers hear of them, and what follows for requests.
+
+use super::world::*;
+use crate::fleet::*;
+use crate::prelude::*;
+use crate::route::{Repeat, Workspace};
+
+const ENGINES: [(&str, &str); 3] =
+    [("e-1", "engine 21 ready 1"), ("e-2", "engine 22 ready 1"), ("e-3", "engine 23 ready 1")];
+
+fn daemons() -> Vec<Daemon> {
+    let routers = [("router-1", "router 1"), ("router-2", "router 2"), ("router-3", "router 3")];
+    let daemons = (1..=3).map(|last| {
+        let mut daemon = Daemon::with(last, &ENGINES);
+        daemon.put(ms(0), Topic::Routers, &routers);
+        daemon
+    });
+    daemons.collect()
+}
+
+/// What keeps parts, as a stand-in for engines and the KV store: the events of each address.
+#[derive(Default)]
+struct Keepers {
+    events: BTreeMap<std::net::SocketAddr, Vec<Stored>>,
+    epochs: BTreeMap<std::net::SocketAddr, u64>,
+    /// Daemons that read each address, in order.
+    readers: BTreeMap<std::net::SocketAddr, Vec<usize>>,
+}
+
+impl Keepers {
+    fn keep(&mut self, last: u8, salt: &str, part: u64, tokens: u32) {
+        let stored = Stored { salt: salt.into(), part, tokens };
+        self.events.entry(address(last)).or_default().push(stored);
+    }
+
+    fn restart(&mut self, last: u8) {
+        *self.epochs.entry(address(last)).or_default() += 1;
+        self.events.remove(&address(last));
+    }
+
+    fn read(&mut self, reader: usize, at: std::net::SocketAddr, since: u64) -> EventsRead {
+        self.readers.entry(at).or_default().push(reader);
+        let events = self.events.get(&at).map(Vec::as_slice).unwrap_or_default();
+        let from = usize::try_from(since).expect("it is small").min(events.len());
+        EventsRead {
+            epoch: self.epochs.get(&at).copied().unwrap_or_default(),
+            next: events.len() as u64,
+            lost: false,
+            changes: events[from..].to_vec(),
+        }
+    }
+}
+
+/// Runs daemons that read `keepers` and hear each other, but for frames that `lost` picks.
+fn run(
+    daemons: &mut [Daemon],
+    keepers: &mut Keepers,
+    from: Time,
+    span: Duration,
+    lost: fn(&Frame) -> bool,
+) {
+    let mut now = from;
+    while now < from + span {
+        now += ms(20);
+        for index in 0..daemons.len() {
+            let effects = daemons[index].tick(now);
+            carry(daemons, keepers, now, index, effects, lost);
+        }
+    }
+}
+
+fn carry(
+    daemons: &mut [Daemon],
+    keepers: &mut Keepers,
+    now: Time,
+    from: usize,
+    effects: Vec<Effect>,
+    lost: fn(&Frame) -> bool,
+) {
+    let mut pending: Vec<(usize, Effect)> = effects.into_iter().map(|e| (from, e)).collect();
+    while let Some((from, effect)) = pending.pop() {
+        match effect {
+            Effect::ReadEvents { place, address, since } => {
+                let read = keepers.read(from, address, since);
+                let effects = daemons[from].node.apply(now, Message::Events(place, Some(read)));
+                pending.extend(effects.into_iter().map(|effect| (from, effect)));
+            }
+            Effect::Send(to, frame) if !lost(&frame) => {
+                for to in (0..daemons.len()).filter(|i| to.contains(&address(*i as u8 + 1))) {
+                    let effects = daemons[to].node.apply(now, Message::Frame(frame.clone()));
+                    pending.extend(effects.into_iter().map(|effect| (to, effect)));
+                }
+            }
+            _ => {}
+        }
+    }
+}
+
+fn none(_: &Frame) -> bool {
+    false
+}
+
+fn send(daemon: &mut Daemon, now: Time, subject: u64) -> Dispatch {
+    send_for(daemon, now, subject, None)
+}
+
+fn send_for(daemon: &mut Daemon, now: Time, subject: u64, owner: Option<Workspace>) -> Dispatch {
+    let route = route("engines", Repeat::Resumable, 2);
+    let (request, effects) = daemon.arrive_for(now, &route, Some(prompt(7, subject)), owner);
+    daemon.node.apply(now, Message::Leave(request));
+    dispatch(&effects)
+}
+
+/// An engine that `subject` does not go to where nothing is known.
+fn not_the_home(subject: u64) -> u8 {
+    let home = send(&mut Daemon::with(1, &ENGINES), ms(1), subject);
+    (21..24).find(|last| address(*last) != home.address).expect("there are three")
+}
+
+#[test]
+fn each_keeper_is_read_by_one_daemon_and_another_takes_over() {
+    let (mut daemons, mut keepers) = (daemons(), Keepers::default());
+    run(&mut daemons, &mut keepers, ms(0), ms(2_000), none);
+    keepers.readers.clear();
+    run(&mut daemons, &mut keepers, ms(2_000), ms(3_000), none);
+    assert_eq!(keepers.readers.len(), 4, "three engines and the KV store");
+    let mut readers = BTreeMap::new();
+    for (at, seen) in &keepers.readers {
+        assert!(seen.iter().all(|reader| reader == &seen[0]), "{at}: {seen:?}");
+        readers.insert(*at, seen[0]);
+    }
+    // The reader of the first engine's events stops.
+    let gone = readers[&address(21)];
+    daemons.remove(gone);
+    keepers.readers.clear();
+    let other = daemons.iter_mut().position(|d| d.node.is_ready()).expect("two are left");
+    for now in (5_000..9_000).step_by(20) {
+        let effects = daemons[other].tick(ms(now));
+        carry(&mut daemons, &mut keepers, ms(now), other, effects, |_| true);
+    }
+    assert!(keepers.readers.contains_key(&address(21)));
+}
+
+#[test]
+fn parts_are_fetched_from_what_holds_them_by_every_daemon() {
+    for subject in 0..8 {
+        let holder = not_the_home(subject);
+        let (mut daemons, mut keepers) = (daemons(), Keepers::default());
+        run(&mut daemons, &mut keepers, ms(0), ms(1_000), none);
+        keepers.keep(holder, "1", 7, 2_500);
+        keepers.keep(holder, "1", subject, 3_800);
+        run(&mut daemons, &mut keepers, ms(1_000), ms(1_000), none);
+        for daemon in &mut daemons {
+            let sent = send(daemon, ms(2_010), subject);
+            let held_there = sent.address == address(holder);
+            assert!(held_there || sent.fetch_from == Some(address(holder)), "{subject}: {sent:?}");
+        }
+    }
+}
+
+#[test]
+fn parts_of_other_weights_or_of_an_isolated_workspace_are_not_fetched() {
+    let subject = 3;
+    let holder = not_the_home(subject);
+    let (mut daemons, mut keepers) = (daemons(), Keepers::default());
+    run(&mut daemons, &mut keepers, ms(0), ms(1_000), none);
+    for salt in ["2", "1.other"] {
+        keepers.keep(holder, salt, 7, 2_500);
+        keepers.keep(holder, salt, subject, 3_800);
+    }
+    run(&mut daemons, &mut keepers, ms(1_000), ms(1_000), none);
+    assert_eq!(send(&mut daemons[0], ms(2_010), subject).fetch_from, None);
+    let lab = Workspace { name: "lab".into(), priority: None, isolated: true };
+    assert_eq!(send_for(&mut daemons[1], ms(2_010), subject, Some(lab)).fetch_from, None);
+}
+
+#[test]
+fn engine_that_started_again_holds_nothing() {
+    let subject = 3;
+    let holder = not_the_home(subject);
+    let (mut daemons, mut keepers) = (daemons(), Keepers::default());
+    keepers.keep(holder, "1", 7, 2_500);
+    keepers.keep(holder, "1", subject, 3_800);
+    run(&mut daemons, &mut keepers, ms(0), ms(1_500), none);
+    keepers.restart(holder);
+    // It has told more events by now than it had before, none of which is to be missed.
+    for part in 100..110 {
+        keepers.keep(holder, "1", part, 600);
+    }
+    keepers.keep(holder, "1", 7, 2_500);
+    run(&mut daemons, &mut keepers, ms(1_500), ms(1_500), none);
+    for daemon in &mut daemons {
+        let servers = daemon.node.servers.values();
+        let restarted = servers.filter(|server| server.entry.address == address(holder));
+        let parts: Vec<usize> = restarted.map(|server| server.held.len()).collect();
+        assert_eq!(parts, [11], "what it held before, or missed since, counts");
+    }
+}
+
+#[test]
+fn peer_that_missed_a_word_asks_for_everything() {
+    let subject = 3;
+    let holder = not_the_home(subject);
+    let (mut daemons, mut keepers) = (daemons(), Keepers::default());
+    run(&mut daemons, &mut keepers, ms(0), ms(1_000), none);
+    keepers.keep(holder, "1", 7, 2_500);
+    keepers.keep(holder, "1", subject, 3_800);
+    // What is told of it now reaches nobody.
+    run(&mut daemons, &mut keepers, ms(1_000), ms(200), |frame| matches!(frame, Frame::Held(_)));
+    run(&mut daemons, &mut keepers, ms(1_200), ms(2_500), none);
+    for daemon in &mut daemons {
+        let sent = send(daemon, ms(3_710), subject);
+        assert!(sent.address == address(holder) || sent.fetch_from == Some(address(holder)));
+    }
+}
+
+#[test]
+fn herd_on_a_cold_part_is_read_by_one_engine() {
+    let (mut daemons, mut keepers) = (daemons(), Keepers::default());
+    run(&mut daemons, &mut keepers, ms(0), ms(1_000), none);
+    let route = route("engines", Repeat::Resumable, 2);
+    let mut readers = BTreeSet::new();
+    for now in [1_010, 1_030, 1_050] {
+        for index in 0..daemons.len() {
+            let (_, effects) = daemons[index].arrive(ms(now), &route, Some(prompt(7, 3)));
+            for command in commands(&effects) {
+                let Command::Dispatch(sent) = command else { panic!("{command:?}") };
+                // An engine that is still reading the part has nothing to be fetched yet.
+                assert_eq!(sent.fetch_from, None);
+                readers.insert(sent.server);
+            }
+            carry(&mut daemons, &mut keepers, ms(now), index, effects, none);
+        }
+    }
+    assert_eq!(readers.len(), 1, "{readers:?}");
+}
+
+#[test]
+fn link_of_the_kv_store_is_one_budget_of_all_daemons() {
+    let (mut daemons, mut keepers) = (daemons(), Keepers::default());
+    run(&mut daemons, &mut keepers, ms(0), ms(2_000), none);
+    // 47 GB/s: a second of it takes some thirty prompts of 9,000 tokens of 164 KB.
+    let mut saved = 0;
+    for subject in 0..200 {
+        saved += usize::from(send(&mut daemons[0], ms(2_010), subject).save_to.is_some());
+    }
+    assert!((20..40).contains(&saved), "one daemon may use what is free: {saved}");
+    // The others hear that it is used, and use what has become free since.
+    run(&mut daemons, &mut keepers, ms(2_010), ms(300), none);
+    let mut more = 0;
+    for subject in 200..400 {
+        more += usize::from(send(&mut daemons[1], ms(2_320), subject).save_to.is_some());
+    }
+    assert!(more <= 12, "{more} more after a third of a second");
+}
+
+#[test]
+fn large_prompt_is_told_of_at_once() {
+    let (mut daemons, mut keepers) = (daemons(), Keepers::default());
+    run(&mut daemons, &mut keepers, ms(0), ms(1_000), none);
+    let route = route("engines", Repeat::Resumable, 2);
+    let (request, effects) = daemons[0].arrive(ms(1_010), &route, Some(prompt(7, 3)));
+    let reader = dispatch(&effects).server;
+    carry(&mut daemons, &mut keepers, ms(1_010), 0, effects, none);
+    // A small request of another daemon goes elsewhere, before any digest.
+    let parts = vec![Part { id: 9, tokens: 100 }, Part { id: 10, tokens: 200 }];
+    let small = Prompt { model: "m".into(), input: 300, output: 9, parts };
+    for _ in 0..4 {
+        let (small, effects) = daemons[1].arrive(ms(1_011), &route, Some(small.clone()));
+        assert_ne!(dispatch(&effects).server, reader);
+        daemons[1].node.apply(ms(1_012), Message::Leave(small));
+    }
+    let effects = daemons[0].report(ms(1_200), request, 1, Report::Begun(Some(1)));
+    let told = effects.iter().any(|effect| {
+        matches!(effect, Effect::Send(_, Frame::Notice(notice)) if notice.busy.pending_tokens == 0)
+    });
+    assert!(told, "{effects:?}");
+}
