Let an order without an answer hold up no other engine

Each was waited for a second, counted as a load, and its engine given nothing meanwhile: nine engines took from 5.4 to 12.6 s to be ordered once, and from 9.5 s on, when the oldest weights may no longer begin anything, three or four of them were left for all traffic: some 200 requests refused a second.

If it took the order after all, it declines what it is sent, and says so.

Test: engine_that_does_not_answer_an_order_..., which fails without it.

--- a/src/fleet/notice.rs
+++ b/src/fleet/notice.rs
@@ -85,7 +85,7 @@
         Busy {
             running: self.running,
             pending_tokens: self.pending_tokens,
-            ordered: self.ordered.is_some(),
+            ordered: self.is_loading(now),
             heard_ms: self.heard_at.map(age_ms),
             unanswered_ms: self.unanswered_since.map(age_ms),
         }
--- a/src/fleet/rollout.rs
+++ b/src/fleet/rollout.rs
@@ -147,16 +147,19 @@
                 continue;
             }
             let pool = server.entry.pool.clone();
-            if self.loading(&pool) >= self.most_loading(now, &pool) {
+            if self.loading(now, &pool) >= self.most_loading(now, &pool) {
                 continue;
             }
             self.order(now, key, model, version, fence);
         }
     }
 
-    fn loading(&self, pool: &str) -> usize {
+    fn loading(&self, now: Time, pool: &str) -> usize {
         let keys = self.pools.get(pool).map(Vec::as_slice).unwrap_or_default();
-        keys.iter().filter(|k| self.servers.get(**k).is_some_and(|s| s.ordered.is_some())).count()
+        let loads = |key: &&server::Key| {
+            self.servers.get(**key).is_some_and(|server| server.is_loading(now))
+        };
+        keys.iter().filter(loads).count()
     }
 
     /// Engines of a pool that may load at a time: more once half of the time has passed in which all
--- a/src/fleet/server.rs
+++ b/src/fleet/server.rs
@@ -16,6 +16,9 @@
 /// How long it is passed over at most.
 const SUSPECT_MAX: Duration = Duration::from_secs(4);
 
+/// Time in which an engine answers an order: some ten times the way to another zone and back.
+const ORDER_ANSWERED: Duration = Duration::from_millis(100);
+
 /// A server's registration.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Entry {
@@ -123,7 +126,14 @@
 
     /// Whether it may be given new work.
     pub fn is_usable(&self, now: Time) -> bool {
-        !self.entry.leaving && self.ordered.is_none() && self.suspect_until <= now
+        !self.entry.leaving && !self.is_loading(now) && self.suspect_until <= now
+    }
+
+    /// Whether it carries an order out, or will as far as is known. One that does not answer an order
+    /// serves on; if it has taken the order after all, it declines what it is sent.
+    pub fn is_loading(&self, now: Time) -> bool {
+        let loads = |order: &Ordered| order.accepted || now < order.at + ORDER_ANSWERED;
+        self.ordered.as_ref().is_some_and(loads)
     }
 
     /// Whether it failed lately.
--- a/src/fleet/tests/rollout.rs
+++ b/src/fleet/tests/rollout.rs
@@ -256,3 +256,31 @@
     let effects = daemon.tick(ms(4_220));
     assert!(effects.iter().any(|effect| matches!(effect, Effect::Order { expect: 1, .. })));
 }
+
+#[test]
+fn engine_that_does_not_answer_an_order_serves_on_and_holds_up_no_other() {
+    let mut site = Site::new(1);
+    site.run(ms(0), ms(5_000));
+    site.name(ms(5_000), 2);
+    // Orders reach nobody: each is given, and none is accepted.
+    let mut given = BTreeSet::new();
+    for now in (5_000..9_500).step_by(20) {
+        let daemon = &mut site.daemons[0];
+        let next = daemon.node.next_lease();
+        let log = (0..).zip(site.log.iter().cloned());
+        let records = log.skip(usize::try_from(next).expect("it is small")).collect();
+        let mut effects = daemon.node.apply(ms(now), Message::Lease(0, records));
+        effects.extend(daemon.tick(ms(now)));
+        for effect in effects {
+            match effect {
+                Effect::AppendLease(text) => site.log.push(text),
+                Effect::Order { id, .. } => {
+                    given.insert(id);
+                }
+                _ => {}
+            }
+        }
+    }
+    assert_eq!(given.len(), ENGINES.len(), "the others are not ordered: {given:?}");
+    assert_eq!(send(&mut site.daemons[0], ms(9_600)).len(), 1);
+}
