Split the placing of a prompt into steps

What a request wants of any engine, what one engine offers it, and what moves over the KV store's link are functions of their own.

--- a/src/fleet/place.rs
+++ b/src/fleet/place.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use super::homes::Role;
+use super::homes::{Homes, Role};
 use super::load::Load;
 use super::notice::LARGE;
 use super::prompt::{held_tokens, salt, shared_tokens};
@@ -75,6 +75,31 @@
     pub(super) cost_ms: f64,
 }
 
+/// What a request wants of any engine.
+struct Wish<'a> {
+    request: &'a Request,
+    prompt: &'a Prompt,
+    /// Its workspace, where that shares with no other.
+    isolated: Option<&'a str>,
+    homes: Homes,
+    /// Most milliseconds that it may wait at an engine.
+    most_ms: f64,
+    /// Whether it waits for a home rather than being read elsewhere.
+    waits: bool,
+}
+
+impl Wish<'_> {
+    /// Milliseconds that the shared tokens cost which are read, or may have to be. Somebody has to read
+    /// what nobody holds: a home, unless it was waited for in vain.
+    fn again_ms(&self, role: Role, supply: Supply) -> f64 {
+        let tokens = f64::from(supply.read + supply.unsure);
+        match role {
+            Role::Other if self.waits => tokens * AGAIN_MS_PER_TOKEN,
+            Role::Home | Role::StandIn | Role::Other => tokens / PREFILL_TOKENS_PER_MS,
+        }
+    }
+}
+
 impl Node {
     /// The server for a request; `None` while none has room.
     pub(super) fn place(&self, now: Time, key: Key) -> Option<Choice> {
@@ -130,13 +155,40 @@
         prompt: &Prompt,
         usable: &[(server::Key, &Server)],
     ) -> Option<Choice> {
+        let wish = self.wish(now, request, prompt, usable);
+        let mut by_version: BTreeMap<u64, (String, Sources)> = BTreeMap::new();
+        let mut best: Option<(Choice, Supply)> = None;
+        for (key, server) in usable {
+            let Some(version) = server.version(&prompt.model) else { continue };
+            let (salt, sources) = by_version.entry(version).or_insert_with(|| {
+                let salt = salt(version, wish.isolated);
+                let sources = self.sources(now, prompt, version, &salt, &wish.homes, &request.pool);
+                (salt, sources)
+            });
+            let found = self.offer(now, &wish, *key, server, salt, sources);
+            let cost = |found: &Option<(Choice, Supply)>| {
+                found.as_ref().map_or(f64::INFINITY, |(choice, _)| choice.cost_ms)
+            };
+            if cost(&found) < cost(&best) {
+                best = found;
+            }
+        }
+        best.map(|(choice, supply)| self.with_store(now, request, prompt, choice, supply))
+    }
+
+    /// What a request wants of any engine.
+    fn wish<'a>(
+        &self,
+        now: Time,
+        request: &'a Request,
+        prompt: &'a Prompt,
+        usable: &[(server::Key, &Server)],
+    ) -> Wish<'a> {
         let isolated = request.arrival.workspace.as_ref().filter(|owner| owner.isolated);
         let isolated = isolated.map(|owner| owner.name.as_str());
         let homes = self.homes(now, isolated.unwrap_or_default(), &request.pool, prompt);
         let part = if prompt.input < LARGE { QUEUED_PART_SMALL } else { QUEUED_PART };
         let most_ms = request.arrival.route.target.as_secs_f64() * 1_000.0 * part;
-        let shared = shared_tokens(prompt);
-        let own = prompt.input.saturating_sub(shared);
         // What a home will soon have room for waits for it; where no home has a place, or it has waited
         // for one in vain, another engine that is idle reads the parts in time.
         let has_home = usable.iter().any(|(key, server)| {
@@ -145,78 +197,85 @@
             homes.role(*key) == Role::Home && version.is_some_and(begins)
         });
         let waits = has_home && !self.has_waited_for_home(now, request);
-        let mut by_version: BTreeMap<u64, (String, Sources)> = BTreeMap::new();
-        let mut best: Option<(Choice, Supply)> = None;
-        for (key, server) in usable {
-            let Some(version) = server.version(&prompt.model) else { continue };
-            let Some(old_ms) = self.old_weights_ms(now, &prompt.model, version) else { continue };
-            let (salt, sources) = by_version.entry(version).or_insert_with(|| {
-                let salt = salt(version, isolated);
-                let sources = self.sources(now, prompt, version, &salt, &homes, &request.pool);
-                (salt, sources)
-            });
-            let role = homes.role(*key);
-            let load = self.load(*key, server);
-            let wait_ms = f64::from(load.pending_tokens) / PREFILL_TOKENS_PER_MS
-                + f64::from(load.running) * RUNNING_MS
-                + silence_ms(now, load);
-            let held = match role {
-                Role::Home if !server.held.is_current(now) => shared,
-                Role::Home | Role::StandIn | Role::Other => {
-                    held_tokens(prompt, salt, |part, tokens| server.held.tokens(now, part, tokens))
-                }
-            };
-            let supply = sources.supply(*key, held, shared);
-            let unsure = supply.read + supply.unsure;
-            let read_ms = f64::from(unsure) / PREFILL_TOKENS_PER_MS;
-            // Somebody has to read what nobody holds: a home, unless it is worth waiting for none.
-            let again_ms = match role {
-                Role::Other if waits => f64::from(unsure) * AGAIN_MS_PER_TOKEN,
-                Role::Home | Role::StandIn | Role::Other => read_ms,
-            };
-            // A home reads what it has lost, however long that takes.
-            let bound_ms = if role == Role::Home { 0.0 } else { again_ms };
-            if wait_ms + supply.fetch_ms + bound_ms > most_ms {
-                continue;
-            }
-            let tried = if request.tried.contains(key) { TRIED_MS } else { 0.0 };
-            let cost_ms = wait_ms
-                + f64::from(own) / PREFILL_TOKENS_PER_MS
-                + supply.fetch_ms
-                + supply.copy_ms
-                + again_ms
-                + self.zone_ms(server)
-                + old_ms
-                + tried;
-            if best.as_ref().is_some_and(|(best, _)| best.cost_ms <= cost_ms) {
-                continue;
+        Wish { request, prompt, isolated, homes, most_ms, waits }
+    }
+
+    /// What an engine costs a request, and how it gets the parts that it lacks; `None` where it could not
+    /// begin in time.
+    fn offer(
+        &self,
+        now: Time,
+        wish: &Wish<'_>,
+        key: server::Key,
+        server: &Server,
+        salt: &str,
+        sources: &Sources,
+    ) -> Option<(Choice, Supply)> {
+        let prompt = wish.prompt;
+        let version = server.version(&prompt.model)?;
+        let old_ms = self.old_weights_ms(now, &prompt.model, version)?;
+        let role = wish.homes.role(key);
+        let load = self.load(key, server);
+        let wait_ms = f64::from(load.pending_tokens) / PREFILL_TOKENS_PER_MS
+            + f64::from(load.running) * RUNNING_MS
+            + silence_ms(now, load);
+        let shared = shared_tokens(prompt);
+        let held = match role {
+            Role::Home if !server.held.is_current(now) => shared,
+            Role::Home | Role::StandIn | Role::Other => {
+                held_tokens(prompt, salt, |part, tokens| server.held.tokens(now, part, tokens))
             }
-            let source = supply.source.or_else(|| sources.spare(*key));
-            let choice = Choice {
-                server: *key,
-                tokens: own.saturating_add(supply.read),
-                held,
-                fetched: supply.fetched,
-                salt: Some(salt.clone()),
-                weights: Some(version),
-                fetch_from: source.map(|source| source.address),
-                save_to: None,
-                moved_bytes: 0.0,
-                at_home: role == Role::Home,
-                cost_ms,
-            };
-            best = Some((choice, supply));
+        };
+        let supply = sources.supply(key, held, shared);
+        let again_ms = wish.again_ms(role, supply);
+        // A home reads what it has lost, however long that takes.
+        let bound_ms = if role == Role::Home { 0.0 } else { again_ms };
+        if wait_ms + supply.fetch_ms + bound_ms > wish.most_ms {
+            return None;
         }
-        let (mut choice, supply) = best?;
-        let token_bytes = self.token_bytes(&request.pool);
+        let tried = if wish.request.tried.contains(&key) { TRIED_MS } else { 0.0 };
+        let cost_ms = wait_ms
+            + own_ms(prompt)
+            + supply.fetch_ms
+            + supply.copy_ms
+            + again_ms
+            + self.zone_ms(server)
+            + old_ms
+            + tried;
+        let source = supply.source.or_else(|| sources.spare(key));
+        let own = prompt.input.saturating_sub(shared);
+        let choice = Choice {
+            server: key,
+            tokens: own.saturating_add(supply.read),
+            held,
+            fetched: supply.fetched,
+            salt: Some(salt.to_owned()),
+            weights: Some(version),
+            fetch_from: source.map(|source| source.address),
+            save_to: None,
+            moved_bytes: 0.0,
+            at_home: role == Role::Home,
+            cost_ms,
+        };
+        Some((choice, supply))
+    }
+
+    /// Adds what a choice moves over the KV store's link.
+    fn with_store(
+        &self,
+        now: Time,
+        request: &Request,
+        prompt: &Prompt,
+        mut choice: Choice,
+        supply: Supply,
+    ) -> Choice {
+        let salt = choice.salt.as_deref().unwrap_or_default();
         if supply.source.is_some_and(|source| source.place == Place::Store) {
-            choice.moved_bytes = f64::from(supply.fetched) * token_bytes;
-        } else if let Some((address, bytes)) =
-            self.save_to(now, prompt, choice.salt.as_deref().unwrap_or_default(), &request.pool)
-        {
+            choice.moved_bytes = f64::from(supply.fetched) * self.token_bytes(&request.pool);
+        } else if let Some((address, bytes)) = self.save_to(now, prompt, salt, &request.pool) {
             (choice.save_to, choice.moved_bytes) = (Some(address), bytes);
         }
-        Some(choice)
+        choice
     }
 
     fn token_bytes(&self, pool: &str) -> f64 {
