Forget when a gone server's events were read

readings kept an entry for every server that was ever seen: found on the last read of the change. The test fails without it.

--- a/src/fleet/records.rs
+++ b/src/fleet/records.rs
@@ -3,7 +3,7 @@
 use super::life::Known;
 use super::requests::Phase;
 use super::{
-    Batch, Change, Effect, Entry, Key, Node, Read, Record, Server, Topic, Tracked, server,
+    Batch, Change, Effect, Entry, Key, Node, Place, Read, Record, Server, Topic, Tracked, server,
 };
 use crate::prelude::*;
 use crate::route::Table;
@@ -223,6 +223,7 @@
         let Some(server) = self.servers.remove(key) else { return };
         self.lives.end(&server.entry.life);
         self.others.remove(&key);
+        self.readings.remove(&Place::Engine(key));
         if let Some(keys) = self.pools.get_mut(&server.entry.pool) {
             keys.retain(|other| *other != key);
         }
--- a/src/fleet/residency/reading.rs
+++ b/src/fleet/residency/reading.rs
@@ -76,6 +76,10 @@
         place: Place,
         read: Option<&EventsRead>,
     ) {
+        if self.held(place).is_none() {
+            // The server is gone.
+            return;
+        }
         let pace = self.events_pace(now);
         let reading = self.readings.entry(place).or_default();
         reading.asked = None;
--- a/src/fleet/tests/residency.rs
+++ b/src/fleet/tests/residency.rs
@@ -276,3 +276,21 @@
     });
     assert!(told, "{effects:?}");
 }
+
+#[test]
+fn server_that_is_gone_leaves_nothing_behind() {
+    let mut daemon = Daemon::with(1, &ENGINES);
+    let mut asked = Vec::new();
+    for effect in daemon.tick(ms(20)) {
+        if let Effect::ReadEvents { place, .. } = effect {
+            asked.push(place);
+        }
+    }
+    assert_eq!(asked.len(), 4);
+    daemon.put(ms(30), Topic::Servers, &ENGINES.map(|(id, _)| (id, "")));
+    for place in asked {
+        daemon.node.apply(ms(40), Message::Events(place, None));
+    }
+    let left: Vec<Place> = daemon.node.readings.keys().copied().collect();
+    assert_eq!(left, [Place::Store]);
+}
