Wait for the lease only as long as may be lost

Cause: the store was silent from 7 to 12.6 s and swallowed the reads of the lease that were sent then; each waited 20 s for a record, so from 8 to 29 s no daemon saw the lease, and none ordered engines. Ruled out: the restarts at 12 s (both survivors were as blind), the lease's own times, orders (all nine that were given were carried out).

Test: lease_is_not_waited_for_long_by_those_who_may_take_it.

--- a/src/fleet/pace.rs
+++ b/src/fleet/pace.rs
@@ -21,10 +21,26 @@
 const LEASE_SOON: Duration = Duration::from_millis(600);
 /// The same for all others, who need it only once those before them are gone.
 const LEASE_LATER: Duration = Duration::from_millis(2_500);
+/// Time that a read of the lease waits for a record while engines lack weights: longer than the time
+/// between two renewals, and short beside the limit for weights. A read that the store swallows in an
+/// outage is noticed only after it; with 20 s, weights that were named before stayed away for as long.
+const LEASE_WAIT_ACTIVE: Duration = Duration::from_secs(2);
+/// The same for those who may take the lease next while there is nothing to order.
+const LEASE_WAIT_SOON: Duration = Duration::from_secs(5);
+/// The same for all others.
+const LEASE_WAIT_LATER: Duration = Duration::from_secs(20);
 /// Daemons that read the lease often.
 const LEASE_CANDIDATES: u32 = 3;
 
 impl Node {
+    /// Time that a read of the lease may wait for a record.
+    pub fn lease_wait(&self, now: Time) -> Duration {
+        if self.rank_among_daemons(now) >= LEASE_CANDIDATES {
+            return LEASE_WAIT_LATER;
+        }
+        if self.rollout.is_active() { LEASE_WAIT_ACTIVE } else { LEASE_WAIT_SOON }
+    }
+
     /// Time from a read that brought something to the next read.
     pub fn pace(&self, now: Time, tracked: Tracked) -> Duration {
         match tracked {
--- a/src/fleet/run.rs
+++ b/src/fleet/run.rs
@@ -50,6 +50,7 @@
     /// Milliseconds between two reads, by topic.
     paces: [AtomicU64; Topic::ALL.len()],
     lease_pace: AtomicU64,
+    lease_wait: AtomicU64,
 }
 
 /// A handle to the control thread.
@@ -165,6 +166,13 @@
     }
 }
 
+impl Control {
+    /// Time that a read of the lease may wait for a record.
+    pub fn lease_wait(&self) -> Duration {
+        Duration::from_millis(self.view.lease_wait.load(Ordering::Acquire))
+    }
+}
+
 /// The control thread's own state.
 struct Worker {
     node: Node,
@@ -270,6 +278,8 @@
             view.paces[topic as usize].store(pace(Tracked::Topic(topic)), Ordering::Release);
         }
         view.lease_pace.store(pace(Tracked::Lease), Ordering::Release);
+        let wait = u64::try_from(self.node.lease_wait(now).as_millis()).unwrap_or(u64::MAX);
+        view.lease_wait.store(wait, Ordering::Release);
     }
 
     fn publish(&self) {
--- a/src/fleet/tests/rollout.rs
+++ b/src/fleet/tests/rollout.rs
@@ -284,3 +284,16 @@
     assert_eq!(given.len(), ENGINES.len(), "the others are not ordered: {given:?}");
     assert_eq!(send(&mut site.daemons[0], ms(9_600)).len(), 1);
 }
+
+#[test]
+fn lease_is_not_waited_for_long_by_those_who_may_take_it() {
+    // What a silent store swallows is noticed after the wait, and weights are due within the limit.
+    let mut site = Site::new(5);
+    site.run(ms(0), ms(1_000));
+    site.name(ms(1_000), 2);
+    site.run(ms(1_000), ms(1_200));
+    let waits = site.daemons.iter().map(|daemon| daemon.node.lease_wait(ms(1_200)));
+    let waits: Vec<Duration> = waits.collect();
+    assert!(waits[..3].iter().all(|wait| *wait * 3 < POLICY.weights_limit), "{waits:?}");
+    assert!(waits[3..].iter().all(|wait| *wait > waits[0]), "{waits:?}");
+}
