Tell a publisher that its manifest was accepted also where another followed at once

Cause: the read-back of a published record looked at what is in force at the end of a read; where another publisher's record had followed by then, the first was told that it had lost, though its manifest had been in force. The verdict on the publisher's own record now decides; the test folds a record and its successor in one read, which the former comparison called lost.

--- a/src/cli/publish.rs
+++ b/src/cli/publish.rs
@@ -10,7 +10,7 @@
 use super::{check, pretty};
 use crate::clients::log;
 use crate::control::{Appended, Stream};
-use crate::manifest::{Body, FORMAT, Record, State, difference};
+use crate::manifest::{Body, FORMAT, Record, State, Verdict, difference};
 use crate::prelude::*;
 
 /// Pause between two reads of the log.
@@ -30,21 +30,51 @@
 
 async fn publish(options: &Publish, manifest: Value) -> Result<u64> {
     let address = options.log_service;
-    let mut state = State::default();
-    catch_up(address, &mut state).await?;
-    let replaces = options.replaces.unwrap_or(state.generation());
-    if replaces != state.generation() {
-        return Err(lost(&state, replaces));
+    let mut race = Race::new(format!("{:016x}", fastrand::u64(..)));
+    catch_up(address, &mut race).await?;
+    let replaces = options.replaces.unwrap_or(race.state.generation());
+    if replaces != race.state.generation() {
+        return Err(lost(&race.state, replaces));
     }
-    let id = format!("{:016x}", fastrand::u64(..));
-    let body = smaller(&state, replaces, manifest);
-    let record = Record { format: FORMAT, id: id.clone(), body };
+    let body = smaller(&race.state, replaces, manifest);
+    let record = Record { format: FORMAT, id: race.id.clone(), body };
     match log::append(address, Stream::Manifest, record.encode()).await {
-        Ok(offset) => read_back(options, &mut state, replaces, &id, Some(offset)).await,
+        Ok(offset) => read_back(options, &mut race, replaces, Some(offset)).await,
         Err(Appended::Refused) => {
             Err(Error::new(Code::LogUnreachable, format!("{address}: it took no record")))
         }
-        Err(_) => read_back(options, &mut state, replaces, &id, None).await,
+        Err(_) => read_back(options, &mut race, replaces, None).await,
+    }
+}
+
+/// One publisher's view of the log, and what became of its record.
+#[derive(Debug)]
+pub(super) struct Race {
+    state: State,
+    /// The record's id.
+    id: String,
+    /// The generation as which it was accepted, whatever came after it.
+    won: Option<u64>,
+}
+
+impl Race {
+    pub(super) fn new(id: String) -> Self {
+        Self { state: State::default(), id, won: None }
+    }
+
+    /// The generation as which the record was accepted.
+    pub(super) fn won(&self) -> Option<u64> {
+        self.won
+    }
+
+    /// Folds the record at `offset`. Another publisher may have replaced this one's manifest before it
+    /// is read back, so what is in force at the end does not tell.
+    pub(super) fn fold(&mut self, offset: u64, text: &str) {
+        if let Verdict::Accepted(force) = self.state.fold(offset, text)
+            && force.published == self.id
+        {
+            self.won = Some(force.generation);
+        }
     }
 }
 
@@ -66,18 +96,18 @@
 /// Folds the log until this record's fate is known.
 async fn read_back(
     options: &Publish,
-    state: &mut State,
+    race: &mut Race,
     replaces: u64,
-    id: &str,
     offset: Option<u64>,
 ) -> Result<u64> {
     let end = Instant::now() + Duration::from_secs(options.wait_s);
     loop {
         // An unreachable log is asked again: the record may be there.
-        catch_up(options.log_service, state).await.ok();
-        if state.force().is_some_and(|force| force.published == id) {
-            return Ok(state.generation());
+        catch_up(options.log_service, race).await.ok();
+        if let Some(generation) = race.won() {
+            return Ok(generation);
         }
+        let Race { state, id, .. } = &*race;
         let passed = offset.is_some_and(|offset| state.next() > offset);
         if passed || state.generation() > replaces {
             return Err(lost(state, replaces));
@@ -90,16 +120,16 @@
     }
 }
 
-async fn catch_up(address: SocketAddr, state: &mut State) -> Result<()> {
+async fn catch_up(address: SocketAddr, race: &mut Race) -> Result<()> {
     loop {
-        let read = log::read(address, Stream::Manifest, state.next(), 0)
+        let read = log::read(address, Stream::Manifest, race.state.next(), 0)
             .await
             .map_err(|reason| Error::new(Code::LogUnreachable, format!("{address}: {reason}")))?;
-        state.skip_to(read.first);
+        race.state.skip_to(read.first);
         for record in &read.records {
-            state.fold(record.offset, &record.text);
+            race.fold(record.offset, &record.text);
         }
-        if state.next() >= read.next {
+        if race.state.next() >= read.next {
             return Ok(());
         }
     }
--- a/src/cli/tests.rs
+++ b/src/cli/tests.rs
@@ -2,7 +2,9 @@
 
 use std::io::Write;
 
+use super::publish::Race;
 use super::{Command, Options, Trace, run, tables};
+use crate::manifest::{Body, FORMAT, Record};
 use crate::prelude::*;
 
 /// The rows of a page's table must be those of the code.
@@ -91,3 +93,34 @@
     let error = trace(&[&[OTHER, "{}", "{\"time\":1}"]], false).expect_err("nothing is known");
     assert_eq!(error.code, Code::RequestUnknown);
 }
+
+/// A manifest record of this id that replaces a generation.
+fn record(id: &str, replaces: u64) -> String {
+    let manifest = serde_json::json!({
+        "format": 1,
+        "pools": { "p": { "max_in_flight": 1, "max_waiting": 1 } },
+        "models": {},
+        "services": { "s": { "pool": "p", "default_deadline_ms": 1 } },
+        "workspaces": {
+            "w": {
+                "keys_sha256": ["0".repeat(64)], "share": 1, "models": [], "services": ["s"],
+                "default_priority": "normal", "highest_priority": "urgent",
+            },
+        },
+    });
+    Record { format: FORMAT, id: id.into(), body: Body::Publish { replaces, manifest } }.encode()
+}
+
+#[test]
+fn publish_replaced_before_it_is_read_back_has_won() {
+    // The publisher reads its own record and its successor's in one go.
+    let log = [record("first", 0), record("second", 1), record("late", 1)];
+    let won = |id: &str| {
+        let mut race = Race::new(id.into());
+        for (offset, text) in (0..).zip(&log) {
+            race.fold(offset, text);
+        }
+        race.won()
+    };
+    assert_eq!((won("first"), won("second"), won("late")), (Some(1), Some(2), None));
+}
