--- a/src/fleet/pace.rs
+++ b/src/fleet/pace.rs
@@ -43,19 +43,28 @@
     /// Whether this daemon is to read what is tracked: as one of those who read for all, or because no
     /// scheduler tells that it has lately.
     pub fn reads(&self, now: Time, tracked: Tracked) -> bool {
-        if self.is_reader() {
-            return true;
-        }
         let topic = match tracked {
             Tracked::Topic(topic) => topic,
-            // Who may take it next reads it; the others need it once those have fallen silent.
+            // Those who may take it next read it; the others need it once those have fallen silent.
+            Tracked::Lease if self.is_lease_candidate() => return true,
             Tracked::Lease => Topic::Operator,
         };
+        if self.has_just_started(now) {
+            return false;
+        }
+        if self.is_reader() && tracked != Tracked::Lease {
+            return true;
+        }
         let told = self.other_schedulers().filter(|(_, peer)| peer.is_fresh(now));
         let ages = told.filter_map(|(_, peer)| peer.read_age(now, topic));
         ages.min().is_none_or(|age| age >= RELIED_ON_FOR)
     }
 
+    /// Whether this daemon is one of the first to take the lease, as far as daemons are known.
+    fn is_lease_candidate(&self) -> bool {
+        self.known.contains(&Topic::Routers) && self.rank_among_daemons() < LEASE_CANDIDATES
+    }
+
     /// Whether other daemons rely on what this one reads.
     fn is_relied_on(&self, now: Time) -> bool {
         self.is_scheduler(now) && self.has_others_than_readers()
--- a/src/fleet/rollout.rs
+++ b/src/fleet/rollout.rs
@@ -122,7 +122,9 @@
             return;
         }
         let since = *self.rollout.wanting_since.get_or_insert(now);
-        let candidate = now >= since + CANDIDATE_STEP * self.rank_among_daemons();
+        // Who does not read the lease would take one that is held.
+        let candidate = self.reads(now, Tracked::Lease)
+            && now >= since + CANDIDATE_STEP * self.rank_among_daemons();
         if !self.draining
             && let Some(record) = self.lease.due(now, candidate)
         {
--- a/src/fleet/scheduling/ranking.rs
+++ b/src/fleet/scheduling/ranking.rs
@@ -24,6 +24,9 @@
 const READERS: usize = 12;
 /// Time after a daemon's start from which it goes by whom it has heard alone.
 const STARTED: Duration = Duration::from_secs(3);
+/// Time after a daemon's start in which schedulers make themselves heard: a daemon that starts among
+/// many reads nothing again meanwhile, or each would read every registration of the others.
+const SETTLED: Duration = Duration::from_millis(1_000);
 /// Time for which a scheduler that left a submission without a word gets no more of them.
 const AVOIDED: Duration = Duration::from_millis(1_000);
 
@@ -122,6 +125,12 @@
         self.ranking.before < READERS
     }
 
+    /// Whether this daemon has only just started: it has read everything once, and who reads on is not
+    /// known yet.
+    pub(in crate::fleet) fn has_just_started(&self, now: Time) -> bool {
+        self.ranking.started.is_none_or(|at| now < at + SETTLED)
+    }
+
     /// Whether there are daemons that leave reading to others.
     pub(in crate::fleet) fn has_others_than_readers(&self) -> bool {
         self.peers.len() >= READERS
