Load weights on as many engines at a time as is seen to be borne, and hurry for overdue ones alone

Cause: a quarter of a pool loaded at a time, and half of it from four seconds on after engines first lacked weights. Where weights are named every few seconds some engine always lacks the newest, so that half of all engines loaded at once most of the time. The number now begins at a sixth, grows while loads take as long as the shortest and falls where they don't; it never is so low that engines would be late. Who hurries is the engine whose weights were overtaken long ago.

--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -13,6 +13,7 @@
 mod homes;
 mod life;
 mod load;
+mod loading;
 mod message;
 mod node;
 mod notice;
--- a/src/fleet/rollout.rs
+++ b/src/fleet/rollout.rs
@@ -2,20 +2,21 @@
 //! many at once.
 
 use super::life::Known;
+use super::loading::Loading;
 use super::server::Ordered;
 use super::{Effect, Entry, Life, Node, OrderEnd, State, Tracked, server};
 use crate::prelude::*;
 
 /// Versions of one model that are remembered with the time at which they were named.
 const MAX_NAMED: usize = 16;
-/// The part of a pool's engines that may load at a time: the others must carry the load, and all
-/// must be through within the platform's limit. Measured: 3, 4 and 6 were tried.
-const LOADING_PART: usize = 4;
 /// Time after an order until its engine is first asked whether it is done: a load takes about half
 /// a second, and reports lag.
 const FIRST_POLL: Duration = Duration::from_millis(700);
-/// Time between two questions.
-const POLL: Duration = Duration::from_millis(250);
+/// Time between two questions: an engine that is done carries nothing until that is known.
+const POLL: Duration = Duration::from_millis(120);
+/// The part of the limit for weights after which an engine's are so old that as many load at a time as
+/// can be spared: what is left of the time bears few rounds more.
+const HURRY_AFTER: f64 = 0.6;
 /// Time after which an order that shows no effect counts as lost.
 const ORDER_LOST: Duration = Duration::from_millis(5_000);
 /// Time by which each daemon waits longer than the one before it to take the lease.
@@ -41,6 +42,8 @@
     wanting_since: Option<Time>,
     /// Weights that were seen lately: server, model, version, and when.
     pub(super) seen: Vec<(Life, String, u64, Time)>,
+    /// What was seen of loads, by pool.
+    loads: BTreeMap<String, Loading>,
 }
 
 impl Rollout {
@@ -83,10 +86,19 @@
         if server.version(model).is_some_and(|known| known >= version) {
             return;
         }
+        let took = server.loading_for(now, model, version);
         server.loaded(model, version);
+        let pool = server.entry.pool.clone();
+        if let Some(took) = took {
+            let engines = self.pools.get(&pool).map_or(1, Vec::len);
+            self.rollout.loads.entry(pool).or_default().loaded(now, engines, took);
+        }
+        let Some(server) = self.servers.get(key) else { return };
         let life = server.entry.life.clone();
-        let detail =
-            Detail::of("server", life.id.as_str()).and("model", model).and("version", version);
+        let detail = Detail::of("server", life.id.as_str())
+            .and("model", model)
+            .and("version", version)
+            .and_some("took_ms", took);
         self.event(Event::WeightsLoaded, detail);
         self.rollout.seen.push((life, model.to_owned(), version, now));
         self.pump(now);
@@ -142,14 +154,15 @@
         let running = |key: &server::Key| {
             self.servers.get(*key).map_or(0, |server| self.load(*key, server).running)
         };
-        wanting.sort_by_key(|(key, _, version)| (std::cmp::Reverse(*version), running(key)));
+        wanting.sort_by_key(|(key, model, _)| (!self.is_overdue(now, *key, model), running(key)));
         for (key, model, version) in wanting {
             let Some(server) = self.servers.get(key) else { continue };
             if server.ordered.is_some() || server.is_suspect(now) {
                 continue;
             }
             let pool = server.entry.pool.clone();
-            if self.loading(now, &pool) >= self.most_loading(now, &pool) {
+            let hurry = self.is_overdue(now, key, &model);
+            if self.loading(now, &pool) >= self.most_loading(&pool, hurry) {
                 continue;
             }
             self.order(now, key, model, version, fence);
@@ -164,13 +177,20 @@
         keys.iter().filter(loads).count()
     }
 
-    /// Engines of a pool that may load at a time: more once half of the time has passed in which all
-    /// must be through.
-    fn most_loading(&self, now: Time, pool: &str) -> usize {
-        let since = self.rollout.wanting_since.unwrap_or(now);
-        let hurry = now >= since + self.policy.weights_limit / 2;
-        let part = if hurry { LOADING_PART / 2 } else { LOADING_PART };
-        self.pools.get(pool).map_or(1, |keys| keys.len().div_ceil(part).max(1))
+    /// Whether an engine's weights will soon be too old to begin anything on. What counts is when they
+    /// were overtaken: where weights are named again and again, some engine always lacks the newest.
+    fn is_overdue(&self, now: Time, key: server::Key, model: &str) -> bool {
+        let version = self.servers.get(key).and_then(|server| server.version(model));
+        let age = version.and_then(|version| self.rollout.overtaken_for(now, model, version));
+        age.is_some_and(|age| age >= self.policy.weights_limit.mul_f64(HURRY_AFTER))
+    }
+
+    /// Engines of a pool that may load at a time.
+    fn most_loading(&self, pool: &str, hurry: bool) -> usize {
+        let limit = self.policy.weights_limit;
+        let engines = self.pools.get(pool).map_or(1, Vec::len);
+        let loads = self.rollout.loads.get(pool).copied().unwrap_or_default();
+        loads.most(engines, limit, hurry)
     }
 
     fn order(&mut self, now: Time, key: server::Key, model: String, version: u64, fence: u64) {
--- a/src/fleet/server.rs
+++ b/src/fleet/server.rs
@@ -119,6 +119,13 @@
         }
     }
 
+    /// For how long it has been carrying out an order to load this version, where it has such an order.
+    pub fn loading_for(&self, now: Time, model: &str, version: u64) -> Option<Duration> {
+        let ordered = self.ordered.as_ref()?;
+        let this = ordered.accepted && ordered.model == model && ordered.version == version;
+        this.then(|| now.saturating_sub(ordered.at))
+    }
+
     /// The version of `model` that it has.
     pub fn version(&self, model: &str) -> Option<u64> {
         self.entry.weights.get(model).copied()
--- a/src/fleet/tests/rollout.rs
+++ b/src/fleet/tests/rollout.rs
@@ -1,6 +1,7 @@
 //! Weights that operators name: who may begin on which, and who orders engines.
 
 use super::world::*;
+use crate::fleet::loading::Loading;
 use crate::fleet::*;
 use crate::prelude::*;
 use crate::route::Repeat;
@@ -299,3 +300,61 @@
     assert!(waits[..3].iter().all(|wait| *wait * 3 < POLICY.weights_limit), "{waits:?}");
     assert!(waits[3..].iter().all(|wait| *wait > waits[0]), "{waits:?}");
 }
+
+/// Time until all of `engines` have loaded and the most that did at once, where each load takes
+/// `alone`, and longer while more than `bears` go on, by the square of how many more.
+fn roll(engines: usize, bears: usize, alone: Duration, most: impl Fn(&Loading) -> usize) -> Time {
+    let (mut loading, mut now, mut done, mut begun) = (Loading::default(), ms(0), 0, 0);
+    let mut under_way: Vec<(Time, f64)> = Vec::new();
+    while done < engines {
+        while begun < engines && under_way.len() < most(&loading) {
+            under_way.push((now, 0.0));
+            begun += 1;
+        }
+        now += ms(10);
+        let slowed = (under_way.len() as f64 / bears as f64).max(1.0).powi(2);
+        let step = 0.010 / alone.as_secs_f64() / slowed;
+        for (_, part) in &mut under_way {
+            *part += step;
+        }
+        for (since, _) in under_way.iter().filter(|(_, part)| *part >= 1.0) {
+            loading.loaded(now, engines, now - *since);
+            done += 1;
+        }
+        under_way.retain(|(_, part)| *part < 1.0);
+    }
+    now
+}
+
+#[test]
+fn loads_go_on_in_as_great_a_number_as_is_seen_to_be_borne() {
+    for (engines, bears, alone) in
+        [(78, 15, 570), (18, 3, 570), (9, 2, 830), (72, 14, 830), (40, 40, 200), (60, 3, 300)]
+    {
+        let limit = Duration::from_secs(10);
+        let learnt = roll(engines, bears, ms(alone), |l| l.most(engines, limit, false));
+        let quarter = roll(engines, bears, ms(alone), |_| engines.div_ceil(4));
+        // Where a quarter at once is borne, beginning lower costs a little; elsewhere it gains.
+        assert!(learnt <= quarter.mul_f64(1.6), "{engines}, {bears}: {learnt:?}, {quarter:?}");
+        if engines.div_ceil(4) > bears {
+            assert!(learnt < quarter, "{engines}, {bears}: {learnt:?}, {quarter:?}");
+        }
+        assert!(learnt < limit || quarter > limit, "{engines}, {bears}: {learnt:?}");
+    }
+}
+
+#[test]
+fn weights_named_again_and_again_put_no_more_engines_to_loading() {
+    let mut site = Site::new(3);
+    site.run(ms(0), ms(5_000));
+    let mut most = 0;
+    for version in 2..8 {
+        let now = ms(5_000 + (version - 2) * 2_000);
+        site.name(now, version);
+        for step in 0..20 {
+            site.run(now + ms(step * 100), now + ms(step * 100 + 100));
+            most = most.max(site.loading.len());
+        }
+    }
+    assert!(most <= ENGINES.len().div_ceil(4), "{most} of {} loaded at once", ENGINES.len());
+}
