Refuse at once what would wait in vain; name an engine to fetch from also where reading is chosen

The pace at which what waits is sent tells a newcomer how long it would; if too long it is told so at once, with the time to come back.

--- a/src/fleet/admission.rs
+++ b/src/fleet/admission.rs
@@ -8,6 +8,7 @@
 
 use std::ops::Bound;
 
+use super::drain::Drain;
 use super::place::{PLAIN_MS, own_ms};
 use super::requests::{Phase, Request};
 use super::{Command, Key, Node, server};
@@ -31,6 +32,8 @@
 const PUMP: Duration = Duration::from_millis(4);
 /// Waiting requests that are tried first at a look, and as many after them.
 const TRIED: usize = 24;
+/// Waiting requests from which on their pace tells how long one more would wait.
+const TOLD_BY: usize = 8;
 /// Refused callers that are remembered, and told to peers in one digest.
 const MAX_EXPECTED: usize = 256;
 
@@ -100,13 +103,39 @@
         if self.try_send(now, key) {
             return;
         }
+        if self.would_wait_in_vain(now, key) {
+            return self.refuse(now, key, Code::NoServer);
+        }
+        if self.waiting.is_empty() {
+            self.drains.values_mut().for_each(Drain::begin_anew);
+        }
         if let Some(request) = self.requests.get_mut(&key) {
             request.phase = Phase::Waiting(now);
             self.waiting.insert(Turn::of(key, request));
+            self.drains.entry(request.pool.clone()).or_default().waits(now);
             self.log_waits(now, key);
         }
     }
 
+    /// Whether a request would be refused after its wait, as far as the pace of those before it tells:
+    /// it is told so at once, and comes back sooner. One that was sent before is not refused for it.
+    fn would_wait_in_vain(&self, now: Time, key: Key) -> bool {
+        let Some(request) = self.requests.get(&key).filter(|request| request.sends == 0) else {
+            return false;
+        };
+        let Some(drain) = self.drains.get(&request.pool) else { return false };
+        let ahead = self.ahead(Turn::of(key, request), &request.pool);
+        let expected = drain.expected(now, ahead).filter(|_| ahead >= TOLD_BY);
+        expected.is_some_and(|wait| wait > request.arrival.route.target / WAIT_PART)
+    }
+
+    /// Requests to a pool that wait and go before `turn`.
+    fn ahead(&self, turn: Turn, pool: &str) -> usize {
+        let ahead = self.waiting.range(..turn);
+        let same = |turn: &&Turn| self.requests.get(&turn.key).is_some_and(|r| r.pool == pool);
+        ahead.filter(same).count()
+    }
+
     /// Sends waiting requests for which there is room, in turn.
     pub(super) fn pump(&mut self, now: Time) {
         if self.waiting.is_empty() || now < self.next_pump {
@@ -121,8 +150,12 @@
             }
             if !self.has_any_room(now, &request.pool) {
                 full.insert(request.pool.clone());
-            } else if self.try_send(now, turn.key) {
+                continue;
+            }
+            let pool = request.pool.clone();
+            if self.try_send(now, turn.key) {
                 self.waiting.remove(&turn);
+                self.drains.entry(pool).or_default().sent(now);
             }
         }
     }
@@ -197,14 +230,10 @@
             None => (PLAIN_MS, open.map(|(_, server)| server.entry.slots as usize).sum()),
         };
         let left = request.arrival.deadline.saturating_sub(now) / COME_BACK_PART;
-        let own = Turn::of(key, request);
-        let ahead = self.waiting.iter().take_while(|turn| **turn < own);
-        let ahead = ahead.filter(|turn| {
-            self.requests.get(&turn.key).is_some_and(|other| other.pool == request.pool)
-        });
+        let ahead = self.ahead(Turn::of(key, request), &request.pool);
         // At a scheduler everything waits; elsewhere as much is taken to wait at each daemon.
         let daemons = if self.is_scheduler(now) { 1 } else { self.daemons() };
-        let work_ms = (ahead.count() + 1) as f64 * daemons as f64 * each_ms;
+        let work_ms = (ahead + 1) as f64 * daemons as f64 * each_ms;
         let drained = match at_a_time {
             0 => COME_BACK_SHUT,
             _ => Duration::from_secs_f64(work_ms / at_a_time as f64 / 1_000.0),
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -6,6 +6,7 @@
 
 mod admission;
 mod catalog;
+mod drain;
 mod explain;
 mod figures;
 mod frame;
--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -5,6 +5,7 @@
 use slotmap::SlotMap;
 
 use super::admission::{Expected, Turn};
+use super::drain::Drain;
 use super::gossip::Peer;
 use super::life::Lives;
 use super::load::Load;
@@ -72,6 +73,8 @@
     pub(super) requests: BTreeMap<Key, Request>,
     /// Waiting requests in turn.
     pub(super) waiting: BTreeSet<Turn>,
+    /// How fast what waits is sent, by pool.
+    pub(super) drains: BTreeMap<String, Drain>,
     /// Refused callers that may come back.
     pub(super) expected: Expected,
     pub(super) budgets: BTreeMap<String, Budget>,
@@ -136,6 +139,7 @@
             pools: BTreeMap::new(),
             requests: BTreeMap::new(),
             waiting: BTreeSet::new(),
+            drains: BTreeMap::new(),
             expected: Expected::default(),
             budgets: BTreeMap::new(),
             peers: Peer::seeds(seeds, identity.address),
--- a/src/fleet/pace.rs
+++ b/src/fleet/pace.rs
@@ -33,6 +33,11 @@
 /// The same for a scheduler's reads that other daemons rely on: a read that has ended shows that the
 /// store is there, one that waits does not.
 const WAIT_FOR_OTHERS: Duration = Duration::from_millis(400);
+/// Time from a read that failed to the next, for those who read for all.
+const AGAIN: Duration = Duration::from_millis(300);
+/// The same for all others: while the store is down every daemon reads by itself, and the first reader
+/// that it answers tells the others.
+const AGAIN_OTHERS: Duration = Duration::from_millis(1_200);
 /// Age of what a scheduler has read from which a daemon reads by itself: a configuration is to be in
 /// force within 2 s, also where every scheduler is cut off from the store.
 const RELIED_ON_FOR: Duration = Duration::from_millis(1_300);
@@ -94,6 +99,11 @@
         }
     }
 
+    /// Time from a read that failed to the next one.
+    pub fn pause(&self) -> Duration {
+        if self.is_reader() { AGAIN } else { AGAIN_OTHERS }
+    }
+
     /// Time from a read that brought something to the next read.
     pub fn pace(&self, now: Time, tracked: Tracked) -> Duration {
         match tracked {
--- a/src/fleet/place.rs
+++ b/src/fleet/place.rs
@@ -245,9 +245,7 @@
             + self.zone_ms(server)
             + old_ms
             + tried;
-        // With one that is named the engine fetches what it lacks, also where reading is the better choice.
-        let lacks_nothing = supply.read == 0 && supply.fetched == 0;
-        let spare = || sources.spare(key, &server.entry.zone).filter(|_| lacks_nothing);
+        let spare = || sources.spare(key, &server.entry.zone, supply.read);
         let source = supply.source.clone().or_else(spare);
         let own = prompt.input.saturating_sub(shared);
         let choice = Choice {
--- a/src/fleet/residency/sources.rs
+++ b/src/fleet/residency/sources.rs
@@ -96,13 +96,19 @@
         best.filter(|best| cost(best) < cost(&lacking)).unwrap_or(lacking)
     }
 
-    /// What `server` is told to fetch from in case it has dropped what it is believed to hold: a miss
-    /// costs it a millisecond.
-    pub(in crate::fleet) fn spare(&self, server: server::Key, zone: &str) -> Option<Source> {
+    /// What `server` is told to fetch from where it lacks `read` tokens, or in case it has dropped what it
+    /// is believed to hold: a miss costs it a millisecond. Where reading was found to be the better choice
+    /// an engine is named all the same, since what is read again displaces more; the KV store is not,
+    /// whose link has a queue then.
+    pub(in crate::fleet) fn spare(
+        &self,
+        server: server::Key,
+        zone: &str,
+        read: u32,
+    ) -> Option<Source> {
         let others = self.found.iter().filter(|source| match source.place {
             Place::Engine(key) => key != server,
-            // What is dropped is read sooner than a queue of fetches ends.
-            Place::Store => self.store_delay_ms < f64::from(source.tokens) / PREFILL_TOKENS_PER_MS,
+            Place::Store => read == 0,
         });
         let least =
             |source: &&Source| (source.assumed, u32::MAX - source.tokens, source.zone != zone);
--- a/src/fleet/run.rs
+++ b/src/fleet/run.rs
@@ -60,6 +60,8 @@
     pace: AtomicU64,
     /// Milliseconds that a read may wait for a record.
     wait: AtomicU64,
+    /// Milliseconds from a read that failed to the next.
+    pause: AtomicU64,
 }
 
 /// A handle to the control thread.
@@ -175,6 +177,11 @@
         Duration::from_millis(self.reading(tracked).wait.load(Ordering::Acquire))
     }
 
+    /// Time from a read that failed to the next one.
+    pub fn pause(&self, tracked: Tracked) -> Duration {
+        Duration::from_millis(self.reading(tracked).pause.load(Ordering::Acquire))
+    }
+
     /// Whether this daemon is to read what is tracked.
     pub fn reads(&self, tracked: Tracked) -> bool {
         !self.reading(tracked).left_to_others.load(Ordering::Acquire)
@@ -287,6 +294,7 @@
             reading.left_to_others.store(!self.node.reads(now, tracked), Ordering::Release);
             reading.pace.store(ms(self.node.pace(now, tracked)), Ordering::Release);
             reading.wait.store(ms(self.node.wait(now, tracked)), Ordering::Release);
+            reading.pause.store(ms(self.node.pause()), Ordering::Release);
         }
     }
 
--- a/src/fleet/tests/admission.rs
+++ b/src/fleet/tests/admission.rs
@@ -178,3 +178,38 @@
     let (_, effects) = daemon.arrive(ms(30), &route, Some(small));
     assert_eq!(dispatch(&effects).server, "e-1");
 }
+
+#[test]
+fn crowd_that_cannot_be_served_in_time_is_told_so_at_once() {
+    // Two places that take 100 ms each, and ten times as many requests as they serve.
+    let mut daemon = Daemon::with(1, &[("s-1", "plain 11 ready")]);
+    let route = route("plain", Repeat::AtMostOnce, 1);
+    let mut ends: Vec<(Time, Key, u32)> = Vec::new();
+    let mut arrived: BTreeMap<Key, Time> = BTreeMap::new();
+    let (mut sent, mut at_once, mut late) = (0, 0, 0);
+    for step in 0..400_u64 {
+        let now = ms(1_000 + step * 5);
+        let mut effects = daemon.tick(now);
+        for (_, request, attempt) in ends.extract_if(.., |(at, ..)| *at <= now) {
+            effects.extend(daemon.report(now, request, attempt, Report::Ended));
+        }
+        let (key, more) = daemon.arrive(now, &route, None);
+        arrived.insert(key, now);
+        effects.extend(more);
+        for effect in effects {
+            match effect {
+                Effect::Command(key, Command::Dispatch(dispatch)) => {
+                    ends.push((now + ms(100), key, dispatch.attempt));
+                    sent += 1;
+                }
+                Effect::Command(key, Command::Refuse(_, after)) => {
+                    assert!(after > ms(0));
+                    if arrived[&key] == now { at_once += 1 } else { late += 1 }
+                }
+                _ => {}
+            }
+        }
+    }
+    assert!(sent >= 36, "{sent} of the 40 that there is room for");
+    assert!(at_once > late * 3, "{at_once} were told at once, {late} after they had waited");
+}
