--- /dev/null
+++ b/src/fleet/frame/wire.rs
@@ -0,0 +1,173 @@
+//! The form of frames on the wire.
+
+use crate::fleet::scheduling::{WireProgress, WireSubmission, WireVerdict};
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub(super) struct Busy {
+    #[prost(string, tag = "1")]
+    pub(super) server: String,
+    #[prost(uint32, tag = "2")]
+    pub(super) running: u32,
+    #[prost(uint32, tag = "3")]
+    pub(super) pending_tokens: u32,
+    #[prost(bool, tag = "4")]
+    pub(super) ordered: bool,
+    #[prost(uint32, optional, tag = "5")]
+    pub(super) heard_ms: Option<u32>,
+    #[prost(uint32, optional, tag = "6")]
+    pub(super) unanswered_ms: Option<u32>,
+    #[prost(uint64, tag = "7")]
+    pub(super) born: u64,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub(super) struct Weights {
+    #[prost(string, tag = "1")]
+    pub(super) server: String,
+    #[prost(string, tag = "2")]
+    pub(super) model: String,
+    #[prost(uint64, tag = "3")]
+    pub(super) version: u64,
+    #[prost(uint64, tag = "4")]
+    pub(super) born: u64,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub(super) struct Digest {
+    #[prost(string, tag = "1")]
+    pub(super) daemon: String,
+    #[prost(fixed64, tag = "2")]
+    pub(super) incarnation: u64,
+    #[prost(bool, tag = "3")]
+    pub(super) draining: bool,
+    #[prost(uint64, repeated, tag = "4")]
+    pub(super) ends: Vec<u64>,
+    #[prost(message, repeated, tag = "5")]
+    pub(super) busy: Vec<Busy>,
+    #[prost(message, repeated, tag = "6")]
+    pub(super) weights: Vec<Weights>,
+    #[prost(string, tag = "7")]
+    pub(super) address: String,
+    /// Parts, beside their work.
+    #[prost(fixed64, repeated, tag = "8")]
+    pub(super) hot_parts: Vec<u64>,
+    #[prost(float, repeated, tag = "9")]
+    pub(super) hot_work_ms: Vec<f32>,
+    #[prost(fixed64, repeated, tag = "10")]
+    pub(super) refused: Vec<u64>,
+    #[prost(uint64, tag = "11")]
+    pub(super) link_moved: u64,
+    #[prost(float, tag = "12")]
+    pub(super) cores: f32,
+    #[prost(uint32, tag = "13")]
+    pub(super) interval_ms: u32,
+    /// Milliseconds and one more; 0 where nothing was read.
+    #[prost(uint32, repeated, tag = "14")]
+    pub(super) read_ages: Vec<u32>,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub(super) struct Ask {
+    #[prost(string, tag = "1")]
+    pub(super) daemon: String,
+    #[prost(uint32, tag = "2")]
+    pub(super) topic: u32,
+    #[prost(uint64, tag = "3")]
+    pub(super) from: u64,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub(super) struct Record {
+    #[prost(string, tag = "1")]
+    pub(super) key: String,
+    #[prost(uint64, tag = "2")]
+    pub(super) offset: u64,
+    #[prost(bytes = "vec", optional, tag = "3")]
+    pub(super) value: Option<Vec<u8>>,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub(super) struct Records {
+    #[prost(uint32, tag = "1")]
+    pub(super) topic: u32,
+    #[prost(message, repeated, tag = "2")]
+    pub(super) records: Vec<Record>,
+    #[prost(uint64, tag = "3")]
+    pub(super) from: u64,
+    #[prost(uint64, tag = "4")]
+    pub(super) to: u64,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub(super) struct Notice {
+    #[prost(string, tag = "1")]
+    pub(super) daemon: String,
+    #[prost(message, optional, tag = "2")]
+    pub(super) busy: Option<Busy>,
+    #[prost(fixed64, repeated, tag = "3")]
+    pub(super) parts: Vec<u64>,
+}
+
+/// An engine, or the KV store, which has an address instead of an id.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(super) struct Keeper {
+    #[prost(string, tag = "1")]
+    pub(super) server: String,
+    #[prost(uint64, tag = "2")]
+    pub(super) born: u64,
+    #[prost(string, tag = "3")]
+    pub(super) store: String,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub(super) struct Held {
+    #[prost(string, tag = "1")]
+    pub(super) daemon: String,
+    #[prost(message, optional, tag = "2")]
+    pub(super) keeper: Option<Keeper>,
+    #[prost(uint64, tag = "3")]
+    pub(super) number: u64,
+    #[prost(bool, tag = "4")]
+    pub(super) whole: bool,
+    /// Parts, beside the tokens that are kept of them.
+    #[prost(fixed64, repeated, tag = "5")]
+    pub(super) parts: Vec<u64>,
+    #[prost(uint32, repeated, tag = "6")]
+    pub(super) tokens: Vec<u32>,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub(super) struct AskHeld {
+    #[prost(string, tag = "1")]
+    pub(super) daemon: String,
+    #[prost(message, optional, tag = "2")]
+    pub(super) keeper: Option<Keeper>,
+}
+
+#[derive(Clone, PartialEq, prost::Oneof)]
+pub(super) enum Body {
+    #[prost(message, tag = "1")]
+    Digest(Digest),
+    #[prost(message, tag = "2")]
+    Ask(Ask),
+    #[prost(message, tag = "3")]
+    Records(Records),
+    #[prost(message, tag = "4")]
+    Held(Held),
+    #[prost(message, tag = "5")]
+    AskHeld(AskHeld),
+    #[prost(message, tag = "6")]
+    Notice(Notice),
+    #[prost(message, tag = "7")]
+    Submission(WireSubmission),
+    #[prost(message, tag = "8")]
+    Progress(WireProgress),
+    #[prost(message, tag = "9")]
+    Verdict(WireVerdict),
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub(super) struct Frame {
+    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9")]
+    pub(super) body: Option<Body>,
+}
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -19,6 +19,7 @@
 mod node;
 mod notice;
 mod pace;
+mod peer;
 mod place;
 mod prompt;
 mod records;
--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -6,10 +6,10 @@
 
 use super::admission::{Expected, Turn};
 use super::drain::Drain;
-use super::gossip::Peer;
 use super::life::Lives;
 use super::load::Load;
 use super::notice::Allowance;
+use super::peer::Peer;
 use super::requests::Request;
 use super::residency::{Kept, Link, Reading};
 use super::rollout::Rollout;
--- a/src/fleet/scheduling/ranking.rs
+++ b/src/fleet/scheduling/ranking.rs
@@ -6,7 +6,7 @@
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::fleet::Node;
-use crate::fleet::gossip::Peer;
+use crate::fleet::peer::Peer;
 use crate::prelude::*;
 
 /// Daemons that schedule: one carries the pools, the others know enough to go on where it ends.
