--- a/src/fleet/admission.rs
+++ b/src/fleet/admission.rs
@@ -9,8 +9,9 @@
 use std::ops::Bound;
 
 use super::drain::Drain;
-use super::place::{PLAIN_MS, own_ms};
-use super::requests::{Phase, Request};
+use super::place::PLAIN_MS;
+use super::prompt::own_ms;
+use super::request::{Phase, Request};
 use super::{Command, Key, Node, server};
 use crate::prelude::*;
 
--- a/src/fleet/explain.rs
+++ b/src/fleet/explain.rs
@@ -2,7 +2,7 @@
 //! are, and the outcome.
 
 use super::place::Choice;
-use super::requests::{Phase, Request};
+use super::request::{Phase, Request};
 use super::{Dispatch, Key, Node, Refused, Topic, Tracked, server};
 use crate::prelude::*;
 
--- a/src/fleet/gossip.rs
+++ b/src/fleet/gossip.rs
@@ -2,13 +2,11 @@
 
 use std::net::SocketAddr;
 
-use super::peer::Peer;
+use super::peer::{INTERVAL, Peer};
 use super::scheduling::Standing;
 use super::{Batch, Busy, Digest, Effect, Frame, Life, Node, Topic};
 use crate::prelude::*;
 
-/// Time between two digests.
-pub(super) const INTERVAL: Duration = Duration::from_millis(250);
 /// Peers that a daemon tells of itself at least, the schedulers included: records and ages spread also
 /// where all of them are gone.
 const MIN_FANOUT: usize = 8;
--- a/src/fleet/homes.rs
+++ b/src/fleet/homes.rs
@@ -7,8 +7,7 @@
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use super::place::own_ms;
-use super::prompt::{keyed, shared};
+use super::prompt::{keyed, own_ms, shared};
 use super::{Node, Prompt, Server, server};
 use crate::prefix;
 use crate::prelude::*;
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -23,6 +23,7 @@
 mod place;
 mod prompt;
 mod records;
+mod request;
 mod requests;
 mod residency;
 mod retry;
--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -10,7 +10,7 @@
 use super::load::Load;
 use super::notice::Allowance;
 use super::peer::Peer;
-use super::requests::Request;
+use super::request::Request;
 use super::residency::{Kept, Link, Reading};
 use super::rollout::Rollout;
 use super::scheduling::{Ranking, Served};
--- a/src/fleet/peer.rs
+++ b/src/fleet/peer.rs
@@ -2,11 +2,12 @@
 
 use std::net::SocketAddr;
 
-use super::gossip::INTERVAL;
 use super::scheduling::Standing;
 use super::{Digest, Topic};
 use crate::prelude::*;
 
+/// Time between two digests.
+pub(super) const INTERVAL: Duration = Duration::from_millis(250);
 /// Time after which a peer's digest no longer counts, beyond the time to its second next one.
 const GRACE: Duration = Duration::from_millis(750);
 /// What is known of a peer.
--- a/src/fleet/place.rs
+++ b/src/fleet/place.rs
@@ -5,15 +5,12 @@
 use super::homes::{Homes, Role};
 use super::load::Load;
 use super::notice::LARGE;
-use super::prompt::{held_tokens, salt, shared_tokens};
-use super::requests::Request;
+use super::prompt::{PREFILL_TOKENS_PER_MS, held_tokens, own_ms, salt, shared_tokens};
+use super::request::Request;
 use super::residency::{Sources, Supply};
 use super::{Key, Node, Place, Prompt, Server, server};
 use crate::prelude::*;
 
-/// Prompt tokens that an engine reads in a millisecond, as its maker states; the platform's sheet
-/// gives 51.
-pub(super) const PREFILL_TOKENS_PER_MS: f64 = 50.0;
 /// Milliseconds of delay that a shared token is worth which a server lacks and another holds: a
 /// transfer takes 0.01, and reading it again, where the transfer fails, costs more than a late answer
 /// does. Measured: 0.01, 0.03 and 0.06 were tried.
@@ -320,11 +317,6 @@
     }
 }
 
-/// Milliseconds of an engine for what a prompt shares with no other.
-pub(super) fn own_ms(prompt: &Prompt) -> f64 {
-    f64::from(prompt.input.saturating_sub(shared_tokens(prompt))) / PREFILL_TOKENS_PER_MS
-}
-
 /// What the silence of a server adds to the time that is expected there.
 fn silence_ms(now: Time, load: Load) -> f64 {
     let silence = load.silence(now).saturating_sub(USUAL_SILENCE);
--- a/src/fleet/prompt.rs
+++ b/src/fleet/prompt.rs
@@ -2,6 +2,10 @@
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+/// Prompt tokens that an engine reads in a millisecond, as its maker states; the platform's sheet
+/// gives 51.
+pub(super) const PREFILL_TOKENS_PER_MS: f64 = 50.0;
+
 /// One part of a prompt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Part {
@@ -62,3 +66,8 @@
     }
     sum.min(prompt.input)
 }
+
+/// Milliseconds of an engine for what a prompt shares with no other.
+pub(super) fn own_ms(prompt: &Prompt) -> f64 {
+    f64::from(prompt.input.saturating_sub(shared_tokens(prompt))) / PREFILL_TOKENS_PER_MS
+}
--- a/src/fleet/records.rs
+++ b/src/fleet/records.rs
@@ -1,7 +1,7 @@
 //! Records of the platform's store, and what they change.
 
 use super::life::Known;
-use super::requests::Phase;
+use super::request::Phase;
 use super::{
     Batch, Change, Effect, Entry, Key, Node, Place, Read, Record, Server, Topic, Tracked, server,
 };
--- a/src/fleet/residency/sources.rs
+++ b/src/fleet/residency/sources.rs
@@ -5,8 +5,7 @@
 
 use super::Place;
 use crate::fleet::homes::Homes;
-use crate::fleet::place::PREFILL_TOKENS_PER_MS;
-use crate::fleet::prompt::{held_tokens, shared, shared_tokens};
+use crate::fleet::prompt::{PREFILL_TOKENS_PER_MS, held_tokens, shared, shared_tokens};
 use crate::fleet::{Node, Prompt, server};
 use crate::prelude::*;
 
--- a/src/fleet/scheduling/serving.rs
+++ b/src/fleet/scheduling/serving.rs
@@ -4,7 +4,7 @@
 
 use super::{Assignment, Progress, Ruling, Step, Submission, Verdict};
 use crate::fleet::place::Choice;
-use crate::fleet::requests::{Phase, Request};
+use crate::fleet::request::{Phase, Request};
 use crate::fleet::{Arrival, Command, Dispatch, Effect, Frame, Key, Node};
 use crate::prelude::*;
 use crate::route::{Route, Split, Workspace};
--- a/src/fleet/scheduling/submitting.rs
+++ b/src/fleet/scheduling/submitting.rs
@@ -1,7 +1,7 @@
 //! The requests of this daemon that another one schedules.
 
 use super::{Assignment, Progress, Ruling, Step, Submission, Verdict};
-use crate::fleet::requests::{Phase, Request};
+use crate::fleet::request::{Phase, Request};
 use crate::fleet::{
     Arrival, Command, Dispatch, Effect, Frame, Identity, Key, Node, Refused, Report, server,
 };
