Say so when a request waits once more at its scheduler

Cause: a request that its server had refused and that then waited at the scheduler got no word; its daemon took the scheduler for gone after 60 ms, went to another one and submitted nothing to it for a second, so that two placed for one pool. Read in the code; the test shows it and failed first.

--- a/src/fleet/scheduling/serving.rs
+++ b/src/fleet/scheduling/serving.rs
@@ -79,8 +79,13 @@
         let key = self.served.add(&origin.daemon, origin.request);
         let (pool, arrival) = arrival(now, key, submission);
         self.take_in(now, arrival, pool, Some(origin));
-        let waits = self.requests.get(&key).filter(|request| request.sends == 0);
-        if let Some(origin) = waits.and_then(|request| request.origin.clone()) {
+    }
+
+    /// Tells the daemon that has a request that it waits here, at first or once more: a scheduler that
+    /// says nothing is taken to be gone.
+    pub(in crate::fleet) fn tell_that_it_waits(&mut self, key: Key) {
+        let origin = self.requests.get(&key).and_then(|request| request.origin.clone());
+        if let Some(origin) = origin {
             self.rule(&origin, Ruling::Queued);
         }
     }
--- a/src/fleet/scheduling/submitting.rs
+++ b/src/fleet/scheduling/submitting.rs
@@ -75,7 +75,11 @@
         };
         self.asked.remove(&key);
         match ruling {
-            Ruling::Queued => request.phase = Phase::Submitted(Stage::Queued),
+            Ruling::Queued => {
+                if matches!(request.phase, Phase::Submitted(Stage::Asked(_))) {
+                    request.phase = Phase::Submitted(Stage::Queued);
+                }
+            }
             Ruling::Send(assignment) => self.assigned(now, key, assignment),
             Ruling::Refuse(code, after) if request.runs == 0 => {
                 self.effects.push(Effect::Command(key, Command::Refuse(code, after)));
--- a/src/fleet/tests/scheduling.rs
+++ b/src/fleet/tests/scheduling.rs
@@ -175,6 +175,21 @@
     assert_eq!((site.daemons[scheduler].node.open(), site.daemons[other].node.open()), (0, 0));
 }
 
+#[test]
+fn request_that_waits_once_more_stays_with_its_scheduler() {
+    let mut site = Site::new(6, &[("s-1", "plain 101 ready")]);
+    let (scheduler, other) = (site.scheduler("plain"), site.other());
+    let key = site.arrive(other, "plain", Repeat::Idempotent);
+    let first = site.sent(other, key);
+    // The only server refuses and is passed over for a moment: the request waits at the scheduler.
+    site.report(other, key, first.attempt, Report::Refused(Refused::Busy));
+    site.pass(ms(100));
+    assert_eq!(site.unscheduled(other), 0, "the scheduler said that it waits");
+    site.pass(ms(150));
+    assert_eq!(site.sent(other, key).attempt, 2);
+    assert_eq!((site.running(scheduler), site.running(other)), (1, 0));
+}
+
 #[test]
 fn caller_that_leaves_frees_its_place_at_the_scheduler() {
     let mut site = Site::new(6, &SERVERS);
