Tell what waits at a scheduler that it has not run when a stop ends

Cause: the end of a planned stop ended what waits here and what was sent; what another daemon was looking a server for got no answer. Read in the code; the test failed before the change by construction (no command for a submitted request).

--- a/src/fleet/admission.rs
+++ b/src/fleet/admission.rs
@@ -220,7 +220,8 @@
         self.forget(now, key);
     }
 
-    /// When a caller should come back: once what waits ahead of it has been taken by the open servers of its pool.
+    /// When a caller should come back: once what waits ahead of it has been taken by the open servers of
+    /// its pool.
     fn come_back(&mut self, now: Time, key: Key) -> Duration {
         let Some(request) = self.requests.get(&key) else { return COME_BACK_LEAST };
         let keys = self.pools.get(&request.pool).map(Vec::as_slice).unwrap_or_default();
--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -239,7 +239,10 @@
     /// was sent nothing is known. Answers that have begun go on as long as they can.
     fn stop_ends(&mut self, now: Time) {
         // What waits goes first, or it would be sent to the places that the others leave.
-        let waiting: Vec<Key> = self.waiting.iter().map(|turn| turn.key).collect();
+        let waiting = self.waiting.iter().map(|turn| turn.key);
+        let at_schedulers = self.requests.iter().filter(|(_, request)| request.is_at_a_scheduler());
+        let at_schedulers = at_schedulers.map(|(key, _)| *key);
+        let waiting: Vec<Key> = waiting.chain(at_schedulers).collect();
         for key in waiting {
             self.refuse(now, key, Code::Draining);
         }
--- a/src/fleet/request.rs
+++ b/src/fleet/request.rs
@@ -71,6 +71,11 @@
         route.repeat != Repeat::AtMostOnce && self.runs < route.attempts
     }
 
+    /// Whether it waits for a scheduler's word or at a scheduler.
+    pub(super) fn is_at_a_scheduler(&self) -> bool {
+        matches!(self.phase, Phase::Submitted(Stage::Asked(_) | Stage::Queued))
+    }
+
     /// Whether it was sent and its answer has not begun.
     pub(super) fn is_unanswered(&self) -> bool {
         match self.phase {
--- a/src/fleet/tests/scheduling.rs
+++ b/src/fleet/tests/scheduling.rs
@@ -296,6 +296,22 @@
     assert_ne!(next, scheduler);
 }
 
+#[test]
+fn stop_that_ends_tells_what_waits_at_a_scheduler_that_it_has_not_run() {
+    let mut site = Site::new(6, &[("s-1", "plain 101 ready")]);
+    let (scheduler, other) = (site.scheduler("plain"), site.other());
+    for _ in 0..2 {
+        site.arrive(scheduler, "plain", Repeat::AtMostOnce);
+    }
+    let waits = site.arrive(other, "plain", Repeat::AtMostOnce);
+    site.apply(other, Message::Stop);
+    assert!(site.commands(other, waits).is_empty());
+    site.apply(other, Message::StopEnds);
+    let commands = site.commands(other, waits);
+    assert!(matches!(commands.as_slice(), [Command::Refuse(Code::Draining, _)]), "{commands:?}");
+    assert_eq!(site.daemons[scheduler].node.open(), 2, "it no longer waits there");
+}
+
 #[test]
 fn daemon_that_starts_again_leaves_nothing_at_the_scheduler() {
     let mut site = Site::new(6, &SERVERS);
