One order of daemons, one factor for zones, no accessors beside open fields

Found on the read of the whole change: accessors of a peer's open fields; a comparison that called equals unequal both ways; the factor for crossing zones written twice; a bound on attempts that may_repeat has already. Behaviour as before.

--- a/src/fleet/peer.rs
+++ b/src/fleet/peer.rs
@@ -10,9 +10,11 @@
 pub(super) const INTERVAL: Duration = Duration::from_millis(250);
 /// Time after which a peer's digest no longer counts, beyond the time to its second next one.
 const GRACE: Duration = Duration::from_millis(750);
+
 /// What is known of a peer.
 #[derive(Debug)]
 pub(super) struct Peer {
+    /// Where it listens.
     pub(super) address: SocketAddr,
     /// Its place among those that may schedule, once its VM's size is known.
     pub(super) standing: Option<Standing>,
@@ -51,15 +53,6 @@
         others.map(|seed| (seed.to_string(), Self::new(*seed, None))).collect()
     }
 
-    /// Where it listens.
-    pub(super) fn address(&self) -> SocketAddr {
-        self.address
-    }
-
-    pub(super) fn standing(&self) -> Option<Standing> {
-        self.standing
-    }
-
     /// Whether it was heard of lately.
     pub(super) fn is_fresh(&self, now: Time) -> bool {
         let interval = self.digest.as_ref().map_or(INTERVAL, |digest| digest.interval);
--- a/src/fleet/residency/sources.rs
+++ b/src/fleet/residency/sources.rs
@@ -75,7 +75,7 @@
         let supplies = useful.map(|source| {
             let fetched = source.tokens.min(shared) - held;
             let move_ms = f64::from(fetched) * self.token_bytes / source.link * 1_000.0;
-            let zones = if source.zone == zone { 1.0 } else { OTHER_ZONE };
+            let zones = zones(&source.zone, zone);
             let delay_ms = match source.place {
                 Place::Store => self.store_delay_ms,
                 Place::Engine(_) => 0.0,
@@ -115,6 +115,11 @@
     }
 }
 
+/// By how much longer a transfer between two availability zones takes than one within a zone.
+fn zones(from: &str, to: &str) -> f64 {
+    if from == to { 1.0 } else { OTHER_ZONE }
+}
+
 impl Node {
     /// What holds the shared parts of a prompt under the weights `version`: engines and the KV store by
     /// their events; while an engine's can't be read, it is taken to hold parts that it may be a home of.
@@ -192,7 +197,7 @@
         let store = self.table.as_ref().and_then(|table| table.kv_store());
         let zone = self.servers.get(server).map(|server| server.entry.zone.as_str());
         match (store, zone) {
-            (Some(store), Some(zone)) if store.zone == zone => 1.0,
+            (Some(store), Some(zone)) => zones(&store.zone, zone),
             _ => OTHER_ZONE,
         }
     }
--- a/src/fleet/scheduling/ranking.rs
+++ b/src/fleet/scheduling/ranking.rs
@@ -42,8 +42,9 @@
         Self { cores, hash: xxh3_64(id.as_bytes()) }
     }
 
-    fn goes_before(&self, other: &Self) -> bool {
-        self.cores.total_cmp(&other.cores).then(self.hash.cmp(&other.hash)).is_gt()
+    /// Who goes before whom: the first is the least.
+    fn order(&self, other: &Self) -> Ordering {
+        other.cores.total_cmp(&self.cores).then(other.hash.cmp(&self.hash))
     }
 }
 
@@ -70,10 +71,10 @@
         let mut ranked: Vec<(Standing, Option<&str>)> = self
             .peers
             .iter()
-            .filter_map(|(id, peer)| Some((peer.standing()?, Some(id.as_str()))))
+            .filter_map(|(id, peer)| Some((peer.standing?, Some(id.as_str()))))
             .collect();
         self.ranking.before =
-            ranked.iter().filter(|(standing, _)| standing.goes_before(&own)).count();
+            ranked.iter().filter(|(standing, _)| standing.order(&own).is_lt()).count();
         let silent = |id: &str| {
             self.peers.get(id).is_none_or(|peer| peer.has_fallen_silent(now, SILENT_AFTER))
         };
@@ -81,9 +82,7 @@
         if !self.draining {
             ranked.push((own, None));
         }
-        ranked.sort_by(
-            |(a, _), (b, _)| if a.goes_before(b) { Ordering::Less } else { Ordering::Greater },
-        );
+        ranked.sort_by(|(a, _), (b, _)| a.order(b));
         let first = ranked.into_iter().take(SCHEDULERS);
         let schedulers: Vec<String> =
             first.map(|(_, id)| id.unwrap_or(&self.identity.id).to_owned()).collect();
@@ -109,7 +108,7 @@
     /// Where the other schedulers listen that were heard of lately.
     pub(in crate::fleet) fn scheduler_addresses(&self, now: Time) -> Vec<SocketAddr> {
         let heard = self.other_schedulers().filter(|(_, peer)| peer.is_fresh(now));
-        heard.map(|(_, peer)| peer.address()).collect()
+        heard.map(|(_, peer)| peer.address).collect()
     }
 
     /// How many daemons go before this one in taking what only one may have.
--- a/src/fleet/scheduling/submitting.rs
+++ b/src/fleet/scheduling/submitting.rs
@@ -6,7 +6,6 @@
     Arrival, Command, Dispatch, Effect, Frame, Identity, Key, Node, Refused, Report, server,
 };
 use crate::prelude::*;
-use crate::route::Repeat;
 
 /// Time in which a scheduler answers: some ten times the way to another zone and back. Without an answer
 /// the daemon decides by itself, so that a scheduler that has just ended costs a request no more.
@@ -326,10 +325,7 @@
         repeat: route.repeat,
         target: route.target,
         rank: workspace.and_then(|owner| owner.priority).unwrap_or(route.priority),
-        attempts: match route.repeat {
-            Repeat::AtMostOnce => 1,
-            Repeat::Idempotent | Repeat::Resumable => route.attempts,
-        },
+        attempts: route.attempts,
         pool: pool.to_owned(),
         isolated: workspace.filter(|owner| owner.isolated).map(|owner| owner.name.clone()),
         left: arrival.deadline.saturating_sub(now),
