Say on log lines whether two requests ask for the same, and how an attempt broke

On call it could not be told from the lines whether the requests that were under way when engines ended asked for the same: they name a request's id, route and workspace, and a caller that asks again does so under a new id. A lost answer says whether its connection ended or what came is none, also to the scheduler. No decision changes.

--- a/src/fleet/admission.rs
+++ b/src/fleet/admission.rs
@@ -13,6 +13,7 @@
 use super::prompt::own_ms;
 use super::request::{Phase, Request};
 use super::{Command, Key, Node, server};
+use crate::poison::Fingerprint;
 use crate::prelude::*;
 
 /// Time that a request waits for a server, as a part of its route's target: 1 / this.
@@ -55,36 +56,36 @@
 /// Callers that were refused and are expected back, by what they asked for.
 #[derive(Debug, Default)]
 pub(super) struct Expected {
-    own: BTreeMap<u64, Time>,
-    told: BTreeMap<u64, Time>,
+    own: BTreeMap<Fingerprint, Time>,
+    told: BTreeMap<Fingerprint, Time>,
 }
 
 impl Expected {
-    fn refused(&mut self, now: Time, likeness: u64) {
+    fn refused(&mut self, now: Time, fingerprint: Fingerprint) {
         self.trim(now);
         if self.own.len() < MAX_EXPECTED {
-            self.own.insert(likeness, now);
+            self.own.insert(fingerprint, now);
         }
     }
 
     /// Takes over whom a peer refused.
-    pub(super) fn hear(&mut self, now: Time, likenesses: &[u64]) {
+    pub(super) fn hear(&mut self, now: Time, refused: &[Fingerprint]) {
         self.trim(now);
-        for likeness in likenesses.iter().take(MAX_EXPECTED) {
-            self.told.entry(*likeness).or_insert(now);
+        for fingerprint in refused.iter().take(MAX_EXPECTED) {
+            self.told.entry(*fingerprint).or_insert(now);
         }
     }
 
     /// Whether a caller with this request was refused lately; it is expected once.
-    pub(super) fn is_back(&mut self, now: Time, likeness: u64) -> bool {
+    pub(super) fn is_back(&mut self, now: Time, fingerprint: Fingerprint) -> bool {
         let lately = |at: Option<Time>| at.is_some_and(|at| now < at + EXPECTED_FOR);
-        let own = lately(self.own.remove(&likeness));
+        let own = lately(self.own.remove(&fingerprint));
         // What peers told may be told again, so it is kept until it lapses.
-        own || lately(self.told.get(&likeness).copied())
+        own || lately(self.told.get(&fingerprint).copied())
     }
 
     /// Whom this daemon refused lately.
-    pub(super) fn own(&self) -> Vec<u64> {
+    pub(super) fn own(&self) -> Vec<Fingerprint> {
         self.own.keys().copied().collect()
     }
 
@@ -211,10 +212,10 @@
             0 => Command::Refuse(code, after),
             _ => Command::GiveUp,
         };
-        let likeness = request.arrival.likeness;
+        let fingerprint = request.arrival.fingerprint;
         self.log_refused(now, key, code, after);
         if matches!(command, Command::Refuse(..)) {
-            self.expected.refused(now, likeness);
+            self.expected.refused(now, fingerprint);
         }
         self.command(key, command);
         self.forget(now, key);
--- a/src/fleet/explain.rs
+++ b/src/fleet/explain.rs
@@ -3,9 +3,19 @@
 
 use super::place::Choice;
 use super::request::{Phase, Request};
-use super::{Dispatch, Key, Node, Refused, Topic, Tracked, server};
+use super::{Dispatch, Key, Loss, Node, Refused, Topic, Tracked, server};
 use crate::prelude::*;
 
+impl Loss {
+    /// Why an attempt failed, for its log line.
+    pub(super) const fn reason(self) -> &'static str {
+        match self {
+            Self::Connection => "no whole answer came: its connection ended",
+            Self::Answer => "no whole answer came: what came is none",
+        }
+    }
+}
+
 impl Node {
     /// The request and its route, with which every line on a request begins.
     fn about(request: &Request) -> Detail {
@@ -32,6 +42,7 @@
             .and("attempt", request.sends)
             .and("server", server.entry.life.id.as_str())
             .and("address", server.entry.address)
+            .and("fingerprint", request.arrival.fingerprint.to_string())
             .and("cost_ms", choice.cost_ms.round())
             .and("read_tokens", choice.tokens)
             .and("held_tokens", choice.held)
@@ -56,6 +67,7 @@
             .and("scheduler", request.scheduler.as_str())
             .and("server", dispatch.server.as_str())
             .and("address", dispatch.address)
+            .and("fingerprint", request.arrival.fingerprint.to_string())
             .and_some("weights", dispatch.weights);
         self.event(Event::AttemptSent, detail);
     }
@@ -95,6 +107,7 @@
         };
         let detail = Self::about(request)
             .and("code", u32::from(code.row().number))
+            .and("fingerprint", request.arrival.fingerprint.to_string())
             .and("sends", request.sends)
             .and("runs", request.runs)
             .and("waited_ms", waited)
@@ -111,6 +124,7 @@
         let detail = Self::about(request)
             .and("attempt", request.sends)
             .and("server", id)
+            .and("fingerprint", request.arrival.fingerprint.to_string())
             .and("reason", reason)
             .and("runs", request.runs)
             .and("may_repeat", request.may_repeat());
--- a/src/fleet/frame/mod.rs
+++ b/src/fleet/frame/mod.rs
@@ -6,6 +6,7 @@
 
 use super::scheduling::{Progress, Submission, Verdict};
 use super::{Batch, Keeper, Life, Notice, Record, Told, Topic};
+use crate::poison::Fingerprint;
 use crate::prelude::*;
 
 /// A frame that is not well-formed.
@@ -54,8 +55,8 @@
     /// The parts of prompts that most of its work is for, with milliseconds of work a second; none
     /// in most digests.
     pub heat: Vec<(u64, f32)>,
-    /// Likenesses of the requests that it refused lately.
-    pub refused: Vec<u64>,
+    /// Fingerprints of the requests that it refused lately.
+    pub refused: Vec<Fingerprint>,
     /// Bytes that it has had moved over the KV store's link since its start.
     pub link_moved: u64,
 }
@@ -269,7 +270,7 @@
             weights: weights.collect(),
             hot_parts: digest.heat.iter().map(|(part, _)| *part).collect(),
             hot_work_ms: digest.heat.iter().map(|(_, work_ms)| *work_ms).collect(),
-            refused: digest.refused,
+            refused: digest.refused.into_iter().map(|fingerprint| fingerprint.0).collect(),
             link_moved: digest.link_moved,
         }
     }
@@ -309,7 +310,7 @@
                 })
                 .collect(),
             heat: digest.hot_parts.into_iter().zip(digest.hot_work_ms).collect(),
-            refused: digest.refused,
+            refused: digest.refused.into_iter().map(Fingerprint).collect(),
             link_moved: digest.link_moved,
         })
     }
--- a/src/fleet/message.rs
+++ b/src/fleet/message.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use super::{Batch, Entry, EventsRead, Frame, Place, Prompt, Topic, server};
+use crate::poison::Fingerprint;
 use crate::prelude::*;
 use crate::route::{Route, Table, Workspace};
 
@@ -25,8 +26,8 @@
     pub deadline: Time,
     /// Its prompt, where it goes to an engine.
     pub prompt: Option<Prompt>,
-    /// Hash of what it asks for and for whom: the same where a refused caller comes back.
-    pub likeness: u64,
+    /// What it asks for and for whom: the same where its caller asks again.
+    pub fingerprint: Fingerprint,
 }
 
 /// Why a server did not run a request, by its own word.
@@ -40,6 +41,15 @@
     Weights(Option<u64>),
 }
 
+/// How an answer was lost.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Loss {
+    /// Its connection ended or failed.
+    Connection,
+    /// What came is no answer to it.
+    Answer,
+}
+
 /// What became of one attempt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Report {
@@ -52,7 +62,7 @@
     /// No byte of the request left: it provably did not run.
     Unsent,
     /// It was sent, and no whole answer came.
-    Lost,
+    Lost(Loss),
     /// The server answered with a failure of its own.
     Failed,
 }
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -39,8 +39,8 @@
 pub use frame::{Busy, Digest, Frame, Malformed};
 pub use life::Life;
 pub use message::{
-    Arrival, Change, Command, Dispatch, Effect, Key, Message, OrderEnd, Read, Refused, Report,
-    State, Tracked,
+    Arrival, Change, Command, Dispatch, Effect, Key, Loss, Message, OrderEnd, Read, Refused,
+    Report, State, Tracked,
 };
 pub use node::{Identity, Node, Policy};
 pub use notice::Notice;
--- a/src/fleet/requests.rs
+++ b/src/fleet/requests.rs
@@ -67,7 +67,7 @@
             self.note_heat(now, owner, prompt);
         }
         let key = arrival.request;
-        let returned = self.expected.is_back(now, arrival.likeness);
+        let returned = self.expected.is_back(now, arrival.fingerprint);
         let request = Request { returned, ..Request::new(now, arrival, pool, origin) };
         self.requests.insert(key, request);
         self.send_or_wait(now, key);
@@ -265,9 +265,9 @@
                 self.note_failure(now, server);
                 self.again(now, key, false, Code::RetriesExhausted);
             }
-            Report::Lost => {
+            Report::Lost(loss) => {
                 self.counts.lost += 1;
-                self.log_failed(key, server, "no whole answer came");
+                self.log_failed(key, server, loss.reason());
                 self.note_failure(now, server);
                 self.repeat(now, key);
             }
--- a/src/fleet/scheduling/message.rs
+++ b/src/fleet/scheduling/message.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use crate::fleet::{Key, Life, Prompt, Report};
+use crate::poison::Fingerprint;
 use crate::prelude::*;
 use crate::route::Repeat;
 
@@ -35,8 +36,8 @@
     pub left: Duration,
     /// Its prompt, where it goes to an engine.
     pub prompt: Option<Prompt>,
-    /// Hash of what it asks for and for whom.
-    pub likeness: u64,
+    /// What it asks for and for whom.
+    pub fingerprint: Fingerprint,
 }
 
 /// What became of a request at the daemon that has it.
--- a/src/fleet/scheduling/serving.rs
+++ b/src/fleet/scheduling/serving.rs
@@ -201,7 +201,7 @@
         workspace: submission.isolated.map(isolated),
         deadline: now + submission.left,
         prompt: submission.prompt,
-        likeness: submission.likeness,
+        fingerprint: submission.fingerprint,
     };
     (submission.pool, arrival)
 }
--- a/src/fleet/scheduling/submitting.rs
+++ b/src/fleet/scheduling/submitting.rs
@@ -181,8 +181,8 @@
                 self.counts.unsent += 1;
                 self.did_not_run(now, key, false);
             }
-            Report::Lost => {
-                self.log_failed(key, server, "no whole answer came");
+            Report::Lost(loss) => {
+                self.log_failed(key, server, loss.reason());
                 self.counts.lost += 1;
                 self.may_have_run(now, key);
             }
@@ -330,6 +330,6 @@
         isolated: workspace.filter(|owner| owner.isolated).map(|owner| owner.name.clone()),
         left: arrival.deadline.saturating_sub(now),
         prompt: arrival.prompt.clone(),
-        likeness: arrival.likeness,
+        fingerprint: arrival.fingerprint,
     }
 }
--- a/src/fleet/scheduling/wire.rs
+++ b/src/fleet/scheduling/wire.rs
@@ -3,7 +3,8 @@
 use std::net::SocketAddr;
 
 use super::{Assignment, Ruling, Step};
-use crate::fleet::{Key, Life, Malformed, Part, Prompt, Refused, Report};
+use crate::fleet::{Key, Life, Loss, Malformed, Part, Prompt, Refused, Report};
+use crate::poison::Fingerprint;
 use crate::prelude::*;
 use crate::route::Repeat;
 
@@ -36,7 +37,7 @@
     #[prost(message, optional, tag = "13")]
     prompt: Option<WirePrompt>,
     #[prost(fixed64, tag = "14")]
-    likeness: u64,
+    fingerprint: u64,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -66,6 +67,9 @@
     step: u32,
     #[prost(uint64, optional, tag = "5")]
     weights: Option<u64>,
+    /// Of a lost answer: whether something came that is none.
+    #[prost(bool, tag = "6")]
+    unusable: bool,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -147,7 +151,7 @@
             isolated: submission.isolated,
             left_ms: ms(submission.left),
             prompt: submission.prompt.map(WirePrompt::from),
-            likeness: submission.likeness,
+            fingerprint: submission.fingerprint.0,
         }
     }
 }
@@ -179,7 +183,7 @@
             isolated: wire.isolated,
             left: span(wire.left_ms),
             prompt: wire.prompt.map(Prompt::try_from).transpose()?,
-            likeness: wire.likeness,
+            fingerprint: Fingerprint(wire.fingerprint),
         })
     }
 }
@@ -223,11 +227,12 @@
             Step::Report(Report::Refused(Refused::Gone)) => (4, None),
             Step::Report(Report::Refused(Refused::Weights(weights))) => (5, weights),
             Step::Report(Report::Unsent) => (6, None),
-            Step::Report(Report::Lost) => (7, None),
+            Step::Report(Report::Lost(_)) => (7, None),
             Step::Report(Report::Failed) => (8, None),
         };
+        let unusable = progress.step == Step::Report(Report::Lost(Loss::Answer));
         let super::Progress { daemon, request, attempt, .. } = progress;
-        Self { daemon, request: request.0, attempt, step, weights }
+        Self { daemon, request: request.0, attempt, step, weights, unusable }
     }
 }
 
@@ -243,7 +248,8 @@
             4 => Step::Report(Report::Refused(Refused::Gone)),
             5 => Step::Report(Report::Refused(Refused::Weights(wire.weights))),
             6 => Step::Report(Report::Unsent),
-            7 => Step::Report(Report::Lost),
+            7 if wire.unusable => Step::Report(Report::Lost(Loss::Answer)),
+            7 => Step::Report(Report::Lost(Loss::Connection)),
             8 => Step::Report(Report::Failed),
             other => return Err(unknown("step", other)),
         };
--- a/src/fleet/tests/admission.rs
+++ b/src/fleet/tests/admission.rs
@@ -2,6 +2,7 @@
 
 use super::world::*;
 use crate::fleet::*;
+use crate::poison::Fingerprint;
 use crate::prelude::*;
 use crate::route::Repeat;
 
@@ -35,12 +36,12 @@
 fn caller_that_comes_back_goes_before_newcomers() {
     let (mut daemon, first) = full();
     let route = route("plain", Repeat::AtMostOnce, 1);
-    daemon.likeness = 77;
+    daemon.fingerprint = Fingerprint(77);
     daemon.arrive(ms(20), &route, None);
     assert_eq!(refused_after(&daemon.tick(ms(330))).len(), 1);
-    daemon.likeness = 78;
+    daemon.fingerprint = Fingerprint(78);
     let (_newcomer, _) = daemon.arrive(ms(500), &route, None);
-    daemon.likeness = 77;
+    daemon.fingerprint = Fingerprint(77);
     let (back, _) = daemon.arrive(ms(600), &route, None);
     let effects = daemon.report(ms(610), first, 1, Report::Ended);
     assert!(matches!(&by_request(&effects)[..], [(key, Command::Dispatch(_))] if *key == back));
@@ -53,13 +54,13 @@
     let digest = Digest {
         daemon: "router-2".into(),
         address: address(2).to_string(),
-        refused: vec![77],
+        refused: vec![Fingerprint(77)],
         ..Digest::default()
     };
     daemon.node.apply(ms(400), Message::Frame(Frame::Digest(digest)));
-    daemon.likeness = 78;
+    daemon.fingerprint = Fingerprint(78);
     daemon.arrive(ms(500), &route, None);
-    daemon.likeness = 77;
+    daemon.fingerprint = Fingerprint(77);
     let (back, _) = daemon.arrive(ms(600), &route, None);
     let effects = daemon.report(ms(610), first, 1, Report::Ended);
     assert!(matches!(&by_request(&effects)[..], [(key, Command::Dispatch(_))] if *key == back));
@@ -69,13 +70,13 @@
 fn caller_that_comes_back_never_goes_before_a_more_urgent_one() {
     let (mut daemon, first) = full();
     let usual = route("plain", Repeat::AtMostOnce, 1);
-    daemon.likeness = 77;
+    daemon.fingerprint = Fingerprint(77);
     daemon.arrive(ms(20), &usual, None);
     daemon.tick(ms(330));
     daemon.arrive(ms(500), &usual, None);
     let mut urgent = (*usual).clone();
     urgent.priority = 0;
-    daemon.likeness = 78;
+    daemon.fingerprint = Fingerprint(78);
     let (urgent, _) = daemon.arrive(ms(510), &Arc::new(urgent), None);
     let effects = daemon.report(ms(520), first, 1, Report::Ended);
     assert!(matches!(&by_request(&effects)[..], [(key, Command::Dispatch(_))] if *key == urgent));
@@ -87,7 +88,7 @@
     let (mut daemon, _) = full();
     let route = route("plain", Repeat::AtMostOnce, 1);
     for number in 0..200 {
-        daemon.likeness = number;
+        daemon.fingerprint = Fingerprint(number);
         daemon.arrive(ms(20), &route, None);
     }
     let after = refused_after(&daemon.tick(ms(330)));
@@ -118,7 +119,7 @@
     let mut now = ms(1_000);
     for number in 0..300 {
         now += ms(2);
-        daemon.likeness = number;
+        daemon.fingerprint = Fingerprint(number);
         let (key, effects) = daemon.arrive(now, &route, None);
         open.insert(key);
         for (key, _) in by_request(&effects) {
@@ -141,7 +142,7 @@
     let route = route("engines", Repeat::Resumable, 2);
     let mut homes = BTreeSet::new();
     for number in 0..8 {
-        daemon.likeness = number;
+        daemon.fingerprint = Fingerprint(number);
         let (_, effects) = daemon.arrive(ms(10), &route, Some(prompt(7, 3)));
         for command in commands(&effects) {
             let Command::Dispatch(dispatch) = command else { panic!("{command:?}") };
--- a/src/fleet/tests/frames.rs
+++ b/src/fleet/tests/frames.rs
@@ -1,6 +1,7 @@
 //! Frames between daemons, from any bytes.
 
 use crate::fleet::*;
+use crate::poison::Fingerprint;
 use crate::prelude::*;
 
 fn digest() -> Digest {
@@ -23,7 +24,7 @@
         busy: BTreeMap::from([(Life::new("server-1", 1_764_000_000_123), busy)]),
         weights: vec![(Life::new("server-1", 9), "m".into(), 4)],
         heat: vec![(9, 120.5), (10, 0.0)],
-        refused: vec![7],
+        refused: vec![Fingerprint(7)],
         link_moved: 1 << 40,
     }
 }
--- a/src/fleet/tests/lives.rs
+++ b/src/fleet/tests/lives.rs
@@ -20,7 +20,7 @@
     let route = route("engines", Repeat::AtMostOnce, 1);
     let (request, effects) = daemon.arrive(ms(10), &route, Some(prompt(7, 1)));
     assert_eq!(dispatch(&effects).server, "e-1");
-    daemon.report(ms(20), request, 1, Report::Lost);
+    daemon.report(ms(20), request, 1, Report::Lost(Loss::Connection));
     let (_, effects) = daemon.arrive(ms(30), &route, Some(prompt(7, 1)));
     assert!(commands(&effects).is_empty(), "it failed a moment ago");
     let effects = daemon.put(ms(40), Topic::Servers, &[NEXT]);
--- a/src/fleet/tests/requests.rs
+++ b/src/fleet/tests/requests.rs
@@ -13,7 +13,7 @@
     let route = route("plain", Repeat::AtMostOnce, 3);
     let (request, effects) = daemon.arrive(ms(10), &route, None);
     assert_eq!(dispatch(&effects).attempt, 1);
-    let effects = daemon.report(ms(20), request, 1, Report::Lost);
+    let effects = daemon.report(ms(20), request, 1, Report::Lost(Loss::Connection));
     assert_eq!(commands(&effects), [Command::GiveUp]);
 }
 
@@ -52,9 +52,9 @@
 fn lost_idempotent_is_repeated_up_to_its_attempts() {
     let mut daemon = Daemon::with(1, &TWO);
     let (request, _) = daemon.arrive(ms(10), &route("plain", Repeat::Idempotent, 2), None);
-    let effects = daemon.report(ms(20), request, 1, Report::Lost);
+    let effects = daemon.report(ms(20), request, 1, Report::Lost(Loss::Connection));
     assert_eq!(dispatch(&effects).attempt, 2);
-    let effects = daemon.report(ms(30), request, 2, Report::Lost);
+    let effects = daemon.report(ms(30), request, 2, Report::Lost(Loss::Connection));
     assert_eq!(commands(&effects), [Command::GiveUp]);
 }
 
@@ -62,8 +62,8 @@
 fn report_of_an_earlier_attempt_is_ignored() {
     let mut daemon = Daemon::with(1, &TWO);
     let (request, _) = daemon.arrive(ms(10), &route("plain", Repeat::Idempotent, 3), None);
-    daemon.report(ms(20), request, 1, Report::Lost);
-    assert!(daemon.report(ms(21), request, 1, Report::Lost).is_empty());
+    daemon.report(ms(20), request, 1, Report::Lost(Loss::Connection));
+    assert!(daemon.report(ms(21), request, 1, Report::Lost(Loss::Connection)).is_empty());
 }
 
 #[test]
@@ -124,7 +124,7 @@
 fn waiting_after_it_may_have_run_is_never_refused_as_not_run() {
     let mut daemon = Daemon::with(1, &[("s-1", "plain 11 ready")]);
     let (request, _) = daemon.arrive(ms(10), &route("plain", Repeat::Idempotent, 2), None);
-    daemon.report(ms(20), request, 1, Report::Lost);
+    daemon.report(ms(20), request, 1, Report::Lost(Loss::Connection));
     let effects = daemon.tick(ms(2_000));
     let seen = commands(&effects);
     assert!(!seen.iter().any(|c| matches!(c, Command::Refuse(..))), "{seen:?}");
@@ -191,7 +191,7 @@
     }
     let (request, _) = daemon.arrive(ms(10_900), &resumable, Some(prompt(1, 2)));
     daemon.report(ms(10_910), request, 1, Report::Begun(Some(1)));
-    let effects = daemon.report(ms(10_950), request, 1, Report::Lost);
+    let effects = daemon.report(ms(10_950), request, 1, Report::Lost(Loss::Connection));
     assert!(commands(&effects).is_empty(), "{:?}", commands(&effects));
     assert_eq!(dispatch(&daemon.tick(ms(11_050))).attempt, 2);
 }
--- a/src/fleet/tests/scheduling.rs
+++ b/src/fleet/tests/scheduling.rs
@@ -255,7 +255,7 @@
     let verdict = Verdict { daemon, request: key, ruling: Ruling::Send(assignment) };
     site.apply(other, Message::Frame(Frame::Verdict(Box::new(verdict.clone()))));
     assert!(site.commands(other, key).is_empty());
-    site.report(other, key, sent.attempt, Report::Lost);
+    site.report(other, key, sent.attempt, Report::Lost(Loss::Connection));
     assert_eq!(site.commands(other, key), [Command::GiveUp]);
     site.apply(other, Message::Frame(Frame::Verdict(Box::new(verdict))));
     assert!(site.commands(other, key).is_empty());
@@ -271,7 +271,7 @@
     site.down.insert(scheduler);
     site.pass(ms(3_000));
     assert_eq!(site.running(other), 1, "it counts for itself now");
-    site.report(other, key, sent.attempt, Report::Lost);
+    site.report(other, key, sent.attempt, Report::Lost(Loss::Connection));
     let again = site.sent(other, key);
     assert_eq!(again.attempt, sent.attempt + 1);
     site.report(other, key, again.attempt, Report::Ended);
--- a/src/fleet/tests/world.rs
+++ b/src/fleet/tests/world.rs
@@ -4,6 +4,7 @@
 
 use crate::fleet::*;
 use crate::lease;
+use crate::poison::Fingerprint;
 use crate::prelude::*;
 use crate::route::{Engine, Kind, KvStore, Limits, Pool, Repeat, Route, Split, Table, Workspace};
 
@@ -132,7 +133,7 @@
     offsets: BTreeMap<Topic, u64>,
     next_request: u64,
     /// Of the requests that come next.
-    pub likeness: u64,
+    pub fingerprint: Fingerprint,
 }
 
 impl Daemon {
@@ -145,7 +146,7 @@
             cores: 1.0,
         };
         let node = Node::new(identity, POLICY, decode, &[]);
-        Self { node, offsets: BTreeMap::new(), next_request: 0, likeness: 0 }
+        Self { node, offsets: BTreeMap::new(), next_request: 0, fingerprint: Fingerprint(0) }
     }
 
     /// A daemon that has read a table and these servers.
@@ -203,7 +204,7 @@
             workspace: workspace.map(Arc::new),
             deadline: now + route.timeout,
             prompt,
-            likeness: self.likeness,
+            fingerprint: self.fingerprint,
         };
         (request, self.node.apply(now, Message::Arrive(Box::new(arrival))))
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod order;
 pub mod peer;
 pub mod placement;
+pub mod poison;
 pub mod prefix;
 pub mod prelude;
 pub mod relay;
--- a/src/relay/passage.rs
+++ b/src/relay/passage.rs
@@ -8,12 +8,11 @@
 use async_io::Async;
 use futures_lite::{AsyncWriteExt, FutureExt};
 
-use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
-
 use super::answer::{push_chunk, stream_head, whole_answer};
 use super::exchange::{self, Answer, Failure};
-use super::{Ask, Entry, Events, Request, Response, Verdict, head};
-use crate::fleet::{Arrival, Command, Dispatch, Key, Message, Refused, Report};
+use super::{Ask, Cut, Entry, Events, Request, Response, Verdict, head};
+use crate::fleet::{Arrival, Command, Dispatch, Key, Loss, Message, Refused, Report};
+use crate::poison::Fingerprint;
 use crate::prelude::*;
 use crate::route::{Route, Workspace};
 
@@ -103,7 +102,7 @@
             workspace: self.workspace.clone(),
             deadline: self.deadline,
             prompt: self.ask.prompt.clone(),
-            likeness: self.likeness(),
+            fingerprint: self.fingerprint(),
         });
         let mut events = Events::after(self.ask.after);
         let mut failure = None;
@@ -160,12 +159,9 @@
         Attempt::Moved
     }
 
-    /// Hash of what is asked for and for whom.
-    fn likeness(&self) -> u64 {
+    fn fingerprint(&self) -> Fingerprint {
         let workspace = self.workspace.as_ref().map_or("", |owner| owner.name.as_str());
-        let own_part = self.ask.prompt.as_ref().and_then(|prompt| prompt.parts.last());
-        let seed = xxh3_64_with_seed(workspace.as_bytes(), own_part.map_or(0, |part| part.id));
-        xxh3_64_with_seed(self.request.target.as_bytes(), seed ^ xxh3_64(self.body))
+        Fingerprint::of(workspace, &self.request.method, &self.request.target, self.body)
     }
 
     fn given_up(&self, failure: Option<Box<(Response, Vec<u8>)>>) -> End {
@@ -219,10 +215,10 @@
         let answer = match sent {
             Ok(answer) => answer,
             Err(Failure::Unsent(_)) => return Attempt::Over(Report::Unsent),
-            Err(Failure::Lost(_)) => return Attempt::Over(Report::Lost),
+            Err(Failure::Lost(cut)) => return Attempt::Over(Report::Lost(loss(&cut))),
         };
         match self.entry.dialect.verdict(&self.ask, &answer.response) {
-            Verdict::Foreign => Attempt::Over(Report::Lost),
+            Verdict::Foreign => Attempt::Over(Report::Lost(Loss::Answer)),
             Verdict::Refused(refused) => self.refused(dispatch, answer, refused).await,
             Verdict::Answer(weights) if self.route.streams && answer.response.status == 200 => {
                 self.stream(writer, dispatch, answer, weights, events).await
@@ -247,8 +243,9 @@
         weights: Option<u64>,
     ) -> Attempt {
         self.report(dispatch, Report::Begun(weights));
-        let Ok(body) = answer.whole(MAX_ANSWER).await else {
-            return Attempt::Over(Report::Lost);
+        let body = match answer.whole(MAX_ANSWER).await {
+            Ok(body) => body,
+            Err(cut) => return Attempt::Over(Report::Lost(loss(&cut))),
         };
         let response = answer.response.clone();
         answer.finish(&self.entry.pool, dispatch.most_idle);
@@ -280,7 +277,7 @@
             bytes.clear();
             let more = match answer.read(&mut bytes).await {
                 Ok(more) => more,
-                Err(_) => return Attempt::Over(Report::Lost),
+                Err(cut) => return Attempt::Over(Report::Lost(loss(&cut))),
             };
             let mut whole = events.take(&bytes);
             if !more || answer.decoder.is_complete() {
@@ -314,6 +311,13 @@
     }
 }
 
+fn loss(cut: &Cut) -> Loss {
+    match cut {
+        Cut::Closed | Cut::Broken(_) => Loss::Connection,
+        Cut::Malformed(_) | Cut::TooLarge => Loss::Answer,
+    }
+}
+
 /// How one attempt ended.
 enum Attempt {
     /// The request has its answer.
--- a/src/relay/tests/passage.rs
+++ b/src/relay/tests/passage.rs
@@ -7,7 +7,7 @@
 use async_channel::{Receiver, Sender};
 use async_io::{Async, block_on};
 
-use crate::fleet::{Arrival, Command, Control, Dispatch, Letter, Message, Report};
+use crate::fleet::{Arrival, Command, Control, Dispatch, Letter, Loss, Message, Report};
 use crate::prelude::*;
 use crate::relay::*;
 use crate::route::{Limits, Repeat, Route, Split, Table, Workspace};
@@ -225,7 +225,7 @@
     commands.try_send(dispatch(2, second)).expect("it may be sent");
     let body = scene.body();
     assert!(body.len() == length + rest.len() && body.ends_with(rest.as_bytes()));
-    assert_eq!(scene.report(), (1, Report::Lost));
+    assert_eq!(scene.report(), (1, Report::Lost(Loss::Connection)));
     assert_eq!(scene.report(), (2, Report::Begun(None)));
     assert_eq!(scene.report(), (2, Report::Ended));
 }
@@ -241,7 +241,7 @@
         let mut scene = Scene::start(true);
         let (_, commands) = scene.opened();
         commands.try_send(dispatch(1, first)).expect("it waits");
-        while scene.report() != (1, Report::Lost) {}
+        while scene.report() != (1, Report::Lost(Loss::Connection)) {}
         commands.try_send(dispatch(2, second)).expect("it waits");
         assert_eq!(String::from_utf8_lossy(&scene.body()), whole, "cut after {cut} bytes");
     }
