--- a/standin/src/engine.rs
+++ b/standin/src/engine.rs
@@ -55,6 +55,9 @@
     /// Refuse orders that carry an older fencing number than one seen.
     #[arg(long)]
     pub checks_fencing: bool,
+    /// End as a crash does once a prompt with this text has been read.
+    #[arg(long, value_name = "TEXT")]
+    pub ends_on: Option<String>,
     /// Milliseconds for one answer token.
     #[arg(long, default_value_t = 2)]
     pub token_ms: u64,
@@ -268,6 +271,9 @@
         import(&state, value, &blocks).await;
     }
     let cached = prefill(&state, priority, &prompt, &blocks).await;
+    if state.borrow().options.ends_on.as_ref().is_some_and(|text| prompt.contains(text)) {
+        std::process::exit(1);
+    }
     let from = serve::value(&whole.request, header::RESUME_FROM);
     let generation = Generation {
         position: from.and_then(|from| from.parse().ok()).unwrap_or(0),
--- a/standin/src/service.rs
+++ b/standin/src/service.rs
@@ -22,6 +22,9 @@
     /// Where to listen; port 0 takes a free one.
     #[arg(long, default_value = "127.0.0.1:0")]
     pub listen: SocketAddr,
+    /// End as a crash does when a request's body has this text.
+    #[arg(long, value_name = "TEXT")]
+    pub ends_on: Option<String>,
 }
 
 /// What is set with `PUT /faults`.
@@ -44,11 +47,13 @@
     /// Runs by workspace, path and body.
     runs: BTreeMap<String, u64>,
     receipts: u64,
+    ends_on: Option<String>,
 }
 
 /// Runs the service: every request to any path but `/runs` and `/faults` is a run.
 pub fn run(options: &Options) -> eyre::Result<()> {
-    let state = Rc::new(RefCell::new(State::default()));
+    let ends_on = options.ends_on.clone();
+    let state = Rc::new(RefCell::new(State { ends_on, ..State::default() }));
     serve::run("standin-service", options.listen, move |_, whole| answer(Rc::clone(&state), whole))
 }
 
@@ -66,6 +71,9 @@
     }
     let workspace = serve::value(&whole.request, "x-workspace").unwrap_or_default().to_owned();
     let body = String::from_utf8_lossy(&whole.body).into_owned();
+    if state.borrow().ends_on.as_ref().is_some_and(|text| body.contains(text)) {
+        std::process::exit(1);
+    }
     let (receipt, faults) = {
         let mut state = state.borrow_mut();
         *state.runs.entry(format!("{workspace} {path} {body}")).or_default() += 1;
--- a/standin/tests/common/mod.rs
+++ b/standin/tests/common/mod.rs
@@ -79,6 +79,10 @@
         self.child.wait().ok();
     }
 
+    pub fn has_ended(&mut self) -> bool {
+        self.child.try_wait().is_ok_and(|status| status.is_some())
+    }
+
     /// Waits for a planned stop to end; true where it ended well.
     pub fn wait(&mut self) -> bool {
         self.child.wait().is_ok_and(|status| status.success())
@@ -178,6 +182,7 @@
     pub daemons: usize,
     pub retention_s: u64,
     pub engine_args: Vec<&'static str>,
+    pub service_args: Vec<&'static str>,
     pub settings: Value,
     pub telemetry: Value,
 }
@@ -190,6 +195,7 @@
             daemons: 2,
             retention_s: 604_800,
             engine_args: Vec::new(),
+            service_args: Vec::new(),
             settings: json!({ "drain_notice_ms": 100 }),
             telemetry: json!({}),
         }
@@ -236,7 +242,7 @@
             fleet.engines.push(engine);
         }
         for index in 0..fleet.plan.services {
-            let service = Process::start("standin-service", &[]);
+            let service = fleet.new_service();
             let address = service.address();
             fleet.list_vm(
                 &format!("service-{index}"),
@@ -264,6 +270,10 @@
         Process::start("standin-engine", &args)
     }
 
+    pub fn new_service(&self) -> Process {
+        Process::start("standin-service", &self.plan.service_args)
+    }
+
     pub fn new_daemon(&self, index: usize) -> Process {
         let path = self.dir.join(format!("router-{index}.json"));
         std::fs::write(&path, self.settings(index).to_string()).expect("the settings are written");
