--- a/src/fleet/frame/mod.rs
+++ b/src/fleet/frame/mod.rs
@@ -6,7 +6,7 @@
 
 use super::scheduling::{Progress, Submission, Verdict};
 use super::{Batch, Keeper, Life, Notice, Record, Told, Topic};
-use crate::poison::Fingerprint;
+use crate::poison::{self, Fingerprint};
 use crate::prelude::*;
 
 /// A frame that is not well-formed.
@@ -59,6 +59,8 @@
     pub refused: Vec<Fingerprint>,
     /// Bytes that it has had moved over the KV store's link since its start.
     pub link_moved: u64,
+    /// Requests that are blocked and that the platform's store is not known to keep yet.
+    pub blocked: Vec<Fingerprint>,
 }
 
 /// What daemons send each other.
@@ -82,6 +84,8 @@
     Progress(Progress),
     /// What was decided for a request that was submitted.
     Verdict(Box<Verdict>),
+    /// On requests that end servers.
+    Poison(poison::Message),
 }
 
 impl Frame {
@@ -115,6 +119,7 @@
             Self::Submission(submission) => wire::Body::Submission((*submission).into()),
             Self::Progress(progress) => wire::Body::Progress(progress.into()),
             Self::Verdict(verdict) => wire::Body::Verdict((*verdict).into()),
+            Self::Poison(message) => wire::Body::Poison(message.into()),
         };
         wire::Frame { body: Some(body) }.encode_to_vec()
     }
@@ -147,6 +152,7 @@
             }
             Some(wire::Body::Progress(progress)) => Ok(Self::Progress(progress.try_into()?)),
             Some(wire::Body::Verdict(verdict)) => Ok(Self::Verdict(Box::new(verdict.try_into()?))),
+            Some(wire::Body::Poison(message)) => Ok(Self::Poison(message.into())),
         }
     }
 }
@@ -272,6 +278,7 @@
             hot_work_ms: digest.heat.iter().map(|(_, work_ms)| *work_ms).collect(),
             refused: digest.refused.into_iter().map(|fingerprint| fingerprint.0).collect(),
             link_moved: digest.link_moved,
+            blocked: digest.blocked.into_iter().map(|fingerprint| fingerprint.0).collect(),
         }
     }
 }
@@ -312,6 +319,7 @@
             heat: digest.hot_parts.into_iter().zip(digest.hot_work_ms).collect(),
             refused: digest.refused.into_iter().map(Fingerprint).collect(),
             link_moved: digest.link_moved,
+            blocked: digest.blocked.into_iter().map(Fingerprint).collect(),
         })
     }
 }
--- a/src/fleet/frame/wire.rs
+++ b/src/fleet/frame/wire.rs
@@ -1,6 +1,7 @@
 //! The form of frames on the wire.
 
 use crate::fleet::scheduling::{WireProgress, WireSubmission, WireVerdict};
+use crate::poison::WireMessage as WirePoison;
 
 #[derive(Clone, PartialEq, prost::Message)]
 pub(super) struct Busy {
@@ -64,6 +65,8 @@
     /// Milliseconds and one more; 0 where nothing was read.
     #[prost(uint32, repeated, tag = "14")]
     pub(super) read_ages: Vec<u32>,
+    #[prost(fixed64, repeated, tag = "15")]
+    pub(super) blocked: Vec<u64>,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -164,10 +167,12 @@
     Progress(WireProgress),
     #[prost(message, tag = "9")]
     Verdict(WireVerdict),
+    #[prost(message, tag = "10")]
+    Poison(WirePoison),
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
 pub(super) struct Frame {
-    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9")]
+    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10")]
     pub(super) body: Option<Body>,
 }
--- a/src/fleet/gossip.rs
+++ b/src/fleet/gossip.rs
@@ -188,6 +188,7 @@
             heat: Vec::new(),
             refused: self.expected.own(),
             link_moved: self.link.moved(),
+            blocked: self.poison.unkept(),
         }
     }
 
@@ -201,6 +202,7 @@
             Frame::Submission(submission) => self.submission_came(now, *submission),
             Frame::Progress(progress) => self.progress_came(now, progress),
             Frame::Verdict(verdict) => self.verdict_came(now, *verdict),
+            Frame::Poison(message) => self.poison_came(now, message),
             Frame::Ask(daemon, topic, from) => {
                 let Some(peer) = self.peers.get(&daemon) else { return };
                 let records = self.catalog.since(topic, from);
@@ -242,6 +244,7 @@
             }
         }
         self.expected.hear(now, &digest.refused);
+        self.hear_blocked(now, &digest.blocked);
         // What others moved is taken off what is free by now, not off what was free at the last send.
         self.refill_link(now);
         if let Some(peer) = self.peers.get_mut(&digest.daemon) {
--- a/src/fleet/message.rs
+++ b/src/fleet/message.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use super::{Batch, Entry, EventsRead, Frame, Place, Prompt, Topic, server};
-use crate::poison::Fingerprint;
+use crate::poison::{Answer, Fingerprint, Victim};
 use crate::prelude::*;
 use crate::route::{Route, Table, Workspace};
 
@@ -131,6 +131,10 @@
         /// Cores that its VM gives it; 0 where it does not say.
         cores: f32,
     },
+    /// A request that ends servers, and is refused.
+    Blocked(Fingerprint),
+    /// A request that is no longer refused.
+    Unblocked(Fingerprint),
     /// Nothing that concerns this program.
     Nothing,
 }
@@ -239,6 +243,8 @@
     Polled(server::Key, Option<State>),
     /// Events of what keeps parts were read, or could not be.
     Events(Place, Option<EventsRead>),
+    /// A look was taken at the port of a server that may have ended.
+    Probed(Victim, Answer),
     /// A frame came from a peer.
     Frame(Frame),
     /// A planned stop was asked for.
@@ -284,6 +290,10 @@
         /// The number of the first event wanted.
         since: u64,
     },
+    /// Look whether somebody listens where a server did that may have ended.
+    Probe(Victim, SocketAddr),
+    /// Have the platform's store keep that a request is blocked, or no longer is.
+    WriteBlock(Fingerprint, bool),
     /// Give up idle connections to this address: who listened there has ended.
     Disconnect(SocketAddr),
     /// Ask an engine for its state.
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -21,6 +21,7 @@
 mod pace;
 mod peer;
 mod place;
+mod poison;
 mod prompt;
 mod records;
 mod request;
--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -20,6 +20,7 @@
 };
 use crate::lease;
 use crate::placement::Heat;
+use crate::poison;
 use crate::prelude::*;
 use crate::route::Table;
 
@@ -89,6 +90,11 @@
     /// Whether peers told something since that was added up.
     pub(super) others_are_stale: bool,
     pub(super) rollout: Rollout,
+    /// Requests that end servers.
+    pub(super) poison: poison::State,
+    /// Servers that may have ended under requests.
+    pub(super) watch: poison::Watch,
+    pub(super) next_poison_look: Time,
     /// Work by shared part.
     pub(super) heat: Heat,
     /// What the KV store keeps.
@@ -149,6 +155,9 @@
             others: BTreeMap::new(),
             others_are_stale: false,
             rollout: Rollout::default(),
+            poison: poison::State::default(),
+            watch: poison::Watch::default(),
+            next_poison_look: Time::ZERO,
             heat: Heat::default(),
             kept: Kept::default(),
             readings: BTreeMap::new(),
@@ -188,6 +197,7 @@
             Message::Ordered(server, end) => self.order_ended(now, server, end),
             Message::Polled(server, state) => self.polled(now, server, state),
             Message::Events(place, read) => self.events_read(now, place, read.as_ref()),
+            Message::Probed(victim, answer) => self.probed(now, victim, answer),
             Message::Frame(frame) => self.frame(now, frame),
             Message::Stop => self.stop(now),
             Message::StopEnds => self.stop_ends(now),
@@ -213,7 +223,10 @@
 
     /// Whether requests wait or engines carry orders out, so that time matters soon.
     pub fn is_pressed(&self) -> bool {
-        !self.waiting.is_empty() || !self.asked.is_empty() || self.rollout.is_active()
+        !self.waiting.is_empty()
+            || !self.asked.is_empty()
+            || self.rollout.is_active()
+            || self.watch.is_pressed()
     }
 
     /// The offset from which the lease is to be read next.
@@ -262,6 +275,7 @@
         self.read_events(now);
         self.sum_others(now);
         self.look_at_unanswered(now);
+        self.look_at_poison(now);
         self.drop_lapsed(now);
         self.look_at_schedulers(now);
         self.look_at_served(now);
--- a/src/fleet/place.rs
+++ b/src/fleet/place.rs
@@ -105,8 +105,12 @@
         let request = self.requests.get(&key)?;
         let keys = self.pools.get(&request.pool)?;
         let servers = keys.iter().filter_map(|key| Some((*key, self.servers.get(*key)?)));
-        let usable: Vec<(server::Key, &Server)> =
+        let mut usable: Vec<(server::Key, &Server)> =
             servers.filter(|(key, server)| self.has_room(now, *key, server)).collect();
+        let apart = self.kept_apart_from(key);
+        if usable.iter().any(|(key, _)| !apart.contains(key)) {
+            usable.retain(|(key, _)| !apart.contains(key));
+        }
         match &request.arrival.prompt {
             None => self.place_plain(now, request, &usable),
             Some(prompt) => self.place_prompt(now, request, prompt, &usable),
--- /dev/null
+++ b/src/fleet/poison.rs
@@ -0,0 +1,257 @@
+//! Requests that end servers: ends are noticed where requests are placed, counted by the schedulers, and what
+//! is blocked for it is refused by every daemon.
+
+use std::net::SocketAddr;
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::request::Phase;
+use super::{Command, Effect, Frame, Key, Node, Server, server};
+use crate::poison::{
+    Answer, BLOCKED_FOR, Fingerprint, Lost, Message, Probe, Steps, Strike, Suspect, Victim,
+};
+use crate::prelude::*;
+
+/// Time from a write of a block to the platform's store to the next, where it is not seen there.
+const WRITE_AGAIN: Duration = Duration::from_secs(2);
+/// Time by which each scheduler waits longer than the one before it until it writes a block.
+const WRITE_IN_TURN: Duration = Duration::from_millis(700);
+/// Peers that are told of ends where no scheduler is heard of.
+const TOLD_PEERS: usize = 8;
+/// Time between two looks for what is too old.
+const LOOK: Duration = Duration::from_secs(10);
+
+impl Server {
+    /// Its present life, as all daemons name it.
+    fn victim(&self) -> Victim {
+        let life = &self.entry.life;
+        Victim::of(&life.id, Some(&life.born.to_string()))
+    }
+}
+
+impl Node {
+    /// Takes over that the connection broke on which a request ran. A server that leaves ends by plan.
+    pub(super) fn connection_lost(&mut self, now: Time, key: Key, server: server::Key, ran: Time) {
+        let Some(fingerprint) = self.fingerprint(key) else { return };
+        let Some(server) = self.servers.get(server) else { return };
+        if server.entry.leaving {
+            return;
+        }
+        let pool = server.entry.pool.as_str();
+        let suspect = Suspect {
+            victim: server.victim(),
+            address: server.entry.address,
+            pool: xxh3_64(pool.as_bytes()),
+            servers: self.pools.get(pool).map_or(0, |keys| keys.len() as u32),
+        };
+        let steps = self.watch.lost(now, suspect, Lost { fingerprint, ran });
+        self.take_steps(now, steps);
+    }
+
+    /// Takes over what a look at a server's port found.
+    pub(super) fn probed(&mut self, now: Time, victim: Victim, answer: Answer) {
+        let steps = self.watch.answered(now, victim, answer);
+        self.take_steps(now, steps);
+    }
+
+    /// Takes over that a server's registration is gone, or that it has started again.
+    pub(super) fn registration_ended(&mut self, now: Time, server: &Server) {
+        if !server.entry.leaving {
+            let steps = self.watch.ended(now, server.victim());
+            self.take_steps(now, steps);
+        }
+    }
+
+    /// Takes over that a server answered.
+    pub(super) fn lives(&mut self, now: Time, server: server::Key) {
+        if let Some(server) = self.servers.get(server) {
+            self.watch.heard(now, server.victim());
+        }
+    }
+
+    fn take_steps(&mut self, now: Time, steps: Steps) {
+        for Probe { victim, address } in steps.probes {
+            self.effects.push(Effect::Probe(victim, address));
+        }
+        if steps.strikes.is_empty() {
+            return;
+        }
+        let present = steps.strikes.iter().map(|strike| strike.fingerprint.to_string());
+        let detail = Detail::of("server", self.server_of(steps.strikes[0].victim))
+            .and("requests", steps.strikes.len())
+            .and("fingerprints", present.collect::<Vec<String>>().join(" "));
+        self.event(Event::ServerEnded, detail);
+        let mut addresses = self.scheduler_addresses(now);
+        if addresses.is_empty() {
+            addresses = self.fresh_addresses(now);
+            self.rng.shuffle(&mut addresses);
+            addresses.truncate(TOLD_PEERS);
+        }
+        self.tell_of_poison(addresses, Message::Strikes(steps.strikes.clone()));
+        self.strike(now, steps.strikes);
+    }
+
+    fn server_of(&self, victim: Victim) -> String {
+        let known = self.servers.values().find(|server| server.victim() == victim);
+        known.map_or_else(String::new, |server| server.entry.life.id.clone())
+    }
+
+    fn tell_of_poison(&mut self, addresses: Vec<SocketAddr>, message: Message) {
+        if !addresses.is_empty() {
+            self.effects.push(Effect::Send(addresses, Frame::Poison(message)));
+        }
+    }
+
+    /// Takes over a peer's word.
+    pub(super) fn poison_came(&mut self, now: Time, message: Message) {
+        match message {
+            Message::Strikes(strikes) => self.strike(now, strikes),
+            Message::Served(fingerprint) => {
+                let blocked = self.poison.served(now, fingerprint);
+                self.announce(now, blocked.unwrap_or_default());
+            }
+            Message::Blocked(blocked) => self.hear_blocked(now, &blocked),
+        }
+    }
+
+    fn strike(&mut self, now: Time, strikes: Vec<Strike>) {
+        let struck = |strike: &Strike| self.poison.strike(now, *strike);
+        let blocked: Vec<Strike> = strikes.into_iter().filter(struck).collect();
+        self.announce(now, blocked.into_iter().map(|strike| strike.fingerprint).collect());
+    }
+
+    /// Tells all peers what is blocked from now on, and refuses it.
+    fn announce(&mut self, now: Time, blocked: Vec<Fingerprint>) {
+        if blocked.is_empty() {
+            return;
+        }
+        let addresses = self.fresh_addresses(now);
+        self.tell_of_poison(addresses, Message::Blocked(blocked.clone()));
+        for fingerprint in blocked {
+            self.blocked(now, fingerprint);
+        }
+    }
+
+    /// Takes over what peers, or the platform's store, say is blocked.
+    pub(super) fn hear_blocked(&mut self, now: Time, blocked: &[Fingerprint]) {
+        for fingerprint in blocked {
+            if self.poison.block(now, *fingerprint) {
+                self.blocked(now, *fingerprint);
+            }
+        }
+    }
+
+    /// Ends the requests that have just been blocked, but for those whose answer has begun.
+    fn blocked(&mut self, now: Time, fingerprint: Fingerprint) {
+        self.event(
+            Event::RequestBlocked,
+            Detail::of("fingerprint", fingerprint.to_string()).and("left_ms", BLOCKED_FOR),
+        );
+        let ended = self.requests.iter().filter(|(_, request)| {
+            request.arrival.fingerprint == fingerprint && !request.has_begun()
+        });
+        let ended: Vec<Key> = ended.map(|(key, _)| *key).collect();
+        for key in ended {
+            self.refuse_blocked(now, key);
+        }
+    }
+
+    /// Refuses a request that is blocked, or gives it up where it may have run.
+    pub(super) fn refuse_blocked(&mut self, now: Time, key: Key) {
+        let Some(request) = self.requests.get(&key) else { return };
+        let after = self.poison.left(now, request.arrival.fingerprint);
+        let command = match request.runs {
+            0 => Command::Refuse(Code::RequestBlocked, after),
+            _ => Command::GiveUp,
+        };
+        self.log_refused(now, key, Code::RequestBlocked, after);
+        self.command(key, command);
+        self.forget(now, key);
+    }
+
+    /// Whether a request is blocked.
+    pub(super) fn is_blocked(&self, key: Key) -> bool {
+        self.fingerprint(key).is_some_and(|fingerprint| self.poison.is_blocked(fingerprint))
+    }
+
+    /// Whether a request that has just been lost may be what ends servers, with what is not yet sure.
+    pub(super) fn may_end_servers(&self, now: Time, key: Key) -> bool {
+        let Some(fingerprint) = self.fingerprint(key) else { return false };
+        self.poison.is_suspect(fingerprint, self.watch.doubted(now, fingerprint))
+    }
+
+    fn fingerprint(&self, key: Key) -> Option<Fingerprint> {
+        Some(self.requests.get(&key)?.arrival.fingerprint)
+    }
+
+    /// Takes over that a request was answered.
+    pub(super) fn was_served(&mut self, now: Time, key: Key) {
+        let Some(fingerprint) = self.fingerprint(key) else { return };
+        if let Some(blocked) = self.poison.served(now, fingerprint) {
+            let addresses = self.scheduler_addresses(now);
+            self.tell_of_poison(addresses, Message::Served(fingerprint));
+            self.announce(now, blocked);
+        }
+    }
+
+    /// Servers at which a request runs that is as suspect as this one: the next end there would tell
+    /// neither from the other.
+    pub(super) fn kept_apart_from(&self, key: Key) -> BTreeSet<server::Key> {
+        let is_prime =
+            |key| self.fingerprint(key).is_some_and(|found| self.poison.is_prime_suspect(found));
+        if !is_prime(key) {
+            return BTreeSet::new();
+        }
+        let own = self.fingerprint(key);
+        let others = self.requests.iter().filter_map(|(other, request)| match request.phase {
+            Phase::Sent { server, .. } if Some(request.arrival.fingerprint) != own => {
+                Some((*other, server))
+            }
+            _ => None,
+        });
+        others.filter(|(other, _)| is_prime(*other)).map(|(_, server)| server).collect()
+    }
+
+    /// Looks at servers in doubt, has blocks written, and forgets what is too old.
+    pub(super) fn look_at_poison(&mut self, now: Time) {
+        for Probe { victim, address } in self.watch.due(now) {
+            self.effects.push(Effect::Probe(victim, address));
+        }
+        if self.is_scheduler(now) {
+            let turn = WRITE_IN_TURN * self.rank_among_daemons();
+            let due = self.poison.to_write(now.saturating_sub(turn), WRITE_AGAIN);
+            self.effects.extend(due.into_iter().map(|block| Effect::WriteBlock(block, true)));
+        }
+        if now < self.next_poison_look {
+            return;
+        }
+        self.next_poison_look = now + LOOK;
+        for lapsed in self.poison.expire(now) {
+            self.event(Event::BlockEnded, Detail::of("fingerprint", lapsed.to_string()));
+            if self.is_scheduler(now) {
+                self.effects.push(Effect::WriteBlock(lapsed, false));
+            }
+        }
+    }
+
+    /// Takes over that the platform's store keeps a block.
+    pub(super) fn block_kept(&mut self, now: Time, fingerprint: Fingerprint) {
+        self.hear_blocked(now, &[fingerprint]);
+        self.poison.kept(fingerprint);
+    }
+
+    /// Takes over that a block is gone from the platform's store.
+    pub(super) fn block_gone(&mut self, fingerprint: Fingerprint) {
+        if self.poison.lift(fingerprint) {
+            self.event(Event::BlockEnded, Detail::of("fingerprint", fingerprint.to_string()));
+        }
+    }
+
+    /// Gives daemons that have come to schedule what is known of ends so far.
+    pub(super) fn hand_strikes(&mut self, now: Time, newcomers: Vec<SocketAddr>) {
+        let strikes = self.poison.strikes(now);
+        if !strikes.is_empty() {
+            self.tell_of_poison(newcomers, Message::Strikes(strikes));
+        }
+    }
+}
--- a/src/fleet/records.rs
+++ b/src/fleet/records.rs
@@ -73,7 +73,7 @@
                     self.unreadable.remove(&(topic, record.key.clone()));
                     self.change(now, change);
                 }
-                Err(reason) => self.unreadable(topic, record, reason),
+                Err(reason) => self.unreadable(now, topic, record, reason),
             }
         }
         self.catalog.trim();
@@ -86,12 +86,12 @@
     /// Takes over a record that can't be read: it names no server, also where its key once did; the
     /// last configuration and the last weights that were named hold. Told of once for each key and
     /// reason, since another writer may repeat it as often as servers register.
-    fn unreadable(&mut self, topic: Topic, record: &Record, reason: String) {
+    fn unreadable(&mut self, now: Time, topic: Topic, record: &Record, reason: String) {
         self.counts.unreadable += 1;
         if topic == Topic::Servers
             && let Some(key) = self.lives.registered(&record.key)
         {
-            self.remove(key);
+            self.remove(now, key);
         }
         let detail = Detail::of("topic", format!("{topic:?}"))
             .and("key", record.key.as_str())
@@ -115,6 +115,8 @@
             Change::Server(entry) => self.register(now, entry),
             Change::ServerGone(id) => self.unregister(now, &id),
             Change::Router { id, address, cores } => self.meet(now, id, address, cores),
+            Change::Blocked(fingerprint) => self.block_kept(now, fingerprint),
+            Change::Unblocked(fingerprint) => self.block_gone(fingerprint),
             Change::Nothing => {}
         }
     }
@@ -176,7 +178,7 @@
         let address = self.servers.get(former).map(|server| server.entry.address);
         let detail = Detail::of("server", entry.life.id.as_str()).and("born", entry.life.born);
         self.event(Event::ServerRestarted, detail);
-        self.remove(former);
+        self.remove(now, former);
         self.add(entry);
         self.effects.extend(address.map(Effect::Disconnect));
         let lost = self.requests.iter().filter(|(_, request)| {
@@ -200,7 +202,7 @@
             }
             return;
         }
-        self.remove(key);
+        self.remove(now, key);
     }
 
     pub(super) fn drop_lapsed(&mut self, now: Time) {
@@ -216,13 +218,14 @@
             .map(|(key, _)| key)
             .collect();
         for key in lapsed {
-            self.remove(key);
+            self.remove(now, key);
         }
     }
 
-    pub(super) fn remove(&mut self, key: server::Key) {
+    pub(super) fn remove(&mut self, now: Time, key: server::Key) {
         let Some(server) = self.servers.remove(key) else { return };
         self.lives.end(&server.entry.life);
+        self.registration_ended(now, &server);
         self.others.remove(&key);
         self.readings.remove(&Place::Engine(key));
         if let Some(keys) = self.pools.get_mut(&server.entry.pool) {
--- a/src/fleet/request.rs
+++ b/src/fleet/request.rs
@@ -78,9 +78,15 @@
 
     /// Whether it was sent and its answer has not begun.
     pub(super) fn is_unanswered(&self) -> bool {
+        let sent = matches!(self.phase, Phase::Sent { .. } | Phase::Submitted(Stage::Placed(_)));
+        sent && !self.has_begun()
+    }
+
+    /// Whether its answer has begun.
+    pub(super) fn has_begun(&self) -> bool {
         match self.phase {
-            Phase::Sent { begun, .. } => !begun,
-            Phase::Submitted(Stage::Placed(placed)) => !placed.has_begun(),
+            Phase::Sent { begun, .. } => begun,
+            Phase::Submitted(Stage::Placed(placed)) => placed.has_begun(),
             Phase::Submitted(Stage::Asked(_) | Stage::Queued) | Phase::Waiting(_) => false,
         }
     }
--- a/src/fleet/requests.rs
+++ b/src/fleet/requests.rs
@@ -6,7 +6,7 @@
 use super::request::{Phase, Request};
 use super::retry::Terms;
 use super::scheduling::{Origin, Stage};
-use super::{Arrival, Command, Dispatch, Key, Node, Refused, Report, server};
+use super::{Arrival, Command, Dispatch, Key, Loss, Node, Refused, Report, server};
 use crate::prelude::*;
 
 /// Sends of one request at most, those that were refused or never left included.
@@ -43,6 +43,9 @@
         let key = arrival.request;
         let request = Request::new(now, arrival, pool, None);
         self.requests.insert(key, request);
+        if self.is_blocked(key) {
+            return self.refuse_blocked(now, key);
+        }
         if !self.submit(now, key)
             && let Some(request) = self.requests.remove(&key)
         {
@@ -70,6 +73,9 @@
         let returned = self.expected.is_back(now, arrival.fingerprint);
         let request = Request { returned, ..Request::new(now, arrival, pool, origin) };
         self.requests.insert(key, request);
+        if self.is_blocked(key) {
+            return self.refuse_blocked(now, key);
+        }
         self.send_or_wait(now, key);
     }
 
@@ -245,6 +251,7 @@
             }
             Report::Ended => {
                 self.heard(now, server);
+                self.was_served(now, key);
                 if let Some(server) = self.servers.get_mut(server) {
                     server.succeeded();
                 }
@@ -268,6 +275,9 @@
             Report::Lost(loss) => {
                 self.counts.lost += 1;
                 self.log_failed(key, server, loss.reason());
+                if loss == Loss::Connection {
+                    self.connection_lost(now, key, server, now.saturating_sub(at));
+                }
                 self.note_failure(now, server);
                 self.repeat(now, key);
             }
@@ -281,6 +291,7 @@
     }
 
     pub(super) fn heard(&mut self, now: Time, server: server::Key) {
+        self.lives(now, server);
         if let Some(server) = self.servers.get_mut(server) {
             server.heard_at = Some(now);
         }
@@ -349,11 +360,13 @@
         self.send_or_wait(now, key);
     }
 
-    /// Sends a request once more that may have run, where its route allows it.
+    /// Sends a request once more that may have run, where its route allows it and it is not likely to be
+    /// what ended its server.
     pub(super) fn repeat(&mut self, now: Time, key: Key) {
         self.release(key);
+        let harmless = !self.may_end_servers(now, key);
         let Some(request) = self.requests.get_mut(&key) else { return };
-        if request.may_repeat() {
+        if request.may_repeat() && harmless {
             request.owes = true;
             return self.send_or_wait(now, key);
         }
--- a/src/fleet/run.rs
+++ b/src/fleet/run.rs
@@ -274,6 +274,8 @@
                 | Effect::Order { .. }
                 | Effect::Poll(..)
                 | Effect::ReadEvents { .. }
+                | Effect::Probe(..)
+                | Effect::WriteBlock(..)
                 | Effect::Disconnect(_)) => {
                     self.outward.try_send(outward).ok();
                 }
--- a/src/fleet/scheduling/ranking.rs
+++ b/src/fleet/scheduling/ranking.rs
@@ -89,7 +89,10 @@
         for (id, peer) in &mut self.peers {
             peer.watch(now, schedulers.contains(id), SILENT_AFTER);
         }
+        let newcomers = schedulers.iter().filter(|id| !self.ranking.schedulers.contains(id));
+        let newcomers = newcomers.filter_map(|id| self.peer_address(id)).collect();
         self.ranking.schedulers = schedulers;
+        self.hand_strikes(now, newcomers);
     }
 
     /// Whether this daemon schedules and tells all daemons so.
--- a/src/fleet/scheduling/submitting.rs
+++ b/src/fleet/scheduling/submitting.rs
@@ -167,6 +167,7 @@
             }
             Report::Ended => {
                 self.heard(now, server);
+                self.was_served(now, key);
                 self.requests.remove(&key);
             }
             Report::Refused(refused) => {
--- a/src/fleet/tests/frames.rs
+++ b/src/fleet/tests/frames.rs
@@ -1,7 +1,7 @@
 //! Frames between daemons, from any bytes.
 
 use crate::fleet::*;
-use crate::poison::Fingerprint;
+use crate::poison::{self, Fingerprint};
 use crate::prelude::*;
 
 fn digest() -> Digest {
@@ -26,6 +26,7 @@
         heat: vec![(9, 120.5), (10, 0.0)],
         refused: vec![Fingerprint(7)],
         link_moved: 1 << 40,
+        blocked: vec![Fingerprint(9)],
     }
 }
 
@@ -53,6 +54,16 @@
         }),
         Frame::AskHeld("router-2".into(), Keeper::Store(([10, 0, 0, 9], 80).into())),
         Frame::Records(Batch { topic: Topic::Servers, from: 1, to: 3, records }),
+        Frame::Poison(poison::Message::Strikes(vec![poison::Strike {
+            fingerprint: Fingerprint(u64::MAX),
+            victim: poison::Victim::of("server-1", None),
+            pool: 8,
+            servers: 18,
+            ran: Duration::from_millis(140),
+            age: Duration::from_millis(70),
+        }])),
+        Frame::Poison(poison::Message::Served(Fingerprint(0))),
+        Frame::Poison(poison::Message::Blocked(vec![Fingerprint(4), Fingerprint(5)])),
     ] {
         assert_eq!(Frame::decode(&frame.encode()), Ok(frame));
     }
--- /dev/null
+++ b/src/fleet/tests/poison.rs
@@ -0,0 +1,220 @@
+//! Requests that end servers, and those that only ran beside them.
+
+use super::site::Site;
+use super::world::*;
+use crate::fleet::*;
+use crate::poison::Fingerprint;
+use crate::prelude::*;
+use crate::route::Repeat;
+
+const FATAL: Fingerprint = Fingerprint(u64::MAX);
+
+fn engines(count: u8) -> Vec<(String, String)> {
+    (0..count).map(|n| (format!("e-{n}"), format!("engine {} ready 1", 100 + n))).collect()
+}
+
+/// Daemons before a number of engines.
+fn site(daemons: u8, count: u8) -> Site {
+    let engines = engines(count);
+    let engines: Vec<(&str, &str)> =
+        engines.iter().map(|(id, value)| (id.as_str(), value.as_str())).collect();
+    Site::new(daemons, &engines)
+}
+
+/// A request comes to a daemon for a pool; its key.
+fn ask(site: &mut Site, daemon: usize, fingerprint: Fingerprint) -> Key {
+    site.daemons[daemon].fingerprint = fingerprint;
+    site.arrive(daemon, "engines", Repeat::AtMostOnce)
+}
+
+/// Where a request is sent next that was just told to go on, past servers that have ended.
+fn sent_somewhere(site: &mut Site, daemon: usize, key: Key) -> Option<Dispatch> {
+    loop {
+        let commands = site.commands(daemon, key);
+        let [Command::Dispatch(dispatch)] = commands.as_slice() else { return None };
+        if !site.ended.contains(&dispatch.address) {
+            return Some(dispatch.clone());
+        }
+        site.report(daemon, key, dispatch.attempt, Report::Unsent);
+    }
+}
+
+/// A request ends the server that it is sent to; false where it is sent to none.
+fn ends_a_server(site: &mut Site, daemon: usize, fingerprint: Fingerprint) -> bool {
+    let key = ask(site, daemon, fingerprint);
+    let Some(dispatch) = sent_somewhere(site, daemon, key) else { return false };
+    site.ended.insert(dispatch.address);
+    site.report(daemon, key, dispatch.attempt, Report::Lost(Loss::Connection));
+    site.pass(ms(400));
+    true
+}
+
+fn refusal(site: &mut Site, daemon: usize, key: Key) -> Option<Code> {
+    match site.commands(daemon, key).as_slice() {
+        [Command::Refuse(code, after)] if *after > Duration::ZERO => Some(*code),
+        _ => None,
+    }
+}
+
+#[test]
+fn request_that_three_servers_ended_under_is_refused_by_all() {
+    for daemons in [1, 3, 7, 50] {
+        let mut site = site(daemons, 8);
+        let count = usize::from(daemons);
+        let ended = (0..8).filter(|n| ends_a_server(&mut site, n % count, FATAL)).count();
+        assert_eq!(ended, 3, "servers that it ended before {daemons} daemons");
+        for daemon in 0..count {
+            let key = ask(&mut site, daemon, FATAL);
+            let code = refusal(&mut site, daemon, key);
+            assert_eq!(code, Some(Code::RequestBlocked), "daemon {daemon} of {daemons}");
+        }
+        let other = ask(&mut site, 0, Fingerprint(1));
+        site.sent(0, other);
+    }
+}
+
+#[test]
+fn lost_answer_of_a_server_that_lives_on_counts_for_nothing() {
+    let mut site = site(3, 5);
+    for n in 0..10 {
+        let key = ask(&mut site, n % 3, FATAL);
+        let attempt = site.sent(n % 3, key).attempt;
+        site.report(n % 3, key, attempt, Report::Lost(Loss::Connection));
+        site.pass(ms(5_000));
+    }
+}
+
+#[test]
+fn answer_that_is_none_counts_for_nothing() {
+    let mut site = site(3, 5);
+    for n in 0..5 {
+        let key = ask(&mut site, n % 3, FATAL);
+        let sent = site.sent(n % 3, key);
+        site.ended.insert(sent.address);
+        site.report(n % 3, key, sent.attempt, Report::Lost(Loss::Answer));
+        site.pass(ms(5_000));
+        site.ended.clear();
+    }
+}
+
+#[test]
+fn server_that_leaves_by_plan_counts_for_nothing() {
+    let mut site = site(1, 5);
+    for _ in 0..4 {
+        let key = ask(&mut site, 0, FATAL);
+        let sent = site.sent(0, key);
+        let last = sent.address.ip().to_string().rsplit('.').next().map(str::to_owned);
+        let value = format!("engine {} draining 1", last.expect("it has four numbers"));
+        let now = site.now;
+        site.daemons[0].put(now, Topic::Servers, &[(&sent.server, &value)]);
+        site.ended.insert(sent.address);
+        site.report(0, key, sent.attempt, Report::Lost(Loss::Connection));
+        site.pass(ms(1_000));
+    }
+    let key = ask(&mut site, 0, FATAL);
+    site.sent(0, key);
+}
+
+#[test]
+fn request_that_was_answered_since_is_not_blocked() {
+    let mut site = site(3, 8);
+    for n in 0..6 {
+        assert!(ends_a_server(&mut site, n % 3, FATAL), "end {n}");
+        let key = ask(&mut site, n % 3, FATAL);
+        let attempt = sent_somewhere(&mut site, n % 3, key).expect("a server is left").attempt;
+        site.report(n % 3, key, attempt, Report::Begun(Some(1)));
+        site.report(n % 3, key, attempt, Report::Ended);
+        site.pass(ms(100));
+    }
+}
+
+#[test]
+fn request_that_may_be_repeated_is_not_repeated_past_the_third_server() {
+    let mut site = site(3, 8);
+    assert!(ends_a_server(&mut site, 0, FATAL) && ends_a_server(&mut site, 1, FATAL));
+    site.daemons[2].fingerprint = FATAL;
+    let key = site.arrive(2, "engines", Repeat::Resumable);
+    let sent = sent_somewhere(&mut site, 2, key).expect("a server is left");
+    site.ended.insert(sent.address);
+    site.report(2, key, sent.attempt, Report::Lost(Loss::Connection));
+    assert_eq!(site.commands(2, key), [Command::GiveUp]);
+}
+
+#[test]
+fn copies_under_way_end_with_the_block_unless_they_are_answered() {
+    let mut site = site(3, 8);
+    assert!(ends_a_server(&mut site, 0, FATAL) && ends_a_server(&mut site, 1, FATAL));
+    let running = ask(&mut site, 2, FATAL);
+    sent_somewhere(&mut site, 2, running).expect("a server is left");
+    let answered = ask(&mut site, 1, FATAL);
+    let attempt = sent_somewhere(&mut site, 1, answered).expect("a server is left").attempt;
+    site.report(1, answered, attempt, Report::Begun(Some(1)));
+    assert!(ends_a_server(&mut site, 0, FATAL));
+    assert_eq!(site.commands(2, running), [Command::GiveUp], "it may have run");
+    assert_eq!(site.commands(1, answered), []);
+}
+
+#[test]
+fn ends_are_remembered_when_schedulers_stop_one_after_the_other() {
+    let mut site = site(7, 8);
+    let scheduler = site.scheduler("engines");
+    assert!(ends_a_server(&mut site, scheduler, FATAL));
+    for _ in 0..2 {
+        let scheduler = site.scheduler("engines");
+        site.down.insert(scheduler);
+        site.pass(ms(4_000));
+    }
+    let mut ended = 1;
+    for n in (0..7).cycle().take(28) {
+        if !site.down.contains(&n) && ends_a_server(&mut site, n, FATAL) {
+            ended += 1;
+        }
+    }
+    assert_eq!(ended, 3, "servers that it ended");
+}
+
+#[test]
+fn daemon_that_starts_again_learns_of_blocks_from_peers_or_the_store() {
+    let mut site = site(3, 8);
+    for n in 0..3 {
+        assert!(ends_a_server(&mut site, n, FATAL));
+    }
+    let blocked = |daemon: &mut Daemon, now| {
+        daemon.fingerprint = FATAL;
+        let (_, effects) = daemon.arrive(now, &route("engines", Repeat::AtMostOnce, 1), None);
+        matches!(commands(&effects).as_slice(), [Command::Refuse(Code::RequestBlocked, _)])
+    };
+    let mut told = Daemon::with(9, &[]);
+    let digest = site.daemons[0].node.apply(site.now + ms(600), Message::Tick);
+    for effect in digest {
+        if let Effect::Send(_, frame @ Frame::Digest(_)) = effect {
+            told.node.apply(ms(10), Message::Frame(frame));
+        }
+    }
+    assert!(blocked(&mut told, ms(20)), "a digest tells of blocks that are not written");
+    assert!(site.written.contains(&(FATAL, true)), "a scheduler has it written");
+    let mut read = Daemon::with(8, &[]);
+    let record = format!("blocked {}", FATAL.0);
+    read.put(ms(10), Topic::Routers, &[(&format!("blocked-{}", FATAL.0), &record)]);
+    assert!(blocked(&mut read, ms(20)), "the store tells of it");
+    read.put(ms(30), Topic::Routers, &[(&format!("blocked-{}", FATAL.0), "")]);
+    assert!(!blocked(&mut read, ms(40)), "operators may take it away");
+}
+
+#[test]
+fn blocks_are_written_until_the_store_shows_them() {
+    let mut site = site(3, 8);
+    for n in 0..3 {
+        assert!(ends_a_server(&mut site, n, FATAL));
+    }
+    site.pass(ms(9_000));
+    let tries = site.written.len();
+    assert!((3..=15).contains(&tries), "{tries} writes in nine seconds of an outage");
+    let record = format!("blocked {}", FATAL.0);
+    let now = site.now;
+    for daemon in &mut site.daemons {
+        daemon.put(now, Topic::Routers, &[(&format!("blocked-{}", FATAL.0), &record)]);
+    }
+    site.pass(ms(9_000));
+    assert_eq!(site.written.len(), tries);
+}
--- /dev/null
+++ b/src/fleet/tests/site.rs
@@ -0,0 +1,156 @@
+//! Several daemons that hear each other.
+
+use std::net::SocketAddr;
+
+use super::world::*;
+use crate::fleet::*;
+use crate::poison::{Answer, Fingerprint};
+use crate::prelude::*;
+use crate::route::Repeat;
+
+/// Daemons that hear each other, but for those that are down.
+pub struct Site {
+    pub daemons: Vec<Daemon>,
+    pub down: BTreeSet<usize>,
+    pub now: Time,
+    /// What traffic was told, by daemon.
+    pub told: Vec<Vec<(Key, Command)>>,
+    /// The subject of the prompts that come next.
+    pub subject: u64,
+    /// Where servers have ended, so that nobody listens.
+    pub ended: BTreeSet<SocketAddr>,
+    /// Blocks that the store was to keep, or no longer.
+    pub written: Vec<(Fingerprint, bool)>,
+}
+
+impl Site {
+    /// Daemons that have heard of each other for some seconds.
+    pub fn new(count: u8, servers: &[(&str, &str)]) -> Self {
+        let routers = (1..=count).map(|last| (format!("router-{last}"), format!("router {last}")));
+        let routers: Vec<(String, String)> = routers.collect();
+        let routers: Vec<(&str, &str)> =
+            routers.iter().map(|(id, value)| (id.as_str(), value.as_str())).collect();
+        let daemons = (1..=count).map(|last| {
+            let mut daemon = Daemon::with(last, servers);
+            daemon.put(ms(0), Topic::Routers, &routers);
+            daemon
+        });
+        let daemons: Vec<Daemon> = daemons.collect();
+        let told = vec![Vec::new(); daemons.len()];
+        let mut site = Self {
+            daemons,
+            down: BTreeSet::new(),
+            now: ms(0),
+            told,
+            subject: 3,
+            ended: BTreeSet::new(),
+            written: Vec::new(),
+        };
+        site.pass(ms(4_000));
+        site
+    }
+
+    /// Time passes, with a tick every 20 ms.
+    pub fn pass(&mut self, span: Duration) {
+        let end = self.now + span;
+        while self.now < end {
+            self.now += ms(20).min(end - self.now);
+            for index in 0..self.daemons.len() {
+                self.apply(index, Message::Tick);
+            }
+        }
+    }
+
+    pub fn apply(&mut self, index: usize, message: Message) {
+        let mut pending = vec![(index, message)];
+        while let Some((index, message)) = pending.pop() {
+            if self.down.contains(&index) {
+                continue;
+            }
+            let effects = self.daemons[index].node.apply(self.now, message);
+            pending.extend(self.carry(index, effects));
+        }
+    }
+
+    /// Notes commands, and returns frames as messages to those that they go to, the last first.
+    pub fn carry(&mut self, index: usize, effects: Vec<Effect>) -> Vec<(usize, Message)> {
+        let mut messages = Vec::new();
+        for effect in effects {
+            match effect {
+                Effect::Command(key, command) => self.told[index].push((key, command)),
+                Effect::Send(to, frame) => {
+                    let daemons = 0..self.daemons.len();
+                    let to = daemons.filter(|i| to.contains(&address(*i as u8 + 1)));
+                    messages.extend(to.map(|to| (to, Message::Frame(frame.clone()))));
+                }
+                Effect::Probe(victim, address) => {
+                    let answer = match self.ended.contains(&address) {
+                        true => Answer::Refused,
+                        false => Answer::Accepted,
+                    };
+                    messages.push((index, Message::Probed(victim, answer)));
+                }
+                Effect::WriteBlock(fingerprint, kept) => self.written.push((fingerprint, kept)),
+                _ => {}
+            }
+        }
+        messages.reverse();
+        messages
+    }
+
+    pub fn arrive(&mut self, index: usize, pool: &str, repeat: Repeat) -> Key {
+        let prompt = (pool == "engines").then(|| prompt(7, self.subject));
+        let (key, effects) = self.daemons[index].arrive(self.now, &route(pool, repeat, 2), prompt);
+        for (to, message) in self.carry(index, effects).into_iter().rev() {
+            self.apply(to, message);
+        }
+        key
+    }
+
+    pub fn report(&mut self, index: usize, request: Key, attempt: u32, report: Report) {
+        self.apply(index, Message::Report { request, attempt, report });
+    }
+
+    /// What traffic was told of a request since the last look.
+    pub fn commands(&mut self, index: usize, key: Key) -> Vec<Command> {
+        let told = std::mem::take(&mut self.told[index]);
+        told.into_iter().filter(|(of, _)| *of == key).map(|(_, command)| command).collect()
+    }
+
+    pub fn sent(&mut self, index: usize, key: Key) -> Dispatch {
+        match self.commands(index, key).as_slice() {
+            [Command::Dispatch(dispatch)] => dispatch.clone(),
+            other => panic!("one dispatch was expected: {other:?}"),
+        }
+    }
+
+    /// The daemon that places for `pool`.
+    pub fn scheduler(&self, pool: &str) -> usize {
+        let node = |index: &usize| &self.daemons[*index].node;
+        let schedules = |index: &usize| {
+            !self.down.contains(index)
+                && node(index).is_scheduler(self.now)
+                && node(index).scheduler_of(self.now, pool).is_none()
+        };
+        let found: Vec<usize> = (0..self.daemons.len()).filter(schedules).collect();
+        assert_eq!(found.len(), 1, "one daemon is to place for {pool}");
+        found[0]
+    }
+
+    /// A daemon that does not schedule.
+    pub fn other(&self) -> usize {
+        let other = |index: &usize| {
+            !self.down.contains(index) && !self.daemons[*index].node.is_scheduler(self.now)
+        };
+        (0..self.daemons.len()).find(other).expect("most do not schedule")
+    }
+
+    /// Requests that a daemon counts at all servers.
+    pub fn running(&self, index: usize) -> u32 {
+        self.daemons[index].node.servers.values().map(|server| server.running).sum()
+    }
+
+    pub fn unscheduled(&self, index: usize) -> u64 {
+        self.daemons[index].node.counts.unscheduled
+    }
+}
--- a/src/fleet/tests/world.rs
+++ b/src/fleet/tests/world.rs
@@ -35,7 +35,11 @@
     let Some(value) = &record.value else {
         return Ok(match topic {
             Topic::Servers => Change::ServerGone(record.key.clone()),
-            Topic::Operator | Topic::Routers => Change::Nothing,
+            Topic::Routers => match record.key.strip_prefix("blocked-") {
+                Some(text) => Change::Unblocked(Fingerprint(number(text)?)),
+                None => Change::Nothing,
+            },
+            Topic::Operator => Change::Nothing,
         });
     };
     let words = String::from_utf8_lossy(value).into_owned();
@@ -72,6 +76,7 @@
             entry.weights.insert("m".into(), number(version)?);
             Ok(Change::Server(entry))
         }
+        ["blocked", fingerprint] => Ok(Change::Blocked(Fingerprint(number(fingerprint)?))),
         ["router", last] => {
             let address = address(number(last)? as u8);
             Ok(Change::Router { id: record.key.clone(), address, cores: 1.0 })
--- a/src/poison/fingerprint.rs
+++ b/src/poison/fingerprint.rs
@@ -1,6 +1,7 @@
 //! What tells whether two requests ask for the same.
 
 use std::fmt;
+use std::str::FromStr;
 
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
@@ -26,6 +27,15 @@
     }
 }
 
+impl FromStr for Fingerprint {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        let number = u64::from_str_radix(text, 16);
+        number.map(Self).map_err(|error| format!("{text:?} is no fingerprint: {error}"))
+    }
+}
+
 impl fmt::Display for Fingerprint {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{:016x}", self.0)
--- /dev/null
+++ b/src/poison/message.rs
@@ -0,0 +1,32 @@
+//! What daemons tell each other about requests that may end servers.
+
+use super::{Fingerprint, Victim};
+use crate::prelude::*;
+
+/// A request was running at a server when that ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Strike {
+    /// The request.
+    pub fingerprint: Fingerprint,
+    /// The server.
+    pub victim: Victim,
+    /// Hash of the server's pool.
+    pub pool: u64,
+    /// Servers of that pool.
+    pub servers: u32,
+    /// For how long the request had been there.
+    pub ran: Duration,
+    /// How long ago the server ended.
+    pub age: Duration,
+}
+
+/// A daemon's word on such requests.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Message {
+    /// Servers ended under these.
+    Strikes(Vec<Strike>),
+    /// This one was answered: it ends no servers.
+    Served(Fingerprint),
+    /// These are blocked.
+    Blocked(Vec<Fingerprint>),
+}
--- /dev/null
+++ b/src/poison/state.rs
@@ -0,0 +1,313 @@
+//! Which requests were there when servers ended, and which are blocked for it.
+
+use super::{Fingerprint, Strike, Victim};
+use crate::prelude::*;
+
+/// Servers that end under a request before it is blocked. At one or two ends others may have been there by
+/// chance: an engine that ends breaks up to some twenty requests, and their callers ask again at once.
+const ENDS: usize = 3;
+/// How likely it may be that a blocked request was at all those ends by chance. While servers end one after the
+/// other, requests that run for seconds are at three ends too: of 1,600 requests before 18 engines that ended
+/// 1.6 times a second by themselves, counting alone blocked 4 to 7; this blocks none of 79,080 (50 seeds).
+const CHANCE: f64 = 3e-5;
+/// Ends from which on another request may be the cause of them.
+const RIVAL_ENDS: usize = 2;
+/// Time before the first and after the last of a request's ends in which others tell, too, how often servers of
+/// the pool end.
+const AROUND: Duration = Duration::from_secs(1);
+/// Least time for which a request counts as having been at a server: what is sent just before an end is there
+/// for next to no time, as often by chance as anything.
+const LEAST_RAN: Duration = Duration::from_millis(50);
+/// Time for which an end is remembered.
+const REMEMBERED: Duration = Duration::from_secs(3_600);
+/// Ends that are remembered at most; with twenty requests each some 2 MB.
+const MAX_ENDS: usize = 2_048;
+/// Time for which a request stays blocked: a caller that asks for it without pause ends no more than three
+/// servers a day, and operators have had the time to mend theirs.
+pub const BLOCKED_FOR: Duration = Duration::from_secs(24 * 3_600);
+/// Requests that are blocked at most; the oldest is let go for another.
+const MAX_BLOCKS: usize = 4_096;
+
+/// One end of a server: the server, and how often it had ended before, where its starts can't be told apart.
+type Key = (Victim, u32);
+
+/// What is known of one end of a server.
+#[derive(Debug)]
+struct End {
+    at: Time,
+    pool: u64,
+    /// The requests that broke there.
+    present: BTreeSet<Fingerprint>,
+    /// Whether one of them is blocked, and so is the cause.
+    explained: bool,
+}
+
+/// What is known of a request that was present when servers ended.
+#[derive(Debug, Default)]
+struct Suspect {
+    /// The ends, and for how long it had been there at each.
+    ends: BTreeMap<Key, Duration>,
+    /// Servers of the pool.
+    servers: u32,
+}
+
+impl Suspect {
+    /// How likely it is that a request which has no part in it is at so many ends, those left out at which
+    /// `rival` was too, while servers end at `rate` (Poisson). Callers that ask again at once, for what shares
+    /// a prompt, meet at the next server, so two suspects are often at the same ends.
+    fn chance(&self, rate: f64, rival: &Self) -> f64 {
+        let ends = self.ends.iter().filter(|(key, _)| !rival.ends.contains_key(*key));
+        let ran: Vec<f64> = ends.map(|(_, ran)| ran.max(&LEAST_RAN).as_secs_f64()).collect();
+        let expected = rate * ran.iter().sum::<f64>();
+        (1..=ran.len()).map(|n| expected / n as f64).product()
+    }
+}
+
+/// What is known of a blocked request.
+#[derive(Debug, Clone, Copy)]
+struct Block {
+    since: Time,
+    /// Whether the platform's store is known to keep it.
+    kept: bool,
+    /// When it is next to be written there.
+    write_at: Time,
+}
+
+/// Ends of servers, and blocked requests.
+#[derive(Debug, Default)]
+pub struct State {
+    ends: BTreeMap<Key, End>,
+    /// The ends that nothing explains yet, by the requests that were present.
+    suspects: BTreeMap<Fingerprint, Suspect>,
+    blocks: BTreeMap<Fingerprint, Block>,
+}
+
+impl State {
+    /// Notes that a request was running at a server that ended; whether it is blocked from now on.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use cardamomvalve::poison::{Fingerprint, State, Strike, Victim};
+    /// let mut state = State::default();
+    /// let mut end = |server| {
+    ///     let victim = Victim::of(server, Some("1"));
+    ///     let strike = Strike {
+    ///         fingerprint: Fingerprint(7),
+    ///         victim,
+    ///         pool: 1,
+    ///         servers: 20,
+    ///         ran: Duration::from_millis(100),
+    ///         age: Duration::ZERO,
+    ///     };
+    ///     state.strike(Duration::from_secs(9), strike)
+    /// };
+    /// assert!(!end("s-1") && !end("s-2") && end("s-3"));
+    /// ```
+    pub fn strike(&mut self, now: Time, strike: Strike) -> bool {
+        let Strike { fingerprint, victim, pool, servers, ran, age } = strike;
+        let key = self.end(victim, pool, now.saturating_sub(age));
+        let Some(end) = self.ends.get_mut(&key) else { return false };
+        if !end.present.insert(fingerprint) || end.explained {
+            return false;
+        }
+        if self.blocks.contains_key(&fingerprint) {
+            self.explain(key);
+            return false;
+        }
+        let suspect = self.suspects.entry(fingerprint).or_default();
+        suspect.ends.insert(key, ran);
+        suspect.servers = servers;
+        self.is_guilty(fingerprint) && self.block(now, fingerprint)
+    }
+
+    /// Whether a request was at so many ends, and so briefly before each, that it was not there by chance;
+    /// also not at those that another suspect may have caused.
+    fn is_guilty(&self, fingerprint: Fingerprint) -> bool {
+        let Some(suspect) = self.suspects.get(&fingerprint) else { return false };
+        if suspect.ends.len() < ENDS {
+            return false;
+        }
+        let (rate, none) = (self.rate_around(suspect), Suspect::default());
+        let rivals = self.rivals(fingerprint, suspect).into_iter().chain([&none]);
+        rivals.map(|rival| suspect.chance(rate, rival)).all(|chance| chance <= CHANCE)
+    }
+
+    /// Others that were present at several ends of a suspect.
+    fn rivals(&self, fingerprint: Fingerprint, suspect: &Suspect) -> Vec<&Suspect> {
+        let present = suspect.ends.keys().filter_map(|key| self.ends.get(key));
+        let present: BTreeSet<&Fingerprint> = present.flat_map(|end| &end.present).collect();
+        let others = present.into_iter().filter(|other| **other != fingerprint);
+        let others = others.filter_map(|other| self.suspects.get(other));
+        others.filter(|other| other.ends.len() >= RIVAL_ENDS).collect()
+    }
+
+    /// How often a server of a suspect's pool ended around the suspect's ends, a second. If it has no part in
+    /// them, they belong to what happens anyhow.
+    fn rate_around(&self, suspect: &Suspect) -> f64 {
+        let own = || suspect.ends.keys().filter_map(|key| self.ends.get(key));
+        let first = own().map(|end| end.at).min().unwrap_or_default().saturating_sub(AROUND);
+        let last = own().map(|end| end.at).max().unwrap_or_default() + AROUND;
+        let pool = own().map(|end| end.pool).next();
+        let there = self.ends.values().filter(|end| {
+            !end.explained && Some(end.pool) == pool && (first..=last).contains(&end.at)
+        });
+        there.count() as f64 / f64::from(suspect.servers.max(1)) / (last - first).as_secs_f64()
+    }
+
+    /// The end of a server that was noticed at this time, the first time or once more.
+    fn end(&mut self, victim: Victim, pool: u64, at: Time) -> Key {
+        let last = self.ends.range((victim, 0)..=(victim, u32::MAX)).next_back();
+        let key = match last {
+            None => (victim, 0),
+            Some((key, end)) if victim.is_same_end(end.at, at) => *key,
+            Some(((_, number), _)) => (victim, number + 1),
+        };
+        let end = || End { at, pool, present: BTreeSet::new(), explained: false };
+        self.ends.entry(key).or_insert_with(end);
+        key
+    }
+
+    /// Notes that the cause of an end is known: the others that were present did not end the server.
+    fn explain(&mut self, key: Key) {
+        let Some(end) = self.ends.get_mut(&key) else { return };
+        end.explained = true;
+        for present in &end.present {
+            let Some(suspect) = self.suspects.get_mut(present) else { continue };
+            suspect.ends.remove(&key);
+            if suspect.ends.is_empty() {
+                self.suspects.remove(present);
+            }
+        }
+    }
+
+    /// Blocks a request; whether it was not blocked before.
+    pub fn block(&mut self, now: Time, fingerprint: Fingerprint) -> bool {
+        for key in self.suspects.remove(&fingerprint).unwrap_or_default().ends.into_keys() {
+            self.explain(key);
+        }
+        if self.blocks.contains_key(&fingerprint) {
+            return false;
+        }
+        if self.blocks.len() >= MAX_BLOCKS
+            && let Some(oldest) = self.blocks.iter().min_by_key(|(_, block)| block.since)
+        {
+            let oldest = *oldest.0;
+            self.blocks.remove(&oldest);
+        }
+        self.blocks.insert(fingerprint, Block { since: now, kept: false, write_at: now });
+        true
+    }
+
+    /// Notes that the platform's store keeps a block.
+    pub fn kept(&mut self, fingerprint: Fingerprint) {
+        if let Some(block) = self.blocks.get_mut(&fingerprint) {
+            block.kept = true;
+        }
+    }
+
+    /// Ends a block; whether there was one.
+    pub fn lift(&mut self, fingerprint: Fingerprint) -> bool {
+        self.blocks.remove(&fingerprint).is_some()
+    }
+
+    /// Notes that a request was answered: it ends no servers. `None` where it was not suspected of that, else
+    /// those that are blocked from now on since it can't have been the cause.
+    pub fn served(&mut self, now: Time, fingerprint: Fingerprint) -> Option<Vec<Fingerprint>> {
+        let cleared = self.suspects.remove(&fingerprint)?;
+        if cleared.ends.len() < RIVAL_ENDS {
+            return Some(Vec::new());
+        }
+        let present = cleared.ends.keys().filter_map(|key| self.ends.get(key));
+        let present: BTreeSet<Fingerprint> =
+            present.flat_map(|end| end.present.iter().copied()).collect();
+        let guilty = |other: &Fingerprint| self.is_guilty(*other);
+        let guilty: Vec<Fingerprint> = present.into_iter().filter(guilty).collect();
+        Some(guilty.into_iter().filter(|other| self.block(now, *other)).collect())
+    }
+
+    /// Whether a request is blocked.
+    pub fn is_blocked(&self, fingerprint: Fingerprint) -> bool {
+        self.blocks.contains_key(&fingerprint)
+    }
+
+    /// How long a block still lasts.
+    pub fn left(&self, now: Time, fingerprint: Fingerprint) -> Duration {
+        let block = self.blocks.get(&fingerprint);
+        block.map_or(Duration::ZERO, |block| (block.since + BLOCKED_FOR).saturating_sub(now))
+    }
+
+    /// Whether a request that is found at so many more ends of servers has been at as many as it takes to
+    /// block it.
+    pub fn is_suspect(&self, fingerprint: Fingerprint, more: usize) -> bool {
+        let ends = || self.suspects.get(&fingerprint).map_or(0, |suspect| suspect.ends.len());
+        self.is_blocked(fingerprint) || ends() + more >= ENDS
+    }
+
+    /// Whether a request was found at all ends but one that it takes to block it.
+    pub fn is_prime_suspect(&self, fingerprint: Fingerprint) -> bool {
+        !self.suspects.is_empty() && self.is_suspect(fingerprint, 1)
+    }
+
+    /// All strikes that nothing explains yet, for a daemon that is to go on from here.
+    pub fn strikes(&self, now: Time) -> Vec<Strike> {
+        let strikes = self.suspects.iter().flat_map(|(fingerprint, suspect)| {
+            suspect.ends.iter().filter_map(|(key, ran)| {
+                let end = self.ends.get(key)?;
+                Some(Strike {
+                    fingerprint: *fingerprint,
+                    victim: key.0,
+                    pool: end.pool,
+                    servers: suspect.servers,
+                    ran: *ran,
+                    age: now.saturating_sub(end.at),
+                })
+            })
+        });
+        strikes.collect()
+    }
+
+    /// Blocks that the platform's store is not known to keep.
+    pub fn unkept(&self) -> Vec<Fingerprint> {
+        let unkept = self.blocks.iter().filter(|(_, block)| !block.kept);
+        unkept.map(|(fingerprint, _)| *fingerprint).collect()
+    }
+
+    /// All blocks.
+    pub fn blocked(&self) -> impl Iterator<Item = Fingerprint> {
+        self.blocks.keys().copied()
+    }
+
+    /// Blocks that are to be written to the platform's store now, and again after `pause` where it is not
+    /// seen to keep them by then.
+    pub fn to_write(&mut self, now: Time, pause: Duration) -> Vec<Fingerprint> {
+        let due = self.blocks.iter_mut().filter(|(_, block)| !block.kept && now >= block.write_at);
+        let due = due.map(|(fingerprint, block)| {
+            block.write_at = now + pause;
+            *fingerprint
+        });
+        due.collect()
+    }
+
+    /// Forgets what is too old; the blocks that have lapsed.
+    pub fn expire(&mut self, now: Time) -> Vec<Fingerprint> {
+        let surplus = self.ends.len().saturating_sub(MAX_ENDS);
+        let mut oldest: Vec<(Time, Key)> = Vec::new();
+        if surplus > 0 {
+            oldest = self.ends.iter().map(|(key, end)| (end.at, *key)).collect();
+            oldest.sort_unstable();
+            oldest.truncate(surplus);
+        }
+        let old = self.ends.iter().filter(|(_, end)| now >= end.at + REMEMBERED);
+        let old: Vec<Key> = old.map(|(key, _)| *key).collect();
+        for key in oldest.into_iter().map(|(_, key)| key).chain(old) {
+            self.explain(key);
+            self.ends.remove(&key);
+        }
+        let lapsed = self.blocks.iter().filter(|(_, block)| now >= block.since + BLOCKED_FOR);
+        let lapsed: Vec<Fingerprint> = lapsed.map(|(fingerprint, _)| *fingerprint).collect();
+        for fingerprint in &lapsed {
+            self.blocks.remove(fingerprint);
+        }
+        lapsed
+    }
+}
--- /dev/null
+++ b/src/poison/tests.rs
@@ -0,0 +1,171 @@
+//! Ends of servers and who was there, by messages alone.
+
+use std::net::SocketAddr;
+
+use super::*;
+use crate::prelude::*;
+
+const CULPRIT: Fingerprint = Fingerprint(1);
+const BESIDE: Fingerprint = Fingerprint(2);
+
+fn ms(milliseconds: u64) -> Time {
+    Duration::from_millis(milliseconds)
+}
+
+fn strike(fingerprint: Fingerprint, server: u64) -> Strike {
+    let victim = Victim { server, start: Some(1) };
+    Strike { fingerprint, victim, pool: 1, servers: 18, ran: ms(100), age: ms(0) }
+}
+
+fn suspect(start: Option<u64>) -> Suspect {
+    let address = SocketAddr::from(([10, 0, 0, 1], 80));
+    Suspect { victim: Victim { server: 1, start }, address, pool: 1, servers: 18 }
+}
+
+fn lost(fingerprint: Fingerprint) -> Lost {
+    Lost { fingerprint, ran: ms(100) }
+}
+
+#[test]
+fn strike_same_end_told_twice_counts_once() {
+    let mut state = State::default();
+    for at in 0..10 {
+        assert!(!state.strike(ms(1_000 + at), strike(CULPRIT, 1)));
+    }
+    assert!(!state.is_prime_suspect(CULPRIT));
+}
+
+#[test]
+fn strike_long_runs_while_servers_end_often_is_chance() {
+    let mut state = State::default();
+    for server in 0..30 {
+        let other = Strike { ran: ms(2_000), ..strike(Fingerprint(100 + server), server) };
+        assert!(!state.strike(ms(1_000 + 500 * server), other));
+    }
+    for (server, at) in [(3, 2_500), (9, 5_500), (15, 8_500)] {
+        let beside = Strike { ran: ms(2_000), ..strike(BESIDE, server) };
+        assert!(!state.strike(ms(at), beside), "it is as likely there as anywhere");
+    }
+}
+
+#[test]
+fn strike_with_a_rival_waits_for_an_end_that_tells_them_apart() {
+    let mut state = State::default();
+    for (server, at) in [(1, 1_000), (2, 2_000)] {
+        state.strike(ms(at), strike(BESIDE, server));
+        state.strike(ms(at), strike(CULPRIT, server));
+    }
+    assert!(!state.strike(ms(3_000), strike(CULPRIT, 3)), "two of three ends may be the other's");
+    assert!(!state.strike(ms(4_000), strike(CULPRIT, 4)));
+    assert!(state.strike(ms(5_000), strike(CULPRIT, 5)));
+    assert!(!state.is_blocked(BESIDE) && !state.is_suspect(BESIDE, 2), "its ends are explained");
+}
+
+#[test]
+fn served_rival_leaves_the_cause() {
+    let mut state = State::default();
+    for (server, at) in [(1, 1_000), (2, 2_000)] {
+        state.strike(ms(at), strike(BESIDE, server));
+        state.strike(ms(at), strike(CULPRIT, server));
+    }
+    state.strike(ms(3_000), strike(CULPRIT, 3));
+    assert_eq!(state.served(ms(3_500), BESIDE), Some(vec![CULPRIT]));
+    assert_eq!(state.served(ms(3_600), BESIDE), None);
+}
+
+#[test]
+fn strike_at_an_explained_end_counts_for_nobody() {
+    let mut state = State::default();
+    state.block(ms(0), CULPRIT);
+    for server in 1..=5 {
+        let at = ms(1_000 * server);
+        state.strike(at, strike(BESIDE, server));
+        state.strike(at, strike(CULPRIT, server));
+    }
+    assert!(!state.is_suspect(BESIDE, 2));
+}
+
+#[test]
+fn strike_server_without_starts_may_end_several_times() {
+    let mut state = State::default();
+    let same = |at: u64| {
+        let victim = Victim { server: 1, start: None };
+        (ms(at), Strike { victim, ran: ms(10), ..strike(CULPRIT, 1) })
+    };
+    let blocked = [1_000, 1_300, 4_000, 8_000].map(same).map(|(at, s)| state.strike(at, s));
+    assert_eq!(blocked, [false, false, false, true]);
+}
+
+#[test]
+fn expire_forgets_ends_and_lets_blocks_go() {
+    let mut state = State::default();
+    state.strike(ms(0), strike(BESIDE, 1));
+    state.block(ms(0), CULPRIT);
+    assert_eq!(state.expire(Duration::from_secs(4_000)), []);
+    assert_eq!(state.strikes(Duration::from_secs(4_000)), []);
+    assert_eq!(state.left(BLOCKED_FOR / 2, CULPRIT), BLOCKED_FOR / 2);
+    assert_eq!(state.expire(BLOCKED_FOR), [CULPRIT]);
+    assert!(!state.is_blocked(CULPRIT));
+}
+
+#[test]
+fn expire_bounds_what_is_remembered() {
+    let mut state = State::default();
+    for server in 0..5_000 {
+        state.strike(ms(server), strike(Fingerprint(server), server));
+    }
+    state.expire(ms(5_000));
+    let left = state.strikes(ms(5_000));
+    assert_eq!(left.len(), 2_048);
+    assert!(left.iter().all(|strike| strike.fingerprint.0 >= 5_000 - 2_048), "the newest are kept");
+}
+
+#[test]
+fn lost_server_found_closed_twice_has_ended() {
+    let mut watch = Watch::default();
+    let server = suspect(Some(1));
+    assert_eq!(watch.lost(ms(1_000), server, lost(CULPRIT)).probes.len(), 1);
+    assert_eq!(watch.lost(ms(1_001), server, lost(BESIDE)), Steps::default());
+    assert_eq!(watch.answered(ms(1_002), server.victim, Answer::Refused), Steps::default());
+    assert_eq!(watch.due(ms(1_030)), []);
+    assert_eq!(watch.due(ms(1_080)).len(), 1);
+    let struck = watch.answered(ms(1_081), server.victim, Answer::Refused).strikes;
+    assert_eq!(struck.len(), 2);
+    assert_eq!(struck[0].age, ms(81));
+    let late = watch.lost(ms(1_100), server, lost(Fingerprint(3)));
+    assert_eq!(late.strikes.len(), 1, "what breaks later broke there too");
+}
+
+#[test]
+fn lost_server_that_answers_later_requests_lives() {
+    let mut watch = Watch::default();
+    let server = suspect(Some(1));
+    watch.lost(ms(1_000), server, lost(CULPRIT));
+    watch.heard(ms(1_020), server.victim);
+    assert_eq!(watch.doubted(ms(1_030), CULPRIT), 1, "that answer was on its way");
+    watch.heard(ms(1_200), server.victim);
+    assert_eq!(watch.doubted(ms(1_200), CULPRIT), 0);
+    assert_eq!(watch.answered(ms(1_201), server.victim, Answer::Refused), Steps::default());
+}
+
+#[test]
+fn lost_server_that_listens_is_told_ended_by_its_registration_alone() {
+    for answer in [Answer::Accepted, Answer::Silent] {
+        let mut watch = Watch::default();
+        let server = suspect(Some(1));
+        watch.lost(ms(1_000), server, lost(CULPRIT));
+        assert_eq!(watch.answered(ms(1_001), server.victim, answer), Steps::default());
+        assert_eq!(watch.due(ms(2_000)), []);
+        assert_eq!(watch.ended(ms(5_000), server.victim).strikes.len(), 1);
+        assert_eq!(watch.ended(ms(5_001), server.victim), Steps::default());
+    }
+}
+
+#[test]
+fn lost_server_that_is_gone_much_later_ended_for_another_reason() {
+    let mut watch = Watch::default();
+    let server = suspect(Some(1));
+    watch.lost(ms(1_000), server, lost(CULPRIT));
+    watch.answered(ms(1_001), server.victim, Answer::Accepted);
+    assert_eq!(watch.ended(ms(60_000), server.victim), Steps::default());
+}
--- /dev/null
+++ b/src/poison/wire.rs
@@ -0,0 +1,95 @@
+//! The form of daemons' word on the wire.
+
+use super::{Fingerprint, Strike as Struck, Victim};
+use crate::prelude::*;
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct Strike {
+    #[prost(fixed64, tag = "1")]
+    fingerprint: u64,
+    #[prost(fixed64, tag = "2")]
+    server: u64,
+    /// 0 where nothing tells the server's starts apart.
+    #[prost(fixed64, tag = "3")]
+    start: u64,
+    #[prost(uint32, tag = "4")]
+    age_ms: u32,
+    #[prost(fixed64, tag = "5")]
+    pool: u64,
+    #[prost(uint32, tag = "6")]
+    servers: u32,
+    #[prost(uint32, tag = "7")]
+    ran_ms: u32,
+}
+
+fn ms(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+}
+
+/// What daemons tell each other about requests that may end servers.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Message {
+    #[prost(message, repeated, tag = "1")]
+    strikes: Vec<Strike>,
+    #[prost(fixed64, optional, tag = "2")]
+    served: Option<u64>,
+    #[prost(fixed64, repeated, tag = "3")]
+    blocked: Vec<u64>,
+}
+
+impl From<super::Message> for Message {
+    fn from(message: super::Message) -> Self {
+        match message {
+            super::Message::Strikes(strikes) => {
+                Self { strikes: strikes.into_iter().map(Strike::from).collect(), ..Self::default() }
+            }
+            super::Message::Served(fingerprint) => {
+                Self { served: Some(fingerprint.0), ..Self::default() }
+            }
+            super::Message::Blocked(blocked) => {
+                let blocked = blocked.into_iter().map(|fingerprint| fingerprint.0).collect();
+                Self { blocked, ..Self::default() }
+            }
+        }
+    }
+}
+
+impl From<Message> for super::Message {
+    fn from(wire: Message) -> Self {
+        if let Some(served) = wire.served {
+            return Self::Served(Fingerprint(served));
+        }
+        if wire.strikes.is_empty() {
+            return Self::Blocked(wire.blocked.into_iter().map(Fingerprint).collect());
+        }
+        Self::Strikes(wire.strikes.into_iter().map(Struck::from).collect())
+    }
+}
+
+impl From<Struck> for Strike {
+    fn from(strike: Struck) -> Self {
+        Self {
+            fingerprint: strike.fingerprint.0,
+            server: strike.victim.server,
+            start: strike.victim.start.unwrap_or(0),
+            age_ms: ms(strike.age),
+            pool: strike.pool,
+            servers: strike.servers,
+            ran_ms: ms(strike.ran),
+        }
+    }
+}
+
+impl From<Strike> for Struck {
+    fn from(wire: Strike) -> Self {
+        let start = Some(wire.start).filter(|start| *start != 0);
+        Self {
+            fingerprint: Fingerprint(wire.fingerprint),
+            victim: Victim { server: wire.server, start },
+            pool: wire.pool,
+            servers: wire.servers,
+            ran: Duration::from_millis(u64::from(wire.ran_ms)),
+            age: Duration::from_millis(u64::from(wire.age_ms)),
+        }
+    }
+}
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -1,5 +1,6 @@
 //! One exchange with a server: a request out, the head of its answer back.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -7,6 +8,7 @@
 use futures_lite::{AsyncWriteExt, FutureExt};
 
 use super::{Conn, Cut, Decoder, Fields, Pool, Response, head};
+use crate::poison;
 
 /// Time for a connection to a server: many times the way within a region, and short enough to try
 /// another server within a caller's target.
@@ -96,6 +98,15 @@
     Ok(())
 }
 
+/// Looks whether somebody listens at `address`. Nothing is sent there.
+pub async fn probe(address: SocketAddr) -> poison::Answer {
+    match Conn::connect(address, CONNECT).await {
+        Ok(_) => poison::Answer::Accepted,
+        Err(error) if error.kind() == ErrorKind::ConnectionRefused => poison::Answer::Refused,
+        Err(_) => poison::Answer::Silent,
+    }
+}
+
 /// A whole request without a caller: a question or an order of this router.
 #[derive(Debug, Clone, Default)]
 pub struct Call {
--- a/src/telemetry/event.rs
+++ b/src/telemetry/event.rs
@@ -65,6 +65,7 @@
     ServerUnreachable = 304, Warn, "A backend server does not answer and gets no new work.";
     ServerReachable = 305, Info, "A backend server answers again.";
     CacheEventGap = 306, Debug, "Cache events of a backend server were lost; past a quarter of its cache entries, these are dropped.";
+    ServerEnded = 307, Warn, "A backend server ended while requests ran there; its end is noted with each of them.";
     AttemptFailed = 400, Info, "An attempt at a backend server failed.";
     AnswerDiscarded = 401, Warn, "An answer named another attempt, incarnation or weights version, and was discarded.";
     StreamResumed = 402, Info, "A stream was resumed after its connection broke.";
@@ -78,6 +79,8 @@
     RequestEnded = 410, Info, "A request ended for its caller.";
     AttemptRefused = 411, Info, "A backend server refused a request without running it.";
     RequestMoved = 412, Info, "A request was taken from a silent backend server and sent to another.";
+    RequestBlocked = 413, Warn, "A request is refused from now on: servers have ended whenever they ran it.";
+    BlockEnded = 414, Info, "A request that was blocked is sent to backend servers again.";
     ClaimAbandoned = 500, Warn, "A claim was given up on; it is released when it shows up on the log.";
     ClaimReleased = 501, Info, "A claim that was never dispatched was released.";
     OutcomeAppendFailed = 502, Warn, "An outcome could not be appended yet; it is tried again.";
