Refuse a request under which servers have ended on the own interface too

What callers saw: a completion that ends engines was tried at four of them for each time that it was asked for, 28 engines by 7 asks; a payment ended a service with each ask. A keyed request whose key is known is still answered from the ledger.

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -10,6 +10,7 @@
 use cardamomvalve::manifest::{self, Objective, Priority};
 use cardamomvalve::membership::{CacheEvent, Change, Report, Role, Standing, Vm};
 use cardamomvalve::peer::{Busy, Digest, Frame};
+use cardamomvalve::poison::Fingerprint;
 use cardamomvalve::prefix::{BLOCK_BYTES, Key, Prefix, Residency};
 use divan::Bencher;
 use serde_json::json;
@@ -110,6 +111,7 @@
         tokens: 18_432,
         max_tokens: 64,
         idempotent: true,
+        fingerprint: Fingerprint(number),
         claim: None,
     }
 }
@@ -248,6 +250,7 @@
         copies: Vec::new(),
         leaving: Vec::new(),
         draining: false,
+        blocked: Vec::new(),
     }
 }
 
--- a/src/attempt/message.rs
+++ b/src/attempt/message.rs
@@ -6,6 +6,7 @@
 use crate::ledger;
 use crate::manifest::{Objective, Priority};
 use crate::membership;
+use crate::poison::Fingerprint;
 use crate::prefix::{self, Prefix};
 use crate::prelude::*;
 
@@ -55,6 +56,8 @@
     pub max_tokens: u32,
     /// Whether it may be repeated safely.
     pub idempotent: bool,
+    /// What it asks for and for whom: the same where its caller asks again.
+    pub fingerprint: Fingerprint,
     /// The claim that it needs before it may be dispatched.
     pub claim: Option<ledger::Ask>,
 }
--- a/src/control/arrivals.rs
+++ b/src/control/arrivals.rs
@@ -27,6 +27,9 @@
         let Some(state) = self.requests.get(&request) else {
             return;
         };
+        if self.poison.is_blocked(state.arrival.fingerprint) {
+            return self.refuse_blocked(now, request);
+        }
         let arrival = &state.arrival;
         let pool = arrival.pool.clone();
         let entry = Entry {
--- a/src/control/candidates.rs
+++ b/src/control/candidates.rs
@@ -50,7 +50,11 @@
         let usable: Vec<(membership::Key, &Server)> = self.usable(now, request).collect();
         let untried: Vec<(membership::Key, &Server)> =
             usable.iter().copied().filter(|(key, _)| !state.failed.contains(key)).collect();
-        let servers = if untried.is_empty() { usable } else { untried };
+        let mut servers = if untried.is_empty() { usable } else { untried };
+        let apart = self.kept_apart_from(request);
+        if servers.iter().any(|(key, _)| !apart.contains(key)) {
+            servers.retain(|(key, _)| !apart.contains(key));
+        }
         let depth = self.depth(now, &state.arrival.prefix);
         let candidates: Vec<Candidate> = servers
             .iter()
--- a/src/control/message.rs
+++ b/src/control/message.rs
@@ -7,6 +7,7 @@
 use crate::membership::{self, Vm};
 use crate::order::Order;
 use crate::peer::Frame;
+use crate::poison::{Answer, Victim};
 use crate::prelude::*;
 
 /// The streams on the log that the system uses.
@@ -18,11 +19,13 @@
     Ledger,
     /// The lease to order engines.
     Lease,
+    /// Requests that are blocked.
+    Blocked,
 }
 
 impl Stream {
     /// Every stream.
-    pub const ALL: [Self; 3] = [Self::Manifest, Self::Ledger, Self::Lease];
+    pub const ALL: [Self; 4] = [Self::Manifest, Self::Ledger, Self::Lease, Self::Blocked];
 
     /// Its name on the log.
     pub const fn as_str(self) -> &'static str {
@@ -30,6 +33,7 @@
             Self::Manifest => "manifest",
             Self::Ledger => "ledger",
             Self::Lease => "lease",
+            Self::Blocked => "blocked",
         }
     }
 }
@@ -106,6 +110,8 @@
     Polled(membership::Key, Box<membership::Report>),
     /// An engine did not report.
     PollFailed(membership::Key),
+    /// A look was taken at the port of a server that may have ended.
+    Probed(Victim, Answer),
     /// A frame came from a peer.
     Frame(Frame),
     /// A planned stop was asked for.
@@ -139,6 +145,10 @@
     },
     /// Append a checkpoint to the manifest stream.
     Checkpoint(String),
+    /// Append a record to the stream of blocked requests.
+    AppendBlocked(String),
+    /// Look whether somebody listens where a server did that may have ended.
+    Probe(Victim, SocketAddr),
     /// Make this manifest the one that traffic uses.
     Force(Arc<manifest::Force>),
     /// Poll an engine.
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -14,6 +14,7 @@
 mod outcomes;
 mod peers;
 mod platform;
+mod poison;
 mod status;
 #[cfg(test)]
 mod tests;
--- a/src/control/node.rs
+++ b/src/control/node.rs
@@ -11,6 +11,7 @@
 use crate::membership;
 use crate::peer;
 use crate::placement::Heat;
+use crate::poison;
 use crate::prefix::{self, Residency};
 use crate::prelude::*;
 
@@ -132,6 +133,11 @@
     pub(super) next_digest: Time,
     pub(super) next_ask: Time,
     pub(super) checkpoint: super::platform::Checkpointing,
+    /// Requests that end servers.
+    pub(super) poison: poison::State,
+    /// Servers that may have ended under requests.
+    pub(super) watch: poison::Watch,
+    pub(super) blocks: super::poison::Blocks,
     /// Whether a peer's ledger was taken over since the start.
     pub(super) seeded: bool,
     pub(super) vms_up: bool,
@@ -172,6 +178,9 @@
             next_digest: Time::ZERO,
             next_ask: Time::ZERO,
             checkpoint: super::platform::Checkpointing::default(),
+            poison: poison::State::default(),
+            watch: poison::Watch::default(),
+            blocks: super::poison::Blocks::default(),
             seeded: false,
             vms_up: true,
             vms_known: false,
@@ -197,6 +206,7 @@
             Message::VmsDown => self.vms_down(),
             Message::Polled(server, report) => self.polled(now, server, *report),
             Message::PollFailed(server) => self.poll_failed(now, server),
+            Message::Probed(victim, answer) => self.probed(now, victim, answer),
             Message::Frame(frame) => self.frame(now, frame),
             Message::Stop => self.stop(now),
             Message::Tick => self.tick(now),
@@ -211,6 +221,7 @@
             Stream::Manifest => self.manifest.next(),
             Stream::Ledger => self.ledger.next(),
             Stream::Lease => self.lease.next(),
+            Stream::Blocked => self.blocks.next(),
         }
     }
 
@@ -256,6 +267,7 @@
 
     fn tick(&mut self, now: Time) {
         self.expire_requests(now);
+        self.look_at_poison(now);
         self.schedule_polls(now);
         self.schedule_peers(now);
         self.schedule_checkpoint(now);
--- a/src/control/outcomes.rs
+++ b/src/control/outcomes.rs
@@ -22,12 +22,12 @@
             return;
         }
         match report {
-            Report::Begun { cached_tokens } => self.begun(request, cached_tokens),
+            Report::Begun { cached_tokens } => self.begun(now, request, cached_tokens),
             Report::Ended(outcome) => self.ended(now, request, outcome),
         }
     }
 
-    fn begun(&mut self, request: attempt::Key, cached_tokens: Option<u32>) {
+    fn begun(&mut self, now: Time, request: attempt::Key, cached_tokens: Option<u32>) {
         let Some(state) = self.requests.get_mut(&request) else {
             return;
         };
@@ -45,6 +45,7 @@
             self.prompt_computed(server, pending_tokens);
         }
         self.membership.trust(server);
+        self.lives(now, server);
         if let Some(cached) = cached_tokens
             && first
         {
@@ -61,6 +62,7 @@
         self.note_failure(now, request, &outcome);
         let may_retry = match outcome {
             Outcome::Unsent(_) => true,
+            Outcome::Broken(_) if self.may_end_servers(now, request) => false,
             Outcome::Broken(_) | Outcome::Declined(_) | Outcome::Mismatch(_) => self.budget.spend(),
             _ => false,
         };
@@ -84,12 +86,20 @@
         let Some(state) = self.requests.get(&request) else {
             return;
         };
-        let Phase::Sent { server, .. } = state.phase else {
+        let Phase::Sent { server, at, .. } = state.phase else {
             return;
         };
+        let fingerprint = state.arrival.fingerprint.to_string();
+        if let Outcome::Broken(_) = outcome {
+            self.connection_lost(now, request, server, now.saturating_sub(at));
+        }
         let id = self.membership.get(server).map_or("", |server| &server.vm.id).to_owned();
         match outcome {
-            Outcome::Complete(_) => return self.membership.trust(server),
+            Outcome::Complete(_) => {
+                self.was_served(now, request);
+                self.lives(now, server);
+                return self.membership.trust(server);
+            }
             Outcome::CallerGone => return self.event(Event::CallerGone, Detail::of("server", id)),
             Outcome::TooLarge | Outcome::Late => return,
             Outcome::Mismatch(reason) => {
@@ -107,10 +117,10 @@
                 );
             }
             Outcome::Declined(reason) | Outcome::Broken(reason) => {
-                self.event(
-                    Event::AttemptFailed,
-                    Detail::of("server", id).and("reason", reason.as_str()),
-                );
+                let detail = Detail::of("server", id)
+                    .and("fingerprint", fingerprint)
+                    .and("reason", reason.as_str());
+                self.event(Event::AttemptFailed, detail);
             }
         }
         let Some(state) = self.requests.get_mut(&request) else {
--- a/src/control/peers.rs
+++ b/src/control/peers.rs
@@ -31,7 +31,7 @@
         }
     }
 
-    fn peer_addresses(&self) -> Vec<(String, SocketAddr)> {
+    pub(super) fn peer_addresses(&self) -> Vec<(String, SocketAddr)> {
         self.membership
             .routers()
             .iter()
@@ -69,6 +69,7 @@
             copies: self.recent_copies(now),
             leaving,
             draining: self.draining,
+            blocked: self.poison.unkept(),
         }
     }
 
@@ -118,6 +119,7 @@
             Frame::Digest(digest) => self.take_digest(now, digest),
             Frame::Ask(daemon) => self.answer_ask(&daemon),
             Frame::Snapshot(snapshot) => self.take_snapshot(now, snapshot),
+            Frame::Poison(message) => self.poison_came(now, message),
         }
     }
 
@@ -134,6 +136,7 @@
         if digest.generation > self.manifest.generation() {
             self.next_ask = now;
         }
+        self.hear_blocked(now, &digest.blocked);
         self.peers.insert(digest.daemon.clone(), Peer { digest, at: now });
     }
 
@@ -159,12 +162,14 @@
             ledger_next: self.ledger.next(),
             ledger_time_ms: self.ledger.time_ms(),
             ledger: serde_json::to_string(&slots).unwrap_or_default(),
+            blocked: self.poison.blocked().collect(),
         }
     }
 
     /// Takes over what is ahead of this daemon in a peer's folded state.
     fn take_snapshot(&mut self, now: Time, snapshot: Snapshot) {
         let mut taken = Vec::new();
+        self.hear_blocked(now, &snapshot.blocked);
         if let Ok(manifest) = manifest::parse(snapshot.manifest.as_bytes()) {
             let force = manifest::Force::new(snapshot.generation, snapshot.published, manifest);
             let force = Arc::new(force);
--- a/src/control/platform.rs
+++ b/src/control/platform.rs
@@ -44,6 +44,7 @@
                 Stream::Manifest => self.manifest.skip_to(read.first),
                 Stream::Ledger => self.ledger.skip_to(read.first),
                 Stream::Lease => self.lease.skip_to(read.first),
+                Stream::Blocked => self.blocks.skip_to(read.first),
             }
         }
         for record in &read.records {
@@ -54,6 +55,11 @@
             match stream {
                 Stream::Manifest => self.fold_manifest(now, record),
                 Stream::Ledger => self.fold_ledger(record),
+                Stream::Blocked => {
+                    if self.fold_blocked(now, record.offset, &record.text).is_none() {
+                        self.unreadable(stream, record.offset);
+                    }
+                }
                 Stream::Lease => {
                     if self.fold_lease(now, record.offset, &record.text).is_none() {
                         self.unreadable(stream, record.offset);
@@ -182,7 +188,11 @@
 
     pub(super) fn polled(&mut self, now: Time, key: membership::Key, report: membership::Report) {
         self.poll_ended(now, key);
+        let former = self.victim(key);
         let notices = self.membership.report(now, key, &report);
+        if notices.contains(&Notice::Restarted(key)) {
+            self.has_ended(now, former);
+        }
         self.notices(now, notices);
         for event in &report.events {
             match event.change {
--- /dev/null
+++ b/src/control/poison.rs
@@ -0,0 +1,269 @@
+//! Requests that end servers: ends are told to all daemons, and what is blocked for it is kept on the log.
+
+use std::net::SocketAddr;
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::{Effect, Node, Stream};
+use crate::attempt::{self, Command, Phase};
+use crate::membership;
+use crate::peer::Frame;
+use crate::poison::{
+    Answer, BLOCKED_FOR, Fingerprint, Lost, Message, Probe, Record, Steps, Strike, Suspect, Victim,
+};
+use crate::prelude::*;
+
+/// Time from a write of a block to the log to the next, where it is not seen there.
+const WRITE_AGAIN: Duration = Duration::from_secs(2);
+/// Blocks are written again when this part of the retention has passed.
+const RENEW_PART: u32 = 4;
+/// Shortest time between two looks at what is to be written again, or is too old.
+const LOOK: Duration = Duration::from_secs(10);
+
+/// How far the stream of blocked requests is read, and when it is written again.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct Blocks {
+    next: u64,
+    renewed: Time,
+    next_look: Time,
+}
+
+impl Blocks {
+    pub(super) fn next(&self) -> u64 {
+        self.next
+    }
+
+    pub(super) fn skip_to(&mut self, offset: u64) {
+        self.next = offset;
+    }
+}
+
+impl Node {
+    /// A server's present life, as all daemons name it.
+    pub(super) fn victim(&self, server: membership::Key) -> Option<Victim> {
+        let server = self.membership.get(server)?;
+        Some(Victim::of(&server.vm.id, server.incarnation.as_deref()))
+    }
+
+    /// Takes over that a connection broke on which a request ran. A server that leaves ends by plan.
+    pub(super) fn connection_lost(
+        &mut self,
+        now: Time,
+        request: attempt::Key,
+        server: membership::Key,
+        ran: Duration,
+    ) {
+        let Some(fingerprint) = self.fingerprint(request) else { return };
+        let (Some(state), Some(victim)) = (self.membership.get(server), self.victim(server)) else {
+            return;
+        };
+        if state.leaving {
+            return;
+        }
+        let pool = state.vm.pool.as_str();
+        let suspect = Suspect {
+            victim,
+            address: state.vm.address,
+            pool: xxh3_64(pool.as_bytes()),
+            servers: self.membership.pool(pool).count() as u32,
+        };
+        let steps = self.watch.lost(now, suspect, Lost { fingerprint, ran });
+        self.take_steps(now, steps);
+    }
+
+    /// Takes over what a look at a server's port found.
+    pub(super) fn probed(&mut self, now: Time, victim: Victim, answer: Answer) {
+        let steps = self.watch.answered(now, victim, answer);
+        self.take_steps(now, steps);
+    }
+
+    /// Takes over that a life of a server has ended.
+    pub(super) fn has_ended(&mut self, now: Time, victim: Option<Victim>) {
+        if let Some(victim) = victim {
+            let steps = self.watch.ended(now, victim);
+            self.take_steps(now, steps);
+        }
+    }
+
+    /// Takes over that a server answered.
+    pub(super) fn lives(&mut self, now: Time, server: membership::Key) {
+        if let Some(victim) = self.victim(server) {
+            self.watch.heard(now, victim);
+        }
+    }
+
+    fn take_steps(&mut self, now: Time, steps: Steps) {
+        let probes = steps.probes.into_iter();
+        self.effects.extend(probes.map(|Probe { victim, address }| Effect::Probe(victim, address)));
+        if steps.strikes.is_empty() {
+            return;
+        }
+        let present = steps.strikes.iter().map(|strike| strike.fingerprint.to_string());
+        let present = present.collect::<Vec<String>>().join(" ");
+        let detail = Detail::of("requests", steps.strikes.len()).and("fingerprints", present);
+        self.event(Event::ServerEnded, detail);
+        self.tell_peers(&Message::Strikes(steps.strikes.clone()));
+        self.strike(now, steps.strikes);
+    }
+
+    fn tell_peers(&mut self, message: &Message) {
+        let addresses = self.peer_addresses().into_iter();
+        let addresses: Vec<SocketAddr> = addresses.map(|(_, address)| address).collect();
+        let frames = addresses.into_iter();
+        self.effects
+            .extend(frames.map(|address| Effect::Send(address, Frame::Poison(message.clone()))));
+    }
+
+    /// Takes over a peer's word.
+    pub(super) fn poison_came(&mut self, now: Time, message: Message) {
+        match message {
+            Message::Strikes(strikes) => self.strike(now, strikes),
+            Message::Served(fingerprint) => {
+                let blocked = self.poison.served(now, fingerprint);
+                self.announce(now, blocked.unwrap_or_default());
+            }
+            Message::Blocked(blocked) => self.hear_blocked(now, &blocked),
+        }
+    }
+
+    fn strike(&mut self, now: Time, strikes: Vec<Strike>) {
+        let struck = |strike: &Strike| self.poison.strike(now, *strike);
+        let blocked: Vec<Strike> = strikes.into_iter().filter(struck).collect();
+        self.announce(now, blocked.into_iter().map(|strike| strike.fingerprint).collect());
+    }
+
+    /// Tells all peers what is blocked from now on, and refuses it.
+    fn announce(&mut self, now: Time, blocked: Vec<Fingerprint>) {
+        if blocked.is_empty() {
+            return;
+        }
+        self.tell_peers(&Message::Blocked(blocked.clone()));
+        for fingerprint in blocked {
+            self.blocked(now, fingerprint);
+        }
+    }
+
+    /// Takes over what peers, or the log, say is blocked.
+    pub(super) fn hear_blocked(&mut self, now: Time, blocked: &[Fingerprint]) {
+        for fingerprint in blocked {
+            if self.poison.block(now, *fingerprint) {
+                self.blocked(now, *fingerprint);
+            }
+        }
+    }
+
+    /// Ends the requests that have just been blocked, but for those whose answer has begun.
+    fn blocked(&mut self, now: Time, fingerprint: Fingerprint) {
+        let detail = Detail::of("fingerprint", fingerprint.to_string());
+        self.event(Event::RequestBlocked, detail.and("left_ms", BLOCKED_FOR));
+        let same = self.requests.iter().filter(|(_, s)| s.arrival.fingerprint == fingerprint);
+        let same: Vec<(attempt::Key, Phase, u32)> =
+            same.map(|(key, state)| (*key, state.phase, state.attempts)).collect();
+        for (request, phase, attempt) in same {
+            match phase {
+                Phase::Waiting => self.refuse_blocked(now, request),
+                Phase::Sent { begun: false, .. } => {
+                    self.command(request, Command::Abort(attempt));
+                }
+                // A claim is looked at once it is settled.
+                Phase::Claiming | Phase::Sent { .. } => {}
+            }
+        }
+    }
+
+    /// Refuses a request that is blocked.
+    pub(super) fn refuse_blocked(&mut self, now: Time, request: attempt::Key) {
+        self.release_and_refuse(now, request, Code::RequestBlocked.into());
+    }
+
+    /// Whether a request whose attempt has just broken may be what ends servers, with what is not yet sure.
+    pub(super) fn may_end_servers(&self, now: Time, request: attempt::Key) -> bool {
+        let Some(fingerprint) = self.fingerprint(request) else { return false };
+        self.poison.is_suspect(fingerprint, self.watch.doubted(now, fingerprint))
+    }
+
+    fn fingerprint(&self, request: attempt::Key) -> Option<Fingerprint> {
+        Some(self.requests.get(&request)?.arrival.fingerprint)
+    }
+
+    /// Takes over that a request was answered.
+    pub(super) fn was_served(&mut self, now: Time, request: attempt::Key) {
+        let Some(fingerprint) = self.fingerprint(request) else { return };
+        if let Some(blocked) = self.poison.served(now, fingerprint) {
+            self.tell_peers(&Message::Served(fingerprint));
+            self.announce(now, blocked);
+        }
+    }
+
+    /// Servers at which a request runs that is as suspect as this one: the next end there would tell
+    /// neither from the other.
+    pub(super) fn kept_apart_from(&self, request: attempt::Key) -> BTreeSet<membership::Key> {
+        let is_prime =
+            |key| self.fingerprint(key).is_some_and(|found| self.poison.is_prime_suspect(found));
+        if !is_prime(request) {
+            return BTreeSet::new();
+        }
+        let own = self.fingerprint(request);
+        let others = self.requests.iter().filter_map(|(other, state)| match state.phase {
+            Phase::Sent { server, .. } if Some(state.arrival.fingerprint) != own => {
+                Some((*other, server))
+            }
+            _ => None,
+        });
+        others.filter(|(other, _)| is_prime(*other)).map(|(_, server)| server).collect()
+    }
+
+    /// Takes over a record of the stream of blocked requests.
+    pub(super) fn fold_blocked(&mut self, now: Time, offset: u64, text: &str) -> Option<()> {
+        if offset < self.blocks.next {
+            return Some(());
+        }
+        self.blocks.next = offset + 1;
+        let (blocked, lifted) = Record::decode(text)?;
+        self.hear_blocked(now, &blocked);
+        for fingerprint in blocked {
+            self.poison.kept(fingerprint);
+        }
+        for fingerprint in lifted {
+            if self.poison.lift(fingerprint) {
+                self.event(Event::BlockEnded, Detail::of("fingerprint", fingerprint.to_string()));
+            }
+        }
+        Some(())
+    }
+
+    /// Looks at servers in doubt, has blocks written, and forgets what is too old. The first live daemon
+    /// writes, and again before the log forgets; two that both believe to be first do no harm.
+    pub(super) fn look_at_poison(&mut self, now: Time) {
+        for Probe { victim, address } in self.watch.due(now) {
+            self.effects.push(Effect::Probe(victim, address));
+        }
+        let first = self.is_first(now);
+        if first {
+            let due = self.poison.to_write(now, WRITE_AGAIN);
+            self.append_blocked(&due, &[]);
+        }
+        if now < self.blocks.next_look {
+            return;
+        }
+        self.blocks.next_look = now + LOOK;
+        let lapsed = self.poison.expire(now);
+        if first {
+            self.append_blocked(&[], &lapsed);
+        }
+        let reading = self.readings.get(&Stream::Blocked).copied().unwrap_or_default();
+        let renewal = Duration::from_secs(reading.retention_s) / RENEW_PART;
+        if first && reading.up && now >= self.blocks.renewed + renewal {
+            self.blocks.renewed = now;
+            let blocked: Vec<Fingerprint> = self.poison.blocked().collect();
+            self.append_blocked(&blocked, &[]);
+        }
+    }
+
+    fn append_blocked(&mut self, blocked: &[Fingerprint], lifted: &[Fingerprint]) {
+        if !blocked.is_empty() || !lifted.is_empty() {
+            let text = Record::new(blocked, lifted).encode();
+            self.effects.push(Effect::AppendBlocked(text));
+        }
+    }
+}
--- a/src/control/tests/servers.rs
+++ b/src/control/tests/servers.rs
@@ -6,6 +6,7 @@
 use crate::manifest::{Objective, Priority};
 use crate::membership::{CacheEvent, Change, Standing};
 use crate::peer::{Copy, Digest, Frame};
+use crate::poison::Fingerprint;
 use crate::prefix::{BLOCK_BYTES, Key, Prefix, Scope, root};
 use crate::prelude::*;
 
@@ -73,6 +74,7 @@
             tokens: 2_048,
             max_tokens: 1,
             idempotent: true,
+            fingerprint: Fingerprint(request.0),
             claim: None,
         };
         let effects = self.apply(Message::Arrive(Box::new(arrival)));
--- a/src/control/tests/world.rs
+++ b/src/control/tests/world.rs
@@ -11,6 +11,7 @@
 use crate::manifest::{self, Body, Priority};
 use crate::membership::{self, Role, Standing, Vm};
 use crate::order::Order;
+use crate::poison::{self, Fingerprint};
 use crate::prefix::Prefix;
 use crate::prelude::*;
 
@@ -233,6 +234,11 @@
             }
             Effect::Force(force) => self.generations[index].push(force.generation),
             Effect::Poll { server, .. } => self.later(index, Message::PollFailed(server)),
+            Effect::AppendBlocked(text) => self.land(Stream::Blocked, text),
+            // No server ends here: answers are lost.
+            Effect::Probe(victim, _) => {
+                self.later(index, Message::Probed(victim, poison::Answer::Accepted))
+            }
             Effect::Send(to, frame) => {
                 let peer = usize::from(to.port()) - 1_000;
                 if !self.chance(self.faults.frame) {
@@ -303,6 +309,7 @@
             tokens: 0,
             max_tokens: 1,
             idempotent: false,
+            fingerprint: Fingerprint(request.0),
             claim,
         };
         self.tell(index, Message::Arrive(Box::new(arrival)));
--- a/src/daemon/carrier.rs
+++ b/src/daemon/carrier.rs
@@ -10,7 +10,9 @@
 use crate::membership;
 use crate::order::Order;
 use crate::peer::{Frame, Links};
+use crate::poison::Victim;
 use crate::prelude::*;
+use crate::relay;
 use crate::telemetry::emit;
 
 /// Carries effects out.
@@ -30,6 +32,8 @@
             Effect::AppendLease(text) => self.append_lease(text),
             Effect::Order { server, address, order } => self.order(server, address, &order),
             Effect::Checkpoint(text) => self.checkpoint(text),
+            Effect::AppendBlocked(text) => self.append_blocked(text),
+            Effect::Probe(victim, address) => self.probe(victim, address),
             Effect::Poll { server, address, from } => self.poll(server, address, from),
             Effect::Send(address, frame) => self.send(address, frame),
             Effect::Event(event, detail) => emit(event, detail),
@@ -76,6 +80,24 @@
         self.executor.spawn(append).detach();
     }
 
+    /// What did not land is seen by its absence when the stream is read.
+    fn append_blocked(&self, text: String) {
+        let address = self.log_service;
+        let append = async move {
+            clients::log::append(address, Stream::Blocked, text).await.ok();
+        };
+        self.executor.spawn(append).detach();
+    }
+
+    fn probe(&self, victim: Victim, address: SocketAddr) {
+        let control = self.control.clone();
+        let probe = async move {
+            let answer = relay::probe(address).await;
+            control.tell(Message::Probed(victim, answer));
+        };
+        self.executor.spawn(probe).detach();
+    }
+
     fn poll(&self, server: membership::Key, address: SocketAddr, from: u64) {
         let control = self.control.clone();
         let poll = async move {
--- a/src/entry/arrival.rs
+++ b/src/entry/arrival.rs
@@ -9,6 +9,7 @@
 use crate::http::header;
 use crate::ledger;
 use crate::manifest::{self, Force, Model, Priority, Workspace};
+use crate::poison::Fingerprint;
 use crate::prefix::{self, BYTES_PER_TOKEN, Prefix, Scope};
 use crate::prelude::*;
 
@@ -124,6 +125,12 @@
             tokens: (prompt.len() / BYTES_PER_TOKEN) as u32,
             max_tokens: completion.max_tokens,
             idempotent: true,
+            fingerprint: Fingerprint::of(
+                workspace_name,
+                "POST",
+                completion.kind.path(),
+                completion.body.to_string().as_bytes(),
+            ),
             claim: None,
         })
     }
@@ -161,6 +168,12 @@
             prefix: Prefix::default(),
             tokens: 0,
             max_tokens: 1,
+            fingerprint: Fingerprint::of(
+                &call.workspace,
+                &method,
+                call.whole.request.url().path(),
+                &call.whole.body,
+            ),
             idempotent: idempotent || (keyed && service.deduplicates),
             claim,
         })
--- a/src/peer/frame.rs
+++ b/src/peer/frame.rs
@@ -5,6 +5,7 @@
 
 use prost::Message as _;
 
+use crate::poison::{self, Fingerprint};
 use crate::prefix;
 use crate::prelude::*;
 
@@ -50,6 +51,8 @@
     pub leaving: Vec<String>,
     /// Whether the daemon itself is stopping.
     pub draining: bool,
+    /// Requests that are blocked and that the log is not known to keep yet.
+    pub blocked: Vec<Fingerprint>,
 }
 
 /// Folded state, for a daemon that starts or is behind.
@@ -69,6 +72,8 @@
     pub ledger_time_ms: u64,
     /// Every key with what is known of it, as JSON text of (key, slot) pairs.
     pub ledger: String,
+    /// Requests that are blocked.
+    pub blocked: Vec<Fingerprint>,
 }
 
 /// One frame between daemons.
@@ -80,6 +85,8 @@
     Ask(String),
     /// A snapshot.
     Snapshot(Snapshot),
+    /// On requests that end servers.
+    Poison(poison::Message),
 }
 
 mod wire {
@@ -131,6 +138,8 @@
         pub draining: bool,
         #[prost(message, repeated, tag = "8")]
         pub copies: Vec<Copy>,
+        #[prost(fixed64, repeated, tag = "9")]
+        pub blocked: Vec<u64>,
     }
 
     #[derive(Clone, PartialEq, prost::Message)]
@@ -149,11 +158,13 @@
         pub ledger_time_ms: u64,
         #[prost(string, tag = "7")]
         pub ledger: String,
+        #[prost(fixed64, repeated, tag = "8")]
+        pub blocked: Vec<u64>,
     }
 
     #[derive(Clone, PartialEq, prost::Message)]
     pub struct Frame {
-        #[prost(oneof = "Body", tags = "1, 2, 3")]
+        #[prost(oneof = "Body", tags = "1, 2, 3, 4")]
         pub body: Option<Body>,
     }
 
@@ -165,6 +176,8 @@
         Ask(String),
         #[prost(message, tag = "3")]
         Snapshot(Snapshot),
+        #[prost(message, tag = "4")]
+        Poison(crate::poison::WireMessage),
     }
 }
 
@@ -191,6 +204,7 @@
             Frame::Digest(digest) => wire::Body::Digest(digest.into()),
             Frame::Ask(daemon) => wire::Body::Ask(daemon),
             Frame::Snapshot(snapshot) => wire::Body::Snapshot(snapshot.into()),
+            Frame::Poison(message) => wire::Body::Poison(message.into()),
         };
         Self { body: Some(body) }
     }
@@ -204,6 +218,7 @@
             wire::Body::Digest(digest) => Ok(Self::Digest(digest.try_into()?)),
             wire::Body::Ask(daemon) => Ok(Self::Ask(daemon)),
             wire::Body::Snapshot(snapshot) => Ok(Self::Snapshot(snapshot.into())),
+            wire::Body::Poison(message) => Ok(Self::Poison(message.into())),
         }
     }
 }
@@ -228,6 +243,7 @@
             leaving: digest.leaving,
             draining: digest.draining,
             copies: digest.copies.into_iter().map(wire::Copy::from).collect(),
+            blocked: digest.blocked.into_iter().map(|fingerprint| fingerprint.0).collect(),
         }
     }
 }
@@ -257,24 +273,40 @@
             leaving: digest.leaving,
             draining: digest.draining,
             copies: digest.copies.into_iter().map(Copy::from).collect(),
+            blocked: digest.blocked.into_iter().map(Fingerprint).collect(),
         })
     }
 }
 
-macro_rules! same_fields {
-    ($from:ty => $to:ty: $($field:ident),*) => {
-        impl From<$from> for $to {
-            fn from(value: $from) -> Self {
-                Self { $($field: value.$field),* }
-            }
+impl From<Snapshot> for wire::Snapshot {
+    fn from(snapshot: Snapshot) -> Self {
+        Self {
+            manifest_next: snapshot.manifest_next,
+            generation: snapshot.generation,
+            published: snapshot.published,
+            manifest: snapshot.manifest,
+            ledger_next: snapshot.ledger_next,
+            ledger_time_ms: snapshot.ledger_time_ms,
+            ledger: snapshot.ledger,
+            blocked: snapshot.blocked.into_iter().map(|fingerprint| fingerprint.0).collect(),
         }
-    };
+    }
 }
 
-same_fields!(Snapshot => wire::Snapshot:
-    manifest_next, generation, published, manifest, ledger_next, ledger_time_ms, ledger);
-same_fields!(wire::Snapshot => Snapshot:
-    manifest_next, generation, published, manifest, ledger_next, ledger_time_ms, ledger);
+impl From<wire::Snapshot> for Snapshot {
+    fn from(wire: wire::Snapshot) -> Self {
+        Self {
+            manifest_next: wire.manifest_next,
+            generation: wire.generation,
+            published: wire.published,
+            manifest: wire.manifest,
+            ledger_next: wire.ledger_next,
+            ledger_time_ms: wire.ledger_time_ms,
+            ledger: wire.ledger,
+            blocked: wire.blocked.into_iter().map(Fingerprint).collect(),
+        }
+    }
+}
 
 impl From<Copy> for wire::Copy {
     fn from(copy: Copy) -> Self {
--- a/src/peer/tests.rs
+++ b/src/peer/tests.rs
@@ -3,6 +3,7 @@
 use quickcheck::quickcheck;
 
 use super::*;
+use crate::poison::{self, Fingerprint};
 use crate::prefix::Key;
 use crate::prelude::*;
 
@@ -16,13 +17,22 @@
         copies: vec![Copy { level: Key(1), server: "engine".into(), incarnation: "one".into() }],
         leaving: vec!["gone".into()],
         draining: true,
+        blocked: vec![Fingerprint(5)],
     }
 }
 
 #[test]
 fn decode_what_was_encoded() {
-    let snapshot = Snapshot { generation: 4, manifest: "{}".into(), ..Snapshot::default() };
-    for frame in [Frame::Digest(digest()), Frame::Ask("r".into()), Frame::Snapshot(snapshot)] {
+    let blocked = vec![Fingerprint(9)];
+    let manifest = "{}".into();
+    let snapshot = Snapshot { generation: 4, manifest, blocked, ..Snapshot::default() };
+    let served = poison::Message::Served(Fingerprint(6));
+    for frame in [
+        Frame::Digest(digest()),
+        Frame::Ask("r".into()),
+        Frame::Snapshot(snapshot),
+        Frame::Poison(served),
+    ] {
         assert_eq!(Frame::decode(&frame.clone().encode()), Ok(frame));
     }
 }
--- a/standin/src/replay/world/callers.rs
+++ b/standin/src/replay/world/callers.rs
@@ -60,6 +60,7 @@
             tokens: request.tokens(),
             max_tokens: request.answer_tokens,
             idempotent: true,
+            fingerprint: cardamomvalve::poison::Fingerprint(index as u64),
             claim: None,
         }
     }
--- a/standin/src/replay/world/daemons.rs
+++ b/standin/src/replay/world/daemons.rs
@@ -35,6 +35,8 @@
             | Effect::AppendLease(_)
             | Effect::Order { .. }
             | Effect::Checkpoint(_)
+            | Effect::AppendBlocked(_)
+            | Effect::Probe(..)
             | Effect::Force(_)
             | Effect::Event(..) => {}
         }
@@ -119,7 +121,7 @@
     pub(super) fn log_read(&self, stream: Stream) -> Read {
         let records = match stream {
             Stream::Manifest => vec![Record { offset: 0, time_ms: 0, text: manifest_record() }],
-            Stream::Ledger | Stream::Lease => Vec::new(),
+            Stream::Ledger | Stream::Lease | Stream::Blocked => Vec::new(),
         };
         Read { first: 0, next: records.len() as u64, retention_s: 1_000_000, records }
     }
