Count servers that fall silent under a request, and trace what is asked for

A request that is taken from a silent server, or was at one that started again, may be what silenced it: it is noted with that server once its registration tells that it has ended. Found by looking for the cause elsewhere; request_that_silences_servers_is_blocked_once_these_are_seen_to_have_started_again failed before (it was sent on).

--- a/src/cli/trace.rs
+++ b/src/cli/trace.rs
@@ -48,6 +48,16 @@
         self.fields.get(name)?.as_str()
     }
 
+    /// Whether it is on this request, or on requests that ask for the same where `id` is a fingerprint.
+    fn is_on(&self, id: &str) -> bool {
+        self.text("request") == Some(id) || self.names_fingerprint(id)
+    }
+
+    fn names_fingerprint(&self, fingerprint: &str) -> bool {
+        let mut several = self.text("fingerprints").unwrap_or_default().split(' ');
+        self.text("fingerprint") == Some(fingerprint) || several.any(|one| one == fingerprint)
+    }
+
     /// Whether it tells of the daemon itself or of what it depends on, rather than of one request.
     fn is_of_daemon(&self) -> bool {
         let event = self.fields.get("event").and_then(Value::as_u64);
@@ -116,10 +126,10 @@
     run
 }
 
-/// The lines on `request`, and those around them that tell of its servers and daemons, in order.
+/// The lines on `request`, those on what it asks for without naming a request (that servers ended under it, that it
+/// is blocked), and those around them that tell of its servers and daemons, in order.
 fn history(lines: Vec<Line>, request: &str) -> Vec<Line> {
-    let own: Vec<&Line> =
-        lines.iter().filter(|line| line.text("request") == Some(request)).collect();
+    let own: Vec<&Line> = lines.iter().filter(|line| line.is_on(request)).collect();
     let first = own.iter().map(|line| line.at_ms).min();
     let (Some(first), Some(last)) = (first, own.iter().map(|line| line.at_ms).max()) else {
         return Vec::new();
@@ -127,11 +137,14 @@
     let servers: BTreeSet<String> =
         own.iter().filter_map(|line| line.text("server")).map(str::to_owned).collect();
     let daemons: BTreeSet<String> = own.iter().map(|line| line.daemon.clone()).collect();
+    let asked: BTreeSet<String> =
+        own.iter().filter_map(|line| line.text("fingerprint")).map(str::to_owned).collect();
     let around = first - AROUND_MS..=last + AROUND_MS;
     let mut history: Vec<Line> = lines
         .into_iter()
         .filter(|line| match line.text("request") {
-            Some(id) => id == request,
+            Some(_) => line.is_on(request),
+            None if asked.iter().any(|asked| line.names_fingerprint(asked)) => true,
             None if !around.contains(&line.at_ms) => false,
             None => match line.text("server") {
                 Some(server) => servers.contains(server),
@@ -156,8 +169,7 @@
 }
 
 fn as_text(history: &[Line], request: &str) -> String {
-    let own: Vec<&Line> =
-        history.iter().filter(|line| line.text("request") == Some(request)).collect();
+    let own: Vec<&Line> = history.iter().filter(|line| line.is_on(request)).collect();
     let daemons: BTreeSet<&str> = own.iter().map(|line| line.daemon.as_str()).collect();
     let first = own.first().map_or(0, |line| line.at_ms);
     let began = own.first().and_then(|line| line.text("time")).unwrap_or_default();
@@ -171,7 +183,7 @@
 }
 
 fn as_row(line: &Line, after_ms: i64, request: &str) -> String {
-    let beside = if line.text("request") == Some(request) { ' ' } else { '~' };
+    let beside = if line.is_on(request) { ' ' } else { '~' };
     let values = line.fields.iter().filter(|(name, _)| !SHOWN.contains(&name.as_str()));
     let values: Vec<String> = values
         .map(|(name, value)| match value {
--- a/src/fleet/records.rs
+++ b/src/fleet/records.rs
@@ -1,7 +1,7 @@
 //! Records of the platform's store, and what they change.
 
 use super::life::Known;
-use super::request::Phase;
+use super::request::{Phase, Request};
 use super::{
     Batch, Change, Effect, Entry, Key, Node, Place, Read, Record, Server, Topic, Tracked, server,
 };
@@ -178,14 +178,19 @@
         let address = self.servers.get(former).map(|server| server.entry.address);
         let detail = Detail::of("server", entry.life.id.as_str()).and("born", entry.life.born);
         self.event(Event::ServerRestarted, detail);
+        let there = self.requests.iter().filter_map(|(key, request)| match request.phase {
+            Phase::Sent { server, at, .. } if server == former => Some((*key, at)),
+            _ => None,
+        });
+        let there: Vec<(Key, Time)> = there.collect();
+        for (key, at) in &there {
+            self.connection_lost(now, *key, former, now.saturating_sub(*at));
+        }
         self.remove(now, former);
         self.add(entry);
         self.effects.extend(address.map(Effect::Disconnect));
-        let lost = self.requests.iter().filter(|(_, request)| {
-            let at_former = matches!(request.phase, Phase::Sent { server, .. } if server == former);
-            at_former && request.may_repeat()
-        });
-        let lost: Vec<Key> = lost.map(|(key, _)| *key).collect();
+        let repeatable = |key: &Key| self.requests.get(key).is_some_and(Request::may_repeat);
+        let lost: Vec<Key> = there.into_iter().map(|(key, _)| key).filter(repeatable).collect();
         for key in lost {
             self.log_failed(key, former, "its server has started again");
             self.repeat(now, key);
--- a/src/fleet/requests.rs
+++ b/src/fleet/requests.rs
@@ -167,8 +167,9 @@
     /// Sends a request elsewhere whose server has fallen silent, where its route allows it.
     pub(super) fn move_away(&mut self, now: Time, key: Key) {
         let Some(request) = self.requests.get(&key) else { return };
+        let Phase::Sent { server, at, .. } = request.phase else { return };
         let pool = request.pool.clone();
-        if !request.may_repeat() {
+        if !request.may_repeat() || self.may_end_servers(now, key) {
             return;
         }
         let Some(choice) = self.place(now, key) else { return };
@@ -177,6 +178,8 @@
         }
         self.counts.moved += 1;
         self.log_taken_back(Event::RequestMoved, now, key);
+        // It may be what silenced the server; whether that has ended its registration will tell.
+        self.connection_lost(now, key, server, now.saturating_sub(at));
         self.release(key);
         self.dispatch(now, key, choice);
     }
--- a/src/fleet/tests/poison.rs
+++ b/src/fleet/tests/poison.rs
@@ -58,7 +58,7 @@
 
 #[test]
 fn request_that_three_servers_ended_under_is_refused_by_all() {
-    for daemons in [1, 3, 7, 50] {
+    for daemons in [1, 3, 7, 50, 195] {
         let mut site = site(daemons, 8);
         let count = usize::from(daemons);
         let ended = (0..8).filter(|n| ends_a_server(&mut site, n % count, FATAL)).count();
@@ -218,3 +218,31 @@
     site.pass(ms(9_000));
     assert_eq!(site.written.len(), tries);
 }
+
+#[test]
+fn request_that_silences_servers_is_blocked_once_these_are_seen_to_have_started_again() {
+    let servers = [1, 2, 3, 4, 5, 6].map(|n| (format!("e-{n}"), 100 + n));
+    let first: Vec<(String, String)> =
+        servers.iter().map(|(id, n)| (id.clone(), format!("engine {n} ready 1 born:5"))).collect();
+    let first: Vec<(&str, &str)> = first.iter().map(|(id, v)| (id.as_str(), v.as_str())).collect();
+    let mut site = Site::new(3, &first);
+    for round in 0..3 {
+        let key = ask(&mut site, round, FATAL);
+        let sent = site.sent(round, key);
+        site.pass(ms(1_500));
+        let n = servers.iter().find(|(id, _)| *id == sent.server).expect("it is one of them").1;
+        let value = format!("engine {n} ready 1 born:{}", 6 + round);
+        let now = site.now;
+        for daemon in 0..3 {
+            let effects = site.daemons[daemon].put(now, Topic::Servers, &[(&sent.server, &value)]);
+            for (to, message) in site.carry(daemon, effects).into_iter().rev() {
+                site.apply(to, message);
+            }
+        }
+        site.apply(round, Message::Leave(key));
+        // It runs for seconds: only where servers end seldom it is no chance that it is at each end.
+        site.pass(ms(30_000));
+    }
+    let key = ask(&mut site, 0, FATAL);
+    assert_eq!(refusal(&mut site, 0, key), Some(Code::RequestBlocked));
+}
