--- a/src/control/candidates.rs
+++ b/src/control/candidates.rs
@@ -51,7 +51,7 @@
         let untried: Vec<(membership::Key, &Server)> =
             usable.iter().copied().filter(|(key, _)| !state.failed.contains(key)).collect();
         let mut servers = if untried.is_empty() { usable } else { untried };
-        let apart = self.kept_apart_from(request);
+        let apart = self.kept_apart_from(state);
         if servers.iter().any(|(key, _)| !apart.contains(key)) {
             servers.retain(|(key, _)| !apart.contains(key));
         }
--- a/src/control/poison.rs
+++ b/src/control/poison.rs
@@ -5,7 +5,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::{Effect, Node, Stream};
-use crate::attempt::{self, Command, Phase};
+use crate::attempt::{self, Command, Phase, Request};
 use crate::membership;
 use crate::peer::Frame;
 use crate::poison::{
@@ -87,7 +87,7 @@
 
     /// Takes over that a server answered.
     pub(super) fn lives(&mut self, now: Time, server: membership::Key) {
-        if let Some(victim) = self.victim(server) {
+        if let Some(victim) = self.victim(server).filter(|_| !self.watch.is_idle()) {
             self.watch.heard(now, victim);
         }
     }
@@ -195,22 +195,13 @@
         }
     }
 
-    /// Servers at which a request runs that is as suspect as this one: the next end there would tell
-    /// neither from the other.
-    pub(super) fn kept_apart_from(&self, request: attempt::Key) -> BTreeSet<membership::Key> {
-        let is_prime =
-            |key| self.fingerprint(key).is_some_and(|found| self.poison.is_prime_suspect(found));
-        if !is_prime(request) {
-            return BTreeSet::new();
-        }
-        let own = self.fingerprint(request);
-        let others = self.requests.iter().filter_map(|(other, state)| match state.phase {
-            Phase::Sent { server, .. } if Some(state.arrival.fingerprint) != own => {
-                Some((*other, server))
-            }
-            _ => None,
+    /// Servers to which a request is not sent beside another suspect.
+    pub(super) fn kept_apart_from(&self, state: &Request) -> BTreeSet<membership::Key> {
+        let running = self.requests.values().filter_map(|other| match other.phase {
+            Phase::Sent { server, .. } => Some((other.arrival.fingerprint, server)),
+            Phase::Claiming | Phase::Waiting => None,
         });
-        others.filter(|(other, _)| is_prime(*other)).map(|(_, server)| server).collect()
+        self.poison.kept_apart(state.arrival.fingerprint, running)
     }
 
     /// Takes over a record of the stream of blocked requests.
--- a/src/control/status.rs
+++ b/src/control/status.rs
@@ -68,6 +68,9 @@
     pub servers: Vec<ServerStatus>,
     /// Waiting requests by pool.
     pub waiting: BTreeMap<String, usize>,
+    /// Requests that are refused since servers ended under them.
+    #[serde(default)]
+    pub requests_blocked: usize,
     /// Open requests.
     pub open: usize,
     /// Counts since the start.
@@ -108,6 +111,7 @@
             ("servers_usable", usable),
             ("peers", self.peers.len() as u64),
             ("waiting", waiting as u64),
+            ("requests_blocked", self.requests_blocked as u64),
             ("open", self.open as u64),
             ("arrived", self.counts.arrived),
             ("finished", self.counts.finished),
@@ -157,6 +161,7 @@
             peers: self.fresh_peers(now).map(|digest| digest.daemon.clone()).collect(),
             servers: servers.collect(),
             waiting: waiting.collect(),
+            requests_blocked: self.poison.blocked().count(),
             open: self.requests.len(),
             counts: self.counts,
         }
--- a/src/fleet/place.rs
+++ b/src/fleet/place.rs
@@ -107,7 +107,7 @@
         let servers = keys.iter().filter_map(|key| Some((*key, self.servers.get(*key)?)));
         let mut usable: Vec<(server::Key, &Server)> =
             servers.filter(|(key, server)| self.has_room(now, *key, server)).collect();
-        let apart = self.kept_apart_from(key);
+        let apart = self.kept_apart_from(request);
         if usable.iter().any(|(key, _)| !apart.contains(key)) {
             usable.retain(|(key, _)| !apart.contains(key));
         }
--- a/src/fleet/poison.rs
+++ b/src/fleet/poison.rs
@@ -5,7 +5,7 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::request::Phase;
+use super::request::{Phase, Request};
 use super::{Command, Effect, Frame, Key, Node, Server, server};
 use crate::poison::{
     Answer, BLOCKED_FOR, Fingerprint, Lost, Message, Probe, Steps, Strike, Suspect, Victim,
@@ -64,7 +64,7 @@
 
     /// Takes over that a server answered.
     pub(super) fn lives(&mut self, now: Time, server: server::Key) {
-        if let Some(server) = self.servers.get(server) {
+        if let Some(server) = self.servers.get(server).filter(|_| !self.watch.is_idle()) {
             self.watch.heard(now, server.victim());
         }
     }
@@ -194,22 +194,13 @@
         }
     }
 
-    /// Servers at which a request runs that is as suspect as this one: the next end there would tell
-    /// neither from the other.
-    pub(super) fn kept_apart_from(&self, key: Key) -> BTreeSet<server::Key> {
-        let is_prime =
-            |key| self.fingerprint(key).is_some_and(|found| self.poison.is_prime_suspect(found));
-        if !is_prime(key) {
-            return BTreeSet::new();
-        }
-        let own = self.fingerprint(key);
-        let others = self.requests.iter().filter_map(|(other, request)| match request.phase {
-            Phase::Sent { server, .. } if Some(request.arrival.fingerprint) != own => {
-                Some((*other, server))
-            }
-            _ => None,
+    /// Servers to which a request is not sent beside another suspect.
+    pub(super) fn kept_apart_from(&self, request: &Request) -> BTreeSet<server::Key> {
+        let running = self.requests.values().filter_map(|other| match other.phase {
+            Phase::Sent { server, .. } => Some((other.arrival.fingerprint, server)),
+            Phase::Waiting(_) | Phase::Submitted(_) => None,
         });
-        others.filter(|(other, _)| is_prime(*other)).map(|(_, server)| server).collect()
+        self.poison.kept_apart(request.arrival.fingerprint, running)
     }
 
     /// Looks at servers in doubt, has blocks written, and forgets what is too old.
--- a/src/poison/state.rs
+++ b/src/poison/state.rs
@@ -248,6 +248,20 @@
         !self.suspects.is_empty() && self.is_suspect(fingerprint, 1)
     }
 
+    /// Where others run that are as suspect as this request, of all that run: the next end there would tell
+    /// neither from the other.
+    pub fn kept_apart<K: Ord>(
+        &self,
+        fingerprint: Fingerprint,
+        running: impl Iterator<Item = (Fingerprint, K)>,
+    ) -> BTreeSet<K> {
+        if !self.is_prime_suspect(fingerprint) {
+            return BTreeSet::new();
+        }
+        let rivals = running.filter(|(other, _)| *other != fingerprint);
+        rivals.filter(|(other, _)| self.is_prime_suspect(*other)).map(|(_, place)| place).collect()
+    }
+
     /// All strikes that nothing explains yet, for a daemon that is to go on from here.
     pub fn strikes(&self, now: Time) -> Vec<Strike> {
         let strikes = self.suspects.iter().flat_map(|(fingerprint, suspect)| {
--- a/src/poison/watch.rs
+++ b/src/poison/watch.rs
@@ -106,7 +106,6 @@
 impl Watch {
     /// Takes over that the connection broke on which a request ran at a server.
     pub fn lost(&mut self, now: Time, server: Suspect, lost: Lost) -> Steps {
-        self.doubts.retain(|_, doubt| now < doubt.since + DOUBTED_FOR);
         let Suspect { victim, address, .. } = server;
         let Lost { fingerprint, ran } = lost;
         let same = |doubt: &&mut Doubt| {
@@ -160,6 +159,7 @@
 
     /// The looks that are due.
     pub fn due(&mut self, now: Time) -> Vec<Probe> {
+        self.doubts.retain(|_, doubt| now < doubt.since + DOUBTED_FOR);
         let mut probes = Vec::new();
         for (victim, doubt) in &mut self.doubts {
             if matches!(doubt.stage, Stage::Closed(at) if now >= at) {
@@ -170,6 +170,11 @@
         probes
     }
 
+    /// Whether no server was in doubt lately.
+    pub fn is_idle(&self) -> bool {
+        self.doubts.is_empty()
+    }
+
     /// Whether a look is due soon.
     pub fn is_pressed(&self) -> bool {
         self.doubts.values().any(|doubt| matches!(doubt.stage, Stage::Closed(_)))
