Show for how long newer weights have been named, as each daemon believes

Lines and metrics could not tell a daemon that takes newer weights for just named from one that takes an engine for having them: 513 says whether the age is known, 405 how long the weights it sends to have been overtaken, and weights_overtaken_ms is kept by metrics where lines are not. No decision changes.

--- a/src/fleet/explain.rs
+++ b/src/fleet/explain.rs
@@ -52,6 +52,7 @@
             .and("running_here", server.running)
             .and_some("told_ms_ago", load.told_at().map(|at| now.saturating_sub(at)))
             .and_some("weights", choice.weights)
+            .and_some("overtaken_ms", self.overtaken(now, request, choice.weights))
             .and("home", choice.at_home)
             .and_some("fetch_from", choice.fetch_from)
             .and("save", choice.save_to.is_some());
@@ -60,7 +61,7 @@
     }
 
     /// Logs where a request goes that a scheduler placed.
-    pub(super) fn log_assigned(&mut self, key: Key, dispatch: &Dispatch) {
+    pub(super) fn log_assigned(&mut self, now: Time, key: Key, dispatch: &Dispatch) {
         let Some(request) = self.requests.get(&key) else { return };
         let detail = Self::about(request)
             .and("attempt", dispatch.attempt)
@@ -68,10 +69,18 @@
             .and("server", dispatch.server.as_str())
             .and("address", dispatch.address)
             .and("fingerprint", request.arrival.fingerprint.to_string())
-            .and_some("weights", dispatch.weights);
+            .and_some("weights", dispatch.weights)
+            .and_some("overtaken_ms", self.overtaken(now, request, dispatch.weights));
         self.event(Event::AttemptSent, detail);
     }
 
+    /// For how long newer weights than those that a request is sent to have been named, as this daemon
+    /// believes.
+    fn overtaken(&self, now: Time, request: &Request, weights: Option<u64>) -> Option<Duration> {
+        let prompt = request.arrival.prompt.as_ref()?;
+        self.rollout.overtaken_for(now, &prompt.model, weights?)
+    }
+
     /// Logs that the answer to a request began that was sent at time `at`.
     pub(super) fn log_begun(&mut self, now: Time, key: Key, at: Time) {
         let Some(request) = self.requests.get(&key) else { return };
--- a/src/fleet/figures.rs
+++ b/src/fleet/figures.rs
@@ -110,6 +110,11 @@
             if let Some(version) = server.entry.weights.values().max() {
                 show("weights", *version);
             }
+            let weights = server.entry.weights.iter();
+            let ages = weights.filter_map(|(m, v)| self.rollout.overtaken_for(now, m, *v));
+            if let Some(age) = ages.max() {
+                show("weights_overtaken_ms", ms(age));
+            }
         }
     }
 
--- a/src/fleet/rollout.rs
+++ b/src/fleet/rollout.rs
@@ -77,7 +77,10 @@
         if named.len() > MAX_NAMED {
             named.remove(0);
         }
-        self.event(Event::WeightsNamed, Detail::of("model", model).and("version", version));
+        let detail = Detail::of("model", model)
+            .and("version", version)
+            .and("age", if at.is_some() { "known" } else { "unknown" });
+        self.event(Event::WeightsNamed, detail);
     }
 
     /// Notes the version that a server was seen to have.
--- a/src/fleet/scheduling/submitting.rs
+++ b/src/fleet/scheduling/submitting.rs
@@ -128,7 +128,7 @@
             most_idle,
         };
         self.counts.sent += 1;
-        self.log_assigned(key, &dispatch);
+        self.log_assigned(now, key, &dispatch);
         self.effects.push(Effect::Command(key, Command::Dispatch(dispatch)));
     }
 
