Show that a daemon which starts at a configuration begins requests on weights replaced long before (failing tests)

Callers got answers made on weights that had been out of date for 16 to 20 s, where 10 s is the limit. The tests bring it about with a peer's record that comes before the topic was read, at one daemon and among 3 to 195.

--- /dev/null
+++ b/src/fleet/tests/naming.rs
@@ -0,0 +1,85 @@
+//! When weights were named, as daemons believe that did not see it.
+//!
+//! Requests began on weights that had been replaced 16 to 20 s before, where 10 s is the limit, at a daemon that had
+//! just started among daemons that had not. A configuration had been acknowledged as it started, and its peers told
+//! it of that one record at once: `SnapshotTaken records=1` 0.3 ms after `Started`. One record of the topic counted as
+//! the topic, so the version that it read from the store a moment later counted as named after its start
+//! (`WeightsNamed version=2 age=known`, then `AttemptSent weights=1 overtaken_ms=6`, 14.6 s after the naming). Daemons
+//! that started without such a record said `age=unknown` and sent nothing there.
+
+use super::site::Site;
+use super::world::*;
+use crate::fleet::*;
+use crate::prelude::*;
+use crate::route::Repeat;
+
+const OLD: &str = "engine 201 ready 1";
+const NEW: &str = "engine 202 ready 2";
+
+/// The newest records of all keys of the operators' topic, one of which was named long before.
+fn operator_topic() -> Vec<Record> {
+    let record = |key: &str, offset, value: &str| Record {
+        key: key.into(),
+        offset,
+        value: Some(value.as_bytes().to_vec()),
+    };
+    vec![record("version/m", 1, "weights 2"), record("config", 5, "table 6")]
+}
+
+fn records(topic: Topic, from: u64, to: u64, records: Vec<Record>) -> Message {
+    Message::Frame(Frame::Records(Batch { topic, from, to, records }))
+}
+
+/// Sends a request of the engines' route; the weights that it is sent to.
+fn send(daemon: &mut Daemon, now: Time) -> Vec<Option<u64>> {
+    let route = route("engines", Repeat::Resumable, 2);
+    let (request, effects) = daemon.arrive(now, &route, Some(prompt(7, 3)));
+    daemon.node.apply(now, Message::Leave(request));
+    let dispatched = commands(&effects).into_iter().filter_map(|command| match command {
+        Command::Dispatch(dispatch) => Some(dispatch.weights),
+        Command::Refuse(..) | Command::GiveUp => None,
+    });
+    dispatched.collect()
+}
+
+#[test]
+fn named_before_the_start_after_a_part_of_the_topic() {
+    let mut daemon = Daemon::new(1);
+    let newest = operator_topic().split_off(1);
+    daemon.node.apply(ms(20), records(Topic::Operator, 5, 6, newest));
+    daemon.node.apply(ms(40), records(Topic::Operator, 0, 6, operator_topic()));
+    daemon.put(ms(50), Topic::Servers, &[("e-1", OLD)]);
+    assert_eq!(send(&mut daemon, ms(60)), []);
+}
+
+#[test]
+fn restart_at_a_configuration_begins_nothing_on_old_weights() {
+    for count in [3, 9, 71, 195] {
+        let mut site = Site::new(count, &[("e-1", OLD), ("e-2", NEW)]);
+        for daemon in &mut site.daemons {
+            daemon.put(site.now, Topic::Operator, &[("version/m", "weights 2")]);
+        }
+        site.now += POLICY.weights_limit + ms(2_000);
+        site.pass(ms(1_000));
+        // It starts again, and the others read a configuration at the same moment.
+        let last = usize::from(count) - 1;
+        site.daemons[last] = Daemon::new(count);
+        for index in 0..last {
+            let effects =
+                site.daemons[index].put(site.now, Topic::Operator, &[("config", "table 2")]);
+            for (to, message) in site.carry(index, effects) {
+                site.apply(to, message);
+            }
+        }
+        site.now += ms(20);
+        let now = site.now;
+        let daemon = &mut site.daemons[last];
+        daemon.put(
+            now,
+            Topic::Operator,
+            &[("first", "table 1"), ("version/m", "weights 2"), ("config", "table 2")],
+        );
+        daemon.put(now, Topic::Servers, &[("e-1", OLD)]);
+        assert_eq!(send(daemon, now), [], "{count} daemons");
+    }
+}
