Count a topic as read only once nothing of it is missing

Callers got answers made on weights that had been replaced 16 to 20 s before, from daemons that had just started. Cause: a record that a peer tells of at once marked the whole topic as read, so that what was then read for the first time counted as new, weights named long before among it. The mend holds since completeness is now what the offsets say: a range that begins at the start, or where the one before ended. Whatever comes first, in whichever parts, the topic is unread until then, and what is read by then was named at an unknown time.

The same cause elsewhere, each with a test that failed: a daemon told of one server said that it was ready; one told of one other daemon took half of the retry budget; one that had read nothing answered peers who asked for all. Ruled out: engines taken for having the newer weights, and verdicts of schedulers: lines show weights=1 with overtaken_ms=6 beside it at the daemon itself.

--- a/src/fleet/catalog.rs
+++ b/src/fleet/catalog.rs
@@ -103,13 +103,22 @@
             .collect()
     }
 
-    /// Notes that every record of a range was taken. One that begins past what is known leaves a gap
-    /// and changes nothing.
-    pub fn advance(&mut self, topic: Topic, from: u64, to: u64) {
+    /// Notes that every record of a range was taken; whether no record before its end is missing now.
+    /// One that begins past what is known leaves a gap and changes nothing.
+    ///
+    /// ```
+    /// use cardamomvalve::fleet::{Catalog, Topic};
+    /// let mut catalog = Catalog::default();
+    /// assert!(!catalog.advance(Topic::Servers, 5, 6));
+    /// assert!(catalog.advance(Topic::Servers, 0, 6));
+    /// ```
+    pub fn advance(&mut self, topic: Topic, from: u64, to: u64) -> bool {
         let shelf = self.shelves.entry(topic).or_default();
-        if from <= shelf.end {
+        let follows = from <= shelf.end;
+        if follows {
             shelf.end = shelf.end.max(to);
         }
+        follows
     }
 
     /// The offset before which no record is missing.
--- a/src/fleet/gossip.rs
+++ b/src/fleet/gossip.rs
@@ -205,17 +205,21 @@
             Frame::Poison(message) => self.poison_came(now, message),
             Frame::Ask(daemon, topic, from) => {
                 let Some(peer) = self.peers.get(&daemon) else { return };
+                if !self.known.contains(&topic) {
+                    return;
+                }
                 let records = self.catalog.since(topic, from);
                 let batch = Batch { topic, from, to: self.catalog.end(topic), records };
                 self.effects.push(Effect::Send(vec![peer.address], Frame::Records(batch)));
             }
             Frame::Records(batch) => {
-                if !self.known.contains(&batch.topic) {
-                    let detail = Detail::of("topic", format!("{:?}", batch.topic))
-                        .and("records", batch.records.len());
+                let (topic, records) = (batch.topic, batch.records.len());
+                let was_known = self.known.contains(&topic);
+                self.take(now, batch, true);
+                if !was_known && self.known.contains(&topic) {
+                    let detail = Detail::of("topic", format!("{topic:?}")).and("records", records);
                     self.event(Event::SnapshotTaken, detail);
                 }
-                self.take(now, batch, true);
             }
         }
     }
--- a/src/fleet/records.rs
+++ b/src/fleet/records.rs
@@ -31,8 +31,11 @@
     /// Takes a batch from the store or from a peer, and tells some peers of what was new in it.
     pub(super) fn take(&mut self, now: Time, batch: Batch, tell: bool) {
         let any_new = self.take_records(now, batch.topic, &batch.records);
-        self.catalog.advance(batch.topic, batch.from, batch.to);
-        self.known.insert(batch.topic);
+        // A peer tells of new records one by one: with a gap before them they are a part of the topic,
+        // and what is read next may be older than they are.
+        if self.catalog.advance(batch.topic, batch.from, batch.to) {
+            self.known.insert(batch.topic);
+        }
         if tell && any_new && batch.records.len() <= MAX_TOLD {
             self.tell_records(now, batch);
         }
--- a/src/fleet/tests/peers.rs
+++ b/src/fleet/tests/peers.rs
@@ -243,3 +243,38 @@
     assert_eq!(up.len(), 4);
     assert!(up.iter().all(|line| line.ends_with("down_ms=1000")), "{up:?}");
 }
+
+#[test]
+fn newcomer_told_of_one_server_is_not_ready() {
+    let mut daemon = Daemon::new(1);
+    daemon.put(ms(0), Topic::Operator, &[("config", "table 1")]);
+    let value = Some(b"plain 11 ready".to_vec());
+    let records = vec![Record { key: "s-1".into(), offset: 40, value }];
+    let batch = Batch { topic: Topic::Servers, from: 40, to: 41, records };
+    daemon.node.apply(ms(10), Message::Frame(Frame::Records(batch)));
+    assert!(!daemon.node.is_ready());
+    daemon.put(ms(20), Topic::Servers, &[("s-2", "plain 12 ready")]);
+    assert!(daemon.node.is_ready());
+}
+
+#[test]
+fn newcomer_told_of_one_daemon_shares_the_retry_budget_with_many() {
+    let mut daemon = Daemon::new(1);
+    let value = Some(b"router 2".to_vec());
+    let records = vec![Record { key: "router-2".into(), offset: 8, value }];
+    let batch = Batch { topic: Topic::Routers, from: 8, to: 9, records };
+    daemon.node.apply(ms(10), Message::Frame(Frame::Records(batch)));
+    assert!(daemon.node.daemons() > 2);
+}
+
+#[test]
+fn peer_that_has_not_read_a_topic_answers_nothing_for_it() {
+    let mut daemon = Daemon::new(1);
+    let router = Some(b"router 2".to_vec());
+    let records = vec![Record { key: "router-2".into(), offset: 8, value: router }];
+    let batch = Batch { topic: Topic::Routers, from: 8, to: 9, records };
+    daemon.node.apply(ms(10), Message::Frame(Frame::Records(batch)));
+    let ask = Frame::Ask("router-2".into(), Topic::Operator, 0);
+    let effects = daemon.node.apply(ms(20), Message::Frame(ask));
+    assert!(!effects.iter().any(|effect| matches!(effect, Effect::Send(_, Frame::Records(_)))));
+}
