--- a/src/fleet/tests/naming.rs
+++ b/src/fleet/tests/naming.rs
@@ -83,3 +83,28 @@
         assert_eq!(send(daemon, now), [], "{count} daemons");
     }
 }
+
+/// Weights may have been named at any time since a daemon last knew that none were. One that was frozen for eight
+/// seconds took them for named when it woke and read of them.
+#[test]
+fn named_while_the_daemon_was_frozen() {
+    let mut daemon = Daemon::with(1, &[("e-1", OLD)]);
+    for time in (0..=1_000).step_by(50) {
+        daemon.tick(ms(time));
+    }
+    daemon.put(ms(9_000), Topic::Operator, &[("version/m", "weights 2")]);
+    assert_eq!(send(&mut daemon, ms(9_050)), []);
+}
+
+/// A peer that is asked for what was missed gives the newest record of each key: of weights that were named one after
+/// the other, the last. The limit counts from the first of them.
+#[test]
+fn named_one_after_the_other_while_the_store_refused_the_daemon() {
+    let mut daemon = Daemon::with(1, &[("e-1", OLD)]);
+    daemon.tick(ms(1_000));
+    daemon.node.apply(ms(1_000), Message::Down(Tracked::Topic(Topic::Operator), "refused".into()));
+    let value = Some(b"weights 3".to_vec());
+    let third = vec![Record { key: "version/m".into(), offset: 3, value }];
+    daemon.node.apply(ms(6_000), records(Topic::Operator, 1, 4, third));
+    assert_eq!(send(&mut daemon, ms(7_000)), []);
+}
