Count the age of weights from their naming, not from when a daemon hears of it

A daemon that was frozen, cut off or refused by the store, and heard late that weights were named, took them for just named and began requests on older ones past the limit. Where it had missed several namings, the age of the last, which is all that a keyed topic keeps, counted for all. Cause: no record says when it was written, and the time of hearing stood in for it. Now it does so only for a daemon that missed nothing: it knew all of the topic, had asked the store within two seconds, and every record since came with this one. Else the version was named at any time since then, until a peer that heard in time tells for how long; the longest age told holds. Digests carry the namings within the limit and the one before each, so a daemon that starts also learns what is left of the limit, where it used no older weights at all before. Ages are kept as such, since a naming may be older than the process's clock. Frames that waited while a daemon was frozen tell too low an age, and are left out for half a second. The reads of the servers' topic that these tests' daemons now make are those that every heartbeat ends. Ruled out: a time in the record (operators write it), and the start of the waiting read, which may be 20 s old.

--- a/src/fleet/catalog.rs
+++ b/src/fleet/catalog.rs
@@ -121,6 +121,12 @@
         follows
     }
 
+    /// Whether no record is known that lies after others which are missing.
+    pub fn is_whole(&self, topic: Topic) -> bool {
+        let Some(shelf) = self.shelves.get(&topic) else { return true };
+        shelf.records.values().all(|(offset, _)| *offset < shelf.end)
+    }
+
     /// The offset before which no record is missing.
     pub fn end(&self, topic: Topic) -> u64 {
         self.shelves.get(&topic).map_or(0, |shelf| shelf.end)
--- a/src/fleet/frame/mod.rs
+++ b/src/fleet/frame/mod.rs
@@ -5,7 +5,7 @@
 use prost::Message as _;
 
 use super::scheduling::{Progress, Submission, Verdict};
-use super::{Batch, Keeper, Life, Notice, Record, Told, Topic};
+use super::{Batch, Keeper, Life, Naming, Notice, Record, Told, Topic};
 use crate::poison::{self, Fingerprint};
 use crate::prelude::*;
 
@@ -61,13 +61,15 @@
     pub link_moved: u64,
     /// Requests that are blocked and that the platform's store is not known to keep yet.
     pub blocked: Vec<Fingerprint>,
+    /// Weights that were named lately, in ascending order of versions for each model.
+    pub named: Vec<Naming>,
 }
 
 /// What daemons send each other.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Frame {
     /// How a daemon is.
-    Digest(Digest),
+    Digest(Box<Digest>),
     /// Wants the records of a topic from an offset: who asks, the topic, the offset.
     Ask(String, Topic, u64),
     /// Records of a topic, asked for or new.
@@ -98,7 +100,7 @@
     /// ```
     pub fn encode(&self) -> Vec<u8> {
         let body = match self.clone() {
-            Self::Digest(digest) => wire::Body::Digest(digest.into()),
+            Self::Digest(digest) => wire::Body::Digest((*digest).into()),
             Self::Ask(daemon, topic, from) => {
                 wire::Body::Ask(wire::Ask { daemon, topic: topic as u32, from })
             }
@@ -132,7 +134,7 @@
         };
         match frame.body {
             None => Err(Malformed("the frame is empty".into())),
-            Some(wire::Body::Digest(digest)) => Ok(Self::Digest(digest.try_into()?)),
+            Some(wire::Body::Digest(digest)) => Ok(Self::Digest(Box::new(digest.try_into()?))),
             Some(wire::Body::Ask(ask)) => Ok(Self::Ask(ask.daemon, topic(ask.topic)?, ask.from)),
             Some(wire::Body::Records(records)) => Ok(Self::Records(Batch {
                 topic: topic(records.topic)?,
@@ -219,6 +221,20 @@
     }
 }
 
+impl From<Naming> for wire::Naming {
+    fn from(naming: Naming) -> Self {
+        let Naming { model, version, age } = naming;
+        Self { model, version, age_ms: age_number(age) }
+    }
+}
+
+impl From<wire::Naming> for Naming {
+    fn from(naming: wire::Naming) -> Self {
+        let wire::Naming { model, version, age_ms } = naming;
+        Self { model, version, age: age(age_ms) }
+    }
+}
+
 impl From<Record> for wire::Record {
     fn from(record: Record) -> Self {
         Self { key: record.key, offset: record.offset, value: record.value }
@@ -279,6 +295,7 @@
             refused: digest.refused.into_iter().map(|fingerprint| fingerprint.0).collect(),
             link_moved: digest.link_moved,
             blocked: digest.blocked.into_iter().map(|fingerprint| fingerprint.0).collect(),
+            named: digest.named.into_iter().map(wire::Naming::from).collect(),
         }
     }
 }
@@ -320,6 +337,7 @@
             refused: digest.refused.into_iter().map(Fingerprint).collect(),
             link_moved: digest.link_moved,
             blocked: digest.blocked.into_iter().map(Fingerprint).collect(),
+            named: digest.named.into_iter().map(Naming::from).collect(),
         })
     }
 }
--- a/src/fleet/frame/wire.rs
+++ b/src/fleet/frame/wire.rs
@@ -67,6 +67,19 @@
     pub(super) read_ages: Vec<u32>,
     #[prost(fixed64, repeated, tag = "15")]
     pub(super) blocked: Vec<u64>,
+    #[prost(message, repeated, tag = "16")]
+    pub(super) named: Vec<Naming>,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub(super) struct Naming {
+    #[prost(string, tag = "1")]
+    pub(super) model: String,
+    #[prost(uint64, tag = "2")]
+    pub(super) version: u64,
+    /// Milliseconds and one more; 0 where that is not known.
+    #[prost(uint32, tag = "3")]
+    pub(super) age_ms: u32,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
--- a/src/fleet/gossip.rs
+++ b/src/fleet/gossip.rs
@@ -129,7 +129,7 @@
         });
         let addresses: Vec<SocketAddr> = addresses.collect();
         if !addresses.is_empty() {
-            self.effects.push(Effect::Send(addresses, Frame::Digest(digest)));
+            self.effects.push(Effect::Send(addresses, Frame::Digest(Box::new(digest))));
         }
     }
 
@@ -189,13 +189,14 @@
             refused: self.expected.own(),
             link_moved: self.link.moved(),
             blocked: self.poison.unkept(),
+            named: self.rollout.namings.told(now, self.policy.weights_limit),
         }
     }
 
     /// Takes a frame from a peer.
     pub(super) fn frame(&mut self, now: Time, frame: Frame) {
         match frame {
-            Frame::Digest(digest) => self.digest_came(now, digest),
+            Frame::Digest(digest) => self.digest_came(now, *digest),
             Frame::Notice(notice) => self.notice_came(now, notice),
             Frame::Held(told) => self.told_came(now, &told),
             Frame::AskHeld(daemon, keeper) => self.asked_held(&daemon, keeper),
@@ -249,6 +250,8 @@
         }
         self.expected.hear(now, &digest.refused);
         self.hear_blocked(now, &digest.blocked);
+        self.hear_namings(now, &digest.named);
+        self.hear_contact(now, &digest);
         // What others moved is taken off what is free by now, not off what was free at the last send.
         self.refill_link(now);
         if let Some(peer) = self.peers.get_mut(&digest.daemon) {
@@ -272,6 +275,19 @@
         self.others_are_stale = true;
     }
 
+    /// Takes over that a peer has read the store, and knows of nothing that this daemon lacks.
+    fn hear_contact(&mut self, now: Time, digest: &Digest) {
+        let topic = Topic::Operator;
+        let index = topic as usize;
+        let ahead = digest.ends.get(index).is_none_or(|end| *end > self.catalog.end(topic));
+        let age = digest.read_ages.get(index).copied().flatten();
+        // What was read before this daemon's clock began tells nothing of the time since.
+        let read_at = age.and_then(|age| now.checked_sub(age));
+        if let Some(at) = read_at.filter(|_| !ahead && !self.rollout.contact.has_backlog(now)) {
+            self.note_contact(at);
+        }
+    }
+
     /// Takes over what a peer has at one server now.
     pub(super) fn peer_has(&mut self, daemon: &str, life: Life, busy: Busy) {
         let Some(digest) = self.peers.get_mut(daemon).and_then(|peer| peer.digest.as_mut()) else {
--- a/src/fleet/message.rs
+++ b/src/fleet/message.rs
@@ -146,6 +146,8 @@
     pub batch: Batch,
     /// Whether these are the newest records of all keys, so that a key without one has none.
     pub whole: bool,
+    /// When the store was asked: what it gave is at least as new.
+    pub asked: Time,
 }
 
 /// How an order to an engine ended.
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -16,6 +16,7 @@
 mod load;
 mod loading;
 mod message;
+mod naming;
 mod node;
 mod notice;
 mod pace;
@@ -43,6 +44,7 @@
     Arrival, Change, Command, Dispatch, Effect, Key, Loss, Message, OrderEnd, Read, Refused,
     Report, State, Tracked,
 };
+pub use naming::Naming;
 pub use node::{Identity, Node, Policy};
 pub use notice::Notice;
 pub use prompt::{Part, Prompt};
--- a/src/fleet/place.rs
+++ b/src/fleet/place.rs
@@ -300,7 +300,7 @@
 
     /// What a start on this version costs; `None` where it may no longer be used.
     fn old_weights_ms(&self, now: Time, model: &str, version: u64) -> Option<f64> {
-        let Some(age) = self.rollout.overtaken_for(now, model, version) else {
+        let Some(age) = self.overtaken_for(now, model, version) else {
             return Some(0.0);
         };
         if age.saturating_add(OLD_WEIGHTS_MARGIN) >= self.policy.weights_limit {
@@ -316,7 +316,7 @@
 
     /// Whether a request that was sent to these weights and has not begun must not begin any more.
     pub(super) fn is_too_late(&self, now: Time, model: &str, version: u64) -> bool {
-        let age = self.rollout.overtaken_for(now, model, version);
+        let age = self.overtaken_for(now, model, version);
         age.is_some_and(|age| age.saturating_add(RECALL_MARGIN) >= self.policy.weights_limit)
     }
 }
--- a/src/fleet/records.rs
+++ b/src/fleet/records.rs
@@ -1,6 +1,7 @@
 //! Records of the platform's store, and what they change.
 
 use super::life::Known;
+use super::naming::Since;
 use super::request::{Phase, Request};
 use super::{
     Batch, Change, Effect, Entry, Key, Node, Place, Read, Record, Server, Topic, Tracked, server,
@@ -17,20 +18,39 @@
 
 impl Node {
     pub(super) fn read(&mut self, now: Time, read: Read) {
-        let Read { batch, whole } = read;
+        let Read { batch, whole, asked } = read;
         let topic = batch.topic;
         self.came_up(now, Tracked::Topic(topic));
         self.read_at.insert(topic, now);
         if whole {
             let gone = self.catalog.missing(topic, &batch.records);
-            self.take_records(now, topic, &gone);
+            self.take_records(now, topic, &gone, Since::Unknown);
         }
         self.take(now, batch, !whole);
+        self.note_contact(asked);
+    }
+
+    /// Notes that operators had published nothing at time `at` that this daemon lacks, unless it knows better.
+    pub(super) fn note_contact(&mut self, at: Time) {
+        let topic = Topic::Operator;
+        let lacks = self.behind.contains_key(&topic) || !self.catalog.is_whole(topic);
+        if self.known.contains(&topic) && !lacks {
+            self.rollout.contact.holds(at);
+        }
+    }
+
+    /// Since when weights have been named that a batch of records names.
+    fn named_since(&self, now: Time, batch: &Batch) -> Since {
+        let follows = batch.from <= self.catalog.end(Topic::Operator);
+        let within = batch.records.iter().filter(|record| record.offset < batch.to).count();
+        let all = follows && batch.to.saturating_sub(batch.from) == within as u64;
+        self.rollout.contact.since(now, all)
     }
 
     /// Takes a batch from the store or from a peer, and tells some peers of what was new in it.
     pub(super) fn take(&mut self, now: Time, batch: Batch, tell: bool) {
-        let any_new = self.take_records(now, batch.topic, &batch.records);
+        let since = self.named_since(now, &batch);
+        let any_new = self.take_records(now, batch.topic, &batch.records, since);
         // A peer tells of new records one by one: with a gap before them they are a part of the topic,
         // and what is read next may be older than they are.
         if self.catalog.advance(batch.topic, batch.from, batch.to) {
@@ -62,10 +82,9 @@
         }
     }
 
-    /// Takes records in; whether any was new.
-    fn take_records(&mut self, now: Time, topic: Topic, records: &[Record]) -> bool {
+    /// Takes records in, weights among them having been named `since`; whether any was new.
+    fn take_records(&mut self, now: Time, topic: Topic, records: &[Record], since: Since) -> bool {
         let mut any_new = false;
-        self.rollout.named_before = !self.known.contains(&Topic::Operator);
         for record in records {
             if !self.catalog.take(topic, record) {
                 continue;
@@ -74,7 +93,7 @@
             match (self.decode)(topic, record) {
                 Ok(change) => {
                     self.unreadable.remove(&(topic, record.key.clone()));
-                    self.change(now, change);
+                    self.change(now, change, since);
                 }
                 Err(reason) => self.unreadable(now, topic, record, reason),
             }
@@ -111,10 +130,10 @@
         self.event(Event::RecordUnreadable, detail);
     }
 
-    pub(super) fn change(&mut self, now: Time, change: Change) {
+    fn change(&mut self, now: Time, change: Change, since: Since) {
         match change {
             Change::Table { table, left_out } => self.adopt(table, &left_out),
-            Change::Weights { model, version } => self.name_weights(now, &model, version),
+            Change::Weights { model, version } => self.name_weights(now, &model, version, since),
             Change::Server(entry) => self.register(now, entry),
             Change::ServerGone(id) => self.unregister(now, &id),
             Change::Router { id, address, cores } => self.meet(now, id, address, cores),
--- a/src/fleet/rollout.rs
+++ b/src/fleet/rollout.rs
@@ -3,12 +3,11 @@
 
 use super::life::Known;
 use super::loading::Loading;
+use super::naming::{Contact, Naming, Namings, Since};
 use super::server::Ordered;
 use super::{Effect, Entry, Life, Node, OrderEnd, State, Tracked, server};
 use crate::prelude::*;
 
-/// Versions of one model that are remembered with the time at which they were named.
-const MAX_NAMED: usize = 16;
 /// Time after an order until its engine is first asked whether it is done: a load takes about half
 /// a second, and reports lag.
 const FIRST_POLL: Duration = Duration::from_millis(700);
@@ -22,22 +21,13 @@
 /// Time by which each daemon waits longer than the one before it to take the lease.
 const CANDIDATE_STEP: Duration = Duration::from_millis(250);
 
-/// A version that was named.
-#[derive(Debug, Clone, Copy)]
-struct Named {
-    version: u64,
-    /// When; `None` where it had been named before this daemon started, so that no start on older
-    /// weights is known to be in time.
-    at: Option<Time>,
-}
-
 /// What was named, and what was ordered.
 #[derive(Debug, Default)]
 pub(super) struct Rollout {
-    /// Versions by model, in ascending order.
-    named: BTreeMap<String, Vec<Named>>,
-    /// Whether what is being read was named before this daemon started.
-    pub(super) named_before: bool,
+    /// What was named.
+    pub(super) namings: Namings,
+    /// Until when nothing that was named was missed.
+    pub(super) contact: Contact,
     /// Since when engines lack what was named.
     wanting_since: Option<Time>,
     /// Weights that were seen lately: server, model, version, and when.
@@ -51,38 +41,41 @@
     pub(super) fn is_active(&self) -> bool {
         self.wanting_since.is_some()
     }
-
-    /// For how long a version after this one has been named; `None` where none has.
-    pub(super) fn overtaken_for(&self, now: Time, model: &str, version: u64) -> Option<Duration> {
-        let named = self.named.get(model)?;
-        let first = named.iter().find(|named| named.version > version)?;
-        Some(first.at.map_or(Duration::MAX, |at| now.saturating_sub(at)))
-    }
-
-    /// The version that `model` is to have.
-    fn wanted(&self, model: &str) -> Option<u64> {
-        Some(self.named.get(model)?.last()?.version)
-    }
 }
 
 impl Node {
     /// Takes over that `version` of `model` was named.
-    pub(super) fn name_weights(&mut self, now: Time, model: &str, version: u64) {
-        let named = self.rollout.named.entry(model.to_owned()).or_default();
-        if named.last().is_some_and(|last| last.version >= version) {
+    pub(super) fn name_weights(&mut self, now: Time, model: &str, version: u64, since: Since) {
+        if self.rollout.namings.take(model, version, since) {
+            self.log_named(now, model, version, since);
+        }
+    }
+
+    /// Takes over what a peer tells of versions that were named.
+    pub(super) fn hear_namings(&mut self, now: Time, told: &[Naming]) {
+        if self.rollout.contact.has_backlog(now) {
+            // Told before this daemon was frozen, an age is too low; the next digest has it right.
             return;
         }
-        let at = (!self.rollout.named_before).then_some(now);
-        named.push(Named { version, at });
-        if named.len() > MAX_NAMED {
-            named.remove(0);
+        for (model, version, since) in self.rollout.namings.hear(now, told) {
+            self.log_named(now, &model, version, since);
         }
+    }
+
+    fn log_named(&mut self, now: Time, model: &str, version: u64, since: Since) {
+        let overtaken = self.overtaken_for(now, model, version.saturating_sub(1));
         let detail = Detail::of("model", model)
             .and("version", version)
-            .and("age", if at.is_some() { "known" } else { "unknown" });
+            .and("since", since.name())
+            .and_some("age_ms", overtaken.filter(|age| *age < Duration::MAX));
         self.event(Event::WeightsNamed, detail);
     }
 
+    /// For how long, at most, a version after this one has been named; `None` where none has.
+    pub(super) fn overtaken_for(&self, now: Time, model: &str, version: u64) -> Option<Duration> {
+        self.rollout.namings.overtaken_for(now, model, version)
+    }
+
     /// Notes the version that a server was seen to have.
     pub(super) fn saw_weights(&mut self, now: Time, key: server::Key, model: &str, version: u64) {
         let Some(server) = self.servers.get_mut(key) else { return };
@@ -121,7 +114,9 @@
                 continue;
             }
             for (model, version) in &server.entry.weights {
-                if let Some(wanted) = self.rollout.wanted(model).filter(|w| w > version) {
+                if let Some(wanted) =
+                    self.rollout.namings.newest(model).filter(|newest| newest > version)
+                {
                     wanting.push((key, model.clone(), wanted));
                 }
             }
@@ -184,7 +179,7 @@
     /// were overtaken: where weights are named again and again, some engine always lacks the newest.
     fn is_overdue(&self, now: Time, key: server::Key, model: &str) -> bool {
         let version = self.servers.get(key).and_then(|server| server.version(model));
-        let age = version.and_then(|version| self.rollout.overtaken_for(now, model, version));
+        let age = version.and_then(|version| self.overtaken_for(now, model, version));
         age.is_some_and(|age| age >= self.policy.weights_limit.mul_f64(HURRY_AFTER))
     }
 
--- a/src/fleet/tests/admission.rs
+++ b/src/fleet/tests/admission.rs
@@ -57,7 +57,7 @@
         refused: vec![Fingerprint(77)],
         ..Digest::default()
     };
-    daemon.node.apply(ms(400), Message::Frame(Frame::Digest(digest)));
+    daemon.node.apply(ms(400), Message::Frame(Frame::Digest(Box::new(digest))));
     daemon.fingerprint = Fingerprint(78);
     daemon.arrive(ms(500), &route, None);
     daemon.fingerprint = Fingerprint(77);
@@ -170,7 +170,7 @@
         busy: BTreeMap::from([(Life::new("e-1", 0), busy)]),
         ..Digest::default()
     };
-    daemon.node.apply(ms(10), Message::Frame(Frame::Digest(digest)));
+    daemon.node.apply(ms(10), Message::Frame(Frame::Digest(Box::new(digest))));
     let route = route("engines", Repeat::Resumable, 2);
     let (_, effects) = daemon.arrive(ms(20), &route, Some(prompt(7, 1)));
     assert!(commands(&effects).is_empty(), "{effects:?}");
--- a/src/fleet/tests/frames.rs
+++ b/src/fleet/tests/frames.rs
@@ -27,6 +27,7 @@
         refused: vec![Fingerprint(7)],
         link_moved: 1 << 40,
         blocked: vec![Fingerprint(9)],
+        named: vec![Naming { model: "m".into(), version: 4, age: Some(Duration::from_millis(70)) }],
     }
 }
 
@@ -37,7 +38,7 @@
         Record { key: "b".into(), offset: 2, value: None },
     ];
     for frame in [
-        Frame::Digest(digest()),
+        Frame::Digest(Box::new(digest())),
         Frame::Ask("router-1".into(), Topic::Operator, 8),
         Frame::Notice(Notice {
             daemon: "router-1".into(),
@@ -71,7 +72,7 @@
 
 #[test]
 fn decode_nameless_digest_refused() {
-    let nameless = Frame::Digest(Digest { daemon: String::new(), ..digest() });
+    let nameless = Frame::Digest(Box::new(Digest { daemon: String::new(), ..digest() }));
     assert!(Frame::decode(&nameless.encode()).is_err());
     assert!(Frame::decode(&[]).is_err());
 }
--- a/src/fleet/tests/lives.rs
+++ b/src/fleet/tests/lives.rs
@@ -54,11 +54,11 @@
         busy: BTreeMap::from([(Life::new("e-1", 1_000), busy)]),
         ..Digest::default()
     };
-    daemon.node.apply(ms(10), Message::Frame(Frame::Digest(digest.clone())));
+    daemon.node.apply(ms(10), Message::Frame(Frame::Digest(Box::new(digest.clone()))));
     daemon.tick(ms(11));
     assert_eq!(shown(&mut daemon, ms(12), "running"), ["48"]);
     daemon.put(ms(20), Topic::Servers, &[NEXT]);
-    daemon.node.apply(ms(25), Message::Frame(Frame::Digest(digest)));
+    daemon.node.apply(ms(25), Message::Frame(Frame::Digest(Box::new(digest))));
     daemon.tick(ms(30));
     assert_eq!(shown(&mut daemon, ms(31), "running"), ["0"]);
 }
--- a/src/fleet/tests/naming.rs
+++ b/src/fleet/tests/naming.rs
@@ -108,3 +108,96 @@
     daemon.node.apply(ms(6_000), records(Topic::Operator, 1, 4, third));
     assert_eq!(send(&mut daemon, ms(7_000)), []);
 }
+
+fn naming(version: u64, age_ms: Option<u64>) -> Naming {
+    Naming { model: "m".into(), version, age: age_ms.map(ms) }
+}
+
+fn digest(named: Vec<Naming>) -> Message {
+    let daemon = "router-2".into();
+    let address = address(2).to_string();
+    Message::Frame(Frame::Digest(Box::new(Digest { daemon, address, named, ..Digest::default() })))
+}
+
+/// A daemon that has just started and read that version 2 was named.
+fn newcomer() -> Daemon {
+    let mut daemon = Daemon::new(1);
+    let named = [("version/m", "weights 2"), ("config", "table 1")];
+    daemon.put(ms(20), Topic::Operator, &named);
+    daemon.put(ms(20), Topic::Servers, &[("e-1", OLD)]);
+    daemon
+}
+
+#[test]
+fn named_before_the_start_is_used_for_what_is_left_by_a_peers_word() {
+    let mut daemon = newcomer();
+    assert_eq!(send(&mut daemon, ms(40)), []);
+    daemon.node.apply(ms(50), digest(vec![naming(2, Some(3_000))]));
+    assert_eq!(send(&mut daemon, ms(60)), [Some(1)]);
+    for time in (60..3_000).step_by(100) {
+        daemon.tick(ms(time));
+    }
+    assert_eq!(send(&mut daemon, ms(3_000)), []);
+}
+
+#[test]
+fn hear_of_a_longer_age_holds_against_a_shorter_one() {
+    let mut daemon = newcomer();
+    for age in [3_000, 7_000, 1_000] {
+        daemon.node.apply(ms(50), digest(vec![naming(2, Some(age))]));
+    }
+    assert_eq!(send(&mut daemon, ms(60)), []);
+}
+
+#[test]
+fn hear_of_an_earlier_version_that_overtook_first() {
+    let mut daemon = newcomer();
+    daemon.put(ms(30), Topic::Operator, &[("version/m", "weights 3")]);
+    let told = vec![naming(2, None), naming(3, Some(500))];
+    daemon.node.apply(ms(50), digest(told));
+    assert_eq!(send(&mut daemon, ms(60)), [], "nobody says when version 2 overtook");
+    daemon.node.apply(ms(70), digest(vec![naming(2, Some(2_000)), naming(3, Some(520))]));
+    assert_eq!(send(&mut daemon, ms(80)), [Some(1)]);
+}
+
+#[test]
+fn hear_what_waited_while_the_daemon_was_frozen() {
+    let mut daemon = Daemon::with(1, &[("e-1", OLD)]);
+    for time in (0..=1_000).step_by(50) {
+        daemon.tick(ms(time));
+    }
+    daemon.tick(ms(9_000));
+    daemon.put(ms(9_001), Topic::Operator, &[("version/m", "weights 2")]);
+    daemon.node.apply(ms(9_002), digest(vec![naming(2, Some(100))]));
+    assert_eq!(send(&mut daemon, ms(9_050)), []);
+    daemon.tick(ms(9_500));
+    daemon.node.apply(ms(9_510), digest(vec![naming(2, Some(900))]));
+    assert_eq!(send(&mut daemon, ms(9_520)), [Some(1)]);
+}
+
+#[test]
+fn told_to_daemons_that_start_one_after_the_other() {
+    let engines = [("e-1", OLD), ("e-2", OLD)];
+    let mut site = Site::new(3, &engines);
+    for daemon in &mut site.daemons {
+        daemon.hear_store(site.now);
+        daemon.put(site.now, Topic::Operator, &[("version/m", "weights 2")]);
+    }
+    let named_at = site.now;
+    for index in 0..3 {
+        site.pass(ms(800));
+        let mut daemon = Daemon::new(index as u8 + 1);
+        let now = site.now;
+        daemon.put(now, Topic::Operator, &[("version/m", "weights 2"), ("config", "table 1")]);
+        daemon.put(now, Topic::Servers, &engines);
+        let routers =
+            [("router-1", "router 1"), ("router-2", "router 2"), ("router-3", "router 3")];
+        daemon.put(now, Topic::Routers, &routers);
+        site.daemons[index] = daemon;
+        site.pass(ms(800));
+        let age = site.daemons[index].node.overtaken_for(site.now, "m", 1);
+        let age = age.expect("version 2 was named");
+        let true_age = site.now - named_at;
+        assert!(age >= true_age.saturating_sub(ms(200)) && age <= true_age, "{age:?} {true_age:?}");
+    }
+}
--- a/src/fleet/tests/peers.rs
+++ b/src/fleet/tests/peers.rs
@@ -94,7 +94,10 @@
     daemons[1].tick(ms(3_000));
     daemons[1].node.apply(
         ms(3_000),
-        Message::Frame(Frame::Digest(Digest { daemon: "router-3".into(), ..Digest::default() })),
+        Message::Frame(Frame::Digest(Box::new(Digest {
+            daemon: "router-3".into(),
+            ..Digest::default()
+        }))),
     );
     assert_eq!(commands(&daemons[1].arrive(ms(3_001), &route, None).1).len(), 1);
 }
@@ -113,7 +116,7 @@
         weights: weights.clone(),
         ..Digest::default()
     };
-    let effects = daemon.node.apply(ms(9_010), Message::Frame(Frame::Digest(digest)));
+    let effects = daemon.node.apply(ms(9_010), Message::Frame(Frame::Digest(Box::new(digest))));
     assert_eq!(dispatch(&effects).weights, Some(2));
     assert!(effects.iter().any(|effect| matches!(effect, Effect::Event(Event::WeightsLoaded, _))));
     let told = daemon.tick(ms(9_300)).into_iter().find_map(|effect| match effect {
@@ -132,7 +135,7 @@
             address: address(last).to_string(),
             ..Digest::default()
         };
-        daemon.node.apply(now, Message::Frame(Frame::Digest(digest)));
+        daemon.node.apply(now, Message::Frame(Frame::Digest(Box::new(digest))));
     }
     daemon
 }
@@ -170,7 +173,7 @@
         ends: vec![1, 9, 0],
         ..Digest::default()
     };
-    daemon.node.apply(ms(1_100), Message::Frame(Frame::Digest(digest)));
+    daemon.node.apply(ms(1_100), Message::Frame(Frame::Digest(Box::new(digest))));
     daemon.tick(ms(1_110));
     let asked = daemon.tick(ms(1_400)).into_iter().find_map(|effect| match effect {
         Effect::Send(_, Frame::Ask(_, Topic::Servers, from)) => Some(from),
@@ -204,7 +207,7 @@
             cores: 2.0,
             ..Digest::default()
         };
-        last.node.apply(ms(1_000), Message::Frame(Frame::Digest(digest)));
+        last.node.apply(ms(1_000), Message::Frame(Frame::Digest(Box::new(digest))));
     }
     last.tick(ms(1_010));
     assert!(last.node.pace(ms(1_010), Tracked::Lease) > ms(2_000));
@@ -227,7 +230,7 @@
     }
     for topic in Topic::ALL {
         let batch = Batch { topic, from: 9, to: 9, records: Vec::new() };
-        let read = Read { batch, whole: false };
+        let read = Read { batch, whole: false, asked: ms(1_100) };
         seen.extend(daemon.node.apply(ms(1_100), Message::Read(read)));
     }
     seen.extend(daemon.node.apply(ms(1_100), Message::Lease(0, Vec::new())));
--- a/src/fleet/tests/rollout.rs
+++ b/src/fleet/tests/rollout.rs
@@ -133,6 +133,7 @@
                     .collect();
                 let read = Message::Lease(0, records);
                 let mut effects = self.daemons[index].node.apply(now, read);
+                effects.extend(self.daemons[index].hear_store(now));
                 effects.extend(self.daemons[index].tick(now));
                 self.carry(now, index, effects);
             }
--- a/src/fleet/tests/scheduling.rs
+++ b/src/fleet/tests/scheduling.rs
@@ -200,7 +200,7 @@
         incarnation: 77,
         ..Digest::default()
     };
-    site.apply(scheduler, Message::Frame(Frame::Digest(digest)));
+    site.apply(scheduler, Message::Frame(Frame::Digest(Box::new(digest))));
     assert_eq!((site.running(scheduler), site.daemons[scheduler].node.open()), (0, 0));
 }
 
--- a/src/fleet/tests/servers.rs
+++ b/src/fleet/tests/servers.rs
@@ -48,7 +48,7 @@
     let mut daemon = Daemon::with(1, &[("s-1", "plain 11 ready"), ("s-2", "plain 12 ready")]);
     let record = Record { key: "s-2".into(), offset: 9, value: Some(b"plain 12 ready".to_vec()) };
     let batch = Batch { topic: Topic::Servers, from: 0, to: 100, records: vec![record] };
-    let read = Read { batch, whole: true };
+    let read = Read { batch, whole: true, asked: ms(50) };
     daemon.node.apply(ms(50), Message::Read(read));
     for at in 0..4 {
         let seen = ask(&mut daemon, ms(60 + at));
@@ -218,7 +218,7 @@
         heat: heat.to_vec(),
         ..Digest::default()
     };
-    daemon.node.apply(now, Message::Frame(Frame::Digest(digest)));
+    daemon.node.apply(now, Message::Frame(Frame::Digest(Box::new(digest))));
 }
 
 #[test]
--- a/src/fleet/tests/world.rs
+++ b/src/fleet/tests/world.rs
@@ -178,10 +178,15 @@
         });
         let records = records.collect();
         let batch = Batch { topic, from, to: *next, records };
-        let read = Read { batch, whole: false };
+        let read = Read { batch, whole: false, asked: now };
         self.node.apply(now, Message::Read(read))
     }
 
+    /// The store ends a read of the servers' topic, which servers write to all the time.
+    pub fn hear_store(&mut self, now: Time) -> Vec<Effect> {
+        self.put(now, Topic::Servers, &[])
+    }
+
     /// A request comes; its key and what is done.
     pub fn arrive(
         &mut self,
--- a/src/telemetry/event.rs
+++ b/src/telemetry/event.rs
@@ -87,7 +87,7 @@
     LeaseTaken = 510, Info, "A daemon took the lease to order engines.";
     OrderGiven = 511, Info, "An engine was given an order.";
     OrderRefused = 512, Warn, "An engine did not take an order; it is given again later.";
-    WeightsNamed = 513, Info, "Operators named weights for a model.";
+    WeightsNamed = 513, Info, "Operators named weights for a model, or a peer told for how long they have been named.";
     WeightsLoaded = 514, Info, "An engine was seen to have newer weights.";
     PeerUp = 600, Info, "A peer connection was established.";
     PeerDown = 601, Debug, "A peer connection ended.";
