--- a/src/fleet/gossip.rs
+++ b/src/fleet/gossip.rs
@@ -283,8 +283,9 @@
         let age = digest.read_ages.get(index).copied().flatten();
         // What was read before this daemon's clock began tells nothing of the time since.
         let read_at = age.and_then(|age| now.checked_sub(age));
-        if let Some(at) = read_at.filter(|_| !ahead && !self.rollout.contact.has_backlog(now)) {
-            self.note_contact(at);
+        let in_time = !ahead && !self.rollout.contact.has_backlog(now) && self.lacks_nothing();
+        if let Some(at) = read_at.filter(|_| in_time) {
+            self.rollout.contact.holds(at);
         }
     }
 
--- a/src/fleet/naming.rs
+++ b/src/fleet/naming.rs
@@ -9,8 +9,8 @@
 
 /// Versions of one model that are remembered.
 const MAX_NAMED: usize = 16;
-/// Time since a daemon last knew that it missed nothing, within which it hears in time: reads of the store, or digests
-/// of those who read it, come several times within it.
+/// Time since a daemon last knew that it missed nothing, within which it hears in time where it does not read by itself:
+/// digests of those who read come several times within it.
 const IN_TIME: Duration = Duration::from_secs(2);
 /// Time without a message, ticks included, after which a daemon was frozen.
 const FROZEN: Duration = Duration::from_secs(1);
@@ -159,20 +159,33 @@
 /// Until when a daemon knows that it has missed nothing that operators published.
 #[derive(Debug, Default)]
 pub(super) struct Contact {
+    /// When it last knew.
     last: Option<Time>,
+    /// Whether it reads on from there, and no read has failed since: what comes is told at once.
+    reads_on: bool,
     applied: Time,
     resumed: Option<Time>,
 }
 
 impl Contact {
-    /// Notes that the daemon acts.
-    pub(super) fn acts(&mut self, now: Time) {
-        if now > self.applied + FROZEN {
+    /// Notes that the daemon acts, and whether it reads by itself what operators publish.
+    pub(super) fn acts(&mut self, now: Time, reads: bool) {
+        let frozen = now > self.applied + FROZEN;
+        if frozen {
             self.resumed = Some(now);
         }
+        if (frozen || !reads) && self.reads_on {
+            self.holds(self.applied);
+            self.reads_on = false;
+        }
         self.applied = now;
     }
 
+    /// Notes that a read of the store failed, of whichever topic: others may wait for what never comes.
+    pub(super) fn fails(&mut self) {
+        self.reads_on = false;
+    }
+
     /// Whether what peers sent may have waited for the daemon to wake.
     pub(super) fn has_backlog(&self, now: Time) -> bool {
         self.resumed.is_some_and(|at| now < at + BACKLOG)
@@ -183,12 +196,20 @@
         self.last = Some(self.last.map_or(at, |last| last.max(at)));
     }
 
+    /// Notes that a read ended that was asked for at time `asked` and left nothing out.
+    pub(super) fn read(&mut self, asked: Time) {
+        self.holds(asked);
+        self.reads_on = self.resumed.is_none_or(|at| asked >= at);
+    }
+
     /// Since when a version has been named that is heard of now. `all` tells whether every record since the last one
     /// that was known came with it: else it may be the last of several.
     pub(super) fn since(&self, now: Time, all: bool) -> Since {
         match self.last {
             None => Since::Unknown,
-            Some(last) if all && now <= last + IN_TIME => Since::At(now, Duration::ZERO),
+            Some(last) if all && (self.reads_on || now <= last + IN_TIME) => {
+                Since::At(now, Duration::ZERO)
+            }
             Some(last) => Since::After(last),
         }
     }
--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -185,7 +185,8 @@
 
     /// Takes `message` at time `now`; returns what is to be done, in order.
     pub fn apply(&mut self, now: Time, message: Message) -> Vec<Effect> {
-        self.rollout.contact.acts(now);
+        let reads = self.reads(now, Tracked::Topic(Topic::Operator));
+        self.rollout.contact.acts(now, reads);
         match message {
             Message::Arrive(arrival) => self.arrive(now, *arrival),
             Message::Report { request, attempt, report } => {
--- a/src/fleet/records.rs
+++ b/src/fleet/records.rs
@@ -27,16 +27,17 @@
             self.take_records(now, topic, &gone, Since::Unknown);
         }
         self.take(now, batch, !whole);
-        self.note_contact(asked);
+        if topic == Topic::Operator && self.lacks_nothing() {
+            self.rollout.contact.read(asked);
+        }
     }
 
-    /// Notes that operators had published nothing at time `at` that this daemon lacks, unless it knows better.
-    pub(super) fn note_contact(&mut self, at: Time) {
+    /// Whether nothing is known to have been published by operators that this daemon lacks.
+    pub(super) fn lacks_nothing(&self) -> bool {
         let topic = Topic::Operator;
-        let lacks = self.behind.contains_key(&topic) || !self.catalog.is_whole(topic);
-        if self.known.contains(&topic) && !lacks {
-            self.rollout.contact.holds(at);
-        }
+        self.known.contains(&topic)
+            && self.catalog.is_whole(topic)
+            && !self.behind.contains_key(&topic)
     }
 
     /// Since when weights have been named that a batch of records names.
@@ -65,6 +66,7 @@
         if tracked == Tracked::Topic(Topic::Servers) {
             self.down_at = Some(now);
         }
+        self.rollout.contact.fails();
         if self.unread_since.contains_key(&tracked) {
             return;
         }
