--- a/src/fleet/pace.rs
+++ b/src/fleet/pace.rs
@@ -28,6 +28,9 @@
 const LEASE_WAIT_ACTIVE: Duration = Duration::from_secs(2);
 /// The same for those who may take the lease next while there is nothing to order.
 const LEASE_WAIT_SOON: Duration = Duration::from_secs(5);
+/// Time that a read of what operators publish waits for a record. A read that an outage swallowed is noticed only after
+/// it, and has the others asked anew: configurations are due within 2 s of 3 s of calm.
+const OPERATOR_WAIT: Duration = Duration::from_secs(2);
 /// Time that any other read waits for a record.
 const WAIT: Duration = Duration::from_secs(20);
 /// The same for a scheduler's reads that other daemons rely on: a read that has ended shows that the
@@ -92,6 +95,7 @@
             Tracked::Topic(Topic::Operator | Topic::Servers) if self.is_relied_on(now) => {
                 WAIT_FOR_OTHERS
             }
+            Tracked::Topic(Topic::Operator) => OPERATOR_WAIT,
             Tracked::Topic(_) => WAIT,
             Tracked::Lease if self.rank_among_daemons() >= LEASE_CANDIDATES => WAIT,
             Tracked::Lease if self.rollout.is_active() => LEASE_WAIT_ACTIVE,
