Show where a part is taken for the whole, and a late word for a new one (failing tests)

One record or an empty answer from a peer marks a topic as known (known.insert in take): a daemon is ready with one of the servers, takes half of the retry budget of 195, and begins on any weights while it was told of a configuration but of no weights. Whole reads. catalog.missing goes by the largest listed offset instead of the end of the first page (batch.to): a key whose removal was the last record stays for good, also where nothing is left; and one that registered between two pages, and that a peer told of, is removed for good. What holds: a known key is gone if it is not listed and its offset is below to - 1, by a removal at to - 1 (not above: a registration at `to` must still be newer). Peers' answers. A peer that started after a removal knows no record of it, and yet answers from..to as if it listed all: the asker misses the removal for good, since it reads on from `to`. A peer must know from which offset on it has every removal (the end of its last whole read, or of what trim dropped), and answer what is asked from before that with everything, as a whole (from = 0), which the asker takes as such. A life that an engine reports itself (polled) takes over that the former one was leaving. A digest, or a late frame, blocks again what the store says is no longer blocked.

--- a/src/fleet/tests/mod.rs
+++ b/src/fleet/tests/mod.rs
@@ -5,6 +5,7 @@
 mod catalog;
 mod frames;
 mod lives;
+mod parts;
 mod peers;
 mod poison;
 mod requests;
--- /dev/null
+++ b/src/fleet/tests/parts.rs
@@ -0,0 +1,195 @@
+//! A part of a topic is no topic, and what is handed on is as old as it was.
+//!
+//! Daemons are told of single records by peers before they have read anything themselves. Whatever such a
+//! part says holds; what it does not say is unknown, not absent.
+
+use super::world::*;
+use crate::fleet::*;
+use crate::poison::Fingerprint;
+use crate::prelude::*;
+use crate::route::Repeat;
+
+fn record(key: &str, offset: u64, value: &str) -> Record {
+    let value = (!value.is_empty()).then(|| value.as_bytes().to_vec());
+    Record { key: key.into(), offset, value }
+}
+
+fn batch(topic: Topic, from: u64, to: u64, records: &[Record]) -> Batch {
+    Batch { topic, from, to, records: records.to_vec() }
+}
+
+/// A peer's word comes.
+fn told(daemon: &mut Daemon, now: Time, batch: Batch) -> Vec<Effect> {
+    daemon.node.apply(now, Message::Frame(Frame::Records(batch)))
+}
+
+/// Everything that the store has of a topic comes.
+fn read_whole(daemon: &mut Daemon, now: Time, batch: Batch) -> Vec<Effect> {
+    daemon.node.apply(now, Message::Read(Read { batch, whole: true }))
+}
+
+fn dispatches(daemon: &mut Daemon, now: Time, pool: &str) -> Vec<Dispatch> {
+    let wanted = (pool == "engines").then(|| prompt(7, 3));
+    let (request, effects) = daemon.arrive(now, &route(pool, Repeat::AtMostOnce, 1), wanted);
+    daemon.node.apply(now, Message::Leave(request));
+    let sent = commands(&effects).into_iter().filter_map(|command| match command {
+        Command::Dispatch(dispatch) => Some(dispatch),
+        _ => None,
+    });
+    sent.collect()
+}
+
+fn registered(daemon: &Daemon) -> Vec<&str> {
+    let ids = daemon.node.servers.values().map(|server| server.entry.life.id.as_str());
+    ids.collect::<BTreeSet<&str>>().into_iter().collect()
+}
+
+// A daemon that started while servers changed was told of one of them by a peer, took that for the whole
+// topic, and said that it was ready: with one server for all callers of the VM.
+#[test]
+fn one_server_that_a_peer_tells_of_does_not_make_a_daemon_ready() {
+    let mut daemon = Daemon::new(1);
+    read_whole(
+        &mut daemon,
+        ms(10),
+        batch(Topic::Operator, 0, 1, &[record("config", 0, "table 1")]),
+    );
+    let news = batch(Topic::Servers, 40, 41, &[record("s-9", 40, "plain 19 ready")]);
+    told(&mut daemon, ms(20), news);
+    assert_eq!(dispatches(&mut daemon, ms(30), "plain").len(), 1, "what it says holds");
+    assert!(!daemon.node.is_ready());
+}
+
+// A peer that had only just started itself was asked, since its digest of before was still fresh, and had
+// nothing to answer with: that was taken for a topic without records.
+#[test]
+fn empty_answer_of_a_peer_does_not_make_a_daemon_ready() {
+    let mut daemon = Daemon::new(1);
+    read_whole(
+        &mut daemon,
+        ms(10),
+        batch(Topic::Operator, 0, 1, &[record("config", 0, "table 1")]),
+    );
+    told(&mut daemon, ms(20), batch(Topic::Servers, 0, 0, &[]));
+    assert!(!daemon.node.is_ready());
+}
+
+// A daemon that started was told of a new configuration, read the servers, and served: which weights had
+// been named it did not know yet, and took that for none.
+#[test]
+fn nothing_begins_before_it_is_known_which_weights_were_named() {
+    let mut daemon = Daemon::new(1);
+    told(&mut daemon, ms(10), batch(Topic::Operator, 9, 10, &[record("config", 9, "table 2")]));
+    let engines = [record("e-1", 0, "engine 21 ready 1")];
+    read_whole(&mut daemon, ms(20), batch(Topic::Servers, 0, 1, &engines));
+    assert!(dispatches(&mut daemon, ms(30), "engines").is_empty());
+    assert!(!daemon.node.is_ready());
+}
+
+// A daemon that is told of one other takes the two of them for all, and half of the retry budget of 195.
+#[test]
+fn one_router_that_a_peer_tells_of_is_not_all_that_share_the_retry_budget() {
+    let mut daemon = Daemon::new(1);
+    let unknown = daemon.node.daemons();
+    told(&mut daemon, ms(20), batch(Topic::Routers, 60, 61, &[record("router-9", 60, "router 9")]));
+    assert!(daemon.node.daemons() >= unknown, "{} of {unknown}", daemon.node.daemons());
+}
+
+// A registration that was the last but one record, and whose removal was the last, is not listed: since the
+// listed ones all lie before it, it was taken for newer than the list, and stayed for good.
+#[test]
+fn key_whose_removal_was_the_last_record_is_missing_from_a_whole_read() {
+    let mut daemon = Daemon::with(1, &[("s-1", "plain 11 ready"), ("s-2", "plain 12 ready")]);
+    // The store forgot its history, the removal at 2 with it.
+    let left = [record("s-1", 0, "plain 11 ready")];
+    read_whole(&mut daemon, ms(10), batch(Topic::Servers, 0, 3, &left));
+    assert_eq!(registered(&daemon), ["s-1"]);
+}
+
+// All registrations were gone when the list was read: an empty list removed nothing.
+#[test]
+fn whole_read_that_lists_nothing_removes_everything() {
+    let mut daemon = Daemon::with(1, &[("s-1", "plain 11 ready")]);
+    read_whole(&mut daemon, ms(10), batch(Topic::Servers, 0, 2, &[]));
+    assert!(dispatches(&mut daemon, ms(20), "plain").is_empty());
+}
+
+// The pages of a list are no snapshot: a server that registered after the first page was read, and of which
+// a peer tells, is not on it, though another that registered later is on the second page.
+#[test]
+fn server_that_registers_between_two_pages_is_not_missing() {
+    let mut daemon = Daemon::new(1);
+    read_whole(
+        &mut daemon,
+        ms(10),
+        batch(Topic::Operator, 0, 1, &[record("config", 0, "table 1")]),
+    );
+    let peer = [record("a", 10, "plain 11 ready")];
+    told(&mut daemon, ms(20), batch(Topic::Servers, 10, 11, &peer));
+    let pages = [record("k", 3, "plain 12 draining"), record("z", 11, "plain 13 draining")];
+    read_whole(&mut daemon, ms(30), batch(Topic::Servers, 0, 10, &pages));
+    let read = Read { batch: batch(Topic::Servers, 10, 12, &[peer[0].clone()]), whole: false };
+    daemon.node.apply(ms(40), Message::Read(read));
+    let sent = dispatches(&mut daemon, ms(50), "plain");
+    assert!(matches!(&sent[..], [dispatch] if dispatch.server == "a"), "{sent:?}");
+}
+
+// A daemon that was cut off asks a peer for what it missed. The peer has started again meanwhile and has read
+// the list of what is left: it knows of no removals, and yet its answer was taken for all that had happened.
+#[test]
+fn removal_is_learnt_from_a_peer_that_started_after_it() {
+    let mut cut_off = Daemon::with(1, &[("s-1", "plain 11 ready"), ("s-2", "plain 12 ready")]);
+    let mut peer = Daemon::new(2);
+    let left = [record("s-1", 0, "plain 11 ready"), record("s-3", 3, "plain 13 ready")];
+    read_whole(&mut peer, ms(10), batch(Topic::Servers, 0, 4, &left));
+    let from = cut_off.node.end(Topic::Servers);
+    let routers = [("router-1", "router 1")];
+    peer.put(ms(10), Topic::Routers, &routers);
+    let ask = Frame::Ask("router-1".into(), Topic::Servers, from);
+    for effect in peer.node.apply(ms(20), Message::Frame(ask)) {
+        if let Effect::Send(_, frame) = effect {
+            cut_off.node.apply(ms(30), Message::Frame(frame));
+        }
+    }
+    let end = cut_off.node.end(Topic::Servers);
+    assert!(end < 4 || registered(&cut_off) == ["s-1", "s-3"], "{:?}", registered(&cut_off));
+}
+
+// An engine that was leaving ended and started again under its id while it was asked whether it had carried
+// an order out. Its new life took over that it was leaving, and no registration takes that back.
+#[test]
+fn next_life_that_an_engine_reports_itself_does_not_leave() {
+    let mut daemon = Daemon::with(1, &[("e-1", "engine 21 ready 1 born:5")]);
+    daemon.put(ms(10), Topic::Servers, &[("e-1", "engine 21 draining 1 born:5")]);
+    let key = daemon.node.servers.keys().next().expect("it is registered");
+    let weights = BTreeMap::from([("m".to_owned(), 1)]);
+    let state = State { weights, busy: false, sequence: 0, born: 6 };
+    daemon.node.apply(ms(20), Message::Polled(key, Some(state)));
+    daemon.put(ms(30), Topic::Servers, &[("e-1", "engine 21 ready 1 born:6")]);
+    assert_eq!(dispatches(&mut daemon, ms(40), "engines").len(), 1);
+}
+
+// A block had been taken away by operators. A daemon that had been frozen woke, told in its digest of the block
+// as it knew it, and all others blocked the request again, for a day from then on.
+#[test]
+fn block_that_was_taken_away_does_not_come_back_by_a_late_word() {
+    let fatal = Fingerprint(77);
+    let mut daemon = Daemon::new(1);
+    daemon.put(ms(0), Topic::Routers, &[("blocked-77", "blocked 77")]);
+    assert!(daemon.node.poison.is_blocked(fatal));
+    daemon.put(ms(1_000), Topic::Routers, &[("blocked-77", "")]);
+    let late = Digest {
+        daemon: "router-3".into(),
+        address: address(3).to_string(),
+        blocked: vec![fatal],
+        ..Digest::default()
+    };
+    daemon.node.apply(ms(1_100), Message::Frame(Frame::Digest(late)));
+    assert!(!daemon.node.poison.is_blocked(fatal));
+    let late = crate::poison::Message::Blocked(vec![fatal]);
+    daemon.node.apply(ms(1_200), Message::Frame(Frame::Poison(late)));
+    assert!(!daemon.node.poison.is_blocked(fatal));
+    // The store's own next word counts.
+    daemon.put(ms(2_000), Topic::Routers, &[("blocked-77", "blocked 77")]);
+    assert!(daemon.node.poison.is_blocked(fatal));
+}
