Keep a block let go that the store has let go, whatever peers say late

The word of peers on blocks has no age, so it was taken as new. Now what the store has let go is remembered for an hour, and only the store's own next record, or strikes that this daemon counts itself, block it again. Left: a daemon that starts after the removal has not seen it, and believes such a late word still.

--- a/src/fleet/poison.rs
+++ b/src/fleet/poison.rs
@@ -18,6 +18,9 @@
 const WRITE_IN_TURN: Duration = Duration::from_millis(700);
 /// Peers that are told of ends where no scheduler is heard of.
 const TOLD_PEERS: usize = 8;
+/// Time for which a block that the platform's store no longer has is not taken over from peers: longer than
+/// daemons are frozen or cut off, who tell of it as they knew it.
+const LET_GO_FOR: Duration = Duration::from_secs(3_600);
 /// Time between two looks for what is too old.
 const LOOK: Duration = Duration::from_secs(10);
 
@@ -128,14 +131,16 @@
         let addresses = self.fresh_addresses(now);
         self.tell_of_poison(addresses, Message::Blocked(blocked.clone()));
         for fingerprint in blocked {
+            self.let_go.remove(&fingerprint);
             self.blocked(now, fingerprint);
         }
     }
 
-    /// Takes over what peers, or the platform's store, say is blocked.
+    /// Takes over what peers say is blocked. They may say so late: what the store has let go since stays so,
+    /// or one daemon that wakes would block it everywhere for another day.
     pub(super) fn hear_blocked(&mut self, now: Time, blocked: &[Fingerprint]) {
         for fingerprint in blocked {
-            if self.poison.block(now, *fingerprint) {
+            if !self.let_go.contains_key(fingerprint) && self.poison.block(now, *fingerprint) {
                 self.blocked(now, *fingerprint);
             }
         }
@@ -217,6 +222,7 @@
             return;
         }
         self.next_poison_look = now + LOOK;
+        self.let_go.retain(|_, at| now < *at + LET_GO_FOR);
         for lapsed in self.poison.expire(now) {
             self.event(Event::BlockEnded, Detail::of("fingerprint", lapsed.to_string()));
             if self.is_scheduler(now) {
@@ -227,12 +233,14 @@
 
     /// Takes over that the platform's store keeps a block.
     pub(super) fn block_kept(&mut self, now: Time, fingerprint: Fingerprint) {
+        self.let_go.remove(&fingerprint);
         self.hear_blocked(now, &[fingerprint]);
         self.poison.kept(fingerprint);
     }
 
     /// Takes over that a block is gone from the platform's store.
-    pub(super) fn block_gone(&mut self, fingerprint: Fingerprint) {
+    pub(super) fn block_gone(&mut self, now: Time, fingerprint: Fingerprint) {
+        self.let_go.insert(fingerprint, now);
         if self.poison.lift(fingerprint) {
             self.event(Event::BlockEnded, Detail::of("fingerprint", fingerprint.to_string()));
         }
--- a/src/fleet/records.rs
+++ b/src/fleet/records.rs
@@ -116,7 +116,7 @@
             Change::ServerGone(id) => self.unregister(now, &id),
             Change::Router { id, address, cores } => self.meet(now, id, address, cores),
             Change::Blocked(fingerprint) => self.block_kept(now, fingerprint),
-            Change::Unblocked(fingerprint) => self.block_gone(fingerprint),
+            Change::Unblocked(fingerprint) => self.block_gone(now, fingerprint),
             Change::Nothing => {}
         }
     }
--- a/src/fleet/tests/parts.rs
+++ b/src/fleet/tests/parts.rs
@@ -170,7 +170,8 @@
 }
 
 // A block had been taken away by operators. A daemon that had been frozen woke, told in its digest of the block
-// as it knew it, and all others blocked the request again, for a day from then on.
+// as it knew it, and all others blocked the request again, for a day from then on, and had the store keep it. The
+// node took a peer's word on blocks as new, however late it came.
 #[test]
 fn block_that_was_taken_away_does_not_come_back_by_a_late_word() {
     let fatal = Fingerprint(77);
