Play what daemons believe against what is true, in seeded histories (failing tests)

Daemons follow a model of the store (topics, whole reads by two pages, reads that wait, a history that is forgotten) and exchange their real frames; they are killed at the very moment of a record, frozen, cut off from the store or from each other, and reads and frames come late, twice and out of order. Looked at ten times a second, of daemons that say they are ready and were not cut off since their start or for 3 s: begins on weights past the limit, the table in force, servers that are known, gone or leaving, blocks, shares of the retry budget, one holder of the lease.

Store and world are shared with the other histories where they fit (world.rs); site.rs has neither delays nor a store.

--- a/src/fleet/tests/mod.rs
+++ b/src/fleet/tests/mod.rs
@@ -1,6 +1,7 @@
 //! Histories of nodes, driven by messages alone.
 
 mod admission;
+mod beliefs;
 mod beside;
 mod catalog;
 mod frames;
@@ -14,4 +15,5 @@
 mod scheduling;
 mod servers;
 mod site;
+mod store;
 mod world;
--- a/src/fleet/tests/world.rs
+++ b/src/fleet/tests/world.rs
@@ -143,14 +143,19 @@
 
 impl Daemon {
     pub fn new(last: u8) -> Self {
+        Self::started(last, u64::from(last), &[])
+    }
+
+    /// A daemon that has just started and knows nothing but where some peers may be.
+    pub fn started(last: u8, incarnation: u64, seeds: &[SocketAddr]) -> Self {
         let identity = Identity {
             id: format!("router-{last}"),
-            incarnation: u64::from(last),
+            incarnation,
             zone: "zone-1".into(),
             address: address(last),
             cores: 1.0,
         };
-        let node = Node::new(identity, POLICY, decode, &[]);
+        let node = Node::new(identity, POLICY, decode, seeds);
         Self { node, offsets: BTreeMap::new(), next_request: 0, fingerprint: Fingerprint(0) }
     }
 
