Give daemons that have just started no scheduler's part of the retry budget

All daemons start again at once; until each has heard of the others, it takes itself for a scheduler, and nine took 81 of the 54 repeats that all may make, 71 took 639. And who had not read the daemons' registrations took a sixteenth of what those share that do not schedule, also where there are 195. Now a daemon takes a scheduler's part from a second after its start on, when schedulers have made themselves heard, and none of the fixed number before it knows who shares it; the part of its own requests it has from the start.

--- a/src/fleet/requests.rs
+++ b/src/fleet/requests.rs
@@ -6,7 +6,7 @@
 use super::request::{Phase, Request};
 use super::retry::Terms;
 use super::scheduling::{Origin, Stage};
-use super::{Arrival, Command, Dispatch, Key, Loss, Node, Refused, Report, server};
+use super::{Arrival, Command, Dispatch, Key, Loss, Node, Refused, Report, Topic, server};
 use crate::prelude::*;
 
 /// Sends of one request at most, those that were refused or never left included.
@@ -24,12 +24,18 @@
 const SILENT_AFTER: Duration = Duration::from_millis(700);
 
 impl Node {
+    /// This daemon's part of the retry budget. All that have just started together take themselves for
+    /// schedulers until they hear of each other, and without the daemons' registrations nobody knows how
+    /// many share the fixed number.
     pub(super) fn terms(&self, now: Time) -> Terms {
-        let slack = if self.is_scheduler(now) {
-            self.policy.retry_slack * SCHEDULER_SLACK
+        let part = if self.is_scheduler(now) && !self.has_just_started(now) {
+            SCHEDULER_SLACK
+        } else if self.known.contains(&Topic::Routers) {
+            OTHERS_SLACK / self.daemons() as f64
         } else {
-            self.policy.retry_slack * OTHERS_SLACK / self.daemons() as f64
+            0.0
         };
+        let slack = self.policy.retry_slack * part;
         Terms { window: self.policy.retry_window, ratio: self.policy.retry_ratio, slack }
     }
 
