--- a/src/fleet/tests/mod.rs
+++ b/src/fleet/tests/mod.rs
@@ -6,6 +6,7 @@
 mod catalog;
 mod frames;
 mod lives;
+mod naming;
 mod parts;
 mod peers;
 mod poison;
