--- a/src/fleet/tests/parts.rs
+++ b/src/fleet/tests/parts.rs
@@ -25,7 +25,7 @@
 
 /// Everything that the store has of a topic comes.
 fn read_whole(daemon: &mut Daemon, now: Time, batch: Batch) -> Vec<Effect> {
-    daemon.node.apply(now, Message::Read(Read { batch, whole: true }))
+    daemon.node.apply(now, Message::Read(Read { batch, whole: true, asked: now }))
 }
 
 fn dispatches(daemon: &mut Daemon, now: Time, pool: &str) -> Vec<Dispatch> {
@@ -135,7 +135,11 @@
     told(&mut daemon, ms(20), batch(Topic::Servers, 10, 11, &peer));
     let pages = [record("k", 3, "plain 12 draining"), record("z", 11, "plain 13 draining")];
     read_whole(&mut daemon, ms(30), batch(Topic::Servers, 0, 10, &pages));
-    let read = Read { batch: batch(Topic::Servers, 10, 12, &[peer[0].clone()]), whole: false };
+    let read = Read {
+        batch: batch(Topic::Servers, 10, 12, &[peer[0].clone()]),
+        whole: false,
+        asked: ms(40),
+    };
     daemon.node.apply(ms(40), Message::Read(read));
     let sent = dispatches(&mut daemon, ms(50), "plain");
     assert!(matches!(&sent[..], [dispatch] if dispatch.server == "a"), "{sent:?}");
@@ -192,7 +196,7 @@
         blocked: vec![fatal],
         ..Digest::default()
     };
-    daemon.node.apply(ms(1_100), Message::Frame(Frame::Digest(late)));
+    daemon.node.apply(ms(1_100), Message::Frame(Frame::Digest(Box::new(late))));
     assert!(!daemon.node.poison.is_blocked(fatal));
     let late = crate::poison::Message::Blocked(vec![fatal]);
     daemon.node.apply(ms(1_200), Message::Frame(Frame::Poison(late)));
--- a/src/fleet/tests/store.rs
+++ b/src/fleet/tests/store.rs
@@ -92,6 +92,7 @@
 struct Ask {
     /// `None` for everything.
     from: Option<u64>,
+    asked: Time,
     arrives: Time,
     /// Until when it waits for a record.
     waits_until: Time,
@@ -151,9 +152,9 @@
         let answer = due.map(|(_, answer)| answer);
         let late = (now >= ask.limit).then_some(Answer::Failed);
         let answer = answer.or(late)?;
-        let from = ask.from;
+        let (from, asked) = (ask.from, ask.asked);
         self.ask = None;
-        self.take(now, node, from, answer)
+        self.take(now, node, from, asked, answer)
     }
 
     fn ask(&mut self, now: Time, node: &Node, delay: Duration) {
@@ -169,7 +170,8 @@
         };
         let limit = now + ANSWER + self.wait;
         let (arrives, waits_until) = (now + delay, now + delay + self.wait);
-        self.ask = Some(Ask { from, arrives, waits_until, limit, page: None, answer: None });
+        self.ask =
+            Some(Ask { from, asked: now, arrives, waits_until, limit, page: None, answer: None });
     }
 
     fn take(
@@ -177,6 +179,7 @@
         now: Time,
         node: &Node,
         from: Option<u64>,
+        asked: Time,
         answer: Answer,
     ) -> Option<Message> {
         self.rests_until = now;
@@ -211,7 +214,7 @@
         };
         (self.next, self.wait) = (Some(to), node.wait(now, self.tracked));
         let batch = Batch { topic, from: from.unwrap_or_default(), to, records };
-        Some(Message::Read(Read { batch, whole }))
+        Some(Message::Read(Read { batch, whole, asked }))
     }
 }
 
