Begin nothing, and be not ready, before it is known which weights were named

A daemon that starts is told of a configuration by a peer and reads the servers; the operators' topic as a whole comes later where the store is slow. It said that it was ready and began requests on any weights, since none were named as far as it knew: no word was taken for none. Now the topic must be known, as the servers'.

--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -212,7 +212,9 @@
 
     /// Whether the platform's balancer may send callers here.
     pub fn is_ready(&self) -> bool {
-        self.table.is_some() && self.known.contains(&Topic::Servers) && !self.draining
+        let known = |topic| self.known.contains(&topic);
+        let all = known(Topic::Operator) && known(Topic::Servers);
+        all && self.table.is_some() && !self.draining
     }
 
     /// Whether a planned stop was asked for.
--- a/src/fleet/place.rs
+++ b/src/fleet/place.rs
@@ -8,7 +8,7 @@
 use super::prompt::{PREFILL_TOKENS_PER_MS, held_tokens, own_ms, salt, shared_tokens};
 use super::request::Request;
 use super::residency::{Sources, Supply};
-use super::{Key, Node, Place, Prompt, Server, server};
+use super::{Key, Node, Place, Prompt, Server, Topic, server};
 use crate::prelude::*;
 
 /// Milliseconds of delay that a shared token is worth which a server lacks and another holds: a
@@ -298,8 +298,12 @@
         self.link.refill(now, store.map_or(0, |store| store.link));
     }
 
-    /// What a start on this version costs; `None` where it may no longer be used.
+    /// What a start on this version costs; `None` where it may no longer be used, or nobody told yet which
+    /// were named: a configuration may come before the topic that it is part of.
     fn old_weights_ms(&self, now: Time, model: &str, version: u64) -> Option<f64> {
+        if !self.known.contains(&Topic::Operator) {
+            return None;
+        }
         let Some(age) = self.overtaken_for(now, model, version) else {
             return Some(0.0);
         };
