--- a/src/fleet/tests/mod.rs
+++ b/src/fleet/tests/mod.rs
@@ -1,11 +1,13 @@
 //! Histories of nodes, driven by messages alone.
 
 mod admission;
+mod beliefs;
 mod beside;
 mod catalog;
 mod frames;
 mod lives;
 mod naming;
+mod parts;
 mod peers;
 mod poison;
 mod requests;
@@ -14,4 +16,5 @@
 mod scheduling;
 mod servers;
 mod site;
+mod store;
 mod world;
