Let an engine's next life, which it reports itself, not be leaving

An engine that was leaving, ended and started again under its id got nothing in its new life where a daemon heard of it from the engine's own report first: that life took over everything of the one before, that it was leaving included, and no registration takes that back. A life begins without it; its registration says if it leaves.

--- a/src/fleet/rollout.rs
+++ b/src/fleet/rollout.rs
@@ -273,9 +273,10 @@
             Known::Same(_) | Known::New => {}
             // Its registration has yet to say so.
             Known::Next(_) => {
-                let sequence = state.sequence;
+                let State { sequence, weights, .. } = state;
+                // Its former life may have been leaving.
                 let entry =
-                    Entry { life, sequence, weights: state.weights, ..server.entry.clone() };
+                    Entry { life, sequence, weights, leaving: false, ..server.entry.clone() };
                 return self.register(now, entry);
             }
             // The answer is older than what is known.
