Take lists of what is left of a topic for what they are, from the store and from peers

Servers that were gone stayed for good at some daemons, which sent requests there, and servers that were registered were missing for good at others. Cause, once more: a part was taken for the whole. - A list was taken to reach to its newest record. Removals after that, and an empty list, removed nothing; and what came between two of its pages was removed, though a peer had told of it. A list reaches to the offset that the store gave with its first page. - A daemon that has read a list knows of no removals before. Asked by a peer for what it missed, it gave the records from there on, and the peer kept what was gone and took what it had missed for read.

--- a/src/fleet/catalog.rs
+++ b/src/fleet/catalog.rs
@@ -59,6 +59,8 @@
     records: BTreeMap<String, (u64, Option<Vec<u8>>)>,
     /// The offset before which nothing is missing.
     end: u64,
+    /// The offset from which on removals are known too.
+    removals_from: u64,
 }
 
 /// The newest records by topic and key.
@@ -86,23 +88,37 @@
         true
     }
 
-    /// The keys that have a value and are not in `whole`, which lists every key up to its end.
-    pub fn missing(&self, topic: Topic, whole: &[Record]) -> Vec<Record> {
+    /// The keys that had a value before offset `to` and are not listed, where `whole` lists all that have one
+    /// there: their removals, the last of which may lie right before it. Keys that came later may be missing
+    /// from the list, whose pages are no snapshot.
+    pub fn missing(&self, topic: Topic, whole: &[Record], to: u64) -> Vec<Record> {
         let listed: BTreeSet<&str> = whole.iter().map(|record| record.key.as_str()).collect();
-        let Some(end) = whole.iter().map(|record| record.offset).max() else {
-            return Vec::new();
-        };
         let Some(shelf) = self.shelves.get(&topic) else { return Vec::new() };
         shelf
             .records
             .iter()
             .filter(|(key, (offset, value))| {
-                value.is_some() && *offset < end && !listed.contains(key.as_str())
+                value.is_some() && *offset < to && !listed.contains(key.as_str())
             })
-            .map(|(key, _)| Record { key: key.clone(), offset: end, value: None })
+            .map(|(key, _)| Record { key: key.clone(), offset: to.saturating_sub(1), value: None })
             .collect()
     }
 
+    /// Notes that everything that was left of a topic at offset `to` was taken: removals before it are in no
+    /// such list.
+    pub fn take_whole(&mut self, topic: Topic, to: u64) {
+        let shelf = self.shelves.entry(topic).or_default();
+        if to > shelf.end {
+            shelf.removals_from = to;
+        }
+        shelf.end = shelf.end.max(to);
+    }
+
+    /// Whether every removal from offset `from` on is known.
+    pub fn has_removals(&self, topic: Topic, from: u64) -> bool {
+        self.shelves.get(&topic).is_none_or(|shelf| from >= shelf.removals_from)
+    }
+
     /// Notes that every record of a range was taken; whether no record before its end is missing now.
     /// One that begins past what is known leaves a gap and changes nothing.
     ///
@@ -164,6 +180,7 @@
             gone.sort_unstable();
             let oldest = gone[gone.len() - MAX_GONE];
             shelf.records.retain(|_, (offset, value)| value.is_some() || *offset >= oldest);
+            shelf.removals_from = shelf.removals_from.max(oldest);
         }
     }
 }
--- a/src/fleet/frame/mod.rs
+++ b/src/fleet/frame/mod.rs
@@ -74,6 +74,8 @@
     Ask(String, Topic, u64),
     /// Records of a topic, asked for or new.
     Records(Batch),
+    /// Everything that is left of a topic, asked for: keys that are not in it are gone.
+    Snapshot(Batch),
     /// What a daemon has at one server now.
     Notice(Notice),
     /// What an engine or the KV store keeps.
@@ -104,12 +106,8 @@
             Self::Ask(daemon, topic, from) => {
                 wire::Body::Ask(wire::Ask { daemon, topic: topic as u32, from })
             }
-            Self::Records(batch) => wire::Body::Records(wire::Records {
-                topic: batch.topic as u32,
-                records: batch.records.into_iter().map(wire::Record::from).collect(),
-                from: batch.from,
-                to: batch.to,
-            }),
+            Self::Records(batch) => wire::Body::Records(batch.into()),
+            Self::Snapshot(batch) => wire::Body::Snapshot(batch.into()),
             Self::Notice(notice) => {
                 let Notice { daemon, life, busy, parts } = notice;
                 wire::Body::Notice(wire::Notice { daemon, busy: Some((life, busy).into()), parts })
@@ -129,19 +127,12 @@
     /// Reads a frame.
     pub fn decode(bytes: &[u8]) -> Result<Self, Malformed> {
         let frame = wire::Frame::decode(bytes).map_err(|error| Malformed(error.to_string()))?;
-        let topic = |number| {
-            Topic::from_number(number).ok_or_else(|| Malformed(format!("no topic {number}")))
-        };
         match frame.body {
             None => Err(Malformed("the frame is empty".into())),
             Some(wire::Body::Digest(digest)) => Ok(Self::Digest(Box::new(digest.try_into()?))),
             Some(wire::Body::Ask(ask)) => Ok(Self::Ask(ask.daemon, topic(ask.topic)?, ask.from)),
-            Some(wire::Body::Records(records)) => Ok(Self::Records(Batch {
-                topic: topic(records.topic)?,
-                from: records.from,
-                to: records.to,
-                records: records.records.into_iter().map(Record::from).collect(),
-            })),
+            Some(wire::Body::Records(records)) => Ok(Self::Records(records.try_into()?)),
+            Some(wire::Body::Snapshot(records)) => Ok(Self::Snapshot(records.try_into()?)),
             Some(wire::Body::Notice(notice)) => {
                 let busy = notice.busy.ok_or_else(|| Malformed("a notice tells nothing".into()))?;
                 let (life, busy) = busy.into();
@@ -159,6 +150,10 @@
     }
 }
 
+fn topic(number: u32) -> Result<Topic, Malformed> {
+    Topic::from_number(number).ok_or_else(|| Malformed(format!("no topic {number}")))
+}
+
 fn millis(time: Duration) -> u32 {
     u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
 }
@@ -221,6 +216,30 @@
     }
 }
 
+impl From<Batch> for wire::Records {
+    fn from(batch: Batch) -> Self {
+        Self {
+            topic: batch.topic as u32,
+            records: batch.records.into_iter().map(wire::Record::from).collect(),
+            from: batch.from,
+            to: batch.to,
+        }
+    }
+}
+
+impl TryFrom<wire::Records> for Batch {
+    type Error = Malformed;
+
+    fn try_from(records: wire::Records) -> Result<Self, Malformed> {
+        Ok(Self {
+            topic: topic(records.topic)?,
+            from: records.from,
+            to: records.to,
+            records: records.records.into_iter().map(Record::from).collect(),
+        })
+    }
+}
+
 impl From<Naming> for wire::Naming {
     fn from(naming: Naming) -> Self {
         let Naming { model, version, age } = naming;
--- a/src/fleet/frame/wire.rs
+++ b/src/fleet/frame/wire.rs
@@ -182,10 +182,12 @@
     Verdict(WireVerdict),
     #[prost(message, tag = "10")]
     Poison(WirePoison),
+    #[prost(message, tag = "11")]
+    Snapshot(Records),
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
 pub(super) struct Frame {
-    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10")]
+    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11")]
     pub(super) body: Option<Body>,
 }
--- a/src/fleet/gossip.rs
+++ b/src/fleet/gossip.rs
@@ -204,27 +204,44 @@
             Frame::Progress(progress) => self.progress_came(now, progress),
             Frame::Verdict(verdict) => self.verdict_came(now, *verdict),
             Frame::Poison(message) => self.poison_came(now, message),
-            Frame::Ask(daemon, topic, from) => {
-                let Some(peer) = self.peers.get(&daemon) else { return };
-                if !self.known.contains(&topic) {
-                    return;
-                }
-                let records = self.catalog.since(topic, from);
-                let batch = Batch { topic, from, to: self.catalog.end(topic), records };
-                self.effects.push(Effect::Send(vec![peer.address], Frame::Records(batch)));
-            }
+            Frame::Ask(daemon, topic, from) => self.asked(&daemon, topic, from),
             Frame::Records(batch) => {
-                let (topic, records) = (batch.topic, batch.records.len());
-                let was_known = self.known.contains(&topic);
-                self.take(now, batch, true);
-                if !was_known && self.known.contains(&topic) {
-                    let detail = Detail::of("topic", format!("{topic:?}")).and("records", records);
-                    self.event(Event::SnapshotTaken, detail);
-                }
+                self.hear_topic(batch.topic, |node| node.take(now, batch, true));
+            }
+            Frame::Snapshot(batch) => {
+                self.hear_topic(batch.topic, |node| node.take_whole(now, batch));
             }
         }
     }
 
+    /// Answers a peer that wants the records of a topic from an offset.
+    fn asked(&mut self, daemon: &str, topic: Topic, from: u64) {
+        let Some(peer) = self.peers.get(daemon) else { return };
+        if !self.known.contains(&topic) {
+            return;
+        }
+        let to = self.catalog.end(topic);
+        // A daemon that read what was left knows of no removals before: with the records from then on alone,
+        // the peer would keep what is gone, and take what it missed for read.
+        let frame = if self.catalog.has_removals(topic, from) {
+            Frame::Records(Batch { topic, from, to, records: self.catalog.since(topic, from) })
+        } else {
+            Frame::Snapshot(Batch { topic, from: 0, to, records: self.catalog.since(topic, 0) })
+        };
+        self.effects.push(Effect::Send(vec![peer.address], frame));
+    }
+
+    /// Takes over what a peer tells of a topic, which may be all that was missing of it.
+    fn hear_topic(&mut self, topic: Topic, take: impl FnOnce(&mut Self)) {
+        let was_known = self.known.contains(&topic);
+        take(self);
+        if !was_known && self.known.contains(&topic) {
+            let records = self.catalog.since(topic, 0).len();
+            let detail = Detail::of("topic", format!("{topic:?}")).and("records", records);
+            self.event(Event::SnapshotTaken, detail);
+        }
+    }
+
     /// Tells peers of new records: the scheduler of the topic all that it hears of, any other daemon a
     /// few, who tell others. Who is missed asks by the digests.
     pub(super) fn tell_records(&mut self, now: Time, batch: Batch) {
--- a/src/fleet/records.rs
+++ b/src/fleet/records.rs
@@ -23,10 +23,10 @@
         self.came_up(now, Tracked::Topic(topic));
         self.read_at.insert(topic, now);
         if whole {
-            let gone = self.catalog.missing(topic, &batch.records);
-            self.take_records(now, topic, &gone, Since::Unknown);
+            self.take_whole(now, batch);
+        } else {
+            self.take(now, batch, true);
         }
-        self.take(now, batch, !whole);
         if topic == Topic::Operator && self.lacks_nothing() {
             self.rollout.contact.read(asked);
         }
@@ -48,6 +48,15 @@
         self.rollout.contact.since(now, all)
     }
 
+    /// Takes everything that is left of a topic: what is not in it is gone.
+    pub(super) fn take_whole(&mut self, now: Time, batch: Batch) {
+        let Batch { topic, to, .. } = batch;
+        let gone = self.catalog.missing(topic, &batch.records, to);
+        self.take_records(now, topic, &gone, Since::Unknown);
+        self.catalog.take_whole(topic, to);
+        self.take(now, batch, false);
+    }
+
     /// Takes a batch from the store or from a peer, and tells some peers of what was new in it.
     pub(super) fn take(&mut self, now: Time, batch: Batch, tell: bool) {
         let since = self.named_since(now, &batch);
--- a/src/fleet/tests/catalog.rs
+++ b/src/fleet/tests/catalog.rs
@@ -38,7 +38,7 @@
     catalog.take(Topic::Servers, &record("c", 9, Some("x")));
     let whole = [record("b", 2, Some("x")), record("d", 5, Some("x"))];
     // `c` came after the read began, from a peer; it is not missing.
-    assert_eq!(catalog.missing(Topic::Servers, &whole), [record("a", 5, None)]);
+    assert_eq!(catalog.missing(Topic::Servers, &whole, 6), [record("a", 5, None)]);
 }
 
 quickcheck::quickcheck! {
--- a/src/fleet/tests/frames.rs
+++ b/src/fleet/tests/frames.rs
@@ -54,7 +54,8 @@
             changes: vec![(7, 0), (8, 13_300)],
         }),
         Frame::AskHeld("router-2".into(), Keeper::Store(([10, 0, 0, 9], 80).into())),
-        Frame::Records(Batch { topic: Topic::Servers, from: 1, to: 3, records }),
+        Frame::Records(Batch { topic: Topic::Servers, from: 1, to: 3, records: records.clone() }),
+        Frame::Snapshot(Batch { topic: Topic::Operator, from: 0, to: 3, records }),
         Frame::Poison(poison::Message::Strikes(vec![poison::Strike {
             fingerprint: Fingerprint(u64::MAX),
             victim: poison::Victim::of("server-1", None),
