--- /dev/null
+++ b/src/fleet/recall.rs
@@ -0,0 +1,79 @@
+//! Requests are taken back from servers that have fallen silent, or whose weights are too old.
+
+use super::request::Phase;
+use super::{Command, Key, Node};
+use crate::prelude::*;
+
+/// Silence of a server, to all daemons, after which requests that wait for it are sent elsewhere:
+/// longer than the largest prompts take, and than peers need to tell of an answer.
+const SILENT_AFTER: Duration = Duration::from_millis(700);
+
+impl Node {
+    /// Notes for each server since when requests wait for its answer, and moves those away that may
+    /// be repeated from servers that have fallen silent.
+    pub(super) fn look_at_unanswered(&mut self, now: Time) {
+        for server in self.servers.values_mut() {
+            server.unanswered_since = None;
+        }
+        let (mut late, mut recalled) = (Vec::new(), Vec::new());
+        for (key, request) in &self.requests {
+            let Phase::Sent { server, begun: false, at, .. } = request.phase else { continue };
+            if let Some(state) = self.servers.get_mut(server) {
+                state.unanswered_since =
+                    Some(state.unanswered_since.map_or(at, |since| since.min(at)));
+            }
+            if now >= at + SILENT_AFTER {
+                late.push((*key, server));
+            }
+            if let (Some(prompt), Some(version)) = (&request.arrival.prompt, request.weights)
+                && self.is_too_late(now, &prompt.model, version)
+            {
+                recalled.push(*key);
+            }
+        }
+        for key in recalled {
+            self.recall(now, key);
+        }
+        for (key, server) in late {
+            let silent =
+                self.servers.get(server).map(|state| self.load(server, state).silence(now));
+            if silent.is_some_and(|silent| silent >= SILENT_AFTER) {
+                self.move_away(now, key);
+            }
+        }
+    }
+
+    /// Takes a request back that must not begin on the weights that it was sent to.
+    pub(super) fn recall(&mut self, now: Time, key: Key) {
+        self.move_away(now, key);
+        let Some(request) = self.requests.get(&key) else { return };
+        let Phase::Sent { at, .. } = request.phase else { return };
+        if at == now {
+            return;
+        }
+        self.counts.recalled += 1;
+        self.log_taken_back(Event::RequestRecalled, now, key);
+        self.command(key, Command::GiveUp);
+        self.forget(now, key);
+    }
+
+    /// Sends a request elsewhere whose server has fallen silent, where its route allows it.
+    pub(super) fn move_away(&mut self, now: Time, key: Key) {
+        let Some(request) = self.requests.get(&key) else { return };
+        let Phase::Sent { server, at, .. } = request.phase else { return };
+        let pool = request.pool.clone();
+        if !request.may_repeat() || self.may_end_servers(now, key) {
+            return;
+        }
+        let Some(choice) = self.place(now, key) else { return };
+        if request.tried.contains(&choice.server) || !self.spend(now, &pool) {
+            return;
+        }
+        self.counts.moved += 1;
+        self.log_taken_back(Event::RequestMoved, now, key);
+        // It may be what silenced the server; whether that has ended its registration will tell.
+        self.connection_lost(now, key, server, now.saturating_sub(at));
+        self.release(key);
+        self.dispatch(now, key, choice);
+    }
+}
--- /dev/null
+++ b/src/fleet/reports.rs
@@ -0,0 +1,124 @@
+//! How sent requests fare at their servers, and what that tells of the servers.
+
+use super::request::Phase;
+use super::scheduling::Stage;
+use super::{Key, Loss, Node, Refused, Report, server};
+use crate::prelude::*;
+
+impl Node {
+    pub(super) fn report(&mut self, now: Time, key: Key, attempt: u32, report: Report) {
+        let Some(request) = self.requests.get_mut(&key) else { return };
+        if request.sends != attempt {
+            return;
+        }
+        if let Phase::Submitted(Stage::Placed(placed)) = request.phase {
+            return self.report_placed(now, key, placed, report);
+        }
+        let Phase::Sent { server, tokens, begun, at } = request.phase else { return };
+        let model = request.arrival.prompt.as_ref().map(|prompt| prompt.model.clone());
+        match report {
+            Report::Begun(weights) => {
+                if let (Some(model), Some(version)) = (model, weights) {
+                    self.saw_weights(now, server, &model, version);
+                }
+                self.heard(now, server);
+                self.begun(now, key, server, tokens, begun, at);
+            }
+            Report::Ended => {
+                self.heard(now, server);
+                self.was_served(now, key);
+                if let Some(server) = self.servers.get_mut(server) {
+                    server.succeeded();
+                }
+                self.forget(now, key);
+            }
+            Report::Refused(refused) => {
+                request.runs -= 1;
+                self.counts.declined += 1;
+                self.log_declined(key, server, refused);
+                self.heard(now, server);
+                self.note_refusal(now, server, model.as_deref(), refused);
+                self.again(now, key, true, Code::QueueFull);
+            }
+            Report::Unsent => {
+                request.runs -= 1;
+                self.counts.unsent += 1;
+                self.log_failed(key, server, "it could not be connected to");
+                self.note_failure(now, server);
+                self.again(now, key, false, Code::RetriesExhausted);
+            }
+            Report::Lost(loss) => {
+                self.counts.lost += 1;
+                self.log_failed(key, server, loss.reason());
+                if loss == Loss::Connection {
+                    self.connection_lost(now, key, server, now.saturating_sub(at));
+                }
+                self.note_failure(now, server);
+                self.repeat(now, key);
+            }
+            Report::Failed => {
+                self.counts.failed += 1;
+                self.log_failed(key, server, "it answered with a failure of its own");
+                self.heard(now, server);
+                self.repeat(now, key);
+            }
+        }
+    }
+
+    pub(super) fn heard(&mut self, now: Time, server: server::Key) {
+        self.lives(now, server);
+        if let Some(server) = self.servers.get_mut(server) {
+            server.heard_at = Some(now);
+        }
+    }
+
+    pub(super) fn begun(
+        &mut self,
+        now: Time,
+        key: Key,
+        server: server::Key,
+        tokens: u32,
+        begun: bool,
+        at: Time,
+    ) {
+        if begun {
+            return;
+        }
+        self.log_begun(now, key, at);
+        if let Some(cost_ms) = self.requests.get(&key).and_then(|request| request.fetch_cost_ms) {
+            let waited_ms = now.saturating_sub(at).as_secs_f64() * 1_000.0;
+            self.link.saw_delay(now, waited_ms - cost_ms);
+        }
+        if let Some(server) = self.servers.get_mut(server) {
+            server.pending_tokens = server.pending_tokens.saturating_sub(tokens);
+        }
+        if let Some(request) = self.requests.get_mut(&key) {
+            request.phase = Phase::Sent { server, tokens, begun: true, at };
+        }
+        self.notice(now, server, tokens, Vec::new());
+    }
+
+    pub(super) fn note_refusal(
+        &mut self,
+        now: Time,
+        key: server::Key,
+        model: Option<&str>,
+        refused: Refused,
+    ) {
+        if let (Refused::Weights(Some(version)), Some(model)) = (refused, model) {
+            return self.saw_weights(now, key, model, version);
+        }
+        if let Some(server) = self.servers.get_mut(key) {
+            match refused {
+                Refused::Gone => server.failed(now),
+                Refused::Busy | Refused::Weights(_) => server.refused(now),
+            }
+        }
+    }
+
+    fn note_failure(&mut self, now: Time, key: server::Key) {
+        if let Some(server) = self.servers.get_mut(key) {
+            server.failed(now);
+        }
+    }
+}
--- a/src/fleet/requests.rs
+++ b/src/fleet/requests.rs
@@ -5,8 +5,8 @@
 use super::prompt::{keyed, shared};
 use super::request::{Phase, Request};
 use super::retry::Terms;
-use super::scheduling::{Origin, Stage};
-use super::{Arrival, Command, Dispatch, Key, Loss, Node, Refused, Report, server};
+use super::scheduling::Origin;
+use super::{Arrival, Command, Dispatch, Key, Node};
 use crate::prelude::*;
 
 /// Sends of one request at most, those that were refused or never left included.
@@ -19,9 +19,6 @@
 const SCHEDULER_SLACK: f64 = 1.0 / 6.0;
 /// The part of it that all other daemons may use together.
 const OTHERS_SLACK: f64 = 0.25;
-/// Silence of a server, to all daemons, after which requests that wait for it are sent elsewhere:
-/// longer than the largest prompts take, and than peers need to tell of an answer.
-const SILENT_AFTER: Duration = Duration::from_millis(700);
 
 impl Node {
     pub(super) fn terms(&self, now: Time) -> Terms {
@@ -116,74 +113,6 @@
         true
     }
 
-    /// Notes for each server since when requests wait for its answer, and moves those away that may
-    /// be repeated from servers that have fallen silent.
-    pub(super) fn look_at_unanswered(&mut self, now: Time) {
-        for server in self.servers.values_mut() {
-            server.unanswered_since = None;
-        }
-        let (mut late, mut recalled) = (Vec::new(), Vec::new());
-        for (key, request) in &self.requests {
-            let Phase::Sent { server, begun: false, at, .. } = request.phase else { continue };
-            if let Some(state) = self.servers.get_mut(server) {
-                state.unanswered_since =
-                    Some(state.unanswered_since.map_or(at, |since| since.min(at)));
-            }
-            if now >= at + SILENT_AFTER {
-                late.push((*key, server));
-            }
-            if let (Some(prompt), Some(version)) = (&request.arrival.prompt, request.weights)
-                && self.is_too_late(now, &prompt.model, version)
-            {
-                recalled.push(*key);
-            }
-        }
-        for key in recalled {
-            self.recall(now, key);
-        }
-        for (key, server) in late {
-            let silent =
-                self.servers.get(server).map(|state| self.load(server, state).silence(now));
-            if silent.is_some_and(|silent| silent >= SILENT_AFTER) {
-                self.move_away(now, key);
-            }
-        }
-    }
-
-    /// Takes a request back that must not begin on the weights that it was sent to.
-    pub(super) fn recall(&mut self, now: Time, key: Key) {
-        self.move_away(now, key);
-        let Some(request) = self.requests.get(&key) else { return };
-        let Phase::Sent { at, .. } = request.phase else { return };
-        if at == now {
-            return;
-        }
-        self.counts.recalled += 1;
-        self.log_taken_back(Event::RequestRecalled, now, key);
-        self.command(key, Command::GiveUp);
-        self.forget(now, key);
-    }
-
-    /// Sends a request elsewhere whose server has fallen silent, where its route allows it.
-    pub(super) fn move_away(&mut self, now: Time, key: Key) {
-        let Some(request) = self.requests.get(&key) else { return };
-        let Phase::Sent { server, at, .. } = request.phase else { return };
-        let pool = request.pool.clone();
-        if !request.may_repeat() || self.may_end_servers(now, key) {
-            return;
-        }
-        let Some(choice) = self.place(now, key) else { return };
-        if request.tried.contains(&choice.server) || !self.spend(now, &pool) {
-            return;
-        }
-        self.counts.moved += 1;
-        self.log_taken_back(Event::RequestMoved, now, key);
-        // It may be what silenced the server; whether that has ended its registration will tell.
-        self.connection_lost(now, key, server, now.saturating_sub(at));
-        self.release(key);
-        self.dispatch(now, key, choice);
-    }
-
     /// Idle connections to one server that this daemon may keep: its part of half of what the server
     /// accepts from all callers, since those at work count too.
     pub(super) fn most_idle(&self, key: Key) -> usize {
@@ -234,122 +163,6 @@
         self.assign(key, dispatch, &choice);
     }
 
-    pub(super) fn report(&mut self, now: Time, key: Key, attempt: u32, report: Report) {
-        let Some(request) = self.requests.get_mut(&key) else { return };
-        if request.sends != attempt {
-            return;
-        }
-        if let Phase::Submitted(Stage::Placed(placed)) = request.phase {
-            return self.report_placed(now, key, placed, report);
-        }
-        let Phase::Sent { server, tokens, begun, at } = request.phase else { return };
-        let model = request.arrival.prompt.as_ref().map(|prompt| prompt.model.clone());
-        match report {
-            Report::Begun(weights) => {
-                if let (Some(model), Some(version)) = (model, weights) {
-                    self.saw_weights(now, server, &model, version);
-                }
-                self.heard(now, server);
-                self.begun(now, key, server, tokens, begun, at);
-            }
-            Report::Ended => {
-                self.heard(now, server);
-                self.was_served(now, key);
-                if let Some(server) = self.servers.get_mut(server) {
-                    server.succeeded();
-                }
-                self.forget(now, key);
-            }
-            Report::Refused(refused) => {
-                request.runs -= 1;
-                self.counts.declined += 1;
-                self.log_declined(key, server, refused);
-                self.heard(now, server);
-                self.note_refusal(now, server, model.as_deref(), refused);
-                self.again(now, key, true, Code::QueueFull);
-            }
-            Report::Unsent => {
-                request.runs -= 1;
-                self.counts.unsent += 1;
-                self.log_failed(key, server, "it could not be connected to");
-                self.note_failure(now, server);
-                self.again(now, key, false, Code::RetriesExhausted);
-            }
-            Report::Lost(loss) => {
-                self.counts.lost += 1;
-                self.log_failed(key, server, loss.reason());
-                if loss == Loss::Connection {
-                    self.connection_lost(now, key, server, now.saturating_sub(at));
-                }
-                self.note_failure(now, server);
-                self.repeat(now, key);
-            }
-            Report::Failed => {
-                self.counts.failed += 1;
-                self.log_failed(key, server, "it answered with a failure of its own");
-                self.heard(now, server);
-                self.repeat(now, key);
-            }
-        }
-    }
-
-    pub(super) fn heard(&mut self, now: Time, server: server::Key) {
-        self.lives(now, server);
-        if let Some(server) = self.servers.get_mut(server) {
-            server.heard_at = Some(now);
-        }
-    }
-
-    pub(super) fn begun(
-        &mut self,
-        now: Time,
-        key: Key,
-        server: server::Key,
-        tokens: u32,
-        begun: bool,
-        at: Time,
-    ) {
-        if begun {
-            return;
-        }
-        self.log_begun(now, key, at);
-        if let Some(cost_ms) = self.requests.get(&key).and_then(|request| request.fetch_cost_ms) {
-            let waited_ms = now.saturating_sub(at).as_secs_f64() * 1_000.0;
-            self.link.saw_delay(now, waited_ms - cost_ms);
-        }
-        if let Some(server) = self.servers.get_mut(server) {
-            server.pending_tokens = server.pending_tokens.saturating_sub(tokens);
-        }
-        if let Some(request) = self.requests.get_mut(&key) {
-            request.phase = Phase::Sent { server, tokens, begun: true, at };
-        }
-        self.notice(now, server, tokens, Vec::new());
-    }
-
-    pub(super) fn note_refusal(
-        &mut self,
-        now: Time,
-        key: server::Key,
-        model: Option<&str>,
-        refused: Refused,
-    ) {
-        if let (Refused::Weights(Some(version)), Some(model)) = (refused, model) {
-            return self.saw_weights(now, key, model, version);
-        }
-        if let Some(server) = self.servers.get_mut(key) {
-            match refused {
-                Refused::Gone => server.failed(now),
-                Refused::Busy | Refused::Weights(_) => server.refused(now),
-            }
-        }
-    }
-
-    fn note_failure(&mut self, now: Time, key: server::Key) {
-        if let Some(server) = self.servers.get_mut(key) {
-            server.failed(now);
-        }
-    }
-
     /// Sends a request once more that provably did not run; `arrived` tells whether it reached its
     /// server, which counts against the budget. Where that is used up the request waits for it as it
     /// would for a server.
