Keep measured figures out of comments, which give the purpose

Module comments told load patterns with figures, and constants told which values were tried. The comments now say what failure is prevented.

--- a/src/fleet/admission.rs
+++ b/src/fleet/admission.rs
@@ -1,10 +1,10 @@
 //! What waits, in which order it is sent, what is refused, and when that may come back.
 //!
-//! Load pattern: for some seconds a pool takes less than what comes (engines gone or loading, a burst,
-//! callers that ask again at once). What can't be sent within a part of its route's target would be
-//! answered late, and holds up what could be answered in time; so it is refused while its caller can
-//! still come back, and told when, by what drains ahead of it. Callers that come back go before
-//! newcomers of their rank, whichever daemon refused them.
+//! For some seconds a pool may take less than what comes (engines gone or loading, a burst, callers
+//! that ask again at once). What can't be sent within a part of its route's target would be answered
+//! late, and holds up what could be answered in time; so it is refused while its caller can still come
+//! back, and told when, by what drains ahead of it. Callers that come back go before newcomers of their
+//! rank, whichever daemon refused them.
 
 use std::ops::Bound;
 
@@ -29,8 +29,8 @@
 const SPREAD: f64 = 0.25;
 /// Time for which a refused caller is expected back: the longest it is told to stay away, and a second.
 const EXPECTED_FOR: Duration = Duration::from_millis(4_000);
-/// Least time between two looks at what waits. To place a prompt costs up to a tenth of a millisecond,
-/// and the scheduler of a pool sees a request end every other millisecond.
+/// Least time between two looks at what waits. The scheduler of a large pool sees requests end so fast
+/// that a look at each end would cost it its core.
 const PUMP: Duration = Duration::from_millis(4);
 /// Waiting requests that are tried first at a look, and as many after them.
 const TRIED: usize = 24;
--- a/src/fleet/homes.rs
+++ b/src/fleet/homes.rs
@@ -1,9 +1,9 @@
 //! Which servers hold the shared parts of a prompt, by every daemon's reckoning.
 //!
-//! Load pattern: a few long texts that nearly all prompts begin with, and many shorter ones that some
-//! share. A part belongs to the servers that come first for it in a rendezvous hash over all servers of
-//! the pool, whatever weights they have and however busy they are: what differs between daemons or
-//! changes by the second must not move a home, or the part is read at every place that it moves to.
+//! A few long texts stand at the head of nearly all prompts, and many shorter ones at that of some. A
+//! part belongs to the servers that come first for it in a rendezvous hash over all servers of the pool,
+//! whatever weights they have and however busy they are: what differs between daemons or changes by the
+//! second must not move a home, or the part is read at every place that it moves to.
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
--- a/src/fleet/loading.rs
+++ b/src/fleet/loading.rs
@@ -1,8 +1,7 @@
 //! How many engines of a pool load weights at a time.
 //!
-//! Load pattern: weights are named for all engines of a pool, which then load them from one source. The
-//! more do so at once, the longer each takes from some number on that nobody tells; on a deployment
-//! where that is 15 of 78, 24 at once took 1.6 s and 15 would have taken 0.7 s. Engines that load carry
+//! Weights are named for all engines of a pool, which then load them from one source. The more do so at
+//! once, the longer each takes from some number on that nobody tells, and engines that load carry
 //! nothing meanwhile. So the number begins low and grows while loads take no longer than the shortest
 //! ones did.
 
--- a/src/fleet/notice.rs
+++ b/src/fleet/notice.rs
@@ -1,11 +1,9 @@
 //! Peers are told at once of a large prompt that goes to an engine, of the shared parts that it will
 //! hold by that, and of the begin of its answer.
 //!
-//! Load pattern: an engine that reads a prompt of 17,000 tokens answers nobody else for a third of a
-//! second, which is about the time between two digests. Requests that other daemons sent to it
-//! meanwhile waited for it in vain: of 8,664 small ones on a day without trouble, 1,057 began over
-//! 150 ms later than predicted, and to 981 of them a large prompt was ahead that their daemon had not
-//! been told of.
+//! An engine that reads a large prompt answers nobody else meanwhile, which takes about the time between
+//! two digests. Without a word of it, small requests that other daemons send to that engine wait behind
+//! the prompt, and begin late.
 
 use super::{Busy, Effect, Frame, Life, Node, server};
 use crate::prelude::*;
--- a/src/fleet/pace.rs
+++ b/src/fleet/pace.rs
@@ -1,9 +1,9 @@
 //! Which daemons read the platform's store, and how often.
 //!
-//! Load pattern: each read is charged for, and the store's rates are of all daemons together. The
-//! schedulers read for all; some daemons after them read too, so that no few that are cut off leave the
-//! others without a word; the rest read by themselves while no scheduler has lately. Whatever one daemon
-//! reads the scheduler of the topic tells all, and who is missed asks.
+//! Each read is charged for, and the store's rates are of all daemons together. The schedulers read for
+//! all; some daemons after them read too, so that no few that are cut off leave the others without a
+//! word; the rest read by themselves while no scheduler has lately. Whatever one daemon reads the
+//! scheduler of the topic tells all, and who is missed asks.
 
 use super::{Node, Topic, Tracked};
 use crate::prelude::*;
@@ -24,7 +24,7 @@
 const LEASE_LATER: Duration = Duration::from_millis(2_500);
 /// Time that a read of the lease waits for a record while engines lack weights: longer than the time
 /// between two renewals, and short beside the limit for weights. A read that the store swallows in an
-/// outage is noticed only after it; with 20 s, weights that were named before stayed away for as long.
+/// outage is noticed only after it, and weights that were named before stay away for as long.
 const LEASE_WAIT_ACTIVE: Duration = Duration::from_secs(2);
 /// The same for those who may take the lease next while there is nothing to order.
 const LEASE_WAIT_SOON: Duration = Duration::from_secs(5);
--- a/src/fleet/place.rs
+++ b/src/fleet/place.rs
@@ -12,8 +12,8 @@
 use crate::prelude::*;
 
 /// Milliseconds of delay that a shared token is worth which a server lacks and another holds: a
-/// transfer takes 0.01, and reading it again, where the transfer fails, costs more than a late answer
-/// does. Measured: 0.01, 0.03 and 0.06 were tried.
+/// transfer takes a fifth of it, and reading it again, where the transfer fails, costs more than a late
+/// answer does.
 const AGAIN_MS_PER_TOKEN: f64 = 0.05;
 /// Silence of a server that says nothing: a large prompt takes so long, and peers tell late.
 const USUAL_SILENCE: Duration = Duration::from_millis(350);
@@ -40,12 +40,11 @@
 /// the engine lacks of its prompt included. With more, a pool that is overloaded for seconds (engines
 /// gone, weights loading) answers everything late, and reads everywhere what one engine holds; what
 /// has not been sent goes to the engine that holds its parts once that is free, or is told to come
-/// back. Measured: 0.5, 0.7, 1.0 and 1.6 were tried.
+/// back.
 const QUEUED_PART: f64 = 0.5;
-/// The same for a prompt that is read in some 20 ms: to refuse it makes room for nobody. Engines begin
-/// such prompts in 0.6 of the predicted time (median), and they are worth several times as much as
-/// large ones for each millisecond of an engine. Of 8,645 on a day with four namings of weights, 667
-/// were never served with half of the target, 77 with all of it.
+/// The same for a prompt that is read in some 20 ms: to refuse it makes room for nobody, engines begin
+/// such prompts sooner than predicted, and for each millisecond of an engine they are worth several
+/// times as much as large ones.
 const QUEUED_PART_SMALL: f64 = 1.0;
 /// Milliseconds by which a server that was tried in vain is passed over for others.
 const TRIED_MS: f64 = 10_000.0;
--- a/src/fleet/residency/store.rs
+++ b/src/fleet/residency/store.rs
@@ -24,9 +24,9 @@
 
 /// The KV store's link, as bytes that may be moved now.
 ///
-/// Load pattern: a daemon has a prompt to move now and then, of a tenth of a second of the link or of
-/// several. So the link is not divided among daemons: each uses what is free, and takes off what the
-/// others tell that they use.
+/// A daemon has a prompt to move now and then, of a tenth of a second of the link or of several; a share
+/// of the link could be too small for one prompt. So the link is not divided among daemons: each uses
+/// what is free, and takes off what the others tell that they use.
 #[derive(Debug, Default)]
 pub(in crate::fleet) struct Link {
     bytes: f64,
--- a/src/fleet/scheduling/mod.rs
+++ b/src/fleet/scheduling/mod.rs
@@ -1,11 +1,11 @@
 //! One daemon places the requests of all daemons for one pool: its scheduler.
 //!
-//! Load pattern: many daemons that each see a few requests a second, before servers whose queues change
-//! within some 50 ms. Whatever they tell each other of their work is older than that, and what all tell
+//! Many daemons each see a few requests a second, before servers whose queues change within tens of
+//! milliseconds. Whatever they tell each other of their work is older than that, and what all tell
 //! all grows with the square of their number. So a few daemons, the same by every daemon's reckoning,
 //! keep the load, the cached parts and the queue of a pool; the others submit their requests and carry
-//! the bytes. What is exchanged grows with the requests, and decisions are as good at two hundred
-//! daemons as at one.
+//! the bytes. What is exchanged grows with the requests, and decisions do not get worse with the number
+//! of daemons.
 //!
 //! A scheduler is no dependency. A request that gets no word within some milliseconds is placed by the
 //! daemon that has it, as are those whose scheduler has fallen silent. Rules do not hang on a scheduler
