Read files that operators name in one place

Both settings and the operators' client read a file and named it in the error by the same lines; they call settings::read_file now. Same code and text (CV4008).

--- a/src/cli/check.rs
+++ b/src/cli/check.rs
@@ -3,9 +3,10 @@
 use serde_json::json;
 
 use super::options::Check;
-use super::{pretty, read_file};
+use super::pretty;
 use crate::manifest::{Fault, Manifest, parse};
 use crate::prelude::*;
+use crate::settings::read_file;
 
 /// Checks the file.
 pub(super) fn run(options: &Check) -> Result<String> {
--- a/src/cli/explain.rs
+++ b/src/cli/explain.rs
@@ -4,8 +4,9 @@
 use serde_json::json;
 
 use super::options::Explain;
-use super::{ask, pretty, read_file};
+use super::{ask, pretty};
 use crate::prelude::*;
+use crate::settings::read_file;
 
 /// Asks the daemon.
 pub(super) fn run(options: &Explain) -> Result<String> {
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -63,8 +63,3 @@
 fn pretty(value: &impl serde::Serialize) -> String {
     serde_json::to_string_pretty(value).unwrap_or_default()
 }
-
-fn read_file(path: &std::path::Path) -> Result<Vec<u8>> {
-    std::fs::read(path)
-        .map_err(|error| Error::new(Code::FileUnreadable, format!("{}: {error}", path.display())))
-}
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -150,6 +150,17 @@
     Debug,
 }
 
+/// Reads a whole file; an error names it.
+///
+/// ```
+/// let error = cardamomvalve::settings::read_file("/nowhere".as_ref()).unwrap_err();
+/// assert!(error.to_string().contains("/nowhere"));
+/// ```
+pub fn read_file(path: &Path) -> Result<Vec<u8>> {
+    std::fs::read(path)
+        .map_err(|error| Error::new(Code::FileUnreadable, format!("{}: {error}", path.display())))
+}
+
 /// Reads the text of a settings file; an error names the field that it is about.
 pub fn parse<T: serde::de::DeserializeOwned>(bytes: &[u8]) -> Result<T> {
     let mut deserializer = serde_json::Deserializer::from_slice(bytes);
@@ -166,10 +177,7 @@
 impl Settings {
     /// Reads and checks a file.
     pub fn load(path: &Path) -> Result<Self> {
-        let bytes = std::fs::read(path).map_err(|error| {
-            Error::new(Code::FileUnreadable, format!("{}: {error}", path.display()))
-        })?;
-        Self::parse(&bytes)
+        Self::parse(&read_file(path)?)
     }
 
     /// Reads and checks the text of a file.
