Ask the log service, VM list and engines for JSON by one function

The three clients repeated the exchange, the check for 200 and the reading, and differ only in whom the error names. Texts of errors are as they were.

--- a/src/clients/engine.rs
+++ b/src/clients/engine.rs
@@ -2,23 +2,16 @@
 
 use std::net::SocketAddr;
 
-use http_types::{Method, StatusCode};
+use http_types::Method;
 
-use super::LIMITS;
+use super::{LIMITS, read_json};
 use crate::http::client::{Limits, send_json};
 use crate::membership::Report;
 use crate::prelude::*;
 
 /// Asks an engine for its state and its cache events from sequence number `from`.
 pub async fn poll(address: SocketAddr, from: u64) -> Result<Report, String> {
-    let path = format!("/report?from={from}");
-    let (status, body) = send_json(address, Method::Get, &path, None, LIMITS)
-        .await
-        .map_err(|failure| failure.reason)?;
-    if status != StatusCode::Ok {
-        return Err(format!("the engine answered {status}"));
-    }
-    serde_json::from_slice(&body).map_err(|error| error.to_string())
+    read_json(address, &format!("/report?from={from}"), "the engine").await
 }
 
 /// Bounds of an order: a version may take long to load.
--- a/src/clients/log.rs
+++ b/src/clients/log.rs
@@ -5,7 +5,7 @@
 use http_types::{Method, StatusCode};
 use serde::{Deserialize, Serialize};
 
-use super::LIMITS;
+use super::{LIMITS, read_json};
 use crate::control::{Appended, Read, Record, Stream};
 use crate::http::client::{Failure, Stage, send_json};
 use crate::prelude::*;
@@ -71,13 +71,7 @@
 ) -> Result<Read, String> {
     let name = stream.as_str();
     let path = format!("/streams/{name}/records?from={from}&limit={READ_LIMIT}&wait_ms={wait_ms}");
-    let (status, body) = send_json(address, Method::Get, &path, None, LIMITS)
-        .await
-        .map_err(|failure| failure.reason)?;
-    if status != StatusCode::Ok {
-        return Err(format!("the log service answered {status}"));
-    }
-    let page: Page = serde_json::from_slice(&body).map_err(|error| error.to_string())?;
+    let page: Page = read_json(address, &path, "the log service").await?;
     Ok(page.into())
 }
 
--- a/src/clients/mod.rs
+++ b/src/clients/mod.rs
@@ -6,7 +6,12 @@
 pub mod log;
 pub mod vms;
 
-use crate::http::client::Limits;
+use std::net::SocketAddr;
+
+use http_types::{Method, StatusCode};
+use serde::de::DeserializeOwned;
+
+use crate::http::client::{Limits, send_json};
 use crate::prelude::*;
 
 /// Bounds of an exchange with the platform or of a poll.
@@ -16,3 +21,18 @@
     idle: Duration::from_secs(2),
     body: 64 << 20,
 };
+
+/// Reads what is at `path`; an error names `whom` it was asked of where that gave no 200.
+async fn read_json<T: DeserializeOwned>(
+    address: SocketAddr,
+    path: &str,
+    whom: &str,
+) -> Result<T, String> {
+    let (status, body) = send_json(address, Method::Get, path, None, LIMITS)
+        .await
+        .map_err(|failure| failure.reason)?;
+    if status != StatusCode::Ok {
+        return Err(format!("{whom} answered {status}"));
+    }
+    serde_json::from_slice(&body).map_err(|error| error.to_string())
+}
--- a/src/clients/vms.rs
+++ b/src/clients/vms.rs
@@ -2,11 +2,9 @@
 
 use std::net::SocketAddr;
 
-use http_types::{Method, StatusCode};
 use serde::{Deserialize, Serialize};
 
-use super::LIMITS;
-use crate::http::client::send_json;
+use super::read_json;
 use crate::membership::Vm;
 use crate::prelude::*;
 
@@ -19,12 +17,6 @@
 
 /// Reads the VM list.
 pub async fn read(address: SocketAddr) -> Result<Vec<Vm>, String> {
-    let (status, body) = send_json(address, Method::Get, "/vms", None, LIMITS)
-        .await
-        .map_err(|failure| failure.reason)?;
-    if status != StatusCode::Ok {
-        return Err(format!("the VM list answered {status}"));
-    }
-    let list: List = serde_json::from_slice(&body).map_err(|error| error.to_string())?;
+    let list: List = read_json(address, "/vms", "the VM list").await?;
     Ok(list.vms)
 }
