--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -19,6 +19,7 @@
 
 pub use connections::Connections;
 
+use crate::attempt::Outcome;
 use crate::daemon::Control;
 use crate::http::server::{self, Whole};
 use crate::http::{Socket, client, header};
@@ -52,6 +53,15 @@
     since: Time,
 }
 
+impl From<client::Failure> for Outcome {
+    fn from(failure: client::Failure) -> Self {
+        match failure.stage {
+            client::Stage::Unsent => Self::Unsent(failure.reason),
+            client::Stage::Sent => Self::Broken(failure.reason),
+        }
+    }
+}
+
 impl Entry {
     /// An entry that hands its requests to `control`.
     pub fn new(
--- a/src/entry/pump.rs
+++ b/src/entry/pump.rs
@@ -10,7 +10,7 @@
 use super::openai::{Completion, chunk_text};
 use crate::attempt::{self, Command, Dispatch, Outcome, Refusal, Report};
 use crate::control::Message;
-use crate::http::client::{self, Stage};
+use crate::http::client;
 use crate::http::header;
 use crate::prefix;
 use crate::prelude::*;
@@ -116,10 +116,7 @@
         };
         match client::send(dispatch.address, request, self.entry.exchange).await {
             Ok(answer) => self.receive(dispatch, &attempt_id, answer, &hop).await,
-            Err(failure) => match failure.stage {
-                Stage::Unsent => Outcome::Unsent(failure.reason),
-                Stage::Sent => Outcome::Broken(failure.reason),
-            },
+            Err(failure) => failure.into(),
         }
     }
 
--- a/src/entry/service.rs
+++ b/src/entry/service.rs
@@ -8,7 +8,7 @@
 use super::{Call, Entry};
 use crate::attempt::{self, Command, Dispatch, Outcome, Report, Target};
 use crate::control::Message;
-use crate::http::client::{self, Stage};
+use crate::http::client;
 use crate::http::{header, server};
 use crate::ledger::{MAX_KEPT_BODY, Receipt};
 use crate::prelude::*;
@@ -110,10 +110,7 @@
                 (Outcome::Complete(Some(kept)), Some(answer))
             }
             Err(failure) if failure.too_large => (Outcome::TooLarge, None),
-            Err(failure) => match failure.stage {
-                Stage::Unsent => (Outcome::Unsent(failure.reason), None),
-                Stage::Sent => (Outcome::Broken(failure.reason), None),
-            },
+            Err(failure) => (failure.into(), None),
         }
     }
 
