--- a/src/fleet/explain.rs
+++ b/src/fleet/explain.rs
@@ -23,6 +23,12 @@
             .and("route", request.arrival.route.name.as_str())
     }
 
+    /// The same, with the request's newest attempt and the server that it went to.
+    fn about_attempt(&self, request: &Request, server: server::Key) -> Detail {
+        let id = self.servers.get(server).map_or("", |server| server.entry.life.id.as_str());
+        Self::about(request).and("attempt", request.sends).and("server", id)
+    }
+
     /// How old what this daemon goes by is: the configuration's version, and for how long the store
     /// has not told of servers.
     fn beliefs(&self, now: Time, detail: Detail) -> Detail {
@@ -120,10 +126,8 @@
     /// Logs an attempt that failed, and what its request does next.
     pub(super) fn log_failed(&mut self, key: Key, server: server::Key, reason: &str) {
         let Some(request) = self.requests.get(&key) else { return };
-        let id = self.servers.get(server).map_or("", |server| server.entry.life.id.as_str());
-        let detail = Self::about(request)
-            .and("attempt", request.sends)
-            .and("server", id)
+        let detail = self
+            .about_attempt(request, server)
             .and("fingerprint", request.arrival.fingerprint.to_string())
             .and("reason", reason)
             .and("runs", request.runs)
@@ -133,17 +137,13 @@
 
     pub(super) fn log_declined(&mut self, key: Key, server: server::Key, refused: Refused) {
         let Some(request) = self.requests.get(&key) else { return };
-        let id = self.servers.get(server).map_or("", |server| server.entry.life.id.as_str());
         let (reason, weights) = match refused {
             Refused::Busy => ("it has no room, or is leaving or loading", None),
             Refused::Gone => ("another server has its address", None),
             Refused::Weights(version) => ("its weights are of another version", version),
         };
-        let detail = Self::about(request)
-            .and("attempt", request.sends)
-            .and("server", id)
-            .and("reason", reason)
-            .and_some("weights", weights);
+        let detail =
+            self.about_attempt(request, server).and("reason", reason).and_some("weights", weights);
         self.event(Event::AttemptRefused, detail);
     }
 
@@ -151,10 +151,8 @@
     pub(super) fn log_taken_back(&mut self, event: Event, now: Time, key: Key) {
         let Some(request) = self.requests.get(&key) else { return };
         let Phase::Sent { server, at, .. } = request.phase else { return };
-        let id = self.servers.get(server).map_or("", |server| server.entry.life.id.as_str());
-        let detail = Self::about(request)
-            .and("attempt", request.sends)
-            .and("server", id)
+        let detail = self
+            .about_attempt(request, server)
             .and("sent_ms_ago", now.saturating_sub(at))
             .and_some("weights", request.weights);
         self.event(event, detail);
