--- a/standin/tests/streams.rs
+++ b/standin/tests/streams.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use std::io::{Read, Write};
+use std::net::TcpStream;
 
 use cardamomvalve_standin::engine::answer_text;
 use common::{Fleet, LAB, Plan, Process, call, put, until};
@@ -219,18 +220,24 @@
     assert_eq!(cached(common::COURT), Some(0), "another workspace's blocks");
 }
 
-#[test]
-fn caller_who_leaves_is_cancelled() {
-    let fleet = Fleet::start(Plan { engines: 1, ..slow() });
-    let body = json!({ "model": "dga", "prompt": "p", "max_tokens": 100_000, "stream": true });
+/// Asks the first daemon for a stream on a connection of its own, with more lines of `head`.
+fn open_stream(fleet: &Fleet, max_tokens: u32, head: &str) -> TcpStream {
+    let body = json!({ "model": "dga", "prompt": "p", "max_tokens": max_tokens, "stream": true });
     let body = body.to_string();
-    let mut stream = std::net::TcpStream::connect(fleet.entry(0)).expect("it accepts");
+    let entry = fleet.entry(0);
+    let mut stream = TcpStream::connect(entry).expect("it accepts");
     let request = format!(
-        "POST /v1/completions HTTP/1.1\r\nhost: {}\r\nauthorization: Bearer {LAB}\r\ncontent-length: {}\r\n\r\n{body}",
-        fleet.entry(0),
+        "POST /v1/completions HTTP/1.1\r\nhost: {entry}\r\nauthorization: Bearer {LAB}\r\n{head}content-length: {}\r\n\r\n{body}",
         body.len()
     );
     stream.write_all(request.as_bytes()).expect("it reads");
+    stream
+}
+
+#[test]
+fn caller_who_leaves_is_cancelled() {
+    let fleet = Fleet::start(Plan { engines: 1, ..slow() });
+    let mut stream = open_stream(&fleet, 100_000, "");
     stream.read_exact(&mut [0; 64]).expect("it answers");
     drop(stream);
     until("the engine's stream ends", || {
@@ -244,15 +251,7 @@
 fn slow_caller_gets_it_whole() {
     let plan = Plan { daemons: 1, engine_args: vec!["--token-ms", "0"], ..Plan::default() };
     let fleet = Fleet::start(plan);
-    let body = json!({ "model": "dga", "prompt": "p", "max_tokens": 3_000, "stream": true });
-    let body = body.to_string();
-    let mut stream = std::net::TcpStream::connect(fleet.entry(0)).expect("it accepts");
-    let request = format!(
-        "POST /v1/completions HTTP/1.1\r\nhost: {}\r\nauthorization: Bearer {LAB}\r\nconnection: close\r\ncontent-length: {}\r\n\r\n{body}",
-        fleet.entry(0),
-        body.len()
-    );
-    stream.write_all(request.as_bytes()).expect("it reads");
+    let mut stream = open_stream(&fleet, 3_000, "connection: close\r\n");
     // Others are served while this one does not read.
     for _ in 0..5 {
         assert_eq!(fleet.complete(0, "other", 2, false).expect("an answer").status, 200);
