Answer in the passage tests by one server

Two servers of these tests differed only in how the answer follows from the head. The stream's server too now checks that the head came whole.

--- a/src/relay/tests/passage.rs
+++ b/src/relay/tests/passage.rs
@@ -67,8 +67,8 @@
     Arc::new(table.expect("it is valid"))
 }
 
-/// A server that answers each connection's first request with `answer`.
-fn serve_once(answer: Vec<u8>) -> SocketAddr {
+/// A server that answers each connection's first request by its head.
+fn serve_each(answer: impl Fn(&str) -> Vec<u8> + Send + 'static) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
     let address = listener.local_addr().expect("it is bound");
     thread::spawn(move || {
@@ -77,31 +77,27 @@
             let mut head = [0; 4_096];
             let read = stream.read(&mut head).expect("a request comes");
             assert!(head[..read].ends_with(b"\r\n\r\n"), "its head came in pieces");
-            stream.write_all(&answer).ok();
+            let head = String::from_utf8_lossy(&head[..read]).into_owned();
+            stream.write_all(&answer(&head)).ok();
         }
     });
     address
 }
 
+/// A server that answers each connection's first request with `answer`.
+fn serve_once(answer: Vec<u8>) -> SocketAddr {
+    serve_each(move |_| answer.clone())
+}
+
 /// A server that streams `events` after the one that the request names.
 fn serve_stream(events: &[&'static str]) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
-    let address = listener.local_addr().expect("it is bound");
     let events = events.to_vec();
-    thread::spawn(move || {
-        for stream in listener.incoming() {
-            let Ok(mut stream) = stream else { return };
-            let mut head = [0; 4_096];
-            let read = stream.read(&mut head).expect("a request comes");
-            let head = String::from_utf8_lossy(&head[..read]).into_owned();
-            let after = head.lines().find_map(|line| line.strip_prefix("Last-Event-Id: "));
-            let after: usize = after.map_or(0, |after| after.trim().parse().expect("a number"));
-            let body = events[after..].concat();
-            let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
-            stream.write_all(answer.as_bytes()).ok();
-        }
-    });
-    address
+    serve_each(move |head| {
+        let after = head.lines().find_map(|line| line.strip_prefix("Last-Event-Id: "));
+        let after: usize = after.map_or(0, |after| after.trim().parse().expect("a number"));
+        let body = events[after..].concat();
+        format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()).into_bytes()
+    })
 }
 
 fn dispatch(attempt: u32, address: SocketAddr) -> Command {
