Keep amounts that refill with time in one type

Log lines, notices to peers and the KV store's link each had the same bucket (left, since when, refill up to a burst). Rates, bursts and the moments of refilling are as they were; time that goes back is now nowhere counted twice, which only the log's bucket saw to, and no caller of the other two turns time back.

--- a/src/fleet/notice.rs
+++ b/src/fleet/notice.rs
@@ -8,32 +8,14 @@
 use super::{Busy, Effect, Frame, Life, Node, server};
 use crate::prelude::*;
 
+pub(super) use crate::allowance::Allowance;
+
 /// Prompt tokens from which a request is a large one: some 20 ms of an engine.
 pub(super) const LARGE: u32 = 1_000;
 /// Notices that one daemon sends a second at most, counting one for each peer, so that many daemons
 /// cost each other little: 12 KB a second.
 const MOST_PER_S: f64 = 300.0;
 
-/// Notices that may be sent now.
-#[derive(Debug, Default)]
-pub(super) struct Allowance {
-    left: f64,
-    at: Time,
-}
-
-impl Allowance {
-    fn spend(&mut self, now: Time, notices: usize) -> bool {
-        let passed = now.saturating_sub(self.at).as_secs_f64();
-        self.at = now;
-        self.left = (self.left + passed * MOST_PER_S).min(MOST_PER_S);
-        let enough = self.left >= notices as f64;
-        if enough {
-            self.left -= notices as f64;
-        }
-        enough
-    }
-}
-
 /// What a daemon has at one server now.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Notice {
@@ -57,7 +39,11 @@
             return;
         }
         let peers = self.scheduler_addresses(now);
-        if !peers.is_empty() && self.allowance.spend(now, peers.len()) {
+        if peers.is_empty() {
+            return;
+        }
+        self.allowance.refill(now, MOST_PER_S, MOST_PER_S);
+        if self.allowance.spend(peers.len() as f64) {
             let daemon = self.identity.id.clone();
             let notice = Notice { daemon, life, busy, parts };
             self.effects.push(Effect::Send(peers, Frame::Notice(notice)));
--- a/src/fleet/residency/store.rs
+++ b/src/fleet/residency/store.rs
@@ -1,6 +1,7 @@
 //! The KV store: what it keeps, what is on its way there, and its link.
 
 use super::Held;
+use crate::allowance::Allowance;
 use crate::fleet::Part;
 use crate::fleet::prompt::keyed;
 use crate::prelude::*;
@@ -29,8 +30,7 @@
 /// what is free, and takes off what the others tell that they use.
 #[derive(Debug, Default)]
 pub(in crate::fleet) struct Link {
-    bytes: f64,
-    at: Time,
+    free: Allowance,
     /// Bytes that this daemon has moved since its start.
     moved: u64,
     /// Milliseconds by which fetches took longer than predicted, and when that was last seen.
@@ -56,25 +56,23 @@
     /// Adds what has become free since the last call, of a link of `rate` bytes a second.
     pub(in crate::fleet) fn refill(&mut self, now: Time, rate: u64) {
         let rate = rate as f64 * LINK_SHARE;
-        let passed = now.saturating_sub(self.at).as_secs_f64();
-        self.at = now;
-        self.bytes = (self.bytes + rate * passed).min(rate * LINK_BURST_S);
+        self.free.refill(now, rate, rate * LINK_BURST_S);
     }
 
     /// Whether `bytes` may be moved now.
     pub(in crate::fleet) fn has(&self, bytes: f64) -> bool {
-        self.bytes >= bytes
+        self.free.left() >= bytes
     }
 
     /// Notes that this daemon has `bytes` moved.
     pub(in crate::fleet) fn spend(&mut self, bytes: f64) {
-        self.bytes -= bytes;
+        self.free.take(bytes);
         self.moved = self.moved.saturating_add(bytes as u64);
     }
 
     /// Notes that another daemon has `bytes` moved.
     pub(in crate::fleet) fn take_off(&mut self, bytes: u64) {
-        self.bytes -= bytes as f64;
+        self.free.take(bytes as f64);
     }
 
     /// Bytes that this daemon has moved since its start.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 //! platform, in `platform/`, is built on these.
 
 pub mod admission;
+mod allowance;
 pub mod attempt;
 pub mod cli;
 pub mod clients;
--- a/src/telemetry/budget.rs
+++ b/src/telemetry/budget.rs
@@ -1,6 +1,7 @@
 //! How many log lines may be written: a flood of one kind must neither fill the log nor hide another
 //! kind, and lines that are left out are counted.
 
+use crate::allowance::Allowance;
 use crate::prelude::*;
 
 /// Bounds on the lines of one process.
@@ -15,25 +16,6 @@
 /// Seconds of an allowance that may be saved up for a burst.
 const BURST_S: f64 = 2.0;
 
-/// An allowance that refills with time.
-#[derive(Debug, Clone, Copy)]
-struct Allowance {
-    left: f64,
-    at: Time,
-}
-
-impl Allowance {
-    fn full(now: Time, rate: f64) -> Self {
-        Self { left: rate * BURST_S, at: now }
-    }
-
-    fn refill(&mut self, now: Time, rate: f64) {
-        let passed = now.saturating_sub(self.at).as_secs_f64();
-        self.at = self.at.max(now);
-        self.left = (self.left + rate * passed).min(rate * BURST_S);
-    }
-}
-
 /// What may still be written, and what was left out.
 #[derive(Debug)]
 pub struct Budget {
@@ -52,7 +34,7 @@
         Self {
             rate,
             lines: BTreeMap::new(),
-            bytes: Allowance::full(now, f64::from(rate.bytes_per_s)),
+            bytes: Allowance::full(now, f64::from(rate.bytes_per_s) * BURST_S),
             dropped: BTreeMap::new(),
         }
     }
@@ -60,21 +42,21 @@
     /// Whether a line of `event` may be written; one that may not is counted.
     pub fn admit(&mut self, now: Time, event: Event) -> bool {
         let rate = f64::from(self.rate.lines_per_s);
-        let lines = self.lines.entry(event).or_insert_with(|| Allowance::full(now, rate));
-        lines.refill(now, rate);
-        self.bytes.refill(now, f64::from(self.rate.bytes_per_s));
-        let bytes_left = self.bytes.left > 0.0 || event.level() <= log::Level::Warn;
-        if lines.left < 1.0 || !bytes_left {
+        let lines = self.lines.entry(event).or_insert_with(|| Allowance::full(now, rate * BURST_S));
+        lines.refill(now, rate, rate * BURST_S);
+        let bytes_rate = f64::from(self.rate.bytes_per_s);
+        self.bytes.refill(now, bytes_rate, bytes_rate * BURST_S);
+        let bytes_left = self.bytes.left() > 0.0 || event.level() <= log::Level::Warn;
+        if !bytes_left || !lines.spend(1.0) {
             *self.dropped.entry(event.name()).or_default() += 1;
             return false;
         }
-        lines.left -= 1.0;
         true
     }
 
     /// Notes the size of a line that was written.
     pub fn wrote(&mut self, bytes: usize) {
-        self.bytes.left -= bytes as f64;
+        self.bytes.take(bytes as f64);
     }
 
     /// Counts a line that was admitted and could not be written.
