Ask engines that were not heard since weights came into force, before refusing

Seen by callers: 503 with 2002 for weights that every engine had, for up to a poll interval (500 ms) after they came into force, at each daemon that had asked the engines before they loaded them; and after a restart, as soon as one engine of a pool had been heard (ready), for what only others have.

Cause: a report was taken to tell of the time at which it was read about, and one engine's for the pool. Now the time at which a poll was sent is kept. A request for weights that no engine is known to have waits until each engine that answers was asked since the manifest came into force, or in vain; these polls go out at once, and a poll that was on its way before does not count. The wait is bounded by the request's deadline and max_waiting. Ruled out: the machine's load as the cause (fails without load once polls are out of phase); waiting for all engines before a daemon is ready (a frozen one would hold all back).

--- a/src/control/arrivals.rs
+++ b/src/control/arrivals.rs
@@ -48,6 +48,13 @@
             return self.release_and_refuse(now, request, Code::NoServer.into());
         };
         let servers = self.usable(now, request).count();
+        if servers == 0 && self.is_unheard(request) {
+            if self.unheard.len() >= limits.max_waiting as usize {
+                return self.release_and_refuse(now, request, queue_full(0.0));
+            }
+            self.unheard.insert(request);
+            return self.ask_engines(now, &pool);
+        }
         if servers == 0 {
             return self.release_and_refuse(now, request, Code::NoServer.into());
         }
@@ -71,6 +78,21 @@
         self.pump(now, &pool);
     }
 
+    /// Whether an engine may have the weights that the request needs though it did not report them: engines
+    /// load them up to the moment at which they come into force, and a report tells of when it was asked for.
+    fn is_unheard(&self, request: attempt::Key) -> bool {
+        let Some(state) = self.requests.get(&request) else { return false };
+        let mut servers = self.membership.pool(&state.arrival.pool);
+        servers.any(|(_, server)| server.is_awaited_since(self.force_since))
+    }
+
+    /// Looks again at the requests that wait for engines' reports.
+    pub(super) fn admit_unheard(&mut self, now: Time) {
+        for request in std::mem::take(&mut self.unheard) {
+            self.admit(now, request);
+        }
+    }
+
     fn pool_limits(&self, pool: &str) -> Option<crate::manifest::Pool> {
         self.manifest.force()?.manifest.pools.get(pool).cloned()
     }
--- a/src/control/node.rs
+++ b/src/control/node.rs
@@ -71,6 +71,15 @@
     pub(super) retention_s: u64,
 }
 
+/// Where the polls of one engine stand.
+#[derive(Debug, Clone, Copy)]
+pub(super) enum Poll {
+    /// The next is due then.
+    Due(Time),
+    /// One was sent then and has not ended.
+    Sent(Time),
+}
+
 /// Running means of one pool.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Pace {
@@ -129,7 +138,9 @@
     pub(super) claims: BTreeMap<attempt::Key, ledger::ClaimId>,
     pub(super) readings: BTreeMap<Stream, Reading>,
     pub(super) peers: BTreeMap<String, Peer>,
-    pub(super) polls: BTreeMap<membership::Key, Option<Time>>,
+    pub(super) polls: BTreeMap<membership::Key, Poll>,
+    /// Requests for weights that an engine may have which has not been asked since they are in force.
+    pub(super) unheard: BTreeSet<attempt::Key>,
     pub(super) next_digest: Time,
     pub(super) next_ask: Time,
     pub(super) checkpoint: super::platform::Checkpointing,
@@ -175,6 +186,7 @@
             readings: BTreeMap::new(),
             peers: BTreeMap::new(),
             polls: BTreeMap::new(),
+            unheard: BTreeSet::new(),
             next_digest: Time::ZERO,
             next_ask: Time::ZERO,
             checkpoint: super::platform::Checkpointing::default(),
@@ -267,6 +279,7 @@
 
     fn tick(&mut self, now: Time) {
         self.expire_requests(now);
+        self.admit_unheard(now);
         self.look_at_poison(now);
         self.schedule_polls(now);
         self.schedule_peers(now);
@@ -314,6 +327,7 @@
         match state.phase {
             Phase::Claiming => self.pending.abandon(request),
             Phase::Waiting => {
+                self.unheard.remove(&request);
                 if let Some(queue) = self.queues.get_mut(&pool) {
                     queue.remove(request);
                 }
--- a/src/control/platform.rs
+++ b/src/control/platform.rs
@@ -1,6 +1,7 @@
 //! What follows from the platform's log and VM list, and from engines' reports.
 
 use super::message::{Appended, Read, Record, Stream};
+use super::node::Poll;
 use super::{Effect, Node};
 use crate::attempt::{self, Command, Phase};
 use crate::manifest::{self, Verdict};
@@ -200,18 +201,36 @@
                 Change::Evicted => self.residency.remove(key, event.key()),
             }
         }
+        self.admit_unheard(now);
     }
 
     pub(super) fn poll_failed(&mut self, now: Time, key: membership::Key) {
         self.poll_ended(now, key);
         let notices = self.membership.poll_failed(key).into_iter().collect();
         self.notices(now, notices);
+        self.admit_unheard(now);
     }
 
     fn poll_ended(&mut self, now: Time, key: membership::Key) {
-        if self.membership.get(key).is_some() {
-            self.polls.insert(key, Some(now + self.policy.poll_interval));
+        if self.membership.get(key).is_none() {
+            return;
+        }
+        let next = Poll::Due(now + self.policy.poll_interval);
+        if let Some(Poll::Sent(at)) = self.polls.insert(key, next) {
+            self.membership.asked(key, at);
+        }
+    }
+
+    /// Asks the engines of `pool` at once that have not been asked since the manifest is in force.
+    pub(super) fn ask_engines(&mut self, now: Time, pool: &str) {
+        for (key, server) in self.membership.pool(pool) {
+            if let Some(poll @ Poll::Due(_)) = self.polls.get_mut(&key)
+                && server.is_awaited_since(self.force_since)
+            {
+                *poll = Poll::Due(now);
+            }
         }
+        self.schedule_polls(now);
     }
 
     pub(super) fn notices(&mut self, now: Time, notices: Vec<Notice>) {
@@ -267,21 +286,21 @@
         let engine =
             self.membership.get(key).is_some_and(|server| server.vm.role == Role::ModelServer);
         if engine {
-            self.polls.insert(key, Some(now));
+            self.polls.insert(key, Poll::Due(now));
             self.schedule_polls(now);
         }
     }
 
     /// Polls every engine that is due; one poll of an engine is under way at a time.
     pub(super) fn schedule_polls(&mut self, now: Time) {
-        for (key, due) in &mut self.polls {
-            if due.is_none_or(|due| due > now) {
+        for (key, poll) in &mut self.polls {
+            if !matches!(poll, Poll::Due(due) if *due <= now) {
                 continue;
             }
             let Some(server) = self.membership.get(*key) else {
                 continue;
             };
-            *due = None;
+            *poll = Poll::Sent(now);
             self.effects.push(Effect::Poll {
                 server: *key,
                 address: server.vm.address,
--- a/src/membership/state.rs
+++ b/src/membership/state.rs
@@ -46,6 +46,8 @@
     pub load: Load,
     /// The sequence number of the next cache event wanted.
     pub next_seq: u64,
+    /// When it was asked for what it answered last, or did not answer; `None` before that.
+    asked_at: Option<Time>,
     failed_polls: u32,
     suspect: u32,
     suspect_until: Time,
@@ -69,6 +71,7 @@
             weights: BTreeMap::new(),
             load,
             next_seq: 0,
+            asked_at: None,
             failed_polls: 0,
             suspect: 0,
             suspect_until: Time::ZERO,
@@ -90,6 +93,14 @@
         !self.is_known() && self.failed_polls == 0
     }
 
+    /// Whether it may have what it did not report: it answers, stays, and was not asked at `since` or later.
+    pub fn is_awaited_since(&self, since: Time) -> bool {
+        self.vm.role == Role::ModelServer
+            && !self.leaving
+            && self.is_reachable()
+            && self.asked_at.is_none_or(|at| at < since)
+    }
+
     /// Whether its polls succeed.
     pub fn is_reachable(&self) -> bool {
         self.failed_polls < FAILED_POLLS
@@ -258,6 +269,13 @@
         (server.failed_polls == FAILED_POLLS).then_some(Notice::Unreachable(key))
     }
 
+    /// Notes that a poll of `key` ended that was sent at `at`.
+    pub fn asked(&mut self, key: Key, at: Time) {
+        if let Some(server) = self.servers.get_mut(key) {
+            server.asked_at = Some(at);
+        }
+    }
+
     /// Passes over `key` for a while: an attempt could not reach it.
     pub fn suspect(&mut self, now: Time, key: Key) {
         let Some(server) = self.servers.get_mut(key) else {
