--- a/src/control/tests/manifests.rs
+++ b/src/control/tests/manifests.rs
@@ -2,6 +2,7 @@
 
 use super::world::{Faults, World, manifest_value, publish_record};
 use crate::control::{Message, Read, Record, Stream};
+use crate::membership::Report;
 use crate::peer::{Frame, Snapshot};
 use crate::prelude::*;
 
@@ -62,10 +63,78 @@
     assert!(in_order(&world.generations[0]));
 }
 
-/// Ticks of two nodes, each round's messages delivered between them, and nothing read.
+/// A world whose log has three generations, and whose first node has started again and has heard its
+/// engines, but has not reached the log.
+fn restarted(nodes: usize) -> World {
+    let mut world = World::new(1, nodes, Faults::default());
+    for (id, replaces) in [("second", 1), ("third", 2)] {
+        world.land(Stream::Manifest, publish_record(id, replaces, manifest_value("v2")));
+    }
+    world.quiet();
+    world.log_down = true;
+    world.kill(0);
+    for id in ["engine-0", "engine-1"] {
+        let server = world.server(0, id);
+        let report = Report { incarnation: "one".into(), ..Report::default() };
+        world.tell(0, Message::Polled(server, Box::new(report)));
+    }
+    world
+}
+
+/// The first page of a read that finds three manifests.
+fn first_page(world: &World) -> Message {
+    let records = world.log[&Stream::Manifest][..1].to_vec();
+    Message::Records(Stream::Manifest, Read { first: 0, next: 3, retention_s: 1_000, records })
+}
+
+/// A read returns at most a thousand records, or fewer. A daemon that started put what the first page had
+/// in force and called itself ready, with keys, grants and weights that had been taken away since; where
+/// the log then failed, for as long as the outage lasted. Here it served generation 1 of 3.
+#[test]
+fn part_of_the_manifests_is_not_put_in_force() {
+    let mut world = restarted(1);
+    let page = first_page(&world);
+    world.tell(0, page);
+    assert!(!world.nodes[0].is_ready(), "it knows of two records that it has not read");
+    world.tell(0, Message::LogDown(Stream::Manifest));
+    assert_eq!(world.generations[0], Vec::<u64>::new());
+    world.log_down = false;
+    while world.nodes[0].next_offset(Stream::Manifest) < 3 {
+        world.read(0, Stream::Manifest);
+    }
+    assert_eq!(world.generations[0], [3], "what was overtaken is never in force");
+    assert!(world.nodes[0].is_ready());
+}
+
+/// A daemon that had read the first page answered others that asked it for all that it had folded, and
+/// they put that in force.
+#[test]
+fn part_of_the_manifests_is_not_handed_on() {
+    let mut world = restarted(2);
+    let page = first_page(&world);
+    world.tell(0, page);
+    world.kill(1);
+    let snapshot = world.nodes[0].snapshot();
+    world.tell(1, Message::Frame(Frame::Snapshot(snapshot)));
+    assert_eq!(world.generations[1], Vec::<u64>::new());
+}
+
+/// What a peer has in force is enough where the log fails in the middle.
+#[test]
+fn peer_makes_up_for_the_rest_of_the_manifests() {
+    let mut world = restarted(2);
+    let page = first_page(&world);
+    world.tell(0, page);
+    world.tell(0, Message::LogDown(Stream::Manifest));
+    exchange(&mut world, 20);
+    assert_eq!(world.generations[0], [3]);
+    assert!(world.nodes[0].is_ready());
+}
+
+/// Ticks of all nodes, each round's messages delivered between them, and nothing read.
 fn exchange(world: &mut World, rounds: usize) {
     for _ in 0..rounds {
-        for index in 0..2 {
+        for index in 0..world.nodes.len() {
             world.tell(index, Message::Tick);
         }
         for action in std::mem::take(&mut world.actions) {
