Put manifests in force once all that the first read found are folded

Seen (virtual time): a daemon that started again was ready after the first page of the manifest stream and served generation 1 of 3: keys, grants and weights that had been taken away since. Where the log failed between two pages it stayed so, and it handed generation 1 on as what is in force.

Cause: any manifest that was folded was taken for the one in force; the tail that the first read tells was looked at for the ledger only. Now a manifest counts once that tail is reached or a peer has told what it has in force itself; until then the daemon is not ready, answers 2001 and hands nothing on. Of several records read together only the last is put in force.

Ruled out: going on with an old manifest while the log is down and no peer answers; what was in force may have been taken away, and all other daemons have it.

--- a/src/control/arrivals.rs
+++ b/src/control/arrivals.rs
@@ -11,7 +11,7 @@
         self.budget.earn();
         let request = arrival.request;
         let claim = arrival.claim.clone();
-        if self.manifest.force().is_none() {
+        if self.force().is_none() {
             return self.command(request, Command::Refuse(Code::NoManifest.into()));
         }
         let phase = if claim.is_some() { Phase::Claiming } else { Phase::Waiting };
@@ -94,7 +94,7 @@
     }
 
     fn pool_limits(&self, pool: &str) -> Option<crate::manifest::Pool> {
-        self.manifest.force()?.manifest.pools.get(pool).cloned()
+        self.force()?.manifest.pools.get(pool).cloned()
     }
 
     pub(super) fn expire_requests(&mut self, now: Time) {
--- a/src/control/candidates.rs
+++ b/src/control/candidates.rs
@@ -110,7 +110,7 @@
     ) -> Candidate {
         let arrival = &state.arrival;
         let busy = self.fleet_busy(now, key, &server.vm.id);
-        let force = self.manifest.force();
+        let force = self.force();
         let limit = force
             .and_then(|force| force.manifest.pools.get(&arrival.pool))
             .map_or(1, |pool| pool.max_in_flight);
--- a/src/control/node.rs
+++ b/src/control/node.rs
@@ -133,6 +133,10 @@
     pub(super) ordered: BTreeMap<membership::Key, Time>,
     /// When the manifest in force was taken over.
     pub(super) force_since: Time,
+    /// The generation that was last put in force here.
+    pub(super) force_generation: u64,
+    /// Whether a peer told what it has in force that is no older than what was folded here.
+    pub(super) force_told: bool,
     pub(super) ledger: ledger::State,
     pub(super) pending: ledger::Pending,
     pub(super) claims: BTreeMap<attempt::Key, ledger::ClaimId>,
@@ -180,6 +184,8 @@
             lease,
             ordered: BTreeMap::new(),
             force_since: Time::ZERO,
+            force_generation: 0,
+            force_told: false,
             ledger: ledger::State::default(),
             pending,
             claims: BTreeMap::new(),
@@ -239,7 +245,20 @@
 
     /// Whether the platform's balancer may send callers here.
     pub fn is_ready(&self) -> bool {
-        self.manifest.force().is_some() && self.membership_known() && !self.draining
+        self.force().is_some() && self.membership_known() && !self.draining
+    }
+
+    /// The manifest in force, once all records that the first read found are folded, or a peer has told its
+    /// own: after a part of them, what they say may have been overtaken long ago.
+    pub(super) fn force(&self) -> Option<&Arc<manifest::Force>> {
+        let reading = self.readings.get(&Stream::Manifest).copied().unwrap_or_default();
+        let known = reading.tail_at_start.is_some_and(|tail| self.manifest.next() >= tail);
+        self.manifest.force().filter(|_| known || self.force_told)
+    }
+
+    /// The generation in force; 0 for none.
+    pub(super) fn generation(&self) -> u64 {
+        self.force().map_or(0, |force| force.generation)
     }
 
     /// Whether the VM list was read and every pool has a server that is known, or whose engines
--- a/src/control/orders.rs
+++ b/src/control/orders.rs
@@ -13,7 +13,7 @@
 impl Node {
     pub(super) fn schedule_lease(&mut self, now: Time) {
         let reading = self.readings.get(&Stream::Lease).copied().unwrap_or_default();
-        if !reading.up || self.draining || self.manifest.force().is_none() {
+        if !reading.up || self.draining || self.force().is_none() {
             return;
         }
         let candidate = self.is_first(now);
@@ -26,7 +26,7 @@
     pub(super) fn schedule_orders(&mut self, now: Time) {
         self.ordered.retain(|_, at| now < *at + ORDER_AGAIN);
         let Some(fence) = self.lease.fence(now) else { return };
-        let Some(force) = self.manifest.force().cloned() else { return };
+        let Some(force) = self.force().cloned() else { return };
         let want = Want {
             settled: self.lease.is_settled(now),
             unload: now >= self.force_since + UNLOAD_AFTER,
--- a/src/control/peers.rs
+++ b/src/control/peers.rs
@@ -63,7 +63,7 @@
         Digest {
             daemon: self.identity.id.clone(),
             incarnation: self.identity.incarnation,
-            generation: self.manifest.generation(),
+            generation: self.generation(),
             busy,
             heat: self.heat.top(now, DIGEST_LEVELS),
             copies: self.recent_copies(now),
@@ -91,7 +91,7 @@
     /// newer manifest.
     fn is_behind(&self) -> bool {
         let newest = self.peers.values().map(|peer| peer.digest.generation).max().unwrap_or(0);
-        let manifest = self.manifest.force().is_none() || newest > self.manifest.generation();
+        let manifest = self.force().is_none() || newest > self.generation();
         manifest || !(self.seeded || self.is_ledger_known())
     }
 
@@ -133,7 +133,7 @@
             let notices = self.membership.mark_leaving(key).into_iter().collect();
             self.notices(now, notices);
         }
-        if digest.generation > self.manifest.generation() {
+        if digest.generation > self.generation() {
             self.next_ask = now;
         }
         self.hear_blocked(now, &digest.blocked);
@@ -152,11 +152,11 @@
     /// This daemon's folded state.
     pub fn snapshot(&self) -> Snapshot {
         let slots: Vec<(&ledger::Key, &ledger::Slot)> = self.ledger.iter().collect();
-        let force = self.manifest.force();
+        let force = self.force();
         let json = |force: &Arc<manifest::Force>| serde_json::to_string(&force.manifest).ok();
         Snapshot {
             manifest_next: self.manifest.next(),
-            generation: self.manifest.generation(),
+            generation: self.generation(),
             published: force.map_or_else(String::new, |force| force.published.clone()),
             manifest: force.and_then(json).unwrap_or_default(),
             ledger_next: self.ledger.next(),
@@ -173,10 +173,11 @@
         if let Ok(manifest) = manifest::parse(snapshot.manifest.as_bytes()) {
             let force = manifest::Force::new(snapshot.generation, snapshot.published, manifest);
             let force = Arc::new(force);
-            if self.manifest.merge(snapshot.manifest_next, Some(Arc::clone(&force))) {
-                self.put_in_force(now, force);
+            self.force_told |= snapshot.generation >= self.manifest.generation();
+            if self.manifest.merge(snapshot.manifest_next, Some(force)) {
                 taken.push("manifest");
             }
+            self.put_in_force(now);
         }
         let slots: Result<Vec<(ledger::Key, ledger::Slot)>, _> =
             serde_json::from_str(&snapshot.ledger);
--- a/src/control/platform.rs
+++ b/src/control/platform.rs
@@ -68,17 +68,18 @@
                 }
             }
         }
-        if stream == Stream::Ledger {
-            self.resolve_claims(now);
+        match stream {
+            Stream::Manifest => self.put_in_force(now),
+            Stream::Ledger => self.resolve_claims(now),
+            Stream::Lease | Stream::Blocked => {}
         }
     }
 
     fn fold_manifest(&mut self, now: Time, record: &Record) {
         let offset = record.offset;
         match self.manifest.fold(offset, &record.text) {
-            Verdict::Accepted(force) => self.put_in_force(now, force),
             Verdict::Confirmed => self.checkpoint.seen = now,
-            Verdict::Known => {}
+            Verdict::Accepted(_) | Verdict::Known => {}
             Verdict::Stale => {
                 let detail = Detail::of("offset", offset).and("reason", "it lost a race");
                 self.event(Event::ManifestRefused, detail);
@@ -103,7 +104,13 @@
         self.event(Event::RecordUnreadable, detail);
     }
 
-    pub(super) fn put_in_force(&mut self, now: Time, force: Arc<manifest::Force>) {
+    /// Makes traffic use the manifest that is now in force, if it is another.
+    pub(super) fn put_in_force(&mut self, now: Time) {
+        let Some(force) = self.force().filter(|f| f.generation > self.force_generation).cloned()
+        else {
+            return;
+        };
+        self.force_generation = force.generation;
         let detail = Detail::of("generation", force.generation);
         self.event(Event::ManifestInForce, detail);
         self.force_since = now;
@@ -146,7 +153,7 @@
     /// checkpoint of a generation in force changes nothing.
     pub(super) fn schedule_checkpoint(&mut self, now: Time) {
         let reading = self.readings.get(&Stream::Manifest).copied().unwrap_or_default();
-        let Some(force) = self.manifest.force() else {
+        let Some(force) = self.force() else {
             return;
         };
         let part = Duration::from_secs(reading.retention_s) / CHECKPOINT_PART as u32;
