Count a checkpoint's age by the log's clock, and write until one is read back

Cause: the quarter of the retention was counted from the daemon's start, or from when it read the last checkpoint, not from when the log took it; and a checkpoint that was sent counted as written for another quarter, also where it was lost. Now the age is that of the record by the log's clock, whose time is known at least as well as the newest record of any stream tells; an unknown age counts as too old; a checkpoint that is not read back is sent again after a minute.

--- a/src/control/platform.rs
+++ b/src/control/platform.rs
@@ -13,10 +13,17 @@
 /// Shortest time between two checkpoints.
 const MIN_CHECKPOINT: Duration = Duration::from_millis(500);
 
-/// When the manifest in force was last seen as a checkpoint, and whether one is under way.
+/// Time after which a checkpoint that was sent and is not read back is sent again.
+const CHECKPOINT_AGAIN: Duration = Duration::from_secs(60);
+
+/// How old the record on the log is from which what is in force can be read, and when it was last sent again.
 #[derive(Debug, Clone, Copy, Default)]
 pub(super) struct Checkpointing {
-    seen: Time,
+    /// When the log took the last checkpoint, or the first publication, in milliseconds of its clock.
+    base_ms: Option<u64>,
+    /// How far the log's clock is at least ahead of this daemon's, in milliseconds.
+    ahead_ms: u64,
+    sent: Option<Time>,
     under_way: bool,
 }
 
@@ -24,6 +31,21 @@
     pub(super) fn ended(&mut self) {
         self.under_way = false;
     }
+
+    /// Notes that a record was read now which the log took at `time_ms`.
+    fn read(&mut self, now: Time, time_ms: u64) {
+        self.ahead_ms = self.ahead_ms.max(time_ms.saturating_sub(now.as_millis() as u64));
+    }
+
+    /// Whether it is time, with `part` of the retention between two. The age is the log's: daemons may live
+    /// for less than that, and read what is old at their start. One that is not known counts as too old.
+    fn is_due(&self, now: Time, part: Duration) -> bool {
+        let log_ms = (now.as_millis() as u64).saturating_add(self.ahead_ms);
+        let part_ms = part.max(MIN_CHECKPOINT).as_millis() as u64;
+        let pause = part.clamp(MIN_CHECKPOINT, CHECKPOINT_AGAIN);
+        self.base_ms.is_none_or(|base| log_ms >= base.saturating_add(part_ms))
+            && self.sent.is_none_or(|sent| now >= sent + pause)
+    }
 }
 
 impl Node {
@@ -49,12 +71,13 @@
             }
         }
         for record in &read.records {
+            self.checkpoint.read(now, record.time_ms);
             // A gap in what was read is never folded over: the next read closes it.
             if record.offset > self.next_offset(stream) {
                 break;
             }
             match stream {
-                Stream::Manifest => self.fold_manifest(now, record),
+                Stream::Manifest => self.fold_manifest(record),
                 Stream::Ledger => self.fold_ledger(record),
                 Stream::Blocked => {
                     if self.fold_blocked(now, record.offset, &record.text).is_none() {
@@ -75,11 +98,16 @@
         }
     }
 
-    fn fold_manifest(&mut self, now: Time, record: &Record) {
+    fn fold_manifest(&mut self, record: &Record) {
         let offset = record.offset;
+        let before = self.manifest.generation();
         match self.manifest.fold(offset, &record.text) {
-            Verdict::Confirmed => self.checkpoint.seen = now,
-            Verdict::Accepted(_) | Verdict::Known => {}
+            // One that follows the generation before it can't be read without that.
+            Verdict::Accepted(force) if before > 0 && force.generation == before + 1 => {}
+            Verdict::Accepted(_) | Verdict::Confirmed => {
+                self.checkpoint.base_ms = Some(record.time_ms);
+            }
+            Verdict::Known => {}
             Verdict::Stale => {
                 let detail = Detail::of("offset", offset).and("reason", "it lost a race");
                 self.event(Event::ManifestRefused, detail);
@@ -157,8 +185,10 @@
             return;
         };
         let part = Duration::from_secs(reading.retention_s) / CHECKPOINT_PART as u32;
-        let due = self.checkpoint.seen + part.max(MIN_CHECKPOINT);
-        if !reading.up || self.checkpoint.under_way || now < due || !self.is_first(now) {
+        let due = self.checkpoint.is_due(now, part) && !self.checkpoint.under_way;
+        // Until peers have had the time to be heard, every daemon is the first.
+        let unheard = now < self.policy.digest_lifetime.min(part);
+        if !reading.up || !due || unheard || !self.is_first(now) {
             return;
         }
         let record = manifest::Record {
@@ -171,7 +201,7 @@
             },
         };
         self.checkpoint.under_way = true;
-        self.checkpoint.seen = now;
+        self.checkpoint.sent = Some(now);
         self.effects.push(Effect::Checkpoint(record.encode()));
     }
 
