--- a/src/control/tests/at_most_once.rs
+++ b/src/control/tests/at_most_once.rs
@@ -3,6 +3,7 @@
 
 use super::world::{Answer, Faults, World};
 use crate::control::{Appended, Message, Read, Record, Stream};
+use crate::peer::Frame;
 use crate::prelude::*;
 
 const HISTORIES: u64 = 2_000;
@@ -145,6 +146,53 @@
     assert_eq!(world.answers.get(&unkeyed), None, "calls without a key go on");
 }
 
+/// Ticks of all nodes, and what they tell each other; the ledger can't be read.
+fn exchange(world: &mut World, rounds: usize) {
+    for _ in 0..rounds {
+        for index in 0..world.nodes.len() {
+            world.tell(index, Message::Tick);
+        }
+        for action in std::mem::take(&mut world.actions) {
+            if let super::world::Action::Deliver(index, _, message) = action {
+                world.tell(index, *message);
+            }
+        }
+        world.now += Duration::from_millis(100);
+    }
+}
+
+/// Two daemons of three started while only the ledger's stream failed. Each heard the other first, who knew
+/// of no key at all, and took that for what is known: neither asked the third, and callers who came back
+/// for a receipt were refused (2007) for as long as the outage lasted.
+#[test]
+fn receipts_are_learnt_from_the_peer_that_has_them() {
+    for knows in 0..3 {
+        let mut world = World::new(1, 3, Faults::default());
+        world.pay(knows, Some("k"));
+        world.quiet();
+        world.log_down = true;
+        let started: Vec<usize> = (0..3).filter(|index| *index != knows).collect();
+        for index in &started {
+            world.kill(*index);
+        }
+        world.log_down = false;
+        for index in &started {
+            world.read(*index, Stream::Manifest);
+        }
+        // They hear each other's folded state before anything else.
+        let empty = world.nodes[started[0]].snapshot();
+        world.tell(started[1], Message::Frame(Frame::Snapshot(empty)));
+        let empty = world.nodes[started[1]].snapshot();
+        world.tell(started[0], Message::Frame(Frame::Snapshot(empty)));
+        exchange(&mut world, 30);
+        for index in started {
+            let again = world.pay(index, Some("k"));
+            let answer = &world.answers[&again];
+            assert!(matches!(answer, Answer::Replay(_)), "router-{index} of {knows}: {answer:?}");
+        }
+    }
+}
+
 #[test]
 fn claim_refused_on_short_retention() {
     let mut world = World::new(1, 1, Faults::default());
