Ask for claims until the log or a peer that knows more has told them

Seen (virtual time, three daemons): two that start while only the ledger's stream fails hear each other's empty state first, count as told, and never ask the third; callers who come back for a receipt are refused with 2007 for the rest of the outage.

Now digests tell how far a peer knows the ledger; a daemon that has not read to the tail asks the one that knows most, as long as one knows more. Digests of peers that are no longer heard keep nobody asking.

Safety never hung on it: a claim is dispatched only after the tail found at the start is read.

--- a/src/control/node.rs
+++ b/src/control/node.rs
@@ -153,8 +153,6 @@
     /// Servers that may have ended under requests.
     pub(super) watch: poison::Watch,
     pub(super) blocks: super::poison::Blocks,
-    /// Whether a peer's ledger was taken over since the start.
-    pub(super) seeded: bool,
     pub(super) vms_up: bool,
     pub(super) vms_known: bool,
     pub(super) draining: bool,
@@ -199,7 +197,6 @@
             poison: poison::State::default(),
             watch: poison::Watch::default(),
             blocks: super::poison::Blocks::default(),
-            seeded: false,
             vms_up: true,
             vms_known: false,
             draining: false,
--- a/src/control/peers.rs
+++ b/src/control/peers.rs
@@ -25,7 +25,7 @@
         if now >= self.next_digest {
             self.send_digests(now);
         }
-        if now >= self.next_ask && self.is_behind() {
+        if now >= self.next_ask && self.is_behind(now) {
             self.next_ask = now + ASK_INTERVAL;
             self.ask_for_snapshot(now);
         }
@@ -70,6 +70,7 @@
             leaving,
             draining: self.draining,
             blocked: self.poison.unkept(),
+            ledger_next: self.ledger.next(),
         }
     }
 
@@ -88,11 +89,13 @@
     }
 
     /// Whether the log has not yet told this daemon what is in force or claimed, or a peer has a
-    /// newer manifest.
-    fn is_behind(&self) -> bool {
-        let newest = self.peers.values().map(|peer| peer.digest.generation).max().unwrap_or(0);
-        let manifest = self.force().is_none() || newest > self.generation();
-        manifest || !(self.seeded || self.is_ledger_known())
+    /// newer manifest. A peer may know less of claims than this daemon: it counts how far it has read.
+    fn is_behind(&self, now: Time) -> bool {
+        let newest = self.fresh_peers(now).map(|digest| digest.generation).max();
+        let manifest = self.force().is_none() || newest > Some(self.generation());
+        let ahead = self.fresh_peers(now).map(|digest| digest.ledger_next).max();
+        let claims = ahead.is_none_or(|ahead| ahead > self.ledger.next());
+        manifest || (claims && !self.is_ledger_known())
     }
 
     pub(super) fn is_ledger_known(&self) -> bool {
@@ -100,11 +103,12 @@
         reading.tail_at_start.is_some_and(|tail| self.ledger.next() >= tail)
     }
 
-    /// Asks the peer with the newest manifest; before any digest has come, every peer.
+    /// Asks the peer with the newest manifest, and of those the one that knows most claims; before any
+    /// digest has come, every peer.
     fn ask_for_snapshot(&mut self, now: Time) {
         let newest = self
             .fresh_peers(now)
-            .max_by_key(|digest| digest.generation)
+            .max_by_key(|digest| (digest.generation, digest.ledger_next))
             .map(|digest| digest.daemon.clone());
         for (id, address) in self.peer_addresses() {
             if newest.as_ref().is_none_or(|newest| *newest == id) {
@@ -181,7 +185,6 @@
         }
         let slots: Result<Vec<(ledger::Key, ledger::Slot)>, _> =
             serde_json::from_str(&snapshot.ledger);
-        self.seeded |= slots.is_ok();
         if let Ok(slots) = slots
             && snapshot.ledger_next > self.ledger.next()
         {
--- a/src/peer/frame.rs
+++ b/src/peer/frame.rs
@@ -53,6 +53,8 @@
     pub draining: bool,
     /// Requests that are blocked and that the log is not known to keep yet.
     pub blocked: Vec<Fingerprint>,
+    /// The offset up to which it knows the ledger stream.
+    pub ledger_next: u64,
 }
 
 /// Folded state, for a daemon that starts or is behind.
@@ -140,6 +142,8 @@
         pub copies: Vec<Copy>,
         #[prost(fixed64, repeated, tag = "9")]
         pub blocked: Vec<u64>,
+        #[prost(uint64, tag = "10")]
+        pub ledger_next: u64,
     }
 
     #[derive(Clone, PartialEq, prost::Message)]
@@ -244,6 +248,7 @@
             draining: digest.draining,
             copies: digest.copies.into_iter().map(wire::Copy::from).collect(),
             blocked: digest.blocked.into_iter().map(|fingerprint| fingerprint.0).collect(),
+            ledger_next: digest.ledger_next,
         }
     }
 }
@@ -274,6 +279,7 @@
             draining: digest.draining,
             copies: digest.copies.into_iter().map(Copy::from).collect(),
             blocked: digest.blocked.into_iter().map(Fingerprint).collect(),
+            ledger_next: digest.ledger_next,
         })
     }
 }
--- a/src/peer/tests.rs
+++ b/src/peer/tests.rs
@@ -18,6 +18,7 @@
         leaving: vec!["gone".into()],
         draining: true,
         blocked: vec![Fingerprint(5)],
+        ledger_next: 8,
     }
 }
 
