--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -251,6 +251,7 @@
         leaving: Vec::new(),
         draining: false,
         blocked: Vec::new(),
+        ledger_next: 0,
     }
 }
 
