--- a/src/control/tests/servers.rs
+++ b/src/control/tests/servers.rs
@@ -305,6 +305,28 @@
     }
 }
 
+/// A daemon that had just started heard from a peer which servers leave before it had read the VM list, and
+/// dropped the word, since it knew none of them yet. The list lagged: until the peer's next digest it gave
+/// them new work, and for good where the peer stopped then.
+#[test]
+fn leaving_server_heard_of_before_the_list_gets_nothing() {
+    let mut bench = Bench { world: World::new(1, 1, Faults::default()), next: 0 };
+    let vms = bench.world.vms();
+    bench.apply(Message::Vms(Vec::new()));
+    let leaving = vec!["engine-0".to_owned()];
+    let digest = Digest { daemon: "router-9".into(), leaving, ..Digest::default() };
+    bench.apply(Message::Frame(Frame::Digest(digest)));
+    bench.apply(Message::Vms(vms));
+    for id in ["engine-0", "engine-1"] {
+        bench.polled(id, report("one", "v1"));
+    }
+    for text in ["a", "b", "c", "d", "e", "f"] {
+        let (request, effects) = bench.ask_about(text, "w", "v1");
+        assert_eq!(dispatched(&effects).map(|dispatch| dispatch.id.as_str()), Some("engine-1"));
+        bench.ended(request, 1, Outcome::Complete(None));
+    }
+}
+
 #[test]
 fn unreachable_engine_aborts_attempts() {
     let mut bench = Bench::new();
--- a/src/membership/tests.rs
+++ b/src/membership/tests.rs
@@ -41,6 +41,24 @@
     assert!(state.get(b).is_none() && state.find("b").is_none());
 }
 
+/// The platform's list lags now and then. A server that was leaving was gone from one answer, and an older
+/// answer after that still had it as live: with its entry the router had forgotten that it leaves, and gave
+/// it new work.
+#[test]
+fn replace_remembers_what_left_while_the_list_goes_back() {
+    let mut state = State::default();
+    state.replace(vec![vm("a", Standing::Live), vm("b", Standing::Leaving)]);
+    state.replace(vec![vm("a", Standing::Live)]);
+    state.replace(vec![vm("a", Standing::Live), vm("b", Standing::Live)]);
+    let b = state.find("b").expect("it is listed");
+    assert!(state.get(b).is_some_and(|server| server.leaving));
+    // One that was gone from a list and had not been leaving is in use again.
+    state.replace(vec![vm("b", Standing::Live)]);
+    state.replace(vec![vm("a", Standing::Live)]);
+    let a = state.find("a").expect("it is listed");
+    assert!(state.get(a).is_some_and(|server| !server.leaving));
+}
+
 #[test]
 fn report_tells_restart_and_gap() {
     let mut state = State::default();
