Remember servers that leave while no list has them

Cause: 'leaving, never taken back' was kept in the server's entry, so absence from one list, or before the first, ended it. Ids are never used again, so the ids of such servers are now kept apart, 4,096 of them.

Ruled out: remembering all that were ever gone (a list that drops a live server once would shut it out).

--- a/src/control/peers.rs
+++ b/src/control/peers.rs
@@ -131,10 +131,8 @@
         if digest.daemon == self.identity.id {
             return;
         }
-        let leaving: Vec<_> =
-            digest.leaving.iter().filter_map(|id| self.membership.find(id)).collect();
-        for key in leaving {
-            let notices = self.membership.mark_leaving(key).into_iter().collect();
+        for id in &digest.leaving {
+            let notices = self.membership.leaves(id).into_iter().collect();
             self.notices(now, notices);
         }
         if digest.generation > self.generation() {
--- a/src/membership/state.rs
+++ b/src/membership/state.rs
@@ -1,5 +1,7 @@
 //! The table of backend servers and of routers.
 
+use std::collections::VecDeque;
+
 use slotmap::SlotMap;
 
 use super::{Key, Report, Role, Standing, Vm};
@@ -14,6 +16,9 @@
 /// Prompt tokens a second assumed of an engine that has not reported.
 const ASSUMED_PREFILL: u32 = 8_000;
 
+/// Servers that were leaving, and are not listed, that are remembered at most.
+const MAX_LEFT: usize = 4_096;
+
 /// What an engine last reported of its load.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Load {
@@ -55,7 +60,6 @@
 
 impl Server {
     fn new(vm: Vm) -> Self {
-        let leaving = vm.standing == Standing::Leaving;
         let load = Load {
             at: Time::ZERO,
             running: 0,
@@ -66,7 +70,7 @@
         };
         Self {
             vm,
-            leaving,
+            leaving: false,
             incarnation: None,
             weights: BTreeMap::new(),
             load,
@@ -137,6 +141,9 @@
     servers: SlotMap<Key, Server>,
     ids: BTreeMap<String, Key>,
     routers: BTreeMap<String, Vm>,
+    /// Servers that are leaving and not listed, the last heard of at the end. An id is never used again, so
+    /// whoever lists one of them as live is late.
+    left: VecDeque<String>,
 }
 
 impl State {
@@ -173,7 +180,9 @@
             self.ids.keys().filter(|id| !listed.contains(id.as_str())).cloned().collect();
         for id in gone {
             if let Some(key) = self.ids.remove(&id) {
-                self.servers.remove(key);
+                if self.servers.remove(key).is_some_and(|server| server.leaving) {
+                    self.remember_left(&id);
+                }
                 notices.push(Notice::Removed(key, id));
             }
         }
@@ -190,14 +199,15 @@
     }
 
     fn update(&mut self, vm: Vm, notices: &mut Vec<Notice>) {
-        let leaving = vm.standing == Standing::Leaving;
+        let mut leaving = vm.standing == Standing::Leaving;
         let Some(key) = self.ids.get(&vm.id).copied() else {
             let id = vm.id.clone();
+            leaving |= self.left.contains(&id);
             let key = self.servers.insert(Server::new(vm));
             self.ids.insert(id, key);
             notices.push(Notice::Added(key));
             if leaving {
-                notices.push(Notice::Leaving(key));
+                notices.extend(self.mark_leaving(key));
             }
             return;
         };
@@ -209,6 +219,25 @@
         }
     }
 
+    /// Notes that the server with this id is leaving, whether or not it is listed yet.
+    pub fn leaves(&mut self, id: &str) -> Option<Notice> {
+        let key = self.find(id);
+        if key.is_none() {
+            self.remember_left(id);
+        }
+        self.mark_leaving(key?)
+    }
+
+    fn remember_left(&mut self, id: &str) {
+        if self.left.iter().any(|left| left == id) {
+            return;
+        }
+        self.left.push_back(id.to_owned());
+        if self.left.len() > MAX_LEFT {
+            self.left.pop_front();
+        }
+    }
+
     /// Notes that `key` is leaving, whoever said so.
     pub fn mark_leaving(&mut self, key: Key) -> Option<Notice> {
         let server = self.servers.get_mut(key)?;
