--- a/src/control/tests/orders.rs
+++ b/src/control/tests/orders.rs
@@ -4,6 +4,8 @@
 use crate::control::{Message, Stream};
 use crate::lease::Terms;
 use crate::membership::Report;
+use crate::order::{Action, Order};
+use crate::peer::{Digest, Frame};
 use crate::prelude::*;
 
 /// Nodes whose engines have `v1` while the manifest asks for `v2`.
@@ -15,12 +17,17 @@
 }
 
 fn engines_report(world: &mut World, version: &str) {
+    engines_have(world, &[version]);
+}
+
+fn engines_have(world: &mut World, versions: &[&str]) {
+    let versions: BTreeSet<String> = versions.iter().map(|version| version.to_string()).collect();
     for index in 0..world.nodes.len() {
         for id in ["engine-0", "engine-1"] {
             let server = world.server(index, id);
             let report = Report {
                 incarnation: "one".into(),
-                weights: BTreeMap::from([("m".into(), BTreeSet::from([version.to_owned()]))]),
+                weights: BTreeMap::from([("m".into(), versions.clone())]),
                 ..Report::default()
             };
             world.tell(index, Message::Polled(server, Box::new(report)));
@@ -30,11 +37,20 @@
 
 /// Runs the nodes in `running` for `time`, with reads of the log and digests among them.
 fn run(world: &mut World, running: &[usize], time: Duration) {
+    run_behind(world, running, &[], time);
+}
+
+/// Runs the nodes in `running`; those in `behind` can read all but manifests.
+fn run_behind(world: &mut World, running: &[usize], behind: &[usize], time: Duration) {
     let end = world.now + time;
     while world.now < end {
         for index in running {
             world.tell(*index, Message::Tick);
-            world.read(*index, Stream::Manifest);
+            if behind.contains(index) {
+                world.tell(*index, Message::LogDown(Stream::Manifest));
+            } else {
+                world.read(*index, Stream::Manifest);
+            }
             world.read(*index, Stream::Lease);
         }
         for action in std::mem::take(&mut world.actions) {
@@ -96,6 +112,59 @@
     assert!(world.orders.is_empty(), "{:?}", world.orders);
 }
 
+/// A manifest whose engines check fences, so that versions are unloaded.
+fn fenced(version: &str, preload: &[&str]) -> serde_json::Value {
+    let mut value = manifest_value(version);
+    value["pools"]["model"]["checks_fencing"] = serde_json::json!(true);
+    value["models"]["m"]["preload"] = serde_json::json!(preload);
+    value
+}
+
+fn unloads(world: &World) -> usize {
+    let unload = |order: &Order| matches!(order.action, Action::Unload { .. });
+    world.orders.iter().filter(|(_, _, order)| unload(order)).count()
+}
+
+/// The holder of the lease could read the lease but no manifests, and heard no peer. What its own manifest
+/// did not name it took for named by none, and after a minute it had engines unload the version that the next
+/// manifest had them load.
+#[test]
+fn holder_that_reads_no_manifests_unloads_nothing() {
+    let mut world = World::new(1, 1, Faults::default());
+    world.land(Stream::Manifest, publish_record("second", 1, fenced("v2", &[])));
+    engines_have(&mut world, &["v2"]);
+    run(&mut world, &[0], Duration::from_secs(70));
+    world.land(Stream::Manifest, publish_record("third", 2, fenced("v2", &["v3"])));
+    engines_have(&mut world, &["v2", "v3"]);
+    run_behind(&mut world, &[0], &[0], Duration::from_secs(70));
+    assert!(world.nodes[0].lease.fence(world.now).is_some(), "it still holds the lease");
+    assert_eq!(unloads(&world), 0, "{:?}", world.orders);
+}
+
+/// A minute in force at the holder was taken for a minute in force everywhere: versions were unloaded under
+/// a daemon that still sent requests for them, its manifest being the one before.
+#[test]
+fn version_that_a_peer_still_sends_to_is_not_unloaded() {
+    let mut world = World::new(1, 2, Faults::default());
+    world.land(Stream::Manifest, publish_record("second", 1, fenced("v1", &["v2"])));
+    engines_have(&mut world, &["v1", "v2"]);
+    run(&mut world, &[0, 1], Duration::from_secs(20));
+    world.land(Stream::Manifest, publish_record("third", 2, fenced("v2", &[])));
+    world.faults.frame = 100;
+    run_behind(&mut world, &[0, 1], &[1], Duration::from_secs(58));
+    // They hear each other again, and only the one that is behind is not told more than digests.
+    world.faults.frame = 0;
+    for _ in 0..100 {
+        let digest = Digest { daemon: "router-1".into(), generation: 2, ..Digest::default() };
+        world.tell(0, Message::Frame(Frame::Digest(digest)));
+        run_behind(&mut world, &[0], &[], Duration::from_millis(250));
+    }
+    assert_eq!(unloads(&world), 0, "{:?}", world.orders);
+    // Once it has the manifest too, or is not heard any more, they are unloaded.
+    run_behind(&mut world, &[0], &[], Duration::from_secs(10));
+    assert!(unloads(&world) > 0);
+}
+
 #[test]
 fn nothing_is_ordered_when_versions_are_there() {
     let mut world = world(2);
