Unload weights only by a manifest that is the newest, and that all peers have

Seen (virtual time): the holder of the lease, which could read the lease but no manifests, had engines unload six times what the next manifest had them load; and a minute after the holder took a manifest over, versions were unloaded which a peer that was behind still sent requests for.

Cause: 'not named in the manifest here' was taken for 'named by none', and a minute in force here for a minute in force everywhere. Now nothing is unloaded unless the last read of the manifests succeeded and was folded to its tail, and every peer that is heard has the generation. A peer that is heard and stays behind keeps old versions loaded, which costs memory only. Loads are not held back: they take nothing away.

--- a/src/control/node.rs
+++ b/src/control/node.rs
@@ -67,6 +67,8 @@
     pub(super) up: bool,
     /// The tail that the first read since the start found.
     pub(super) tail_at_start: Option<u64>,
+    /// The tail that the last read found.
+    pub(super) tail: u64,
     /// Seconds for which the log keeps records.
     pub(super) retention_s: u64,
 }
--- a/src/control/orders.rs
+++ b/src/control/orders.rs
@@ -29,7 +29,7 @@
         let Some(force) = self.force().cloned() else { return };
         let want = Want {
             settled: self.lease.is_settled(now),
-            unload: now >= self.force_since + UNLOAD_AFTER,
+            unload: self.may_unload(now, force.generation),
         };
         let busy: BTreeSet<membership::Key> = self.ordered.keys().copied().collect();
         for due in plan(&force.manifest, &self.membership, &busy, want) {
@@ -45,6 +45,15 @@
         }
     }
 
+    /// Whether what the manifest in force does not name is needed by none: it is the newest, as far as the log
+    /// can tell now, and every peer that is heard has it too.
+    fn may_unload(&self, now: Time, generation: u64) -> bool {
+        let reading = self.readings.get(&Stream::Manifest).copied().unwrap_or_default();
+        let newest = reading.up && self.manifest.next() >= reading.tail;
+        let everywhere = self.fresh_peers(now).all(|digest| digest.generation >= generation);
+        newest && everywhere && now >= self.force_since + UNLOAD_AFTER
+    }
+
     /// An order ended; one that was refused is given again after a while.
     pub(super) fn order_ended(&mut self, server: membership::Key, accepted: bool) {
         if accepted {
--- a/src/control/platform.rs
+++ b/src/control/platform.rs
@@ -53,6 +53,7 @@
         let reading = self.readings.entry(stream).or_default();
         let was_up = std::mem::replace(&mut reading.up, true);
         reading.tail_at_start.get_or_insert(read.next);
+        reading.tail = read.next;
         reading.retention_s = read.retention_s;
         if !was_up {
             self.event(Event::LogUp, Detail::of("stream", stream.as_str()));
