Have the holder's reads of manifests fail before engines have what they say

With the lease held here throughout, none but a former holder can have had v3 loaded, seconds before.

--- a/src/control/tests/orders.rs
+++ b/src/control/tests/orders.rs
@@ -135,6 +135,7 @@
     engines_have(&mut world, &["v2"]);
     run(&mut world, &[0], Duration::from_secs(70));
     world.land(Stream::Manifest, publish_record("third", 2, fenced("v2", &["v3"])));
+    run_behind(&mut world, &[0], &[0], Duration::from_secs(1));
     engines_have(&mut world, &["v2", "v3"]);
     run_behind(&mut world, &[0], &[0], Duration::from_secs(70));
     assert!(world.nodes[0].lease.fence(world.now).is_some(), "it still holds the lease");
