--- a/src/control/tests/at_most_once.rs
+++ b/src/control/tests/at_most_once.rs
@@ -2,7 +2,7 @@
 //! one receipt.
 
 use super::world::{Answer, Faults, World};
-use crate::control::{Appended, Message, Read, Record, Stream};
+use crate::control::{Appended, Message, Policy, Read, Record, Stream};
 use crate::peer::Frame;
 use crate::prelude::*;
 
@@ -193,6 +193,38 @@
     }
 }
 
+/// A daemon that had just started, or had been frozen, had no fresh word of any peer, and took that for the
+/// claimant's end: it told callers for good that the outcome was not learnt (3003, no time to come back),
+/// while the call was running at a peer and its receipt came a moment later.
+#[test]
+fn claim_of_a_peer_not_heard_yet_is_in_progress() {
+    let in_progress = Answer::Refused(Code::KeyInProgress, Execution::Unknown);
+    let unknown = Answer::Refused(Code::KeyOutcomeUnknown, Execution::Unknown);
+    for frozen in [false, true] {
+        let mut world = World::new(1, 2, Faults::default());
+        world.quiet();
+        let lifetime = Policy::default().digest_lifetime;
+        world.pay(0, Some("k"));
+        world.read(0, Stream::Ledger);
+        world.actions.clear();
+        if frozen {
+            world.now += lifetime * 10;
+        } else {
+            world.kill(1);
+        }
+        while world.nodes[1].next_offset(Stream::Ledger) < 1 {
+            world.read(1, Stream::Ledger);
+        }
+        let early = world.pay(1, Some("k"));
+        assert_eq!(world.answers[&early], in_progress, "frozen {frozen}: nobody was heard yet");
+        world.now += lifetime;
+        world.tell(1, Message::Tick);
+        world.actions.clear();
+        let late = world.pay(1, Some("k"));
+        assert_eq!(world.answers[&late], unknown, "frozen {frozen}: it listened and heard nothing");
+    }
+}
+
 #[test]
 fn claim_refused_on_short_retention() {
     let mut world = World::new(1, 1, Faults::default());
