Say of a key that it is in progress until its claimant can be known to have ended

Seen (virtual time): a daemon that had just started, or woke from a freeze, answered 3003 (the outcome was not learnt, no time to come back) for a key whose call was running at a peer, and whose receipt came after.

Cause: a peer without a fresh digest counted as ended, also where this daemon had not listened long enough to hear one. Now a claimant has ended if another incarnation of it is heard, or if this daemon has listened for a digest's lifetime (3 s) since its start or since it was frozen (no message for 1 s) and heard nothing; until then the answer is 3002, come back in a second.

--- a/src/control/claims.rs
+++ b/src/control/claims.rs
@@ -62,13 +62,17 @@
         }
     }
 
-    /// Whether the incarnation that made the claim still runs, as far as is known.
+    /// Whether the incarnation that made the claim still runs, as far as is known. One that was not heard has
+    /// ended only where this daemon has listened for as long as a digest counts.
     fn is_running(&self, now: Time, claim: &ledger::ClaimId) -> bool {
-        if self.pending.is_own(claim) {
-            return true;
+        if claim.daemon == self.identity.id {
+            return self.pending.is_own(claim);
+        }
+        let heard = self.fresh_peers(now).find(|digest| digest.daemon == claim.daemon);
+        match heard {
+            Some(digest) => digest.incarnation == claim.incarnation,
+            None => now < self.listens_since + self.policy.digest_lifetime,
         }
-        self.fresh_peers(now)
-            .any(|digest| digest.daemon == claim.daemon && digest.incarnation == claim.incarnation)
     }
 
     pub(super) fn ledger_steps(&mut self, now: Time, steps: Vec<Step>) {
--- a/src/control/node.rs
+++ b/src/control/node.rs
@@ -18,6 +18,9 @@
 /// Entries of the residency table at most; about 100 bytes each.
 const MAX_RESIDENCY: usize = 1_000_000;
 
+/// Time without any message after which this daemon was frozen: ticks come some fifty times a second.
+const FROZEN: Duration = Duration::from_secs(1);
+
 /// Who this daemon is.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Identity {
@@ -144,6 +147,9 @@
     pub(super) claims: BTreeMap<attempt::Key, ledger::ClaimId>,
     pub(super) readings: BTreeMap<Stream, Reading>,
     pub(super) peers: BTreeMap<String, Peer>,
+    /// Since when this daemon has heard peers that speak: its start, or the end of a freeze.
+    pub(super) listens_since: Time,
+    applied_at: Time,
     pub(super) polls: BTreeMap<membership::Key, Poll>,
     /// Requests for weights that an engine may have which has not been asked since they are in force.
     pub(super) unheard: BTreeSet<attempt::Key>,
@@ -191,6 +197,8 @@
             claims: BTreeMap::new(),
             readings: BTreeMap::new(),
             peers: BTreeMap::new(),
+            listens_since: Time::ZERO,
+            applied_at: Time::ZERO,
             polls: BTreeMap::new(),
             unheard: BTreeSet::new(),
             next_digest: Time::ZERO,
@@ -209,6 +217,10 @@
 
     /// Takes `message` at time `now`; returns what is to be done, in order.
     pub fn apply(&mut self, now: Time, message: Message) -> Vec<Effect> {
+        if now > self.applied_at + FROZEN {
+            self.listens_since = now;
+        }
+        self.applied_at = now;
         match message {
             Message::Arrive(arrival) => self.arrive(now, *arrival),
             Message::Report { request, attempt, report } => {
