--- a/src/control/tests/manifests.rs
+++ b/src/control/tests/manifests.rs
@@ -188,6 +188,7 @@
     alone.log.insert(Stream::Manifest, Vec::new());
     alone.log.insert(Stream::Ledger, Vec::new());
     alone.log.insert(Stream::Lease, Vec::new());
+    alone.log.insert(Stream::Blocked, Vec::new());
     alone.kill(0);
     assert_eq!(alone.nodes[0].manifest.generation(), 0);
     alone.tell(0, Message::Records(Stream::Manifest, read));
--- a/src/control/tests/servers.rs
+++ b/src/control/tests/servers.rs
@@ -2,11 +2,11 @@
 
 use super::world::{Faults, World, manifest_value, publish_record};
 use crate::attempt::{self, Arrival, Command, Dispatch, Outcome, Report, Target};
-use crate::control::{Effect, Message, Stream};
+use crate::control::{Effect, Message, Read, Stream};
 use crate::manifest::{Objective, Priority};
 use crate::membership::{CacheEvent, Change, Standing};
 use crate::peer::{Copy, Digest, Frame};
-use crate::poison::Fingerprint;
+use crate::poison::{Fingerprint, Record};
 use crate::prefix::{BLOCK_BYTES, Key, Prefix, Scope, root};
 use crate::prelude::*;
 
@@ -457,6 +457,47 @@
     assert!(world.nodes[0].is_ready(), "a pool that is down holds nothing else back");
 }
 
+/// What is blocked for ending servers is kept on a stream of its own, and peers tell of it only until the
+/// stream has it. A daemon that started was ready once it knew manifest and engines, and sent a request that
+/// was blocked to the next engine before it had read that stream.
+#[test]
+fn ready_once_blocked_requests_are_known() {
+    let mut world = World::new(1, 1, Faults::default());
+    let blocked = [Fingerprint(7), Fingerprint(8)];
+    for fingerprint in blocked {
+        world.land(Stream::Blocked, Record::new(&[fingerprint], &[]).encode());
+    }
+    world.log_down = true;
+    world.kill(0);
+    world.log_down = false;
+    world.read(0, Stream::Manifest);
+    let servers = ["engine-0", "engine-1"].map(|id| world.server(0, id));
+    for server in servers {
+        world.tell(0, Message::Polled(server, Box::new(report("one", "v1"))));
+    }
+    assert!(world.nodes[0].is_ready(), "a stream that can't be read holds nothing back");
+    let first = world.log[&Stream::Blocked][..1].to_vec();
+    let page = Read { first: 0, next: 2, retention_s: 1_000, records: first };
+    world.tell(0, Message::Records(Stream::Blocked, page));
+    assert!(!world.nodes[0].is_ready(), "one of two records is not all");
+    world.read(0, Stream::Blocked);
+    assert!(world.nodes[0].is_ready());
+}
+
+#[test]
+fn ready_once_the_stream_of_blocked_requests_was_asked() {
+    let mut world = World::new(1, 1, Faults::default());
+    let mut node = world.nodes.remove(0);
+    node.readings.remove(&Stream::Blocked);
+    for id in ["engine-0", "engine-1"] {
+        let server = node.membership.find(id).expect("it is listed");
+        node.apply(world.now, Message::Polled(server, Box::new(report("one", "v1"))));
+    }
+    assert!(!node.is_ready(), "its first read has neither come nor failed");
+    node.apply(world.now, Message::LogDown(Stream::Blocked));
+    assert!(node.is_ready());
+}
+
 #[test]
 fn drain_waits_for_requests_and_outcomes() {
     let mut world = World::new(1, 1, Faults::default());
--- a/src/control/tests/world.rs
+++ b/src/control/tests/world.rs
@@ -136,6 +136,7 @@
                 (Stream::Manifest, Vec::new()),
                 (Stream::Ledger, Vec::new()),
                 (Stream::Lease, Vec::new()),
+                (Stream::Blocked, Vec::new()),
             ]),
             actions: Vec::new(),
             faults,
@@ -172,6 +173,7 @@
         self.read(index, Stream::Manifest);
         self.read(index, Stream::Ledger);
         self.read(index, Stream::Lease);
+        self.read(index, Stream::Blocked);
     }
 
     pub fn vms(&self) -> Vec<Vm> {
@@ -423,6 +425,7 @@
                 self.read(index, Stream::Ledger);
                 self.read(index, Stream::Manifest);
                 self.read(index, Stream::Lease);
+                self.read(index, Stream::Blocked);
             }
             for _ in 0..self.actions.len() {
                 self.act();
