Be ready once the stream of blocked requests is read, or was asked in vain

Seen (virtual time): a daemon that started again was ready with manifest and engines known, before it had read what is blocked, or after a part of it; peers tell only of blocks that the stream does not keep yet. A blocked request that came then went to another engine.

Now the tail that the first read finds must be folded, as for manifests. A stream that can't be read holds nothing back: peers' folded state is asked for at a start, and has the blocks. Ruled out: refusing all until then; an outage of this one stream would end all service. The replay reads the stream as daemons do.

--- a/src/control/node.rs
+++ b/src/control/node.rs
@@ -256,7 +256,8 @@
 
     /// Whether the platform's balancer may send callers here.
     pub fn is_ready(&self) -> bool {
-        self.force().is_some() && self.membership_known() && !self.draining
+        let known = self.force().is_some() && self.blocks_known() && self.membership_known();
+        known && !self.draining
     }
 
     /// The manifest in force, once all records that the first read found are folded, or a peer has told its
@@ -272,6 +273,15 @@
         self.force().map_or(0, |force| force.generation)
     }
 
+    /// Whether the stream of blocked requests was read to the tail that the first read found, or asked in vain:
+    /// what is blocked and not known yet would end another server.
+    fn blocks_known(&self) -> bool {
+        let reading = self.readings.get(&Stream::Blocked);
+        reading.is_some_and(|reading| {
+            !reading.up || reading.tail_at_start.is_some_and(|tail| self.blocks.next() >= tail)
+        })
+    }
+
     /// Whether the VM list was read and every pool has a server that is known, or whose engines
     /// have all been asked in vain.
     fn membership_known(&self) -> bool {
--- a/standin/src/replay/world/daemons.rs
+++ b/standin/src/replay/world/daemons.rs
@@ -107,7 +107,7 @@
             return;
         }
         let down = self.setup.fault == Fault::PlatformOutage && self.in_outage();
-        for stream in [Stream::Manifest, Stream::Ledger] {
+        for stream in [Stream::Manifest, Stream::Ledger, Stream::Blocked] {
             let message = match down {
                 true => Message::LogDown(stream),
                 false => Message::Records(stream, self.log_read(stream)),
