--- a/src/control/tests/manifests.rs
+++ b/src/control/tests/manifests.rs
@@ -1,9 +1,9 @@
 //! What is in force: the same everywhere, in the same order, and never reverting.
 
 use super::world::{Faults, World, manifest_value, publish_record};
-use crate::control::{Message, Read, Record, Stream};
-use crate::membership::Report;
-use crate::peer::{Frame, Snapshot};
+use crate::control::{Effect, Message, Read, Record, Stream};
+use crate::membership::{Report, Role, Standing, Vm};
+use crate::peer::{Digest, Frame, Snapshot};
 use crate::prelude::*;
 
 fn in_order(generations: &[u64]) -> bool {
@@ -195,6 +195,40 @@
     assert_eq!(alone.nodes[0].manifest.generation(), 1);
 }
 
+/// Each digest of a peer with a newer manifest let the next ask go out at once. With 194 peers that is an ask
+/// at every tick, fifty a second, and each is answered with all that is known of keys.
+#[test]
+fn ask_for_folded_state_pauses_whatever_peers_tell() {
+    let mut world = World::new(1, 1, Faults::default());
+    let mut asks = 0;
+    for _ in 0..50 {
+        for peer in 0..194 {
+            let daemon = format!("peer-{peer}");
+            let digest = Digest { daemon, generation: 9, ..Digest::default() };
+            world.nodes[0].apply(world.now, Message::Frame(Frame::Digest(digest)));
+        }
+        world.nodes[0].apply(world.now, Message::Vms(routers(194)));
+        let effects = world.nodes[0].apply(world.now, Message::Tick);
+        let ask = |effect: &&Effect| matches!(effect, Effect::Send(_, Frame::Ask(_)));
+        asks += effects.iter().filter(ask).count();
+        world.now += Duration::from_millis(20);
+    }
+    assert!((2..=4).contains(&asks), "{asks} asks in a second");
+}
+
+fn routers(count: usize) -> Vec<Vm> {
+    let router = |peer: usize| Vm {
+        id: format!("peer-{peer}"),
+        role: Role::Router,
+        pool: String::new(),
+        address: super::world::address(peer),
+        region: "r".into(),
+        zone: "z".into(),
+        standing: Standing::Live,
+    };
+    (0..count).map(router).collect()
+}
+
 #[test]
 fn invalid_manifest_not_in_force() {
     let mut world = World::new(1, 1, Faults::default());
