Keep the pause between asks for folded state whatever peers tell

Seen (virtual time, 194 peers): a daemon that is behind asked at every tick, 50 times a second, and each answer has all that is known of keys. Cause: each digest with a newer generation made the next ask due at once, also when it told what others had told before. Now only a generation that no fresh peer had told does; 50 asks in the first second before, 2 to 4 now.

--- a/src/control/peers.rs
+++ b/src/control/peers.rs
@@ -135,7 +135,9 @@
             let notices = self.membership.leaves(id).into_iter().collect();
             self.notices(now, notices);
         }
-        if digest.generation > self.generation() {
+        // Told again, and by others, it is no news: all of them would have it asked for at every tick.
+        let heard = self.fresh_peers(now).map(|digest| digest.generation).max().unwrap_or(0);
+        if digest.generation > self.generation().max(heard) {
             self.next_ask = now;
         }
         self.hear_blocked(now, &digest.blocked);
