--- a/src/control/tests/orders.rs
+++ b/src/control/tests/orders.rs
@@ -1,7 +1,7 @@
 //! The lease holder among several nodes: paused, replaced, cut off from the log.
 
 use super::world::{Faults, World, manifest_value, publish_record};
-use crate::control::{Message, Stream};
+use crate::control::{Effect, Message, Stream};
 use crate::lease::Terms;
 use crate::membership::Report;
 use crate::order::{Action, Order};
@@ -166,6 +166,31 @@
     assert!(unloads(&world) > 0);
 }
 
+/// An engine had carried an order out; what it had reported before that counted as what it has, and the order
+/// was given again at every tick, up to 25 times, while its place among those that load was taken.
+#[test]
+fn order_that_was_carried_out_is_not_given_again_on_an_old_report() {
+    let mut world = world(1);
+    world.land(Stream::Manifest, publish_record("third", 2, fenced("v2", &[])));
+    while world.orders.is_empty() {
+        run(&mut world, &[0], Duration::from_millis(50));
+    }
+    assert_eq!(world.orders.len(), 2);
+    let engines = ["engine-0", "engine-1"].map(|id| world.server(0, id));
+    engines_report(&mut world, "v1");
+    for engine in engines {
+        let effects = world.nodes[0].apply(world.now, Message::Ordered(engine, true));
+        let polled = effects.iter().any(|effect| matches!(effect, Effect::Poll { .. }));
+        assert!(polled, "it is asked at once: {effects:?}");
+    }
+    run(&mut world, &[0], Duration::from_millis(500));
+    assert_eq!(world.orders.len(), 2, "{:?}", world.orders);
+    // One that has lost the version all the same is ordered again.
+    engines_have(&mut world, &["v1"]);
+    run(&mut world, &[0], Duration::from_millis(500));
+    assert_eq!(world.orders.len(), 4, "{:?}", world.orders);
+}
+
 #[test]
 fn nothing_is_ordered_when_versions_are_there() {
     let mut world = world(2);
