Ask an engine that carried an order out before it is ordered again

Seen (virtual time): an engine that had loaded what it was ordered to was ordered the same again at the next tick, since its last report, up to a poll interval old, did not show it; two such engines keep others of the pool from loading meanwhile. Orders are convergent, so nothing broke.

Cause: a report from before the order's end was taken for what the engine has after it. Now the engine is asked at once, and is not ordered about until a poll that was sent after the order's end has ended.

--- a/src/control/node.rs
+++ b/src/control/node.rs
@@ -136,6 +136,8 @@
     pub(super) lease: lease::State,
     /// When engines were given the orders that they carry out.
     pub(super) ordered: BTreeMap<membership::Key, Time>,
+    /// When engines had carried out an order that no report shows yet.
+    pub(super) obeyed: BTreeMap<membership::Key, Time>,
     /// When the manifest in force was taken over.
     pub(super) force_since: Time,
     /// The generation that was last put in force here.
@@ -189,6 +191,7 @@
             budget: Budget::default(),
             lease,
             ordered: BTreeMap::new(),
+            obeyed: BTreeMap::new(),
             force_since: Time::ZERO,
             force_generation: 0,
             force_told: false,
@@ -230,7 +233,7 @@
             Message::LogDown(stream) => self.log_down(stream),
             Message::Appended { number, result } => self.appended(now, number, result),
             Message::Checkpointed => self.checkpoint.ended(),
-            Message::Ordered(server, accepted) => self.order_ended(server, accepted),
+            Message::Ordered(server, accepted) => self.order_ended(now, server, accepted),
             Message::Vms(vms) => self.vms(now, vms),
             Message::VmsDown => self.vms_down(),
             Message::Polled(server, report) => self.polled(now, server, *report),
--- a/src/control/orders.rs
+++ b/src/control/orders.rs
@@ -31,7 +31,8 @@
             settled: self.lease.is_settled(now),
             unload: self.may_unload(now, force.generation),
         };
-        let busy: BTreeSet<membership::Key> = self.ordered.keys().copied().collect();
+        let busy = self.ordered.keys().chain(self.obeyed.keys());
+        let busy: BTreeSet<membership::Key> = busy.copied().collect();
         for due in plan(&force.manifest, &self.membership, &busy, want) {
             let Some(server) = self.membership.get(due.server) else { continue };
             let (id, address) = (server.vm.id.clone(), server.vm.address);
@@ -54,10 +55,15 @@
         newest && everywhere && now >= self.force_since + UNLOAD_AFTER
     }
 
-    /// An order ended; one that was refused is given again after a while.
-    pub(super) fn order_ended(&mut self, server: membership::Key, accepted: bool) {
+    /// An order ended; one that was refused is given again after a while. What the engine has now is not in
+    /// what it reported before, by which the order would be given again.
+    pub(super) fn order_ended(&mut self, now: Time, server: membership::Key, accepted: bool) {
         if accepted {
             self.ordered.remove(&server);
+            if self.membership.get(server).is_some() {
+                self.obeyed.insert(server, now);
+                self.ask_again(now, server);
+            }
             return;
         }
         let id = self.membership.get(server).map_or_else(String::new, |s| s.vm.id.clone());
--- a/src/control/platform.rs
+++ b/src/control/platform.rs
@@ -254,11 +254,25 @@
             return;
         }
         let next = Poll::Due(now + self.policy.poll_interval);
-        if let Some(Poll::Sent(at)) = self.polls.insert(key, next) {
-            self.membership.asked(key, at);
+        let Some(Poll::Sent(at)) = self.polls.insert(key, next) else { return };
+        self.membership.asked(key, at);
+        match self.obeyed.get(&key) {
+            Some(obeyed) if at < *obeyed => self.ask_again(now, key),
+            Some(_) => {
+                self.obeyed.remove(&key);
+            }
+            None => {}
         }
     }
 
+    /// Asks an engine at once, where no poll of it is under way.
+    pub(super) fn ask_again(&mut self, now: Time, key: membership::Key) {
+        if let Some(poll @ Poll::Due(_)) = self.polls.get_mut(&key) {
+            *poll = Poll::Due(now);
+        }
+        self.schedule_polls(now);
+    }
+
     /// Asks the engines of `pool` at once that have not been asked since the manifest is in force.
     pub(super) fn ask_engines(&mut self, now: Time, pool: &str) {
         for (key, server) in self.membership.pool(pool) {
@@ -297,6 +311,7 @@
                     self.residency.clear(key);
                     self.polls.remove(&key);
                     self.ordered.remove(&key);
+                    self.obeyed.remove(&key);
                     self.event(Event::ServerRemoved, Detail::of("server", id));
                     continue;
                 }
--- a/src/control/tests/orders.rs
+++ b/src/control/tests/orders.rs
@@ -167,7 +167,7 @@
 }
 
 /// An engine had carried an order out; what it had reported before that counted as what it has, and the order
-/// was given again at every tick, up to 25 times, while its place among those that load was taken.
+/// was given again at the next tick, and took a place among those that load at a time.
 #[test]
 fn order_that_was_carried_out_is_not_given_again_on_an_old_report() {
     let mut world = world(1);
