--- a/src/control/tests/servers.rs
+++ b/src/control/tests/servers.rs
@@ -1,12 +1,12 @@
 //! Engines that restart, freeze, leave and fail, and what a node does with their requests.
 
-use super::world::{Faults, World};
+use super::world::{Faults, World, manifest_value, publish_record};
 use crate::attempt::{self, Arrival, Command, Dispatch, Outcome, Report, Target};
-use crate::control::{Effect, Message};
+use crate::control::{Effect, Message, Read, Stream};
 use crate::manifest::{Objective, Priority};
 use crate::membership::{CacheEvent, Change, Standing};
 use crate::peer::{Copy, Digest, Frame};
-use crate::poison::Fingerprint;
+use crate::poison::{Fingerprint, Record};
 use crate::prefix::{BLOCK_BYTES, Key, Prefix, Scope, root};
 use crate::prelude::*;
 
@@ -181,6 +181,96 @@
     assert_eq!(refused(&effects), Some((Code::NoServer, Execution::NotRun)));
 }
 
+/// Puts `v2` in force, and has a node whose engines last reported `v1` asked for it.
+fn ask_after_switch(bench: &mut Bench) -> (attempt::Key, Vec<Effect>) {
+    bench.world.now += Duration::from_millis(100);
+    bench.world.land(Stream::Manifest, publish_record("second", 1, manifest_value("v2")));
+    bench.world.read(0, Stream::Manifest);
+    bench.world.now += Duration::from_millis(20);
+    bench.ask("w", "v2")
+}
+
+fn polled_at_once(effects: &[Effect]) -> usize {
+    effects.iter().filter(|effect| matches!(effect, Effect::Poll { .. })).count()
+}
+
+fn with_both(incarnation: &str) -> crate::membership::Report {
+    let both = BTreeSet::from(["v1".to_owned(), "v2".to_owned()]);
+    let weights = BTreeMap::from([("m".to_owned(), both)]);
+    crate::membership::Report { weights, ..report(incarnation, "v1") }
+}
+
+/// Operators saw on one daemon that all engines had the new weights, and put them in force. Another
+/// daemon had last asked the engines a part of a second before they had loaded them. It took what it
+/// had heard then for what they have now, and refused until its next polls, up to 500 ms later:
+/// `left: 503, right: 200`, with 2002, "No live backend server serves this now".
+#[test]
+fn weights_loaded_since_the_last_report_are_served() {
+    let mut bench = Bench::new();
+    let (_, effects) = ask_after_switch(&mut bench);
+    assert_eq!(refused(&effects), None, "no engine has been asked since v2 came into force");
+    assert_eq!(polled_at_once(&effects), 2, "{effects:?}");
+    let effects = bench.polled("engine-1", with_both("one"));
+    assert_eq!(dispatched(&effects).map(|dispatch| dispatch.id.as_str()), Some("engine-1"));
+}
+
+/// A daemon that started had heard one engine of a pool, which had not loaded the new weights yet, and
+/// took that one for the pool: it refused what the other, not heard yet, would have served.
+#[test]
+fn weights_at_an_engine_not_heard_yet_are_served() {
+    let mut bench = Bench { world: World::new(1, 1, Faults::default()), next: 0 };
+    bench.polled("engine-0", report("one", "v1"));
+    assert!(bench.world.nodes[0].is_ready());
+    let (_, effects) = ask_after_switch(&mut bench);
+    assert_eq!(refused(&effects), None, "engine-1 has not been heard");
+    bench.polled("engine-0", report("one", "v1"));
+    let effects = bench.polled("engine-1", report("one", "v2"));
+    assert_eq!(dispatched(&effects).map(|dispatch| dispatch.id.as_str()), Some("engine-1"));
+}
+
+/// Once every engine has been asked since, or in vain, no more is waited for.
+#[test]
+fn weights_that_no_engine_has_are_refused_once_all_are_asked() {
+    let mut bench = Bench::new();
+    let (_, effects) = ask_after_switch(&mut bench);
+    assert_eq!(refused(&effects), None, "not all have been asked since");
+    let effects = bench.polled("engine-0", report("one", "v1"));
+    assert_eq!(refused(&effects), None, "one engine is not all");
+    let server = bench.world.server(0, "engine-1");
+    let effects = bench.apply(Message::PollFailed(server));
+    assert_eq!(refused(&effects), Some((Code::NoServer, Execution::NotRun)));
+    let (_, effects) = bench.ask("w", "v2");
+    assert_eq!(refused(&effects), Some((Code::NoServer, Execution::NotRun)));
+}
+
+/// A poll that was on its way when the weights came into force may tell of before.
+#[test]
+fn report_asked_for_before_the_switch_tells_nothing_of_it() {
+    let mut bench = Bench::new();
+    bench.world.now += Duration::from_millis(600);
+    assert_eq!(polled_at_once(&bench.apply(Message::Tick)), 2, "polls are due");
+    let (request, effects) = ask_after_switch(&mut bench);
+    assert_eq!((refused(&effects), polled_at_once(&effects)), (None, 0));
+    for id in ["engine-0", "engine-1"] {
+        let effects = bench.polled(id, report("one", "v1"));
+        assert_eq!((refused(&effects), polled_at_once(&effects)), (None, 1), "{id} is asked again");
+    }
+    let effects = bench.polled("engine-0", with_both("one"));
+    assert!(dispatched(&effects).is_some());
+    bench.ended(request, 1, Outcome::Complete(None));
+}
+
+/// An engine that is frozen holds a request no longer than the request's own time.
+#[test]
+fn request_that_waits_for_reports_ends_at_its_deadline() {
+    let mut bench = Bench::new();
+    let (_, effects) = ask_after_switch(&mut bench);
+    assert_eq!(refused(&effects), None);
+    bench.world.now += Duration::from_millis(1_001);
+    let effects = bench.apply(Message::Tick);
+    assert_eq!(refused(&effects), Some((Code::DeadlinePassed, Execution::NotRun)));
+}
+
 #[test]
 fn leaving_server_gets_nothing_new_from_any_source() {
     for source in 0..3 {
@@ -215,6 +305,28 @@
     }
 }
 
+/// A daemon that had just started heard from a peer which servers leave before it had read the VM list, and
+/// dropped the word, since it knew none of them yet. The list lagged: until the peer's next digest it gave
+/// them new work, and for good where the peer stopped then.
+#[test]
+fn leaving_server_heard_of_before_the_list_gets_nothing() {
+    let mut bench = Bench { world: World::new(1, 1, Faults::default()), next: 0 };
+    let vms = bench.world.vms();
+    bench.apply(Message::Vms(Vec::new()));
+    let leaving = vec!["engine-0".to_owned()];
+    let digest = Digest { daemon: "router-9".into(), leaving, ..Digest::default() };
+    bench.apply(Message::Frame(Frame::Digest(digest)));
+    bench.apply(Message::Vms(vms));
+    for id in ["engine-0", "engine-1"] {
+        bench.polled(id, report("one", "v1"));
+    }
+    for text in ["a", "b", "c", "d", "e", "f"] {
+        let (request, effects) = bench.ask_about(text, "w", "v1");
+        assert_eq!(dispatched(&effects).map(|dispatch| dispatch.id.as_str()), Some("engine-1"));
+        bench.ended(request, 1, Outcome::Complete(None));
+    }
+}
+
 #[test]
 fn unreachable_engine_aborts_attempts() {
     let mut bench = Bench::new();
@@ -345,6 +457,47 @@
     assert!(world.nodes[0].is_ready(), "a pool that is down holds nothing else back");
 }
 
+/// What is blocked for ending servers is kept on a stream of its own, and peers tell of it only until the
+/// stream has it. A daemon that started was ready once it knew manifest and engines, and sent a request that
+/// was blocked to the next engine before it had read that stream.
+#[test]
+fn ready_once_blocked_requests_are_known() {
+    let mut world = World::new(1, 1, Faults::default());
+    let blocked = [Fingerprint(7), Fingerprint(8)];
+    for fingerprint in blocked {
+        world.land(Stream::Blocked, Record::new(&[fingerprint], &[]).encode());
+    }
+    world.log_down = true;
+    world.kill(0);
+    world.log_down = false;
+    world.read(0, Stream::Manifest);
+    let servers = ["engine-0", "engine-1"].map(|id| world.server(0, id));
+    for server in servers {
+        world.tell(0, Message::Polled(server, Box::new(report("one", "v1"))));
+    }
+    assert!(world.nodes[0].is_ready(), "a stream that can't be read holds nothing back");
+    let first = world.log[&Stream::Blocked][..1].to_vec();
+    let page = Read { first: 0, next: 2, retention_s: 1_000, records: first };
+    world.tell(0, Message::Records(Stream::Blocked, page));
+    assert!(!world.nodes[0].is_ready(), "one of two records is not all");
+    world.read(0, Stream::Blocked);
+    assert!(world.nodes[0].is_ready());
+}
+
+#[test]
+fn ready_once_the_stream_of_blocked_requests_was_asked() {
+    let mut world = World::new(1, 1, Faults::default());
+    let mut node = world.nodes.remove(0);
+    node.readings.remove(&Stream::Blocked);
+    for id in ["engine-0", "engine-1"] {
+        let server = node.membership.find(id).expect("it is listed");
+        node.apply(world.now, Message::Polled(server, Box::new(report("one", "v1"))));
+    }
+    assert!(!node.is_ready(), "its first read has neither come nor failed");
+    node.apply(world.now, Message::LogDown(Stream::Blocked));
+    assert!(node.is_ready());
+}
+
 #[test]
 fn drain_waits_for_requests_and_outcomes() {
     let mut world = World::new(1, 1, Faults::default());
