Look again at a server whose port is still open when its connections break

Callers: while the store was down, a request ended four servers (asked: three). A server that ends may break its connections before it stops to listen; the first look, within a millisecond of the break, was accepted, and then only the registration could tell of the end, which nobody could read. An open port is now looked at every 60 ms until 300 ms after the break; closed twice in a row still makes an end, and an answer heard meanwhile still clears it, so servers that drop single connections count as little as before (lost_answer_of_a_server_that_lives_on...).

--- a/src/poison/watch.rs
+++ b/src/poison/watch.rs
@@ -12,6 +12,9 @@
 /// Time between the two looks that must find a server's port closed: one that only refuses what is more than it
 /// takes answers others meanwhile.
 const LOOK_AGAIN: Duration = Duration::from_millis(60);
+/// Time from a break in which a server that ends stops to listen: an open port is looked at again until then. An end
+/// would else count for nothing while the store, and so registrations, can't be read.
+const CLOSES_WITHIN: Duration = Duration::from_millis(300);
 /// Time in which answers arrive that a server gave before its connections broke.
 const STRAGGLERS: Duration = Duration::from_millis(50);
 /// Time for which a server is doubted: its registration ends within some heartbeats.
@@ -49,11 +52,11 @@
 /// How far the doubt in a server goes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Stage {
-    /// A look is under way, the first or the second.
+    /// A look is under way; whether the one before it found its port closed.
     Looking { found_closed: bool },
-    /// Its port was found closed; the next look is due at this time.
-    Closed(Time),
-    /// Somebody listens there, or nothing came back: its registration will tell.
+    /// The next look is due at this time.
+    Due { at: Time, found_closed: bool },
+    /// Somebody listens there on and on, or nothing came back: its registration will tell.
     Unsure,
     /// It has ended.
     Ended,
@@ -131,8 +134,11 @@
         let Stage::Looking { found_closed } = doubt.stage else { return Steps::default() };
         match answer {
             Answer::Refused if found_closed => return self.ended(now, victim),
-            Answer::Refused => doubt.stage = Stage::Closed(now + LOOK_AGAIN),
-            Answer::Accepted | Answer::Silent => doubt.stage = Stage::Unsure,
+            Answer::Refused | Answer::Accepted => {
+                let found_closed = answer == Answer::Refused;
+                doubt.stage = Stage::Due { at: now + LOOK_AGAIN, found_closed };
+            }
+            Answer::Silent => doubt.stage = Stage::Unsure,
         }
         Steps::default()
     }
@@ -157,13 +163,16 @@
         }
     }
 
-    /// The looks that are due.
+    /// The looks that are due. An open port is looked at no more once a server that ends would have closed it.
     pub fn due(&mut self, now: Time) -> Vec<Probe> {
         self.doubts.retain(|_, doubt| now < doubt.since + DOUBTED_FOR);
         let mut probes = Vec::new();
         for (victim, doubt) in &mut self.doubts {
-            if matches!(doubt.stage, Stage::Closed(at) if now >= at) {
-                doubt.stage = Stage::Looking { found_closed: true };
+            let Stage::Due { at, found_closed } = doubt.stage else { continue };
+            if !found_closed && now >= doubt.since + CLOSES_WITHIN {
+                doubt.stage = Stage::Unsure;
+            } else if now >= at {
+                doubt.stage = Stage::Looking { found_closed };
                 probes.push(Probe { victim: *victim, address: doubt.server.address });
             }
         }
@@ -177,7 +186,7 @@
 
     /// Whether a look is due soon.
     pub fn is_pressed(&self) -> bool {
-        self.doubts.values().any(|doubt| matches!(doubt.stage, Stage::Closed(_)))
+        self.doubts.values().any(|doubt| matches!(doubt.stage, Stage::Due { .. }))
     }
 
     /// Servers in doubt at which a request broke.
