Judge a suspect's ends by how many requests chance would put there

The rate of ends by which a suspect was judged was made of its own ends, so three in a row in a small pool were likely enough (5.2e-5 to 5.3e-5 where 3e-5 was the bound). Its ends are now drawn, all others included, among the servers and moments around (exact, not a rate), and what counts is how many requests of all that broke there chance would put at as many: below 1e-4. Where nobody else broke that is laxer, in a crowd as strict as before or stricter; ends shared with another suspect leave at least three others. A floor of 10 requests in place of 5: the third end in a row is 1.2e-4.

--- a/src/poison/state.rs
+++ b/src/poison/state.rs
@@ -10,10 +10,11 @@
 /// tell, and a request that runs for seconds before it ends its server would go on for long. With 5, a crowd before
 /// 18 engines that ended 1.6 times a second by themselves had 6 of 47,457 requests blocked, with 6 none of 79,080.
 const MOST_ENDS: usize = 6;
-/// How likely it may be that a blocked request was at all those ends by chance. While servers end one after the
-/// other, requests that run for seconds are at three ends too: of 1,600 requests before 18 engines that ended
-/// 1.6 times a second by themselves, counting alone blocked 4 to 7; this blocks none of 79,080 (50 seeds).
-const CHANCE: f64 = 3e-5;
+/// How many requests may be expected at as many ends by chance where one is blocked for being there. While servers
+/// end one after the other, requests that run for seconds are at three ends too, and of a crowd some are at more.
+const EXPECTED: f64 = 1e-4;
+/// Requests of which a suspect counts as one at least: where few run, those that break meet again soon.
+const LEAST_REQUESTS: usize = 5;
 /// Ends from which on another request may be the cause of them.
 const RIVAL_ENDS: usize = 2;
 /// Time before the first and after the last of a request's ends in which others tell, too, how often servers of
@@ -56,17 +57,35 @@
 }
 
 impl Suspect {
-    /// How likely it is that a request which has no part in it is at so many ends, those left out at which
-    /// `rival` was too, while servers end at `rate` (Poisson). Callers that ask again at once, for what shares
-    /// a prompt, meet at the next server, so two suspects are often at the same ends.
-    fn chance(&self, rate: f64, rival: &Self) -> f64 {
+    /// How many requests that have no part in it are to be expected at as many of the ends around, those left out
+    /// at which `rival` was too, if each end may come at any server and moment. The suspect's own ends are among
+    /// them and so make no other more likely: else three ends in a row in a pool of five would pass for chance.
+    /// Callers that ask again at once, for what shares a prompt, meet at the next server, so two suspects are often
+    /// at the same ends.
+    fn expected(&self, around: Around, rival: &Self) -> f64 {
         let ends = self.ends.iter().filter(|(key, _)| !rival.ends.contains_key(*key));
         let ran: Vec<f64> = ends.map(|(_, ran)| ran.max(&LEAST_RAN).as_secs_f64()).collect();
-        let expected = rate * ran.iter().sum::<f64>();
-        (1..=ran.len()).map(|n| expected / n as f64).product()
+        if ran.len() < ENDS {
+            return f64::INFINITY;
+        }
+        let part = (ran.iter().sum::<f64>() / around.server_seconds).min(1.0);
+        let others = around.ends.saturating_sub(ran.len());
+        let chance: f64 = (1..=ran.len()).map(|n| (others + n) as f64 / n as f64 * part).product();
+        around.requests as f64 * chance
     }
 }
 
+/// What happened in a pool around some ends of its servers.
+#[derive(Debug, Clone, Copy)]
+struct Around {
+    /// Ends that nothing explains.
+    ends: usize,
+    /// Requests that broke at these, or [`LEAST_REQUESTS`].
+    requests: usize,
+    /// Seconds for which servers were there, added up.
+    server_seconds: f64,
+}
+
 /// What is known of a blocked request.
 #[derive(Debug, Clone, Copy)]
 struct Block {
@@ -124,19 +143,17 @@
         self.is_guilty(fingerprint) && self.block(now, fingerprint)
     }
 
-    /// Whether a request was at so many ends, and so briefly before each, that it was not there by chance,
-    /// also where another suspect may have caused some; or at more ends than it is worth to be sure.
+    /// Whether a request was at so many ends, and so briefly before each, that none of all that broke would be there
+    /// by chance, also where another suspect may have caused some; or at more ends than it is worth to be sure.
     fn is_guilty(&self, fingerprint: Fingerprint) -> bool {
         let Some(suspect) = self.suspects.get(&fingerprint) else { return false };
         if suspect.ends.len() < ENDS {
             return false;
         }
-        if suspect.ends.len() >= MOST_ENDS {
-            return true;
-        }
-        let (rate, none) = (self.rate_around(suspect), Suspect::default());
+        let (around, none) = (self.around(suspect), Suspect::default());
         let rivals = self.rivals(fingerprint, suspect).into_iter().chain([&none]);
-        rivals.map(|rival| suspect.chance(rate, rival)).all(|chance| chance <= CHANCE)
+        rivals.map(|rival| suspect.expected(around, rival)).all(|expected| expected <= EXPECTED)
+            || suspect.ends.len() >= MOST_ENDS
     }
 
     /// Others that were present at several ends of a suspect.
@@ -148,9 +165,8 @@
         others.filter(|other| other.ends.len() >= RIVAL_ENDS).collect()
     }
 
-    /// How often a server of a suspect's pool ended around the suspect's ends, a second. If it has no part in
-    /// them, they belong to what happens anyhow.
-    fn rate_around(&self, suspect: &Suspect) -> f64 {
+    /// How often servers of a suspect's pool ended around the suspect's ends.
+    fn around(&self, suspect: &Suspect) -> Around {
         let own = || suspect.ends.keys().filter_map(|key| self.ends.get(key));
         let first = own().map(|end| end.at).min().unwrap_or_default().saturating_sub(AROUND);
         let last = own().map(|end| end.at).max().unwrap_or_default() + AROUND;
@@ -158,7 +174,10 @@
         let there = self.ends.values().filter(|end| {
             !end.explained && Some(end.pool) == pool && (first..=last).contains(&end.at)
         });
-        there.count() as f64 / f64::from(suspect.servers.max(1)) / (last - first).as_secs_f64()
+        let there: Vec<&End> = there.collect();
+        let requests: BTreeSet<&Fingerprint> = there.iter().flat_map(|end| &end.present).collect();
+        let server_seconds = f64::from(suspect.servers.max(1)) * (last - first).as_secs_f64();
+        Around { ends: there.len(), requests: requests.len().max(LEAST_REQUESTS), server_seconds }
     }
 
     /// The end of a server that was noticed at this time, the first time or once more.
--- a/src/poison/tests.rs
+++ b/src/poison/tests.rs
@@ -59,6 +59,38 @@
     assert_eq!(blocked, [false, false, false, false, false, true]);
 }
 
+/// A completion ended four engines of five where it is to be blocked at three. The daemon tried it at once at three,
+/// which ended within 10 ms, 2 ms after each try; as the only ends of that time they made the rate of ends by which
+/// they were judged, so that a request without a part in them passed for likely enough to be there (5e-5).
+#[test]
+fn strike_in_a_row_in_a_small_pool_is_blocked_at_the_third_end() {
+    let mut state = State::default();
+    let blocked = [309, 312, 316].map(|at| {
+        let young = Strike { ran: ms(2), servers: 5, ..strike(CULPRIT, at) };
+        state.strike(ms(at), young)
+    });
+    assert_eq!(blocked, [false, false, true]);
+}
+
+/// One of 1,597 requests was at four of five ends of 18 engines that ended by themselves, 160 ms to 1.94 s after it
+/// had been sent there. That is unlikely of it (1e-5), but not of some one of all that broke there.
+#[test]
+fn strike_one_of_a_crowd_is_at_several_ends_by_chance() {
+    for (beside, is_blocked) in [(0, true), (10, false)] {
+        let mut state = State::default();
+        state.strike(ms(21_000), strike(CULPRIT, 9));
+        let ends = [(1, 19_070, 860), (2, 19_690, 410), (3, 20_010, 160), (4, 22_030, 1_500)];
+        let blocked = ends.map(|(server, at, ran)| {
+            for other in 0..beside {
+                let other = Fingerprint(100 * server + other);
+                state.strike(ms(at), Strike { ran: ms(ran), ..strike(other, server) });
+            }
+            state.strike(ms(at), Strike { ran: ms(ran), ..strike(BESIDE, server) })
+        });
+        assert_eq!(blocked.contains(&true), is_blocked, "{beside} beside it at each end");
+    }
+}
+
 #[test]
 fn strike_with_a_rival_waits_for_an_end_that_tells_them_apart() {
     let mut state = State::default();
