Take no late record of a key that a list had left out

A server, or a block, that had been removed came back at a daemon that had read the list of what was left, by a peer's frame from before: the list says of removed keys nothing but their absence, so an unknown key whose record lies before the list's end was removed by then.

--- a/src/fleet/catalog.rs
+++ b/src/fleet/catalog.rs
@@ -81,7 +81,12 @@
     /// ```
     pub fn take(&mut self, topic: Topic, record: &Record) -> bool {
         let shelf = self.shelves.entry(topic).or_default();
-        if shelf.records.get(&record.key).is_some_and(|(offset, _)| *offset >= record.offset) {
+        let is_new = match shelf.records.get(&record.key) {
+            Some((offset, _)) => record.offset > *offset,
+            // A key that was in no list of what was left, and is told of late, was removed before it.
+            None => record.offset >= shelf.removals_from,
+        };
+        if !is_new {
             return false;
         }
         shelf.records.insert(record.key.clone(), (record.offset, record.value.clone()));
--- a/src/fleet/records.rs
+++ b/src/fleet/records.rs
@@ -53,8 +53,10 @@
         let Batch { topic, to, .. } = batch;
         let gone = self.catalog.missing(topic, &batch.records, to);
         self.take_records(now, topic, &gone, Since::Unknown);
+        let since = self.named_since(now, &batch);
+        self.take_records(now, topic, &batch.records, since);
         self.catalog.take_whole(topic, to);
-        self.take(now, batch, false);
+        self.known.insert(topic);
     }
 
     /// Takes a batch from the store or from a peer, and tells some peers of what was new in it.
