--- a/src/fleet/tests/deadly.rs
+++ b/src/fleet/tests/deadly.rs
@@ -187,9 +187,9 @@
 
 // Six late tries of a culprit: a request that only ran beside two culprits was at six ends within five seconds and was
 // blocked for it; "9.1s block of 1f explains the end at 7.24s, where were [1f, fffffffffffffffe]", and so on. These ends no
-// longer counted against the culprits, which went from five ends to three and ended eight engines more. And four late
-// tries: at five ends two copies of a culprit were sent to one engine, "10.8s sent by 0 to 10.0.0.105:80", "10.88s sent by
-// 0 to 10.0.0.105:80", and two more to another.
+// longer counted against the culprits, which went from five ends each to two and three, and ended seven engines more. And
+// four late tries: two copies of a culprit with four ends were sent to one engine, "10.8s sent by 0 to 10.0.0.105:80",
+// "10.88s sent by 0 to 10.0.0.105:80", and two more to another when it had five.
 #[test]
 fn requests_that_end_engines_now_and_then_are_stopped_in_a_pool_of_nine() {
     trickles_are_stopped(3, 9, &[26, 46]);
