--- a/src/fleet/tests/mod.rs
+++ b/src/fleet/tests/mod.rs
@@ -4,6 +4,7 @@
 mod beliefs;
 mod beside;
 mod catalog;
+mod deadly;
 mod frames;
 mod lives;
 mod naming;
