--- a/src/fleet/catalog.rs
+++ b/src/fleet/catalog.rs
@@ -178,7 +178,8 @@
             let mut gone: Vec<u64> = shelf
                 .records
                 .values()
-                .filter(|(_, value)| value.is_none())
+                // Past a gap it is not known what else was removed.
+                .filter(|(offset, value)| value.is_none() && *offset < shelf.end)
                 .map(|(offset, _)| *offset)
                 .collect();
             if gone.len() <= MAX_GONE {
--- a/src/fleet/frame/mod.rs
+++ b/src/fleet/frame/mod.rs
@@ -111,7 +111,9 @@
                 wire::Body::Ask(wire::Ask { daemon, topic: topic as u32, from })
             }
             Self::Records(batch) => wire::Body::Records(batch.into()),
-            Self::Snapshot(batch) => wire::Body::Snapshot(batch.into()),
+            Self::Snapshot(batch) => {
+                wire::Body::Records(wire::Records { whole: true, ..batch.into() })
+            }
             Self::Notice(notice) => {
                 let Notice { daemon, life, busy, parts } = notice;
                 wire::Body::Notice(wire::Notice { daemon, busy: Some((life, busy).into()), parts })
@@ -135,8 +137,10 @@
             None => Err(Malformed("the frame is empty".into())),
             Some(wire::Body::Digest(digest)) => Ok(Self::Digest(Box::new(digest.try_into()?))),
             Some(wire::Body::Ask(ask)) => Ok(Self::Ask(ask.daemon, topic(ask.topic)?, ask.from)),
+            Some(wire::Body::Records(records)) if records.whole => {
+                Ok(Self::Snapshot(records.try_into()?))
+            }
             Some(wire::Body::Records(records)) => Ok(Self::Records(records.try_into()?)),
-            Some(wire::Body::Snapshot(records)) => Ok(Self::Snapshot(records.try_into()?)),
             Some(wire::Body::Notice(notice)) => {
                 let busy = notice.busy.ok_or_else(|| Malformed("a notice tells nothing".into()))?;
                 let (life, busy) = busy.into();
@@ -227,6 +231,7 @@
             records: batch.records.into_iter().map(wire::Record::from).collect(),
             from: batch.from,
             to: batch.to,
+            whole: false,
         }
     }
 }
--- a/src/fleet/frame/wire.rs
+++ b/src/fleet/frame/wire.rs
@@ -117,6 +117,9 @@
     pub(super) from: u64,
     #[prost(uint64, tag = "4")]
     pub(super) to: u64,
+    /// Whether these are all that is left of the topic.
+    #[prost(bool, tag = "5")]
+    pub(super) whole: bool,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -187,12 +190,10 @@
     Verdict(WireVerdict),
     #[prost(message, tag = "10")]
     Poison(WirePoison),
-    #[prost(message, tag = "11")]
-    Snapshot(Records),
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
 pub(super) struct Frame {
-    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11")]
+    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10")]
     pub(super) body: Option<Body>,
 }
