Show that removals forgotten past a gap shut out what comes to fill it (failing test)

trim sets removals_from to the oldest removal that is kept, also where that lies past a gap: with more than 4,096 of them, records in the gap are refused as gone when they come. What holds: forget only removals before the end.

--- a/src/fleet/tests/parts.rs
+++ b/src/fleet/tests/parts.rs
@@ -235,3 +235,15 @@
     let taken: f64 = shares.sum();
     assert!(taken <= POLICY.retry_slack, "{taken}");
 }
+
+// More removals than are kept came past a gap. What was forgotten of them says nothing of the records in the gap,
+// and these were refused as gone when they came.
+#[test]
+fn removals_forgotten_past_a_gap_shut_out_nothing_before_them() {
+    let mut catalog = Catalog::default();
+    for offset in 10_000..15_000 {
+        catalog.take(Topic::Servers, &record(&format!("s-{offset}"), offset, ""));
+    }
+    catalog.trim();
+    assert!(catalog.take(Topic::Servers, &record("s-1", 5, "plain 11 ready")));
+}
