--- a/src/control/peers.rs
+++ b/src/control/peers.rs
@@ -69,7 +69,7 @@
             copies: self.recent_copies(now),
             leaving,
             draining: self.draining,
-            blocked: self.poison.unkept(),
+            blocked: self.poison.unkept(now),
             ledger_next: self.ledger.next(),
         }
     }
@@ -121,7 +121,7 @@
     pub(super) fn frame(&mut self, now: Time, frame: Frame) {
         match frame {
             Frame::Digest(digest) => self.take_digest(now, digest),
-            Frame::Ask(daemon) => self.answer_ask(&daemon),
+            Frame::Ask(daemon) => self.answer_ask(now, &daemon),
             Frame::Snapshot(snapshot) => self.take_snapshot(now, snapshot),
             Frame::Poison(message) => self.poison_came(now, message),
         }
@@ -144,17 +144,17 @@
         self.peers.insert(digest.daemon.clone(), Peer { digest, at: now });
     }
 
-    fn answer_ask(&mut self, daemon: &str) {
+    fn answer_ask(&mut self, now: Time, daemon: &str) {
         let Some(vm) = self.membership.routers().get(daemon) else {
             return;
         };
         let address = vm.address;
-        let snapshot = self.snapshot();
+        let snapshot = self.snapshot(now);
         self.effects.push(Effect::Send(address, Frame::Snapshot(snapshot)));
     }
 
     /// This daemon's folded state.
-    pub fn snapshot(&self) -> Snapshot {
+    pub fn snapshot(&self, now: Time) -> Snapshot {
         let slots: Vec<(&ledger::Key, &ledger::Slot)> = self.ledger.iter().collect();
         let force = self.force();
         let json = |force: &Arc<manifest::Force>| serde_json::to_string(&force.manifest).ok();
@@ -166,7 +166,7 @@
             ledger_next: self.ledger.next(),
             ledger_time_ms: self.ledger.time_ms(),
             ledger: serde_json::to_string(&slots).unwrap_or_default(),
-            blocked: self.poison.blocked().collect(),
+            blocked: self.poison.blocked(now).collect(),
         }
     }
 
--- a/src/control/poison.rs
+++ b/src/control/poison.rs
@@ -9,7 +9,7 @@
 use crate::membership;
 use crate::peer::Frame;
 use crate::poison::{
-    Answer, BLOCKED_FOR, Fingerprint, Lost, Message, Probe, Record, Steps, Strike, Suspect, Victim,
+    Answer, Blocked, Fingerprint, Lost, Message, Probe, Record, Steps, Strike, Suspect, Victim,
 };
 use crate::prelude::*;
 
@@ -137,17 +137,19 @@
         if blocked.is_empty() {
             return;
         }
-        self.tell_peers(&Message::Blocked(blocked.clone()));
+        let new = blocked.iter();
+        let new = new.map(|block| Blocked { fingerprint: *block, age: Duration::ZERO }).collect();
+        self.tell_peers(&Message::Blocked(new));
         for fingerprint in blocked {
             self.blocked(now, fingerprint);
         }
     }
 
     /// Takes over what peers, or the log, say is blocked.
-    pub(super) fn hear_blocked(&mut self, now: Time, blocked: &[Fingerprint]) {
-        for fingerprint in blocked {
-            if self.poison.block(now, *fingerprint) {
-                self.blocked(now, *fingerprint);
+    pub(super) fn hear_blocked(&mut self, now: Time, blocked: &[Blocked]) {
+        for told in blocked {
+            if self.poison.hear(now, *told) {
+                self.blocked(now, told.fingerprint);
             }
         }
     }
@@ -155,7 +157,10 @@
     /// Ends the requests that have just been blocked, but for those whose answer has begun.
     fn blocked(&mut self, now: Time, fingerprint: Fingerprint) {
         let detail = Detail::of("fingerprint", fingerprint.to_string());
-        self.event(Event::RequestBlocked, detail.and("left_ms", BLOCKED_FOR));
+        self.event(
+            Event::RequestBlocked,
+            detail.and("left_ms", self.poison.left(now, fingerprint)),
+        );
         let same = self.requests.iter().filter(|(_, s)| s.arrival.fingerprint == fingerprint);
         let same: Vec<(attempt::Key, Phase, u32)> =
             same.map(|(key, state)| (*key, state.phase, state.attempts)).collect();
@@ -211,8 +216,8 @@
         }
         self.blocks.next = offset + 1;
         let (blocked, lifted) = Record::decode(text)?;
-        self.hear_blocked(now, &blocked);
         for fingerprint in blocked {
+            self.hear_blocked(now, &[Blocked { fingerprint, age: Duration::ZERO }]);
             self.poison.kept(fingerprint);
         }
         for fingerprint in lifted {
@@ -246,7 +251,8 @@
         let renewal = Duration::from_secs(reading.retention_s) / RENEW_PART;
         if first && reading.up && now >= self.blocks.renewed + renewal {
             self.blocks.renewed = now;
-            let blocked: Vec<Fingerprint> = self.poison.blocked().collect();
+            let blocked: Vec<Fingerprint> =
+                self.poison.blocked(now).map(|block| block.fingerprint).collect();
             self.append_blocked(&blocked, &[]);
         }
     }
--- a/src/control/tests/at_most_once.rs
+++ b/src/control/tests/at_most_once.rs
@@ -184,9 +184,9 @@
             world.read(*index, Stream::Manifest);
         }
         // They hear each other's folded state before anything else.
-        let empty = world.nodes[started[0]].snapshot();
+        let empty = world.nodes[started[0]].snapshot(world.now);
         world.tell(started[1], Message::Frame(Frame::Snapshot(empty)));
-        let empty = world.nodes[started[1]].snapshot();
+        let empty = world.nodes[started[1]].snapshot(world.now);
         world.tell(started[0], Message::Frame(Frame::Snapshot(empty)));
         exchange(&mut world, 30);
         for index in started {
--- a/src/control/tests/blocks.rs
+++ b/src/control/tests/blocks.rs
@@ -3,7 +3,7 @@
 use super::world::{Action, Faults, World};
 use crate::control::{self, Effect, Identity, Message, Node, Policy, Read, Stream};
 use crate::peer::Frame;
-use crate::poison::{self, Fingerprint, Record};
+use crate::poison::{self, Blocked, Fingerprint, Record};
 use crate::prelude::*;
 
 const HOUR: Duration = Duration::from_secs(3_600);
@@ -50,7 +50,7 @@
     for index in 0..2 {
         world.tell(index, Message::LogDown(Stream::Blocked));
     }
-    let block = poison::Message::Blocked(vec![FATAL]);
+    let block = poison::Message::Blocked(vec![Blocked { fingerprint: FATAL, age: Duration::ZERO }]);
     world.tell(0, Message::Frame(Frame::Poison(block)));
     rounds(&mut world, 5);
     world.log.get_mut(&Stream::Blocked).expect("it is there").clear();
@@ -99,7 +99,7 @@
     world.read(0, Stream::Blocked);
     assert_eq!(blocked(&world), [0, 1]);
     let records = world.log[&Stream::Blocked].len();
-    let snapshot = world.nodes[1].snapshot();
+    let snapshot = world.nodes[1].snapshot(world.now);
     world.tell(0, Message::Frame(Frame::Snapshot(snapshot)));
     world.now += Duration::from_secs(1);
     world.tell(0, Message::Tick);
--- a/src/control/tests/manifests.rs
+++ b/src/control/tests/manifests.rs
@@ -114,7 +114,7 @@
     let page = first_page(&world);
     world.tell(0, page);
     world.kill(1);
-    let snapshot = world.nodes[0].snapshot();
+    let snapshot = world.nodes[0].snapshot(world.now);
     world.tell(1, Message::Frame(Frame::Snapshot(snapshot)));
     assert_eq!(world.generations[1], Vec::<u64>::new());
 }
--- a/src/fleet/frame/mod.rs
+++ b/src/fleet/frame/mod.rs
@@ -6,7 +6,7 @@
 
 use super::scheduling::{Progress, Submission, Verdict};
 use super::{Batch, Keeper, Life, Naming, Notice, Record, Told, Topic};
-use crate::poison::{self, Fingerprint};
+use crate::poison::{self, Blocked, Fingerprint};
 use crate::prelude::*;
 
 /// A frame that is not well-formed.
@@ -60,7 +60,7 @@
     /// Bytes that it has had moved over the KV store's link since its start.
     pub link_moved: u64,
     /// Requests that are blocked and that the platform's store is not known to keep yet.
-    pub blocked: Vec<Fingerprint>,
+    pub blocked: Vec<Blocked>,
     /// Weights that were named lately, in ascending order of versions for each model.
     pub named: Vec<Naming>,
 }
@@ -291,6 +291,7 @@
 
 impl From<Digest> for wire::Digest {
     fn from(digest: Digest) -> Self {
+        let (blocked, blocked_ages_ms) = poison::from_blocked(&digest.blocked);
         let busy = digest.busy.into_iter().map(wire::Busy::from);
         let weights = digest.weights.into_iter().map(|(life, model, version)| wire::Weights {
             server: life.id,
@@ -313,7 +314,8 @@
             hot_work_ms: digest.heat.iter().map(|(_, work_ms)| *work_ms).collect(),
             refused: digest.refused.into_iter().map(|fingerprint| fingerprint.0).collect(),
             link_moved: digest.link_moved,
-            blocked: digest.blocked.into_iter().map(|fingerprint| fingerprint.0).collect(),
+            blocked,
+            blocked_ages_ms,
             named: digest.named.into_iter().map(wire::Naming::from).collect(),
         }
     }
@@ -355,7 +357,7 @@
             heat: digest.hot_parts.into_iter().zip(digest.hot_work_ms).collect(),
             refused: digest.refused.into_iter().map(Fingerprint).collect(),
             link_moved: digest.link_moved,
-            blocked: digest.blocked.into_iter().map(Fingerprint).collect(),
+            blocked: poison::to_blocked(digest.blocked, digest.blocked_ages_ms),
             named: digest.named.into_iter().map(Naming::from).collect(),
         })
     }
--- a/src/fleet/frame/wire.rs
+++ b/src/fleet/frame/wire.rs
@@ -69,6 +69,8 @@
     pub(super) blocked: Vec<u64>,
     #[prost(message, repeated, tag = "16")]
     pub(super) named: Vec<Naming>,
+    #[prost(uint32, repeated, tag = "17")]
+    pub(super) blocked_ages_ms: Vec<u32>,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
--- a/src/fleet/gossip.rs
+++ b/src/fleet/gossip.rs
@@ -188,7 +188,7 @@
             heat: Vec::new(),
             refused: self.expected.own(),
             link_moved: self.link.moved(),
-            blocked: self.poison.unkept(),
+            blocked: self.poison.unkept(now),
             named: self.rollout.namings.told(now, self.policy.weights_limit),
         }
     }
--- a/src/fleet/poison.rs
+++ b/src/fleet/poison.rs
@@ -8,7 +8,7 @@
 use super::request::{Phase, Request};
 use super::{Command, Effect, Frame, Key, Node, Server, server};
 use crate::poison::{
-    Answer, BLOCKED_FOR, Fingerprint, Lost, Message, Probe, Steps, Strike, Suspect, Victim,
+    Answer, Blocked, Fingerprint, Lost, Message, Probe, Steps, Strike, Suspect, Victim,
 };
 use crate::prelude::*;
 
@@ -129,7 +129,9 @@
             return;
         }
         let addresses = self.fresh_addresses(now);
-        self.tell_of_poison(addresses, Message::Blocked(blocked.clone()));
+        let new = blocked.iter();
+        let new = new.map(|block| Blocked { fingerprint: *block, age: Duration::ZERO }).collect();
+        self.tell_of_poison(addresses, Message::Blocked(new));
         for fingerprint in blocked {
             self.let_go.remove(&fingerprint);
             self.blocked(now, fingerprint);
@@ -138,10 +140,10 @@
 
     /// Takes over what peers say is blocked. They may say so late: what the store has let go since stays so,
     /// or one daemon that wakes would block it everywhere for another day.
-    pub(super) fn hear_blocked(&mut self, now: Time, blocked: &[Fingerprint]) {
-        for fingerprint in blocked {
-            if !self.let_go.contains_key(fingerprint) && self.poison.block(now, *fingerprint) {
-                self.blocked(now, *fingerprint);
+    pub(super) fn hear_blocked(&mut self, now: Time, blocked: &[Blocked]) {
+        for told in blocked {
+            if !self.let_go.contains_key(&told.fingerprint) && self.poison.hear(now, *told) {
+                self.blocked(now, told.fingerprint);
             }
         }
     }
@@ -150,7 +152,8 @@
     fn blocked(&mut self, now: Time, fingerprint: Fingerprint) {
         self.event(
             Event::RequestBlocked,
-            Detail::of("fingerprint", fingerprint.to_string()).and("left_ms", BLOCKED_FOR),
+            Detail::of("fingerprint", fingerprint.to_string())
+                .and("left_ms", self.poison.left(now, fingerprint)),
         );
         let ended = self.requests.iter().filter(|(_, request)| {
             request.arrival.fingerprint == fingerprint && !request.has_begun()
@@ -234,7 +237,7 @@
     /// Takes over that the platform's store keeps a block.
     pub(super) fn block_kept(&mut self, now: Time, fingerprint: Fingerprint) {
         self.let_go.remove(&fingerprint);
-        self.hear_blocked(now, &[fingerprint]);
+        self.hear_blocked(now, &[Blocked { fingerprint, age: Duration::ZERO }]);
         self.poison.kept(fingerprint);
     }
 
--- a/src/fleet/tests/frames.rs
+++ b/src/fleet/tests/frames.rs
@@ -26,7 +26,10 @@
         heat: vec![(9, 120.5), (10, 0.0)],
         refused: vec![Fingerprint(7)],
         link_moved: 1 << 40,
-        blocked: vec![Fingerprint(9)],
+        blocked: vec![poison::Blocked {
+            fingerprint: Fingerprint(9),
+            age: Duration::from_millis(70),
+        }],
         named: vec![Naming { model: "m".into(), version: 4, age: Some(Duration::from_millis(70)) }],
     }
 }
@@ -65,7 +68,10 @@
             age: Duration::from_millis(70),
         }])),
         Frame::Poison(poison::Message::Served(Fingerprint(0))),
-        Frame::Poison(poison::Message::Blocked(vec![Fingerprint(4), Fingerprint(5)])),
+        Frame::Poison(poison::Message::Blocked(vec![
+            poison::Blocked { fingerprint: Fingerprint(4), age: Duration::ZERO },
+            poison::Blocked { fingerprint: Fingerprint(5), age: Duration::from_secs(86_399) },
+        ])),
     ] {
         assert_eq!(Frame::decode(&frame.encode()), Ok(frame));
     }
--- a/src/fleet/tests/parts.rs
+++ b/src/fleet/tests/parts.rs
@@ -202,15 +202,16 @@
     daemon.put(ms(0), Topic::Routers, &[("blocked-77", "blocked 77")]);
     assert!(daemon.node.poison.is_blocked(fatal));
     daemon.put(ms(1_000), Topic::Routers, &[("blocked-77", "")]);
+    let told = crate::poison::Blocked { fingerprint: fatal, age: Duration::ZERO };
     let late = Digest {
         daemon: "router-3".into(),
         address: address(3).to_string(),
-        blocked: vec![fatal],
+        blocked: vec![told],
         ..Digest::default()
     };
     daemon.node.apply(ms(1_100), Message::Frame(Frame::Digest(Box::new(late))));
     assert!(!daemon.node.poison.is_blocked(fatal));
-    let late = crate::poison::Message::Blocked(vec![fatal]);
+    let late = crate::poison::Message::Blocked(vec![told]);
     daemon.node.apply(ms(1_200), Message::Frame(Frame::Poison(late)));
     assert!(!daemon.node.poison.is_blocked(fatal));
     // The store's own next word counts.
--- a/src/peer/frame.rs
+++ b/src/peer/frame.rs
@@ -5,7 +5,7 @@
 
 use prost::Message as _;
 
-use crate::poison::{self, Fingerprint};
+use crate::poison::{self, Blocked};
 use crate::prefix;
 use crate::prelude::*;
 
@@ -52,7 +52,7 @@
     /// Whether the daemon itself is stopping.
     pub draining: bool,
     /// Requests that are blocked and that the log is not known to keep yet.
-    pub blocked: Vec<Fingerprint>,
+    pub blocked: Vec<Blocked>,
     /// The offset up to which it knows the ledger stream.
     pub ledger_next: u64,
 }
@@ -75,7 +75,7 @@
     /// Every key with what is known of it, as JSON text of (key, slot) pairs.
     pub ledger: String,
     /// Requests that are blocked.
-    pub blocked: Vec<Fingerprint>,
+    pub blocked: Vec<Blocked>,
 }
 
 /// One frame between daemons.
@@ -144,6 +144,8 @@
         pub blocked: Vec<u64>,
         #[prost(uint64, tag = "10")]
         pub ledger_next: u64,
+        #[prost(uint32, repeated, tag = "11")]
+        pub blocked_ages_ms: Vec<u32>,
     }
 
     #[derive(Clone, PartialEq, prost::Message)]
@@ -164,6 +166,8 @@
         pub ledger: String,
         #[prost(fixed64, repeated, tag = "8")]
         pub blocked: Vec<u64>,
+        #[prost(uint32, repeated, tag = "9")]
+        pub blocked_ages_ms: Vec<u32>,
     }
 
     #[derive(Clone, PartialEq, prost::Message)]
@@ -229,6 +233,7 @@
 
 impl From<Digest> for wire::Digest {
     fn from(digest: Digest) -> Self {
+        let (blocked, blocked_ages_ms) = poison::from_blocked(&digest.blocked);
         let busy = digest.busy.into_iter().map(|(server, busy)| wire::Busy {
             server,
             requests: busy.requests,
@@ -247,7 +252,8 @@
             leaving: digest.leaving,
             draining: digest.draining,
             copies: digest.copies.into_iter().map(wire::Copy::from).collect(),
-            blocked: digest.blocked.into_iter().map(|fingerprint| fingerprint.0).collect(),
+            blocked,
+            blocked_ages_ms,
             ledger_next: digest.ledger_next,
         }
     }
@@ -278,7 +284,7 @@
             leaving: digest.leaving,
             draining: digest.draining,
             copies: digest.copies.into_iter().map(Copy::from).collect(),
-            blocked: digest.blocked.into_iter().map(Fingerprint).collect(),
+            blocked: poison::to_blocked(digest.blocked, digest.blocked_ages_ms),
             ledger_next: digest.ledger_next,
         })
     }
@@ -286,6 +292,7 @@
 
 impl From<Snapshot> for wire::Snapshot {
     fn from(snapshot: Snapshot) -> Self {
+        let (blocked, blocked_ages_ms) = poison::from_blocked(&snapshot.blocked);
         Self {
             manifest_next: snapshot.manifest_next,
             generation: snapshot.generation,
@@ -294,7 +301,8 @@
             ledger_next: snapshot.ledger_next,
             ledger_time_ms: snapshot.ledger_time_ms,
             ledger: snapshot.ledger,
-            blocked: snapshot.blocked.into_iter().map(|fingerprint| fingerprint.0).collect(),
+            blocked,
+            blocked_ages_ms,
         }
     }
 }
@@ -309,7 +317,7 @@
             ledger_next: wire.ledger_next,
             ledger_time_ms: wire.ledger_time_ms,
             ledger: wire.ledger,
-            blocked: wire.blocked.into_iter().map(Fingerprint).collect(),
+            blocked: poison::to_blocked(wire.blocked, wire.blocked_ages_ms),
         }
     }
 }
--- a/src/peer/tests.rs
+++ b/src/peer/tests.rs
@@ -3,7 +3,7 @@
 use quickcheck::quickcheck;
 
 use super::*;
-use crate::poison::{self, Fingerprint};
+use crate::poison::{self, Blocked, Fingerprint};
 use crate::prefix::Key;
 use crate::prelude::*;
 
@@ -17,14 +17,14 @@
         copies: vec![Copy { level: Key(1), server: "engine".into(), incarnation: "one".into() }],
         leaving: vec!["gone".into()],
         draining: true,
-        blocked: vec![Fingerprint(5)],
+        blocked: vec![Blocked { fingerprint: Fingerprint(5), age: Duration::from_millis(70) }],
         ledger_next: 8,
     }
 }
 
 #[test]
 fn decode_what_was_encoded() {
-    let blocked = vec![Fingerprint(9)];
+    let blocked = vec![Blocked { fingerprint: Fingerprint(9), age: Duration::from_secs(86_399) }];
     let manifest = "{}".into();
     let snapshot = Snapshot { generation: 4, manifest, blocked, ..Snapshot::default() };
     let served = poison::Message::Served(Fingerprint(6));
--- a/src/poison/message.rs
+++ b/src/poison/message.rs
@@ -20,6 +20,15 @@
     pub age: Duration,
 }
 
+/// A request that is blocked.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Blocked {
+    /// The request.
+    pub fingerprint: Fingerprint,
+    /// For how long it has been blocked.
+    pub age: Duration,
+}
+
 /// A daemon's word on such requests.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Message {
@@ -28,5 +37,5 @@
     /// This one was answered: it ends no servers.
     Served(Fingerprint),
     /// These are blocked.
-    Blocked(Vec<Fingerprint>),
+    Blocked(Vec<Blocked>),
 }
--- a/src/poison/mod.rs
+++ b/src/poison/mod.rs
@@ -17,9 +17,9 @@
 mod wire;
 
 pub use fingerprint::Fingerprint;
-pub use message::{Message, Strike};
+pub use message::{Blocked, Message, Strike};
 pub use record::Record;
 pub use state::{BLOCKED_FOR, State};
 pub use victim::Victim;
 pub use watch::{Answer, Lost, Probe, Steps, Suspect, Watch};
-pub(crate) use wire::Message as WireMessage;
+pub(crate) use wire::{Message as WireMessage, from_blocked, to_blocked};
--- a/src/poison/state.rs
+++ b/src/poison/state.rs
@@ -1,6 +1,6 @@
 //! Which requests were there when servers ended, and which are blocked for it.
 
-use super::{Fingerprint, Strike, Victim};
+use super::{Blocked, Fingerprint, Strike, Victim};
 use crate::prelude::*;
 
 /// Servers that end under a request before it is blocked. At one or two ends others may have been there by
@@ -89,13 +89,23 @@
 /// What is known of a blocked request.
 #[derive(Debug, Clone, Copy)]
 struct Block {
-    since: Time,
+    /// When this daemon heard of it.
+    heard: Time,
+    /// For how long it had been blocked by then, maybe since before this daemon's clock began.
+    age: Duration,
     /// Whether the platform's store is known to keep it.
     kept: bool,
     /// When it is next to be written there.
     write_at: Time,
 }
 
+impl Block {
+    /// For how long the request has been blocked.
+    fn age(&self, now: Time) -> Duration {
+        now.saturating_sub(self.heard).saturating_add(self.age)
+    }
+}
+
 /// Ends of servers, and blocked requests.
 #[derive(Debug, Default)]
 pub struct State {
@@ -223,19 +233,32 @@
 
     /// Blocks a request; whether it was not blocked before.
     pub fn block(&mut self, now: Time, fingerprint: Fingerprint) -> bool {
-        for key in self.suspects.remove(&fingerprint).unwrap_or_default().ends.into_keys() {
-            self.explain(key);
+        self.hear(now, Blocked { fingerprint, age: Duration::ZERO })
+    }
+
+    /// Takes over that others have blocked a request; whether it was not blocked before. The longest age that is told
+    /// holds: counted from each hearing, two daemons would keep a block alive for each other.
+    pub fn hear(&mut self, now: Time, told: Blocked) -> bool {
+        let Blocked { fingerprint, age } = told;
+        if let Some(block) = self.blocks.get_mut(&fingerprint) {
+            if age > block.age(now) {
+                (block.heard, block.age) = (now, age);
+            }
+            return false;
         }
-        if self.blocks.contains_key(&fingerprint) {
+        if age >= BLOCKED_FOR {
             return false;
         }
+        for key in self.suspects.remove(&fingerprint).unwrap_or_default().ends.into_keys() {
+            self.explain(key);
+        }
         if self.blocks.len() >= MAX_BLOCKS
-            && let Some(oldest) = self.blocks.iter().min_by_key(|(_, block)| block.since)
+            && let Some(oldest) = self.blocks.iter().max_by_key(|(_, block)| block.age(now))
         {
             let oldest = *oldest.0;
             self.blocks.remove(&oldest);
         }
-        self.blocks.insert(fingerprint, Block { since: now, kept: false, write_at: now });
+        self.blocks.insert(fingerprint, Block { heard: now, age, kept: false, write_at: now });
         true
     }
 
@@ -274,7 +297,7 @@
     /// How long a block still lasts.
     pub fn left(&self, now: Time, fingerprint: Fingerprint) -> Duration {
         let block = self.blocks.get(&fingerprint);
-        block.map_or(Duration::ZERO, |block| (block.since + BLOCKED_FOR).saturating_sub(now))
+        block.map_or(Duration::ZERO, |block| BLOCKED_FOR.saturating_sub(block.age(now)))
     }
 
     /// Whether a request that is found at so many more ends of servers has been at as many as it takes to
@@ -322,14 +345,20 @@
     }
 
     /// Blocks that the platform's store is not known to keep.
-    pub fn unkept(&self) -> Vec<Fingerprint> {
-        let unkept = self.blocks.iter().filter(|(_, block)| !block.kept);
-        unkept.map(|(fingerprint, _)| *fingerprint).collect()
+    pub fn unkept(&self, now: Time) -> Vec<Blocked> {
+        let unkept = |blocked: &Blocked| {
+            self.blocks.get(&blocked.fingerprint).is_some_and(|block| !block.kept)
+        };
+        self.blocked(now).filter(unkept).collect()
     }
 
     /// All blocks.
-    pub fn blocked(&self) -> impl Iterator<Item = Fingerprint> {
-        self.blocks.keys().copied()
+    pub fn blocked(&self, now: Time) -> impl Iterator<Item = Blocked> {
+        let blocks = self.blocks.iter();
+        blocks.map(move |(fingerprint, block)| Blocked {
+            fingerprint: *fingerprint,
+            age: block.age(now),
+        })
     }
 
     /// Blocks that are to be written to the platform's store now, and again after `pause` where it is not
@@ -358,7 +387,7 @@
             self.explain(key);
             self.ends.remove(&key);
         }
-        let lapsed = self.blocks.iter().filter(|(_, block)| now >= block.since + BLOCKED_FOR);
+        let lapsed = self.blocks.iter().filter(|(_, block)| block.age(now) >= BLOCKED_FOR);
         let lapsed: Vec<Fingerprint> = lapsed.map(|(fingerprint, _)| *fingerprint).collect();
         for fingerprint in &lapsed {
             self.blocks.remove(fingerprint);
--- a/src/poison/tests.rs
+++ b/src/poison/tests.rs
@@ -186,6 +186,19 @@
     assert!(!state.is_blocked(CULPRIT));
 }
 
+#[test]
+fn hear_longest_age_holds() {
+    let mut state = State::default();
+    let told = |age| Blocked { fingerprint: CULPRIT, age };
+    assert!(state.hear(ms(1_000), told(BLOCKED_FOR / 2)));
+    assert!(!state.hear(ms(2_000), told(ms(0))), "it is known");
+    assert_eq!(state.left(ms(2_000), CULPRIT), BLOCKED_FOR / 2 - ms(1_000));
+    assert!(!state.hear(ms(2_000), told(BLOCKED_FOR - ms(10))));
+    assert_eq!(state.unkept(ms(2_005)), [told(BLOCKED_FOR - ms(5))]);
+    assert_eq!(state.expire(ms(2_010)), [CULPRIT]);
+    assert!(!state.hear(ms(2_020), told(BLOCKED_FOR)), "it has lapsed");
+}
+
 #[test]
 fn expire_bounds_what_is_remembered() {
     let mut state = State::default();
--- a/src/poison/wire.rs
+++ b/src/poison/wire.rs
@@ -35,6 +35,24 @@
     served: Option<u64>,
     #[prost(fixed64, repeated, tag = "3")]
     blocked: Vec<u64>,
+    #[prost(uint32, repeated, tag = "4")]
+    blocked_ages_ms: Vec<u32>,
+}
+
+/// Blocked requests, and for how long they have been, as two lists.
+pub(crate) fn from_blocked(blocked: &[super::Blocked]) -> (Vec<u64>, Vec<u32>) {
+    blocked.iter().map(|block| (block.fingerprint.0, ms(block.age))).unzip()
+}
+
+/// Blocked requests from two such lists; one that no age is told of has just been blocked.
+pub(crate) fn to_blocked(fingerprints: Vec<u64>, ages_ms: Vec<u32>) -> Vec<super::Blocked> {
+    let ages = ages_ms.into_iter().chain(std::iter::repeat(0));
+    let blocked = fingerprints.into_iter().zip(ages);
+    let blocked = blocked.map(|(fingerprint, age_ms)| super::Blocked {
+        fingerprint: Fingerprint(fingerprint),
+        age: Duration::from_millis(u64::from(age_ms)),
+    });
+    blocked.collect()
 }
 
 impl From<super::Message> for Message {
@@ -47,8 +65,8 @@
                 Self { served: Some(fingerprint.0), ..Self::default() }
             }
             super::Message::Blocked(blocked) => {
-                let blocked = blocked.into_iter().map(|fingerprint| fingerprint.0).collect();
-                Self { blocked, ..Self::default() }
+                let (blocked, blocked_ages_ms) = from_blocked(&blocked);
+                Self { blocked, blocked_ages_ms, ..Self::default() }
             }
         }
     }
@@ -60,7 +78,7 @@
             return Self::Served(Fingerprint(served));
         }
         if wire.strikes.is_empty() {
-            return Self::Blocked(wire.blocked.into_iter().map(Fingerprint).collect());
+            return Self::Blocked(to_blocked(wire.blocked, wire.blocked_ages_ms));
         }
         Self::Strikes(wire.strikes.into_iter().map(Struck::from).collect())
     }
