Take no lifted block back from a peer on the own interface

The users' platform's daemons kept what was let go for an hour; that piece now lives in poison::State and serves both: what was lifted is taken from the store and from new ends of servers only.

--- a/src/control/poison.rs
+++ b/src/control/poison.rs
@@ -145,7 +145,7 @@
         }
     }
 
-    /// Takes over what peers, or the log, say is blocked.
+    /// Takes over what peers say is blocked.
     pub(super) fn hear_blocked(&mut self, now: Time, blocked: &[Blocked]) {
         for told in blocked {
             if self.poison.hear(now, *told) {
@@ -217,11 +217,12 @@
         self.blocks.next = offset + 1;
         let (blocked, lifted) = Record::decode(text)?;
         for fingerprint in blocked {
-            self.hear_blocked(now, &[Blocked { fingerprint, age: Duration::ZERO }]);
-            self.poison.kept(fingerprint);
+            if self.poison.kept(now, Blocked { fingerprint, age: Duration::ZERO }) {
+                self.blocked(now, fingerprint);
+            }
         }
         for fingerprint in lifted {
-            if self.poison.lift(fingerprint) {
+            if self.poison.lift(now, fingerprint) {
                 self.event(Event::BlockEnded, Detail::of("fingerprint", fingerprint.to_string()));
             }
         }
--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -20,7 +20,7 @@
 };
 use crate::lease;
 use crate::placement::Heat;
-use crate::poison::{self, Fingerprint};
+use crate::poison;
 use crate::prelude::*;
 use crate::route::Table;
 
@@ -92,8 +92,6 @@
     pub(super) rollout: Rollout,
     /// Requests that end servers.
     pub(super) poison: poison::State,
-    /// Blocks that the platform's store no longer has, and since when that is known.
-    pub(super) let_go: BTreeMap<Fingerprint, Time>,
     /// Servers that may have ended under requests.
     pub(super) watch: poison::Watch,
     pub(super) next_poison_look: Time,
@@ -158,7 +156,6 @@
             others_are_stale: false,
             rollout: Rollout::default(),
             poison: poison::State::default(),
-            let_go: BTreeMap::new(),
             watch: poison::Watch::default(),
             next_poison_look: Time::ZERO,
             heat: Heat::default(),
--- a/src/fleet/poison.rs
+++ b/src/fleet/poison.rs
@@ -18,9 +18,6 @@
 const WRITE_IN_TURN: Duration = Duration::from_millis(700);
 /// Peers that are told of ends where no scheduler is heard of.
 const TOLD_PEERS: usize = 8;
-/// Time for which a block that the platform's store no longer has is not taken over from peers: longer than
-/// daemons are frozen or cut off, who tell of it as they knew it.
-const LET_GO_FOR: Duration = Duration::from_secs(3_600);
 /// Time between two looks for what is too old.
 const LOOK: Duration = Duration::from_secs(10);
 
@@ -133,16 +130,14 @@
         let new = new.map(|block| Blocked { fingerprint: *block, age: Duration::ZERO }).collect();
         self.tell_of_poison(addresses, Message::Blocked(new));
         for fingerprint in blocked {
-            self.let_go.remove(&fingerprint);
             self.blocked(now, fingerprint);
         }
     }
 
-    /// Takes over what peers say is blocked. They may say so late: what the store has let go since stays so,
-    /// or one daemon that wakes would block it everywhere for another day.
+    /// Takes over what peers say is blocked.
     pub(super) fn hear_blocked(&mut self, now: Time, blocked: &[Blocked]) {
         for told in blocked {
-            if !self.let_go.contains_key(&told.fingerprint) && self.poison.hear(now, *told) {
+            if self.poison.hear(now, *told) {
                 self.blocked(now, told.fingerprint);
             }
         }
@@ -225,7 +220,6 @@
             return;
         }
         self.next_poison_look = now + LOOK;
-        self.let_go.retain(|_, at| now < *at + LET_GO_FOR);
         for lapsed in self.poison.expire(now) {
             self.event(Event::BlockEnded, Detail::of("fingerprint", lapsed.to_string()));
             if self.is_scheduler(now) {
@@ -236,15 +230,14 @@
 
     /// Takes over that the platform's store keeps a block.
     pub(super) fn block_kept(&mut self, now: Time, fingerprint: Fingerprint) {
-        self.let_go.remove(&fingerprint);
-        self.hear_blocked(now, &[Blocked { fingerprint, age: Duration::ZERO }]);
-        self.poison.kept(fingerprint);
+        if self.poison.kept(now, Blocked { fingerprint, age: Duration::ZERO }) {
+            self.blocked(now, fingerprint);
+        }
     }
 
     /// Takes over that a block is gone from the platform's store.
     pub(super) fn block_gone(&mut self, now: Time, fingerprint: Fingerprint) {
-        self.let_go.insert(fingerprint, now);
-        if self.poison.lift(fingerprint) {
+        if self.poison.lift(now, fingerprint) {
             self.event(Event::BlockEnded, Detail::of("fingerprint", fingerprint.to_string()));
         }
     }
--- a/src/poison/state.rs
+++ b/src/poison/state.rs
@@ -30,6 +30,9 @@
 /// Time for which a request stays blocked: a caller that asks for it without pause ends no more than three
 /// servers a day, and operators have had the time to mend theirs.
 pub const BLOCKED_FOR: Duration = Duration::from_secs(24 * 3_600);
+/// Time for which a block that was lifted is not taken over from peers: longer than daemons are frozen or cut off, who
+/// tell of it as they knew it.
+const LET_GO_FOR: Duration = Duration::from_secs(3_600);
 /// Requests that are blocked at most; the oldest is let go for another.
 const MAX_BLOCKS: usize = 4_096;
 
@@ -113,6 +116,8 @@
     /// The ends that nothing explains yet, by the requests that were present.
     suspects: BTreeMap<Fingerprint, Suspect>,
     blocks: BTreeMap<Fingerprint, Block>,
+    /// Blocks that were lifted, and when this daemon learnt of that.
+    let_go: BTreeMap<Fingerprint, Time>,
 }
 
 impl State {
@@ -233,11 +238,13 @@
 
     /// Blocks a request; whether it was not blocked before.
     pub fn block(&mut self, now: Time, fingerprint: Fingerprint) -> bool {
+        self.let_go.remove(&fingerprint);
         self.hear(now, Blocked { fingerprint, age: Duration::ZERO })
     }
 
     /// Takes over that others have blocked a request; whether it was not blocked before. The longest age that is told
-    /// holds: counted from each hearing, two daemons would keep a block alive for each other.
+    /// holds: counted from each hearing, two daemons would keep a block alive for each other. Who has not heard yet that
+    /// a block was lifted tells of it on, so what was let go stays so, or it would be blocked everywhere again.
     pub fn hear(&mut self, now: Time, told: Blocked) -> bool {
         let Blocked { fingerprint, age } = told;
         if let Some(block) = self.blocks.get_mut(&fingerprint) {
@@ -246,7 +253,7 @@
             }
             return false;
         }
-        if age >= BLOCKED_FOR {
+        if age >= BLOCKED_FOR || self.let_go.contains_key(&fingerprint) {
             return false;
         }
         for key in self.suspects.remove(&fingerprint).unwrap_or_default().ends.into_keys() {
@@ -262,15 +269,19 @@
         true
     }
 
-    /// Notes that the platform's store keeps a block.
-    pub fn kept(&mut self, fingerprint: Fingerprint) {
-        if let Some(block) = self.blocks.get_mut(&fingerprint) {
+    /// Takes over that the platform's store keeps a block; whether the request was not blocked before.
+    pub fn kept(&mut self, now: Time, told: Blocked) -> bool {
+        self.let_go.remove(&told.fingerprint);
+        let is_new = self.hear(now, told);
+        if let Some(block) = self.blocks.get_mut(&told.fingerprint) {
             block.kept = true;
         }
+        is_new
     }
 
-    /// Ends a block; whether there was one.
-    pub fn lift(&mut self, fingerprint: Fingerprint) -> bool {
+    /// Ends a block that the platform's store no longer keeps; whether there was one.
+    pub fn lift(&mut self, now: Time, fingerprint: Fingerprint) -> bool {
+        self.let_go.insert(fingerprint, now);
         self.blocks.remove(&fingerprint).is_some()
     }
 
@@ -387,6 +398,7 @@
             self.explain(key);
             self.ends.remove(&key);
         }
+        self.let_go.retain(|_, at| now < *at + LET_GO_FOR);
         let lapsed = self.blocks.iter().filter(|(_, block)| block.age(now) >= BLOCKED_FOR);
         let lapsed: Vec<Fingerprint> = lapsed.map(|(fingerprint, _)| *fingerprint).collect();
         for fingerprint in &lapsed {
--- a/src/poison/tests.rs
+++ b/src/poison/tests.rs
@@ -199,6 +199,28 @@
     assert!(!state.hear(ms(2_020), told(BLOCKED_FOR)), "it has lapsed");
 }
 
+#[test]
+fn lift_holds_against_peers_but_not_the_store_or_new_ends() {
+    let hour = Duration::from_secs(3_600);
+    let told = Blocked { fingerprint: CULPRIT, age: ms(100) };
+    let lifted = || {
+        let mut state = State::default();
+        assert!(state.kept(ms(0), told));
+        assert!(state.lift(ms(1_000), CULPRIT));
+        assert!(!state.hear(ms(2_000), told) && !state.is_blocked(CULPRIT));
+        assert_eq!(state.to_write(ms(2_000), ms(1)), []);
+        state
+    };
+    assert!(lifted().kept(ms(3_000), told));
+    assert!(lifted().block(ms(3_000), CULPRIT));
+    let mut state = lifted();
+    assert!(!state.lift(ms(3_000), CULPRIT));
+    state.expire(hour);
+    assert!(!state.hear(hour, told), "peers may be as late");
+    state.expire(hour + ms(3_000));
+    assert!(state.hear(hour + ms(3_000), told));
+}
+
 #[test]
 fn expire_bounds_what_is_remembered() {
     let mut state = State::default();
