--- a/src/control/platform.rs
+++ b/src/control/platform.rs
@@ -37,10 +37,15 @@
         self.ahead_ms = self.ahead_ms.max(time_ms.saturating_sub(now.as_millis() as u64));
     }
 
+    /// What the log's clock shows at least, in milliseconds.
+    pub(super) fn log_ms(&self, now: Time) -> u64 {
+        (now.as_millis() as u64).saturating_add(self.ahead_ms)
+    }
+
     /// Whether it is time, with `part` of the retention between two. The age is the log's: daemons may live
     /// for less than that, and read what is old at their start. One that is not known counts as too old.
     fn is_due(&self, now: Time, part: Duration) -> bool {
-        let log_ms = (now.as_millis() as u64).saturating_add(self.ahead_ms);
+        let log_ms = self.log_ms(now);
         let part_ms = part.max(MIN_CHECKPOINT).as_millis() as u64;
         let pause = part.clamp(MIN_CHECKPOINT, CHECKPOINT_AGAIN);
         self.base_ms.is_none_or(|base| log_ms >= base.saturating_add(part_ms))
@@ -81,7 +86,7 @@
                 Stream::Manifest => self.fold_manifest(record),
                 Stream::Ledger => self.fold_ledger(record),
                 Stream::Blocked => {
-                    if self.fold_blocked(now, record.offset, &record.text).is_none() {
+                    if self.fold_blocked(now, record).is_none() {
                         self.unreadable(stream, record.offset);
                     }
                 }
--- a/src/control/poison.rs
+++ b/src/control/poison.rs
@@ -4,12 +4,13 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::{Effect, Node, Stream};
+use super::{Effect, Node, Stream, message};
 use crate::attempt::{self, Command, Phase, Request};
 use crate::membership;
 use crate::peer::Frame;
 use crate::poison::{
-    Answer, Blocked, Fingerprint, Lost, Message, Probe, Record, Steps, Strike, Suspect, Victim,
+    Answer, BLOCKED_FOR, Blocked, Fingerprint, Lost, Message, Probe, Record, Steps, Strike,
+    Suspect, Victim,
 };
 use crate::prelude::*;
 
@@ -21,9 +22,11 @@
 const LOOK: Duration = Duration::from_secs(10);
 
 /// How far the stream of blocked requests is read, and when it is written again.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Default)]
 pub(super) struct Blocks {
     next: u64,
+    /// When requests were blocked that the log keeps, in milliseconds of its clock.
+    since_ms: BTreeMap<Fingerprint, u64>,
     renewed: Time,
     next_look: Time,
 }
@@ -210,18 +213,25 @@
     }
 
     /// Takes over a record of the stream of blocked requests.
-    pub(super) fn fold_blocked(&mut self, now: Time, offset: u64, text: &str) -> Option<()> {
-        if offset < self.blocks.next {
+    pub(super) fn fold_blocked(&mut self, now: Time, record: &message::Record) -> Option<()> {
+        if record.offset < self.blocks.next {
             return Some(());
         }
-        self.blocks.next = offset + 1;
-        let (blocked, lifted) = Record::decode(text)?;
-        for fingerprint in blocked {
-            if self.poison.kept(now, Blocked { fingerprint, age: Duration::ZERO }) {
+        self.blocks.next = record.offset + 1;
+        let (blocked, lifted) = Record::decode(&record.text)?;
+        for Blocked { fingerprint, age } in blocked {
+            let told_ms = record.time_ms.saturating_sub(age.as_millis() as u64);
+            let since_ms = self.blocks.since_ms.entry(fingerprint).or_insert(told_ms);
+            // Later than a day, it was blocked anew.
+            let lapsed = log_age(told_ms, *since_ms) >= BLOCKED_FOR;
+            *since_ms = if lapsed { told_ms } else { told_ms.min(*since_ms) };
+            let age = log_age(self.checkpoint.log_ms(now), *since_ms);
+            if self.poison.kept(now, Blocked { fingerprint, age }) {
                 self.blocked(now, fingerprint);
             }
         }
         for fingerprint in lifted {
+            self.blocks.since_ms.remove(&fingerprint);
             if self.poison.lift(now, fingerprint) {
                 self.event(Event::BlockEnded, Detail::of("fingerprint", fingerprint.to_string()));
             }
@@ -244,6 +254,7 @@
             return;
         }
         self.blocks.next_look = now + LOOK;
+        self.age_blocks(now);
         let lapsed = self.poison.expire(now);
         if first {
             self.append_blocked(&[], &lapsed);
@@ -252,16 +263,31 @@
         let renewal = Duration::from_secs(reading.retention_s) / RENEW_PART;
         if first && reading.up && now >= self.blocks.renewed + renewal {
             self.blocks.renewed = now;
-            let blocked: Vec<Fingerprint> =
-                self.poison.blocked(now).map(|block| block.fingerprint).collect();
+            let blocked: Vec<Blocked> = self.poison.blocked(now).collect();
             self.append_blocked(&blocked, &[]);
         }
     }
 
-    fn append_blocked(&mut self, blocked: &[Fingerprint], lifted: &[Fingerprint]) {
+    /// Counts the age of blocks by the log's clock: a daemon that starts again reads what is old, and how old that is
+    /// shows by what it reads later.
+    fn age_blocks(&mut self, now: Time) {
+        self.blocks.since_ms.retain(|fingerprint, _| self.poison.is_blocked(*fingerprint));
+        let log_ms = self.checkpoint.log_ms(now);
+        for (fingerprint, since_ms) in &self.blocks.since_ms {
+            let age = log_age(log_ms, *since_ms);
+            self.poison.hear(now, Blocked { fingerprint: *fingerprint, age });
+        }
+    }
+
+    fn append_blocked(&mut self, blocked: &[Blocked], lifted: &[Fingerprint]) {
         if !blocked.is_empty() || !lifted.is_empty() {
             let text = Record::new(blocked, lifted).encode();
             self.effects.push(Effect::AppendBlocked(text));
         }
     }
 }
+
+/// The time from one moment of the log's clock to a later one, both in milliseconds.
+fn log_age(log_ms: u64, since_ms: u64) -> Duration {
+    Duration::from_millis(log_ms.saturating_sub(since_ms))
+}
--- a/src/control/tests/blocks.rs
+++ b/src/control/tests/blocks.rs
@@ -32,7 +32,10 @@
 }
 
 fn blocks(blocked: &[Fingerprint], lifted: &[Fingerprint]) -> String {
-    Record::new(blocked, lifted).encode()
+    let age = Duration::ZERO;
+    let blocked: Vec<Blocked> =
+        blocked.iter().map(|fingerprint| Blocked { fingerprint: *fingerprint, age }).collect();
+    Record::new(&blocked, lifted).encode()
 }
 
 /// Each hearing of a block counted its day anew. With the stream of blocks out, digests tell of it, and of two peers
--- a/src/control/tests/servers.rs
+++ b/src/control/tests/servers.rs
@@ -6,7 +6,7 @@
 use crate::manifest::{Objective, Priority};
 use crate::membership::{CacheEvent, Change, Standing};
 use crate::peer::{Copy, Digest, Frame};
-use crate::poison::{Fingerprint, Record};
+use crate::poison::{Blocked, Fingerprint, Record};
 use crate::prefix::{BLOCK_BYTES, Key, Prefix, Scope, root};
 use crate::prelude::*;
 
@@ -465,7 +465,8 @@
     let mut world = World::new(1, 1, Faults::default());
     let blocked = [Fingerprint(7), Fingerprint(8)];
     for fingerprint in blocked {
-        world.land(Stream::Blocked, Record::new(&[fingerprint], &[]).encode());
+        let blocked = Blocked { fingerprint, age: Duration::ZERO };
+        world.land(Stream::Blocked, Record::new(&[blocked], &[]).encode());
     }
     world.log_down = true;
     world.kill(0);
--- a/src/fleet/poison.rs
+++ b/src/fleet/poison.rs
@@ -214,7 +214,8 @@
         if self.is_scheduler(now) {
             let turn = WRITE_IN_TURN * self.rank_among_daemons();
             let due = self.poison.to_write(now.saturating_sub(turn), WRITE_AGAIN);
-            self.effects.extend(due.into_iter().map(|block| Effect::WriteBlock(block, true)));
+            let due = due.into_iter().map(|block| Effect::WriteBlock(block.fingerprint, true));
+            self.effects.extend(due);
         }
         if now < self.next_poison_look {
             return;
--- a/src/poison/record.rs
+++ b/src/poison/record.rs
@@ -2,7 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::Fingerprint;
+use super::{Blocked, Fingerprint};
+use crate::prelude::*;
 
 /// The version of the record's format.
 const FORMAT: u32 = 1;
@@ -15,6 +16,9 @@
     /// Fingerprints that are blocked, in hexadecimal.
     #[serde(default)]
     pub blocked: Vec<String>,
+    /// For how long each of them had been blocked when this was written, in seconds; 0 where there is none.
+    #[serde(default)]
+    pub ages_s: Vec<u64>,
     /// Fingerprints that are blocked no longer.
     #[serde(default)]
     pub lifted: Vec<String>,
@@ -24,13 +28,19 @@
     /// A record of requests that are blocked, or no longer are.
     ///
     /// ```
-    /// use cardamomvalve::poison::{Fingerprint, Record};
-    /// let record = Record::new(&[Fingerprint(7)], &[]);
-    /// assert_eq!(Record::decode(&record.encode()), Some((vec![Fingerprint(7)], vec![])));
+    /// use std::time::Duration;
+    /// use cardamomvalve::poison::{Blocked, Fingerprint, Record};
+    /// let blocked = Blocked { fingerprint: Fingerprint(7), age: Duration::from_secs(60) };
+    /// let record = Record::new(&[blocked], &[]);
+    /// assert_eq!(Record::decode(&record.encode()), Some((vec![blocked], vec![])));
     /// ```
-    pub fn new(blocked: &[Fingerprint], lifted: &[Fingerprint]) -> Self {
-        let texts = |all: &[Fingerprint]| all.iter().map(Fingerprint::to_string).collect();
-        Self { format: FORMAT, blocked: texts(blocked), lifted: texts(lifted) }
+    pub fn new(blocked: &[Blocked], lifted: &[Fingerprint]) -> Self {
+        Self {
+            format: FORMAT,
+            blocked: blocked.iter().map(|block| block.fingerprint.to_string()).collect(),
+            ages_s: blocked.iter().map(|block| block.age.as_secs()).collect(),
+            lifted: lifted.iter().map(Fingerprint::to_string).collect(),
+        }
     }
 
     /// Encodes the record as JSON text.
@@ -39,7 +49,7 @@
     }
 
     /// What a record says is blocked, and is no longer; `None` where this release can't read it.
-    pub fn decode(text: &str) -> Option<(Vec<Fingerprint>, Vec<Fingerprint>)> {
+    pub fn decode(text: &str) -> Option<(Vec<Blocked>, Vec<Fingerprint>)> {
         let record: Self = serde_json::from_str(text).ok()?;
         let read = |texts: &[String]| -> Option<Vec<Fingerprint>> {
             texts.iter().map(|text| text.parse().ok()).collect()
@@ -47,6 +57,10 @@
         if record.format != FORMAT {
             return None;
         }
-        Some((read(&record.blocked)?, read(&record.lifted)?))
+        let ages = record.ages_s.iter().copied().chain(std::iter::repeat(0));
+        let blocked = read(&record.blocked)?.into_iter().zip(ages);
+        let blocked = blocked
+            .map(|(fingerprint, age_s)| Blocked { fingerprint, age: Duration::from_secs(age_s) });
+        Some((blocked.collect(), read(&record.lifted)?))
     }
 }
--- a/src/poison/state.rs
+++ b/src/poison/state.rs
@@ -374,11 +374,11 @@
 
     /// Blocks that are to be written to the platform's store now, and again after `pause` where it is not
     /// seen to keep them by then.
-    pub fn to_write(&mut self, now: Time, pause: Duration) -> Vec<Fingerprint> {
+    pub fn to_write(&mut self, now: Time, pause: Duration) -> Vec<Blocked> {
         let due = self.blocks.iter_mut().filter(|(_, block)| !block.kept && now >= block.write_at);
         let due = due.map(|(fingerprint, block)| {
             block.write_at = now + pause;
-            *fingerprint
+            Blocked { fingerprint: *fingerprint, age: block.age(now) }
         });
         due.collect()
     }
