Write blocks again by the age of their records

Cause: the time to the next writing was counted from the start of each process. It is now counted by the log's clock from each block's newest record, as for checkpoints of the manifest; what is sent and not read back is sent again after a minute.

Before: with lives of 2 h and a log that keeps 12 h, no block from 14 h on; after: until 24 h, and not beyond (control::tests::blocks, whose log now has a manifest, so that daemons write their lease and so know the log's clock; it failed in the same way with that).

--- a/src/control/poison.rs
+++ b/src/control/poison.rs
@@ -18,6 +18,8 @@
 const WRITE_AGAIN: Duration = Duration::from_secs(2);
 /// Blocks are written again when this part of the retention has passed.
 const RENEW_PART: u32 = 4;
+/// Time after which blocks that were written again, and are not read back, are sent once more.
+const RENEW_AGAIN: Duration = Duration::from_secs(60);
 /// Shortest time between two looks at what is to be written again, or is too old.
 const LOOK: Duration = Duration::from_secs(10);
 
@@ -25,12 +27,32 @@
 #[derive(Debug, Clone, Default)]
 pub(super) struct Blocks {
     next: u64,
-    /// When requests were blocked that the log keeps, in milliseconds of its clock.
-    since_ms: BTreeMap<Fingerprint, u64>,
-    renewed: Time,
+    kept: BTreeMap<Fingerprint, Kept>,
+    /// When blocks were last written again.
+    renewed: Option<Time>,
     next_look: Time,
 }
 
+/// What the log says of a blocked request, in milliseconds of its clock.
+#[derive(Debug, Clone, Copy)]
+struct Kept {
+    /// When the request was blocked.
+    since_ms: u64,
+    /// When the log took the newest record of it.
+    written_ms: u64,
+}
+
+impl Kept {
+    /// Takes over another record.
+    fn merge(&mut self, other: Self) {
+        // Later than a day, it was blocked anew.
+        let lapsed = log_age(other.since_ms, self.since_ms) >= BLOCKED_FOR;
+        let first_ms = other.since_ms.min(self.since_ms);
+        self.since_ms = if lapsed { other.since_ms } else { first_ms };
+        self.written_ms = other.written_ms.max(self.written_ms);
+    }
+}
+
 impl Blocks {
     pub(super) fn next(&self) -> u64 {
         self.next
@@ -220,18 +242,17 @@
         self.blocks.next = record.offset + 1;
         let (blocked, lifted) = Record::decode(&record.text)?;
         for Blocked { fingerprint, age } in blocked {
-            let told_ms = record.time_ms.saturating_sub(age.as_millis() as u64);
-            let since_ms = self.blocks.since_ms.entry(fingerprint).or_insert(told_ms);
-            // Later than a day, it was blocked anew.
-            let lapsed = log_age(told_ms, *since_ms) >= BLOCKED_FOR;
-            *since_ms = if lapsed { told_ms } else { told_ms.min(*since_ms) };
-            let age = log_age(self.checkpoint.log_ms(now), *since_ms);
+            let since_ms = record.time_ms.saturating_sub(age.as_millis() as u64);
+            let told = Kept { since_ms, written_ms: record.time_ms };
+            let kept = self.blocks.kept.entry(fingerprint).or_insert(told);
+            kept.merge(told);
+            let age = log_age(self.checkpoint.log_ms(now), kept.since_ms);
             if self.poison.kept(now, Blocked { fingerprint, age }) {
                 self.blocked(now, fingerprint);
             }
         }
         for fingerprint in lifted {
-            self.blocks.since_ms.remove(&fingerprint);
+            self.blocks.kept.remove(&fingerprint);
             if self.poison.lift(now, fingerprint) {
                 self.event(Event::BlockEnded, Detail::of("fingerprint", fingerprint.to_string()));
             }
@@ -259,22 +280,39 @@
         if first {
             self.append_blocked(&[], &lapsed);
         }
+        if first {
+            self.renew_blocks(now);
+        }
+    }
+
+    /// Writes blocks again before the log forgets them. How old their records are is told by the log: daemons may live
+    /// for less than that takes.
+    fn renew_blocks(&mut self, now: Time) {
         let reading = self.readings.get(&Stream::Blocked).copied().unwrap_or_default();
         let renewal = Duration::from_secs(reading.retention_s) / RENEW_PART;
-        if first && reading.up && now >= self.blocks.renewed + renewal {
-            self.blocks.renewed = now;
-            let blocked: Vec<Blocked> = self.poison.blocked(now).collect();
-            self.append_blocked(&blocked, &[]);
+        let pause = renewal.min(RENEW_AGAIN);
+        if !reading.up || self.blocks.renewed.is_some_and(|at| now < at + pause) {
+            return;
+        }
+        let log_ms = self.checkpoint.log_ms(now);
+        let is_old = |block: &Blocked| {
+            let kept = self.blocks.kept.get(&block.fingerprint);
+            kept.is_some_and(|kept| log_age(log_ms, kept.written_ms) >= renewal)
+        };
+        let old: Vec<Blocked> = self.poison.blocked(now).filter(is_old).collect();
+        if !old.is_empty() {
+            self.blocks.renewed = Some(now);
+            self.append_blocked(&old, &[]);
         }
     }
 
     /// Counts the age of blocks by the log's clock: a daemon that starts again reads what is old, and how old that is
     /// shows by what it reads later.
     fn age_blocks(&mut self, now: Time) {
-        self.blocks.since_ms.retain(|fingerprint, _| self.poison.is_blocked(*fingerprint));
+        self.blocks.kept.retain(|fingerprint, _| self.poison.is_blocked(*fingerprint));
         let log_ms = self.checkpoint.log_ms(now);
-        for (fingerprint, since_ms) in &self.blocks.since_ms {
-            let age = log_age(log_ms, *since_ms);
+        for (fingerprint, kept) in &self.blocks.kept {
+            let age = log_age(log_ms, kept.since_ms);
             self.poison.hear(now, Blocked { fingerprint: *fingerprint, age });
         }
     }
--- a/src/control/tests/blocks.rs
+++ b/src/control/tests/blocks.rs
@@ -1,6 +1,6 @@
 //! Blocked requests: for how long, whoever tells of them.
 
-use super::world::{Action, Faults, World};
+use super::world::{Action, Faults, World, manifest_value, publish_record};
 use crate::control::{self, Effect, Identity, Message, Node, Policy, Read, Stream};
 use crate::peer::Frame;
 use crate::poison::{self, Blocked, Fingerprint, Record};
@@ -155,6 +155,10 @@
                 match effect {
                     Effect::AppendLease(text) => self.append(Stream::Lease, text),
                     Effect::AppendBlocked(text) => self.append(Stream::Blocked, text),
+                    Effect::Checkpoint(text) => {
+                        self.append(Stream::Manifest, text);
+                        node.apply(now, Message::Checkpointed);
+                    }
                     _ => {}
                 }
             }
@@ -174,6 +178,7 @@
 #[test]
 fn block_lasts_a_day_where_the_log_and_daemons_last_less() {
     let mut days = Days { log: BTreeMap::new(), now_ms: 1_700_000_000_000 };
+    days.append(Stream::Manifest, publish_record("first", 0, manifest_value("v1")));
     days.append(Stream::Blocked, blocks(&[FATAL], &[]));
     let blocked: Vec<bool> = (0..18).map(|_| days.live(HOUR * 2)).collect();
     let expected: Vec<bool> = (0..18).map(|life| life < 12).collect();
