Keep in the store since when a request is blocked

The record now bears the time of day since when the request is blocked; a record of a former release counts as new. Only a time of day means the same to a daemon that starts later, so a wrong wall clock makes a block longer or shorter by as much; daemons that run on count by their own clocks, and the longest age holds. A block that has lapsed by the time it is read is taken over until the next look, and so is taken away from the store.

Before: with the age left out, a block read at 23 h held an hour later; after: not, and its record is removed (fleet::tests::poison).

--- a/src/fleet/message.rs
+++ b/src/fleet/message.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use super::{Batch, Entry, EventsRead, Frame, Place, Prompt, Topic, server};
-use crate::poison::{Answer, Fingerprint, Victim};
+use crate::poison::{Answer, Blocked, Fingerprint, Victim};
 use crate::prelude::*;
 use crate::route::{Route, Table, Workspace};
 
@@ -131,8 +131,8 @@
         /// Cores that its VM gives it; 0 where it does not say.
         cores: f32,
     },
-    /// A request that ends servers, and is refused.
-    Blocked(Fingerprint),
+    /// A request that ends servers, and is refused, as far as the record tells for how long.
+    Blocked(Blocked),
     /// A request that is no longer refused.
     Unblocked(Fingerprint),
     /// Nothing that concerns this program.
@@ -294,8 +294,8 @@
     },
     /// Look whether somebody listens where a server did that may have ended.
     Probe(Victim, SocketAddr),
-    /// Have the platform's store keep that a request is blocked, or no longer is.
-    WriteBlock(Fingerprint, bool),
+    /// Have the platform's store keep that a request has been blocked for so long, or no longer is.
+    WriteBlock(Fingerprint, Option<Duration>),
     /// Give up idle connections to this address: who listened there has ended.
     Disconnect(SocketAddr),
     /// Ask an engine for its state.
--- a/src/fleet/poison.rs
+++ b/src/fleet/poison.rs
@@ -214,7 +214,8 @@
         if self.is_scheduler(now) {
             let turn = WRITE_IN_TURN * self.rank_among_daemons();
             let due = self.poison.to_write(now.saturating_sub(turn), WRITE_AGAIN);
-            let due = due.into_iter().map(|block| Effect::WriteBlock(block.fingerprint, true));
+            let due =
+                due.into_iter().map(|block| Effect::WriteBlock(block.fingerprint, Some(block.age)));
             self.effects.extend(due);
         }
         if now < self.next_poison_look {
@@ -224,15 +225,15 @@
         for lapsed in self.poison.expire(now) {
             self.event(Event::BlockEnded, Detail::of("fingerprint", lapsed.to_string()));
             if self.is_scheduler(now) {
-                self.effects.push(Effect::WriteBlock(lapsed, false));
+                self.effects.push(Effect::WriteBlock(lapsed, None));
             }
         }
     }
 
     /// Takes over that the platform's store keeps a block.
-    pub(super) fn block_kept(&mut self, now: Time, fingerprint: Fingerprint) {
-        if self.poison.kept(now, Blocked { fingerprint, age: Duration::ZERO }) {
-            self.blocked(now, fingerprint);
+    pub(super) fn block_kept(&mut self, now: Time, told: Blocked) {
+        if self.poison.kept(now, told) {
+            self.blocked(now, told.fingerprint);
         }
     }
 
--- a/src/fleet/records.rs
+++ b/src/fleet/records.rs
@@ -150,7 +150,7 @@
             Change::Server(entry) => self.register(now, entry),
             Change::ServerGone(id) => self.unregister(now, &id),
             Change::Router { id, address, cores } => self.meet(now, id, address, cores),
-            Change::Blocked(fingerprint) => self.block_kept(now, fingerprint),
+            Change::Blocked(told) => self.block_kept(now, told),
             Change::Unblocked(fingerprint) => self.block_gone(now, fingerprint),
             Change::Nothing => {}
         }
--- a/src/fleet/tests/beliefs.rs
+++ b/src/fleet/tests/beliefs.rs
@@ -622,8 +622,9 @@
                     self.vms[vm].table = table.version();
                 }
                 Effect::AppendLease(text) => self.append(vm, Append::Lease(text)),
-                Effect::WriteBlock(block, kept) => {
-                    let value = if kept { format!("blocked {}", block.0) } else { String::new() };
+                Effect::WriteBlock(block, age) => {
+                    let value =
+                        if age.is_some() { format!("blocked {}", block.0) } else { String::new() };
                     let key = format!("blocked-{}", block.0);
                     self.append(vm, Append::Record(Topic::Routers, key, value));
                 }
--- a/src/fleet/tests/poison.rs
+++ b/src/fleet/tests/poison.rs
@@ -225,6 +225,26 @@
     assert!(!blocked(&mut read, ms(40)), "operators may take it away");
 }
 
+/// A daemon counted the day of a block from when it read the record, so that daemons that all started again at some
+/// time of that day held it for another.
+#[test]
+fn block_that_the_store_keeps_lapses_a_day_after_it_was_made() {
+    let hour = Duration::from_secs(3_600);
+    for (hours, is_blocked) in [(22, true), (23, false), (25, false)] {
+        let mut read = Daemon::with(8, &[]);
+        let record = format!("blocked {} {}", FATAL.0, hours * 3_600);
+        read.put(ms(10), Topic::Routers, &[(&format!("blocked-{}", FATAL.0), &record)]);
+        let effects = read.node.apply(hour + ms(10), Message::Tick);
+        assert_eq!(
+            read.node.poison.is_blocked(FATAL),
+            is_blocked,
+            "{hours} h old when it was read"
+        );
+        let removed = effects.iter().any(|e| matches!(e, Effect::WriteBlock(FATAL, None)));
+        assert_eq!(removed, !is_blocked, "it is taken away from the store");
+    }
+}
+
 #[test]
 fn blocks_are_written_until_the_store_shows_them() {
     let mut site = site(3, 8);
--- a/src/fleet/tests/site.rs
+++ b/src/fleet/tests/site.rs
@@ -90,7 +90,9 @@
                     };
                     messages.push((index, Message::Probed(victim, answer)));
                 }
-                Effect::WriteBlock(fingerprint, kept) => self.written.push((fingerprint, kept)),
+                Effect::WriteBlock(fingerprint, age) => {
+                    self.written.push((fingerprint, age.is_some()))
+                }
                 _ => {}
             }
         }
--- a/src/fleet/tests/world.rs
+++ b/src/fleet/tests/world.rs
@@ -4,7 +4,7 @@
 
 use crate::fleet::*;
 use crate::lease;
-use crate::poison::Fingerprint;
+use crate::poison::{Blocked, Fingerprint};
 use crate::prelude::*;
 use crate::route::{Engine, Kind, KvStore, Limits, Pool, Repeat, Route, Split, Table, Workspace};
 
@@ -76,7 +76,11 @@
             entry.weights.insert("m".into(), number(version)?);
             Ok(Change::Server(entry))
         }
-        ["blocked", fingerprint] => Ok(Change::Blocked(Fingerprint(number(fingerprint)?))),
+        ["blocked", fingerprint, rest @ ..] => {
+            let fingerprint = Fingerprint(number(fingerprint)?);
+            let age = Duration::from_secs(rest.first().map_or(Ok(0), |age| number(age))?);
+            Ok(Change::Blocked(Blocked { fingerprint, age }))
+        }
         ["router", last] => {
             let address = address(number(last)? as u8);
             Ok(Change::Router { id: record.key.clone(), address, cores: 1.0 })
--- a/src/poison/state.rs
+++ b/src/poison/state.rs
@@ -246,6 +246,15 @@
     /// holds: counted from each hearing, two daemons would keep a block alive for each other. Who has not heard yet that
     /// a block was lifted tells of it on, so what was let go stays so, or it would be blocked everywhere again.
     pub fn hear(&mut self, now: Time, told: Blocked) -> bool {
+        let Blocked { fingerprint, age } = told;
+        let is_over = age >= BLOCKED_FOR || self.let_go.contains_key(&fingerprint);
+        if is_over && !self.is_blocked(fingerprint) {
+            return false;
+        }
+        self.learn(now, told)
+    }
+
+    fn learn(&mut self, now: Time, told: Blocked) -> bool {
         let Blocked { fingerprint, age } = told;
         if let Some(block) = self.blocks.get_mut(&fingerprint) {
             if age > block.age(now) {
@@ -253,9 +262,6 @@
             }
             return false;
         }
-        if age >= BLOCKED_FOR || self.let_go.contains_key(&fingerprint) {
-            return false;
-        }
         for key in self.suspects.remove(&fingerprint).unwrap_or_default().ends.into_keys() {
             self.explain(key);
         }
@@ -269,14 +275,15 @@
         true
     }
 
-    /// Takes over that the platform's store keeps a block; whether the request was not blocked before.
+    /// Takes over that the platform's store keeps a block; whether the request was not blocked before, and is now. One
+    /// that has lapsed is taken over until [`Self::expire`] finds it, and so has it taken away there.
     pub fn kept(&mut self, now: Time, told: Blocked) -> bool {
         self.let_go.remove(&told.fingerprint);
-        let is_new = self.hear(now, told);
+        let is_new = self.learn(now, told);
         if let Some(block) = self.blocks.get_mut(&told.fingerprint) {
             block.kept = true;
         }
-        is_new
+        is_new && told.age < BLOCKED_FOR
     }
 
     /// Ends a block that the platform's store no longer keeps; whether there was one.
