--- a/src/fleet/tests/poison.rs
+++ b/src/fleet/tests/poison.rs
@@ -3,7 +3,7 @@
 use super::site::Site;
 use super::world::*;
 use crate::fleet::*;
-use crate::poison::Fingerprint;
+use crate::poison::{self, Fingerprint};
 use crate::prelude::*;
 use crate::route::Repeat;
 
@@ -245,6 +245,31 @@
     }
 }
 
+/// Of two daemons that let a block lapse at other moments, the first had it back from the other's digest for another
+/// day, and gave it back in its turn.
+#[test]
+fn block_that_daemons_tell_each_other_lapses_after_a_day() {
+    let hour = Duration::from_secs(3_600);
+    let mut site = site(2, 8);
+    let start = site.now;
+    let block = poison::Blocked { fingerprint: FATAL, age: hour * 23 };
+    let word = Frame::Poison(poison::Message::Blocked(vec![block]));
+    site.daemons[0].node.apply(start, Message::Frame(word));
+    let mut heard = Vec::new();
+    for at in [ms(600), hour, hour + ms(11_000), hour + ms(22_000)] {
+        for (from, to) in [(0, 1), (1, 0)] {
+            for effect in site.daemons[from].node.apply(start + at, Message::Tick) {
+                if let Effect::Send(_, frame @ Frame::Digest(_)) = effect {
+                    site.daemons[to].node.apply(start + at + ms(5), Message::Frame(frame));
+                }
+            }
+        }
+        heard.push([0, 1].map(|n: usize| site.daemons[n].node.poison.is_blocked(FATAL)));
+    }
+    assert_eq!(heard.first(), Some(&[true, true]), "a digest tells of it");
+    assert_eq!(heard.last(), Some(&[false, false]), "{heard:?}");
+}
+
 #[test]
 fn blocks_are_written_until_the_store_shows_them() {
     let mut site = site(3, 8);
