Count a block that was made anew by its own record

A daemon that started read the record of a block that had lapsed, and then that of a later one of the same request. The longest age told holds, so the former's ended the later block at once. It is now forgotten where the later record shows that the former block had lapsed.

--- a/src/control/poison.rs
+++ b/src/control/poison.rs
@@ -43,13 +43,13 @@
 }
 
 impl Kept {
-    /// Takes over another record.
-    fn merge(&mut self, other: Self) {
-        // Later than a day, it was blocked anew.
-        let lapsed = log_age(other.since_ms, self.since_ms) >= BLOCKED_FOR;
+    /// Takes over another record; whether the request was blocked anew by then, after the former block had lapsed.
+    fn merge(&mut self, other: Self) -> bool {
+        let is_anew = log_age(other.since_ms, self.since_ms) >= BLOCKED_FOR;
         let first_ms = other.since_ms.min(self.since_ms);
-        self.since_ms = if lapsed { other.since_ms } else { first_ms };
+        self.since_ms = if is_anew { other.since_ms } else { first_ms };
         self.written_ms = other.written_ms.max(self.written_ms);
+        is_anew
     }
 }
 
@@ -245,7 +245,10 @@
             let since_ms = record.time_ms.saturating_sub(age.as_millis() as u64);
             let told = Kept { since_ms, written_ms: record.time_ms };
             let kept = self.blocks.kept.entry(fingerprint).or_insert(told);
-            kept.merge(told);
+            // Else the former block's age would end it.
+            if kept.merge(told) {
+                self.poison.forget_block(fingerprint);
+            }
             let age = log_age(self.checkpoint.log_ms(now), kept.since_ms);
             if self.poison.kept(now, Blocked { fingerprint, age }) {
                 self.blocked(now, fingerprint);
--- a/src/control/tests/blocks.rs
+++ b/src/control/tests/blocks.rs
@@ -86,6 +86,21 @@
     assert_eq!(blocked(&world), [0], "the log took it 25 h ago");
 }
 
+#[test]
+fn block_made_anew_after_the_first_has_lapsed_lasts_a_day() {
+    let mut world = World::new(1, 1, Faults::default());
+    world.land(Stream::Blocked, blocks(&[FATAL], &[]));
+    world.now += HOUR * 26;
+    world.land(Stream::Blocked, blocks(&[FATAL], &[]));
+    world.kill(0);
+    for (hours, expected) in [(0, 1), (23, 1), (2, 0)] {
+        world.now += HOUR * hours;
+        world.read(0, Stream::Blocked);
+        world.tell(0, Message::Tick);
+        assert_eq!(blocked(&world), [expected], "after another {hours} h");
+    }
+}
+
 /// Operators lift a block by a record. A peer that had not read it yet told of the block in its snapshot, the daemon
 /// that had read it blocked the request again, and as the first daemon wrote that to the log, for all.
 ///
--- a/src/poison/state.rs
+++ b/src/poison/state.rs
@@ -286,6 +286,11 @@
         is_new && told.age < BLOCKED_FOR
     }
 
+    /// Forgets a block that had lapsed before the one that is told next.
+    pub fn forget_block(&mut self, fingerprint: Fingerprint) {
+        self.blocks.remove(&fingerprint);
+    }
+
     /// Ends a block that the platform's store no longer keeps; whether there was one.
     pub fn lift(&mut self, now: Time, fingerprint: Fingerprint) -> bool {
         self.let_go.insert(fingerprint, now);
