--- a/src/control/poison.rs
+++ b/src/control/poison.rs
@@ -4,12 +4,13 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::{Effect, Node, Stream};
+use super::{Effect, Node, Stream, message};
 use crate::attempt::{self, Command, Phase, Request};
 use crate::membership;
 use crate::peer::Frame;
 use crate::poison::{
-    Answer, BLOCKED_FOR, Fingerprint, Lost, Message, Probe, Record, Steps, Strike, Suspect, Victim,
+    Answer, BLOCKED_FOR, Blocked, Fingerprint, Lost, Message, Probe, Record, Steps, Strike,
+    Suspect, Victim,
 };
 use crate::prelude::*;
 
@@ -17,17 +18,41 @@
 const WRITE_AGAIN: Duration = Duration::from_secs(2);
 /// Blocks are written again when this part of the retention has passed.
 const RENEW_PART: u32 = 4;
+/// Time after which blocks that were written again, and are not read back, are sent once more.
+const RENEW_AGAIN: Duration = Duration::from_secs(60);
 /// Shortest time between two looks at what is to be written again, or is too old.
 const LOOK: Duration = Duration::from_secs(10);
 
 /// How far the stream of blocked requests is read, and when it is written again.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Default)]
 pub(super) struct Blocks {
     next: u64,
-    renewed: Time,
+    kept: BTreeMap<Fingerprint, Kept>,
+    /// When blocks were last written again.
+    renewed: Option<Time>,
     next_look: Time,
 }
 
+/// What the log says of a blocked request, in milliseconds of its clock.
+#[derive(Debug, Clone, Copy)]
+struct Kept {
+    /// When the request was blocked.
+    since_ms: u64,
+    /// When the log took the newest record of it.
+    written_ms: u64,
+}
+
+impl Kept {
+    /// Takes over another record; whether the request was blocked anew by then, after the former block had lapsed.
+    fn merge(&mut self, other: Self) -> bool {
+        let is_anew = log_age(other.since_ms, self.since_ms) >= BLOCKED_FOR;
+        let first_ms = other.since_ms.min(self.since_ms);
+        self.since_ms = if is_anew { other.since_ms } else { first_ms };
+        self.written_ms = other.written_ms.max(self.written_ms);
+        is_anew
+    }
+}
+
 impl Blocks {
     pub(super) fn next(&self) -> u64 {
         self.next
@@ -137,17 +162,19 @@
         if blocked.is_empty() {
             return;
         }
-        self.tell_peers(&Message::Blocked(blocked.clone()));
+        let new = blocked.iter();
+        let new = new.map(|block| Blocked { fingerprint: *block, age: Duration::ZERO }).collect();
+        self.tell_peers(&Message::Blocked(new));
         for fingerprint in blocked {
             self.blocked(now, fingerprint);
         }
     }
 
-    /// Takes over what peers, or the log, say is blocked.
-    pub(super) fn hear_blocked(&mut self, now: Time, blocked: &[Fingerprint]) {
-        for fingerprint in blocked {
-            if self.poison.block(now, *fingerprint) {
-                self.blocked(now, *fingerprint);
+    /// Takes over what peers say is blocked.
+    pub(super) fn hear_blocked(&mut self, now: Time, blocked: &[Blocked]) {
+        for told in blocked {
+            if self.poison.hear(now, *told) {
+                self.blocked(now, told.fingerprint);
             }
         }
     }
@@ -155,7 +182,10 @@
     /// Ends the requests that have just been blocked, but for those whose answer has begun.
     fn blocked(&mut self, now: Time, fingerprint: Fingerprint) {
         let detail = Detail::of("fingerprint", fingerprint.to_string());
-        self.event(Event::RequestBlocked, detail.and("left_ms", BLOCKED_FOR));
+        self.event(
+            Event::RequestBlocked,
+            detail.and("left_ms", self.poison.left(now, fingerprint)),
+        );
         let same = self.requests.iter().filter(|(_, s)| s.arrival.fingerprint == fingerprint);
         let same: Vec<(attempt::Key, Phase, u32)> =
             same.map(|(key, state)| (*key, state.phase, state.attempts)).collect();
@@ -205,18 +235,28 @@
     }
 
     /// Takes over a record of the stream of blocked requests.
-    pub(super) fn fold_blocked(&mut self, now: Time, offset: u64, text: &str) -> Option<()> {
-        if offset < self.blocks.next {
+    pub(super) fn fold_blocked(&mut self, now: Time, record: &message::Record) -> Option<()> {
+        if record.offset < self.blocks.next {
             return Some(());
         }
-        self.blocks.next = offset + 1;
-        let (blocked, lifted) = Record::decode(text)?;
-        self.hear_blocked(now, &blocked);
-        for fingerprint in blocked {
-            self.poison.kept(fingerprint);
+        self.blocks.next = record.offset + 1;
+        let (blocked, lifted) = Record::decode(&record.text)?;
+        for Blocked { fingerprint, age } in blocked {
+            let since_ms = record.time_ms.saturating_sub(age.as_millis() as u64);
+            let told = Kept { since_ms, written_ms: record.time_ms };
+            let kept = self.blocks.kept.entry(fingerprint).or_insert(told);
+            // Else the former block's age would end it.
+            if kept.merge(told) {
+                self.poison.forget_block(fingerprint);
+            }
+            let age = log_age(self.checkpoint.log_ms(now), kept.since_ms);
+            if self.poison.kept(now, Blocked { fingerprint, age }) {
+                self.blocked(now, fingerprint);
+            }
         }
         for fingerprint in lifted {
-            if self.poison.lift(fingerprint) {
+            self.blocks.kept.remove(&fingerprint);
+            if self.poison.lift(now, fingerprint) {
                 self.event(Event::BlockEnded, Detail::of("fingerprint", fingerprint.to_string()));
             }
         }
@@ -238,23 +278,57 @@
             return;
         }
         self.blocks.next_look = now + LOOK;
+        self.age_blocks(now);
         let lapsed = self.poison.expire(now);
         if first {
             self.append_blocked(&[], &lapsed);
         }
+        if first {
+            self.renew_blocks(now);
+        }
+    }
+
+    /// Writes blocks again before the log forgets them. How old their records are is told by the log: daemons may live
+    /// for less than that takes.
+    fn renew_blocks(&mut self, now: Time) {
         let reading = self.readings.get(&Stream::Blocked).copied().unwrap_or_default();
         let renewal = Duration::from_secs(reading.retention_s) / RENEW_PART;
-        if first && reading.up && now >= self.blocks.renewed + renewal {
-            self.blocks.renewed = now;
-            let blocked: Vec<Fingerprint> = self.poison.blocked().collect();
-            self.append_blocked(&blocked, &[]);
+        let pause = renewal.min(RENEW_AGAIN);
+        if !reading.up || self.blocks.renewed.is_some_and(|at| now < at + pause) {
+            return;
+        }
+        let log_ms = self.checkpoint.log_ms(now);
+        let is_old = |block: &Blocked| {
+            let kept = self.blocks.kept.get(&block.fingerprint);
+            kept.is_some_and(|kept| log_age(log_ms, kept.written_ms) >= renewal)
+        };
+        let old: Vec<Blocked> = self.poison.blocked(now).filter(is_old).collect();
+        if !old.is_empty() {
+            self.blocks.renewed = Some(now);
+            self.append_blocked(&old, &[]);
         }
     }
 
-    fn append_blocked(&mut self, blocked: &[Fingerprint], lifted: &[Fingerprint]) {
+    /// Counts the age of blocks by the log's clock: a daemon that starts again reads what is old, and how old that is
+    /// shows by what it reads later.
+    fn age_blocks(&mut self, now: Time) {
+        self.blocks.kept.retain(|fingerprint, _| self.poison.is_blocked(*fingerprint));
+        let log_ms = self.checkpoint.log_ms(now);
+        for (fingerprint, kept) in &self.blocks.kept {
+            let age = log_age(log_ms, kept.since_ms);
+            self.poison.hear(now, Blocked { fingerprint: *fingerprint, age });
+        }
+    }
+
+    fn append_blocked(&mut self, blocked: &[Blocked], lifted: &[Fingerprint]) {
         if !blocked.is_empty() || !lifted.is_empty() {
             let text = Record::new(blocked, lifted).encode();
             self.effects.push(Effect::AppendBlocked(text));
         }
     }
 }
+
+/// The time from one moment of the log's clock to a later one, both in milliseconds.
+fn log_age(log_ms: u64, since_ms: u64) -> Duration {
+    Duration::from_millis(log_ms.saturating_sub(since_ms))
+}
--- a/src/fleet/frame/wire.rs
+++ b/src/fleet/frame/wire.rs
@@ -74,6 +74,8 @@
     /// Milliseconds and one more; 0 where that is not known.
     #[prost(uint32, tag = "18")]
     pub(super) missed_nothing_for: u32,
+    #[prost(uint32, repeated, tag = "19")]
+    pub(super) blocked_ages_ms: Vec<u32>,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
--- a/src/fleet/poison.rs
+++ b/src/fleet/poison.rs
@@ -8,7 +8,7 @@
 use super::request::{Phase, Request};
 use super::{Command, Effect, Frame, Key, Node, Server, server};
 use crate::poison::{
-    Answer, BLOCKED_FOR, Fingerprint, Lost, Message, Probe, Steps, Strike, Suspect, Victim,
+    Answer, Blocked, Fingerprint, Lost, Message, Probe, Steps, Strike, Suspect, Victim,
 };
 use crate::prelude::*;
 
@@ -18,9 +18,6 @@
 const WRITE_IN_TURN: Duration = Duration::from_millis(700);
 /// Peers that are told of ends where no scheduler is heard of.
 const TOLD_PEERS: usize = 8;
-/// Time for which a block that the platform's store no longer has is not taken over from peers: longer than
-/// daemons are frozen or cut off, who tell of it as they knew it.
-const LET_GO_FOR: Duration = Duration::from_secs(3_600);
 /// Time between two looks for what is too old.
 const LOOK: Duration = Duration::from_secs(10);
 
@@ -129,19 +126,19 @@
             return;
         }
         let addresses = self.fresh_addresses(now);
-        self.tell_of_poison(addresses, Message::Blocked(blocked.clone()));
+        let new = blocked.iter();
+        let new = new.map(|block| Blocked { fingerprint: *block, age: Duration::ZERO }).collect();
+        self.tell_of_poison(addresses, Message::Blocked(new));
         for fingerprint in blocked {
-            self.let_go.remove(&fingerprint);
             self.blocked(now, fingerprint);
         }
     }
 
-    /// Takes over what peers say is blocked. They may say so late: what the store has let go since stays so,
-    /// or one daemon that wakes would block it everywhere for another day.
-    pub(super) fn hear_blocked(&mut self, now: Time, blocked: &[Fingerprint]) {
-        for fingerprint in blocked {
-            if !self.let_go.contains_key(fingerprint) && self.poison.block(now, *fingerprint) {
-                self.blocked(now, *fingerprint);
+    /// Takes over what peers say is blocked.
+    pub(super) fn hear_blocked(&mut self, now: Time, blocked: &[Blocked]) {
+        for told in blocked {
+            if self.poison.hear(now, *told) {
+                self.blocked(now, told.fingerprint);
             }
         }
     }
@@ -150,7 +147,8 @@
     fn blocked(&mut self, now: Time, fingerprint: Fingerprint) {
         self.event(
             Event::RequestBlocked,
-            Detail::of("fingerprint", fingerprint.to_string()).and("left_ms", BLOCKED_FOR),
+            Detail::of("fingerprint", fingerprint.to_string())
+                .and("left_ms", self.poison.left(now, fingerprint)),
         );
         let ended = self.requests.iter().filter(|(_, request)| {
             request.arrival.fingerprint == fingerprint && !request.has_begun()
@@ -216,32 +214,32 @@
         if self.is_scheduler(now) {
             let turn = WRITE_IN_TURN * self.rank_among_daemons();
             let due = self.poison.to_write(now.saturating_sub(turn), WRITE_AGAIN);
-            self.effects.extend(due.into_iter().map(|block| Effect::WriteBlock(block, true)));
+            let due =
+                due.into_iter().map(|block| Effect::WriteBlock(block.fingerprint, Some(block.age)));
+            self.effects.extend(due);
         }
         if now < self.next_poison_look {
             return;
         }
         self.next_poison_look = now + LOOK;
-        self.let_go.retain(|_, at| now < *at + LET_GO_FOR);
         for lapsed in self.poison.expire(now) {
             self.event(Event::BlockEnded, Detail::of("fingerprint", lapsed.to_string()));
             if self.is_scheduler(now) {
-                self.effects.push(Effect::WriteBlock(lapsed, false));
+                self.effects.push(Effect::WriteBlock(lapsed, None));
             }
         }
     }
 
     /// Takes over that the platform's store keeps a block.
-    pub(super) fn block_kept(&mut self, now: Time, fingerprint: Fingerprint) {
-        self.let_go.remove(&fingerprint);
-        self.hear_blocked(now, &[fingerprint]);
-        self.poison.kept(fingerprint);
+    pub(super) fn block_kept(&mut self, now: Time, told: Blocked) {
+        if self.poison.kept(now, told) {
+            self.blocked(now, told.fingerprint);
+        }
     }
 
     /// Takes over that a block is gone from the platform's store.
     pub(super) fn block_gone(&mut self, now: Time, fingerprint: Fingerprint) {
-        self.let_go.insert(fingerprint, now);
-        if self.poison.lift(fingerprint) {
+        if self.poison.lift(now, fingerprint) {
             self.event(Event::BlockEnded, Detail::of("fingerprint", fingerprint.to_string()));
         }
     }
--- a/src/fleet/tests/poison.rs
+++ b/src/fleet/tests/poison.rs
@@ -3,7 +3,7 @@
 use super::site::Site;
 use super::world::*;
 use crate::fleet::*;
-use crate::poison::Fingerprint;
+use crate::poison::{self, Fingerprint};
 use crate::prelude::*;
 use crate::route::Repeat;
 
@@ -225,6 +225,51 @@
     assert!(!blocked(&mut read, ms(40)), "operators may take it away");
 }
 
+/// A daemon counted the day of a block from when it read the record, so that daemons that all started again at some
+/// time of that day held it for another.
+#[test]
+fn block_that_the_store_keeps_lapses_a_day_after_it_was_made() {
+    let hour = Duration::from_secs(3_600);
+    for (hours, is_blocked) in [(22, true), (23, false), (25, false)] {
+        let mut read = Daemon::with(8, &[]);
+        let record = format!("blocked {} {}", FATAL.0, hours * 3_600);
+        read.put(ms(10), Topic::Routers, &[(&format!("blocked-{}", FATAL.0), &record)]);
+        let effects = read.node.apply(hour + ms(10), Message::Tick);
+        assert_eq!(
+            read.node.poison.is_blocked(FATAL),
+            is_blocked,
+            "{hours} h old when it was read"
+        );
+        let removed = effects.iter().any(|e| matches!(e, Effect::WriteBlock(FATAL, None)));
+        assert_eq!(removed, !is_blocked, "it is taken away from the store");
+    }
+}
+
+/// Of two daemons that let a block lapse at other moments, the first had it back from the other's digest for another
+/// day, and gave it back in its turn.
+#[test]
+fn block_that_daemons_tell_each_other_lapses_after_a_day() {
+    let hour = Duration::from_secs(3_600);
+    let mut site = site(2, 8);
+    let start = site.now;
+    let block = poison::Blocked { fingerprint: FATAL, age: hour * 23 };
+    let word = Frame::Poison(poison::Message::Blocked(vec![block]));
+    site.daemons[0].node.apply(start, Message::Frame(word));
+    let mut heard = Vec::new();
+    for at in [ms(600), hour, hour + ms(11_000), hour + ms(22_000)] {
+        for (from, to) in [(0, 1), (1, 0)] {
+            for effect in site.daemons[from].node.apply(start + at, Message::Tick) {
+                if let Effect::Send(_, frame @ Frame::Digest(_)) = effect {
+                    site.daemons[to].node.apply(start + at + ms(5), Message::Frame(frame));
+                }
+            }
+        }
+        heard.push([0, 1].map(|n: usize| site.daemons[n].node.poison.is_blocked(FATAL)));
+    }
+    assert_eq!(heard.first(), Some(&[true, true]), "a digest tells of it");
+    assert_eq!(heard.last(), Some(&[false, false]), "{heard:?}");
+}
+
 #[test]
 fn blocks_are_written_until_the_store_shows_them() {
     let mut site = site(3, 8);
--- a/src/poison/state.rs
+++ b/src/poison/state.rs
@@ -1,6 +1,6 @@
 //! Which requests were there when servers ended, and which are blocked for it.
 
-use super::{Fingerprint, Strike, Victim};
+use super::{Blocked, Fingerprint, Strike, Victim};
 use crate::prelude::*;
 
 /// Servers that end under a request before it is blocked. At one or two ends others may have been there by
@@ -30,6 +30,9 @@
 /// Time for which a request stays blocked: a caller that asks for it without pause ends no more than three
 /// servers a day, and operators have had the time to mend theirs.
 pub const BLOCKED_FOR: Duration = Duration::from_secs(24 * 3_600);
+/// Time for which a block that was lifted is not taken over from peers: longer than daemons are frozen or cut off, who
+/// tell of it as they knew it.
+const LET_GO_FOR: Duration = Duration::from_secs(3_600);
 /// Requests that are blocked at most; the oldest is let go for another.
 const MAX_BLOCKS: usize = 4_096;
 
@@ -89,13 +92,23 @@
 /// What is known of a blocked request.
 #[derive(Debug, Clone, Copy)]
 struct Block {
-    since: Time,
+    /// When this daemon heard of it.
+    heard: Time,
+    /// For how long it had been blocked by then, maybe since before this daemon's clock began.
+    age: Duration,
     /// Whether the platform's store is known to keep it.
     kept: bool,
     /// When it is next to be written there.
     write_at: Time,
 }
 
+impl Block {
+    /// For how long the request has been blocked.
+    fn age(&self, now: Time) -> Duration {
+        now.saturating_sub(self.heard).saturating_add(self.age)
+    }
+}
+
 /// Ends of servers, and blocked requests.
 #[derive(Debug, Default)]
 pub struct State {
@@ -103,6 +116,8 @@
     /// The ends that nothing explains yet, by the requests that were present.
     suspects: BTreeMap<Fingerprint, Suspect>,
     blocks: BTreeMap<Fingerprint, Block>,
+    /// Blocks that were lifted, and when this daemon learnt of that.
+    let_go: BTreeMap<Fingerprint, Time>,
 }
 
 impl State {
@@ -223,31 +238,62 @@
 
     /// Blocks a request; whether it was not blocked before.
     pub fn block(&mut self, now: Time, fingerprint: Fingerprint) -> bool {
-        for key in self.suspects.remove(&fingerprint).unwrap_or_default().ends.into_keys() {
-            self.explain(key);
+        self.let_go.remove(&fingerprint);
+        self.hear(now, Blocked { fingerprint, age: Duration::ZERO })
+    }
+
+    /// Takes over that others have blocked a request; whether it was not blocked before. The longest age that is told
+    /// holds: counted from each hearing, two daemons would keep a block alive for each other. Who has not heard yet that
+    /// a block was lifted tells of it on, so what was let go stays so, or it would be blocked everywhere again.
+    pub fn hear(&mut self, now: Time, told: Blocked) -> bool {
+        let Blocked { fingerprint, age } = told;
+        let is_over = age >= BLOCKED_FOR || self.let_go.contains_key(&fingerprint);
+        if is_over && !self.is_blocked(fingerprint) {
+            return false;
         }
-        if self.blocks.contains_key(&fingerprint) {
+        self.learn(now, told)
+    }
+
+    fn learn(&mut self, now: Time, told: Blocked) -> bool {
+        let Blocked { fingerprint, age } = told;
+        if let Some(block) = self.blocks.get_mut(&fingerprint) {
+            if age > block.age(now) {
+                (block.heard, block.age) = (now, age);
+            }
             return false;
         }
+        for key in self.suspects.remove(&fingerprint).unwrap_or_default().ends.into_keys() {
+            self.explain(key);
+        }
         if self.blocks.len() >= MAX_BLOCKS
-            && let Some(oldest) = self.blocks.iter().min_by_key(|(_, block)| block.since)
+            && let Some(oldest) = self.blocks.iter().max_by_key(|(_, block)| block.age(now))
         {
             let oldest = *oldest.0;
             self.blocks.remove(&oldest);
         }
-        self.blocks.insert(fingerprint, Block { since: now, kept: false, write_at: now });
+        self.blocks.insert(fingerprint, Block { heard: now, age, kept: false, write_at: now });
         true
     }
 
-    /// Notes that the platform's store keeps a block.
-    pub fn kept(&mut self, fingerprint: Fingerprint) {
-        if let Some(block) = self.blocks.get_mut(&fingerprint) {
+    /// Takes over that the platform's store keeps a block; whether the request was not blocked before, and is now. One
+    /// that has lapsed is taken over until [`Self::expire`] finds it, and so has it taken away there.
+    pub fn kept(&mut self, now: Time, told: Blocked) -> bool {
+        self.let_go.remove(&told.fingerprint);
+        let is_new = self.learn(now, told);
+        if let Some(block) = self.blocks.get_mut(&told.fingerprint) {
             block.kept = true;
         }
+        is_new && told.age < BLOCKED_FOR
     }
 
-    /// Ends a block; whether there was one.
-    pub fn lift(&mut self, fingerprint: Fingerprint) -> bool {
+    /// Forgets a block that had lapsed before the one that is told next.
+    pub fn forget_block(&mut self, fingerprint: Fingerprint) {
+        self.blocks.remove(&fingerprint);
+    }
+
+    /// Ends a block that the platform's store no longer keeps; whether there was one.
+    pub fn lift(&mut self, now: Time, fingerprint: Fingerprint) -> bool {
+        self.let_go.insert(fingerprint, now);
         self.blocks.remove(&fingerprint).is_some()
     }
 
@@ -274,7 +320,7 @@
     /// How long a block still lasts.
     pub fn left(&self, now: Time, fingerprint: Fingerprint) -> Duration {
         let block = self.blocks.get(&fingerprint);
-        block.map_or(Duration::ZERO, |block| (block.since + BLOCKED_FOR).saturating_sub(now))
+        block.map_or(Duration::ZERO, |block| BLOCKED_FOR.saturating_sub(block.age(now)))
     }
 
     /// Whether a request that is found at so many more ends of servers has been at as many as it takes to
@@ -322,23 +368,29 @@
     }
 
     /// Blocks that the platform's store is not known to keep.
-    pub fn unkept(&self) -> Vec<Fingerprint> {
-        let unkept = self.blocks.iter().filter(|(_, block)| !block.kept);
-        unkept.map(|(fingerprint, _)| *fingerprint).collect()
+    pub fn unkept(&self, now: Time) -> Vec<Blocked> {
+        let unkept = |blocked: &Blocked| {
+            self.blocks.get(&blocked.fingerprint).is_some_and(|block| !block.kept)
+        };
+        self.blocked(now).filter(unkept).collect()
     }
 
     /// All blocks.
-    pub fn blocked(&self) -> impl Iterator<Item = Fingerprint> {
-        self.blocks.keys().copied()
+    pub fn blocked(&self, now: Time) -> impl Iterator<Item = Blocked> {
+        let blocks = self.blocks.iter();
+        blocks.map(move |(fingerprint, block)| Blocked {
+            fingerprint: *fingerprint,
+            age: block.age(now),
+        })
     }
 
     /// Blocks that are to be written to the platform's store now, and again after `pause` where it is not
     /// seen to keep them by then.
-    pub fn to_write(&mut self, now: Time, pause: Duration) -> Vec<Fingerprint> {
+    pub fn to_write(&mut self, now: Time, pause: Duration) -> Vec<Blocked> {
         let due = self.blocks.iter_mut().filter(|(_, block)| !block.kept && now >= block.write_at);
         let due = due.map(|(fingerprint, block)| {
             block.write_at = now + pause;
-            *fingerprint
+            Blocked { fingerprint: *fingerprint, age: block.age(now) }
         });
         due.collect()
     }
@@ -358,7 +410,8 @@
             self.explain(key);
             self.ends.remove(&key);
         }
-        let lapsed = self.blocks.iter().filter(|(_, block)| now >= block.since + BLOCKED_FOR);
+        self.let_go.retain(|_, at| now < *at + LET_GO_FOR);
+        let lapsed = self.blocks.iter().filter(|(_, block)| block.age(now) >= BLOCKED_FOR);
         let lapsed: Vec<Fingerprint> = lapsed.map(|(fingerprint, _)| *fingerprint).collect();
         for fingerprint in &lapsed {
             self.blocks.remove(fingerprint);
--- a/src/poison/tests.rs
+++ b/src/poison/tests.rs
@@ -186,6 +186,41 @@
     assert!(!state.is_blocked(CULPRIT));
 }
 
+#[test]
+fn hear_longest_age_holds() {
+    let mut state = State::default();
+    let told = |age| Blocked { fingerprint: CULPRIT, age };
+    assert!(state.hear(ms(1_000), told(BLOCKED_FOR / 2)));
+    assert!(!state.hear(ms(2_000), told(ms(0))), "it is known");
+    assert_eq!(state.left(ms(2_000), CULPRIT), BLOCKED_FOR / 2 - ms(1_000));
+    assert!(!state.hear(ms(2_000), told(BLOCKED_FOR - ms(10))));
+    assert_eq!(state.unkept(ms(2_005)), [told(BLOCKED_FOR - ms(5))]);
+    assert_eq!(state.expire(ms(2_010)), [CULPRIT]);
+    assert!(!state.hear(ms(2_020), told(BLOCKED_FOR)), "it has lapsed");
+}
+
+#[test]
+fn lift_holds_against_peers_but_not_the_store_or_new_ends() {
+    let hour = Duration::from_secs(3_600);
+    let told = Blocked { fingerprint: CULPRIT, age: ms(100) };
+    let lifted = || {
+        let mut state = State::default();
+        assert!(state.kept(ms(0), told));
+        assert!(state.lift(ms(1_000), CULPRIT));
+        assert!(!state.hear(ms(2_000), told) && !state.is_blocked(CULPRIT));
+        assert_eq!(state.to_write(ms(2_000), ms(1)), []);
+        state
+    };
+    assert!(lifted().kept(ms(3_000), told));
+    assert!(lifted().block(ms(3_000), CULPRIT));
+    let mut state = lifted();
+    assert!(!state.lift(ms(3_000), CULPRIT));
+    state.expire(hour);
+    assert!(!state.hear(hour, told), "peers may be as late");
+    state.expire(hour + ms(3_000));
+    assert!(state.hear(hour + ms(3_000), told));
+}
+
 #[test]
 fn expire_bounds_what_is_remembered() {
     let mut state = State::default();
