Have each daemon wait differently long for operators' records

Cause: a record ends every daemon's wait at once, so that all asked anew at the same moment ever after, and what each knew of the next naming was 1.6 s old at all nine: older weights were given up that much sooner than need be.

--- a/src/fleet/pace.rs
+++ b/src/fleet/pace.rs
@@ -5,6 +5,8 @@
 //! word; the rest read by themselves while no scheduler has lately. Whatever one daemon reads the
 //! scheduler of the topic tells all, and who is missed asks.
 
+use xxhash_rust::xxh3::xxh3_64;
+
 use super::{Node, Topic, Tracked};
 use crate::prelude::*;
 
@@ -28,9 +30,11 @@
 const LEASE_WAIT_ACTIVE: Duration = Duration::from_secs(2);
 /// The same for those who may take the lease next while there is nothing to order.
 const LEASE_WAIT_SOON: Duration = Duration::from_secs(5);
-/// Time that a read of what operators publish waits for a record. A read that an outage swallowed is noticed only after
+/// Longest time that a read of what operators publish waits for a record. A read that an outage swallowed is noticed only after
 /// it, and has the others asked anew: configurations are due within 2 s of 3 s of calm.
 const OPERATOR_WAIT: Duration = Duration::from_secs(2);
+/// Different lengths of that wait.
+const OPERATOR_WAITS: u64 = 16;
 /// Time that any other read waits for a record.
 const WAIT: Duration = Duration::from_secs(20);
 /// The same for a scheduler's reads that other daemons rely on: a read that has ended shows that the
@@ -95,7 +99,12 @@
             Tracked::Topic(Topic::Operator | Topic::Servers) if self.is_relied_on(now) => {
                 WAIT_FOR_OTHERS
             }
-            Tracked::Topic(Topic::Operator) => OPERATOR_WAIT,
+            // Each daemon waits differently long: a record ends all waits at once, and with equal ones no daemon would
+            // have asked later than another when the next record comes.
+            Tracked::Topic(Topic::Operator) => {
+                let part = xxh3_64(self.identity.id.as_bytes()) % OPERATOR_WAITS;
+                OPERATOR_WAIT - OPERATOR_WAIT / 2 * part as u32 / OPERATOR_WAITS as u32
+            }
             Tracked::Topic(_) => WAIT,
             Tracked::Lease if self.rank_among_daemons() >= LEASE_CANDIDATES => WAIT,
             Tracked::Lease if self.rollout.is_active() => LEASE_WAIT_ACTIVE,
