Send suspects where the least suspect run, and at three ends one copy at a time

Callers saw: in a pool of nine engines a request that ends each engine reached four to six more later than 3 s after its third end, and others beside it used up their six tries.

Cause: suspects were kept apart only while some engine had no suspect at all. In a pool of nine every engine soon has one, and then the next end told nobody from anybody. Copies of one request side by side ended two engines, or one engine twice, and told no more than one copy.

Change: of the engines with room the one with the least suspect company is taken; what was at three ends, and is not blocked since chance is not ruled out, waits while a copy of it runs. The own interface keeps suspects apart by the same grades; copies side by side there are held by claims of keyed calls alone, as before.

Why it holds: an end then tells more, so fewer are needed, and each try after the third end waits for what the one before has shown.

Ruled out: raising the bound of six ends, which is what stops a request that runs for long before it ends its engine.

--- a/src/control/candidates.rs
+++ b/src/control/candidates.rs
@@ -52,9 +52,9 @@
             usable.iter().copied().filter(|(key, _)| !state.failed.contains(key)).collect();
         let mut servers = if untried.is_empty() { usable } else { untried };
         let apart = self.kept_apart_from(state);
-        if servers.iter().any(|(key, _)| !apart.contains(key)) {
-            servers.retain(|(key, _)| !apart.contains(key));
-        }
+        let suspicion = |key: &membership::Key| apart.get(key).copied().unwrap_or_default();
+        let least = servers.iter().map(|(key, _)| suspicion(key)).min().unwrap_or_default();
+        servers.retain(|(key, _)| suspicion(key) == least);
         let depth = self.depth(now, &state.arrival.prefix);
         let candidates: Vec<Candidate> = servers
             .iter()
--- a/src/control/poison.rs
+++ b/src/control/poison.rs
@@ -225,8 +225,8 @@
         }
     }
 
-    /// Servers to which a request is not sent beside another suspect.
-    pub(super) fn kept_apart_from(&self, state: &Request) -> BTreeSet<membership::Key> {
+    /// How suspect what runs at each server is, where a request is better not sent beside it.
+    pub(super) fn kept_apart_from(&self, state: &Request) -> BTreeMap<membership::Key, usize> {
         let running = self.requests.values().filter_map(|other| match other.phase {
             Phase::Sent { server, .. } => Some((other.arrival.fingerprint, server)),
             Phase::Claiming | Phase::Waiting => None,
--- a/src/fleet/place.rs
+++ b/src/fleet/place.rs
@@ -106,10 +106,13 @@
         let servers = keys.iter().filter_map(|key| Some((*key, self.servers.get(*key)?)));
         let mut usable: Vec<(server::Key, &Server)> =
             servers.filter(|(key, server)| self.has_room(now, *key, server)).collect();
-        let apart = self.kept_apart_from(request);
-        if usable.iter().any(|(key, _)| !apart.contains(key)) {
-            usable.retain(|(key, _)| !apart.contains(key));
+        if self.waits_for_its_copy(request) {
+            return None;
         }
+        let apart = self.kept_apart_from(request);
+        let suspicion = |key: &server::Key| apart.get(key).copied().unwrap_or_default();
+        let least = usable.iter().map(|(key, _)| suspicion(key)).min().unwrap_or_default();
+        usable.retain(|(key, _)| suspicion(key) == least);
         match &request.arrival.prompt {
             None => self.place_plain(now, request, &usable),
             Some(prompt) => self.place_prompt(now, request, prompt, &usable),
--- a/src/fleet/poison.rs
+++ b/src/fleet/poison.rs
@@ -197,13 +197,24 @@
         }
     }
 
-    /// Servers to which a request is not sent beside another suspect.
-    pub(super) fn kept_apart_from(&self, request: &Request) -> BTreeSet<server::Key> {
-        let running = self.requests.values().filter_map(|other| match other.phase {
-            Phase::Sent { server, .. } => Some((other.arrival.fingerprint, server)),
+    /// How suspect what runs at each server is, where a request is better not sent beside it.
+    pub(super) fn kept_apart_from(&self, request: &Request) -> BTreeMap<server::Key, usize> {
+        self.poison.kept_apart(request.arrival.fingerprint, self.running())
+    }
+
+    /// Whether a request waits for what a copy of it that runs shows.
+    pub(super) fn waits_for_its_copy(&self, request: &Request) -> bool {
+        let fingerprint = request.arrival.fingerprint;
+        self.poison.runs_one_at_a_time(fingerprint)
+            && self.running().any(|(other, _)| other == fingerprint)
+    }
+
+    /// What runs, and where.
+    fn running(&self) -> impl Iterator<Item = (Fingerprint, server::Key)> {
+        self.requests.values().filter_map(|request| match request.phase {
+            Phase::Sent { server, .. } => Some((request.arrival.fingerprint, server)),
             Phase::Waiting(_) | Phase::Submitted(_) => None,
-        });
-        self.poison.kept_apart(request.arrival.fingerprint, running)
+        })
     }
 
     /// Looks at servers in doubt, has blocks written, and forgets what is too old.
--- a/src/poison/state.rs
+++ b/src/poison/state.rs
@@ -326,8 +326,7 @@
     /// Whether a request that is found at so many more ends of servers has been at as many as it takes to
     /// block it.
     pub fn is_suspect(&self, fingerprint: Fingerprint, more: usize) -> bool {
-        let ends = || self.suspects.get(&fingerprint).map_or(0, |suspect| suspect.ends.len());
-        self.is_blocked(fingerprint) || ends() + more >= ENDS
+        self.is_blocked(fingerprint) || self.ends_of(fingerprint) + more >= ENDS
     }
 
     /// Whether a request was found at all ends but one that it takes to block it.
@@ -335,18 +334,34 @@
         !self.suspects.is_empty() && self.is_suspect(fingerprint, 1)
     }
 
-    /// Where others run that are as suspect as this request, of all that run: the next end there would tell
-    /// neither from the other.
+    /// How suspect what runs in each place is, by ends, where that is to be kept apart from this request: the
+    /// next end there would tell neither from the other. Places that are not named have nothing of the kind.
     pub fn kept_apart<K: Ord>(
         &self,
         fingerprint: Fingerprint,
         running: impl Iterator<Item = (Fingerprint, K)>,
-    ) -> BTreeSet<K> {
+    ) -> BTreeMap<K, usize> {
+        let mut apart = BTreeMap::new();
         if !self.is_prime_suspect(fingerprint) {
-            return BTreeSet::new();
+            return apart;
         }
         let rivals = running.filter(|(other, _)| *other != fingerprint);
-        rivals.filter(|(other, _)| self.is_prime_suspect(*other)).map(|(_, place)| place).collect()
+        for (other, place) in rivals.filter(|(other, _)| self.is_prime_suspect(*other)) {
+            let most = apart.entry(place).or_insert(0);
+            *most = self.ends_of(other).max(*most);
+        }
+        apart
+    }
+
+    /// Whether a request was at as many ends as it takes to block it and chance is not ruled out: what the
+    /// next run shows is waited for, since copies side by side would end more servers and tell no more.
+    pub fn runs_one_at_a_time(&self, fingerprint: Fingerprint) -> bool {
+        self.ends_of(fingerprint) >= ENDS
+    }
+
+    /// The ends that nothing explains at which a request was.
+    fn ends_of(&self, fingerprint: Fingerprint) -> usize {
+        self.suspects.get(&fingerprint).map_or(0, |suspect| suspect.ends.len())
     }
 
     /// All strikes that nothing explains yet, for a daemon that is to go on from here.
