Count what workspaces use of their quotas, and log what is over

Cause: nothing in the product knew of quotas: the configuration's fields were not read, and no daemon counted.

This change reads them (rate, burst, unit; requests, or tokens of the prompt and of the longest answer), counts in src/quota, and has daemons tell each other of it in digests and submissions.

--- a/src/fleet/admission.rs
+++ b/src/fleet/admission.rs
@@ -129,7 +129,7 @@
         let Some(drain) = self.drains.get(&request.pool) else { return false };
         let ahead = self.ahead(Turn::of(key, request), &request.pool);
         let expected = drain.expected(now, ahead).filter(|_| ahead >= TOLD_BY);
-        expected.is_some_and(|wait| wait > request.arrival.route.target / WAIT_PART)
+        expected.is_some_and(|wait| wait > Self::longest_wait(request))
     }
 
     /// Requests to a pool that wait and go before `turn`.
@@ -206,7 +206,7 @@
         self.refuse_until(now, key, code, after);
     }
 
-    fn refuse_until(&mut self, now: Time, key: Key, code: Code, after: Duration) {
+    pub(super) fn refuse_until(&mut self, now: Time, key: Key, code: Code, after: Duration) {
         let Some(request) = self.requests.get(&key) else { return };
         let command = match request.runs {
             0 => Command::Refuse(code, after),
@@ -233,7 +233,7 @@
             Some(prompt) => (own_ms(prompt), open.count()),
             None => (PLAIN_MS, open.map(|(_, server)| server.entry.slots as usize).sum()),
         };
-        let left = request.arrival.deadline.saturating_sub(now) / COME_BACK_PART;
+        let left = Self::longest_absence(now, request);
         let ahead = self.ahead(Turn::of(key, request), &request.pool);
         // At a scheduler everything waits; elsewhere as much is taken to wait at each daemon.
         let daemons = if self.is_scheduler(now) { 1 } else { self.daemons() };
@@ -242,8 +242,23 @@
             0 => COME_BACK_SHUT,
             _ => Duration::from_secs_f64(work_ms / at_a_time as f64 / 1_000.0),
         };
+        self.spread(drained).min(left.max(COME_BACK_LEAST / 2))
+    }
+
+    /// A time to come back, spread so that those refused together do not come together.
+    pub(super) fn spread(&mut self, after: Duration) -> Duration {
         let spread = 1.0 + SPREAD * (self.rng.f64() * 2.0 - 1.0);
-        drained.max(COME_BACK_LEAST).mul_f64(spread).min(left.max(COME_BACK_LEAST / 2))
+        after.max(COME_BACK_LEAST).mul_f64(spread)
+    }
+
+    /// The longest time for which a request may wait for a server.
+    pub(super) fn longest_wait(request: &Request) -> Duration {
+        request.arrival.route.target / WAIT_PART
+    }
+
+    /// The longest time for which the caller of a request can be told to stay away.
+    pub(super) fn longest_absence(now: Time, request: &Request) -> Duration {
+        request.arrival.deadline.saturating_sub(now) / COME_BACK_PART
     }
 }
 
@@ -252,11 +267,11 @@
     /// that it may wait at all.
     pub(super) fn has_waited_for_home(&self, now: Time, request: &Request) -> bool {
         let Phase::Waiting(since) = request.phase else { return false };
-        now >= since + request.arrival.route.target / WAIT_PART / 2
+        now >= since + Self::longest_wait(request) / 2
     }
 }
 
 fn has_waited(now: Time, request: &Request) -> bool {
     let Phase::Waiting(since) = request.phase else { return false };
-    now >= since + request.arrival.route.target / WAIT_PART || now >= request.arrival.deadline
+    now >= since + Node::longest_wait(request) || now >= request.arrival.deadline
 }
--- a/src/fleet/frame/mod.rs
+++ b/src/fleet/frame/mod.rs
@@ -8,6 +8,7 @@
 use super::{Batch, Keeper, Life, Naming, Notice, Record, Told, Topic};
 use crate::poison::{self, Blocked, Fingerprint};
 use crate::prelude::*;
+use crate::quota::Use;
 
 /// A frame that is not well-formed.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -67,6 +68,10 @@
     pub named: Vec<Naming>,
     /// How long ago its daemon last knew that it had missed nothing that operators published.
     pub missed_nothing_for: Option<Duration>,
+    /// The daemon that it takes for the keeper of quotas, and so lends its share; empty where it knows of none.
+    pub keeper: String,
+    /// What it used of workspaces' quotas lately.
+    pub used: Vec<Use>,
 }
 
 /// What daemons send each other.
@@ -328,6 +333,9 @@
             sent_ms: u64::try_from(digest.sent.as_millis()).unwrap_or(u64::MAX),
             named: digest.named.into_iter().map(wire::Naming::from).collect(),
             missed_nothing_for: age_number(digest.missed_nothing_for),
+            keeper: digest.keeper,
+            used_by: digest.used.iter().map(|used| used.workspace.clone()).collect(),
+            used_units: digest.used.iter().map(|used| used.units).collect(),
         }
     }
 }
@@ -344,6 +352,9 @@
         {
             return Err(Malformed("the digest's parts and their work do not match".into()));
         }
+        if digest.used_by.len() != digest.used_units.len() {
+            return Err(Malformed("the digest's workspaces and their use do not match".into()));
+        }
         if !digest.cores.is_finite() {
             return Err(Malformed("the digest's VM has no number of cores".into()));
         }
@@ -372,6 +383,13 @@
             sent: Duration::from_millis(digest.sent_ms),
             named: digest.named.into_iter().map(Naming::from).collect(),
             missed_nothing_for: age(digest.missed_nothing_for),
+            keeper: digest.keeper,
+            used: digest
+                .used_by
+                .into_iter()
+                .zip(digest.used_units)
+                .map(|(workspace, units)| Use { workspace, units })
+                .collect(),
         })
     }
 }
--- a/src/fleet/frame/wire.rs
+++ b/src/fleet/frame/wire.rs
@@ -76,6 +76,13 @@
     pub(super) missed_nothing_for: u32,
     #[prost(uint32, repeated, tag = "19")]
     pub(super) blocked_ages_ms: Vec<u32>,
+    #[prost(string, tag = "20")]
+    pub(super) keeper: String,
+    /// Workspaces, beside the units that were used of their quotas.
+    #[prost(string, repeated, tag = "21")]
+    pub(super) used_by: Vec<String>,
+    #[prost(uint64, repeated, tag = "22")]
+    pub(super) used_units: Vec<u64>,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
--- a/src/fleet/gossip.rs
+++ b/src/fleet/gossip.rs
@@ -111,6 +111,7 @@
                 busy: BTreeMap::new(),
                 heat: Vec::new(),
                 refused: Vec::new(),
+                used: Vec::new(),
                 ..digest.clone()
             };
             self.send_digest(now, &others, announced);
@@ -192,6 +193,8 @@
             sent: now,
             named: self.rollout.seen_named.told(now, self.policy.weights_limit),
             missed_nothing_for: self.rollout.missed_nothing_at.map(|at| now.saturating_sub(at)),
+            keeper: self.keeping.name().to_owned(),
+            used: self.quota.used(now),
         }
     }
 
@@ -269,6 +272,7 @@
         }
         self.expected.hear(now, &digest.refused);
         self.hear_blocked(now, &digest.blocked);
+        self.hear_used(now, &digest);
         // What others moved is taken off what is free by now, not off what was free at the last send.
         self.refill_link(now);
         if let Some(peer) = self.peers.get_mut(&digest.daemon) {
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -24,6 +24,7 @@
 mod place;
 mod poison;
 mod prompt;
+mod quotas;
 mod recall;
 mod records;
 mod reports;
--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -10,6 +10,7 @@
 use super::load::Load;
 use super::notice::Allowance;
 use super::peer::Peer;
+use super::quotas::Keeping;
 use super::request::Request;
 use super::residency::{Kept, Link, Reading};
 use super::rollout::Rollout;
@@ -22,6 +23,7 @@
 use crate::placement::Heat;
 use crate::poison;
 use crate::prelude::*;
+use crate::quota;
 use crate::route::Table;
 
 /// Who this daemon is.
@@ -54,6 +56,8 @@
     pub engines_check_fences: bool,
     /// The times of the lease to order engines.
     pub lease: lease::Terms,
+    /// How quotas are held against what ran.
+    pub quota: quota::Terms,
 }
 
 /// Reads a record of the platform's store.
@@ -90,6 +94,9 @@
     /// Whether peers told something since that was added up.
     pub(super) others_are_stale: bool,
     pub(super) rollout: Rollout,
+    /// What workspaces have left of their quotas.
+    pub(super) quota: quota::State,
+    pub(super) keeping: Keeping,
     /// Requests that end servers.
     pub(super) poison: poison::State,
     /// Servers that may have ended under requests.
@@ -155,6 +162,8 @@
             others: BTreeMap::new(),
             others_are_stale: false,
             rollout: Rollout::default(),
+            quota: quota::State::new(policy.quota),
+            keeping: Keeping::default(),
             poison: poison::State::default(),
             watch: poison::Watch::default(),
             next_poison_look: Time::ZERO,
@@ -273,6 +282,7 @@
 
     fn tick(&mut self, now: Time) {
         self.look_at_ranking(now);
+        self.look_at_quotas(now);
         self.gossip(now);
         self.look_at_namings(now);
         self.read_events(now);
--- /dev/null
+++ b/src/fleet/quotas.rs
@@ -0,0 +1,202 @@
+//! Quotas of workspaces: who keeps them, what is let in, and what daemons tell each other of their use.
+
+use super::peer::{INTERVAL, Peer};
+use super::request::Request;
+use super::{Digest, Key, Node};
+use crate::prelude::*;
+use crate::quota::{Ask, Over, Quota, Role};
+
+/// Time beyond two digests after which a daemon no longer lends its share: by then it may lend it to another.
+const LENT_FOR: Duration = Duration::from_millis(100);
+/// Time in which a keeper notices that others have gone to another.
+const TAKES_OVER: Duration = Duration::from_millis(1_100);
+/// Silence of a daemon after which it has no share where most are heard of: longer than cuts and restarts.
+const GONE_AFTER: Duration = Duration::from_secs(10);
+
+/// Who keeps the quotas, as this daemon sees it.
+#[derive(Debug, Default)]
+pub(super) struct Keeping {
+    /// The keeper's id; empty where none is known.
+    keeper: String,
+    /// Since when this daemon has been the keeper, where it is.
+    since: Option<Time>,
+    /// Until when it counts only a part of what it is lent.
+    taking_over_until: Time,
+}
+
+impl Keeping {
+    /// The keeper's id.
+    pub(super) fn name(&self) -> &str {
+        &self.keeper
+    }
+}
+
+impl Peer {
+    /// Whether it lends its share to the daemon `id`.
+    fn lends_to(&self, now: Time, id: &str) -> bool {
+        self.is_told_of(now) && self.digest.as_ref().is_some_and(|digest| digest.keeper == id)
+    }
+
+    /// Whether neither of its last two digests is overdue.
+    fn is_told_of(&self, now: Time) -> bool {
+        let lasts = |digest: &Digest| digest.interval * 2 + LENT_FOR;
+        let lasts = self.digest.as_ref().map(lasts);
+        self.heard.zip(lasts).is_some_and(|(heard, lasts)| now < heard + lasts)
+    }
+}
+
+impl Node {
+    /// Looks at who keeps the quotas and what this daemon may let in.
+    pub(super) fn look_at_quotas(&mut self, now: Time) {
+        let keeper = self.quota_keeper(now);
+        if keeper != self.keeping.keeper {
+            let stopped = self.peers.get(&self.keeping.keeper).is_some_and(Peer::is_draining);
+            let wait = if stopped { Duration::ZERO } else { TAKES_OVER };
+            self.keeping.taking_over_until = now + wait;
+            self.keeping.keeper = keeper;
+            self.next_digest = self.next_digest.min(now + INTERVAL / 5);
+        }
+        let role = self.quota_role(now);
+        let keeps = matches!(role, Role::Keeper { .. });
+        self.keeping.since = keeps.then(|| self.keeping.since.unwrap_or(now));
+        self.quota.set_role(now, role);
+        let peers = &self.peers;
+        self.quota.retain_daemons(|daemon| peers.contains_key(daemon));
+    }
+
+    /// The daemon that schedules for the engines, through which most tokens pass.
+    fn quota_keeper(&self, now: Time) -> String {
+        let table = self.table.as_ref();
+        let pool = table.and_then(|table| table.engine_pools().next()).unwrap_or_default();
+        match self.scheduler_of(now, pool) {
+            Some(keeper) => keeper.to_owned(),
+            None if self.is_scheduler(now) => self.identity.id.clone(),
+            None => String::new(),
+        }
+    }
+
+    fn quota_role(&self, now: Time) -> Role {
+        let id = &self.identity.id;
+        if !self.is_scheduler(now) {
+            return Role::Other { daemons: self.daemons() };
+        }
+        let lenders = self.peers.values().filter(|peer| peer.lends_to(now, id)).count();
+        // Others notice first where the one before has ended, since their requests find it gone.
+        let is_keeper = self.keeping.keeper == *id || lenders * 2 > self.daemons();
+        if !is_keeper {
+            let keeper = self.peers.get(&self.keeping.keeper);
+            return Role::Deputy { is_told: keeper.is_some_and(|keeper| keeper.is_told_of(now)) };
+        }
+        let lent = (lenders + 1) as f64 / self.lending_daemons(now) as f64;
+        let since = self.keeping.since.unwrap_or(now);
+        let is_new = now < self.keeping.taking_over_until.min(since + TAKES_OVER);
+        Role::Keeper { lent: lent.min(1.0), is_new }
+    }
+
+    /// Daemons that have a share. Where most are heard of, those that have been silent for long have none; on the
+    /// other side of a cut they are not most.
+    fn lending_daemons(&self, now: Time) -> usize {
+        let daemons = self.daemons();
+        let gone = |peer: &&Peer| now >= peer.heard.unwrap_or_default() + GONE_AFTER;
+        let gone = self.peers.values().filter(gone).count();
+        let rest = daemons.saturating_sub(gone).max(1);
+        if rest * 2 > daemons { rest } else { daemons }
+    }
+
+    /// What a request's workspace may have run: by the table in force, or as the daemon that has it was told.
+    fn quota_of(&self, request: &Request) -> Option<Quota> {
+        let workspace = request.arrival.workspace.as_ref()?;
+        let own = self.table.as_ref().and_then(|table| table.quota(&workspace.name));
+        own.or(workspace.quota)
+    }
+
+    /// The workspace of a request and the units that one run of it counts as, where that is limited.
+    fn units(&self, key: Key) -> Option<(String, Quota, u64)> {
+        let request = self.requests.get(&key)?;
+        let quota = self.quota_of(request)?;
+        let prompt = request.arrival.prompt.as_ref();
+        let tokens = prompt.map(|prompt| u64::from(prompt.input) + u64::from(prompt.output));
+        let workspace = request.arrival.workspace.as_ref()?;
+        Some((workspace.name.clone(), quota, quota.units(tokens)))
+    }
+
+    /// Counts a request against its workspace's quota; where nothing is left it is refused, and false.
+    pub(super) fn let_in(&mut self, now: Time, key: Key) -> bool {
+        let Some((workspace, quota, units)) = self.units(key) else { return true };
+        let Some(request) = self.requests.get(&key) else { return false };
+        if request.runs > 0 || request.counted > 0 {
+            return true;
+        }
+        let longest = Self::longest_absence(now, request);
+        let in_time = Self::longest_wait(request).min(longest);
+        let is_back = request.returned;
+        let ask = Ask { workspace: &workspace, quota, units, is_back, in_time };
+        match self.quota.let_in(now, ask) {
+            Ok(()) => {
+                if let Some(request) = self.requests.get_mut(&key) {
+                    request.counted = 1;
+                }
+                true
+            }
+            Err(over) => {
+                self.log_over_quota(key, &workspace, quota, units, over);
+                self.quota.count(now, &workspace, units);
+                if let Some(request) = self.requests.get_mut(&key) {
+                    request.counted = 1;
+                }
+                true
+            }
+        }
+    }
+
+    /// Counts the run that is about to begin, where it is one more than was let in.
+    pub(super) fn count_run(&mut self, now: Time, key: Key) {
+        let Some((workspace, _, units)) = self.units(key) else { return };
+        let Some(request) = self.requests.get_mut(&key) else { return };
+        if request.runs >= request.counted {
+            request.counted = request.runs + 1;
+            self.quota.count(now, &workspace, units);
+        }
+    }
+
+    /// Gives back what was counted for a request that ends and did not run.
+    pub(super) fn give_back(&mut self, now: Time, key: Key) {
+        let Some(request) = self.requests.get(&key) else { return };
+        let spare = u64::from(request.counted.saturating_sub(request.runs));
+        if spare > 0
+            && let Some((workspace, _, units)) = self.units(key)
+        {
+            self.quota.give_back(now, &workspace, units * spare);
+        }
+    }
+
+    /// Takes over what a peer used. Daemons that do not schedule have no use for it.
+    pub(super) fn hear_used(&mut self, now: Time, digest: &Digest) {
+        if !digest.used.is_empty() && self.is_scheduler(now) {
+            let table = self.table.clone();
+            let quota = |workspace: &str| table.as_ref()?.quota(workspace);
+            self.quota.hear(now, &digest.daemon, digest.incarnation, &digest.used, quota);
+        }
+    }
+
+    fn log_over_quota(&mut self, key: Key, workspace: &str, quota: Quota, units: u64, over: Over) {
+        let Some(request) = self.requests.get(&key) else { return };
+        let (role, lent) = match self.quota.role() {
+            Role::Keeper { lent, .. } => ("keeper", lent),
+            Role::Deputy { .. } => ("deputy", 1.0),
+            Role::Other { daemons } => ("other", 1.0 / daemons.max(1) as f64),
+        };
+        let detail = Detail::of("request", request.arrival.id.as_str())
+            .and("workspace", workspace)
+            .and("units", units)
+            .and("promised", over.after.is_some())
+            .and("left", over.left.round())
+            .and("rate_here", over.rate.round())
+            .and("rate", quota.rate)
+            .and("burst", quota.burst)
+            .and("role", role)
+            .and("lent", lent)
+            .and("keeper", self.keeping.keeper.as_str());
+        self.event(Event::QuotaUsed, detail);
+    }
+}
--- a/src/fleet/request.rs
+++ b/src/fleet/request.rs
@@ -26,6 +26,8 @@
     pub(super) sends: u32,
     /// Servers that may have run it.
     pub(super) runs: u32,
+    /// Runs that this daemon has counted against its workspace's quota.
+    pub(super) counted: u32,
     /// The weights that it was last sent to.
     pub(super) weights: Option<u64>,
     /// Milliseconds to its first token that were predicted, without the queue of the KV store's link,
@@ -54,6 +56,7 @@
             phase: Phase::Waiting(now),
             sends: 0,
             runs: 0,
+            counted: 0,
             weights: None,
             fetch_cost_ms: None,
             tried: Vec::new(),
--- a/src/fleet/requests.rs
+++ b/src/fleet/requests.rs
@@ -79,7 +79,9 @@
         if self.is_blocked(key) {
             return self.refuse_blocked(now, key);
         }
-        self.send_or_wait(now, key);
+        if self.let_in(now, key) {
+            self.send_or_wait(now, key);
+        }
     }
 
     /// The pool for a request, by the weights of its route's splits.
@@ -130,6 +132,7 @@
 
     pub(super) fn dispatch(&mut self, now: Time, key: Key, choice: Choice) {
         let most_idle = self.most_idle(key);
+        self.count_run(now, key);
         let Some(request) = self.requests.get_mut(&key) else { return };
         let Some(server) = self.servers.get_mut(choice.server) else { return };
         request.sends += 1;
@@ -212,6 +215,7 @@
     pub(super) fn forget(&mut self, now: Time, key: Key) {
         self.release(key);
         self.withdraw(key);
+        self.give_back(now, key);
         if let Some(request) = self.requests.remove(&key) {
             if let Some(origin) = &request.origin {
                 self.served.remove(origin);
--- a/src/fleet/scheduling/message.rs
+++ b/src/fleet/scheduling/message.rs
@@ -5,7 +5,7 @@
 use crate::fleet::{Key, Life, Prompt, Report};
 use crate::poison::Fingerprint;
 use crate::prelude::*;
-use crate::route::Repeat;
+use crate::route::{Repeat, Workspace};
 
 /// A request for which a scheduler is to find a server.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -30,8 +30,8 @@
     pub attempts: u32,
     /// The pool that is to serve it.
     pub pool: String,
-    /// Its workspace, where that shares no cached prompt with others.
-    pub isolated: Option<String>,
+    /// Its workspace, where it has one.
+    pub workspace: Option<Workspace>,
     /// Time until it is no longer wanted.
     pub left: Duration,
     /// Its prompt, where it goes to an engine.
--- a/src/fleet/scheduling/serving.rs
+++ b/src/fleet/scheduling/serving.rs
@@ -193,12 +193,13 @@
         attempts: submission.attempts,
         public: true,
     };
-    let isolated = |name| Arc::new(Workspace { name, priority: None, isolated: true });
     let arrival = Arrival {
         request,
         id: submission.id,
         route: Arc::new(route),
-        workspace: submission.isolated.map(isolated),
+        workspace: submission
+            .workspace
+            .map(|owner| Arc::new(Workspace { priority: None, ..owner })),
         deadline: now + submission.left,
         prompt: submission.prompt,
         fingerprint: submission.fingerprint,
--- a/src/fleet/scheduling/submitting.rs
+++ b/src/fleet/scheduling/submitting.rs
@@ -275,12 +275,14 @@
         request.scheduler.clear();
         let Stage::Placed(Placed { server, tokens, begun, at, .. }) = stage else {
             request.phase = Phase::Waiting(now);
-            if !self.submit(now, key) {
+            if !self.submit(now, key) && self.let_in(now, key) {
                 self.send_or_wait(now, key);
             }
             return;
         };
         request.phase = Phase::Sent { server, tokens, begun, at };
+        // The scheduler counted it.
+        request.counted = request.runs;
         if let Some(server) = self.servers.get_mut(server) {
             server.running += 1;
             if !begun {
@@ -328,7 +330,7 @@
         rank: workspace.and_then(|owner| owner.priority).unwrap_or(route.priority),
         attempts: route.attempts,
         pool: pool.to_owned(),
-        isolated: workspace.filter(|owner| owner.isolated).map(|owner| owner.name.clone()),
+        workspace: workspace.cloned(),
         left: arrival.deadline.saturating_sub(now),
         prompt: arrival.prompt.clone(),
         fingerprint: arrival.fingerprint,
--- a/src/fleet/scheduling/wire.rs
+++ b/src/fleet/scheduling/wire.rs
@@ -6,7 +6,8 @@
 use crate::fleet::{Key, Life, Loss, Malformed, Part, Prompt, Refused, Report};
 use crate::poison::Fingerprint;
 use crate::prelude::*;
-use crate::route::Repeat;
+use crate::quota::{Quota, Unit};
+use crate::route::{Repeat, Workspace};
 
 #[derive(Clone, PartialEq, prost::Message)]
 pub(in crate::fleet) struct Submission {
@@ -30,6 +31,7 @@
     attempts: u32,
     #[prost(string, tag = "10")]
     pool: String,
+    /// The workspace, where it shares no cached prompt with others.
     #[prost(string, optional, tag = "11")]
     isolated: Option<String>,
     #[prost(uint32, tag = "12")]
@@ -38,6 +40,22 @@
     prompt: Option<WirePrompt>,
     #[prost(fixed64, tag = "14")]
     fingerprint: u64,
+    /// Any other workspace.
+    #[prost(string, optional, tag = "15")]
+    workspace: Option<String>,
+    #[prost(message, optional, tag = "16")]
+    quota: Option<WireQuota>,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct WireQuota {
+    #[prost(uint64, tag = "1")]
+    rate: u64,
+    #[prost(uint64, tag = "2")]
+    burst: u64,
+    /// Tokens of a request that tells of none, where tokens are counted.
+    #[prost(uint32, optional, tag = "3")]
+    plain: Option<u32>,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -137,6 +155,11 @@
             Repeat::AtMostOnce => 1,
             Repeat::Resumable => 2,
         };
+        let quota = submission.workspace.as_ref().and_then(|owner| owner.quota);
+        let (isolated, workspace) = match submission.workspace {
+            Some(owner) if owner.isolated => (Some(owner.name), None),
+            owner => (None, owner.map(|owner| owner.name)),
+        };
         Self {
             daemon: submission.daemon,
             incarnation: submission.incarnation,
@@ -148,10 +171,12 @@
             rank: u32::from(submission.rank),
             attempts: submission.attempts,
             pool: submission.pool,
-            isolated: submission.isolated,
+            isolated,
             left_ms: ms(submission.left),
             prompt: submission.prompt.map(WirePrompt::from),
             fingerprint: submission.fingerprint.0,
+            workspace,
+            quota: quota.map(WireQuota::from),
         }
     }
 }
@@ -166,6 +191,10 @@
             2 => Repeat::Resumable,
             other => return Err(unknown("repetition", other)),
         };
+        let quota = wire.quota.map(Quota::from);
+        let owner = |name, isolated| Workspace { name, priority: None, isolated, quota };
+        let isolated = wire.isolated.map(|name| owner(name, true));
+        let workspace = isolated.or_else(|| wire.workspace.map(|name| owner(name, false)));
         if wire.daemon.is_empty() || wire.pool.is_empty() {
             return Err(Malformed("the submission names no daemon or no pool".into()));
         }
@@ -180,7 +209,7 @@
             rank: u8::try_from(wire.rank).map_err(|_| unknown("rank", wire.rank))?,
             attempts: wire.attempts,
             pool: wire.pool,
-            isolated: wire.isolated,
+            workspace,
             left: span(wire.left_ms),
             prompt: wire.prompt.map(Prompt::try_from).transpose()?,
             fingerprint: Fingerprint(wire.fingerprint),
@@ -188,6 +217,23 @@
     }
 }
 
+impl From<Quota> for WireQuota {
+    fn from(Quota { rate, burst, unit }: Quota) -> Self {
+        let plain = match unit {
+            Unit::Requests => None,
+            Unit::Tokens { plain } => Some(plain),
+        };
+        Self { rate, burst, plain }
+    }
+}
+
+impl From<WireQuota> for Quota {
+    fn from(WireQuota { rate, burst, plain }: WireQuota) -> Self {
+        let unit = plain.map_or(Unit::Requests, |plain| Unit::Tokens { plain });
+        Self { rate, burst, unit }
+    }
+}
+
 impl From<Prompt> for WirePrompt {
     fn from(prompt: Prompt) -> Self {
         Self {
--- a/src/fleet/tests/mod.rs
+++ b/src/fleet/tests/mod.rs
@@ -11,6 +11,7 @@
 mod parts;
 mod peers;
 mod poison;
+mod quotas;
 mod requests;
 mod residency;
 mod review;
--- a/src/fleet/tests/residency.rs
+++ b/src/fleet/tests/residency.rs
@@ -191,7 +191,7 @@
     }
     run(&mut daemons, &mut keepers, ms(1_000), ms(1_000), none);
     assert_eq!(send(&mut daemons, 0, ms(2_010), subject).fetch_from, None);
-    let lab = Workspace { name: "lab".into(), priority: None, isolated: true };
+    let lab = Workspace { name: "lab".into(), priority: None, isolated: true, quota: None };
     assert_eq!(send_for(&mut daemons, 1, ms(2_010), subject, Some(lab)).fetch_from, None);
 }
 
--- a/src/fleet/tests/servers.rs
+++ b/src/fleet/tests/servers.rs
@@ -83,7 +83,7 @@
 #[test]
 fn salt_parts_weights_and_isolated_workspaces() {
     let mut daemon = Daemon::with(1, &ENGINES);
-    let lab = |isolated| Workspace { name: "lab".into(), priority: None, isolated };
+    let lab = |isolated| Workspace { name: "lab".into(), priority: None, isolated, quota: None };
     let open = send(&mut daemon, ms(10), Some(lab(false)), 3);
     let isolated = send(&mut daemon, ms(11), Some(lab(true)), 3);
     assert_eq!(open.salt, send(&mut daemon, ms(12), None, 3).salt);
--- a/src/fleet/tests/site.rs
+++ b/src/fleet/tests/site.rs
@@ -12,7 +12,12 @@
 pub struct Site {
     pub daemons: Vec<Daemon>,
     pub down: BTreeSet<usize>,
+    /// Who is not heard by whom.
+    pub cut: BTreeSet<(usize, usize)>,
     pub now: Time,
+    /// When each daemon's clock began.
+    pub born: Vec<Time>,
+    incarnations: u64,
     /// What traffic was told, by daemon.
     pub told: Vec<Vec<(Key, Command)>>,
     /// The subject of the prompts that come next.
@@ -37,10 +42,14 @@
         });
         let daemons: Vec<Daemon> = daemons.collect();
         let told = vec![Vec::new(); daemons.len()];
+        let daemons_count = daemons.len();
         let mut site = Self {
             daemons,
             down: BTreeSet::new(),
+            cut: BTreeSet::new(),
             now: ms(0),
+            born: vec![ms(0); daemons_count],
+            incarnations: 0,
             told,
             subject: 3,
             ended: BTreeSet::new(),
@@ -67,11 +76,35 @@
             if self.down.contains(&index) {
                 continue;
             }
-            let effects = self.daemons[index].node.apply(self.now, message);
+            let now = self.clock(index);
+            let effects = self.daemons[index].node.apply(now, message);
             pending.extend(self.carry(index, effects));
         }
     }
 
+    /// The time by a daemon's own clock.
+    pub fn clock(&self, index: usize) -> Time {
+        self.now - self.born[index]
+    }
+
+    /// A daemon's process ends and another begins in its place, which has read what the store has.
+    pub fn start_again(&mut self, index: usize, servers: &[(&str, &str)]) {
+        self.born[index] = self.now;
+        self.incarnations += 1;
+        let last = index as u8 + 1;
+        let mut daemon = Daemon::started(last, 1_000 + self.incarnations, &[]);
+        let routers =
+            (1..=self.daemons.len()).map(|n| (format!("router-{n}"), format!("router {n}")));
+        let routers: Vec<(String, String)> = routers.collect();
+        let routers: Vec<(&str, &str)> =
+            routers.iter().map(|(id, value)| (id.as_str(), value.as_str())).collect();
+        daemon.put(ms(0), Topic::Operator, &[("config", "table 1")]);
+        daemon.put(ms(0), Topic::Servers, servers);
+        daemon.put(ms(0), Topic::Routers, &routers);
+        self.daemons[index] = daemon;
+        self.told[index].clear();
+    }
+
     /// Notes commands, and returns frames as messages to those that they go to, the last first.
     pub fn carry(&mut self, index: usize, effects: Vec<Effect>) -> Vec<(usize, Message)> {
         let mut messages = Vec::new();
@@ -79,7 +112,8 @@
             match effect {
                 Effect::Command(key, command) => self.told[index].push((key, command)),
                 Effect::Send(to, frame) => {
-                    let daemons = 0..self.daemons.len();
+                    let daemons =
+                        (0..self.daemons.len()).filter(|to| !self.cut.contains(&(index, *to)));
                     let to = daemons.filter(|i| to.contains(&address(*i as u8 + 1)));
                     messages.extend(to.map(|to| (to, Message::Frame(frame.clone()))));
                 }
--- a/src/fleet/tests/world.rs
+++ b/src/fleet/tests/world.rs
@@ -6,6 +6,7 @@
 use crate::lease;
 use crate::poison::{Blocked, Fingerprint};
 use crate::prelude::*;
+use crate::quota;
 use crate::route::{Engine, Kind, KvStore, Limits, Pool, Repeat, Route, Split, Table, Workspace};
 
 /// Milliseconds as a time.
@@ -28,6 +29,7 @@
         margin: Duration::from_millis(400),
         renewal: Duration::from_secs(1),
     },
+    quota: quota::Terms { window: Duration::from_secs(8), overage: 0.1, slack: 110_000.0 },
 };
 
 /// Records in these tests say what they mean in a few words.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod poison;
 pub mod prefix;
 pub mod prelude;
+pub mod quota;
 pub mod relay;
 pub mod route;
 pub mod settings;
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -12,6 +12,7 @@
 pub use table::{Fault, Found, Table};
 
 use crate::prelude::*;
+use crate::quota::Quota;
 
 /// What may be repeated of a route's requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -113,6 +114,8 @@
     pub priority: Option<u8>,
     /// Whether it shares no cached prompt with other workspaces.
     pub isolated: bool,
+    /// What it may have run, where that is limited.
+    pub quota: Option<Quota>,
 }
 
 /// Bounds on what callers send.
--- a/src/route/table.rs
+++ b/src/route/table.rs
@@ -2,6 +2,7 @@
 
 use super::{Engine, Kind, KvStore, Limits, Pool, Route, Workspace};
 use crate::prelude::*;
+use crate::quota::Quota;
 
 /// Why a configuration can't be used.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -16,6 +17,8 @@
     pools: BTreeMap<String, Pool>,
     /// The workspace of each key.
     keys: BTreeMap<String, Arc<Workspace>>,
+    /// What each workspace may have run that is limited.
+    quotas: BTreeMap<String, Quota>,
     limits: Limits,
 }
 
@@ -56,11 +59,13 @@
             routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
         }
         let mut keys = BTreeMap::new();
+        let mut quotas = BTreeMap::new();
         for (workspace, owned) in workspaces {
+            quotas.extend(workspace.quota.map(|quota| (workspace.name.clone(), quota)));
             let workspace = Arc::new(workspace);
             keys.extend(owned.into_iter().map(|key| (key, Arc::clone(&workspace))));
         }
-        Ok(Self { version, hosts, pools, keys, limits })
+        Ok(Self { version, hosts, pools, keys, quotas, limits })
     }
 
     /// The configuration's version.
@@ -73,6 +78,11 @@
         self.limits
     }
 
+    /// What a workspace may have run, where that is limited.
+    pub fn quota(&self, workspace: &str) -> Option<Quota> {
+        self.quotas.get(workspace).copied()
+    }
+
     /// The pool of this name.
     pub fn pool(&self, name: &str) -> Option<&Pool> {
         self.pools.get(name)
--- a/src/route/tests.rs
+++ b/src/route/tests.rs
@@ -23,7 +23,7 @@
 }
 
 fn lab() -> (Workspace, Vec<String>) {
-    let workspace = Workspace { name: "lab".into(), priority: None, isolated: false };
+    let workspace = Workspace { name: "lab".into(), priority: None, isolated: false, quota: None };
     (workspace, vec!["key-1".into()])
 }
 
--- a/src/telemetry/event.rs
+++ b/src/telemetry/event.rs
@@ -81,6 +81,7 @@
     RequestMoved = 412, Info, "A request was taken from a silent backend server and sent to another.";
     RequestBlocked = 413, Warn, "A request is refused from now on: servers have ended whenever they ran it.";
     BlockEnded = 414, Info, "A request that was blocked is sent to backend servers again.";
+    QuotaUsed = 415, Info, "A request was refused: its workspace has used what this daemon may let in of its quota.";
     ClaimAbandoned = 500, Warn, "A claim was given up on; it is released when it shows up on the log.";
     ClaimReleased = 501, Info, "A claim that was never dispatched was released.";
     OutcomeAppendFailed = 502, Warn, "An outcome could not be appended yet; it is tried again.";
