Keep quotas of workspaces by one daemon, to which the others lend their shares

Callers saw: a workspace took what it wanted of the engines, whatever its quota.

What is not left is refused at once with 429 and 2011, and promised room where that comes in time.

Ruled out: equal shares, which are smaller than one prompt at 78 daemons.

--- a/src/fleet/admission.rs
+++ b/src/fleet/admission.rs
@@ -84,6 +84,11 @@
         own || lately(self.told.get(&fingerprint).copied())
     }
 
+    /// Expects a caller no more: nothing was promised it.
+    pub(super) fn forget(&mut self, fingerprint: Fingerprint) {
+        self.own.remove(&fingerprint);
+    }
+
     /// Whom this daemon refused lately.
     pub(super) fn own(&self) -> Vec<Fingerprint> {
         self.own.keys().copied().collect()
--- a/src/fleet/figures.rs
+++ b/src/fleet/figures.rs
@@ -2,6 +2,7 @@
 
 use super::{Node, Tracked};
 use crate::prelude::*;
+use crate::quota::Role;
 use crate::telemetry::metrics::Figure;
 
 /// What became of the attempts of this daemon since its start.
@@ -75,12 +76,27 @@
             refused
                 .map(|(code, n)| Figure::of("refused", "code", code.row().number.to_string(), *n)),
         );
+        self.show_quotas(&mut figures);
         self.show_pools(now, &mut figures);
         self.show_servers(now, &mut figures);
         self.show_ages(now, &mut figures);
         figures
     }
 
+    /// What this daemon may let in of the quotas that were used lately.
+    fn show_quotas(&self, figures: &mut Vec<Figure>) {
+        let lent = match self.quota.role() {
+            Role::Keeper { lent, .. } => lent,
+            Role::Deputy { .. } | Role::Other { .. } => 0.0,
+        };
+        figures.push(Figure::new("quota_keeper", u64::from(lent > 0.0)));
+        figures.push(Figure::new("quota_lent_percent", (lent * 100.0).round() as u64));
+        for workspace in self.quota.workspaces() {
+            let left = self.quota.left(workspace).unwrap_or_default().max(0.0);
+            figures.push(Figure::of("quota_left", "workspace", workspace, left as u64));
+        }
+    }
+
     fn show_pools(&mut self, now: Time, figures: &mut Vec<Figure>) {
         for (pool, keys) in &self.pools {
             let usable = keys.iter().filter_map(|key| self.servers.get(*key));
--- a/src/fleet/quotas.rs
+++ b/src/fleet/quotas.rs
@@ -129,7 +129,7 @@
         }
         let longest = Self::longest_absence(now, request);
         let in_time = Self::longest_wait(request).min(longest);
-        let is_back = request.returned;
+        let (is_back, fingerprint) = (request.returned, request.arrival.fingerprint);
         let ask = Ask { workspace: &workspace, quota, units, is_back, in_time };
         match self.quota.let_in(now, ask) {
             Ok(()) => {
@@ -139,12 +139,13 @@
                 true
             }
             Err(over) => {
+                let after = self.spread(over.after.unwrap_or(longest / 2)).min(longest);
                 self.log_over_quota(key, &workspace, quota, units, over);
-                self.quota.count(now, &workspace, units);
-                if let Some(request) = self.requests.get_mut(&key) {
-                    request.counted = 1;
+                self.refuse_until(now, key, Code::OverQuota, after);
+                if over.after.is_none() {
+                    self.expected.forget(fingerprint);
                 }
-                true
+                false
             }
         }
     }
