Correct the example of State::let_in: the role began before the request

A keeper that has just come into its role begins with a quarter of what can be saved up, which was less than the one request of the example.

--- a/src/quota/state.rs
+++ b/src/quota/state.rs
@@ -145,7 +145,7 @@
     /// use cardamomvalve::quota::{Ask, Quota, Role, State, Terms, Unit};
     /// let mut state = State::new(Terms::default());
     /// let now = Duration::from_secs(60);
-    /// state.set_role(now, Role::Keeper { lent: 1.0, is_new: false });
+    /// state.set_role(Duration::ZERO, Role::Keeper { lent: 1.0, is_new: false });
     /// let quota = Quota { rate: 10, burst: 10, unit: Unit::Requests };
     /// let in_time = Duration::from_millis(300);
     /// let ask = Ask { workspace: "lab", quota, units: 1, is_back: false, in_time };
