Tests: one exchange, one drain of what traffic was told, one arrival at a site

Two files of src/control/tests had the same exchange of nodes; the crowds and the plays of quotas each drained what daemons told traffic, and each made an arrival at a site by hand. Assertions and seeds are as they were.

--- a/src/control/tests/at_most_once.rs
+++ b/src/control/tests/at_most_once.rs
@@ -150,21 +150,6 @@
     assert_eq!(world.answers.get(&unkeyed), None, "calls without a key go on");
 }
 
-/// Ticks of all nodes, and what they tell each other; the ledger can't be read.
-fn exchange(world: &mut World, rounds: usize) {
-    for _ in 0..rounds {
-        for index in 0..world.nodes.len() {
-            world.tell(index, Message::Tick);
-        }
-        for action in std::mem::take(&mut world.actions) {
-            if let super::world::Action::Deliver(index, _, message) = action {
-                world.tell(index, *message);
-            }
-        }
-        world.now += Duration::from_millis(100);
-    }
-}
-
 /// Two daemons of three started while only the ledger's stream failed. Each heard the other first, who knew
 /// of no key at all, and took that for what is known: neither asked the third, and callers who came back
 /// for a receipt were refused (2007) for as long as the outage lasted.
@@ -188,7 +173,7 @@
         world.tell(started[1], Message::Frame(Frame::Snapshot(empty)));
         let empty = world.nodes[started[1]].snapshot(world.now);
         world.tell(started[0], Message::Frame(Frame::Snapshot(empty)));
-        exchange(&mut world, 30);
+        world.exchange(30);
         for index in started {
             let again = world.pay(index, Some("k"));
             let answer = &world.answers[&again];
--- a/src/control/tests/manifests.rs
+++ b/src/control/tests/manifests.rs
@@ -126,26 +126,11 @@
     let page = first_page(&world);
     world.tell(0, page);
     world.tell(0, Message::LogDown(Stream::Manifest));
-    exchange(&mut world, 20);
+    world.exchange(20);
     assert_eq!(world.generations[0], [3]);
     assert!(world.nodes[0].is_ready());
 }
 
-/// Ticks of all nodes, each round's messages delivered between them, and nothing read.
-fn exchange(world: &mut World, rounds: usize) {
-    for _ in 0..rounds {
-        for index in 0..world.nodes.len() {
-            world.tell(index, Message::Tick);
-        }
-        for action in std::mem::take(&mut world.actions) {
-            if let super::world::Action::Deliver(index, _, message) = action {
-                world.tell(index, *message);
-            }
-        }
-        world.now += Duration::from_millis(100);
-    }
-}
-
 #[test]
 fn daemon_cut_off_from_log_learns_from_peers() {
     let mut world = World::new(1, 2, Faults::default());
@@ -153,7 +138,7 @@
     world.read(0, Stream::Manifest);
     world.read(0, Stream::Manifest);
     // Node 1 reads nothing; only frames reach it.
-    exchange(&mut world, 100);
+    world.exchange(100);
     assert_eq!(world.nodes[1].manifest.generation(), 2);
 }
 
@@ -163,7 +148,7 @@
     world.log_down = true;
     world.kill(0);
     assert!(!world.nodes[0].is_ready());
-    exchange(&mut world, 20);
+    world.exchange(20);
     assert!(world.nodes[0].is_ready());
 }
 
--- a/src/control/tests/world.rs
+++ b/src/control/tests/world.rs
@@ -215,6 +215,21 @@
         }
     }
 
+    /// Ticks of all nodes, each round's messages delivered between them, and nothing read.
+    pub fn exchange(&mut self, rounds: usize) {
+        for _ in 0..rounds {
+            for index in 0..self.nodes.len() {
+                self.tell(index, Message::Tick);
+            }
+            for action in std::mem::take(&mut self.actions) {
+                if let Action::Deliver(index, _, message) = action {
+                    self.tell(index, *message);
+                }
+            }
+            self.now += Duration::from_millis(100);
+        }
+    }
+
     fn chance(&mut self, in_hundred: u32) -> bool {
         self.rng.u32(0..100) < in_hundred
     }
--- a/src/fleet/tests/beside.rs
+++ b/src/fleet/tests/beside.rs
@@ -100,8 +100,7 @@
             .iter()
             .map(|(n, id)| (id.clone(), format!("engine {} ready 1", 101 + n)))
             .collect();
-        let records: Vec<(&str, &str)> =
-            records.iter().map(|(id, value)| (id.as_str(), value.as_str())).collect();
+        let records = borrowed(&records);
         Self {
             site: Site::new(daemons, &records),
             rng: fastrand::Rng::with_seed(seed),
@@ -191,15 +190,12 @@
     /// Does what daemons told traffic.
     fn obey(&mut self) {
         loop {
-            let told: Vec<(usize, Vec<(Key, Command)>)> =
-                self.site.told.iter_mut().map(std::mem::take).enumerate().collect();
-            if told.iter().all(|(_, told)| told.is_empty()) {
+            let told = self.site.take_told();
+            if told.is_empty() {
                 return;
             }
-            for (daemon, told) in told {
-                for (key, command) in told {
-                    self.obey_one(daemon, key, command);
-                }
+            for (daemon, key, command) in told {
+                self.obey_one(daemon, key, command);
             }
         }
     }
--- a/src/fleet/tests/quotas.rs
+++ b/src/fleet/tests/quotas.rs
@@ -97,8 +97,7 @@
     fn new(daemons: u8, seed: u64, demands: Vec<Demand>) -> Self {
         let server = |n| (format!("e-{n}"), format!("engine {} ready 1", 101 + n));
         let servers: Vec<(String, String)> = (0..ENGINES).map(server).collect();
-        let records: Vec<(&str, &str)> =
-            servers.iter().map(|(id, value)| (id.as_str(), value.as_str())).collect();
+        let records = borrowed(&servers);
         let mut site = Site::new(daemons, &records);
         site.pass(ms(9_000));
         Self {
@@ -141,8 +140,7 @@
         let due: Vec<usize> =
             self.starts.iter().filter(|(at, _)| now >= *at).map(|(_, index)| *index).collect();
         self.starts.retain(|(at, _)| now < *at);
-        let servers: Vec<(&str, &str)> =
-            self.servers.iter().map(|(id, value)| (id.as_str(), value.as_str())).collect();
+        let servers = borrowed(&self.servers);
         for index in due {
             self.site.down.remove(&index);
             self.site.start_again(index, &servers);
@@ -200,31 +198,22 @@
 
     fn ask_at(&mut self, daemon: usize, index: usize) {
         self.subject += 1;
+        self.site.subject = self.subject % 40;
         let demand = &mut self.demands[index];
         demand.asked += 1;
         let name = demand.name.to_owned();
         let workspace = Workspace { name, priority: None, isolated: false, quota: Some(QUOTA) };
-        let (now, route) = (self.site.clock(daemon), route("engines", Repeat::Resumable, 2));
-        let prompt = Some(prompt(7, self.subject % 40));
-        let (key, effects) =
-            self.site.daemons[daemon].arrive_for(now, &route, prompt, Some(workspace));
+        let key = self.site.arrive_for(daemon, "engines", Repeat::Resumable, Some(workspace));
         self.flights.insert((daemon, key), (index, 0, Time::MAX));
-        for (to, message) in self.site.carry(daemon, effects).into_iter().rev() {
-            self.site.apply(to, message);
-        }
     }
 
     fn obey(&mut self) {
         loop {
-            let told: Vec<(usize, Vec<(Key, Command)>)> =
-                self.site.told.iter_mut().map(std::mem::take).enumerate().collect();
-            if told.iter().all(|(_, told)| told.is_empty()) {
+            let told = self.site.take_told();
+            if told.is_empty() {
                 return;
             }
-            for (daemon, (key, command)) in told
-                .into_iter()
-                .flat_map(|(daemon, told)| told.into_iter().map(move |t| (daemon, t)))
-            {
+            for (daemon, key, command) in told {
                 self.obey_one(daemon, key, command);
             }
         }
--- a/src/fleet/tests/site.rs
+++ b/src/fleet/tests/site.rs
@@ -6,7 +6,7 @@
 use crate::fleet::*;
 use crate::poison::{Answer, Fingerprint};
 use crate::prelude::*;
-use crate::route::Repeat;
+use crate::route::{Repeat, Workspace};
 
 /// Daemons that hear each other, but for those that are down.
 pub struct Site {
@@ -31,10 +31,8 @@
 impl Site {
     /// Daemons that have heard of each other for some seconds.
     pub fn new(count: u8, servers: &[(&str, &str)]) -> Self {
-        let routers = (1..=count).map(|last| (format!("router-{last}"), format!("router {last}")));
-        let routers: Vec<(String, String)> = routers.collect();
-        let routers: Vec<(&str, &str)> =
-            routers.iter().map(|(id, value)| (id.as_str(), value.as_str())).collect();
+        let routers = routers(count);
+        let routers = borrowed(&routers);
         let daemons = (1..=count).map(|last| {
             let mut daemon = Daemon::with(last, servers);
             daemon.put(ms(0), Topic::Routers, &routers);
@@ -42,13 +40,13 @@
         });
         let daemons: Vec<Daemon> = daemons.collect();
         let told = vec![Vec::new(); daemons.len()];
-        let daemons_count = daemons.len();
+        let born = vec![ms(0); daemons.len()];
         let mut site = Self {
             daemons,
             down: BTreeSet::new(),
             cut: BTreeSet::new(),
             now: ms(0),
-            born: vec![ms(0); daemons_count],
+            born,
             incarnations: 0,
             told,
             subject: 3,
@@ -93,11 +91,8 @@
         self.incarnations += 1;
         let last = index as u8 + 1;
         let mut daemon = Daemon::started(last, 1_000 + self.incarnations, &[]);
-        let routers =
-            (1..=self.daemons.len()).map(|n| (format!("router-{n}"), format!("router {n}")));
-        let routers: Vec<(String, String)> = routers.collect();
-        let routers: Vec<(&str, &str)> =
-            routers.iter().map(|(id, value)| (id.as_str(), value.as_str())).collect();
+        let routers = routers(self.daemons.len() as u8);
+        let routers = borrowed(&routers);
         daemon.put(ms(0), Topic::Operator, &[("config", "table 1")]);
         daemon.put(ms(0), Topic::Servers, servers);
         daemon.put(ms(0), Topic::Routers, &routers);
@@ -135,14 +130,35 @@
     }
 
     pub fn arrive(&mut self, index: usize, pool: &str, repeat: Repeat) -> Key {
+        self.arrive_for(index, pool, repeat, None)
+    }
+
+    /// A request of a workspace comes.
+    pub fn arrive_for(
+        &mut self,
+        index: usize,
+        pool: &str,
+        repeat: Repeat,
+        workspace: Option<Workspace>,
+    ) -> Key {
         let prompt = (pool == "engines").then(|| prompt(7, self.subject));
-        let (key, effects) = self.daemons[index].arrive(self.now, &route(pool, repeat, 2), prompt);
+        let (now, route) = (self.clock(index), route(pool, repeat, 2));
+        let (key, effects) = self.daemons[index].arrive_for(now, &route, prompt, workspace);
         for (to, message) in self.carry(index, effects).into_iter().rev() {
             self.apply(to, message);
         }
         key
     }
 
+    /// What traffic was told at all daemons since the last look.
+    pub fn take_told(&mut self) -> Vec<(usize, Key, Command)> {
+        let told = self.told.iter_mut().map(std::mem::take).enumerate();
+        let told = told.flat_map(|(daemon, told)| {
+            told.into_iter().map(move |(key, command)| (daemon, key, command))
+        });
+        told.collect()
+    }
+
     pub fn report(&mut self, index: usize, request: Key, attempt: u32, report: Report) {
         self.apply(index, Message::Report { request, attempt, report });
     }
@@ -190,3 +206,8 @@
         self.daemons[index].node.counts.unscheduled
     }
 }
+
+/// The registrations of so many daemons.
+fn routers(count: u8) -> Vec<(String, String)> {
+    (1..=count).map(|last| (format!("router-{last}"), format!("router {last}"))).collect()
+}
--- a/src/fleet/tests/world.rs
+++ b/src/fleet/tests/world.rs
@@ -239,6 +239,11 @@
     }
 }
 
+/// Records as they are put.
+pub fn borrowed(records: &[(String, String)]) -> Vec<(&str, &str)> {
+    records.iter().map(|(key, value)| (key.as_str(), value.as_str())).collect()
+}
+
 /// The commands among `effects`.
 pub fn commands(effects: &[Effect]) -> Vec<Command> {
     let command = |effect: &Effect| match effect {
