Choose among places for a suspect in one piece of code

Both nodes took the least suspect places from a map in the same three lines; poison::State::keep_apart now does it for both. No decision changes.

--- a/src/control/candidates.rs
+++ b/src/control/candidates.rs
@@ -51,10 +51,7 @@
         let untried: Vec<(membership::Key, &Server)> =
             usable.iter().copied().filter(|(key, _)| !state.failed.contains(key)).collect();
         let mut servers = if untried.is_empty() { usable } else { untried };
-        let apart = self.kept_apart_from(state);
-        let suspicion = |key: &membership::Key| apart.get(key).copied().unwrap_or_default();
-        let least = servers.iter().map(|(key, _)| suspicion(key)).min().unwrap_or_default();
-        servers.retain(|(key, _)| suspicion(key) == least);
+        self.poison.keep_apart(state.arrival.fingerprint, self.running(), &mut servers);
         let depth = self.depth(now, &state.arrival.prefix);
         let candidates: Vec<Candidate> = servers
             .iter()
--- a/src/control/poison.rs
+++ b/src/control/poison.rs
@@ -5,7 +5,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::{Effect, Node, Stream, message};
-use crate::attempt::{self, Command, Phase, Request};
+use crate::attempt::{self, Command, Phase};
 use crate::membership;
 use crate::peer::Frame;
 use crate::poison::{
@@ -225,13 +225,12 @@
         }
     }
 
-    /// How suspect what runs at each server is, where a request is better not sent beside it.
-    pub(super) fn kept_apart_from(&self, state: &Request) -> BTreeMap<membership::Key, usize> {
-        let running = self.requests.values().filter_map(|other| match other.phase {
-            Phase::Sent { server, .. } => Some((other.arrival.fingerprint, server)),
+    /// What runs, and where.
+    pub(super) fn running(&self) -> impl Iterator<Item = (Fingerprint, membership::Key)> {
+        self.requests.values().filter_map(|request| match request.phase {
+            Phase::Sent { server, .. } => Some((request.arrival.fingerprint, server)),
             Phase::Claiming | Phase::Waiting => None,
-        });
-        self.poison.kept_apart(state.arrival.fingerprint, running)
+        })
     }
 
     /// Takes over a record of the stream of blocked requests.
--- a/src/fleet/poison.rs
+++ b/src/fleet/poison.rs
@@ -197,11 +197,6 @@
         }
     }
 
-    /// How suspect what runs at each server is, where a request is better not sent beside it.
-    pub(super) fn kept_apart_from(&self, request: &Request) -> BTreeMap<server::Key, usize> {
-        self.poison.kept_apart(request.arrival.fingerprint, self.running())
-    }
-
     /// Whether a request waits for what a copy of it that runs shows.
     pub(super) fn waits_for_its_copy(&self, request: &Request) -> bool {
         let fingerprint = request.arrival.fingerprint;
@@ -210,7 +205,7 @@
     }
 
     /// What runs, and where.
-    fn running(&self) -> impl Iterator<Item = (Fingerprint, server::Key)> {
+    pub(super) fn running(&self) -> impl Iterator<Item = (Fingerprint, server::Key)> {
         self.requests.values().filter_map(|request| match request.phase {
             Phase::Sent { server, .. } => Some((request.arrival.fingerprint, server)),
             Phase::Waiting(_) | Phase::Submitted(_) => None,
--- a/src/poison/state.rs
+++ b/src/poison/state.rs
@@ -334,23 +334,26 @@
         !self.suspects.is_empty() && self.is_suspect(fingerprint, 1)
     }
 
-    /// How suspect what runs in each place is, by ends, where that is to be kept apart from this request: the
-    /// next end there would tell neither from the other. Places that are not named have nothing of the kind.
-    pub fn kept_apart<K: Ord>(
+    /// Leaves of the places for a request those where what runs is least suspect, by ends: the next end beside
+    /// another suspect would tell neither from the other.
+    pub fn keep_apart<K: Ord, T>(
         &self,
         fingerprint: Fingerprint,
         running: impl Iterator<Item = (Fingerprint, K)>,
-    ) -> BTreeMap<K, usize> {
-        let mut apart = BTreeMap::new();
+        places: &mut Vec<(K, T)>,
+    ) {
         if !self.is_prime_suspect(fingerprint) {
-            return apart;
+            return;
         }
+        let mut most_ends: BTreeMap<K, usize> = BTreeMap::new();
         let rivals = running.filter(|(other, _)| *other != fingerprint);
         for (other, place) in rivals.filter(|(other, _)| self.is_prime_suspect(*other)) {
-            let most = apart.entry(place).or_insert(0);
+            let most = most_ends.entry(place).or_insert(0);
             *most = self.ends_of(other).max(*most);
         }
-        apart
+        let suspicion = |place: &K| most_ends.get(place).copied().unwrap_or_default();
+        let least = places.iter().map(|(place, _)| suspicion(place)).min().unwrap_or_default();
+        places.retain(|(place, _)| suspicion(place) == least);
     }
 
     /// Whether a request was at as many ends as it takes to block it and chance is not ruled out: what the
