--- a/src/fleet/quotas.rs
+++ b/src/fleet/quotas.rs
@@ -64,8 +64,6 @@
         let keeps = matches!(role, Role::Keeper { .. });
         self.keeping.since = keeps.then(|| self.keeping.since.unwrap_or(now));
         self.quota.set_role(now, role);
-        let peers = &self.peers;
-        self.quota.retain_daemons(|daemon| peers.contains_key(daemon));
         self.look_at_undecided(now);
     }
 
--- a/src/quota/bucket.rs
+++ b/src/quota/bucket.rs
@@ -8,16 +8,15 @@
 
 /// Time that is filled at a look at most: several times as long as it is from one look to the next.
 const MOST_PASSED: Duration = Duration::from_millis(400);
-
 /// Time by which callers come back later than they were told.
 const LATE: Duration = Duration::from_millis(500);
 
 /// Units that are left, filled at the workspace's rate.
 #[derive(Debug)]
 pub(super) struct Bucket {
-    pub(super) quota: Quota,
+    quota: Quota,
     /// Below zero where more was used than was left.
-    pub(super) left: f64,
+    left: f64,
     /// What a deputy may use of it.
     spare: f64,
     /// What can be saved up, and what is filled a second.
--- a/src/quota/state.rs
+++ b/src/quota/state.rs
@@ -231,11 +231,6 @@
         self.buckets.keys().map(String::as_str)
     }
 
-    /// Forgets daemons that are no longer there.
-    pub fn retain_daemons(&mut self, is_known: impl Fn(&str) -> bool) {
-        self.told.retain(|daemon, _| is_known(daemon));
-    }
-
     fn bucket(&mut self, now: Time, workspace: &str, quota: Quota) -> &mut Bucket {
         let (terms, role, since, part) = (self.terms, self.role, self.since, self.part);
         let new = || Bucket::new(now, quota, terms, role, since, part);
