--- /dev/null
+++ b/src/poison/evidence.rs
@@ -0,0 +1,64 @@
+//! What speaks for a request's part in ends of servers: how often, and how long before each, it was there.
+
+use super::Victim;
+use crate::prelude::*;
+
+/// Servers that end under a request before it is blocked. At one or two ends others may have been there by
+/// chance: an engine that ends breaks up to some twenty requests, and their callers ask again at once.
+pub(super) const ENDS: usize = 3;
+/// Least time for which a request counts as having been at a server: what is sent just before an end is there
+/// for next to no time, as often by chance as anything.
+const LEAST_RAN: Duration = Duration::from_millis(50);
+
+/// One end of a server: the server, and how often it had ended before, where its starts can't be told apart.
+pub(super) type Key = (Victim, u32);
+
+/// What a request was blocked for.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Evidence {
+    /// Ends of servers at which it was.
+    pub ends: usize,
+    /// Requests that are to be expected at as many ends by chance.
+    pub expected: f64,
+}
+
+/// What is known of a request that was present when servers ended.
+#[derive(Debug, Default)]
+pub(super) struct Suspect {
+    /// The ends, and for how long it had been there at each.
+    pub(super) ends: BTreeMap<Key, Duration>,
+    /// Servers of the pool.
+    pub(super) servers: u32,
+}
+
+impl Suspect {
+    /// How many requests that have no part in it are to be expected at as many of the ends around, if each end
+    /// may come at any server and moment. The suspect's own ends are among them and so make no other more likely:
+    /// else three ends in a row in a pool of five would pass for chance.
+    pub(super) fn expected(&self, around: Around) -> f64 {
+        let count = self.ends.len();
+        let ran: f64 = self.ends.values().map(|ran| ran.max(&LEAST_RAN).as_secs_f64()).sum();
+        let part = (ran / around.server_seconds).min(1.0);
+        let others = around.ends.saturating_sub(count);
+        let chance: f64 = (1..=count).map(|n| (others + n) as f64 / n as f64 * part).product();
+        around.requests as f64 * chance
+    }
+
+    /// What is left of it without the ends at which `rival` was too. Callers that ask again at once, for what
+    /// shares a prompt, meet at the next server, so two suspects are often at the same ends.
+    pub(super) fn apart_from(&self, rival: &Self) -> Self {
+        let ends = self.ends.iter().filter(|(key, _)| !rival.ends.contains_key(*key));
+        Self { ends: ends.map(|(key, ran)| (*key, *ran)).collect(), servers: self.servers }
+    }
+}
+
+/// What happened in a pool around some ends of its servers.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Around {
+    /// Ends that nothing explains.
+    pub(super) ends: usize,
+    /// Requests that broke at these, or a few where fewer did.
+    pub(super) requests: usize,
+    /// Seconds for which servers were there, added up.
+    pub(super) server_seconds: f64,
+}
--- a/src/poison/mod.rs
+++ b/src/poison/mod.rs
@@ -6,6 +6,7 @@
 //! was never answered since, is blocked everywhere ([`State`]). An end at which a blocked request was present
 //! is explained by it and counts against no other, so requests that merely ran beside it are served.
 
+mod evidence;
 mod fingerprint;
 mod message;
 mod record;
@@ -16,6 +17,7 @@
 mod watch;
 mod wire;
 
+pub use evidence::Evidence;
 pub use fingerprint::Fingerprint;
 pub use message::{Blocked, Message, Strike};
 pub use record::Record;
--- a/src/poison/state.rs
+++ b/src/poison/state.rs
@@ -1,11 +1,9 @@
 //! Which requests were there when servers ended, and which are blocked for it.
 
+use super::evidence::{Around, ENDS, Evidence, Key, Suspect};
 use super::{Blocked, Fingerprint, Strike, Victim};
 use crate::prelude::*;
 
-/// Servers that end under a request before it is blocked. At one or two ends others may have been there by
-/// chance: an engine that ends breaks up to some twenty requests, and their callers ask again at once.
-const ENDS: usize = 3;
 /// Ends at which a request is blocked however likely chance is: a few servers that end often would else never
 /// tell, and a request that runs for seconds before it ends its server would go on for long. With 5, a crowd before
 /// 18 engines that ended 1.6 times a second by themselves had 6 of 47,457 requests blocked, with 6 none of 79,080.
@@ -20,9 +18,6 @@
 /// Time before the first and after the last of a request's ends in which others tell, too, how often servers of
 /// the pool end.
 const AROUND: Duration = Duration::from_secs(1);
-/// Least time for which a request counts as having been at a server: what is sent just before an end is there
-/// for next to no time, as often by chance as anything.
-const LEAST_RAN: Duration = Duration::from_millis(50);
 /// Time for which an end is remembered.
 const REMEMBERED: Duration = Duration::from_secs(3_600);
 /// Ends that are remembered at most; with twenty requests each some 2 MB.
@@ -36,9 +31,6 @@
 /// Requests that are blocked at most; the oldest is let go for another.
 const MAX_BLOCKS: usize = 4_096;
 
-/// One end of a server: the server, and how often it had ended before, where its starts can't be told apart.
-type Key = (Victim, u32);
-
 /// What is known of one end of a server.
 #[derive(Debug)]
 struct End {
@@ -50,45 +42,6 @@
     explained: bool,
 }
 
-/// What is known of a request that was present when servers ended.
-#[derive(Debug, Default)]
-struct Suspect {
-    /// The ends, and for how long it had been there at each.
-    ends: BTreeMap<Key, Duration>,
-    /// Servers of the pool.
-    servers: u32,
-}
-
-impl Suspect {
-    /// How many requests that have no part in it are to be expected at as many of the ends around, those left out
-    /// at which `rival` was too, if each end may come at any server and moment. The suspect's own ends are among
-    /// them and so make no other more likely: else three ends in a row in a pool of five would pass for chance.
-    /// Callers that ask again at once, for what shares a prompt, meet at the next server, so two suspects are often
-    /// at the same ends.
-    fn expected(&self, around: Around, rival: &Self) -> f64 {
-        let ends = self.ends.iter().filter(|(key, _)| !rival.ends.contains_key(*key));
-        let ran: Vec<f64> = ends.map(|(_, ran)| ran.max(&LEAST_RAN).as_secs_f64()).collect();
-        if ran.len() < ENDS {
-            return f64::INFINITY;
-        }
-        let part = (ran.iter().sum::<f64>() / around.server_seconds).min(1.0);
-        let others = around.ends.saturating_sub(ran.len());
-        let chance: f64 = (1..=ran.len()).map(|n| (others + n) as f64 / n as f64 * part).product();
-        around.requests as f64 * chance
-    }
-}
-
-/// What happened in a pool around some ends of its servers.
-#[derive(Debug, Clone, Copy)]
-struct Around {
-    /// Ends that nothing explains.
-    ends: usize,
-    /// Requests that broke at these, or [`LEAST_REQUESTS`].
-    requests: usize,
-    /// Seconds for which servers were there, added up.
-    server_seconds: f64,
-}
-
 /// What is known of a blocked request.
 #[derive(Debug, Clone, Copy)]
 struct Block {
@@ -100,6 +53,8 @@
     kept: bool,
     /// When it is next to be written there.
     write_at: Time,
+    /// What it was blocked for, where this daemon found that itself.
+    evidence: Option<Evidence>,
 }
 
 impl Block {
@@ -155,20 +110,28 @@
         let suspect = self.suspects.entry(fingerprint).or_default();
         suspect.ends.insert(key, ran);
         suspect.servers = servers;
-        self.is_guilty(fingerprint) && self.block(now, fingerprint)
+        let evidence = self.guilt(fingerprint);
+        evidence.is_some() && self.block_for(now, fingerprint, evidence)
     }
 
-    /// Whether a request was at so many ends, and so briefly before each, that none of all that broke would be there
-    /// by chance, also where another suspect may have caused some; or at more ends than it is worth to be sure.
-    fn is_guilty(&self, fingerprint: Fingerprint) -> bool {
-        let Some(suspect) = self.suspects.get(&fingerprint) else { return false };
+    /// What speaks for it that a request has ended servers, if that is enough to block it: it was at so many ends,
+    /// and so briefly before each, that none of all that broke would be there by chance, also where another suspect
+    /// may have caused some; or it was at more ends than it is worth to be sure.
+    fn guilt(&self, fingerprint: Fingerprint) -> Option<Evidence> {
+        let suspect = self.suspects.get(&fingerprint)?;
         if suspect.ends.len() < ENDS {
-            return false;
+            return None;
         }
-        let (around, none) = (self.around(suspect), Suspect::default());
-        let rivals = self.rivals(fingerprint, suspect).into_iter().chain([&none]);
-        rivals.map(|rival| suspect.expected(around, rival)).all(|expected| expected <= EXPECTED)
-            || self.ends_best_explained_by(fingerprint, suspect) >= MOST_ENDS
+        let around = self.around(suspect);
+        let expected = suspect.expected(around);
+        let rivals = self.rivals(fingerprint, suspect);
+        let is_sure = expected <= EXPECTED
+            && rivals.into_iter().all(|rival| {
+                let apart = suspect.apart_from(rival);
+                apart.ends.len() >= ENDS && apart.expected(around) <= EXPECTED
+            });
+        let is_guilty = is_sure || self.ends_best_explained_by(fingerprint, suspect) >= MOST_ENDS;
+        is_guilty.then_some(Evidence { ends: suspect.ends.len(), expected })
     }
 
     /// The ends of a suspect, if they are many, at which no other was that is less likely to have been at its own by
@@ -177,11 +140,11 @@
         if suspect.ends.len() < MOST_ENDS {
             return 0;
         }
-        let none = Suspect::default();
-        let chance = |suspect: &Suspect| suspect.expected(self.around(suspect), &none);
+        let chance = |suspect: &Suspect| suspect.expected(self.around(suspect));
         let own = chance(suspect);
         let rivals = self.rivals(fingerprint, suspect).into_iter();
-        let better: Vec<&Suspect> = rivals.filter(|rival| chance(rival) < own).collect();
+        let many = rivals.filter(|rival| rival.ends.len() >= ENDS);
+        let better: Vec<&Suspect> = many.filter(|rival| chance(rival) < own).collect();
         let explained = |key: &&Key| better.iter().any(|rival| rival.ends.contains_key(*key));
         suspect.ends.keys().filter(|key| !explained(key)).count()
     }
@@ -238,8 +201,26 @@
 
     /// Blocks a request; whether it was not blocked before.
     pub fn block(&mut self, now: Time, fingerprint: Fingerprint) -> bool {
+        self.block_for(now, fingerprint, None)
+    }
+
+    fn block_for(
+        &mut self,
+        now: Time,
+        fingerprint: Fingerprint,
+        evidence: Option<Evidence>,
+    ) -> bool {
         self.let_go.remove(&fingerprint);
-        self.hear(now, Blocked { fingerprint, age: Duration::ZERO })
+        let is_new = self.hear(now, Blocked { fingerprint, age: Duration::ZERO });
+        if let Some(block) = self.blocks.get_mut(&fingerprint).filter(|_| is_new) {
+            block.evidence = evidence;
+        }
+        is_new
+    }
+
+    /// What a request is blocked for, where this daemon found that itself.
+    pub fn evidence(&self, fingerprint: Fingerprint) -> Option<Evidence> {
+        self.blocks.get(&fingerprint)?.evidence
     }
 
     /// Takes over that others have blocked a request; whether it was not blocked before. The longest age that is told
@@ -271,7 +252,8 @@
             let oldest = *oldest.0;
             self.blocks.remove(&oldest);
         }
-        self.blocks.insert(fingerprint, Block { heard: now, age, kept: false, write_at: now });
+        let block = Block { heard: now, age, kept: false, write_at: now, evidence: None };
+        self.blocks.insert(fingerprint, block);
         true
     }
 
@@ -307,9 +289,11 @@
         let present = cleared.ends.keys().filter_map(|key| self.ends.get(key));
         let present: BTreeSet<Fingerprint> =
             present.flat_map(|end| end.present.iter().copied()).collect();
-        let guilty = |other: &Fingerprint| self.is_guilty(*other);
-        let guilty: Vec<Fingerprint> = present.into_iter().filter(guilty).collect();
-        Some(guilty.into_iter().filter(|other| self.block(now, *other)).collect())
+        let guilty = present.into_iter().filter_map(|other| Some((other, self.guilt(other)?)));
+        let guilty: Vec<(Fingerprint, Evidence)> = guilty.collect();
+        let blocked =
+            guilty.into_iter().filter(|(other, why)| self.block_for(now, *other, Some(*why)));
+        Some(blocked.map(|(other, _)| other).collect())
     }
 
     /// Whether a request is blocked.
--- a/src/poison/tests.rs
+++ b/src/poison/tests.rs
@@ -72,6 +72,20 @@
     assert_eq!(blocked, [false, false, true]);
 }
 
+#[test]
+fn evidence_tells_for_what_a_request_is_blocked_where_that_was_found() {
+    let mut state = State::default();
+    for (server, at) in [(1, 1_000), (2, 1_500), (3, 2_000)] {
+        assert_eq!(state.evidence(CULPRIT), None);
+        state.strike(ms(at), strike(CULPRIT, server));
+    }
+    let evidence = state.evidence(CULPRIT).expect("it is blocked");
+    assert_eq!(evidence.ends, 3);
+    assert!(evidence.expected > 0.0 && evidence.expected <= 1e-4, "{evidence:?}");
+    state.hear(ms(3_000), Blocked { fingerprint: BESIDE, age: ms(0) });
+    assert_eq!(state.evidence(BESIDE), None);
+}
+
 /// One of 1,597 requests was at four of five ends of 18 engines that ended by themselves, 160 ms to 1.94 s after it
 /// had been sent there. That is unlikely of it (1e-5), but not of some one of all that broke there.
 #[test]
