--- a/src/fleet/tests/beside.rs
+++ b/src/fleet/tests/beside.rs
@@ -344,8 +344,12 @@
 }
 
 fn play(daemons: u8, trouble: Trouble) -> Vec<Tally> {
-    let played = (0..seeds()).map(|seed| {
-        let tally = Crowd::new(daemons, ENGINES, seed).play(ms(20_000), trouble);
+    play_seeds(daemons, trouble, &(0..seeds()).collect::<Vec<u64>>())
+}
+
+fn play_seeds(daemons: u8, trouble: Trouble, seeds: &[u64]) -> Vec<Tally> {
+    let played = seeds.iter().map(|seed| {
+        let tally = Crowd::new(daemons, ENGINES, *seed).play(ms(20_000), trouble);
         println!("{daemons} daemons, {} culprits, seed {seed}: {tally:?}", trouble.culprits);
         tally
     });
@@ -367,7 +371,18 @@
 #[test]
 fn engines_that_end_by_themselves_block_nobody() {
     let trouble = Trouble { culprits: 0, every: ms(700), by_itself: ms(500) };
-    for tally in play(7, trouble) {
+    blocks_nobody(play(7, trouble));
+}
+
+// One request of each of these crowds was at six of some forty ends by chance.
+#[test]
+fn engines_that_end_by_themselves_block_nobody_that_meets_six_of_their_ends() {
+    let trouble = Trouble { culprits: 0, every: ms(700), by_itself: ms(500) };
+    blocks_nobody(play_seeds(7, trouble, &[15, 44, 49, 61, 128]));
+}
+
+fn blocks_nobody(tallies: Vec<Tally>) {
+    for tally in tallies {
         assert!(tally.ended >= 10, "{tally:?}");
         assert_eq!(tally.blocked, 0, "{tally:?}");
         assert!(tally.answered * 1_000 >= tally.asked * 999, "{tally:?}");
--- a/src/fleet/tests/deadly.rs
+++ b/src/fleet/tests/deadly.rs
@@ -89,8 +89,12 @@
 }
 
 fn keeps_promises(daemons: u8, engines: u8, seeds: u64) {
-    let tallies: Vec<Tally> = (0..seeds).map(|seed| play(daemons, engines, seed)).collect();
-    for (seed, tally) in tallies.iter().enumerate() {
+    keeps_promises_in(daemons, engines, &(0..seeds).collect::<Vec<u64>>());
+}
+
+fn keeps_promises_in(daemons: u8, engines: u8, seeds: &[u64]) {
+    let tallies = seeds.iter().map(|seed| (seed, play(daemons, engines, *seed)));
+    for (seed, tally) in tallies.collect::<Vec<(&u64, Tally)>>() {
         assert!(tally.late_asks >= u64::from(daemons), "seed {seed}: {tally:?}");
         assert!(tally.late_tries <= MOST_LATE_TRIES, "seed {seed}: {tally:?}");
         assert_eq!(tally.blocked, 0, "seed {seed}: {tally:?}");
@@ -119,6 +123,13 @@
     keeps_promises(9, 9, seeds(6));
 }
 
+// At each end of the culprit were some that had been at another of its ends, so all of these had to come six times
+// before it was blocked; with three engines of nine left, callers used up their tries.
+#[test]
+fn request_that_ends_engines_is_stopped_before_a_pool_of_nine_is_too_small_for_others() {
+    keeps_promises_in(9, 9, &[10, 11, 16, 17, 30, 42, 46, 54, 55]);
+}
+
 /// Kinds of culprits that come now and then: so seconds lie between the engines that they end.
 #[derive(Debug, Clone, Copy)]
 struct Trickle {
--- a/src/poison/tests.rs
+++ b/src/poison/tests.rs
@@ -140,6 +140,107 @@
     }
 }
 
+/// In a pool of nine each of some twenty requests that an engine's end breaks meets the culprit again at one of its next
+/// ends or two, so every end of it but some was another's too, and six engines ended.
+///
+/// ```text
+/// 4 ends rans [120, 80, 120, 120] expected 6.38e-6
+///    rival ends 3 shared 3 rans [1100, 120, 580] expected 1.04e-1
+///    rival ends 2 shared 2 rans [1020, 720]
+/// ```
+#[test]
+fn strike_beside_rivals_that_had_been_there_for_seconds_is_blocked_before_the_bound() {
+    let mut state = State::default();
+    let rivals = [[Some(1_100), Some(120), Some(580)], [None, Some(1_020), Some(720)]];
+    let ends = [(440, 80), (560, 120), (920, 120), (1_340, 120)].into_iter().enumerate();
+    let blocked = ends.map(|(end, (at, ran))| {
+        let (at, server) = (ms(5_000 + at), end as u64);
+        let at_end = |fingerprint, ran| Strike {
+            ran: ms(ran),
+            servers: 9,
+            ..strike(Fingerprint(fingerprint), server)
+        };
+        for other in 0..18 {
+            state.strike(at, at_end(1_000 + 100 * server + other, 100 + 100 * other));
+        }
+        for (number, rans) in rivals.iter().enumerate() {
+            if let Some(ran) = rans.get(end).copied().flatten() {
+                state.strike(at, at_end(100 + number as u64, ran));
+            }
+        }
+        state.strike(at, at_end(CULPRIT.0, ran))
+    });
+    let blocked: Vec<bool> = blocked.collect();
+    assert_eq!(blocked.last(), Some(&true), "{blocked:?}");
+    assert!(!state.is_blocked(Fingerprint(100)) && !state.is_blocked(Fingerprint(101)));
+}
+
+/// Three culprits came while all that ran had just begun, so one that only met them at their ends had been there for as
+/// short a time as they. Its short runs tell nothing where all are as short.
+///
+/// ```text
+/// 4 ends rans [100, 120, 80, 70] expected 2.05e-7
+///    fffffffffffffffe ends 2 shared 2 rans [100, 90] expected 3.02e-3
+/// ```
+#[test]
+fn strike_as_young_as_all_that_broke_there_is_no_evidence() {
+    let mut state = State::default();
+    let ends = [
+        (4_100, 70, 5, Some(90)),
+        (4_200, 100, 5, Some(100)),
+        (4_400, 120, 13, None),
+        (4_680, 80, 1, None),
+    ];
+    for (server, (at, ran, present, culprit)) in ends.into_iter().enumerate() {
+        let server = server as u64;
+        let at_end = |fingerprint, ran| Strike { ran: ms(ran), ..strike(fingerprint, server) };
+        for other in 1..present {
+            state.strike(
+                ms(at),
+                at_end(Fingerprint(100 * (server + 1) + other), ran / 2 + 10 * other),
+            );
+        }
+        if let Some(ran) = culprit {
+            state.strike(ms(at), at_end(CULPRIT, ran));
+        }
+        assert!(!state.strike(ms(at), at_end(BESIDE, ran)), "at {at} ms");
+    }
+}
+
+/// Before 18 engines that ended by themselves twice a second a request was at six of 19 ends and was blocked for the
+/// number, though one such was to be expected.
+///
+/// ```text
+/// 6 ends rans [540, 2790, 770, 3600, 520, 180] of 19 ends, 210 requests, expected 3.53e-2
+/// ```
+#[test]
+fn strike_at_six_ends_of_many_is_chance() {
+    let mut state = State::default();
+    let beside = [
+        (7_600, 180),
+        (11_200, 3_600),
+        (12_260, 770),
+        (15_250, 2_790),
+        (15_910, 540),
+        (16_490, 520),
+    ];
+    let others = (0..13).map(|end| (7_000 + 700 * end, None));
+    let ends = beside.into_iter().map(|(at, ran)| (at, Some(ran))).chain(others);
+    let mut ends: Vec<(u64, Option<u64>)> = ends.collect();
+    ends.sort_unstable();
+    for (server, (at, ran)) in ends.into_iter().enumerate() {
+        let server = server as u64;
+        for other in 0..16 {
+            let other = Fingerprint(1_000 + 100 * server + other);
+            state.strike(ms(at), Strike { ran: ms(1_000), ..strike(other, server) });
+        }
+        if let Some(ran) = ran {
+            let at_end = Strike { ran: ms(ran), ..strike(BESIDE, server) };
+            assert!(!state.strike(ms(at), at_end), "at {at} ms");
+        }
+    }
+}
+
 #[test]
 fn strike_with_a_rival_waits_for_an_end_that_tells_them_apart() {
     let mut state = State::default();
