Judge rivals by how long they had been at the ends that they share

Cause: a suspect was sure only where it had been at three ends without any one rival, and in a small pool some of the twenty that an end breaks are at its next one or two as well.

Change: a rival that chance explains a thousand times better than the suspect is not taken for the cause, if the suspect had come as lately before its ends as few of those that broke there. Ends keep how long each request had been there.

Ruled out (trials): the ratio alone, which blocked 7 bystanders in 200 crowds of three culprits, all at the begin of traffic, where everything had just come; a ratio of 3,000 blocked 3; a bound on the rival's own chance leaves 127 of 200 at six ends; weighing the shared ends alone changes nothing.

--- a/src/poison/evidence.rs
+++ b/src/poison/evidence.rs
@@ -32,16 +32,22 @@
 }
 
 impl Suspect {
-    /// How many requests that have no part in it are to be expected at as many of the ends around, if each end
-    /// may come at any server and moment. The suspect's own ends are among them and so make no other more likely:
-    /// else three ends in a row in a pool of five would pass for chance.
+    /// How many requests that have no part in it are to be expected at as many of the ends around, having been there
+    /// for as long.
     pub(super) fn expected(&self, around: Around) -> f64 {
-        let count = self.ends.len();
-        let ran: f64 = self.ends.values().map(|ran| ran.max(&LEAST_RAN).as_secs_f64()).sum();
-        let part = (ran / around.server_seconds).min(1.0);
-        let others = around.ends.saturating_sub(count);
-        let chance: f64 = (1..=count).map(|n| (others + n) as f64 / n as f64 * part).product();
-        around.requests as f64 * chance
+        around.expected(self.ends.len(), self.ran().sum())
+    }
+
+    /// The same where each run counts as the longest. What ends servers does so after about the same time; others that
+    /// are at several ends had been at some of them for a moment only by chance.
+    pub(super) fn expected_at_its_longest(&self, around: Around) -> f64 {
+        let longest = self.ran().fold(0.0, f64::max);
+        around.expected(self.ends.len(), longest * self.ends.len() as f64)
+    }
+
+    /// Seconds for which it had been there at each end.
+    fn ran(&self) -> impl Iterator<Item = f64> {
+        self.ends.values().map(|ran| ran.max(&LEAST_RAN).as_secs_f64())
     }
 
     /// What is left of it without the ends at which `rival` was too. Callers that ask again at once, for what
@@ -62,3 +68,14 @@
     /// Seconds for which servers were there, added up.
     pub(super) server_seconds: f64,
 }
+
+impl Around {
+    /// Requests to be expected at as many of the ends if each may come at any server and moment. A suspect's own ends
+    /// are among them and so make no other more likely: else three ends in a row in a pool of five would pass for chance.
+    fn expected(self, ends: usize, ran_seconds: f64) -> f64 {
+        let part = (ran_seconds / self.server_seconds).min(1.0);
+        let others = self.ends.saturating_sub(ends);
+        let chance: f64 = (1..=ends).map(|n| (others + n) as f64 / n as f64 * part).product();
+        self.requests as f64 * chance
+    }
+}
--- a/src/poison/state.rs
+++ b/src/poison/state.rs
@@ -11,6 +11,12 @@
 /// How many requests may be expected at as many ends by chance where one is blocked for being there. While servers
 /// end one after the other, requests that run for seconds are at three ends too, and of a crowd some are at more.
 const EXPECTED: f64 = 1e-4;
+/// How many times more likely than a suspect another must be to have been at its own ends by chance, so that it is not
+/// taken for the cause of those that they share.
+const LIKELIER: f64 = 1e3;
+/// How likely at most it may be that some one of those that broke at each end had been there for as short a time as the
+/// suspect, so that its short runs tell it from them. Where all had just come, short runs tell nothing.
+const AS_YOUNG: f64 = 0.01;
 /// Requests of which a suspect counts as one at least: where few run, those that break meet again soon.
 const LEAST_REQUESTS: usize = 5;
 /// Ends from which on another request may be the cause of them.
@@ -36,8 +42,8 @@
 struct End {
     at: Time,
     pool: u64,
-    /// The requests that broke there.
-    present: BTreeSet<Fingerprint>,
+    /// The requests that broke there, and for how long each had been there.
+    present: BTreeMap<Fingerprint, Duration>,
     /// Whether one of them is blocked, and so is the cause.
     explained: bool,
 }
@@ -100,7 +106,11 @@
         let Strike { fingerprint, victim, pool, servers, ran, age } = strike;
         let key = self.end(victim, pool, now.saturating_sub(age));
         let Some(end) = self.ends.get_mut(&key) else { return false };
-        if !end.present.insert(fingerprint) || end.explained {
+        if end.present.contains_key(&fingerprint) {
+            return false;
+        }
+        end.present.insert(fingerprint, ran);
+        if end.explained {
             return false;
         }
         if self.blocks.contains_key(&fingerprint) {
@@ -124,16 +134,37 @@
         }
         let around = self.around(suspect);
         let expected = suspect.expected(around);
-        let rivals = self.rivals(fingerprint, suspect);
         let is_sure = expected <= EXPECTED
-            && rivals.into_iter().all(|rival| {
-                let apart = suspect.apart_from(rival);
-                apart.ends.len() >= ENDS && apart.expected(around) <= EXPECTED
-            });
+            && self
+                .rivals(fingerprint, suspect)
+                .into_iter()
+                .all(|rival| self.is_told_from(suspect, around, rival));
         let is_guilty = is_sure || self.ends_best_explained_by(fingerprint, suspect) >= MOST_ENDS;
         is_guilty.then_some(Evidence { ends: suspect.ends.len(), expected })
     }
 
+    /// Whether a suspect is the cause of ends rather than `rival`: without those that they share there are enough left,
+    /// or the rival had been there for long, as others that have no part in it, and the suspect had just come.
+    fn is_told_from(&self, suspect: &Suspect, around: Around, rival: &Suspect) -> bool {
+        let apart = suspect.apart_from(rival);
+        if apart.ends.len() >= ENDS && apart.expected(around) <= EXPECTED {
+            return true;
+        }
+        let rivals_own = rival.expected_at_its_longest(self.around(rival)).min(1.0);
+        let own = suspect.expected_at_its_longest(around);
+        rivals_own >= LIKELIER * own && self.as_young(suspect) <= AS_YOUNG
+    }
+
+    /// How likely one of those that broke at each end of a suspect had been there no longer than it.
+    fn as_young(&self, suspect: &Suspect) -> f64 {
+        let parts = suspect.ends.iter().filter_map(|(key, ran)| {
+            let present = &self.ends.get(key)?.present;
+            let as_young = present.values().filter(|other| *other <= ran).count();
+            Some(as_young as f64 / present.len() as f64)
+        });
+        parts.product()
+    }
+
     /// The ends of a suspect, if they are many, at which no other was that is less likely to have been at its own by
     /// chance: several causes at once would else have those blocked that follow them from end to end.
     fn ends_best_explained_by(&self, fingerprint: Fingerprint, suspect: &Suspect) -> usize {
@@ -152,7 +183,7 @@
     /// Others that were present at several ends of a suspect.
     fn rivals(&self, fingerprint: Fingerprint, suspect: &Suspect) -> Vec<&Suspect> {
         let present = suspect.ends.keys().filter_map(|key| self.ends.get(key));
-        let present: BTreeSet<&Fingerprint> = present.flat_map(|end| &end.present).collect();
+        let present: BTreeSet<&Fingerprint> = present.flat_map(|end| end.present.keys()).collect();
         let others = present.into_iter().filter(|other| **other != fingerprint);
         let others = others.filter_map(|other| self.suspects.get(other));
         others.filter(|other| other.ends.len() >= RIVAL_ENDS).collect()
@@ -168,7 +199,8 @@
             !end.explained && Some(end.pool) == pool && (first..=last).contains(&end.at)
         });
         let there: Vec<&End> = there.collect();
-        let requests: BTreeSet<&Fingerprint> = there.iter().flat_map(|end| &end.present).collect();
+        let requests: BTreeSet<&Fingerprint> =
+            there.iter().flat_map(|end| end.present.keys()).collect();
         let server_seconds = f64::from(suspect.servers.max(1)) * (last - first).as_secs_f64();
         Around { ends: there.len(), requests: requests.len().max(LEAST_REQUESTS), server_seconds }
     }
@@ -181,7 +213,7 @@
             Some((key, end)) if victim.is_same_end(end.at, at) => *key,
             Some(((_, number), _)) => (victim, number + 1),
         };
-        let end = || End { at, pool, present: BTreeSet::new(), explained: false };
+        let end = || End { at, pool, present: BTreeMap::new(), explained: false };
         self.ends.entry(key).or_insert_with(end);
         key
     }
@@ -190,7 +222,7 @@
     fn explain(&mut self, key: Key) {
         let Some(end) = self.ends.get_mut(&key) else { return };
         end.explained = true;
-        for present in &end.present {
+        for present in end.present.keys() {
             let Some(suspect) = self.suspects.get_mut(present) else { continue };
             suspect.ends.remove(&key);
             if suspect.ends.is_empty() {
@@ -288,7 +320,7 @@
         }
         let present = cleared.ends.keys().filter_map(|key| self.ends.get(key));
         let present: BTreeSet<Fingerprint> =
-            present.flat_map(|end| end.present.iter().copied()).collect();
+            present.flat_map(|end| end.present.keys().copied()).collect();
         let guilty = present.into_iter().filter_map(|other| Some((other, self.guilt(other)?)));
         let guilty: Vec<(Fingerprint, Evidence)> = guilty.collect();
         let blocked =
