Don't block for six ends what chance explains where servers end by themselves

Cause: the bound of six ends asked for nothing else. An end at which every request was answered later came by itself; this was known, and thrown away.

Change: where three ends around came by themselves, the bound holds only if fewer than 0.01 such requests are to be expected by chance, each run counted as its longest. Where no end is known to come by itself the bound stands as it was, so what callers are promised of culprits does too.

--- a/src/poison/state.rs
+++ b/src/poison/state.rs
@@ -5,9 +5,12 @@
 use crate::prelude::*;
 
 /// Ends at which a request is blocked however likely chance is: a few servers that end often would else never
-/// tell, and a request that runs for seconds before it ends its server would go on for long. With 5, a crowd before
-/// 18 engines that ended 1.6 times a second by themselves had 6 of 47,457 requests blocked, with 6 none of 79,080.
+/// tell, and a request that runs for seconds before it ends its server would go on for long.
 const MOST_ENDS: usize = 6;
+/// The same as [`EXPECTED`] at that many ends, where servers are known to end by themselves as well.
+const EXPECTED_AT_MOST: f64 = 0.01;
+/// Ends that no request is left to have caused from which on servers are known to end by themselves.
+const BY_THEMSELVES: usize = 3;
 /// How many requests may be expected at as many ends by chance where one is blocked for being there. While servers
 /// end one after the other, requests that run for seconds are at three ends too, and of a crowd some are at more.
 const EXPECTED: f64 = 1e-4;
@@ -139,10 +142,18 @@
                 .rivals(fingerprint, suspect)
                 .into_iter()
                 .all(|rival| self.is_told_from(suspect, around, rival));
-        let is_guilty = is_sure || self.ends_best_explained_by(fingerprint, suspect) >= MOST_ENDS;
+        let is_guilty = is_sure
+            || self.ends_best_explained_by(fingerprint, suspect) >= MOST_ENDS
+                && !self.is_chance(suspect, around);
         is_guilty.then_some(Evidence { ends: suspect.ends.len(), expected })
     }
 
+    /// Whether servers end by themselves, and so often that some one of the requests is to be expected at as many ends.
+    fn is_chance(&self, suspect: &Suspect, around: Around) -> bool {
+        around.by_themselves >= BY_THEMSELVES
+            && suspect.expected_at_its_longest(around) > EXPECTED_AT_MOST
+    }
+
     /// Whether a suspect is the cause of ends rather than `rival`: without those that they share there are enough left,
     /// or the rival had been there for long, as others that have no part in it, and the suspect had just come.
     fn is_told_from(&self, suspect: &Suspect, around: Around, rival: &Suspect) -> bool {
@@ -202,7 +213,14 @@
         let requests: BTreeSet<&Fingerprint> =
             there.iter().flat_map(|end| end.present.keys()).collect();
         let server_seconds = f64::from(suspect.servers.max(1)) * (last - first).as_secs_f64();
-        Around { ends: there.len(), requests: requests.len().max(LEAST_REQUESTS), server_seconds }
+        let is_suspect = |present: &Fingerprint| self.suspects.contains_key(present);
+        let by_themselves = there.iter().filter(|end| !end.present.keys().any(is_suspect)).count();
+        Around {
+            ends: there.len(),
+            by_themselves,
+            requests: requests.len().max(LEAST_REQUESTS),
+            server_seconds,
+        }
     }
 
     /// The end of a server that was noticed at this time, the first time or once more.
