Look again at a server that resets a look while it ends

Cause: the third end was not counted (400 for it, no 307, and 0.4 s later its port refused). A look that is reset passed for silence, after which only the store tells. A server that stops to listen resets what its kernel had accepted; beside load the daemon learns of the reset first. The new test shows it without load: begin a look, close the listener, go on: Silent before, looked at again after.

Change: a reset or an abort tells of an open port, which is looked at again.

Ruled out: the tests' ports (each process has its own address since).

--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -98,12 +98,17 @@
     Ok(())
 }
 
-/// Looks whether somebody listens at `address`. Nothing is sent there.
+/// Looks whether somebody listens at `address`. Nothing is sent there. One that resets what it had accepted, as a server
+/// does that is about to end, listened until then.
 pub async fn probe(address: SocketAddr) -> poison::Answer {
-    match Conn::connect(address, CONNECT).await {
-        Ok(_) => poison::Answer::Accepted,
-        Err(error) if error.kind() == ErrorKind::ConnectionRefused => poison::Answer::Refused,
-        Err(_) => poison::Answer::Silent,
+    let error = match Conn::connect(address, CONNECT).await {
+        Ok(_) => return poison::Answer::Accepted,
+        Err(error) => error.kind(),
+    };
+    match error {
+        ErrorKind::ConnectionRefused => poison::Answer::Refused,
+        ErrorKind::ConnectionReset | ErrorKind::ConnectionAborted => poison::Answer::Accepted,
+        _ => poison::Answer::Silent,
     }
 }
 
--- a/src/relay/tests.rs
+++ b/src/relay/tests.rs
@@ -209,3 +209,22 @@
         fields && framed && clean(&head.target) && !head.target.contains(' ') && length <= bytes.len()
     }
 }
+
+/// A server that ends accepts a look and resets it before it stops to listen. Its end counted for nothing while the store
+/// was down, since a reset passed for silence, after which only the store tells.
+///
+/// ```text
+/// 06.995 400 AttemptFailed r-3 no whole answer came: its connection ended server=x-1
+/// 07.400 400 AttemptFailed r-4 it could not be connected to server=x-1
+/// ```
+#[test]
+fn probe_that_is_reset_by_a_server_that_ends_is_taken_again() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("an address");
+    let address = listener.local_addr().expect("it is bound");
+    let mut probe = Box::pin(probe(address));
+    let first = futures_lite::future::block_on(futures_lite::future::poll_once(&mut probe));
+    assert_eq!(first, None, "it is under way");
+    drop(listener);
+    let answer = futures_lite::future::block_on(probe);
+    assert_ne!(answer, crate::poison::Answer::Silent);
+}
