Count ends that came by themselves over the pool's last half minute

Cause: it counted ends that came by themselves between the request's own first and last end, and of the newest ends some request is always left that was not answered yet: 0 to 2 of 10 to 17 counted, with three asked for.

Change: they count over the pool's last 30 s. Ends that a culprit caused never count, since it is not answered.

--- a/src/poison/evidence.rs
+++ b/src/poison/evidence.rs
@@ -63,8 +63,6 @@
 pub(super) struct Around {
     /// Ends that nothing explains.
     pub(super) ends: usize,
-    /// Those of them that no request can have caused: all that broke there were answered since.
-    pub(super) by_themselves: usize,
     /// Requests that broke at these, or a few where fewer did.
     pub(super) requests: usize,
     /// Seconds for which servers were there, added up.
--- a/src/poison/state.rs
+++ b/src/poison/state.rs
@@ -11,6 +11,8 @@
 const EXPECTED_AT_MOST: f64 = 0.01;
 /// Ends that no request is left to have caused from which on servers are known to end by themselves.
 const BY_THEMSELVES: usize = 3;
+/// Time for which such ends count: longer than requests run, since of the newest ends some are always left.
+const BY_THEMSELVES_FOR: Duration = Duration::from_secs(30);
 /// How many requests may be expected at as many ends by chance where one is blocked for being there. While servers
 /// end one after the other, requests that run for seconds are at three ends too, and of a crowd some are at more.
 const EXPECTED: f64 = 1e-4;
@@ -150,8 +152,22 @@
 
     /// Whether servers end by themselves, and so often that some one of the requests is to be expected at as many ends.
     fn is_chance(&self, suspect: &Suspect, around: Around) -> bool {
-        around.by_themselves >= BY_THEMSELVES
-            && suspect.expected_at_its_longest(around) > EXPECTED_AT_MOST
+        suspect.expected_at_its_longest(around) > EXPECTED_AT_MOST
+            && self.ends_by_themselves(suspect) >= BY_THEMSELVES
+    }
+
+    /// Ends of servers of a suspect's pool, until its own last one, that no request can have caused: all that broke
+    /// there were answered since.
+    fn ends_by_themselves(&self, suspect: &Suspect) -> usize {
+        let own = || suspect.ends.keys().filter_map(|key| self.ends.get(key));
+        let last = own().map(|end| end.at).max().unwrap_or_default();
+        let pool = own().map(|end| end.pool).next();
+        let lately = (last.saturating_sub(BY_THEMSELVES_FOR)..=last, pool);
+        let ends = self.ends.values().filter(|end| {
+            !end.explained && Some(end.pool) == lately.1 && lately.0.contains(&end.at)
+        });
+        let is_suspect = |present: &Fingerprint| self.suspects.contains_key(present);
+        ends.filter(|end| !end.present.keys().any(is_suspect)).count()
     }
 
     /// Whether a suspect is the cause of ends rather than `rival`: without those that they share there are enough left,
@@ -213,14 +229,7 @@
         let requests: BTreeSet<&Fingerprint> =
             there.iter().flat_map(|end| end.present.keys()).collect();
         let server_seconds = f64::from(suspect.servers.max(1)) * (last - first).as_secs_f64();
-        let is_suspect = |present: &Fingerprint| self.suspects.contains_key(present);
-        let by_themselves = there.iter().filter(|end| !end.present.keys().any(is_suspect)).count();
-        Around {
-            ends: there.len(),
-            by_themselves,
-            requests: requests.len().max(LEAST_REQUESTS),
-            server_seconds,
-        }
+        Around { ends: there.len(), requests: requests.len().max(LEAST_REQUESTS), server_seconds }
     }
 
     /// The end of a server that was noticed at this time, the first time or once more.
