--- a/src/control/poison.rs
+++ b/src/control/poison.rs
@@ -181,11 +181,7 @@
 
     /// Ends the requests that have just been blocked, but for those whose answer has begun.
     fn blocked(&mut self, now: Time, fingerprint: Fingerprint) {
-        let evidence = self.poison.evidence(fingerprint);
-        let detail = Detail::of("fingerprint", fingerprint.to_string())
-            .and("left_ms", self.poison.left(now, fingerprint))
-            .and_some("ends", evidence.map(|evidence| evidence.ends))
-            .and_some("expected", evidence.map(|evidence| evidence.expected));
+        let detail = self.poison.detail(now, fingerprint);
         self.event(Event::RequestBlocked, detail);
         let same = self.requests.iter().filter(|(_, s)| s.arrival.fingerprint == fingerprint);
         let same: Vec<(attempt::Key, Phase, u32)> =
--- a/src/poison/state.rs
+++ b/src/poison/state.rs
@@ -159,13 +159,8 @@
     /// Ends of servers of a suspect's pool, until its own last one, that no request can have caused: all that broke
     /// there were answered since.
     fn ends_by_themselves(&self, suspect: &Suspect) -> usize {
-        let own = || suspect.ends.keys().filter_map(|key| self.ends.get(key));
-        let last = own().map(|end| end.at).max().unwrap_or_default();
-        let pool = own().map(|end| end.pool).next();
-        let lately = (last.saturating_sub(BY_THEMSELVES_FOR)..=last, pool);
-        let ends = self.ends.values().filter(|end| {
-            !end.explained && Some(end.pool) == lately.1 && lately.0.contains(&end.at)
-        });
+        let (_, last) = self.span(suspect);
+        let ends = self.ends_beside(suspect, last.saturating_sub(BY_THEMSELVES_FOR), last);
         let is_suspect = |present: &Fingerprint| self.suspects.contains_key(present);
         ends.filter(|end| !end.present.keys().any(is_suspect)).count()
     }
@@ -218,20 +213,29 @@
 
     /// How often servers of a suspect's pool ended around the suspect's ends.
     fn around(&self, suspect: &Suspect) -> Around {
-        let own = || suspect.ends.keys().filter_map(|key| self.ends.get(key));
-        let first = own().map(|end| end.at).min().unwrap_or_default().saturating_sub(AROUND);
-        let last = own().map(|end| end.at).max().unwrap_or_default() + AROUND;
-        let pool = own().map(|end| end.pool).next();
-        let there = self.ends.values().filter(|end| {
-            !end.explained && Some(end.pool) == pool && (first..=last).contains(&end.at)
-        });
-        let there: Vec<&End> = there.collect();
+        let (first, last) = self.span(suspect);
+        let (first, last) = (first.saturating_sub(AROUND), last + AROUND);
+        let there: Vec<&End> = self.ends_beside(suspect, first, last).collect();
         let requests: BTreeSet<&Fingerprint> =
             there.iter().flat_map(|end| end.present.keys()).collect();
         let server_seconds = f64::from(suspect.servers.max(1)) * (last - first).as_secs_f64();
         Around { ends: there.len(), requests: requests.len().max(LEAST_REQUESTS), server_seconds }
     }
 
+    /// When the first and the last end came at which a suspect was.
+    fn span(&self, suspect: &Suspect) -> (Time, Time) {
+        let at = || suspect.ends.keys().filter_map(|key| Some(self.ends.get(key)?.at));
+        (at().min().unwrap_or_default(), at().max().unwrap_or_default())
+    }
+
+    /// Ends of servers of a suspect's pool in a span of time that nothing explains.
+    fn ends_beside(&self, suspect: &Suspect, from: Time, to: Time) -> impl Iterator<Item = &End> {
+        let pool = suspect.ends.keys().find_map(|key| Some(self.ends.get(key)?.pool));
+        self.ends.values().filter(move |end| {
+            !end.explained && Some(end.pool) == pool && (from..=to).contains(&end.at)
+        })
+    }
+
     /// The end of a server that was noticed at this time, the first time or once more.
     fn end(&mut self, victim: Victim, pool: u64, at: Time) -> Key {
         let last = self.ends.range((victim, 0)..=(victim, u32::MAX)).next_back();
@@ -277,6 +281,15 @@
         is_new
     }
 
+    /// What a log line tells of a block.
+    pub fn detail(&self, now: Time, fingerprint: Fingerprint) -> Detail {
+        let evidence = self.evidence(fingerprint);
+        Detail::of("fingerprint", fingerprint.to_string())
+            .and("left_ms", self.left(now, fingerprint))
+            .and_some("ends", evidence.map(|evidence| evidence.ends))
+            .and_some("expected", evidence.map(|evidence| evidence.expected))
+    }
+
     /// What a request is blocked for, where this daemon found that itself.
     pub fn evidence(&self, fingerprint: Fingerprint) -> Option<Evidence> {
         self.blocks.get(&fingerprint)?.evidence
