--- a/src/poison/evidence.rs
+++ b/src/poison/evidence.rs
@@ -70,7 +70,7 @@
 pub(super) struct Baseline {
     /// Unexplained crashes.
     pub(super) crashes: usize,
-    /// Requests that these crashes interrupted, or [`super::state`]'s minimum where there were
+    /// Requests that these crashes interrupted, or [`super::judgement`]'s minimum where there were
     /// fewer.
     pub(super) requests: usize,
     /// Total server time in seconds.
--- /dev/null
+++ b/src/poison/judgement.rs
@@ -0,0 +1,168 @@
+//! Judges whether a request is the cause of the crashes at which it was present.
+
+use super::Fingerprint;
+use super::evidence::{Baseline, Evidence, Key, MIN_CRASHES, Suspect};
+use super::state::{Crash, State};
+use crate::prelude::*;
+
+/// Crashes at which a request is blocked even if chance is not ruled out. Otherwise a few servers
+/// that crash often would never give enough evidence, and a request that runs for seconds before it
+/// crashes its server would continue for long.
+const CRASH_LIMIT: usize = 6;
+/// Same as [`MAX_EXPECTED`] at that many crashes, where servers are known to crash spontaneously.
+const MAX_EXPECTED_AT_CRASH_LIMIT: f64 = 0.01;
+/// Min crashes without a remaining suspect from which on servers are known to crash spontaneously.
+const MIN_SPONTANEOUS_CRASHES: usize = 3;
+/// Time for which spontaneous crashes count. It is longer than requests run, since the newest
+/// crashes always have remaining suspects.
+const SPONTANEOUS_CRASH_WINDOW: Duration = Duration::from_secs(30);
+/// Max expected number of requests present by chance at as many crashes as a request that is
+/// blocked. While servers crash one after the other, requests that run for seconds are present at
+/// three crashes too, and some of a large number at more.
+const MAX_EXPECTED: f64 = 1e-4;
+/// Min ratio of a rival's chance of being present at its crashes by coincidence to a suspect's, for
+/// the rival not to be taken for the cause of their shared crashes.
+const MIN_LIKELIHOOD_RATIO: f64 = 1e3;
+/// Max probability that one of the requests interrupted at each crash had run for as short a time
+/// as the suspect, for its short runs to distinguish it from a rival. Where all had just arrived,
+/// short runs are no evidence.
+const MAX_SHORT_RUN_PROBABILITY: f64 = 0.01;
+/// Min number of requests that a suspect counts as one of: where few run, interrupted requests meet
+/// again soon.
+const MIN_REQUESTS: usize = 5;
+/// Min crashes of another request for it to be a possible cause of a suspect's crashes.
+pub(super) const MIN_RIVAL_CRASHES: usize = 2;
+/// Time before the first and after the last of a request's crashes that is included in the crash
+/// rate of the pool.
+const BASELINE_MARGIN: Duration = Duration::from_secs(1);
+
+impl State {
+    /// Returns the evidence against a request if it suffices for a block: it was present at so many
+    /// crashes, and so briefly before each, that none of the interrupted requests is expected there
+    /// by chance, even if another suspect caused some; or it reached [`CRASH_LIMIT`].
+    pub(super) fn evidence_to_block(&self, fingerprint: Fingerprint) -> Option<Evidence> {
+        let suspect = self.suspects.get(&fingerprint)?;
+        if suspect.crashes.len() < MIN_CRASHES {
+            return None;
+        }
+        let baseline = self.baseline(suspect);
+        let expected = suspect.expected(baseline);
+        let is_sure = expected <= MAX_EXPECTED
+            && self
+                .rivals(fingerprint, suspect)
+                .into_iter()
+                .all(|rival| self.is_distinguishable_from(suspect, baseline, rival));
+        let is_enough = is_sure
+            || self.crashes_best_explained_by(fingerprint, suspect) >= CRASH_LIMIT
+                && !self.is_likely_coincidence(suspect, baseline);
+        is_enough.then_some(Evidence { crashes: suspect.crashes.len(), expected })
+    }
+
+    /// Whether servers crash spontaneously, and so often that some request is expected to be
+    /// present at as many crashes.
+    fn is_likely_coincidence(&self, suspect: &Suspect, baseline: Baseline) -> bool {
+        suspect.expected_at_longest_run(baseline) > MAX_EXPECTED_AT_CRASH_LIMIT
+            && self.spontaneous_crashes(suspect) >= MIN_SPONTANEOUS_CRASHES
+    }
+
+    /// Returns the crashes in a suspect's pool, up to its own last one, that no request can have
+    /// caused: all interrupted requests were answered since.
+    fn spontaneous_crashes(&self, suspect: &Suspect) -> usize {
+        let (_, last) = self.crash_span(suspect);
+        let crashes =
+            self.unexplained_crashes(suspect, last.saturating_sub(SPONTANEOUS_CRASH_WINDOW), last);
+        let is_suspect = |present: &Fingerprint| self.suspects.contains_key(present);
+        crashes.filter(|crash| !crash.present.keys().any(is_suspect)).count()
+    }
+
+    /// Whether a suspect rather than `rival` is the cause of its crashes. Either enough crashes are
+    /// left without the shared ones, or the rival had run for long, as unrelated requests do, and
+    /// the suspect had just arrived.
+    fn is_distinguishable_from(
+        &self,
+        suspect: &Suspect,
+        baseline: Baseline,
+        rival: &Suspect,
+    ) -> bool {
+        let apart = suspect.without_shared_crashes(rival);
+        if apart.crashes.len() >= MIN_CRASHES && apart.expected(baseline) <= MAX_EXPECTED {
+            return true;
+        }
+        let rival_expected = rival.expected_at_longest_run(self.baseline(rival)).min(1.0);
+        let own_expected = suspect.expected_at_longest_run(baseline);
+        rival_expected >= MIN_LIKELIHOOD_RATIO * own_expected
+            && self.short_run_probability(suspect) <= MAX_SHORT_RUN_PROBABILITY
+    }
+
+    /// Probability that one of the requests interrupted at each crash of a suspect had run no
+    /// longer than the suspect.
+    fn short_run_probability(&self, suspect: &Suspect) -> f64 {
+        let shares = suspect.crashes.iter().filter_map(|(key, run_time)| {
+            let present = &self.crashes.get(key)?.present;
+            let as_short = present.values().filter(|other| *other <= run_time).count();
+            Some(as_short as f64 / present.len() as f64)
+        });
+        shares.product()
+    }
+
+    /// Counts the crashes of a suspect, if they are many, at which no rival was present that is
+    /// less likely to have been at its own crashes by chance. Otherwise, with several causes at
+    /// once, requests that follow them from crash to crash would be blocked.
+    fn crashes_best_explained_by(&self, fingerprint: Fingerprint, suspect: &Suspect) -> usize {
+        if suspect.crashes.len() < CRASH_LIMIT {
+            return 0;
+        }
+        let chance = |suspect: &Suspect| suspect.expected(self.baseline(suspect));
+        let own_expected = chance(suspect);
+        let rivals = self.rivals(fingerprint, suspect).into_iter();
+        let many = rivals.filter(|rival| rival.crashes.len() >= MIN_CRASHES);
+        let better: Vec<&Suspect> = many.filter(|rival| chance(rival) < own_expected).collect();
+        let explained = |key: &&Key| better.iter().any(|rival| rival.crashes.contains_key(*key));
+        suspect.crashes.keys().filter(|key| !explained(key)).count()
+    }
+
+    /// Returns other suspects that were present at several crashes and at one or more of this
+    /// suspect's.
+    fn rivals(&self, fingerprint: Fingerprint, suspect: &Suspect) -> Vec<&Suspect> {
+        let present = suspect.crashes.keys().filter_map(|key| self.crashes.get(key));
+        let present: BTreeSet<&Fingerprint> =
+            present.flat_map(|crash| crash.present.keys()).collect();
+        let others = present.into_iter().filter(|other| **other != fingerprint);
+        let others = others.filter_map(|other| self.suspects.get(other));
+        others.filter(|other| other.crashes.len() >= MIN_RIVAL_CRASHES).collect()
+    }
+
+    /// Returns the crash statistics of a suspect's pool around the suspect's crashes.
+    fn baseline(&self, suspect: &Suspect) -> Baseline {
+        let (first, last) = self.crash_span(suspect);
+        let (first, last) = (first.saturating_sub(BASELINE_MARGIN), last + BASELINE_MARGIN);
+        let crashes: Vec<&Crash> = self.unexplained_crashes(suspect, first, last).collect();
+        let requests: BTreeSet<&Fingerprint> =
+            crashes.iter().flat_map(|crash| crash.present.keys()).collect();
+        let server_seconds = f64::from(suspect.servers.max(1)) * (last - first).as_secs_f64();
+        Baseline {
+            crashes: crashes.len(),
+            requests: requests.len().max(MIN_REQUESTS),
+            server_seconds,
+        }
+    }
+
+    /// Returns the times of a suspect's first and last crash.
+    fn crash_span(&self, suspect: &Suspect) -> (Time, Time) {
+        let at = || suspect.crashes.keys().filter_map(|key| Some(self.crashes.get(key)?.at));
+        (at().min().unwrap_or_default(), at().max().unwrap_or_default())
+    }
+
+    /// Returns the unexplained crashes in a suspect's pool during a period.
+    fn unexplained_crashes(
+        &self,
+        suspect: &Suspect,
+        from: Time,
+        to: Time,
+    ) -> impl Iterator<Item = &Crash> {
+        let pool = suspect.crashes.keys().find_map(|key| Some(self.crashes.get(key)?.pool));
+        self.crashes.values().filter(move |crash| {
+            !crash.explained && Some(crash.pool) == pool && (from..=to).contains(&crash.at)
+        })
+    }
+}
--- a/src/poison/mod.rs
+++ b/src/poison/mod.rs
@@ -11,6 +11,7 @@
 mod evidence;
 mod fingerprint;
 mod incarnation;
+mod judgement;
 mod message;
 mod record;
 mod state;
