Keep returning callers in the queue while a pool has just lost servers

Callers saw: in pools of 7 and 8 engines, requests beside one that crashes engines were never answered: their callers used up six tries within 1.1 s (median), before the first replacement engine was there (1.5 s).

The throughput collapses with the engines and says nothing of replacements; and a caller whose request a crash had interrupted came back as a newcomer, behind all others.

Change: a caller that returns to a pool in which a server crashed in the last 4 s waits in the queue instead of being refused on arrival, for as long as any request may. Interrupted requests are expected back like refused ones, so they go first. Newcomers, and pools without a crash, are refused as before.

Ruled out: returning callers exempt in every pool: overload_is_refused_mostly_on_arrival failed, since refusals on arrival are right where no server crashed.

Test: returning_caller_waits_although_the_estimate_refuses_new_requests, red before (returning caller refused with 2002 on arrival).

--- a/src/fleet/admission.rs
+++ b/src/fleet/admission.rs
@@ -30,7 +30,7 @@
 const RETRY_AFTER_JITTER_RATIO: f64 = 0.25;
 /// Time for which a retry of a refused request is expected: the longest retry-after time plus
 /// one second.
-const REFUSAL_LIFETIME: Duration = Duration::from_millis(4_000);
+pub(super) const REFUSAL_LIFETIME: Duration = Duration::from_millis(4_000);
 /// Minimum time between two passes over the queue. The scheduler of a large pool sees requests end
 /// so fast that a pass at each end would use up its core.
 const DISPATCH_INTERVAL: Duration = Duration::from_millis(4);
@@ -41,7 +41,7 @@
 /// Maximum number of refusals that are remembered, and sent to peers in one digest.
 const MAX_REFUSALS: usize = 256;
 
-/// Position of a waiting request: by priority, then retries before new requests, then by age.
+/// Position of a waiting request: by priority, then returning callers before new ones, then by age.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct Position {
     priority: u8,
@@ -55,7 +55,7 @@
     }
 }
 
-/// Fingerprints of refused requests that are expected to be retried.
+/// Fingerprints of refused and interrupted requests that are expected to be retried.
 #[derive(Debug, Default)]
 pub(super) struct Refusals {
     own: BTreeMap<Fingerprint, Time>,
@@ -63,7 +63,8 @@
 }
 
 impl Refusals {
-    fn record(&mut self, now: Time, fingerprint: Fingerprint) {
+    /// Records that a request was refused or interrupted.
+    pub(super) fn record(&mut self, now: Time, fingerprint: Fingerprint) {
         self.trim(now);
         if self.own.len() < MAX_REFUSALS {
             self.own.insert(fingerprint, now);
@@ -129,11 +130,17 @@
 
     /// Whether the throughput of the queue predicts that a request would be refused after its wait.
     /// It is then refused at once, and its caller retries sooner. This does not apply to a request
-    /// that was sent before.
+    /// that was sent before, nor to a returning caller of a pool where servers have just crashed:
+    /// its tries are limited, and the throughput does not show that replacements start.
     fn would_time_out(&self, now: Time, key: Key) -> bool {
         let Some(request) = self.requests.get(&key).filter(|request| request.sends == 0) else {
             return false;
         };
+        let returns_after_crash =
+            request.refused_before && self.has_crashed_recently(now, &request.pool);
+        if returns_after_crash {
+            return false;
+        }
         let Some(throughput) = self.drains.get(&request.pool) else { return false };
         let ahead = self.count_ahead(Position::of(key, request), &request.pool);
         let expected =
--- a/src/fleet/poison.rs
+++ b/src/fleet/poison.rs
@@ -5,6 +5,7 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::admission::REFUSAL_LIFETIME;
 use super::request::{Phase, Request};
 use super::{Command, Effect, Frame, Key, Node, Server, server};
 use crate::poison::{
@@ -186,6 +187,12 @@
             .reaches_block_threshold(fingerprint, self.detector.possible_crashes(now, fingerprint))
     }
 
+    /// Whether a server of a pool has crashed within the time in which interrupted callers return.
+    pub(super) fn has_crashed_recently(&self, now: Time, pool: &str) -> bool {
+        let from = now.saturating_sub(REFUSAL_LIFETIME);
+        self.poison.has_crash_since(from, xxh3_64(pool.as_bytes()))
+    }
+
     fn fingerprint(&self, key: Key) -> Option<Fingerprint> {
         Some(self.requests.get(&key)?.arrival.fingerprint)
     }
--- a/src/fleet/requests.rs
+++ b/src/fleet/requests.rs
@@ -200,6 +200,8 @@
             request.draws_on_retry_budget = true;
             return self.send_or_queue(now, key);
         }
+        let fingerprint = request.arrival.fingerprint;
+        self.expected.record(now, fingerprint);
         self.command(key, Command::GiveUp);
         self.remove_request(now, key);
     }
--- a/src/fleet/tests/admission.rs
+++ b/src/fleet/tests/admission.rs
@@ -217,3 +217,43 @@
         "{on_arrival} were refused on arrival, {after_wait} after a wait"
     );
 }
+
+/// While a pool had lost engines, callers whose requests a crash had interrupted were refused on arrival each time
+/// that they returned, and used up their tries within a second, before the engines were back.
+#[test]
+fn returning_caller_waits_although_the_estimate_refuses_new_requests() {
+    let (mut daemon, first) = full_server();
+    let route = route("plain", Repeat::AtMostOnce, 1);
+    daemon.fingerprint = Fingerprint(77);
+    daemon.report(ms(20), first, 1, Report::Failed);
+    let crash = crate::poison::Interruption {
+        fingerprint: Fingerprint(0),
+        incarnation: crate::poison::Incarnation::of("s-2", Some("1")),
+        pool: xxhash_rust::xxh3::xxh3_64(b"plain"),
+        servers: 2,
+        run_time: ms(10),
+        age: ms(0),
+    };
+    let crash = crate::poison::Message::Interruptions(vec![crash]);
+    daemon.node.apply(ms(20), Message::Frame(Frame::Poison(crash)));
+    daemon.fingerprint = Fingerprint(1);
+    daemon.arrive(ms(30), &route, None);
+    for at in 0..20 {
+        daemon.fingerprint = Fingerprint(100 + at);
+        daemon.arrive(ms(40 + at), &route, None);
+    }
+    for new in 500..512 {
+        daemon.fingerprint = Fingerprint(new);
+        let (_, effects) = daemon.arrive(ms(300), &route, None);
+        let commands = commands(&effects);
+        assert!(
+            matches!(commands.as_slice(), [Command::Refuse(Code::NoServer, _)]),
+            "{commands:?}"
+        );
+    }
+    for returning in (500..512).chain([0]) {
+        daemon.fingerprint = Fingerprint(returning);
+        let (_, effects) = daemon.arrive(ms(310), &route, None);
+        assert!(commands(&effects).is_empty(), "{returning}: {effects:?}");
+    }
+}
--- a/src/poison/state.rs
+++ b/src/poison/state.rs
@@ -298,6 +298,11 @@
         self.crash_count(fingerprint) >= MIN_CRASHES
     }
 
+    /// Whether a server of a pool has crashed since `from`.
+    pub fn has_crash_since(&self, from: Time, pool: u64) -> bool {
+        self.crashes.values().any(|crash| crash.pool == pool && crash.at >= from)
+    }
+
     /// Returns the number of unexplained crashes at which a request was present.
     fn crash_count(&self, fingerprint: Fingerprint) -> usize {
         self.suspects.get(&fingerprint).map_or(0, |suspect| suspect.crashes.len())
