Log what the check of a server with a broken connection found (308)

Some six lines at most per broken connection, at INFO as 400 is.

Not yet run: the whole crate's build and tests.

--- a/src/control/poison.rs
+++ b/src/control/poison.rs
@@ -102,6 +102,7 @@
     /// Handles the result of a probe.
     pub(super) fn probed(&mut self, now: Time, incarnation: Incarnation, answer: Answer) {
         let steps = self.detector.record_probe(now, incarnation, answer);
+        self.log_findings();
         self.apply_steps(now, steps);
     }
 
@@ -117,6 +118,17 @@
     pub(super) fn record_response(&mut self, now: Time, server: membership::Key) {
         if let Some(incarnation) = self.incarnation(server).filter(|_| !self.detector.is_idle()) {
             self.detector.record_response(now, incarnation);
+            self.log_findings();
+        }
+    }
+
+    fn log_findings(&mut self) {
+        for finding in self.detector.take_findings() {
+            let address = finding.address.map_or_else(String::new, |address| address.to_string());
+            let detail = Detail::of("address", address)
+                .and("outcome", finding.outcome.name())
+                .and("age_ms", finding.age.as_millis() as u64);
+            self.event(Event::ServerChecked, detail);
         }
     }
 
@@ -281,6 +293,7 @@
         for Probe { incarnation, address } in self.detector.due_probes(now) {
             self.effects.push(Effect::Probe(incarnation, address));
         }
+        self.log_findings();
         let is_first = self.is_first_live_daemon(now);
         if is_first {
             let due = self.poison.due_writes(now, WRITE_RETRY_INTERVAL);
--- a/src/fleet/poison.rs
+++ b/src/fleet/poison.rs
@@ -56,6 +56,7 @@
     /// Handles the result of a probe of a server's port.
     pub(super) fn probed(&mut self, now: Time, incarnation: Incarnation, answer: Answer) {
         let steps = self.detector.record_probe(now, incarnation, answer);
+        self.log_findings();
         self.apply_steps(now, steps);
     }
 
@@ -71,6 +72,18 @@
     pub(super) fn server_answered(&mut self, now: Time, server: server::Key) {
         if let Some(server) = self.servers.get(server).filter(|_| !self.detector.is_idle()) {
             self.detector.record_response(now, server.poison_incarnation());
+            self.log_findings();
+        }
+    }
+
+    fn log_findings(&mut self) {
+        for finding in self.detector.take_findings() {
+            let address = finding.address.map_or_else(String::new, |address| address.to_string());
+            let detail = Detail::of("server", self.server_id(finding.incarnation))
+                .and("address", address)
+                .and("outcome", finding.outcome.name())
+                .and("age_ms", finding.age.as_millis() as u64);
+            self.event(Event::ServerChecked, detail);
         }
     }
 
@@ -220,6 +233,7 @@
         for Probe { incarnation, address } in self.detector.due_probes(now) {
             self.effects.push(Effect::Probe(incarnation, address));
         }
+        self.log_findings();
         if self.is_scheduler(now) {
             let delay = BLOCK_WRITE_STAGGER * self.rank_among_daemons();
             let due = self.poison.due_writes(now.saturating_sub(delay), BLOCK_REWRITE_INTERVAL);
--- a/src/poison/detector.rs
+++ b/src/poison/detector.rs
@@ -43,6 +43,56 @@
     pub address: SocketAddr,
 }
 
+/// What a check of a server has found.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    /// A probe's result.
+    Probed(Answer),
+    /// A probe's result that came after the check had ended or was confirmed otherwise.
+    Ignored(Answer),
+    /// The port stayed open for as long as a crashing server may take to close it.
+    PortOpen,
+    /// The server answered, so it is alive.
+    Responded,
+    /// The time in which a crash can be confirmed has passed.
+    Expired,
+}
+
+impl Outcome {
+    /// Its name in log lines.
+    ///
+    /// ```
+    /// use cardamomvalve::poison::{Answer, Outcome};
+    /// assert_eq!(Outcome::Probed(Answer::Refused).name(), "refused");
+    /// ```
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Probed(Answer::Refused) => "refused",
+            Self::Probed(Answer::Accepted) => "accepted",
+            Self::Probed(Answer::Silent) => "silent",
+            Self::Ignored(Answer::Refused) => "refused, ignored",
+            Self::Ignored(Answer::Accepted) => "accepted, ignored",
+            Self::Ignored(Answer::Silent) => "silent, ignored",
+            Self::PortOpen => "port open",
+            Self::Responded => "responded",
+            Self::Expired => "expired",
+        }
+    }
+}
+
+/// An outcome of a check, for the log.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Finding {
+    /// The server.
+    pub incarnation: Incarnation,
+    /// Where it listened; `None` if the check had ended before.
+    pub address: Option<SocketAddr>,
+    /// The outcome.
+    pub outcome: Outcome,
+    /// Time since the connection broke.
+    pub age: Duration,
+}
+
 /// Actions that follow from an event.
 #[derive(Debug, Default, PartialEq, Eq)]
 pub struct Steps {
@@ -96,6 +146,12 @@
 }
 
 impl Check {
+    fn finding(&self, now: Time, outcome: Outcome) -> Finding {
+        let Endpoint { incarnation, address, .. } = self.endpoint;
+        let age = now.saturating_sub(self.broken_at);
+        Finding { incarnation, address: Some(address), outcome, age }
+    }
+
     fn interruption(
         &self,
         now: Time,
@@ -112,6 +168,7 @@
 #[derive(Debug, Default)]
 pub struct Detector {
     checks: BTreeMap<Incarnation, Check>,
+    findings: Vec<Finding>,
 }
 
 impl Detector {
@@ -143,8 +200,16 @@
 
     /// Records the result of a probe.
     pub fn record_probe(&mut self, now: Time, incarnation: Incarnation, answer: Answer) -> Steps {
-        let Some(check) = self.checks.get_mut(&incarnation) else { return Steps::default() };
-        let Stage::Probing { found_closed } = check.stage else { return Steps::default() };
+        let Some(check) = self.checks.get_mut(&incarnation) else {
+            let outcome = Outcome::Ignored(answer);
+            self.findings.push(Finding { incarnation, address: None, outcome, age: Time::ZERO });
+            return Steps::default();
+        };
+        let Stage::Probing { found_closed } = check.stage else {
+            self.findings.push(check.finding(now, Outcome::Ignored(answer)));
+            return Steps::default();
+        };
+        self.findings.push(check.finding(now, Outcome::Probed(answer)));
         match answer {
             Answer::Refused if found_closed => return self.record_crash(now, incarnation),
             Answer::Refused | Answer::Accepted => {
@@ -175,7 +240,8 @@
         let is_alive = |check: &Check| {
             check.stage != Stage::Crashed && now > check.broken_at + LATE_RESPONSE_WINDOW
         };
-        if self.checks.get(&incarnation).is_some_and(is_alive) {
+        if let Some(check) = self.checks.get(&incarnation).filter(|check| is_alive(check)) {
+            self.findings.push(check.finding(now, Outcome::Responded));
             self.checks.remove(&incarnation);
         }
     }
@@ -183,12 +249,20 @@
     /// Returns the due probes. An open port is no longer probed once a crashing server would have
     /// closed it.
     pub fn due_probes(&mut self, now: Time) -> Vec<Probe> {
-        self.checks.retain(|_, check| now < check.broken_at + CONFIRMATION_TIMEOUT);
+        let findings = &mut self.findings;
+        self.checks.retain(|_, check| {
+            let is_current = now < check.broken_at + CONFIRMATION_TIMEOUT;
+            if !is_current && check.stage != Stage::Crashed {
+                findings.push(check.finding(now, Outcome::Expired));
+            }
+            is_current
+        });
         let mut probes = Vec::new();
         for (incarnation, check) in &mut self.checks {
             let Stage::Due { at, found_closed } = check.stage else { continue };
             if !found_closed && now >= check.broken_at + PORT_CLOSE_TIMEOUT {
                 check.stage = Stage::Unconfirmed;
+                self.findings.push(check.finding(now, Outcome::PortOpen));
             } else if now >= at {
                 check.stage = Stage::Probing { found_closed };
                 probes.push(Probe { incarnation: *incarnation, address: check.endpoint.address });
@@ -197,6 +271,11 @@
         probes
     }
 
+    /// Takes what the checks have found since the last call.
+    pub fn take_findings(&mut self) -> Vec<Finding> {
+        std::mem::take(&mut self.findings)
+    }
+
     /// Whether no server is being checked.
     pub fn is_idle(&self) -> bool {
         self.checks.is_empty()
--- a/src/poison/mod.rs
+++ b/src/poison/mod.rs
@@ -18,7 +18,7 @@
 mod tests;
 mod wire;
 
-pub use detector::{Answer, Detector, Disconnect, Endpoint, Probe, Steps};
+pub use detector::{Answer, Detector, Disconnect, Endpoint, Finding, Outcome, Probe, Steps};
 pub use evidence::Evidence;
 pub use fingerprint::Fingerprint;
 pub use incarnation::Incarnation;
--- a/src/telemetry/event.rs
+++ b/src/telemetry/event.rs
@@ -66,6 +66,7 @@
     ServerReachable = 305, Info, "A backend server answers again.";
     CacheEventGap = 306, Debug, "Cache events of a backend server were lost; past a quarter of its cache entries, these are dropped.";
     ServerEnded = 307, Warn, "A backend server ended while requests ran there; its end is noted with each of them.";
+    ServerChecked = 308, Info, "A backend server whose connection broke was checked; 307 follows if it has ended.";
     AttemptFailed = 400, Info, "An attempt at a backend server failed.";
     AnswerDiscarded = 401, Warn, "An answer named another attempt, incarnation or weights version, and was discarded.";
     StreamResumed = 402, Info, "A stream was resumed after its connection broke.";
