Bound the probes of a port that is not closed by number

What callers saw: beside load, a request could crash four servers where it is blocked at three (POISON_SIDE_BY_SIDE): a crash was not counted.

Cause: an open port was probed until 300 ms after the connection broke. A probe has 400 ms to be answered and a tick comes late beside load, so that one of them used up the time without any result. A probe that timed out ended the probes at once, also after a refusal.

Fix: up to six probes may find the port open or silent, 60 ms or more apart and within 1 s. Six take at least 300 ms, so no port is probed for a shorter time than before. Two refusals in a row are still needed; a silent probe between them counts as none.

Outcome::PortOpen is now NotClosed, since the port may also be silent.

--- a/src/poison/detector.rs
+++ b/src/poison/detector.rs
@@ -13,10 +13,13 @@
 /// Time between the two probes that must find a server's port closed. A live server that refuses
 /// connections under overload accepts others in the meantime.
 const PROBE_INTERVAL: Duration = Duration::from_millis(60);
-/// Time from a broken connection until a crashing server closes its port; an open port is probed
-/// again until then. Otherwise a crash would not count while the store, and with it the
-/// registrations, can't be read.
-const PORT_CLOSE_TIMEOUT: Duration = Duration::from_millis(300);
+/// Maximum number of probes that may find the port open or get no response. A crashing server
+/// closes its port some time after its connections break, and its crash would otherwise not count
+/// while the store, and with it the registrations, can't be read. A number bounds the probes, since
+/// a late tick or a probe that times out would use up a time limit without any result.
+const MAX_PROBES: u32 = 6;
+/// Time from a broken connection in which an open or silent port is probed again.
+const PROBE_WINDOW: Duration = Duration::from_secs(1);
 /// Time in which responses still arrive that were sent before the connection broke.
 const LATE_RESPONSE_WINDOW: Duration = Duration::from_millis(50);
 /// Time in which a crash can be confirmed: a crashed server's registration ends within some
@@ -50,8 +53,8 @@
     Probed(Answer),
     /// A probe's result that came after the check had ended or was confirmed otherwise.
     Ignored(Answer),
-    /// The port stayed open for as long as a crashing server may take to close it.
-    PortOpen,
+    /// The port was not found closed by as many probes as are sent.
+    NotClosed,
     /// The server answered, so it is alive.
     Responded,
     /// The time in which a crash can be confirmed has passed.
@@ -73,7 +76,7 @@
             Self::Ignored(Answer::Refused) => "refused, ignored",
             Self::Ignored(Answer::Accepted) => "accepted, ignored",
             Self::Ignored(Answer::Silent) => "silent, ignored",
-            Self::PortOpen => "port open",
+            Self::NotClosed => "not closed",
             Self::Responded => "responded",
             Self::Expired => "expired",
         }
@@ -109,7 +112,7 @@
     Probing { found_closed: bool },
     /// The next probe is due at this time.
     Due { at: Time, found_closed: bool },
-    /// The port stays open or doesn't respond; only the registration can confirm a crash.
+    /// No more probes are sent; only the registration can confirm a crash.
     Unconfirmed,
     /// The server has crashed.
     Crashed,
@@ -141,11 +144,16 @@
 struct Check {
     endpoint: Endpoint,
     broken_at: Time,
+    probe_count: u32,
     stage: Stage,
     requests: BTreeMap<Fingerprint, Duration>,
 }
 
 impl Check {
+    fn has_probes_left(&self, now: Time) -> bool {
+        self.probe_count < MAX_PROBES && now < self.broken_at + PROBE_WINDOW
+    }
+
     fn finding(&self, now: Time, outcome: Outcome) -> Finding {
         let Endpoint { incarnation, address, .. } = self.endpoint;
         let age = now.saturating_sub(self.broken_at);
@@ -194,7 +202,8 @@
         }
         let stage = Stage::Probing { found_closed: false };
         let requests = BTreeMap::from([(fingerprint, run_time)]);
-        self.checks.insert(incarnation, Check { endpoint, broken_at: now, stage, requests });
+        let check = Check { endpoint, broken_at: now, probe_count: 1, stage, requests };
+        self.checks.insert(incarnation, check);
         Steps { probes: vec![Probe { incarnation, address }], ..Steps::default() }
     }
 
@@ -210,14 +219,11 @@
             return Steps::default();
         };
         self.findings.push(check.finding(now, Outcome::Probed(answer)));
-        match answer {
-            Answer::Refused if found_closed => return self.record_crash(now, incarnation),
-            Answer::Refused | Answer::Accepted => {
-                let found_closed = answer == Answer::Refused;
-                check.stage = Stage::Due { at: now + PROBE_INTERVAL, found_closed };
-            }
-            Answer::Silent => check.stage = Stage::Unconfirmed,
+        let is_closed = answer == Answer::Refused;
+        if is_closed && found_closed {
+            return self.record_crash(now, incarnation);
         }
+        check.stage = Stage::Due { at: now + PROBE_INTERVAL, found_closed: is_closed };
         Steps::default()
     }
 
@@ -246,8 +252,8 @@
         }
     }
 
-    /// Returns the due probes. An open port is no longer probed once a crashing server would have
-    /// closed it.
+    /// Returns the due probes. A port that was found closed is always probed once more; one that is
+    /// open or doesn't respond only while probes are left.
     pub fn due_probes(&mut self, now: Time) -> Vec<Probe> {
         let findings = &mut self.findings;
         self.checks.retain(|_, check| {
@@ -260,11 +266,12 @@
         let mut probes = Vec::new();
         for (incarnation, check) in &mut self.checks {
             let Stage::Due { at, found_closed } = check.stage else { continue };
-            if !found_closed && now >= check.broken_at + PORT_CLOSE_TIMEOUT {
+            if !found_closed && !check.has_probes_left(now) {
                 check.stage = Stage::Unconfirmed;
-                self.findings.push(check.finding(now, Outcome::PortOpen));
+                self.findings.push(check.finding(now, Outcome::NotClosed));
             } else if now >= at {
                 check.stage = Stage::Probing { found_closed };
+                check.probe_count += 1;
                 probes.push(Probe { incarnation: *incarnation, address: check.endpoint.address });
             }
         }
