Probe a server again whose connection breaks after its probes have ended

What callers may see: a crash isn't counted for a request while the store is down, if the server had dropped a connection within the 10 s before and lived on: the request may crash one more server before it is blocked.

Cause: a broken connection joined the check that an earlier one had begun. Once that check had no probes left, no probe was sent for the new one either.

Fix: another broken connection gives the check its six probes and its 1 s again, and sends a probe at once if none is in progress or scheduled. Each broken connection leads to a bounded number of probes; a crash still needs two refusals in a row.

No test fails yet if the new connection doesn't renew the number and the time of the probes (a trial).

--- a/src/poison/detector.rs
+++ b/src/poison/detector.rs
@@ -18,7 +18,7 @@
 /// while the store, and with it the registrations, can't be read. A number bounds the probes, since
 /// a late tick or a probe that times out would use up a time limit without any result.
 const MAX_PROBES: u32 = 6;
-/// Time from a broken connection in which an open or silent port is probed again.
+/// Time from the last broken connection in which an open or silent port is probed again.
 const PROBE_WINDOW: Duration = Duration::from_secs(1);
 /// Time in which responses still arrive that were sent before the connection broke.
 const LATE_RESPONSE_WINDOW: Duration = Duration::from_millis(50);
@@ -144,6 +144,9 @@
 struct Check {
     endpoint: Endpoint,
     broken_at: Time,
+    /// When the last connection broke.
+    last_broken_at: Time,
+    /// Number of probes sent since then.
     probe_count: u32,
     stage: Stage,
     requests: BTreeMap<Fingerprint, Duration>,
@@ -151,7 +154,21 @@
 
 impl Check {
     fn has_probes_left(&self, now: Time) -> bool {
-        self.probe_count < MAX_PROBES && now < self.broken_at + PROBE_WINDOW
+        self.probe_count < MAX_PROBES && now < self.last_broken_at + PROBE_WINDOW
+    }
+
+    /// Restarts the probes after another broken connection. Returns the probe to send, unless one is
+    /// in progress or scheduled.
+    fn restart_probes(&mut self, now: Time) -> Option<Probe> {
+        self.last_broken_at = now;
+        self.probe_count = 0;
+        if self.stage != Stage::Unconfirmed {
+            return None;
+        }
+        self.stage = Stage::Probing { found_closed: false };
+        self.probe_count = 1;
+        let Endpoint { incarnation, address, .. } = self.endpoint;
+        Some(Probe { incarnation, address })
     }
 
     fn finding(&self, now: Time, outcome: Outcome) -> Finding {
@@ -195,14 +212,22 @@
         if let Some(check) = self.checks.get_mut(&incarnation).filter(is_same_crash) {
             check.requests.insert(fingerprint, run_time);
             if check.stage != Stage::Crashed {
-                return Steps::default();
+                let probes = check.restart_probes(now).into_iter().collect();
+                return Steps { probes, ..Steps::default() };
             }
             let interruptions = vec![check.interruption(now, fingerprint, run_time)];
             return Steps { interruptions, ..Steps::default() };
         }
         let stage = Stage::Probing { found_closed: false };
         let requests = BTreeMap::from([(fingerprint, run_time)]);
-        let check = Check { endpoint, broken_at: now, probe_count: 1, stage, requests };
+        let check = Check {
+            endpoint,
+            broken_at: now,
+            last_broken_at: now,
+            probe_count: 1,
+            stage,
+            requests,
+        };
         self.checks.insert(incarnation, check);
         Steps { probes: vec![Probe { incarnation, address }], ..Steps::default() }
     }
--- a/src/poison/tests.rs
+++ b/src/poison/tests.rs
@@ -574,3 +574,21 @@
     detector.record_disconnect(ms(1_280), endpoint(Some(1)), disconnect(BYSTANDER));
     assert!(counts_by_probes(&mut detector, 1_300));
 }
+
+/// A live server drops one connection and crashes two seconds later.
+#[test]
+fn record_disconnect_while_unconfirmed_still_counts_the_crash() {
+    let mut detector = detector_with_disconnect();
+    let incarnation = endpoint(Some(1)).incarnation;
+    detector.record_probe(ms(1_001), incarnation, Answer::Accepted);
+    for at in (1_020..3_000).step_by(20) {
+        for _ in detector.due_probes(ms(at)) {
+            detector.record_probe(ms(at + 1), incarnation, Answer::Accepted);
+        }
+    }
+    let steps = detector.record_disconnect(ms(3_000), endpoint(Some(1)), disconnect(BYSTANDER));
+    for _ in steps.probes {
+        detector.record_probe(ms(3_001), incarnation, Answer::Refused);
+    }
+    assert!(counts_by_probes(&mut detector, 3_020));
+}
