Free the engines that are kept for suspects who are gone, and isolate no suspect in vain

Change: a suspect that waited for half of its time while no engine could be emptied runs beside others; a reservation ends with its suspect's suspicion and with an engine that accepts no work; a suspect is offered each engine without requests; the stricter bound among other crashes holds where daemons isolate (State::isolating).

Two tests: suspect_that_waited_in_vain_runs_beside_others, engine_is_not_kept_free_for_a_suspect_that_was_cleared.

--- a/src/fleet/admission.rs
+++ b/src/fleet/admission.rs
@@ -10,7 +10,7 @@
 use std::ops::Bound;
 
 use super::drain::Throughput;
-use super::isolation::max_isolation_wait;
+use super::isolation::has_waited_for_isolation;
 use super::place::PLAIN_REQUEST_MS;
 use super::prompt::unshared_ms;
 use super::request::{Phase, Request};
@@ -302,11 +302,10 @@
     /// Whether the maximum wait of a request has passed.
     fn has_waited_too_long(&self, now: Time, key: Key, request: &Request) -> bool {
         let Phase::Waiting(since) = request.phase else { return false };
-        let deadline = request.arrival.deadline;
-        let max_wait = match self.claims_isolation(now, key) {
-            true => max_isolation_wait(since, deadline),
-            false => Self::max_wait(request),
+        let has_waited = match self.claims_isolation(now, key) {
+            true => has_waited_for_isolation(now, request),
+            false => now >= since + Self::max_wait(request),
         };
-        now >= since + max_wait || now >= deadline
+        has_waited || now >= request.arrival.deadline
     }
 }
--- a/src/fleet/isolation.rs
+++ b/src/fleet/isolation.rs
@@ -9,6 +9,7 @@
 //! The daemon that places the requests of a pool decides on this. A daemon that places a request
 //! without a scheduler knows no suspects and isolates none.
 
+use super::request::{Phase, Request};
 use super::{Key, Node, Server, server};
 use crate::poison::Fingerprint;
 use crate::prelude::*;
@@ -84,13 +85,13 @@
     pub(super) fn retain_for_isolation(
         &self,
         now: Time,
-        pool: &str,
-        fingerprint: Fingerprint,
+        request: &Request,
         usable: &mut Vec<(server::Key, &Server)>,
     ) {
+        let fingerprint = request.arrival.fingerprint;
         let is_empty = |key: server::Key, server: &Server| self.load(key, server).running == 0;
-        let runs_alone = self.is_to_isolate(now, pool, fingerprint);
-        let Some(stage) = self.isolation.stage(now, pool) else {
+        let runs_alone = self.is_to_isolate(now, request);
+        let Some(stage) = self.isolation_stage(now, &request.pool) else {
             if runs_alone {
                 usable.retain(|(key, server)| is_empty(*key, server));
             }
@@ -100,7 +101,7 @@
             usable.iter().find(|(key, server)| is_empty(*key, server)).map(|(key, _)| *key);
         match stage {
             Stage::Running(_, other) if other == fingerprint => usable.clear(),
-            _ if runs_alone => usable.retain(|(key, _)| Some(*key) == first_empty),
+            _ if runs_alone => usable.retain(|(key, server)| is_empty(*key, server)),
             Stage::Running(kept, _) => usable.retain(|(key, _)| *key != kept),
             Stage::Waiting(_) => usable.retain(|(key, _)| Some(*key) != first_empty),
             Stage::Draining(kept, _) => {
@@ -110,22 +111,38 @@
         }
     }
 
+    /// Returns the stage of a pool's isolated run. No server is kept free for a suspect that was
+    /// cleared or blocked since.
+    fn isolation_stage(&self, now: Time, pool: &str) -> Option<Stage> {
+        let is_current = |stage: &Stage| match stage {
+            Stage::Running(..) => true,
+            Stage::Waiting(suspect) | Stage::Draining(_, suspect) => {
+                self.poison.runs_alone(*suspect)
+            }
+        };
+        self.isolation.stage(now, pool).filter(is_current)
+    }
+
     /// Whether a request must run alone now. While the strongest suspect of its pool does so or
-    /// waits for that, weaker ones run as usual.
-    fn is_to_isolate(&self, now: Time, pool: &str, fingerprint: Fingerprint) -> bool {
+    /// waits for that, weaker ones run as usual. So does a suspect that has waited while no server
+    /// became free and none could be emptied.
+    fn is_to_isolate(&self, now: Time, request: &Request) -> bool {
+        let fingerprint = request.arrival.fingerprint;
         if !self.poison.runs_alone(fingerprint) {
             return false;
         }
-        let Some(stage) = self.isolation.stage(now, pool) else { return true };
+        let Some(stage) = self.isolation_stage(now, &request.pool) else { return true };
         let other = stage.suspect();
-        other == fingerprint || self.poison.is_stronger_suspect(fingerprint, other)
+        let is_strongest =
+            other == fingerprint || self.poison.is_stronger_suspect(fingerprint, other);
+        let waits_in_vain =
+            matches!(stage, Stage::Waiting(_)) && has_waited_for_isolation(now, request);
+        is_strongest && !waits_in_vain
     }
 
     /// Whether an open request must run alone.
     pub(super) fn claims_isolation(&self, now: Time, key: Key) -> bool {
-        self.requests.get(&key).is_some_and(|request| {
-            self.is_to_isolate(now, &request.pool, request.arrival.fingerprint)
-        })
+        self.requests.get(&key).is_some_and(|request| self.is_to_isolate(now, request))
     }
 
     /// Keeps a server free for a request that must run alone and could not be placed.
@@ -135,9 +152,12 @@
         }
         let Some(request) = self.requests.get(&key) else { return };
         let (pool, fingerprint) = (request.pool.clone(), request.arrival.fingerprint);
-        let kept = match self.isolation.stage(now, &pool) {
+        let is_available = |key: server::Key| {
+            self.servers.get(key).is_some_and(|server| self.accepts_work(now, key, server))
+        };
+        let kept = match self.isolation_stage(now, &pool) {
             Some(Stage::Running(_, other)) if other == fingerprint => return,
-            Some(Stage::Draining(kept, _)) if self.servers.contains_key(kept) => Some(kept),
+            Some(Stage::Draining(kept, _)) if is_available(kept) => Some(kept),
             _ => self.server_to_drain(now, &pool),
         };
         let stage = match kept {
@@ -168,7 +188,7 @@
         let Some(request) = self.requests.get(&key) else { return };
         let (pool, fingerprint) = (request.pool.clone(), request.arrival.fingerprint);
         let is_empty = self.servers.get(server).is_some_and(|s| self.load(server, s).running == 0);
-        if is_empty && self.is_to_isolate(now, &pool, fingerprint) {
+        if is_empty && self.is_to_isolate(now, request) {
             let until = now + self.poison.longest_run(fingerprint) + RUN_MARGIN;
             self.isolation
                 .runs
@@ -177,7 +197,8 @@
     }
 }
 
-/// Maximum time for which a suspect waits since `since` to run alone.
-pub(super) fn max_isolation_wait(since: Time, deadline: Time) -> Duration {
-    deadline.saturating_sub(since) / MAX_WAIT_DIVISOR
+/// Whether a suspect has waited to run alone for as long as it may.
+pub(super) fn has_waited_for_isolation(now: Time, request: &Request) -> bool {
+    let Phase::Waiting(since) = request.phase else { return false };
+    now >= since + request.arrival.deadline.saturating_sub(since) / MAX_WAIT_DIVISOR
 }
--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -167,7 +167,7 @@
             rollout: Rollout::default(),
             quota: quota::State::new(policy.quota),
             quota_leadership: Leadership::default(),
-            poison: poison::State::default(),
+            poison: poison::State::isolating(),
             detector: poison::Detector::default(),
             isolation: Isolation::default(),
             next_block_expiry: Time::ZERO,
--- a/src/fleet/place.rs
+++ b/src/fleet/place.rs
@@ -110,7 +110,7 @@
         let mut usable: Vec<(server::Key, &Server)> =
             servers.filter(|(key, server)| self.has_room(now, *key, server)).collect();
         let fingerprint = request.arrival.fingerprint;
-        self.retain_for_isolation(now, &request.pool, fingerprint, &mut usable);
+        self.retain_for_isolation(now, request, &mut usable);
         self.poison.avoid_other_suspects(fingerprint, self.running_requests(), &mut usable);
         match &request.arrival.prompt {
             None => self.place_plain(now, request, &usable),
--- a/src/fleet/tests/isolation.rs
+++ b/src/fleet/tests/isolation.rs
@@ -128,3 +128,35 @@
     let second = send(&mut site, 1, Fingerprint(5));
     assert_eq!(dispatches(&mut site, 1, second).len(), 1);
 }
+
+// A pool of one engine under steady load is never without requests.
+#[test]
+fn suspect_that_waited_in_vain_runs_beside_others() {
+    let mut site = site(1);
+    let running = send(&mut site, 0, Fingerprint(1));
+    let sent = site.only_dispatch(0, running);
+    site.report(0, running, sent.attempt, Report::Begun(Some(1)));
+    interrupt_twice(&mut site, SUSPECT, ms(60));
+    let suspect = send(&mut site, 1, SUSPECT);
+    site.advance(ms(2_400));
+    assert!(dispatches(&mut site, 1, suspect).is_empty());
+    site.advance(ms(200));
+    assert_eq!(dispatches(&mut site, 1, suspect).len(), 1);
+}
+
+#[test]
+fn engine_is_not_kept_free_for_a_suspect_that_was_cleared() {
+    let mut site = site(1);
+    let running = send(&mut site, 0, Fingerprint(1));
+    let sent = site.only_dispatch(0, running);
+    interrupt_twice(&mut site, SUSPECT, ms(60));
+    send(&mut site, 1, SUSPECT);
+    for daemon in 0..3 {
+        let served = crate::poison::Message::Served(SUSPECT);
+        site.apply(daemon, Message::Frame(Frame::Poison(served)));
+    }
+    site.report(0, running, sent.attempt, Report::Begun(Some(1)));
+    site.report(0, running, sent.attempt, Report::Ended);
+    let next = send(&mut site, 2, Fingerprint(2));
+    assert_eq!(dispatches(&mut site, 2, next).len(), 1);
+}
--- a/src/poison/state.rs
+++ b/src/poison/state.rs
@@ -62,9 +62,21 @@
     blocks: BTreeMap<Fingerprint, Block>,
     /// Lifted blocks, and when this daemon learned of it.
     lifted: BTreeMap<Fingerprint, Time>,
+    /// Whether this daemon runs suspects alone, so that stronger evidence can be had.
+    pub(super) isolates: bool,
 }
 
 impl State {
+    /// Creates the state of a daemon that runs suspects alone.
+    ///
+    /// ```
+    /// use cardamomvalve::poison::{Fingerprint, State};
+    /// assert!(!State::isolating().runs_alone(Fingerprint(7)));
+    /// ```
+    pub fn isolating() -> Self {
+        Self { isolates: true, ..Self::default() }
+    }
+
     /// Records that a request was running at a server that crashed. Returns whether this blocks it.
     ///
     /// ```
