Judge the strongest suspect of a crash first

Cause: the interruptions of one report were judged one after the other, each before the next was recorded. A request beside both culprits came first, was judged at six crashes against culprits that still counted five, and was blocked; its block explained the culprits' crashes away.

Change: a report is recorded whole, then judged from the suspect that chance explains worst. Ruled out: bounds and evidence; neither changed.

The new unit test blocks the bystander on the old code (run), the culprit on the new.

--- a/src/control/poison.rs
+++ b/src/control/poison.rs
@@ -150,7 +150,7 @@
             Detail::of("requests", steps.interruptions.len()).and("fingerprints", fingerprints);
         self.event(Event::ServerEnded, detail);
         self.send_to_peers(&Message::Interruptions(steps.interruptions.clone()));
-        self.record_interruptions(now, steps.interruptions);
+        self.record_interruptions(now, &steps.interruptions);
     }
 
     fn send_to_peers(&mut self, message: &Message) {
@@ -164,7 +164,7 @@
     /// Handles a message from a peer.
     pub(super) fn handle_poison_message(&mut self, now: Time, message: Message) {
         match message {
-            Message::Interruptions(interruptions) => self.record_interruptions(now, interruptions),
+            Message::Interruptions(interruptions) => self.record_interruptions(now, &interruptions),
             Message::Served(fingerprint) => {
                 let blocked = self.poison.clear_suspect(now, fingerprint);
                 self.block_and_announce(now, blocked.unwrap_or_default());
@@ -173,14 +173,9 @@
         }
     }
 
-    fn record_interruptions(&mut self, now: Time, interruptions: Vec<Interruption>) {
-        let reaches_block =
-            |interruption: &Interruption| self.poison.record_interruption(now, *interruption);
-        let blocked: Vec<Interruption> = interruptions.into_iter().filter(reaches_block).collect();
-        self.block_and_announce(
-            now,
-            blocked.into_iter().map(|interruption| interruption.fingerprint).collect(),
-        );
+    fn record_interruptions(&mut self, now: Time, interruptions: &[Interruption]) {
+        let blocked = self.poison.record_interruptions(now, interruptions);
+        self.block_and_announce(now, blocked);
     }
 
     /// Sends new blocks to all peers and enforces them here.
--- a/src/fleet/poison.rs
+++ b/src/fleet/poison.rs
@@ -109,7 +109,7 @@
             addresses.truncate(MAX_REPORT_PEERS);
         }
         self.send_poison_message(addresses, Message::Interruptions(steps.interruptions.clone()));
-        self.record_crashes(now, steps.interruptions);
+        self.record_crashes(now, &steps.interruptions);
     }
 
     fn server_id(&self, incarnation: Incarnation) -> String {
@@ -126,7 +126,7 @@
     /// Handles a peer's message on crashes and blocks.
     pub(super) fn receive_poison_message(&mut self, now: Time, message: Message) {
         match message {
-            Message::Interruptions(strikes) => self.record_crashes(now, strikes),
+            Message::Interruptions(strikes) => self.record_crashes(now, &strikes),
             Message::Served(fingerprint) => {
                 let blocked = self.poison.clear_suspect(now, fingerprint);
                 self.announce_blocks(now, blocked.unwrap_or_default());
@@ -135,10 +135,9 @@
         }
     }
 
-    fn record_crashes(&mut self, now: Time, strikes: Vec<Interruption>) {
-        let is_blocked = |strike: &Interruption| self.poison.record_interruption(now, *strike);
-        let blocked: Vec<Interruption> = strikes.into_iter().filter(is_blocked).collect();
-        self.announce_blocks(now, blocked.into_iter().map(|strike| strike.fingerprint).collect());
+    fn record_crashes(&mut self, now: Time, strikes: &[Interruption]) {
+        let blocked = self.poison.record_interruptions(now, strikes);
+        self.announce_blocks(now, blocked);
     }
 
     /// Sends new blocks to all peers and enforces them.
--- a/src/fleet/tests/deadly.rs
+++ b/src/fleet/tests/deadly.rs
@@ -213,7 +213,8 @@
 // within five seconds and was blocked. The block explained these crashes, so they didn't count against the culprits,
 // which went from five crashes each to two and three and crashed seven more engines. Four late tries: two copies of a
 // culprit with four crashes were sent to one engine within 80 ms, and two more to another engine after its fifth crash.
+// Four late tries again: a request beside both culprits was judged before them at its sixth crash and was blocked.
 #[test]
 fn rarely_sent_crashing_requests_are_blocked_in_a_pool_of_nine() {
-    trickles_are_blocked(3, 9, &[26, 46]);
+    trickles_are_blocked(3, 9, &[26, 46, 5222]);
 }
--- a/src/poison/state.rs
+++ b/src/poison/state.rs
@@ -99,6 +99,33 @@
     /// assert!(!crash("s-1") && !crash("s-2") && crash("s-3"));
     /// ```
     pub fn record_interruption(&mut self, now: Time, interruption: Interruption) -> bool {
+        !self.record_interruptions(now, &[interruption]).is_empty()
+    }
+
+    /// Records the requests that crashes interrupted. Returns those that this blocks.
+    ///
+    /// All are recorded before any is judged, and the strongest suspect is judged first: its block
+    /// explains crashes that then no longer count against the others.
+    pub fn record_interruptions(
+        &mut self,
+        now: Time,
+        interruptions: &[Interruption],
+    ) -> Vec<Fingerprint> {
+        let recorded = interruptions.iter().filter(|interruption| self.insert(now, **interruption));
+        let mut undecided: BTreeSet<Fingerprint> =
+            recorded.map(|interruption| interruption.fingerprint).collect();
+        let mut blocked = Vec::new();
+        while let Some((fingerprint, evidence)) = self.strongest_to_block(&undecided) {
+            undecided.remove(&fingerprint);
+            if self.block_with_evidence(now, fingerprint, Some(evidence)) {
+                blocked.push(fingerprint);
+            }
+        }
+        blocked
+    }
+
+    /// Records an interruption. Returns whether it counts against its request.
+    fn insert(&mut self, now: Time, interruption: Interruption) -> bool {
         let Interruption { fingerprint, incarnation, pool, servers, run_time, age, ran_alone } =
             interruption;
         let key = self.crash_key(incarnation, pool, now.saturating_sub(age));
@@ -118,8 +145,18 @@
         let suspect = self.suspects.entry(fingerprint).or_default();
         suspect.crashes.insert(key, run_time);
         suspect.servers = servers;
-        let evidence = self.evidence_to_block(fingerprint);
-        evidence.is_some() && self.block_with_evidence(now, fingerprint, evidence)
+        true
+    }
+
+    /// Returns the request with enough evidence for a block that chance explains worst.
+    fn strongest_to_block(
+        &self,
+        undecided: &BTreeSet<Fingerprint>,
+    ) -> Option<(Fingerprint, Evidence)> {
+        let with_evidence = undecided
+            .iter()
+            .filter_map(|fingerprint| Some((*fingerprint, self.evidence_to_block(*fingerprint)?)));
+        with_evidence.min_by(|(_, a), (_, b)| a.expected.total_cmp(&b.expected))
     }
 
     /// Returns the key of the crash observed at `at`, and records the crash if it is new.
--- a/src/poison/tests.rs
+++ b/src/poison/tests.rs
@@ -206,6 +206,28 @@
     assert!(!state.is_blocked(Fingerprint(100)) && !state.is_blocked(Fingerprint(101)));
 }
 
+/// A request that ran beside a culprit was blocked at its sixth crash, because its interruption was judged before the
+/// culprit's at the same crash was recorded. The block explained these crashes, so they no longer counted against the
+/// culprit, which went on to crash six more servers.
+#[test]
+fn record_interruptions_judges_the_strongest_suspect_of_a_crash_first() {
+    let mut state = State::default();
+    let mut blocked = Vec::new();
+    for server in 1..=6 {
+        let long = |fingerprint| Interruption {
+            run_time: ms(3_000),
+            ..interruption(Fingerprint(fingerprint), server)
+        };
+        let mut present = vec![long(BYSTANDER.0)];
+        present.extend((0..9).map(|other| long(1_000 * server + other)));
+        if server > 3 {
+            present.push(Interruption { run_time: ms(50), ..interruption(FATAL, server) });
+        }
+        blocked.extend(state.record_interruptions(ms(500 * server), &present));
+    }
+    assert_eq!(blocked, [FATAL]);
+}
+
 /// Three harmful requests arrived while all running requests had just begun, so a request that
 /// merely met them at their crashes had run for as short a time as they. Short runs are no evidence
 /// where all are as short.
