Take no bound from a peer's first digests, which may be late

Cause: a digest's delay is its offset to the fastest one of that peer. The first digest has none to compare with, so one that came three seconds late passed for one without delay, and the naming and the completeness in it looked that much more recent.

Change: reported ages bound nothing until three digests of the peer's incarnation have arrived. Ruled out: the bounds and margins, none was changed.

Three tests of reported bounds delivered one digest and now deliver two before it; what they assert is the same.

--- a/src/fleet/gossip.rs
+++ b/src/fleet/gossip.rs
@@ -304,7 +304,7 @@
             let reported_before = peer.digest.as_ref().is_some_and(|last| !last.named.is_empty());
             self.rollout.merge_is_stale |= reported_before || !digest.named.is_empty();
             peer.record_digest(now, &digest);
-            let delay = peer.digest_delay();
+            let delay = peer.known_digest_delay();
             let report =
                 (digest.end_offsets.get(Topic::Operator as usize).copied(), digest.caught_up_age);
             peer.digest = Some(digest);
@@ -322,11 +322,12 @@
         &mut self,
         now: Time,
         (end, age): (Option<u64>, Option<Duration>),
-        delay: Duration,
+        delay: Option<Duration>,
     ) {
         let ahead = end.is_none_or(|end| end > self.catalog.end(Topic::Operator));
         // A time before this daemon's clock started says nothing about the time since.
-        let at = age.and_then(|age| now.checked_sub(age.saturating_add(delay)));
+        let age = age.zip(delay).map(|(age, delay)| age.saturating_add(delay));
+        let at = age.and_then(|age| now.checked_sub(age));
         if let Some(at) = at.filter(|_| !ahead && self.has_all_operator_records()) {
             self.note_complete_until(at);
         }
--- a/src/fleet/naming.rs
+++ b/src/fleet/naming.rs
@@ -94,11 +94,17 @@
         true
     }
 
-    /// Merges what a peer reported at time `at` with a network delay of `delay`; bounds are
-    /// compared at `now`.
-    pub(super) fn merge_peer(&mut self, now: Time, reports: &[Naming], at: Time, delay: Duration) {
+    /// Merges what a peer reported at time `at` with a network delay of `delay`, without which the
+    /// reported ages bound nothing; bounds are compared at `now`.
+    pub(super) fn merge_peer(
+        &mut self,
+        now: Time,
+        reports: &[Naming],
+        at: Time,
+        delay: Option<Duration>,
+    ) {
         for Naming { model, version, age } in reports {
-            let bound = age.map(|age| Bound::reported(at, age, delay));
+            let bound = age.zip(delay).map(|(age, delay)| Bound::reported(at, age, delay));
             let known = self.models.entry(model.clone()).or_default();
             if known.evicted.is_some_and(|evicted| evicted >= *version) {
                 continue;
--- a/src/fleet/peer.rs
+++ b/src/fleet/peer.rs
@@ -11,12 +11,16 @@
 /// Time by which a peer's second next digest may be late before its state counts as stale.
 const DIGEST_GRACE: Duration = Duration::from_millis(750);
 
+/// Number of digests from which the fastest is taken for one without delay.
+const MIN_DIGESTS_FOR_DELAY: u32 = 3;
+
 /// Offset of this daemon's clock to a peer's, in milliseconds, measured when its digests arrive.
 #[derive(Debug, Clone, Copy)]
 struct ClockOffset {
     incarnation: u64,
     min_ms: i64,
     last_ms: i64,
+    digests: u32,
 }
 
 /// State of a peer.
@@ -69,7 +73,9 @@
         let last_ms = millis(now).saturating_sub(millis(digest.sent_at));
         let previous = self.clock_offset.filter(|offset| offset.incarnation == digest.incarnation);
         let min_ms = previous.map_or(last_ms, |offset| offset.min_ms.min(last_ms));
-        self.clock_offset = Some(ClockOffset { incarnation: digest.incarnation, min_ms, last_ms });
+        let digests = previous.map_or(0, |offset| offset.digests).saturating_add(1);
+        let incarnation = digest.incarnation;
+        self.clock_offset = Some(ClockOffset { incarnation, min_ms, last_ms, digests });
     }
 
     /// Delay of its last digest relative to the fastest one. Ages in a digest that waited in a
@@ -79,6 +85,13 @@
         Duration::from_millis(delay)
     }
 
+    /// Same as [`Self::digest_delay`]; `None` after too few digests. If the first one is late, its
+    /// delay would pass for none, and what it reports would look more recent than it is.
+    pub(super) fn known_digest_delay(&self) -> Option<Duration> {
+        let known = self.clock_offset.filter(|offset| offset.digests >= MIN_DIGESTS_FOR_DELAY);
+        known.map(|_| self.digest_delay())
+    }
+
     /// Whether its last digest is recent.
     pub(super) fn is_fresh(&self, now: Time) -> bool {
         let interval = self.digest.as_ref().map_or(DIGEST_INTERVAL, |digest| digest.interval);
--- a/src/fleet/rollout.rs
+++ b/src/fleet/rollout.rs
@@ -79,7 +79,7 @@
         let mut merged = self.rollout.own_namings.clone();
         for peer in self.peers.values() {
             let (Some(digest), Some(heard)) = (&peer.digest, peer.heard_at) else { continue };
-            merged.merge_peer(now, &digest.named, heard, peer.digest_delay());
+            merged.merge_peer(now, &digest.named, heard, peer.known_digest_delay());
         }
         self.rollout.merged_namings = merged;
     }
--- a/src/fleet/tests/naming.rs
+++ b/src/fleet/tests/naming.rs
@@ -128,6 +128,12 @@
     daemon.tick(now + ms(5));
 }
 
+/// Receives two digests without namings, after which the delay of the next ones is known.
+fn receive_first_digests(daemon: &mut Daemon, now: Time, last: u8, sent: Time) {
+    receive_digest(daemon, now, last, sent, Vec::new());
+    receive_digest(daemon, now + ms(5), last, sent + ms(5), Vec::new());
+}
+
 /// A daemon that has just started and has read that version 2 was named.
 fn started_daemon() -> Daemon {
     let mut daemon = Daemon::new(1);
@@ -141,6 +147,7 @@
 fn named_before_the_start_uses_the_bound_of_a_peer() {
     let mut daemon = started_daemon();
     assert_eq!(send(&mut daemon, ms(40)), []);
+    receive_first_digests(&mut daemon, ms(42), 2, ms(90_042));
     receive_digest(&mut daemon, ms(50), 2, ms(90_050), vec![naming(2, Some(3_000))]);
     assert_eq!(send(&mut daemon, ms(60)), [Some(1)]);
     for time in (60..3_000).step_by(100) {
@@ -149,9 +156,24 @@
     assert_eq!(send(&mut daemon, ms(3_000)), []);
 }
 
+/// The first digest of a peer came three seconds late. Its delay passed for none, so the naming in it looked three
+/// seconds more recent than it was, and requests began on weights past their limit.
+#[test]
+fn merge_first_digest_that_may_be_late_bounds_nothing() {
+    let mut daemon = started_daemon();
+    receive_digest(&mut daemon, ms(50), 2, ms(1_000), vec![naming(2, Some(5_400))]);
+    assert_eq!(send(&mut daemon, ms(60)), []);
+    // The next ones are three seconds faster.
+    receive_digest(&mut daemon, ms(70), 2, ms(4_020), vec![naming(2, Some(8_420))]);
+    receive_digest(&mut daemon, ms(90), 2, ms(4_040), vec![naming(2, Some(8_440))]);
+    assert_eq!(send(&mut daemon, ms(100)), []);
+}
+
 #[test]
 fn merge_uses_the_smallest_of_the_last_bounds_of_peers() {
     let mut daemon = started_daemon();
+    receive_first_digests(&mut daemon, ms(30), 2, ms(980));
+    receive_first_digests(&mut daemon, ms(40), 3, ms(3_950));
     receive_digest(&mut daemon, ms(50), 2, ms(1_000), vec![naming(2, Some(1_000))]);
     receive_digest(&mut daemon, ms(70), 2, ms(1_020), vec![naming(2, Some(7_000))]);
     assert_eq!(send(&mut daemon, ms(80)), []);
@@ -163,6 +185,7 @@
 fn merge_earlier_version_that_superseded_first() {
     let mut daemon = started_daemon();
     daemon.deliver_records(ms(30), Topic::Operator, &[("version/m", "weights 3")]);
+    receive_first_digests(&mut daemon, ms(40), 2, ms(40));
     receive_digest(&mut daemon, ms(50), 2, ms(50), vec![naming(2, None), naming(3, Some(500))]);
     assert_eq!(send(&mut daemon, ms(60)), [], "no peer knows when version 2 was named");
     receive_digest(
