Copy records from peers at a start, and multicast new ones over a tree

Cause: each daemon read every registration of servers by itself, 50 pages at the same moment; calls and bytes grew with daemons times records, beyond what the store serves, and reads that failed began again at the first page. While no scheduler told of a read, every daemon read by itself each 1.2 s. One scheduler sent each record and, twice a second, each announcement to all daemons itself.

Change: the daemons of the seed addresses read the store, the others copy each topic from a peer that has it (src/fleet/bootstrap.rs), within an allowance for the sender, and read once what changed since, so that a copy of an outdated peer makes nobody ready. Daemons tell the last read of the store that they know of, so any reader counts, not only three schedulers; while nobody gets an answer they read in turn, one each 5 ms in all. Frames to all go over a tree of at most 64 receivers each, fewer for large frames (src/fleet/multicast.rs); fleets of up to 64 daemons are sent to directly, as before. Large frames are compressed (flate2).

new_daemon_gets_all_records_from_a_seed_while_the_store_is_down now tells the daemon that its reads fail, as a store that is down does; without word from the store it waits three seconds. Mixed versions: a daemon of before closes connections that bring relays or compressed frames.

--- a/src/fleet/catalog.rs
+++ b/src/fleet/catalog.rs
@@ -55,6 +55,14 @@
     pub records: Vec<Record>,
 }
 
+impl Batch {
+    /// Approximate size in bytes.
+    pub fn size(&self) -> usize {
+        let size = |record: &Record| record.key.len() + record.value.as_ref().map_or(0, Vec::len);
+        self.records.iter().map(size).sum()
+    }
+}
+
 #[derive(Debug, Default)]
 struct TopicState {
     records: BTreeMap<String, (u64, Option<Vec<u8>>)>,
--- a/src/fleet/frame/mod.rs
+++ b/src/fleet/frame/mod.rs
@@ -2,14 +2,24 @@
 
 mod wire;
 
+use std::io::{Read as _, Write as _};
+use std::net::{IpAddr, SocketAddr};
+
+use flate2::Compression;
+use flate2::read::DeflateDecoder;
+use flate2::write::DeflateEncoder;
 use prost::Message as _;
 
 use super::scheduling::{Progress, Submission, Verdict};
-use super::{Batch, Holder, Incarnation, Naming, Notice, Record, Topic, Update};
+use super::{Batch, Holder, Incarnation, Naming, Notice, Record, Relay, Topic, Update};
+use crate::peer::MAX_FRAME_BYTES;
 use crate::poison::{self, Blocked, Fingerprint};
 use crate::prelude::*;
 use crate::quota::Usage;
 
+/// Size from which frames are compressed.
+const MIN_COMPRESSED_BYTES: usize = 4_096;
+
 /// Error of a frame that is not well-formed.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Malformed(pub String);
@@ -38,6 +48,8 @@
     pub address: String,
     /// The cores of its VM; 0 if unknown.
     pub cores: f32,
+    /// Its availability zone.
+    pub zone: String,
     /// Time until its next digest to the same peer.
     pub interval: Duration,
     /// Age of its last read of each topic in the platform's store, in the order of [`Topic::ALL`];
@@ -99,6 +111,8 @@
     Verdict(Box<Verdict>),
     /// A message about requests that crash servers.
     Poison(poison::Message),
+    /// A frame to be handled and passed on.
+    Relay(Relay),
 }
 
 impl Frame {
@@ -138,14 +152,52 @@
             Self::Progress(progress) => wire::Body::Progress(progress.into()),
             Self::Verdict(verdict) => wire::Body::Verdict((*verdict).into()),
             Self::Poison(message) => wire::Body::Poison(message.into()),
+            Self::Relay(Relay { to, frame }) => wire::Body::Relay(wire::Relay {
+                to: to.into_iter().map(encode_address).collect(),
+                frame: frame.encode(),
+            }),
         };
-        wire::Frame { body: Some(body) }.encode_to_vec()
+        let bytes = wire::Frame { body: Some(body) }.encode_to_vec();
+        let is_relay = matches!(self, Self::Relay(_));
+        if is_relay || bytes.len() < MIN_COMPRESSED_BYTES { bytes } else { compress(&bytes) }
+    }
+
+    /// Approximate size in bytes before compression.
+    pub(super) fn size_hint(&self) -> usize {
+        match self {
+            Self::Records(batch) | Self::Snapshot(batch) => batch.size(),
+            _ => 0,
+        }
     }
 
     /// Decodes a frame.
     pub fn decode(bytes: &[u8]) -> Result<Self, Malformed> {
         let frame = wire::Frame::decode(bytes).map_err(|error| Malformed(error.to_string()))?;
         match frame.body {
+            Some(wire::Body::Compressed(compressed)) => {
+                let bytes = decompress(&compressed.bytes)?;
+                let frame = wire::Frame::decode(bytes.as_slice());
+                let frame = frame.map_err(|error| Malformed(error.to_string()))?;
+                Self::from_body(frame.body)
+            }
+            body => Self::from_body(body),
+        }
+    }
+
+    fn from_body(body: Option<wire::Body>) -> Result<Self, Malformed> {
+        match body {
+            Some(wire::Body::Compressed(_)) => {
+                Err(Malformed("the frame is compressed twice".into()))
+            }
+            Some(wire::Body::Relay(relay)) => {
+                let to: Result<Vec<SocketAddr>, Malformed> =
+                    relay.to.iter().map(|bytes| decode_address(bytes)).collect();
+                let frame = Self::decode(&relay.frame)?;
+                if matches!(frame, Self::Relay(_)) {
+                    return Err(Malformed("a relayed frame is itself a relay".into()));
+                }
+                Ok(Self::Relay(Relay { to: to?, frame: Box::new(frame) }))
+            }
             None => Err(Malformed("the frame is empty".into())),
             Some(wire::Body::Digest(digest)) => Ok(Self::Digest(Box::new(digest.try_into()?))),
             Some(wire::Body::Fetch(ask)) => {
@@ -181,6 +233,46 @@
     }
 }
 
+/// Compresses an encoded frame. Records are JSON with many repeated names.
+fn compress(bytes: &[u8]) -> Vec<u8> {
+    let mut encoder = DeflateEncoder::new(Vec::new(), Compression::fast());
+    let compressed = encoder.write_all(bytes).and_then(|()| encoder.finish());
+    let body = compressed.map(|bytes| wire::Body::Compressed(wire::Compressed { bytes }));
+    // Writing to memory does not fail.
+    body.map_or_else(|_| bytes.to_vec(), |body| wire::Frame { body: Some(body) }.encode_to_vec())
+}
+
+fn decompress(bytes: &[u8]) -> Result<Vec<u8>, Malformed> {
+    let mut decompressed = Vec::new();
+    let mut decoder = DeflateDecoder::new(bytes).take(MAX_FRAME_BYTES as u64 + 1);
+    let read = decoder.read_to_end(&mut decompressed);
+    read.map_err(|error| Malformed(error.to_string()))?;
+    if decompressed.len() > MAX_FRAME_BYTES {
+        return Err(Malformed("the decompressed frame is too large".into()));
+    }
+    Ok(decompressed)
+}
+
+fn encode_address(address: SocketAddr) -> Vec<u8> {
+    let mut bytes = match address.ip() {
+        IpAddr::V4(ip) => ip.octets().to_vec(),
+        IpAddr::V6(ip) => ip.octets().to_vec(),
+    };
+    bytes.extend(address.port().to_be_bytes());
+    bytes
+}
+
+fn decode_address(bytes: &[u8]) -> Result<SocketAddr, Malformed> {
+    let (ip, port) =
+        bytes.split_last_chunk::<2>().ok_or_else(|| Malformed("an address is too short".into()))?;
+    let ip = match ip.len() {
+        4 => <[u8; 4]>::try_from(ip).ok().map(IpAddr::from),
+        _ => <[u8; 16]>::try_from(ip).ok().map(IpAddr::from),
+    };
+    let ip = ip.ok_or_else(|| Malformed("an address has an invalid length".into()))?;
+    Ok(SocketAddr::new(ip, u16::from_be_bytes(*port)))
+}
+
 fn decode_topic(number: u32) -> Result<Topic, Malformed> {
     Topic::from_number(number).ok_or_else(|| Malformed(format!("unknown topic {number}")))
 }
@@ -351,6 +443,7 @@
             daemon: digest.daemon,
             address: digest.address,
             cores: digest.cores,
+            zone: digest.zone,
             interval_ms: millis(digest.interval),
             read_ages_ms: digest.read_ages.into_iter().map(encode_age).collect(),
             incarnation: digest.incarnation,
@@ -399,6 +492,7 @@
             daemon: digest.daemon,
             address: digest.address,
             cores: digest.cores,
+            zone: digest.zone,
             interval: Duration::from_millis(u64::from(digest.interval_ms)),
             read_ages: digest.read_ages_ms.into_iter().map(decode_age).collect(),
             incarnation: digest.incarnation,
--- a/src/fleet/frame/wire.rs
+++ b/src/fleet/frame/wire.rs
@@ -83,6 +83,25 @@
     pub(super) quota_workspaces: Vec<String>,
     #[prost(uint64, repeated, tag = "22")]
     pub(super) quota_units: Vec<u64>,
+    #[prost(string, tag = "23")]
+    pub(super) zone: String,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub(super) struct Relay {
+    /// Addresses as the bytes of the IP address and of the port.
+    #[prost(bytes = "vec", repeated, tag = "1")]
+    pub(super) to: Vec<Vec<u8>>,
+    /// An encoded frame.
+    #[prost(bytes = "vec", tag = "2")]
+    pub(super) frame: Vec<u8>,
+}
+
+/// A frame compressed by DEFLATE.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(super) struct Compressed {
+    #[prost(bytes = "vec", tag = "1")]
+    pub(super) bytes: Vec<u8>,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -199,10 +218,14 @@
     Verdict(WireVerdict),
     #[prost(message, tag = "10")]
     Poison(WirePoison),
+    #[prost(message, tag = "11")]
+    Relay(Relay),
+    #[prost(message, tag = "12")]
+    Compressed(Compressed),
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
 pub(super) struct Frame {
-    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10")]
+    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12")]
     pub(super) body: Option<Body>,
 }
--- a/src/fleet/gossip.rs
+++ b/src/fleet/gossip.rs
@@ -3,9 +3,10 @@
 
 use std::net::SocketAddr;
 
+use super::multicast::Relay;
 use super::peer::{DIGEST_INTERVAL, Peer};
 use super::scheduling::Rank;
-use super::{Batch, Digest, Effect, Frame, Incarnation, Node, Topic, Workload};
+use super::{Batch, Digest, Effect, Frame, Incarnation, Node, Registration, Topic, Workload};
 use crate::prelude::*;
 
 /// Minimum number of peers that receive a daemon's digest, including the schedulers. Records and
@@ -34,22 +35,30 @@
 const MAX_HOT_PARTS: usize = 24;
 /// Number of peers to which a daemon that does not schedule forwards new records.
 const FORWARD_FANOUT: usize = 3;
+/// Maximum number of silent peers that a scheduler sends each of its digests to.
+const MAX_SILENT_PEERS: usize = 64;
 /// Number of daemons assumed to share the retry budget until their registrations are read.
 const ASSUMED_DAEMONS: usize = 16;
 
 impl Node {
-    /// Adds or updates a peer that registered or sent a digest; `cores` is 0 if its VM's size is
-    /// unknown.
-    pub(super) fn register_peer(&mut self, now: Time, id: String, address: SocketAddr, cores: f32) {
+    /// Adds or updates a peer that registered or sent a digest.
+    pub(super) fn register_peer(&mut self, now: Time, peer: Registration) {
+        let Registration { id, address, cores, zone } = peer;
         if id == self.identity.id {
             return;
         }
         let standing = (cores > 0.0).then(|| Rank::new(&id, cores));
+        let zone = Some(zone).filter(|zone| !zone.is_empty());
         match self.peers.get_mut(&id).filter(|peer| peer.address == address) {
-            Some(peer) => peer.standing = standing.or(peer.standing),
+            Some(peer) => {
+                peer.standing = standing.or(peer.standing);
+                peer.zone = zone.or(peer.zone.take());
+            }
             None => {
                 self.peers.remove(&address.to_string());
-                self.peers.insert(id, Peer::new(address, standing));
+                let mut peer = Peer::new(address, standing);
+                peer.zone = zone;
+                self.peers.insert(id, peer);
                 self.next_digest = self.next_digest.min(now + DIGEST_INTERVAL / 5);
             }
         }
@@ -79,6 +88,11 @@
         self.live_peers(now).count()
     }
 
+    /// Availability zones and addresses of the peers with a recent digest, to multicast to them.
+    pub(super) fn fresh_peers(&self, now: Time) -> Vec<(Option<String>, SocketAddr)> {
+        self.live_peers(now).map(|(_, peer)| (peer.zone.clone(), peer.address)).collect()
+    }
+
     /// Addresses of the peers with a recent digest.
     pub(super) fn fresh_peer_addresses(&self, now: Time) -> Vec<SocketAddr> {
         self.live_peers(now).map(|(_, peer)| peer.address).collect()
@@ -122,7 +136,7 @@
                 quota_use: Vec::new(),
                 ..digest.clone()
             };
-            self.send_digest(now, &others, announced);
+            self.announce(now, &others, announced);
             self.send_digest(now, &schedulers, digest);
         } else {
             let all: Vec<String> = schedulers.into_iter().chain(others).collect();
@@ -130,7 +144,26 @@
         }
     }
 
-    fn send_digest(&mut self, now: Time, to: &[String], digest: Digest) {
+    /// Sends a scheduler's digest to the daemons that do not schedule. Silent ones would lose the
+    /// digest for others, so they are sent it directly, a limited number at a time.
+    fn announce(&mut self, now: Time, to: &[String], digest: Digest) {
+        let is_fresh = |id: &&String| self.peers.get(*id).is_some_and(|peer| peer.is_fresh(now));
+        let (fresh, silent): (Vec<&String>, Vec<&String>) = to.iter().partition(is_fresh);
+        let mut silent: Vec<String> = silent.into_iter().cloned().collect();
+        silent.sort_by_key(|id| self.peers.get(id).and_then(|peer| peer.sent_at));
+        silent.truncate(MAX_SILENT_PEERS);
+        let mut addresses = Vec::new();
+        for id in fresh {
+            if let Some(peer) = self.peers.get_mut(id) {
+                peer.sent_at = Some(now);
+                addresses.push((peer.zone.clone(), peer.address));
+            }
+        }
+        self.multicast(addresses, Frame::Digest(Box::new(digest.clone())));
+        self.send_digest(now, &silent, digest);
+    }
+
+    pub(super) fn send_digest(&mut self, now: Time, to: &[String], digest: Digest) {
         let addresses = to.iter().filter_map(|id| {
             let peer = self.peers.get_mut(id)?;
             peer.sent_at = Some(now);
@@ -151,9 +184,10 @@
     /// Returns the peers to send a digest to now: schedulers and others. If this daemon schedules
     /// or is draining, the others are all peers whose interval has passed; otherwise those that
     /// have waited longest.
-    fn due_peers(&self, now: Time, schedules: bool) -> (Vec<String>, Vec<String>) {
+    fn due_peers(&mut self, now: Time, schedules: bool) -> (Vec<String>, Vec<String>) {
         let (mut schedulers, mut others) = (Vec::new(), Vec::new());
-        let scheduler_ids: BTreeSet<&String> = self.other_schedulers().map(|(id, _)| id).collect();
+        let scheduler_ids: BTreeSet<String> =
+            self.other_schedulers().map(|(id, _)| id.clone()).collect();
         for (id, peer) in &self.peers {
             let interval = match (peer.is_fresh(now), scheduler_ids.contains(id)) {
                 (_, true) => Duration::ZERO,
@@ -166,18 +200,20 @@
                 continue;
             }
             let due = if scheduler_ids.contains(id) { &mut schedulers } else { &mut others };
-            due.push((peer.sent_at, id));
+            due.push((peer.sent_at, id.clone()));
         }
         if !schedules && !self.draining {
-            others.sort_unstable();
+            // Daemons that know the same peers must not all choose the same ones.
+            self.rng.shuffle(&mut others);
+            others.sort_by_key(|(sent_at, _)| *sent_at);
             others.truncate(MIN_FANOUT.saturating_sub(schedulers.len()));
         }
-        let schedulers = schedulers.into_iter().map(|(_, id): (Option<Time>, &String)| id.clone());
-        let others = others.into_iter().map(|(_, id): (Option<Time>, &String)| id.clone());
+        let schedulers = schedulers.into_iter().map(|(_, id): (Option<Time>, String)| id);
+        let others = others.into_iter().map(|(_, id): (Option<Time>, String)| id);
         (schedulers.collect(), others.collect())
     }
 
-    fn digest(&self, now: Time) -> Digest {
+    pub(super) fn digest(&self, now: Time) -> Digest {
         let busy = self
             .servers
             .values()
@@ -188,6 +224,7 @@
             daemon: self.identity.id.clone(),
             address: self.identity.address.to_string(),
             cores: self.identity.cores,
+            zone: self.identity.zone.clone(),
             interval: DIGEST_INTERVAL,
             read_ages: self.read_ages(now),
             incarnation: self.identity.incarnation,
@@ -220,10 +257,19 @@
             Frame::Progress(progress) => self.handle_progress(now, progress),
             Frame::Verdict(verdict) => self.handle_verdict(now, *verdict),
             Frame::Poison(message) => self.receive_poison_message(now, message),
-            Frame::Fetch(daemon, topic, from) => self.send_records(&daemon, topic, from),
+            Frame::Fetch(daemon, topic, from) => self.send_records(now, &daemon, topic, from),
             Frame::Records(batch) => {
                 self.apply_from_peer(batch.topic, |node| node.apply_batch(now, batch, true));
             }
+            Frame::Relay(Relay { to, frame }) => {
+                self.relay(to, (*frame).clone());
+                match *frame {
+                    // All peers of the sender receive them.
+                    Frame::Records(batch) => self
+                        .apply_from_peer(batch.topic, |node| node.apply_batch(now, batch, false)),
+                    frame => self.handle_frame(now, frame),
+                }
+            }
             Frame::Snapshot(batch) => {
                 self.apply_from_peer(batch.topic, |node| node.apply_snapshot(now, batch));
             }
@@ -231,20 +277,22 @@
     }
 
     /// Sends a peer the records of a topic from an offset.
-    fn send_records(&mut self, daemon: &str, topic: Topic, from: u64) {
-        let Some(peer) = self.peers.get(daemon) else { return };
+    fn send_records(&mut self, now: Time, daemon: &str, topic: Topic, from: u64) {
+        let Some(address) = self.peer_address(daemon) else { return };
         if !self.known_topics.contains(&topic) {
             return;
         }
         let to = self.catalog.end(topic);
         // A daemon that started from a snapshot lacks earlier removals. If the peer received only
         // the records since, it would keep removed keys and consider the gap filled.
-        let frame = if self.catalog.has_tombstones(topic, from) {
-            Frame::Records(Batch { topic, from, to, records: self.catalog.since(topic, from) })
-        } else {
-            Frame::Snapshot(Batch { topic, from: 0, to, records: self.catalog.since(topic, 0) })
-        };
-        self.effects.push(Effect::Send(vec![peer.address], frame));
+        let is_complete = self.catalog.has_tombstones(topic, from);
+        let from = if is_complete { from } else { 0 };
+        let batch = Batch { topic, from, to, records: self.catalog.since(topic, from) };
+        if !self.may_send_copy(now, batch.size()) {
+            return;
+        }
+        let frame = if is_complete { Frame::Records(batch) } else { Frame::Snapshot(batch) };
+        self.effects.push(Effect::Send(vec![address], frame));
     }
 
     /// Applies records of a topic from a peer, which may complete the topic.
@@ -259,15 +307,21 @@
     }
 
     /// Forwards new records to peers: the topic's scheduler to all that it hears from, any other
-    /// daemon to a few, which forward them in turn. A peer that is missed notices from digests and
-    /// asks.
+    /// daemon to that scheduler and to a few, which forward them in turn. A peer that is missed
+    /// notices from digests and asks.
     pub(super) fn forward_records(&mut self, now: Time, batch: Batch) {
-        let mut addresses = self.fresh_peer_addresses(now);
-        let schedules = self.is_scheduler(now);
-        if !schedules || self.scheduler_of(now, &format!("{:?}", batch.topic)).is_some() {
-            self.rng.shuffle(&mut addresses);
-            addresses.truncate(FORWARD_FANOUT);
+        let name = format!("{:?}", batch.topic);
+        let scheduler = self.scheduler_of(now, &name).map(str::to_owned);
+        if self.is_scheduler(now) && scheduler.is_none() {
+            let peers = self.fresh_peers(now);
+            return self.multicast(peers, Frame::Records(batch));
         }
+        let scheduler = scheduler.and_then(|id| self.peer_address(&id));
+        let mut addresses = self.fresh_peer_addresses(now);
+        addresses.retain(|address| Some(*address) != scheduler);
+        self.rng.shuffle(&mut addresses);
+        addresses.truncate(FORWARD_FANOUT - usize::from(scheduler.is_some()));
+        addresses.extend(scheduler);
         if !addresses.is_empty() {
             self.effects.push(Effect::Send(addresses, Frame::Records(batch)));
         }
@@ -275,7 +329,8 @@
 
     fn handle_digest(&mut self, now: Time, digest: Digest) {
         if let Ok(address) = digest.address.parse() {
-            self.register_peer(now, digest.daemon.clone(), address, digest.cores);
+            let (id, zone) = (digest.daemon.clone(), digest.zone.clone());
+            self.register_peer(now, Registration { id, address, cores: digest.cores, zone });
         }
         for (incarnation, model, version) in &digest.weights {
             if let Some(key) = self.incarnations.server(incarnation) {
@@ -304,10 +359,13 @@
             let reported_before = peer.digest.as_ref().is_some_and(|last| !last.named.is_empty());
             self.rollout.merge_is_stale |= reported_before || !digest.named.is_empty();
             peer.record_digest(now, &digest);
-            let delay = peer.known_digest_delay();
+            let (delay, read_delay) = (peer.known_digest_delay(), peer.digest_delay());
             let report =
                 (digest.end_offsets.get(Topic::Operator as usize).copied(), digest.caught_up_age);
-            peer.digest = Some(digest);
+            self.note_peer_reads(now, &digest, read_delay);
+            if let Some(peer) = self.peers.get_mut(&digest.daemon) {
+                peer.digest = Some(digest);
+            }
             self.apply_peer_completeness(now, report, delay);
             if restarted {
                 self.drop_past_incarnations(now, &daemon, incarnation);
@@ -367,22 +425,23 @@
 
     fn request_missing_records(&mut self, now: Time) {
         for (index, topic) in Topic::ALL.into_iter().enumerate() {
+            if self.awaits_first_copy(now, topic) {
+                continue;
+            }
             let own = self.catalog.end(topic);
             let ahead = self
                 .live_peers(now)
-                .filter_map(|(_, peer)| {
-                    Some((*peer.digest.as_ref()?.end_offsets.get(index)?, peer.address))
-                })
+                .filter_map(|(id, peer)| Some((*peer.digest.as_ref()?.end_offsets.get(index)?, id)))
                 .max_by_key(|(end, _)| *end)
                 .filter(|(end, _)| *end > own);
-            let Some((_, address)) = ahead else {
+            let Some((_, peer)) = ahead else {
                 self.behind.remove(&topic);
                 continue;
             };
+            let peer = peer.clone();
             if now >= *self.behind.entry(topic).or_insert(now) + CATCH_UP_DELAY {
                 self.behind.insert(topic, now);
-                let frame = Frame::Fetch(self.identity.id.clone(), topic, own);
-                self.effects.push(Effect::Send(vec![address], frame));
+                self.request_records(now, &peer, topic, own);
             }
         }
     }
--- a/src/fleet/message.rs
+++ b/src/fleet/message.rs
@@ -101,6 +101,19 @@
     pub max_idle: usize,
 }
 
+/// What a daemon registers of itself.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Registration {
+    /// Its id.
+    pub id: String,
+    /// The address on which it listens for peers.
+    pub address: SocketAddr,
+    /// The cores of its VM; 0 if unknown.
+    pub cores: f32,
+    /// Its availability zone; empty if unknown.
+    pub zone: String,
+}
+
 /// A decoded record of the platform's store.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Change {
@@ -123,14 +136,7 @@
     /// A server's registration was removed.
     ServerGone(String),
     /// Another daemon.
-    Router {
-        /// Its id.
-        id: String,
-        /// The address on which it listens for peers.
-        address: SocketAddr,
-        /// The cores of its VM; 0 if unknown.
-        cores: f32,
-    },
+    Router(Registration),
     /// A request that crashes servers and is blocked, with the age of the block if the record has it.
     Blocked(Blocked),
     /// A request that is no longer blocked.
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -5,6 +5,7 @@
 //! product's own interface.
 
 mod admission;
+mod bootstrap;
 mod catalog;
 mod drain;
 mod explain;
@@ -17,6 +18,7 @@
 mod load;
 mod loading;
 mod message;
+mod multicast;
 mod naming;
 mod node;
 mod notice;
@@ -46,8 +48,9 @@
 pub use life::Incarnation;
 pub use message::{
     Arrival, Change, Command, Dependency, Dispatch, Effect, Key, Loss, Message, OrderEnd, Read,
-    Refusal, Report, State,
+    Refusal, Registration, Report, State,
 };
+pub use multicast::Relay;
 pub use naming::Naming;
 pub use node::{Identity, Node, Policy};
 pub use notice::Notice;
--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -5,6 +5,7 @@
 use slotmap::SlotMap;
 
 use super::admission::{Position, Refusals};
+use super::bootstrap::Bootstrap;
 use super::drain::Throughput;
 use super::isolation::Isolation;
 use super::life::Incarnations;
@@ -122,8 +123,13 @@
     pub(super) servers_down_at: Option<Time>,
     /// Start of the current read failure of each tracked item.
     pub(super) unread_since: BTreeMap<Dependency, Time>,
-    /// Time of the last read of each topic from the store.
+    /// Time of the last read of each topic from the store, by this daemon or by a peer that reported
+    /// it.
     pub(super) read_at: BTreeMap<Topic, Time>,
+    /// How this daemon obtains its first copy of each topic.
+    pub(super) bootstrap: Bootstrap,
+    /// Allowance in bytes for copies of whole topics sent to peers.
+    pub(super) copy_allowance: Allowance,
     /// The earliest time of the next scan of the queue, and the turn after which it continues.
     pub(super) next_queue_scan: Time,
     pub(super) queue_cursor: Option<Position>,
@@ -181,6 +187,8 @@
             servers_down_at: None,
             unread_since: BTreeMap::new(),
             read_at: BTreeMap::new(),
+            bootstrap: Bootstrap::new(seeds, identity.address),
+            copy_allowance: Allowance::default(),
             next_queue_scan: Time::ZERO,
             queue_cursor: None,
             notice_allowance: Allowance::default(),
@@ -216,14 +224,13 @@
             Message::StopDeadline => self.finish_stop(now),
             Message::Tick => self.tick(now),
         }
+        self.confirm_copies(now);
         std::mem::take(&mut self.effects)
     }
 
     /// Whether the platform's load balancer may send callers to this daemon.
     pub fn is_ready(&self) -> bool {
-        let known = |topic| self.known_topics.contains(&topic);
-        let all = known(Topic::Operator) && known(Topic::Servers);
-        all && self.table.is_some() && !self.draining
+        self.is_confirmed() && self.table.is_some() && !self.draining
     }
 
     /// Whether a planned stop was requested.
@@ -255,6 +262,11 @@
         self.catalog.end(topic)
     }
 
+    /// The same; `None` until the topic is known.
+    pub fn known_end(&self, topic: Topic) -> Option<u64> {
+        self.known_topics.contains(&topic).then(|| self.end_offset(topic))
+    }
+
     fn stop(&mut self, now: Time) {
         if !self.draining {
             self.draining = true;
@@ -291,6 +303,7 @@
         self.update_ranking(now);
         self.update_quota_role(now);
         self.gossip(now);
+        self.request_first_copies(now);
         self.refresh_namings(now);
         self.read_events(now);
         self.sum_peer_load(now);
--- a/src/fleet/pace.rs
+++ b/src/fleet/pace.rs
@@ -2,13 +2,13 @@
 //!
 //! Each read is charged, and the rate limits of the store apply to all daemons together. The
 //! schedulers and some daemons ranked after them read for all, so that a partition of a few daemons
-//! does not leave the others without updates. The rest read only while no scheduler has read
-//! recently. The scheduler of a topic forwards what any daemon reads to all; a daemon that missed
+//! does not leave the others without updates. The rest read only while they know of no recent read;
+//! each daemon tells its peers of the last read that it knows of. The scheduler of a topic forwards what any daemon reads to all; a daemon that missed
 //! an update asks for it.
 
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::{Dependency, Node, Topic};
+use super::{Dependency, Digest, Node, Topic};
 use crate::prelude::*;
 
 /// Minimum time between two reads of the servers' topic, so that one read returns several changes.
@@ -48,15 +48,19 @@
 /// The same for other daemons: during an outage of the store every daemon reads, and the first
 /// reader that gets an answer informs the others.
 const RETRY_DELAY: Duration = Duration::from_millis(1_200);
-/// Age of a scheduler's last read from which a daemon reads by itself: a configuration must be in
-/// force within 2 s, even if every scheduler is partitioned from the store.
-const MAX_SCHEDULER_READ_AGE: Duration = Duration::from_millis(1_300);
+/// Age of the last read that a daemon knows of, its own or a peer's, from which it reads by itself:
+/// a configuration must be in force within 2 s, even if every scheduler is partitioned from the
+/// store.
+const MAX_READ_AGE: Duration = Duration::from_millis(1_300);
+/// Mean time between two reads by any daemon while no reader gets an answer, whatever the number of
+/// daemons.
+const JOINT_READ_INTERVAL: Duration = Duration::from_millis(5);
 /// Number of daemons, by rank, that read the lease often.
 const LEASE_CANDIDATES: u32 = 3;
 
 impl Node {
-    /// Whether this daemon should read what is tracked: because it reads for all, or because no
-    /// scheduler reports a recent read.
+    /// Whether this daemon should read what is tracked: because it reads for all, or because it knows
+    /// of no recent read.
     pub fn should_read(&self, now: Time, tracked: Dependency) -> bool {
         let topic = match tracked {
             Dependency::Topic(topic) => topic,
@@ -64,15 +68,50 @@
             Dependency::Lease if self.is_lease_candidate() => return true,
             Dependency::Lease => Topic::Operator,
         };
-        if self.has_just_started(now) {
+        if self.awaits_first_copy(now, topic) {
+            return false;
+        }
+        let is_lease = tracked == Dependency::Lease;
+        if !self.known_topics.contains(&topic) || !is_lease && self.must_confirm_copy(topic) {
+            return true;
+        }
+        let read_at = self.last_read_at(topic);
+        let is_old = read_at.is_some_and(|at| now >= *at + MAX_READ_AGE);
+        if self.has_just_started(now) && !is_old {
             return false;
         }
         if self.is_store_reader() && tracked != Dependency::Lease {
             return true;
         }
-        let schedulers = self.other_schedulers().filter(|(_, peer)| peer.is_fresh(now));
-        let ages = schedulers.filter_map(|(_, peer)| peer.read_age(now, topic));
-        ages.min().is_none_or(|age| age >= MAX_SCHEDULER_READ_AGE)
+        read_at.is_none_or(|at| now >= *at + MAX_READ_AGE + self.read_stagger())
+    }
+
+    /// Additional age of the last known read at which this daemon reads. It differs by daemon, so
+    /// that only some of them call a store that answers nobody; the first that gets an answer
+    /// informs the others.
+    fn read_stagger(&self) -> Duration {
+        let share = xxh3_64(self.identity.id.as_bytes()) as f64 / u64::MAX as f64;
+        self.joint_read_time().mul_f64(share)
+    }
+
+    /// Time in which all daemons together read the store once while no reader gets an answer.
+    fn joint_read_time(&self) -> Duration {
+        let daemons = u32::try_from(self.peers.len() + 1).unwrap_or(u32::MAX);
+        JOINT_READ_INTERVAL.saturating_mul(daemons)
+    }
+
+    /// Records when peers read topics, as one of them reports it. Only reports of a peer that has
+    /// no records beyond this daemon's count: for this daemon, too, nothing is missing up to then.
+    pub(super) fn note_peer_reads(&mut self, now: Time, digest: &Digest, delay: Duration) {
+        for topic in Topic::ALL {
+            let age = digest.read_ages.get(topic as usize).copied().flatten();
+            let end = digest.end_offsets.get(topic as usize).copied().unwrap_or_default();
+            let at = age.and_then(|age| now.checked_sub(age.saturating_add(delay)));
+            if let Some(at) = at.filter(|_| end <= self.catalog.end(topic)) {
+                let known = self.read_at.entry(topic).or_insert(at);
+                *known = at.max(*known);
+            }
+        }
     }
 
     /// Whether this daemon is one of the first candidates for the lease, among the known daemons.
@@ -85,16 +124,20 @@
         self.is_scheduler(now) && self.has_non_readers()
     }
 
-    /// Age of the last read of each topic, in the order of [`Topic::ALL`].
+    /// Age of the last known read of each topic, in the order of [`Topic::ALL`].
     pub(super) fn read_ages(&self, now: Time) -> Vec<Option<Duration>> {
-        // Reads of the daemons' registrations wait long; a daemon that reads the operators' topic
-        // reads them too.
-        let read = |topic: Topic| match topic {
-            Topic::Operator | Topic::Servers => self.read_at.get(&topic),
-            Topic::Routers => self.read_at.get(&Topic::Operator),
-        };
         let age = |at: &Time| now.saturating_sub(*at);
-        Topic::ALL.iter().map(|topic| read(*topic).map(age)).collect()
+        Topic::ALL.iter().map(|topic| self.last_read_at(*topic).map(age)).collect()
+    }
+
+    /// Time of the last known read of a topic. Reads of the daemons' registrations wait long; a
+    /// daemon that reads the operators' topic reads them too.
+    fn last_read_at(&self, topic: Topic) -> Option<&Time> {
+        let read_at = self.read_at.get(&topic);
+        match topic {
+            Topic::Operator | Topic::Servers => read_at,
+            Topic::Routers => read_at.max(self.read_at.get(&Topic::Operator)),
+        }
     }
 
     /// Maximum wait of a read for a record.
@@ -118,7 +161,11 @@
 
     /// Delay from a failed read to the next.
     pub fn retry_delay(&self) -> Duration {
-        if self.is_store_reader() { READER_RETRY_DELAY } else { RETRY_DELAY }
+        if self.is_store_reader() {
+            READER_RETRY_DELAY
+        } else {
+            RETRY_DELAY.max(self.joint_read_time())
+        }
     }
 
     /// Time from a successful read to the next.
--- a/src/fleet/peer.rs
+++ b/src/fleet/peer.rs
@@ -30,6 +30,8 @@
     pub(super) address: SocketAddr,
     /// Its rank among the daemons that may schedule; `None` until its VM's size is known.
     pub(super) standing: Option<Rank>,
+    /// Its availability zone, once known.
+    pub(super) zone: Option<String>,
     pub(super) digest: Option<Digest>,
     pub(super) heard_at: Option<Time>,
     /// Since when it has ranked among the schedulers, whether or not it sent a digest.
@@ -50,6 +52,7 @@
         Self {
             address,
             standing,
+            zone: None,
             digest: None,
             heard_at: None,
             ranked_since: None,
@@ -130,10 +133,9 @@
         self.avoid_until = until;
     }
 
-    /// Age of the peer's last read of a topic from the platform's store, according to its last
-    /// digest.
-    pub(super) fn read_age(&self, now: Time, topic: Topic) -> Option<Duration> {
-        let age = *self.digest.as_ref()?.read_ages.get(topic as usize)?;
-        Some(now.saturating_sub(self.heard_at?) + age?)
+    /// Offset up to which it has all records of a topic, according to its last digest.
+    pub(super) fn end_offset(&self, topic: Topic) -> u64 {
+        let ends = self.digest.as_ref().map(|digest| digest.end_offsets.as_slice());
+        ends.and_then(|ends| ends.get(topic as usize)).copied().unwrap_or_default()
     }
 }
--- a/src/fleet/poison.rs
+++ b/src/fleet/poison.rs
@@ -145,10 +145,10 @@
         if blocked.is_empty() {
             return;
         }
-        let addresses = self.fresh_peer_addresses(now);
         let new = blocked.iter();
         let new = new.map(|block| Blocked { fingerprint: *block, age: Duration::ZERO }).collect();
-        self.send_poison_message(addresses, Message::Blocked(new));
+        let peers = self.fresh_peers(now);
+        self.multicast(peers, Frame::Poison(Message::Blocked(new)));
         for fingerprint in blocked {
             self.enforce_block(now, fingerprint);
         }
--- a/src/fleet/records.rs
+++ b/src/fleet/records.rs
@@ -24,6 +24,7 @@
         let topic = batch.topic;
         self.mark_readable(now, Dependency::Topic(topic));
         self.read_at.insert(topic, now);
+        self.note_own_read(topic);
         if whole {
             self.apply_snapshot(now, batch);
         } else {
@@ -49,7 +50,15 @@
         self.apply_records(now, topic, &removals);
         self.apply_records(now, topic, &batch.records);
         self.catalog.mark_snapshot(topic, to);
-        self.known_topics.insert(topic);
+        self.note_known(now, topic);
+    }
+
+    /// Records that a topic is known. Whether this daemon reads the store for others depends on the
+    /// daemons that it knows.
+    fn note_known(&mut self, now: Time, topic: Topic) {
+        if self.known_topics.insert(topic) && topic == Topic::Routers {
+            self.refresh_ranking(now);
+        }
     }
 
     /// Applies a batch from the store or from a peer, and optionally forwards it to some peers if
@@ -59,7 +68,7 @@
         // Peers forward new records one by one. After a gap, such a record does not mean the topic
         // is known, and the next read may return older records.
         if self.catalog.advance(batch.topic, batch.from, batch.to) {
-            self.known_topics.insert(batch.topic);
+            self.note_known(now, batch.topic);
         }
         if forward && any_new && batch.records.len() <= MAX_FORWARDED_RECORDS {
             self.forward_records(now, batch);
@@ -141,7 +150,7 @@
             Change::Weights { model, version } => self.note_naming(now, &model, version),
             Change::Server(entry) => self.register(now, entry),
             Change::ServerGone(id) => self.unregister(now, &id),
-            Change::Router { id, address, cores } => self.register_peer(now, id, address, cores),
+            Change::Router(registration) => self.register_peer(now, registration),
             Change::Blocked(blocked) => self.block_stored(now, blocked),
             Change::Unblocked(fingerprint) => self.block_removed(now, fingerprint),
             Change::Nothing => {}
--- a/src/fleet/run.rs
+++ b/src/fleet/run.rs
@@ -45,7 +45,8 @@
     open_requests: AtomicUsize,
     next_request_key: AtomicU64,
     next_lease_offset: AtomicU64,
-    /// The offset up to which all records are known, by topic.
+    /// One more than the offset up to which all records are known, by topic; 0 until the topic is
+    /// known.
     end_offsets: [AtomicU64; Topic::ALL.len()],
     /// Read schedules of the tracked items, in the order of [`Dependency::ALL`].
     read_schedules: [ReadSchedule; Dependency::ALL.len()],
@@ -54,8 +55,8 @@
 /// Schedule on which a tracked item is read.
 #[derive(Debug, Default)]
 struct ReadSchedule {
-    /// Whether other daemons read it in place of this one.
-    delegated: AtomicBool,
+    /// Whether this daemon reads it, and not only others for it.
+    is_own: AtomicBool,
     /// Milliseconds from a read that returned records to the next.
     interval_ms: AtomicU64,
     /// Milliseconds for which a read may wait for a record.
@@ -162,9 +163,10 @@
         self.view.next_lease_offset.load(Ordering::Acquire)
     }
 
-    /// The offset of a topic up to which all records are known, from the store or from peers.
-    pub fn end_offset(&self, topic: Topic) -> u64 {
-        self.view.end_offsets[topic as usize].load(Ordering::Acquire)
+    /// The offset of a topic up to which all records are known, from the store or from peers; `None`
+    /// until the topic is known.
+    pub fn known_end(&self, topic: Topic) -> Option<u64> {
+        self.view.end_offsets[topic as usize].load(Ordering::Acquire).checked_sub(1)
     }
 
     /// Time from a read that returned records to the next.
@@ -184,7 +186,7 @@
 
     /// Whether this daemon reads the tracked item itself.
     pub fn should_read(&self, tracked: Dependency) -> bool {
-        !self.read_schedule(tracked).delegated.load(Ordering::Acquire)
+        self.read_schedule(tracked).is_own.load(Ordering::Acquire)
     }
 
     fn read_schedule(&self, tracked: Dependency) -> &ReadSchedule {
@@ -298,7 +300,7 @@
         let ms = |time: Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
         for tracked in Dependency::ALL {
             let schedule = self.control.read_schedule(tracked);
-            schedule.delegated.store(!self.node.should_read(now, tracked), Ordering::Release);
+            schedule.is_own.store(self.node.should_read(now, tracked), Ordering::Release);
             schedule
                 .interval_ms
                 .store(ms(self.node.read_interval(now, tracked)), Ordering::Release);
@@ -316,7 +318,8 @@
         view.open_requests.store(self.node.open_requests(), Ordering::Release);
         view.next_lease_offset.store(self.node.next_lease_offset(), Ordering::Release);
         for topic in Topic::ALL {
-            view.end_offsets[topic as usize].store(self.node.end_offset(topic), Ordering::Release);
+            let end = self.node.known_end(topic).map_or(0, |end| end.saturating_add(1));
+            view.end_offsets[topic as usize].store(end, Ordering::Release);
         }
     }
 }
--- a/src/fleet/scheduling/ranking.rs
+++ b/src/fleet/scheduling/ranking.rs
@@ -95,6 +95,14 @@
         self.send_known_crashes(now, newcomers);
     }
 
+    /// Updates the schedulers at once, unless this daemon has not started to rank daemons.
+    pub(in crate::fleet) fn refresh_ranking(&mut self, now: Time) {
+        if self.ranking.started_at.is_some() {
+            self.ranking.next_update = now;
+            self.update_ranking(now);
+        }
+    }
+
     /// Returns whether this daemon is a scheduler and announces it to all daemons.
     pub(in crate::fleet) fn is_scheduler(&self, now: Time) -> bool {
         let ranking = &self.ranking;
--- a/src/fleet/tests/frames.rs
+++ b/src/fleet/tests/frames.rs
@@ -17,6 +17,7 @@
         daemon: "router-1".into(),
         address: "10.0.0.1:7000".into(),
         cores: 0.5,
+        zone: "zone-1".into(),
         interval: Duration::from_millis(250),
         read_ages: vec![Some(Duration::ZERO), None, Some(Duration::from_millis(90))],
         incarnation: u64::MAX,
@@ -48,6 +49,10 @@
     for frame in [
         Frame::Digest(Box::new(digest())),
         Frame::Fetch("router-1".into(), Topic::Operator, 8),
+        Frame::Relay(Relay {
+            to: vec![([10, 0, 0, 1], 7_000).into(), ([0, 0, 0, 0, 0, 0, 0, 1], 7_001).into()],
+            frame: Box::new(Frame::Fetch("router-1".into(), Topic::Operator, 8)),
+        }),
         Frame::Notice(Notice {
             daemon: "router-1".into(),
             incarnation: Incarnation::new("server-1", 4),
--- a/src/fleet/tests/peers.rs
+++ b/src/fleet/tests/peers.rs
@@ -77,6 +77,10 @@
         cores: 1.0,
     };
     two.node = Node::new(identity, POLICY, decode, &[address(1), address(2)]);
+    for topic in [Topic::Operator, Topic::Servers] {
+        let failed = Message::ReadFailed(Dependency::Topic(topic), "refused".into());
+        two.node.apply(ms(50), failed);
+    }
     let mut daemons = [one, two];
     assert!(!daemons[1].node.is_ready());
     exchange_frames(&mut daemons, ms(100), ms(1_500));
--- a/src/fleet/tests/store.rs
+++ b/src/fleet/tests/store.rs
@@ -1,6 +1,8 @@
 //! Model of the platform's store and of how daemons follow it: paged snapshot reads, long polls
 //! from an offset, compaction, and late or missing answers.
 
+use std::cell::Cell;
+
 use crate::fleet::*;
 use crate::prelude::*;
 
@@ -8,8 +10,12 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Delay after a read that the store did not answer, or that found no topic.
 const STORE_RETRY_DELAY: Duration = Duration::from_millis(300);
+/// Number of keys on a page of a snapshot.
+const PAGE_KEYS: usize = 200;
 /// Interval between checks of whether a daemon should read what it leaves to others.
 const READER_CHECK_INTERVAL: Duration = Duration::from_millis(200);
+/// The same until it has a copy of a topic.
+const FIRST_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
 /// The stored records of one topic.
 #[derive(Debug, Default)]
@@ -25,6 +31,8 @@
 pub struct Store {
     logs: BTreeMap<Topic, Log>,
     pub lease: Vec<String>,
+    /// Number of calls, by what they read.
+    calls: Cell<[usize; Dependency::ALL.len()]>,
 }
 
 impl Store {
@@ -35,6 +43,17 @@
         log.records.push((now, Record { key: key.into(), offset, value }));
     }
 
+    /// Number of calls that read `tracked`.
+    pub fn calls(&self, tracked: Dependency) -> usize {
+        self.calls.get()[tracked.index()]
+    }
+
+    fn count_calls(&self, tracked: Dependency, calls: usize) {
+        let mut counted = self.calls.get();
+        counted[tracked.index()] += calls;
+        self.calls.set(counted);
+    }
+
     /// Drops all records appended so far except the newest of each key.
     pub fn compact(&mut self, topic: Topic) {
         let log = self.logs.entry(topic).or_default();
@@ -108,6 +127,7 @@
 pub struct Watch {
     tracked: Dependency,
     next: Option<u64>,
+    is_forgotten: bool,
     wait: Duration,
     idle_until: Time,
     pending: Option<PendingRead>,
@@ -116,7 +136,14 @@
 impl Watch {
     pub fn new(tracked: Dependency) -> Self {
         let next = (tracked == Dependency::Lease).then_some(0);
-        Self { tracked, next, wait: Duration::ZERO, idle_until: Time::ZERO, pending: None }
+        Self {
+            tracked,
+            next,
+            is_forgotten: false,
+            wait: Duration::ZERO,
+            idle_until: Time::ZERO,
+            pending: None,
+        }
     }
 
     /// Starts a read, waits, or handles an answer, which is returned as a message for the node.
@@ -136,7 +163,7 @@
         };
         let Some(pending) = &mut self.pending else {
             if now >= self.idle_until {
-                self.start_read(now, node, delay());
+                self.start_read(now, node, store, delay());
             }
             return None;
         };
@@ -159,17 +186,29 @@
         self.handle_answer(now, node, from, started_at, answer)
     }
 
-    fn start_read(&mut self, now: Time, node: &Node, delay: Duration) {
-        if self.next.is_some() && !node.should_read(now, self.tracked) {
+    fn start_read(&mut self, now: Time, node: &Node, store: &Store, delay: Duration) {
+        if !node.should_read(now, self.tracked) {
             self.wait = Duration::ZERO;
-            self.idle_until = now + READER_CHECK_INTERVAL;
+            let is_known = match self.tracked {
+                Dependency::Topic(topic) => node.known_end(topic).is_some(),
+                Dependency::Lease => true,
+            };
+            let interval = if is_known { READER_CHECK_INTERVAL } else { FIRST_CHECK_INTERVAL };
+            self.idle_until = now + interval;
             return;
         }
         let from = match self.tracked {
             // Records that peers sent need not be read.
-            Dependency::Topic(topic) => self.next.map(|next| next.max(node.end_offset(topic))),
+            Dependency::Topic(topic) => {
+                self.next.max(node.known_end(topic)).filter(|_| !self.is_forgotten)
+            }
             Dependency::Lease => Some(node.next_lease_offset()),
         };
+        let pages = match (self.tracked, from) {
+            (Dependency::Topic(topic), None) => store.newest(topic).len().div_ceil(PAGE_KEYS),
+            _ => 1,
+        };
+        store.count_calls(self.tracked, pages.max(1));
         let deadline = now + ANSWER_TIMEOUT + self.wait;
         let (arrives_at, waits_until) = (now + delay, now + delay + self.wait);
         self.pending = Some(PendingRead {
@@ -199,7 +238,7 @@
                 return Some(Message::ReadFailed(self.tracked, "no answer".into()));
             }
             Answer::Compacted => {
-                self.next = None;
+                self.is_forgotten = true;
                 return None;
             }
             Answer::Lease(records) => {
@@ -226,6 +265,7 @@
             (true, _) => Duration::ZERO,
         };
         (self.next, self.wait) = (Some(to), node.max_read_wait(now, self.tracked));
+        self.is_forgotten = false;
         let batch = Batch { topic, from: from.unwrap_or_default(), to, records };
         Some(Message::Read(Read { batch, is_snapshot: whole, current_at: started_at }))
     }
--- a/src/fleet/tests/world.rs
+++ b/src/fleet/tests/world.rs
@@ -83,8 +83,12 @@
             Ok(Change::Blocked(Blocked { fingerprint, age }))
         }
         ["router", last] => {
-            let address = address(parse_number(last)? as u8);
-            Ok(Change::Router { id: record.key.clone(), address, cores: 1.0 })
+            let address = match last.parse() {
+                Ok(address) => address,
+                Err(_) => address(parse_number(last)? as u8),
+            };
+            let id = record.key.clone();
+            Ok(Change::Router(Registration { id, address, cores: 1.0, zone: String::new() }))
         }
         other => Err(format!("unknown record {other:?}")),
     }
@@ -166,7 +170,10 @@
             address: address(last),
             cores: 1.0,
         };
-        let node = Node::new(identity, POLICY, decode, seeds);
+        Self::with_node(Node::new(identity, POLICY, decode, seeds))
+    }
+
+    pub fn with_node(node: Node) -> Self {
         Self { node, offsets: BTreeMap::new(), next_request: 0, fingerprint: Fingerprint(0) }
     }
 
