Do no work in a tick for servers and daemons at which nothing happens

Cause: each tick of every daemon walked all servers three times (unanswered requests, cache events, older weights) and all peers three times (records that a peer has), and each applied batch walked all known records for tombstones. An order of weights counted the loading engines of its pool once for each outdated engine: the pool squared.

Change: a tick looks at servers with unanswered requests, at engines with older weights (kept up to date by each change of a server, computed anew when another version or table comes), at engines with an open order, and at the one peer that is ahead. Only schedulers read cache events. Tombstones are counted as they come.

--- a/src/fleet/catalog.rs
+++ b/src/fleet/catalog.rs
@@ -72,6 +72,8 @@
     newest: u64,
     /// Offset from which tombstones are complete.
     tombstones_from: u64,
+    /// Number of tombstones.
+    tombstones: usize,
 }
 
 /// The newest records by topic and key.
@@ -102,7 +104,11 @@
             return false;
         }
         state.newest = state.newest.max(record.offset + 1);
-        state.records.insert(record.key.clone(), (record.offset, record.value.clone()));
+        let former =
+            state.records.insert(record.key.clone(), (record.offset, record.value.clone()));
+        let was_tombstone = former.is_some_and(|(_, value)| value.is_none());
+        state.tombstones += usize::from(record.value.is_none());
+        state.tombstones -= usize::from(was_tombstone);
         true
     }
 
@@ -184,7 +190,8 @@
 
     /// Drops the oldest tombstones beyond the maximum.
     pub fn trim(&mut self) {
-        for state in self.topics.values_mut() {
+        let has_surplus = |state: &&mut TopicState| state.tombstones > MAX_TOMBSTONES;
+        for state in self.topics.values_mut().filter(has_surplus) {
             let mut tombstones: Vec<u64> = state
                 .records
                 .values()
@@ -198,6 +205,7 @@
             tombstones.sort_unstable();
             let oldest = tombstones[tombstones.len() - MAX_TOMBSTONES];
             state.records.retain(|_, (offset, value)| value.is_some() || *offset >= oldest);
+            state.tombstones = state.records.values().filter(|(_, value)| value.is_none()).count();
             state.tombstones_from = state.tombstones_from.max(oldest);
         }
     }
--- a/src/fleet/gossip.rs
+++ b/src/fleet/gossip.rs
@@ -363,6 +363,7 @@
             let report =
                 (digest.end_offsets.get(Topic::Operator as usize).copied(), digest.caught_up_age);
             self.note_peer_reads(now, &digest, read_delay);
+            self.note_peer_ahead(&digest);
             if let Some(peer) = self.peers.get_mut(&digest.daemon) {
                 peer.digest = Some(digest);
             }
@@ -374,6 +375,17 @@
         self.peer_loads_stale = true;
     }
 
+    /// Records the peer with the most records of each topic, if it has more than this daemon.
+    fn note_peer_ahead(&mut self, digest: &Digest) {
+        for (topic, end) in Topic::ALL.into_iter().zip(&digest.end_offsets) {
+            let known = self.ahead.get(&topic).and_then(|id| self.peers.get(id));
+            let known = known.map_or(0, |peer| peer.end_offset(topic));
+            if *end > self.catalog.end(topic).max(known) {
+                self.ahead.insert(topic, digest.daemon.clone());
+            }
+        }
+    }
+
     /// Applies a peer's report of when it last had every operator record, if this daemon has all
     /// records that the peer has.
     fn apply_peer_completeness(
@@ -424,21 +436,20 @@
     }
 
     fn request_missing_records(&mut self, now: Time) {
-        for (index, topic) in Topic::ALL.into_iter().enumerate() {
+        for topic in Topic::ALL {
             if self.awaits_first_copy(now, topic) {
                 continue;
             }
             let own = self.catalog.end(topic);
-            let ahead = self
-                .live_peers(now)
-                .filter_map(|(id, peer)| Some((*peer.digest.as_ref()?.end_offsets.get(index)?, id)))
-                .max_by_key(|(end, _)| *end)
-                .filter(|(end, _)| *end > own);
-            let Some((_, peer)) = ahead else {
+            let is_ahead = |id: &&String| {
+                let peer = self.peers.get(*id);
+                peer.is_some_and(|peer| peer.is_fresh(now) && peer.end_offset(topic) > own)
+            };
+            let Some(peer) = self.ahead.get(&topic).filter(is_ahead).cloned() else {
+                self.ahead.remove(&topic);
                 self.behind.remove(&topic);
                 continue;
             };
-            let peer = peer.clone();
             if now >= *self.behind.entry(topic).or_insert(now) + CATCH_UP_DELAY {
                 self.behind.insert(topic, now);
                 self.request_records(now, &peer, topic, own);
--- a/src/fleet/naming.rs
+++ b/src/fleet/naming.rs
@@ -85,6 +85,13 @@
         Some(self.models.get(model)?.named.last()?.version)
     }
 
+    /// The newest version of each model.
+    pub(super) fn newest_versions(&self) -> BTreeMap<String, u64> {
+        let newest = |model: &Model| model.named.last().map(|named| named.version);
+        let models = self.models.iter();
+        models.filter_map(|(name, model)| Some((name.clone(), newest(model)?))).collect()
+    }
+
     /// Records a version that the store names; false if it is not newer than the known ones.
     pub(super) fn record(&mut self, model: &str, version: u64, bound: Option<Bound>) -> bool {
         if self.newest(model).is_some_and(|newest| newest >= version) {
--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -91,6 +91,8 @@
     pub(super) served: Submissions,
     /// Own requests for which a scheduler's answer is outstanding.
     pub(super) awaiting_scheduler: BTreeSet<Key>,
+    /// Servers with unanswered requests of this daemon as of the last tick.
+    pub(super) unanswered: BTreeSet<server::Key>,
     /// Load of peers' requests, by server.
     pub(super) peer_loads: BTreeMap<server::Key, Load>,
     /// Whether peers reported load since `peer_loads` was computed.
@@ -137,6 +139,9 @@
     pub(super) notice_allowance: Allowance,
     pub(super) next_digest: Time,
     pub(super) next_heat_digest: Time,
+    /// The peer that has most records of a topic, where it has more than this daemon.
+    pub(super) ahead: BTreeMap<Topic, String>,
+    /// Since when this daemon lacks records of a topic, or when it last requested them.
     pub(super) behind: BTreeMap<Topic, Time>,
     pub(super) draining: bool,
     pub(super) counts: Counts,
@@ -168,6 +173,7 @@
             ranking: Ranking::default(),
             served: Submissions::default(),
             awaiting_scheduler: BTreeSet::new(),
+            unanswered: BTreeSet::new(),
             peer_loads: BTreeMap::new(),
             peer_loads_stale: false,
             rollout: Rollout::default(),
@@ -194,6 +200,7 @@
             notice_allowance: Allowance::default(),
             next_digest: Time::ZERO,
             next_heat_digest: Time::ZERO,
+            ahead: BTreeMap::new(),
             behind: BTreeMap::new(),
             draining: false,
             counts: Counts::default(),
--- a/src/fleet/recall.rs
+++ b/src/fleet/recall.rs
@@ -14,8 +14,10 @@
     /// weights, and moves repeatable requests away from silent servers.
     pub(super) fn check_unanswered(&mut self, now: Time) {
         self.take_over_unrecalled(now);
-        for server in self.servers.values_mut() {
-            server.unanswered_since = None;
+        for key in std::mem::take(&mut self.unanswered) {
+            if let Some(server) = self.servers.get_mut(key) {
+                server.unanswered_since = None;
+            }
         }
         let (mut overdue, mut recalled) = (Vec::new(), Vec::new());
         for (key, request) in &self.requests {
@@ -23,6 +25,7 @@
             if let Some(state) = self.servers.get_mut(server) {
                 state.unanswered_since =
                     Some(state.unanswered_since.map_or(sent_at, |since| since.min(sent_at)));
+                self.unanswered.insert(server);
             }
             if now >= sent_at + SILENCE_LIMIT {
                 overdue.push((*key, server));
--- a/src/fleet/records.rs
+++ b/src/fleet/records.rs
@@ -190,6 +190,7 @@
         if server.entry.draining && !was_leaving {
             self.event(Event::ServerLeaving, Detail::of("server", id));
         }
+        self.refresh_outdated_server(key);
     }
 
     fn add_server(&mut self, entry: Entry) {
@@ -204,6 +205,7 @@
         let key = self.servers.insert(Server::new(entry));
         self.incarnations.begin(&incarnation, key);
         self.pools.entry(pool).or_default().push(key);
+        self.refresh_outdated_server(key);
         // What peers reported of this incarnation before it was known counts from now on.
         self.peer_loads_stale = true;
     }
@@ -268,6 +270,7 @@
     pub(super) fn remove_server(&mut self, now: Time, key: server::Key) {
         let Some(server) = self.servers.remove(key) else { return };
         self.incarnations.end(&server.entry.incarnation);
+        self.refresh_outdated_server(key);
         self.registration_ended(now, &server);
         self.peer_loads.remove(&key);
         self.event_reads.remove(&Location::Engine(key));
--- a/src/fleet/residency/reading.rs
+++ b/src/fleet/residency/reading.rs
@@ -45,6 +45,9 @@
 impl Node {
     /// Starts the event reads that are due on this daemon.
     pub(in crate::fleet) fn read_events(&mut self, now: Time) {
+        if !self.is_scheduler(now) {
+            return;
+        }
         let locations = self.servers.keys().map(Location::Engine).chain([Location::Store]);
         let locations: Vec<Location> = locations.collect();
         for location in locations {
--- a/src/fleet/rollout.rs
+++ b/src/fleet/rollout.rs
@@ -35,6 +35,12 @@
     outdated_since: Option<Time>,
     /// Versions that were recently observed: server, model, version and time.
     pub(super) observed: Vec<(Incarnation, String, u64, Time)>,
+    /// Engines with older weights than the newest version that is named, by model, with that version.
+    outdated: BTreeMap<(server::Key, String), u64>,
+    /// Versions and table for which `outdated` was computed; `None` to compute it again.
+    outdated_for: Option<(BTreeMap<String, u64>, u64)>,
+    /// Engines that have an open order.
+    ordered: BTreeSet<server::Key>,
     /// Limits on concurrent loads, by pool.
     limiters: BTreeMap<String, Limiter>,
 }
@@ -102,6 +108,7 @@
             let engines = self.pools.get(&pool).map_or(1, Vec::len);
             self.rollout.limiters.entry(pool).or_default().note_load(now, engines, took);
         }
+        self.refresh_outdated_server(key);
         let Some(server) = self.servers.get(key) else { return };
         let incarnation = server.entry.incarnation.clone();
         let detail = Detail::of("server", incarnation.id.as_str())
@@ -119,28 +126,47 @@
         self.table.as_ref().is_some_and(|table| table.engine(pool).is_some())
     }
 
-    /// Engines with older weights, by model, with the version to load.
-    fn outdated_engines(&self) -> Vec<(server::Key, String, u64)> {
-        let mut outdated = Vec::new();
-        for (key, server) in &self.servers {
-            if server.entry.draining || !self.is_engine_pool(&server.entry.pool) {
-                continue;
-            }
-            for (model, version) in &server.entry.weights {
-                if let Some(newest) =
-                    self.rollout.merged_namings.newest(model).filter(|newest| newest > version)
-                {
-                    outdated.push((key, model.clone(), newest));
-                }
+    /// Updates the list of engines with older weights if other versions are named or another table
+    /// is in force. A change of one server updates the list by itself.
+    fn refresh_outdated(&mut self) {
+        let newest = self.rollout.merged_namings.newest_versions();
+        let basis = (newest, self.table.as_ref().map_or(0, |table| table.version()));
+        if self.rollout.outdated_for.as_ref() == Some(&basis) {
+            return;
+        }
+        self.rollout.outdated_for = Some(basis);
+        self.rollout.outdated.clear();
+        let keys: Vec<server::Key> = self.servers.keys().collect();
+        for key in keys {
+            self.refresh_outdated_server(key);
+        }
+    }
+
+    /// Updates what the list of engines with older weights says of one server, which may be gone.
+    pub(super) fn refresh_outdated_server(&mut self, key: server::Key) {
+        let of_server = (key, String::new())..;
+        let listed = self.rollout.outdated.range(of_server);
+        let listed: Vec<(server::Key, String)> =
+            listed.map(|(entry, _)| entry.clone()).take_while(|(of, _)| *of == key).collect();
+        for entry in listed {
+            self.rollout.outdated.remove(&entry);
+        }
+        let Some(server) = self.servers.get(key) else { return };
+        if server.entry.draining || !self.is_engine_pool(&server.entry.pool) {
+            return;
+        }
+        for (model, version) in &server.entry.weights {
+            let newest = self.rollout.merged_namings.newest(model);
+            if let Some(newest) = newest.filter(|newest| newest > version) {
+                self.rollout.outdated.insert((key, model.clone()), newest);
             }
         }
-        outdated
     }
 
     /// Takes or renews the lease while engines have older weights, and orders the next engines.
     pub(super) fn roll_out(&mut self, now: Time) {
-        let outdated = self.outdated_engines();
-        if outdated.is_empty() {
+        self.refresh_outdated();
+        if self.rollout.outdated.is_empty() {
             self.rollout.outdated_since = None;
             return;
         }
@@ -158,10 +184,14 @@
         if self.draining || !(self.policy.engines_check_fences || self.lease.is_settled(now)) {
             return;
         }
-        self.order_next(now, outdated, fence);
+        self.order_next(now, fence);
     }
 
-    fn order_next(&mut self, now: Time, mut outdated: Vec<(server::Key, String, u64)>, fence: u64) {
+    fn order_next(&mut self, now: Time, fence: u64) {
+        let outdated = self.rollout.outdated.iter();
+        let mut outdated: Vec<(server::Key, String, u64)> =
+            outdated.map(|((key, model), version)| (*key, model.clone(), *version)).collect();
+        let mut loading: BTreeMap<String, usize> = BTreeMap::new();
         let running = |key: &server::Key| {
             self.servers.get(*key).map_or(0, |server| self.load(*key, server).running)
         };
@@ -173,19 +203,19 @@
             }
             let pool = server.entry.pool.clone();
             let urgent = self.is_urgent(now, key, &model);
-            if self.count_loading(now, &pool) >= self.max_loading(&pool, urgent) {
+            let loading =
+                loading.entry(pool.clone()).or_insert_with(|| self.count_loading(now, &pool));
+            if *loading >= self.max_loading(&pool, urgent) {
                 continue;
             }
+            *loading += 1;
             self.order_load(now, key, model, version, fence);
         }
     }
 
     fn count_loading(&self, now: Time, pool: &str) -> usize {
-        let keys = self.pools.get(pool).map(Vec::as_slice).unwrap_or_default();
-        let loads = |key: &&server::Key| {
-            self.servers.get(**key).is_some_and(|server| server.is_loading(now))
-        };
-        keys.iter().filter(loads).count()
+        let ordered = self.rollout.ordered.iter().filter_map(|key| self.servers.get(*key));
+        ordered.filter(|server| server.entry.pool == pool && server.is_loading(now)).count()
     }
 
     /// Whether an engine's weights will soon reach the weights limit. The age counts from the first
@@ -207,6 +237,7 @@
 
     fn order_load(&mut self, now: Time, key: server::Key, model: String, version: u64, fence: u64) {
         let Some(server) = self.servers.get_mut(key) else { return };
+        self.rollout.ordered.insert(key);
         server.order = Some(Order {
             model: model.clone(),
             version,
@@ -236,7 +267,12 @@
 
     /// Polls engines that have an open order.
     fn poll_ordered(&mut self, now: Time) {
-        for (key, server) in &mut self.servers {
+        for key in self.rollout.ordered.clone() {
+            let ordered = self.servers.get_mut(key).filter(|server| server.order.is_some());
+            let Some(server) = ordered else {
+                self.rollout.ordered.remove(&key);
+                continue;
+            };
             let Some(ordered) = &mut server.order else { continue };
             if now >= ordered.sent_at + ORDER_TIMEOUT {
                 server.order = None;
