Look only at the holders whose cache events are due to be read

Cause: each tick of a scheduler walked all engines of the fleet to find those whose events are due. Change: an ordered schedule of the next check of each holder. Intervals are as before.

--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -114,6 +114,8 @@
     pub(super) kv_store: StoreState,
     /// Schedule of reading cache events, by engine or KV store.
     pub(super) event_reads: BTreeMap<Location, EventPoll>,
+    /// Holders whose events this daemon may have to read, by the time of the next check.
+    pub(super) event_schedule: BTreeSet<(Time, Location)>,
     /// The link to the KV store.
     pub(super) kv_link: Link,
     pub(super) lease: lease::State,
@@ -186,6 +188,7 @@
             heat: Heat::default(),
             kv_store: StoreState::default(),
             event_reads: BTreeMap::new(),
+            event_schedule: BTreeSet::from([(Time::ZERO, Location::Store)]),
             kv_link: Link::default(),
             lease,
             known_topics: BTreeSet::new(),
--- a/src/fleet/records.rs
+++ b/src/fleet/records.rs
@@ -205,6 +205,7 @@
         let key = self.servers.insert(Server::new(entry));
         self.incarnations.begin(&incarnation, key);
         self.pools.entry(pool).or_default().push(key);
+        self.schedule_event_read(Location::Engine(key), Time::ZERO);
         self.refresh_outdated_server(key);
         // What peers reported of this incarnation before it was known counts from now on.
         self.peer_loads_stale = true;
--- a/src/fleet/residency/reading.rs
+++ b/src/fleet/residency/reading.rs
@@ -37,6 +37,8 @@
     /// When the read in progress started.
     started_at: Option<Time>,
     due_at: Time,
+    /// Time of the next check whether a read is due, once there was one.
+    scheduled_at: Option<Time>,
     update_sent_at: Time,
     /// Earliest time at which a peer may be asked for all parts again.
     next_request_at: Time,
@@ -48,28 +50,52 @@
         if !self.is_scheduler(now) {
             return;
         }
-        let locations = self.servers.keys().map(Location::Engine).chain([Location::Store]);
-        let locations: Vec<Location> = locations.collect();
-        for location in locations {
-            self.read_holder_events(now, location);
+        while let Some((at, location)) = self.event_schedule.pop_first() {
+            if at > now {
+                self.event_schedule.insert((at, location));
+                return;
+            }
+            let scheduled_at = self.event_reads.get(&location).and_then(|poll| poll.scheduled_at);
+            if scheduled_at.is_none_or(|scheduled_at| scheduled_at == at)
+                && let Some(next) = self.read_holder_events(now, location)
+            {
+                self.schedule_event_read(location, next);
+            }
+        }
+    }
+
+    /// Schedules the next check of a holder, instead of an earlier one.
+    pub(in crate::fleet) fn schedule_event_read(&mut self, location: Location, at: Time) {
+        if let Some(poll) = self.event_reads.get_mut(&location) {
+            poll.scheduled_at = Some(at);
         }
+        self.event_schedule.insert((at, location));
     }
 
-    fn read_holder_events(&mut self, now: Time, location: Location) {
-        let Some(address) = self.holder_address(location) else { return };
+    /// Starts a read of a holder's events if it is due. Returns when to check again, or `None` if the
+    /// holder is gone.
+    fn read_holder_events(&mut self, now: Time, location: Location) -> Option<Time> {
+        self.residency(location)?;
+        let Some(address) = self.holder_address(location) else {
+            return Some(now + READER_CHECK_INTERVAL);
+        };
         let poll = self.event_reads.entry(location).or_default();
-        if poll.started_at.is_some_and(|at| now < at + READ_TIMEOUT) || now < poll.due_at {
-            return;
+        if let Some(timeout) = poll.started_at.map(|at| at + READ_TIMEOUT).filter(|at| now < *at) {
+            return Some(timeout);
+        }
+        if now < poll.due_at {
+            return Some(poll.due_at);
         }
         (poll.started_at, poll.due_at) = (None, now + READER_CHECK_INTERVAL);
         if !self.is_event_reader(now, location) {
-            return;
+            return Some(now + READER_CHECK_INTERVAL);
         }
         if let Some(poll) = self.event_reads.get_mut(&location) {
             poll.started_at = Some(now);
         }
         let since = self.residency(location).map_or(0, Residency::next_event);
         self.effects.push(Effect::ReadEvents { place: location, address, since });
+        Some(now + READ_TIMEOUT)
     }
 
     /// Handles the result of an event read; `None` if the read failed.
@@ -88,6 +114,7 @@
         poll.started_at = None;
         let Some(batch) = batch else {
             poll.due_at = now + READ_RETRY_DELAY;
+            self.schedule_event_read(location, now + READ_RETRY_DELAY);
             if let Some(residency) = self.residency_mut(location) {
                 residency.mark_unreadable();
             }
@@ -95,12 +122,14 @@
         };
         poll.due_at = now + interval;
         let heartbeat_due = now >= poll.update_sent_at + HEARTBEAT_INTERVAL;
+        self.schedule_event_read(location, now + interval);
         let Some(residency) = self.residency_mut(location) else { return };
         match residency.apply_events(now, batch) {
             Outcome::Gap => {
                 if let Some(poll) = self.event_reads.get_mut(&location) {
                     poll.due_at = now;
                 }
+                self.schedule_event_read(location, now);
             }
             Outcome::Applied { full: false, changes } if changes.is_empty() && !heartbeat_due => {}
             Outcome::Applied { full, changes } => {
--- a/src/fleet/tests/residency.rs
+++ b/src/fleet/tests/residency.rs
@@ -359,3 +359,33 @@
     let left: Vec<Location> = daemon.node.event_reads.keys().copied().collect();
     assert_eq!(left, [Location::Store]);
 }
+
+/// Number of event reads that a scheduler starts in two seconds.
+fn event_reads_in_two_seconds(engines: usize) -> usize {
+    let names: Vec<(String, String)> =
+        (0..engines).map(|n| (format!("e-{n}"), format!("engine {} ready 1", n % 200))).collect();
+    let mut daemon = Daemon::with_servers(1, &borrowed(&names));
+    let mut started = 0;
+    for time in (0..2_000).step_by(20) {
+        let effects = daemon.tick(ms(time));
+        let places = effects.into_iter().filter_map(|effect| match effect {
+            Effect::ReadEvents { place, .. } => Some(place),
+            _ => None,
+        });
+        let places: Vec<Location> = places.collect();
+        started += places.len();
+        for place in places {
+            let batch = EventBatch { epoch: 1, next: 1, has_gap: false, events: Vec::new() };
+            daemon.node.apply(ms(time), Message::Events(place, Some(batch)));
+        }
+    }
+    started
+}
+
+// Each tick walked all engines, whether or not a read of their events was due.
+#[test]
+fn read_events_every_engine_is_read_at_its_interval() {
+    // Up to ten times in two seconds for 12 engines, and at most every 800 ms for many.
+    assert!((12 * 10..=12 * 21).contains(&event_reads_in_two_seconds(12)));
+    assert!((400 * 2..=400 * 4).contains(&event_reads_in_two_seconds(400)));
+}
