Place requests within cells of large pools

Cause: a placement looked at every server of its pool three times (candidates, homes, sources) and sorted them twice, so its cost grew with the pool: one scheduler carries all engines of the fleet.

Change: the servers of a pool with more than 256 are divided into cells by a hash of their ids (src/fleet/pool.rs). A prompt is placed in the cell of its last shared part, a plain request in the cell of its id; two further cells follow if the servers of the first have no room, or if it has waited for a home in vain. The work for a part with which prompts of all cells begin counts by cell.

Weighed: one scheduler for each cell. The cost of a placement is flat with cells alone; who schedules stays as it is, so nothing has to be agreed on anew. An index of holders over the whole pool: homes by rendezvous hashing look at all servers all the same.

--- a/src/fleet/admission.rs
+++ b/src/fleet/admission.rs
@@ -12,6 +12,7 @@
 use super::drain::Throughput;
 use super::isolation::has_waited_for_isolation;
 use super::place::PLAIN_REQUEST_MS;
+use super::pool::Pool;
 use super::prompt::unshared_ms;
 use super::request::{Phase, Request};
 use super::{Command, Key, Node, server};
@@ -195,7 +196,7 @@
     }
 
     fn pool_has_room(&self, now: Time, pool: &str) -> bool {
-        let keys = self.pools.get(pool).map(Vec::as_slice).unwrap_or_default();
+        let keys = self.pools.get(pool).map(Pool::keys).unwrap_or_default();
         let room = |key: &server::Key| {
             self.servers.get(*key).is_some_and(|server| self.has_room(now, *key, server))
         };
@@ -252,7 +253,7 @@
     /// serve the queue ahead of it.
     fn retry_after(&mut self, now: Time, key: Key) -> Duration {
         let Some(request) = self.requests.get(&key) else { return MIN_RETRY_AFTER };
-        let keys = self.pools.get(&request.pool).map(Vec::as_slice).unwrap_or_default();
+        let keys = self.pools.get(&request.pool).map(Pool::keys).unwrap_or_default();
         let servers = keys.iter().filter_map(|key| Some((*key, self.servers.get(*key)?)));
         let available = servers.filter(|(key, server)| self.accepts_work(now, *key, server));
         // An engine reads one prompt after another; a plain server runs several requests at once.
--- a/src/fleet/explain.rs
+++ b/src/fleet/explain.rs
@@ -1,6 +1,7 @@
 //! Log events for the decisions on a request: the inputs of each decision, their age, and the outcome.
 
 use super::place::Choice;
+use super::pool::Pool;
 use super::request::{Phase, Request};
 use super::{Dependency, Dispatch, Key, Loss, Node, Refusal, Topic, server};
 use crate::prelude::*;
@@ -100,7 +101,7 @@
 
     pub(super) fn log_waiting(&mut self, now: Time, key: Key) {
         let Some(request) = self.requests.get(&key) else { return };
-        let servers = self.pools.get(&request.pool).map(Vec::as_slice).unwrap_or_default();
+        let servers = self.pools.get(&request.pool).map(Pool::keys).unwrap_or_default();
         let usable = servers.iter().filter_map(|key| self.servers.get(*key));
         let usable = usable.filter(|server| server.is_usable(now)).count();
         let detail = Self::request_detail(request)
--- a/src/fleet/figures.rs
+++ b/src/fleet/figures.rs
@@ -101,7 +101,8 @@
     }
 
     fn add_pools(&mut self, now: Time, figures: &mut Vec<Gauge>) {
-        for (pool, keys) in &self.pools {
+        for (pool, servers) in &self.pools {
+            let keys = servers.keys();
             let usable = keys.iter().filter_map(|key| self.servers.get(*key));
             let usable = usable.filter(|server| server.is_usable(now)).count();
             figures.push(Gauge::labeled("servers", "pool", pool, keys.len() as u64));
--- a/src/fleet/homes.rs
+++ b/src/fleet/homes.rs
@@ -1,12 +1,13 @@
 //! Assigns the shared parts of prompts to servers, alike on every daemon.
 //!
 //! A few long texts start nearly all prompts, and many shorter ones start some. The homes of a part
-//! are the servers that rank first for it in a rendezvous hash over all servers of the pool,
+//! are the servers that rank first for it in a rendezvous hash over all servers of a cell,
 //! whatever their weights and load. The choice must not depend on anything that differs between
 //! daemons or changes by the second: a part is read again on each server that it moves to.
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use super::pool::Cell;
 use super::prompt::{salted_key, shared_parts, unshared_ms};
 use super::{Node, Prompt, Server, server};
 use crate::prefix;
@@ -59,33 +60,33 @@
 }
 
 impl Node {
-    /// Computes the homes of a prompt's shared parts. Each part selects among the servers selected
+    /// Computes the homes of a prompt's shared parts in a cell. Each part selects among the servers selected
     /// by the parts before it, so that a server keeps few of the parts that many prompts begin
     /// with.
-    pub(super) fn homes(&self, now: Time, owner: &str, pool: &str, prompt: &Prompt) -> Homes {
-        let Some(keys) = self.pools.get(pool) else { return Homes::default() };
-        let mut ranked: Vec<(server::Key, &Server)> = keys
-            .iter()
-            .filter_map(|key| Some((*key, self.servers.get(*key)?)))
+    pub(super) fn homes(&self, now: Time, owner: &str, cell: Cell<'_>, prompt: &Prompt) -> Homes {
+        let mut ranked: Vec<(server::Key, &Server)> = cell
+            .keys()
+            .filter_map(|key| Some((key, self.servers.get(key)?)))
             .filter(|(_, server)| !server.entry.draining)
             .collect();
         let Some((last, earlier)) = shared_parts(&prompt.parts).split_last() else {
             return Homes::default();
         };
         let servers = ranked.len();
-        let mut narrow = |part: u64, limit: fn(usize) -> usize| {
+        let mut narrow = |part: u64, cells: usize, limit: fn(usize) -> usize| {
             let part = salted_key(owner, part);
             ranked.sort_by_cached_key(|(_, server)| {
                 std::cmp::Reverse(xxh3_64_with_seed(server.entry.incarnation.id.as_bytes(), part))
             });
-            let count = copy_count(self.load_ms_per_s(now, part), servers);
+            let count = copy_count(self.load_ms_per_s(now, part) / cells as f64, servers);
             ranked.truncate(limit(count));
             count
         };
         for part in earlier {
-            narrow(part.id, |count| count.max(1 + MAX_FALLBACKS));
+            // The prompts that begin with it are in all cells.
+            narrow(part.id, cell.count, |count| count.max(1 + MAX_FALLBACKS));
         }
-        let count = narrow(last.id, |count| count + MAX_FALLBACKS).min(ranked.len());
+        let count = narrow(last.id, 1, |count| count + MAX_FALLBACKS).min(ranked.len());
         let homes = &ranked[..count];
         let unavailable =
             homes.iter().filter(|(key, server)| !self.accepts_work(now, *key, server)).count();
--- a/src/fleet/isolation.rs
+++ b/src/fleet/isolation.rs
@@ -170,7 +170,7 @@
     /// Returns the server with the fewest running requests, if the others have room for one more
     /// server to crash.
     fn server_to_drain(&self, now: Time, pool: &str) -> Option<server::Key> {
-        let keys = self.pools.get(pool)?;
+        let keys = self.pools.get(pool)?.keys();
         let servers = keys.iter().filter_map(|key| Some((*key, self.servers.get(*key)?)));
         let available = servers.filter(|(key, server)| self.accepts_work(now, *key, server));
         let mut available: Vec<(u32, u32, server::Key)> = available
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -26,6 +26,7 @@
 mod peer;
 mod place;
 mod poison;
+mod pool;
 mod prompt;
 mod quotas;
 mod recall;
--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -12,6 +12,7 @@
 use super::load::Load;
 use super::notice::Allowance;
 use super::peer::Peer;
+use super::pool::Pool;
 use super::quotas::Leadership;
 use super::request::Request;
 use super::residency::{EventPoll, Link, StoreState};
@@ -76,7 +77,7 @@
     pub(super) servers: SlotMap<server::Key, Server>,
     pub(super) incarnations: Incarnations,
     /// Servers by pool.
-    pub(super) pools: BTreeMap<String, Vec<server::Key>>,
+    pub(super) pools: BTreeMap<String, Pool>,
     pub(super) requests: BTreeMap<Key, Request>,
     /// The queue of waiting requests, in the order in which they are sent.
     pub(super) waiting: BTreeSet<Position>,
--- a/src/fleet/place.rs
+++ b/src/fleet/place.rs
@@ -5,6 +5,7 @@
 use super::homes::{Homes, Role};
 use super::load::Load;
 use super::notice::LARGE_TOKENS;
+use super::pool::Cell;
 use super::prompt::{PREFILL_TOKENS_PER_MS, cache_salt, held_tokens, shared_tokens, unshared_ms};
 use super::request::Request;
 use super::residency::{FetchPlan, Sources};
@@ -99,22 +100,41 @@
 }
 
 impl Node {
-    /// Chooses a server for a request; `None` while none has room.
+    /// Chooses a server for a request; `None` while none has room. Servers outside of its cell are
+    /// considered if those of its cell have no room, or if it has waited for one in vain.
     pub(super) fn place(&self, now: Time, key: Key) -> Option<Choice> {
         let request = self.requests.get(&key)?;
-        let keys = self.pools.get(&request.pool)?;
+        let pool = self.pools.get(&request.pool)?;
         if self.waits_for_running_copy(request) {
             return None;
         }
-        let servers = keys.iter().filter_map(|key| Some((*key, self.servers.get(*key)?)));
-        let mut usable: Vec<(server::Key, &Server)> =
-            servers.filter(|(key, server)| self.has_room(now, *key, server)).collect();
+        for cell in pool.cells_of(request) {
+            let servers = cell.keys().filter_map(|key| Some((key, self.servers.get(key)?)));
+            let usable: Vec<(server::Key, &Server)> =
+                servers.filter(|(key, server)| self.has_room(now, *key, server)).collect();
+            let has_room = !usable.is_empty();
+            let choice = self.place_in_cell(now, request, cell, usable);
+            if choice.is_some() || has_room && !self.has_waited_for_home(now, request) {
+                return choice;
+            }
+        }
+        None
+    }
+
+    /// Chooses one of the usable servers of a cell.
+    fn place_in_cell(
+        &self,
+        now: Time,
+        request: &Request,
+        cell: Cell<'_>,
+        mut usable: Vec<(server::Key, &Server)>,
+    ) -> Option<Choice> {
         let fingerprint = request.arrival.fingerprint;
         self.retain_for_isolation(now, request, &mut usable);
         self.poison.avoid_other_suspects(fingerprint, self.running_requests(), &mut usable);
         match &request.arrival.prompt {
             None => self.place_plain(now, request, &usable),
-            Some(prompt) => self.place_prompt(now, request, prompt, &usable),
+            Some(prompt) => self.place_prompt(now, request, prompt, cell, &usable),
         }
     }
 
@@ -161,17 +181,24 @@
         now: Time,
         request: &Request,
         prompt: &Prompt,
+        cell: Cell<'_>,
         usable: &[(server::Key, &Server)],
     ) -> Option<Choice> {
-        let requirement = self.requirement(now, request, prompt, usable);
+        let requirement = self.requirement(now, request, prompt, cell, usable);
         let mut by_version: BTreeMap<u64, (String, Sources)> = BTreeMap::new();
         let mut best: Option<(Choice, FetchPlan)> = None;
         for (key, server) in usable {
             let Some(version) = server.weights_version(&prompt.model) else { continue };
             let (salt, sources) = by_version.entry(version).or_insert_with(|| {
                 let salt = cache_salt(version, requirement.isolated);
-                let sources =
-                    self.sources(now, prompt, version, &salt, &requirement.homes, &request.pool);
+                let sources = self.sources(
+                    now,
+                    prompt,
+                    version,
+                    &salt,
+                    &requirement.homes,
+                    (&request.pool, cell),
+                );
                 (salt, sources)
             });
             let candidate = self.evaluate(now, &requirement, *key, server, salt, sources);
@@ -191,11 +218,12 @@
         now: Time,
         request: &'a Request,
         prompt: &'a Prompt,
+        cell: Cell<'_>,
         usable: &[(server::Key, &Server)],
     ) -> Requirement<'a> {
         let isolated = request.arrival.workspace.as_ref().filter(|owner| owner.isolated);
         let isolated = isolated.map(|owner| owner.name.as_str());
-        let homes = self.homes(now, isolated.unwrap_or_default(), &request.pool, prompt);
+        let homes = self.homes(now, isolated.unwrap_or_default(), cell, prompt);
         let ratio = if prompt.input < LARGE_TOKENS {
             MAX_ENGINE_WAIT_RATIO_SMALL
         } else {
--- a/src/fleet/poison.rs
+++ b/src/fleet/poison.rs
@@ -46,7 +46,7 @@
             incarnation: server.poison_incarnation(),
             address: server.entry.address,
             pool: xxh3_64(pool.as_bytes()),
-            servers: self.pools.get(pool).map_or(0, |keys| keys.len() as u32),
+            servers: self.pools.get(pool).map_or(0, |pool| pool.len() as u32),
         };
         let steps = self.detector.record_disconnect(
             now,
--- a/src/fleet/records.rs
+++ b/src/fleet/records.rs
@@ -204,7 +204,7 @@
         let (incarnation, pool) = (entry.incarnation.clone(), entry.pool.clone());
         let key = self.servers.insert(Server::new(entry));
         self.incarnations.begin(&incarnation, key);
-        self.pools.entry(pool).or_default().push(key);
+        self.pools.entry(pool).or_default().add(key, &incarnation.id);
         self.schedule_event_read(Location::Engine(key), Time::ZERO);
         self.refresh_outdated_server(key);
         // What peers reported of this incarnation before it was known counts from now on.
@@ -275,8 +275,8 @@
         self.registration_ended(now, &server);
         self.peer_loads.remove(&key);
         self.event_reads.remove(&Location::Engine(key));
-        if let Some(keys) = self.pools.get_mut(&server.entry.pool) {
-            keys.retain(|other| *other != key);
+        if let Some(pool) = self.pools.get_mut(&server.entry.pool) {
+            pool.remove(key, &server.entry.incarnation.id);
         }
         self.event(Event::ServerRemoved, Detail::of("server", server.entry.incarnation.id));
     }
--- a/src/fleet/residency/sources.rs
+++ b/src/fleet/residency/sources.rs
@@ -5,6 +5,7 @@
 
 use super::Location;
 use crate::fleet::homes::Homes;
+use crate::fleet::pool::Cell;
 use crate::fleet::prompt::{PREFILL_TOKENS_PER_MS, held_tokens, shared_parts, shared_tokens};
 use crate::fleet::{Node, Prompt, server};
 use crate::prelude::*;
@@ -126,7 +127,7 @@
 }
 
 impl Node {
-    /// Returns the holders of a prompt's shared parts under weights `version`, according to their
+    /// Returns the holders of a prompt's shared parts in a cell of its pool under weights `version`, according to their
     /// events. An engine whose events can't be read is assumed to hold the parts if it may be their
     /// home.
     pub(in crate::fleet) fn sources(
@@ -136,21 +137,20 @@
         version: u64,
         salt: &str,
         homes: &Homes,
-        pool: &str,
+        (pool, cell): (&str, Cell<'_>),
     ) -> Sources {
         let shared_tokens = shared_tokens(prompt);
         let engine = self.table.as_ref().and_then(|table| table.engine(pool));
         let Some(engine) = engine.filter(|_| shared_tokens >= MIN_FETCH_TOKENS) else {
             return Sources::default();
         };
-        let keys = self.pools.get(pool).map(Vec::as_slice).unwrap_or_default();
-        let engines = keys.iter().filter_map(|key| {
-            let server = self.servers.get(*key)?;
+        let engines = cell.keys().filter_map(|key| {
+            let server = self.servers.get(key)?;
             if server.weights_version(&prompt.model) != Some(version) || server.is_backing_off(now)
             {
                 return None;
             }
-            let unconfirmed = !server.residency.is_current(now) && homes.rank(*key).is_some();
+            let unconfirmed = !server.residency.is_current(now) && homes.rank(key).is_some();
             let held = if unconfirmed {
                 shared_tokens
             } else {
@@ -159,7 +159,7 @@
                 })
             };
             Some(Source {
-                location: Location::Engine(*key),
+                location: Location::Engine(key),
                 address: server.entry.address,
                 tokens: held,
                 link_bytes_per_s: engine.link_bytes_per_s as f64,
--- a/src/fleet/rollout.rs
+++ b/src/fleet/rollout.rs
@@ -3,6 +3,7 @@
 use super::life::Known;
 use super::loading::Limiter;
 use super::naming::{Bound, Namings};
+use super::pool::Pool;
 use super::server::Order;
 use super::{Dependency, Effect, Entry, Incarnation, Node, OrderEnd, State, server};
 use crate::prelude::*;
@@ -105,7 +106,7 @@
         server.weights_loaded(model, version);
         let pool = server.entry.pool.clone();
         if let Some(took) = took {
-            let engines = self.pools.get(&pool).map_or(1, Vec::len);
+            let engines = self.pools.get(&pool).map_or(1, Pool::len);
             self.rollout.limiters.entry(pool).or_default().note_load(now, engines, took);
         }
         self.refresh_outdated_server(key);
@@ -230,7 +231,7 @@
     /// Maximum number of engines of a pool that may load at a time.
     fn max_loading(&self, pool: &str, urgent: bool) -> usize {
         let limit = self.policy.weights_limit;
-        let engines = self.pools.get(pool).map_or(1, Vec::len);
+        let engines = self.pools.get(pool).map_or(1, Pool::len);
         let limiter = self.rollout.limiters.get(pool).copied().unwrap_or_default();
         limiter.max_concurrent(engines, limit, urgent)
     }
--- a/src/fleet/tests/mod.rs
+++ b/src/fleet/tests/mod.rs
@@ -13,6 +13,7 @@
 mod parts;
 mod peers;
 mod poison;
+mod pool;
 mod quotas;
 mod requests;
 mod residency;
