Count no failure against a server that closes an answer its caller reads slowly

What callers saw: a server closes an answer that stays unread for some seconds. The daemon took that for a lost answer: the server got no requests for a while, the request was suspected to crash servers, and a resumable stream was sent to another server, whose answer the caller did not read either.

Cause: a stream that ends early was the server's failure, whatever the reason. Change: where a write to the caller has blocked for a second or more, the end of the stream is the caller's: its answer is cut off, the slot is freed, nothing is reported.

relay_stream_closed_because_its_caller_reads_slowly_is_no_failure_of_the_server fails before (run: it receives Lost(Connection)).

--- a/src/relay/delivery.rs
+++ b/src/relay/delivery.rs
@@ -21,6 +21,10 @@
 /// Retry-after time for a request that the control thread, having stopped, did not accept.
 const CONTROL_STOPPED_RETRY_AFTER: Duration = Duration::from_millis(500);
 
+/// Time for which a write to a caller blocks if the caller reads slowly. A server closes an answer
+/// that stays unread for some seconds.
+const SLOW_READER_DELAY: Duration = Duration::from_secs(1);
+
 /// Outcome of a request.
 pub(super) enum Outcome {
     /// A complete answer was sent; the connection can be reused.
@@ -133,6 +137,7 @@
                     return outcome;
                 }
                 Attempt::CallerDisconnected => return Outcome::Disconnected,
+                Attempt::CallerTooSlow => return Outcome::Truncated,
                 Attempt::Superseded => continue,
                 Attempt::Failed(answer) => {
                     failure = Some(answer);
@@ -287,12 +292,14 @@
         events: &mut Events,
     ) -> Attempt {
         events.discard_partial();
-        let mut started = false;
+        let (mut started, mut is_slow_reader) = (false, false);
         let mut bytes = Vec::new();
         loop {
             bytes.clear();
             let more = match answer.read(&mut bytes).await {
                 Ok(more) => more,
+                // The cut says nothing about the server, and the same would happen at another one.
+                Err(_) if is_slow_reader => return Attempt::CallerTooSlow,
                 Err(cut) => return Attempt::Unanswered(Report::Lost(loss(&cut))),
             };
             let mut whole = events.feed(&bytes);
@@ -318,9 +325,12 @@
             if !out.is_empty() {
                 self.progress.record_write(self.frontend.control.clock.now());
             }
+            let write_started_at = self.frontend.control.clock.now();
             if writer.write_all(&out).await.is_err() {
                 return Attempt::CallerDisconnected;
             }
+            let blocked = self.frontend.control.clock.now().saturating_sub(write_started_at);
+            is_slow_reader |= blocked >= SLOW_READER_DELAY;
             if complete {
                 answer.release(&self.frontend.pool, dispatch.max_idle);
                 return Attempt::Ended(Outcome::Answered);
@@ -342,6 +352,8 @@
     Ended(Outcome),
     /// Writing to the caller failed.
     CallerDisconnected,
+    /// The server closed a stream that the caller read slowly.
+    CallerTooSlow,
     /// A command from the control thread superseded the attempt.
     Superseded,
     /// The server answered with an error.
--- a/src/relay/tests/delivery.rs
+++ b/src/relay/tests/delivery.rs
@@ -255,6 +255,55 @@
     }
 }
 
+/// Starts a server that streams events until nobody reads them, reports that, and closes the connection when told to.
+fn serve_until_unread() -> (SocketAddr, Receiver<()>, Sender<()>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port is available");
+    let address = listener.local_addr().expect("the listener is bound");
+    let (unread, is_unread) = async_channel::bounded(1);
+    let (close, closing) = async_channel::bounded::<()>(1);
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("the daemon connects");
+        let head = "HTTP/1.1 200 OK\r\nContent-Length: 1000000000\r\n\r\n";
+        stream.write_all(head.as_bytes()).expect("the daemon reads the head");
+        stream.set_nonblocking(true).expect("the stream can be polled");
+        let piece = "a".repeat(60_000);
+        let mut rejected = 0;
+        for id in 1.. {
+            let event = format!("id: {id}\ndata: {piece}\n\n");
+            rejected = if stream.write(event.as_bytes()).is_ok() { 0 } else { rejected + 1 };
+            if rejected > 0 {
+                thread::sleep(Duration::from_millis(20));
+            }
+            if rejected == 10 {
+                break;
+            }
+        }
+        unread.try_send(()).expect("the test waits");
+        closing.recv_blocking().ok();
+    });
+    (address, is_unread, close)
+}
+
+// A server closed an answer that its caller had not read for seconds. That counted as a lost answer of the server: it
+// got no requests for a while, the request was suspected to crash servers and was sent to another one.
+#[test]
+fn relay_stream_closed_because_its_caller_reads_slowly_is_no_failure_of_the_server() {
+    let mut fixture = Fixture::start(true);
+    let (server, is_unread, close) = serve_until_unread();
+    let (_, commands) = fixture.receive_arrival();
+    commands.try_send(dispatch(1, server)).expect("the delivery awaits a command");
+    assert_eq!(fixture.receive_report(), (1, Report::Begun(None)));
+    is_unread.recv_blocking().expect("the server runs");
+    thread::sleep(Duration::from_millis(1_100));
+    drop(close);
+    let mut received = Vec::new();
+    fixture.caller.read_to_end(&mut received).ok();
+    assert!(!received.ends_with(b"0\r\n\r\n"), "the stream looks complete");
+    let next = fixture.inputs.recv_blocking().expect("the delivery ends");
+    let is_cancelled = matches!(&next, Input::Message(m) if matches!(**m, Message::Cancel(_)));
+    assert!(is_cancelled, "{next:?}");
+}
+
 #[test]
 fn drain_waits_for_answers_to_refused_requests() {
     let mut fixture = Fixture::start(true);
