Shorten a start: read as soon as a copy is there, and ask peers again sooner

Between a copy and the read that confirms it lay up to a tick and 200 ms, and a request for a copy that was not answered was repeated after up to 800 ms.

--- a/src/fleet/bootstrap.rs
+++ b/src/fleet/bootstrap.rs
@@ -19,8 +19,8 @@
 
 /// Time from a request for a copy to the next one to another peer, at first.
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(100);
-/// The same later on. A copy of a large topic takes about half a second on a slow link.
-const MAX_RETRY_DELAY: Duration = Duration::from_millis(800);
+/// The same later on. A compressed copy of a large topic takes less on a slow link.
+const MAX_RETRY_DELAY: Duration = Duration::from_millis(400);
 /// Time for which a daemon waits for peers before it reads the registrations of daemons.
 const PEER_WAIT: Duration = Duration::from_millis(600);
 /// Time for which a daemon that does not read the store for others waits before it reads any other
@@ -128,7 +128,7 @@
     }
 
     /// Whether what this daemon knows was found to be current after its start, or can't be.
-    pub(super) fn is_confirmed(&self) -> bool {
+    pub fn is_confirmed(&self) -> bool {
         self.bootstrap.is_confirmed
     }
 
--- a/src/fleet/run.rs
+++ b/src/fleet/run.rs
@@ -220,6 +220,10 @@
                         IDLE_TICK_INTERVAL
                     };
             }
+            if !self.node.is_confirmed() {
+                // A daemon that starts reads the store as soon as it has a copy.
+                self.publish_read_schedules(now);
+            }
             self.publish();
             let wait = async {
                 Timer::after(next_tick.saturating_sub(self.control.clock.now())).await;
--- a/src/fleet/tests/store.rs
+++ b/src/fleet/tests/store.rs
@@ -14,7 +14,7 @@
 const PAGE_KEYS: usize = 200;
 /// Interval between checks of whether a daemon should read what it leaves to others.
 const READER_CHECK_INTERVAL: Duration = Duration::from_millis(200);
-/// The same until it has a copy of a topic.
+/// The same until it is ready.
 const FIRST_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
 /// The stored records of one topic.
@@ -189,11 +189,10 @@
     fn start_read(&mut self, now: Time, node: &Node, store: &Store, delay: Duration) {
         if !node.should_read(now, self.tracked) {
             self.wait = Duration::ZERO;
-            let is_known = match self.tracked {
-                Dependency::Topic(topic) => node.known_end(topic).is_some(),
-                Dependency::Lease => true,
+            let interval = match node.is_ready() || self.tracked == Dependency::Lease {
+                true => READER_CHECK_INTERVAL,
+                false => FIRST_CHECK_INTERVAL,
             };
-            let interval = if is_known { READER_CHECK_INTERVAL } else { FIRST_CHECK_INTERVAL };
             self.idle_until = now + interval;
             return;
         }
