Give the copies of topics a room of their own

src/fleet/replication holds what was spread over src/fleet: first copies, who reads the store, records, their exchange and the tree; gossip keeps digests. Compression of frames leaves frame/mod.rs.

--- a/src/fleet/frame/mod.rs
+++ b/src/fleet/frame/mod.rs
@@ -1,18 +1,16 @@
 //! Frames that daemons exchange about forwarded requests, with their encoding and decoding.
 
+mod compression;
 mod wire;
 
-use std::io::{Read as _, Write as _};
 use std::net::{IpAddr, SocketAddr};
 
-use flate2::Compression;
-use flate2::read::DeflateDecoder;
-use flate2::write::DeflateEncoder;
 use prost::Message as _;
 
+use compression::{compress, decompress};
+
 use super::scheduling::{Progress, Submission, Verdict};
 use super::{Batch, Holder, Incarnation, Naming, Notice, Record, Relay, Topic, Update};
-use crate::peer::MAX_FRAME_BYTES;
 use crate::poison::{self, Blocked, Fingerprint};
 use crate::prelude::*;
 use crate::quota::Usage;
@@ -233,26 +231,6 @@
     }
 }
 
-/// Compresses an encoded frame. Records are JSON with many repeated names.
-fn compress(bytes: &[u8]) -> Vec<u8> {
-    let mut encoder = DeflateEncoder::new(Vec::new(), Compression::fast());
-    let compressed = encoder.write_all(bytes).and_then(|()| encoder.finish());
-    let body = compressed.map(|bytes| wire::Body::Compressed(wire::Compressed { bytes }));
-    // Writing to memory does not fail.
-    body.map_or_else(|_| bytes.to_vec(), |body| wire::Frame { body: Some(body) }.encode_to_vec())
-}
-
-fn decompress(bytes: &[u8]) -> Result<Vec<u8>, Malformed> {
-    let mut decompressed = Vec::new();
-    let mut decoder = DeflateDecoder::new(bytes).take(MAX_FRAME_BYTES as u64 + 1);
-    let read = decoder.read_to_end(&mut decompressed);
-    read.map_err(|error| Malformed(error.to_string()))?;
-    if decompressed.len() > MAX_FRAME_BYTES {
-        return Err(Malformed("the decompressed frame is too large".into()));
-    }
-    Ok(decompressed)
-}
-
 fn encode_address(address: SocketAddr) -> Vec<u8> {
     let mut bytes = match address.ip() {
         IpAddr::V4(ip) => ip.octets().to_vec(),
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -5,8 +5,6 @@
 //! product's own interface.
 
 mod admission;
-mod bootstrap;
-mod catalog;
 mod drain;
 mod explain;
 mod figures;
@@ -18,11 +16,9 @@
 mod load;
 mod loading;
 mod message;
-mod multicast;
 mod naming;
 mod node;
 mod notice;
-mod pace;
 mod peer;
 mod place;
 mod poison;
@@ -30,7 +26,7 @@
 mod prompt;
 mod quotas;
 mod recall;
-mod records;
+mod replication;
 mod reports;
 mod request;
 mod requests;
@@ -43,7 +39,6 @@
 #[cfg(test)]
 mod tests;
 
-pub use catalog::{Batch, Catalog, Record, Topic};
 pub use figures::Counts;
 pub use frame::{Digest, Frame, Malformed, Workload};
 pub use life::Incarnation;
@@ -51,11 +46,11 @@
     Arrival, Change, Command, Dependency, Dispatch, Effect, Key, Loss, Message, OrderEnd, Read,
     Refusal, Registration, Report, State,
 };
-pub use multicast::Relay;
 pub use naming::Naming;
 pub use node::{Identity, Node, Policy};
 pub use notice::Notice;
 pub use prompt::{Part, Prompt};
+pub use replication::{Batch, Catalog, Record, Relay, Topic};
 pub use residency::{CacheEvent, EventBatch, Holder, Location, Update};
 pub use retry::Budget;
 #[cfg(test)]
--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -5,7 +5,6 @@
 use slotmap::SlotMap;
 
 use super::admission::{Position, Refusals};
-use super::bootstrap::Bootstrap;
 use super::drain::Throughput;
 use super::isolation::Isolation;
 use super::life::Incarnations;
@@ -14,6 +13,7 @@
 use super::peer::Peer;
 use super::pool::Pool;
 use super::quotas::Leadership;
+use super::replication::Bootstrap;
 use super::request::Request;
 use super::residency::{EventPoll, Link, StoreState};
 use super::rollout::Rollout;
--- a/src/fleet/pool.rs
+++ b/src/fleet/pool.rs
@@ -99,7 +99,7 @@
 
 /// The cell of a hash: its highest bits, so that a division splits each cell in two.
 fn cell_index(hash: u64, count: usize) -> usize {
-    (hash >> 32) as usize * count >> 32
+    ((hash >> 32) as usize * count) >> 32
 }
 
 /// Hash that is equal for requests whose prompts end with the same shared part, and differs
--- a/src/fleet/bootstrap.rs
+++ b/src/fleet/replication/bootstrap.rs
@@ -14,7 +14,7 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::{Dependency, Effect, Frame, Node, Topic};
+use crate::fleet::{Dependency, Effect, Frame, Node, Topic};
 use crate::prelude::*;
 
 /// Time from a request for a copy to the next one to another peer, at first.
@@ -34,7 +34,7 @@
 
 /// State of the requests for first copies.
 #[derive(Debug, Default)]
-pub(super) struct Bootstrap {
+pub(in crate::fleet) struct Bootstrap {
     /// Whether this daemon reads the store without asking peers.
     is_seed: bool,
     started_at: Option<Time>,
@@ -53,7 +53,7 @@
 }
 
 impl Bootstrap {
-    pub(super) fn new(seeds: &[SocketAddr], own: SocketAddr) -> Self {
+    pub(in crate::fleet) fn new(seeds: &[SocketAddr], own: SocketAddr) -> Self {
         let is_seed = seeds.iter().all(|seed| *seed == own) || seeds.contains(&own);
         Self { is_seed, ..Self::default() }
     }
@@ -61,7 +61,7 @@
 
 impl Node {
     /// Requests a copy of each topic that this daemon does not know from a peer.
-    pub(super) fn request_first_copies(&mut self, now: Time) {
+    pub(in crate::fleet) fn request_first_copies(&mut self, now: Time) {
         self.bootstrap.started_at.get_or_insert(now);
         if self.bootstrap.is_seed {
             return;
@@ -83,7 +83,7 @@
     /// Chooses a random peer to ask for a copy of a topic: one that has it, preferably in this
     /// availability zone; else any.
     fn copy_source(&mut self, now: Time, topic: Topic) -> Option<String> {
-        let rank = |peer: &super::peer::Peer| {
+        let rank = |peer: &crate::fleet::peer::Peer| {
             let has_copy = peer.is_fresh(now) && peer.end_offset(topic) > 0;
             let is_near = peer.zone.as_deref() == Some(self.identity.zone.as_str());
             (has_copy, has_copy && is_near)
@@ -97,7 +97,13 @@
 
     /// Asks a peer for the records of a topic from an offset on. A digest comes first, since a peer
     /// answers only daemons that it knows.
-    pub(super) fn request_records(&mut self, now: Time, peer: &str, topic: Topic, from: u64) {
+    pub(in crate::fleet) fn request_records(
+        &mut self,
+        now: Time,
+        peer: &str,
+        topic: Topic,
+        from: u64,
+    ) {
         let Some(address) = self.peer_address(peer) else { return };
         let is_introduced = self.peers.get(peer).is_some_and(|peer| peer.sent_at.is_some());
         if !is_introduced {
@@ -109,7 +115,7 @@
     }
 
     /// Whether this daemon leaves the first copy of a topic to its peers for now.
-    pub(super) fn awaits_first_copy(&self, now: Time, topic: Topic) -> bool {
+    pub(in crate::fleet) fn awaits_first_copy(&self, now: Time, topic: Topic) -> bool {
         if self.bootstrap.is_seed || self.known_topics.contains(&topic) {
             return false;
         }
@@ -133,12 +139,12 @@
     }
 
     /// Records that this daemon has read a topic from the store itself.
-    pub(super) fn note_own_read(&mut self, topic: Topic) {
+    pub(in crate::fleet) fn note_own_read(&mut self, topic: Topic) {
         self.bootstrap.read.insert(topic);
     }
 
     /// Whether this daemon must read the changes of a topic since it received a copy of it.
-    pub(super) fn must_confirm_copy(&self, topic: Topic) -> bool {
+    pub(in crate::fleet) fn must_confirm_copy(&self, topic: Topic) -> bool {
         topic != Topic::Routers && !self.bootstrap.is_confirmed && !self.has_read(topic)
     }
 
@@ -148,7 +154,7 @@
 
     /// Confirms the copies if this daemon has read the store since, or the store fails to answer for
     /// long.
-    pub(super) fn confirm_copies(&mut self, now: Time) {
+    pub(in crate::fleet) fn confirm_copies(&mut self, now: Time) {
         if self.bootstrap.is_confirmed {
             return;
         }
@@ -164,7 +170,7 @@
     }
 
     /// Whether a copy of a topic may be sent to a peer now.
-    pub(super) fn may_send_copy(&mut self, now: Time, bytes: usize) -> bool {
+    pub(in crate::fleet) fn may_send_copy(&mut self, now: Time, bytes: usize) -> bool {
         self.copy_allowance.refill(now, COPY_BYTES_PER_S, COPY_BYTES_PER_S);
         // A copy larger than the allowance is sent, too, but delays the next ones.
         let may_send = self.copy_allowance.remaining() > 0.0;
--- a/src/fleet/multicast.rs
+++ b/src/fleet/replication/multicast.rs
@@ -8,7 +8,7 @@
 
 use std::net::SocketAddr;
 
-use super::{Effect, Frame, Node};
+use crate::fleet::{Effect, Frame, Node};
 
 /// Maximum number of daemons to which one daemon sends a small frame.
 const MAX_FANOUT: usize = 64;
@@ -34,7 +34,11 @@
 impl Node {
     /// Sends a frame to these peers, each of which receives it once. In small fleets it is sent to
     /// all of them directly.
-    pub(super) fn multicast(&mut self, mut to: Vec<(Option<String>, SocketAddr)>, frame: Frame) {
+    pub(in crate::fleet) fn multicast(
+        &mut self,
+        mut to: Vec<(Option<String>, SocketAddr)>,
+        frame: Frame,
+    ) {
         // The first daemon of a group differs from frame to frame. One that has just ended thus does
         // not hide the sender from the same daemons for long.
         self.rng.shuffle(&mut to);
@@ -50,7 +54,7 @@
     }
 
     /// Sends a frame to the first of each group of `to`, with the addresses of the rest.
-    pub(super) fn relay(&mut self, to: Vec<SocketAddr>, frame: Frame) {
+    pub(in crate::fleet) fn relay(&mut self, to: Vec<SocketAddr>, frame: Frame) {
         let groups = fanout(frame.size_hint());
         let mut leaves = Vec::new();
         for group in to.chunks(to.len().div_ceil(groups).max(1)) {
--- a/src/fleet/pace.rs
+++ b/src/fleet/replication/pace.rs
@@ -8,7 +8,7 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::{Dependency, Digest, Node, Topic};
+use crate::fleet::{Dependency, Digest, Node, Topic};
 use crate::prelude::*;
 
 /// Minimum time between two reads of the servers' topic, so that one read returns several changes.
@@ -102,7 +102,12 @@
 
     /// Records when peers read topics, as one of them reports it. Only reports of a peer that has
     /// no records beyond this daemon's count: for this daemon, too, nothing is missing up to then.
-    pub(super) fn note_peer_reads(&mut self, now: Time, digest: &Digest, delay: Duration) {
+    pub(in crate::fleet) fn note_peer_reads(
+        &mut self,
+        now: Time,
+        digest: &Digest,
+        delay: Duration,
+    ) {
         for topic in Topic::ALL {
             let age = digest.read_ages.get(topic as usize).copied().flatten();
             let end = digest.end_offsets.get(topic as usize).copied().unwrap_or_default();
@@ -125,7 +130,7 @@
     }
 
     /// Age of the last known read of each topic, in the order of [`Topic::ALL`].
-    pub(super) fn read_ages(&self, now: Time) -> Vec<Option<Duration>> {
+    pub(in crate::fleet) fn read_ages(&self, now: Time) -> Vec<Option<Duration>> {
         let age = |at: &Time| now.saturating_sub(*at);
         Topic::ALL.iter().map(|topic| self.last_read_at(*topic).map(age)).collect()
     }
--- a/src/fleet/records.rs
+++ b/src/fleet/replication/records.rs
@@ -1,8 +1,8 @@
 //! Applies records of the platform's store to the daemon's state.
 
-use super::life::Known;
-use super::request::{Phase, Request};
-use super::{
+use crate::fleet::life::Known;
+use crate::fleet::request::{Phase, Request};
+use crate::fleet::{
     Batch, Change, Dependency, Effect, Entry, Key, Location, Node, Read, Record, Server, Topic,
     server,
 };
@@ -19,7 +19,7 @@
 const MAX_FORWARDED_RECORDS: usize = 64;
 
 impl Node {
-    pub(super) fn handle_read(&mut self, now: Time, read: Read) {
+    pub(in crate::fleet) fn handle_read(&mut self, now: Time, read: Read) {
         let Read { batch, is_snapshot: whole, current_at: asked } = read;
         let topic = batch.topic;
         self.mark_readable(now, Dependency::Topic(topic));
@@ -36,7 +36,7 @@
     }
 
     /// Whether this daemon has every operator record that it knows to exist.
-    pub(super) fn has_all_operator_records(&self) -> bool {
+    pub(in crate::fleet) fn has_all_operator_records(&self) -> bool {
         let topic = Topic::Operator;
         self.known_topics.contains(&topic)
             && self.catalog.is_contiguous(topic)
@@ -44,7 +44,7 @@
     }
 
     /// Applies a snapshot of a topic; keys that are not in it were removed.
-    pub(super) fn apply_snapshot(&mut self, now: Time, batch: Batch) {
+    pub(in crate::fleet) fn apply_snapshot(&mut self, now: Time, batch: Batch) {
         let Batch { topic, to, .. } = batch;
         let removals = self.catalog.removals(topic, &batch.records, to);
         self.apply_records(now, topic, &removals);
@@ -63,7 +63,7 @@
 
     /// Applies a batch from the store or from a peer, and optionally forwards it to some peers if
     /// any record was new.
-    pub(super) fn apply_batch(&mut self, now: Time, batch: Batch, forward: bool) {
+    pub(in crate::fleet) fn apply_batch(&mut self, now: Time, batch: Batch, forward: bool) {
         let any_new = self.apply_records(now, batch.topic, &batch.records);
         // Peers forward new records one by one. After a gap, such a record does not mean the topic
         // is known, and the next read may return older records.
@@ -75,7 +75,12 @@
         }
     }
 
-    pub(super) fn mark_unreadable(&mut self, now: Time, tracked: Dependency, reason: &str) {
+    pub(in crate::fleet) fn mark_unreadable(
+        &mut self,
+        now: Time,
+        tracked: Dependency,
+        reason: &str,
+    ) {
         if tracked == Dependency::Topic(Topic::Servers) {
             self.servers_down_at = Some(now);
         }
@@ -88,7 +93,7 @@
     }
 
     /// Records that a topic or the lease was read.
-    pub(super) fn mark_readable(&mut self, now: Time, tracked: Dependency) {
+    pub(in crate::fleet) fn mark_readable(&mut self, now: Time, tracked: Dependency) {
         if let Some(since) = self.unread_since.remove(&tracked) {
             let detail =
                 Detail::of("topic", tracked.name()).and("down_ms", now.saturating_sub(since));
@@ -157,7 +162,7 @@
         }
     }
 
-    pub(super) fn apply_table(&mut self, table: Arc<Table>, left_out: &[String]) {
+    pub(in crate::fleet) fn apply_table(&mut self, table: Arc<Table>, left_out: &[String]) {
         let current = self.table.as_ref().map_or(0, |table| table.version());
         if self.table.is_some() && table.version() <= current {
             return;
@@ -173,7 +178,7 @@
 
     /// Applies a registration of a known server, a new one, or one that has restarted. A
     /// registration from an ended incarnation is ignored.
-    pub(super) fn register(&mut self, now: Time, entry: Entry) {
+    pub(in crate::fleet) fn register(&mut self, now: Time, entry: Entry) {
         match self.incarnations.find(&entry.incarnation) {
             Known::Ended => {}
             Known::Same(key) => self.update_server(key, entry),
@@ -240,7 +245,7 @@
 
     /// Removes a server whose registration is gone. If the registration may have lapsed only
     /// because the store was down, the server is kept until it has had time to return.
-    pub(super) fn unregister(&mut self, now: Time, id: &str) {
+    pub(in crate::fleet) fn unregister(&mut self, now: Time, id: &str) {
         let Some(key) = self.incarnations.registered(id) else { return };
         if self.servers_down_at.is_some_and(|at| now < at + LAPSED_RETURN_TIME) {
             if let Some(server) = self.servers.get_mut(key) {
@@ -251,7 +256,7 @@
         self.remove_server(now, key);
     }
 
-    pub(super) fn remove_lapsed(&mut self, now: Time) {
+    pub(in crate::fleet) fn remove_lapsed(&mut self, now: Time) {
         let Some(down_at) = self.servers_down_at else { return };
         if now < down_at + LAPSED_RETURN_TIME {
             return;
@@ -268,7 +273,7 @@
         }
     }
 
-    pub(super) fn remove_server(&mut self, now: Time, key: server::Key) {
+    pub(in crate::fleet) fn remove_server(&mut self, now: Time, key: server::Key) {
         let Some(server) = self.servers.remove(key) else { return };
         self.incarnations.end(&server.entry.incarnation);
         self.refresh_outdated_server(key);
