Forward records to all however many come at once

Cause: the scheduler of a topic forwarded at most 64 records at once. On the fleet 360 servers register a second for 28 s, so each of its reads returned more: nothing was forwarded, all 985 others fell behind, asked peers four times a second for what they lacked and, since a report of a read counted only from a peer that was not ahead, read the store themselves.

Change: no bound on what goes over the tree; to the few that a daemon forwards to besides the scheduler, 64 as before. A report of a read counts for pacing from any peer. Small copies need no allowance.

--- a/src/fleet/replication/bootstrap.rs
+++ b/src/fleet/replication/bootstrap.rs
@@ -26,6 +26,8 @@
 /// Time for which a daemon that does not read the store for others waits before it reads any other
 /// topic: until then, copies have reached thousands of daemons.
 const COPY_WAIT: Duration = Duration::from_secs(6);
+/// Size below which a copy does not count against that.
+const MIN_COPY_BYTES: usize = 16 * 1024;
 /// Time after a start from which copies count although the store has not answered.
 const MAX_CONFIRMATION_TIME: Duration = Duration::from_secs(3);
 /// Bytes of records per second that a daemon sends as copies of whole topics: a few copies of ten
@@ -171,6 +173,9 @@
 
     /// Whether a copy of a topic may be sent to a peer now.
     pub(in crate::fleet) fn may_send_copy(&mut self, now: Time, bytes: usize) -> bool {
+        if bytes < MIN_COPY_BYTES {
+            return true;
+        }
         self.copy_allowance.refill(now, COPY_BYTES_PER_S, COPY_BYTES_PER_S);
         // A copy larger than the allowance is sent, too, but delays the next ones.
         let may_send = self.copy_allowance.remaining() > 0.0;
--- a/src/fleet/replication/exchange.rs
+++ b/src/fleet/replication/exchange.rs
@@ -9,6 +9,8 @@
 const CATCH_UP_DELAY: Duration = Duration::from_millis(250);
 /// Number of peers to which a daemon that does not schedule forwards new records.
 const FORWARD_FANOUT: usize = 3;
+/// Maximum number of records that it forwards to others than the scheduler of the topic.
+const MAX_RECORDS_TO_FEW: usize = 64;
 
 impl Node {
     /// Sends a peer the records of a topic from an offset.
@@ -62,6 +64,11 @@
             return self.multicast(peers, Frame::Records(batch));
         }
         let scheduler = scheduler.and_then(|id| self.peer_address(&id));
+        if batch.records.len() > MAX_RECORDS_TO_FEW {
+            // They get them from the scheduler, or ask for them.
+            let frame = Frame::Records(batch);
+            return self.effects.extend(scheduler.map(|to| Effect::Send(vec![to], frame)));
+        }
         let mut addresses = self.fresh_peer_addresses(now);
         addresses.retain(|address| Some(*address) != scheduler);
         self.rng.shuffle(&mut addresses);
--- a/src/fleet/replication/pace.rs
+++ b/src/fleet/replication/pace.rs
@@ -100,8 +100,8 @@
         JOINT_READ_INTERVAL.saturating_mul(daemons)
     }
 
-    /// Records when peers read topics, as one of them reports it. Only reports of a peer that has
-    /// no records beyond this daemon's count: for this daemon, too, nothing is missing up to then.
+    /// Records when peers read topics, as one of them reports it. Records that this daemon lacks come
+    /// from peers, so it need not read the store for them.
     pub(in crate::fleet) fn note_peer_reads(
         &mut self,
         now: Time,
@@ -110,9 +110,8 @@
     ) {
         for topic in Topic::ALL {
             let age = digest.read_ages.get(topic as usize).copied().flatten();
-            let end = digest.end_offsets.get(topic as usize).copied().unwrap_or_default();
             let at = age.and_then(|age| now.checked_sub(age.saturating_add(delay)));
-            if let Some(at) = at.filter(|_| end <= self.catalog.end(topic)) {
+            if let Some(at) = at {
                 let known = self.read_at.entry(topic).or_insert(at);
                 *known = at.max(*known);
             }
--- a/src/fleet/replication/records.rs
+++ b/src/fleet/replication/records.rs
@@ -14,9 +14,6 @@
 const LAPSED_RETURN_TIME: Duration = Duration::from_millis(2_200);
 /// Maximum number of unreadable keys tracked, so that each is logged once.
 const MAX_UNREADABLE_KEYS: usize = 1_024;
-/// Maximum number of new records forwarded to peers at once; a peer that falls behind asks for
-/// more.
-const MAX_FORWARDED_RECORDS: usize = 64;
 
 impl Node {
     pub(in crate::fleet) fn handle_read(&mut self, now: Time, read: Read) {
@@ -70,7 +67,7 @@
         if self.catalog.advance(batch.topic, batch.from, batch.to) {
             self.note_known(now, batch.topic);
         }
-        if forward && any_new && batch.records.len() <= MAX_FORWARDED_RECORDS {
+        if forward && any_new {
             self.forward_records(now, batch);
         }
     }
--- a/src/fleet/tests/crowd.rs
+++ b/src/fleet/tests/crowd.rs
@@ -31,6 +31,8 @@
     members: Vec<Member>,
     in_transit: BTreeMap<(Time, u64), (usize, Vec<u8>)>,
     sequence: u64,
+    /// Number of frames that request records.
+    pub fetches: usize,
     rng: fastrand::Rng,
 }
 
@@ -58,6 +60,7 @@
             members: Vec::new(),
             in_transit: BTreeMap::new(),
             sequence: 0,
+            fetches: 0,
             rng: fastrand::Rng::with_seed(7),
         };
         for index in 0..daemons {
@@ -190,6 +193,7 @@
 
     fn send(&mut self, to: &[SocketAddr], frame: &Frame) {
         let bytes = frame.encode();
+        self.fetches += usize::from(matches!(frame, Frame::Fetch(..)));
         for address in to {
             let SocketAddr::V4(address) = address else { continue };
             let [_, _, high, low] = address.ip().octets();
--- a/src/fleet/tests/spread.rs
+++ b/src/fleet/tests/spread.rs
@@ -112,7 +112,6 @@
 fn table_is_in_force_although_the_store_refuses_all_readers() {
     let mut crowd = Crowd::new(48, 100);
     crowd.advance(ms(4_000));
-    let is_reader = |crowd: &Crowd, index| crowd.node(index).is_some_and(Node::is_store_reader);
     let readers: Vec<usize> = (0..48).filter(|index| is_reader(&crowd, *index)).collect();
     for index in &readers {
         crowd.set_access(*index, Access::Refused);
@@ -125,6 +124,37 @@
     assert!(readers.len() < 48 && crowd.calls() - calls < 400, "{} calls", crowd.calls() - calls);
 }
 
+// A scheduler forwarded at most 64 records at once. While 360 servers registered a second, each read returned more: all
+// other daemons fell behind, asked their peers four times a second, and read the store themselves, which then refused
+// to answer the readers of configurations, too.
+#[test]
+fn many_records_at_once_are_forwarded_to_all() {
+    let mut crowd = Crowd::new(24, 40);
+    crowd.advance(ms(4_000));
+    let calls = crowd.store.calls(Dependency::Topic(Topic::Servers));
+    let fetches = crowd.fetches;
+    for round in 0..16 {
+        for server in 0..100 {
+            let id = format!("new-{round}-{server}");
+            let now = crowd.now;
+            crowd.store.append(now, Topic::Servers, &id, "engine 9 ready 1");
+        }
+        crowd.advance(ms(250));
+    }
+    let has_all = |crowd: &Crowd, index| {
+        crowd.node(index).is_some_and(|node| node.end_offset(Topic::Servers) == 1_640)
+    };
+    assert!(crowd.advance_until(MAX_SPREAD_TIME, has_all).is_some(), "records are missing");
+    // Twelve daemons read for all, at most four times a second.
+    let calls = crowd.store.calls(Dependency::Topic(Topic::Servers)) - calls;
+    assert!(calls <= 12 * 4 * 5, "{calls} calls");
+    assert!(crowd.fetches - fetches <= 24, "{} requests for records", crowd.fetches - fetches);
+}
+
+fn is_reader(crowd: &Crowd, index: usize) -> bool {
+    crowd.node(index).is_some_and(Node::is_store_reader)
+}
+
 /// Returns a daemon that knows `count` peers, and the addresses that it heard from.
 fn daemon_with_peers(own: usize, count: usize) -> Daemon {
     let identity = Identity {
