--- a/src/fleet/gossip.rs
+++ b/src/fleet/gossip.rs
@@ -156,6 +156,7 @@
         self.send_digest(now, &silent, digest);
     }
 
+    /// Sends a digest to peers directly.
     pub(super) fn send_digest(&mut self, now: Time, to: &[String], digest: Digest) {
         let addresses = to.iter().filter_map(|id| {
             let peer = self.peers.get_mut(id)?;
--- a/src/fleet/replication/bootstrap.rs
+++ b/src/fleet/replication/bootstrap.rs
@@ -14,6 +14,7 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::fleet::peer::Peer;
 use crate::fleet::{Dependency, Effect, Frame, Node, Topic};
 use crate::prelude::*;
 
@@ -24,15 +25,15 @@
 /// Time for which a daemon waits for peers before it reads the registrations of daemons.
 const PEER_WAIT: Duration = Duration::from_millis(600);
 /// Time for which a daemon that does not read the store for others waits before it reads any other
-/// topic: until then, copies have reached thousands of daemons.
+/// topic. By then, copies have reached thousands of daemons.
 const COPY_WAIT: Duration = Duration::from_secs(6);
-/// Size below which a copy does not count against that.
-const MIN_COPY_BYTES: usize = 16 * 1024;
 /// Time after a start from which copies count although the store has not answered.
 const MAX_CONFIRMATION_TIME: Duration = Duration::from_secs(3);
 /// Bytes of records per second that a daemon sends as copies of whole topics: a few copies of ten
 /// thousand registrations, compressed, on the link of a small VM.
 const COPY_BYTES_PER_S: f64 = 4.0 * 1024.0 * 1024.0;
+/// Size below which records are sent whatever remains of that.
+const MIN_COPY_BYTES: usize = 16 * 1024;
 
 /// State of the requests for first copies.
 #[derive(Debug, Default)]
@@ -85,7 +86,7 @@
     /// Chooses a random peer to ask for a copy of a topic: one that has it, preferably in this
     /// availability zone; else any.
     fn copy_source(&mut self, now: Time, topic: Topic) -> Option<String> {
-        let rank = |peer: &crate::fleet::peer::Peer| {
+        let rank = |peer: &Peer| {
             let has_copy = peer.is_fresh(now) && peer.end_offset(topic) > 0;
             let is_near = peer.zone.as_deref() == Some(self.identity.zone.as_str());
             (has_copy, has_copy && is_near)
--- a/src/fleet/replication/exchange.rs
+++ b/src/fleet/replication/exchange.rs
@@ -65,7 +65,7 @@
         }
         let scheduler = scheduler.and_then(|id| self.peer_address(&id));
         if batch.records.len() > MAX_RECORDS_TO_FEW {
-            // They get them from the scheduler, or ask for them.
+            // Other peers get them from the scheduler.
             let frame = Frame::Records(batch);
             return self.effects.extend(scheduler.map(|to| Effect::Send(vec![to], frame)));
         }
@@ -90,6 +90,7 @@
         }
     }
 
+    /// Requests the records that a peer has and the store has not delivered in time.
     pub(in crate::fleet) fn request_missing_records(&mut self, now: Time) {
         for topic in Topic::ALL {
             if self.awaits_first_copy(now, topic) {
