--- a/src/fleet/place.rs
+++ b/src/fleet/place.rs
@@ -100,8 +100,8 @@
 }
 
 impl Node {
-    /// Chooses a server for a request; `None` while none has room. Servers outside of its cell are
-    /// considered if those of its cell have no room, or if it has waited for one in vain.
+    /// Chooses a server for a request; `None` while none has room. Two other cells are
+    /// considered if its own has no room, or if the request has waited long for a home.
     pub(super) fn place(&self, now: Time, key: Key) -> Option<Choice> {
         let request = self.requests.get(&key)?;
         let pool = self.pools.get(&request.pool)?;
--- a/src/fleet/replication/multicast.rs
+++ b/src/fleet/replication/multicast.rs
@@ -3,8 +3,9 @@
 //!
 //! The sender divides the receivers into groups of the same availability zone where possible. The
 //! first of each group receives the frame with the addresses of the rest and passes it on in the
-//! same way. Each daemon thus receives one copy. A copy that is lost with a daemon in between is
-//! made up for by what digests tell: records are requested, and digests are repeated.
+//! same way. Each daemon thus receives one copy. If a daemon
+//! in between has ended, its group misses the frame. Digests are repeated, and a daemon that learns
+//! from a digest that it lacks records requests them.
 
 use std::net::SocketAddr;
 
--- a/src/fleet/replication/pace.rs
+++ b/src/fleet/replication/pace.rs
@@ -3,7 +3,8 @@
 //! Each read is charged, and the rate limits of the store apply to all daemons together. The
 //! schedulers and some daemons ranked after them read for all, so that a partition of a few daemons
 //! does not leave the others without updates. The rest read only while they know of no recent read;
-//! each daemon tells its peers of the last read that it knows of. The scheduler of a topic forwards what any daemon reads to all; a daemon that missed
+//! each daemon tells its peers of the last read that it knows of.
+//! The scheduler of a topic forwards what any daemon reads to all; a daemon that missed
 //! an update asks for it.
 
 use xxhash_rust::xxh3::xxh3_64;
@@ -48,8 +49,7 @@
 /// The same for other daemons: during an outage of the store every daemon reads, and the first
 /// reader that gets an answer informs the others.
 const RETRY_DELAY: Duration = Duration::from_millis(1_200);
-/// Age of the last read that a daemon knows of, its own or a peer's, from which it reads by itself:
-/// a configuration must be in force within 2 s, even if every scheduler is partitioned from the
+/// Age of the last known read, by any daemon, from which a daemon reads by itself: a configuration must be in force within 2 s, even if every scheduler is partitioned from the
 /// store.
 const MAX_READ_AGE: Duration = Duration::from_millis(1_300);
 /// Mean time between two reads by any daemon while no reader gets an answer, whatever the number of
