Messages with which a daemon hands a request to a peer, not used yet

A daemon that reaches no server has no message by which a peer could serve its callers. Command, outcome, address of the taking peer in digests and settings, and two codes; the node neither sends nor handles them yet.

--- a/benches/fleet.rs
+++ b/benches/fleet.rs
@@ -98,6 +98,7 @@
         incarnation: 1,
         zone: "zone-0".into(),
         address: address(1 << 20),
+        handover_address: address(1 << 20),
         cores: if is_scheduler { 2.0 } else { 0.1 },
     };
     let mut node = Node::new(identity, policy(), decode, &[]);
@@ -156,6 +157,7 @@
             parts: vec![part(number % 4, 2_500), part(number % 1_500, 3_800), part(!number, 2_700)],
         }),
         fingerprint: Fingerprint(number),
+        is_handed_over: false,
     }
 }
 
--- a/src/error.rs
+++ b/src/error.rs
@@ -115,6 +115,8 @@
     RetriesExhausted = 2009, "retries-exhausted", 503, NotRun, 2, 0, "No backend server could be reached to send the request to; come back after the time given.";
     RequestBlocked = 2010, "request-blocked", 503, NotRun, 86_400, 0, "Backend servers have ended whenever they ran this request, so it is not sent to another; change it, or come back after the time given.";
     OverQuota = 2011, "over-quota", 429, NotRun, 1, 0, "Your workspace has used its quota; come back after the time given.";
+    ServersUnreachable = 2012, "servers-unreachable", 503, NotRun, 1, 0, "This router reaches no backend server, and no other router took the request over; come back after the time given.";
+    HandoverRefused = 2013, "handover-refused", 503, NotRun, 1, 0, "This router takes no request over from another now; try a third.";
 
     OutcomeUnknown = 3001, "outcome-unknown", 502, Unknown, 0, 0, "The backend server may have run the request, but no whole answer arrived; check before you repeat it.";
     KeyInProgress = 3002, "idempotency-key-in-progress", 409, Unknown, 1, 0, "A request with this Idempotency-Key is in progress; ask again with the same key for its outcome.";
--- a/src/fleet/frame/mod.rs
+++ b/src/fleet/frame/mod.rs
@@ -44,6 +44,10 @@
     pub daemon: String,
     /// The address on which it listens for peers.
     pub address: String,
+    /// The address on which it takes requests over from peers; empty if it takes none over.
+    pub handover_address: String,
+    /// Whether it reaches no backend server.
+    pub is_isolated: bool,
     /// The cores of its VM; 0 if unknown.
     pub cores: f32,
     /// Its availability zone.
@@ -420,6 +424,8 @@
         Self {
             daemon: digest.daemon,
             address: digest.address,
+            handover_address: digest.handover_address,
+            is_isolated: digest.is_isolated,
             cores: digest.cores,
             zone: digest.zone,
             interval_ms: millis(digest.interval),
@@ -469,6 +475,8 @@
         Ok(Self {
             daemon: digest.daemon,
             address: digest.address,
+            handover_address: digest.handover_address,
+            is_isolated: digest.is_isolated,
             cores: digest.cores,
             zone: digest.zone,
             interval: Duration::from_millis(u64::from(digest.interval_ms)),
--- a/src/fleet/frame/wire.rs
+++ b/src/fleet/frame/wire.rs
@@ -85,6 +85,10 @@
     pub(super) quota_units: Vec<u64>,
     #[prost(string, tag = "23")]
     pub(super) zone: String,
+    #[prost(string, tag = "24")]
+    pub(super) handover_address: String,
+    #[prost(bool, tag = "25")]
+    pub(super) is_isolated: bool,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
--- a/src/fleet/gossip.rs
+++ b/src/fleet/gossip.rs
@@ -217,6 +217,8 @@
         Digest {
             daemon: self.identity.id.clone(),
             address: self.identity.address.to_string(),
+            handover_address: self.identity.handover_address.to_string(),
+            is_isolated: false,
             cores: self.identity.cores,
             zone: self.identity.zone.clone(),
             interval: DIGEST_INTERVAL,
--- a/src/fleet/message.rs
+++ b/src/fleet/message.rs
@@ -28,6 +28,8 @@
     pub prompt: Option<Prompt>,
     /// The hash of its content and caller; equal when the caller repeats the request.
     pub fingerprint: Fingerprint,
+    /// Whether a peer that reaches no server handed the request over. It is not handed over again.
+    pub is_handed_over: bool,
 }
 
 /// The reason a server gave for not running a request.
@@ -72,6 +74,8 @@
 pub enum Command {
     /// Send the request.
     Dispatch(Dispatch),
+    /// Have a peer serve the request.
+    HandOver(Handover),
     /// Refuse the request, which has not run, with this code and retry-after time.
     Refuse(Code, Duration),
     /// End the request with the outcome of its last attempt.
@@ -101,6 +105,28 @@
     pub max_idle: usize,
 }
 
+/// A peer that is to serve a request in place of this daemon, which reaches no server.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Handover {
+    /// The number of the request's attempt, from 1; attempts at servers count, too.
+    pub attempt: u32,
+    /// The peer's id.
+    pub daemon: String,
+    /// The address on which it takes requests over.
+    pub address: SocketAddr,
+}
+
+/// The outcome of a handover.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum HandoverEnd {
+    /// The caller has the peer's answer.
+    Answered,
+    /// The peer did not take the request over, or could not be reached; the request did not run.
+    NotTaken,
+    /// No complete answer came; the request may have run.
+    Lost,
+}
+
 /// What a daemon registers of itself.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Registration {
@@ -238,6 +264,15 @@
         /// The state change.
         report: Report,
     },
+    /// A handover of a request ended.
+    HandoverEnded {
+        /// The request.
+        request: Key,
+        /// The attempt's number.
+        attempt: u32,
+        /// The outcome.
+        end: HandoverEnd,
+    },
     /// The caller disconnected, or the request reached its time limit.
     Cancel(Key),
     /// A topic was read.
--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -40,6 +40,8 @@
     pub zone: String,
     /// Address on which it listens for peers.
     pub address: SocketAddr,
+    /// Address on which it takes requests over from peers.
+    pub handover_address: SocketAddr,
     /// Cores of its VM.
     pub cores: f32,
 }
@@ -222,6 +224,7 @@
             Message::Report { request, attempt, report } => {
                 self.handle_report(now, request, attempt, report);
             }
+            Message::HandoverEnded { .. } => {}
             Message::Cancel(request) => self.remove_request(now, request),
             Message::Read(read) => self.handle_read(now, read),
             Message::ReadFailed(tracked, reason) => self.mark_unreadable(now, tracked, &reason),
--- a/src/fleet/scheduling/serving.rs
+++ b/src/fleet/scheduling/serving.rs
@@ -112,6 +112,8 @@
             Command::GiveUp => self.send_verdict(&origin, Decision::GiveUp),
             // `assign` sends these, with the details that the daemon needs to continue on its own.
             Command::Dispatch(_) => {}
+            // Only the daemon that received a request hands it over.
+            Command::HandOver(_) => {}
         }
     }
 
@@ -210,6 +212,7 @@
         deadline: now + submission.time_left,
         prompt: submission.prompt,
         fingerprint: submission.fingerprint,
+        is_handed_over: false,
     };
     (submission.pool, arrival)
 }
--- a/src/fleet/tests/beside.rs
+++ b/src/fleet/tests/beside.rs
@@ -221,6 +221,7 @@
                         + if request.call.is_culprit { self.crash_delay } else { run_time };
                 }
             }
+            Command::HandOver(peer) => panic!("a daemon reaches no server: {peer:?}"),
             Command::Refuse(Code::RequestBlocked, _) => {
                 let Some(request) = self.open_requests.remove(&(daemon, key)) else { return };
                 match request.call.is_culprit {
--- a/src/fleet/tests/crowd.rs
+++ b/src/fleet/tests/crowd.rs
@@ -85,6 +85,7 @@
             incarnation: self.rng.u64(..),
             zone: format!("zone-{}", index % 5),
             address: daemon_address(index),
+            handover_address: daemon_address(index),
             cores: 1.0,
         };
         let node = Node::new(identity, POLICY, decode, &seeds);
--- a/src/fleet/tests/frames.rs
+++ b/src/fleet/tests/frames.rs
@@ -18,6 +18,8 @@
         address: "10.0.0.1:7000".into(),
         cores: 0.5,
         zone: "zone-1".into(),
+        handover_address: "10.0.0.2:701".into(),
+        is_isolated: true,
         interval: Duration::from_millis(250),
         read_ages: vec![Some(Duration::ZERO), None, Some(Duration::from_millis(90))],
         incarnation: u64::MAX,
--- a/src/fleet/tests/naming.rs
+++ b/src/fleet/tests/naming.rs
@@ -38,7 +38,7 @@
     daemon.node.apply(now, Message::Cancel(request));
     let dispatched = commands(&effects).into_iter().filter_map(|command| match command {
         Command::Dispatch(dispatch) => Some(dispatch.weights_version),
-        Command::Refuse(..) | Command::GiveUp => None,
+        Command::HandOver(_) | Command::Refuse(..) | Command::GiveUp => None,
     });
     dispatched.collect()
 }
--- a/src/fleet/tests/peers.rs
+++ b/src/fleet/tests/peers.rs
@@ -74,6 +74,7 @@
         incarnation: 2,
         zone: "zone-1".into(),
         address: address(2),
+        handover_address: address(2),
         cores: 1.0,
     };
     two.node = Node::new(identity, POLICY, decode, &[address(1), address(2)]);
--- a/src/fleet/tests/quotas.rs
+++ b/src/fleet/tests/quotas.rs
@@ -237,6 +237,7 @@
                 self.demands[index].runs.push(now);
                 self.site.report(daemon, key, dispatch.attempt, Report::Begun(Some(1)));
             }
+            Command::HandOver(peer) => panic!("a daemon reaches no server: {peer:?}"),
             Command::Refuse(..) | Command::GiveUp => {
                 self.demands[index].refused += 1;
                 self.open_requests.remove(&(daemon, key));
--- a/src/fleet/tests/review.rs
+++ b/src/fleet/tests/review.rs
@@ -18,7 +18,7 @@
         daemon.arrive(now, &route("engines", Repeat::AtMostOnce, 1), Some(prompt(7, 3)));
     let sent = commands(&effects).into_iter().find_map(|command| match command {
         Command::Dispatch(dispatch) => dispatch.weights_version,
-        Command::Refuse(..) | Command::GiveUp => None,
+        Command::HandOver(_) | Command::Refuse(..) | Command::GiveUp => None,
     });
     (request, sent)
 }
@@ -76,7 +76,7 @@
     }
     let sent = site.sent_commands.iter().flatten().filter_map(|(_, command)| match command {
         Command::Dispatch(dispatch) => dispatch.weights_version,
-        Command::Refuse(..) | Command::GiveUp => None,
+        Command::HandOver(_) | Command::Refuse(..) | Command::GiveUp => None,
     });
     let sent: Vec<u64> = sent.collect();
     assert!(
--- a/src/fleet/tests/spread.rs
+++ b/src/fleet/tests/spread.rs
@@ -162,6 +162,7 @@
         incarnation: own as u64,
         zone: "zone-0".into(),
         address: daemon_address(own),
+        handover_address: daemon_address(own),
         cores: 1.0,
     };
     let mut daemon = Daemon::with_node(Node::new(identity, POLICY, decode, &[]));
--- a/src/fleet/tests/world.rs
+++ b/src/fleet/tests/world.rs
@@ -17,6 +17,11 @@
     SocketAddr::from(([10, 0, 0, last], 80))
 }
 
+/// The address on which a daemon takes requests over.
+pub fn handover_address(last: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, last], 81))
+}
+
 pub const POLICY: Policy = Policy {
     retry_ratio: 0.2,
     retry_window: Duration::from_secs(10),
@@ -168,6 +173,7 @@
             incarnation,
             zone: "zone-1".into(),
             address: address(last),
+            handover_address: handover_address(last),
             cores: 1.0,
         };
         Self::with_node(Node::new(identity, POLICY, decode, seeds))
@@ -243,6 +249,7 @@
             deadline: now + route.timeout,
             prompt,
             fingerprint: self.fingerprint,
+            is_handed_over: false,
         };
         (request, self.node.apply(now, Message::Arrive(Box::new(arrival))))
     }
--- a/src/relay/delivery.rs
+++ b/src/relay/delivery.rs
@@ -107,6 +107,7 @@
             deadline: self.deadline,
             prompt: self.metadata.prompt.clone(),
             fingerprint: self.fingerprint(),
+            is_handed_over: false,
         });
         let mut events = Events::after(self.metadata.last_event_id);
         let mut failure = None;
@@ -125,6 +126,7 @@
             };
             let dispatch = match command {
                 Command::Dispatch(dispatch) => dispatch,
+                Command::HandOver(_) => continue,
                 Command::Refuse(code, after) => return Outcome::Code(code, Some(after)),
                 Command::GiveUp => return self.failed_outcome(failure),
             };
