Header fields of a request for a peer that takes it over

A peer must read the same request as this daemon: all end-to-end fields as the caller sent them, the API key included. The peer drops what is reserved, as from any caller. Only the time that the caller waits is replaced by what is left of it; a caller that gave none must not get one, since the server would then get it too.

--- a/src/relay/dialect.rs
+++ b/src/relay/dialect.rs
@@ -49,6 +49,10 @@
         last_event_id: Option<u64>,
     ) -> Fields;
 
+    /// Returns the fields for a peer that takes the request over: the caller's, with `remaining` in place of the time
+    /// that the caller waits, if it gave one.
+    fn handover_fields(&self, request: &Request, remaining: Option<Duration>) -> Fields;
+
     /// Classifies an answer by its head.
     fn classify(&self, metadata: &Metadata, response: &Response) -> Classification;
 
--- a/src/relay/tests/delivery.rs
+++ b/src/relay/tests/delivery.rs
@@ -46,6 +46,10 @@
         fields
     }
 
+    fn handover_fields(&self, _: &Request, _: Option<Duration>) -> Fields {
+        Fields::default()
+    }
+
     fn classify(&self, _: &Metadata, _: &Response) -> Classification {
         Classification::Answer(None)
     }
