Listener on which a daemon takes requests over from peers

What callers saw: a daemon that reaches no backend server tried one after the other until its callers left. It has peers that reach the servers, and no way to have these serve a request.

Change: a listener of its own (handover_listen), whose connections run through the same reading, limits, answering and detection of leaving callers as callers' do. It alone marks requests as handed over (Arrival.is_handed_over); no field does, which a caller could send. Their requests' 410 lines carry origin=peer; other lines are as they were.

Ruled out: the callers' port with a field (callers could set it), frames between daemons (they have neither streams nor backpressure).

--- a/src/relay/caller.rs
+++ b/src/relay/caller.rs
@@ -9,6 +9,7 @@
 
 use super::answer::{encode_answer, encode_error};
 use super::delivery::{Delivery, Outcome, Progress};
+use super::takeover::Origin;
 use super::{Conn, Cut, Dialect, Fields, Metadata, Pool, Request};
 use crate::fleet::Control;
 use crate::prelude::*;
@@ -21,7 +22,7 @@
 /// Retry-after time for a caller while this daemon has no manifest.
 const NO_MANIFEST_RETRY_AFTER: Duration = Duration::from_millis(500);
 
-/// State that all caller connections share.
+/// State that all connections of callers and peers share.
 pub struct Frontend {
     pub(super) dialect: Arc<dyn Dialect>,
     pub(super) control: Control,
@@ -31,6 +32,8 @@
     shutdown: Receiver<()>,
     /// Number of requests of which a byte was read and that have no complete answer yet.
     unanswered: AtomicUsize,
+    /// Number of open connections of peers.
+    pub(super) peer_connections: AtomicUsize,
 }
 
 impl Frontend {
@@ -42,8 +45,8 @@
         metrics: Arc<Metrics>,
         shutdown: Receiver<()>,
     ) -> Self {
-        let unanswered = AtomicUsize::new(0);
-        Self { dialect, control, pool, metrics, shutdown, unanswered }
+        let (unanswered, peer_connections) = (AtomicUsize::new(0), AtomicUsize::new(0));
+        Self { dialect, control, pool, metrics, shutdown, unanswered, peer_connections }
     }
 
     /// Returns the number of requests of which a byte was read and whose answer was not sent. Only
@@ -58,17 +61,17 @@
     }
 }
 
-/// Counts a request as unanswered until dropped.
-struct Unanswered<'a>(&'a AtomicUsize);
+/// One more in a count, until dropped.
+pub(super) struct Counted<'a>(&'a AtomicUsize);
 
-impl<'a> Unanswered<'a> {
-    fn new(frontend: &'a Frontend) -> Self {
-        frontend.unanswered.fetch_add(1, Ordering::AcqRel);
-        Self(&frontend.unanswered)
+impl<'a> Counted<'a> {
+    pub(super) fn new(count: &'a AtomicUsize) -> Self {
+        count.fetch_add(1, Ordering::AcqRel);
+        Self(count)
     }
 }
 
-impl Drop for Unanswered<'_> {
+impl Drop for Counted<'_> {
     fn drop(&mut self) {
         self.0.fetch_sub(1, Ordering::AcqRel);
     }
@@ -76,14 +79,18 @@
 
 /// Serves one caller's connection until it closes.
 pub async fn serve(frontend: Arc<Frontend>, stream: Async<TcpStream>) {
-    let mut conn = Conn::new(stream);
+    serve_requests(&frontend, &mut Conn::new(stream), Origin::Caller).await;
+}
+
+/// Serves the requests on a connection, one after another.
+pub(super) async fn serve_requests(frontend: &Frontend, conn: &mut Conn, origin: Origin) {
     loop {
-        let limits = frontend.limits();
-        if !wait_for_request(&frontend, &mut conn, limits).await {
+        let limits = origin.adapt(frontend.limits());
+        if !wait_for_request(frontend, conn, limits).await {
             return;
         }
-        let _unanswered = Unanswered::new(&frontend);
-        let (request, body) = match read_request(&mut conn, limits).await {
+        let _unanswered = Counted::new(&frontend.unanswered);
+        let (request, body) = match read_request(conn, limits).await {
             Ok(read) => read,
             Err(code) => {
                 if let Some(code) = code {
@@ -94,7 +101,7 @@
             }
         };
         let keep_alive = request.keep_alive;
-        let reusable = forward_request(&frontend, &mut conn, &request, &body).await;
+        let reusable = forward_request(frontend, conn, &request, &body, origin).await;
         if !reusable || !keep_alive {
             return;
         }
@@ -156,6 +163,7 @@
     conn: &mut Conn,
     request: &Request,
     body: &[u8],
+    origin: Origin,
 ) -> bool {
     let metadata = match frontend.dialect.metadata(request) {
         Ok(metadata) => metadata,
@@ -166,7 +174,7 @@
             return false;
         }
     };
-    let mut summary = Summary::new(frontend, &metadata);
+    let mut summary = Summary::new(frontend, &metadata, origin);
     let error_fields = frontend.dialect.error_fields(&metadata);
     let found = match frontend.control.table() {
         Some(table) => {
@@ -205,6 +213,7 @@
         body,
         workspace,
         key: frontend.control.next_request_key(),
+        origin,
         deadline: summary.started + metadata.timeout.unwrap_or(limit),
         metadata,
         progress: Progress::default(),
@@ -245,6 +254,7 @@
 struct Summary<'a> {
     frontend: &'a Frontend,
     id: String,
+    origin: Origin,
     started: Time,
     /// The routing table's version; 0 if there is none.
     table_version: u64,
@@ -255,11 +265,12 @@
 }
 
 impl<'a> Summary<'a> {
-    fn new(frontend: &'a Frontend, metadata: &Metadata) -> Self {
+    fn new(frontend: &'a Frontend, metadata: &Metadata, origin: Origin) -> Self {
         let (route, workspace) = (String::new(), String::new());
         let started = frontend.control.clock.now();
         let id = metadata.id.clone();
-        Self { frontend, id, started, table_version: 0, route, workspace, limit: Duration::ZERO }
+        let limit = Duration::ZERO;
+        Self { frontend, id, origin, started, table_version: 0, route, workspace, limit }
     }
 
     fn record(&self, outcome: &Outcome) {
@@ -276,6 +287,7 @@
             .and("route", self.route.as_str())
             .and("workspace", self.workspace.as_str())
             .and("outcome", name)
+            .and_some("origin", (self.origin == Origin::Peer).then_some("peer"))
             .and_some("code", code.map(|code| u32::from(code.row().number)))
             .and_some("execution", code.map(|code| code.row().execution.as_str()))
             .and_some("retry_after_ms", retry_after)
--- a/src/relay/delivery.rs
+++ b/src/relay/delivery.rs
@@ -10,6 +10,7 @@
 
 use super::answer::{encode_answer, encode_stream_head, push_chunk};
 use super::exchange::{self, Answer, Failure};
+use super::takeover::Origin;
 use super::{Classification, Cut, Events, Frontend, Metadata, Request, Response, head};
 use crate::fleet::{Arrival, Command, Dispatch, Key, Loss, Message, Refusal, Report};
 use crate::poison::Fingerprint;
@@ -75,6 +76,7 @@
     pub(super) route: Arc<Route>,
     pub(super) workspace: Option<Arc<Workspace>>,
     pub(super) key: Key,
+    pub(super) origin: Origin,
     /// The time at which the caller stops waiting.
     pub(super) deadline: Time,
     pub(super) progress: Progress,
@@ -107,7 +109,7 @@
             deadline: self.deadline,
             prompt: self.metadata.prompt.clone(),
             fingerprint: self.fingerprint(),
-            is_handed_over: false,
+            is_handed_over: self.origin == Origin::Peer,
         });
         let mut events = Events::after(self.metadata.last_event_id);
         let mut failure = None;
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -15,6 +15,7 @@
 mod exchange;
 mod head;
 mod pool;
+mod takeover;
 #[cfg(test)]
 mod tests;
 
@@ -27,3 +28,4 @@
 pub use exchange::{Answer, Call, Failure, fetch, probe};
 pub use head::{Fields, Malformed, Request, Response};
 pub use pool::Pool;
+pub use takeover::serve_peer;
