Hand a request over to a peer and pass its answer on

Change: Command::HandOver sends the request once to a peer's handover_listen and ends in HandoverEnded. - The body, chunked even if empty, follows once the peer asks for it (100-continue). Until then the request can't run, so a peer that is not there, frozen, cut off, stopping, full, or that resets or closes the connection is NotTaken, and no kept connection that crosses its close loses a request. After that, all but a complete answer is Lost. 150 ms to connect and 400 ms to be asked, from the start: many times a round trip within a region. - A server's answer is told from the peer's own by its signature. It is passed on unchanged, a failure too, a stream in whole events as they arrive, and framed as whole only if the peer's framing ended; an answer that ends with its connection is none of a peer's. - Own answers of a peer that reaches servers are final: 2002 to 2005, 2010, 2011, 3001, 3007. NotTaken are, if the peer says that the request did not run: 2012 and 2013, 2009 (it reached no server either), 2001, 2006, and 400, 401, 404, 408, 413, 431, since this daemon found the request proper and a peer's older or newer configuration must not deny it. - A caller that leaves, or the time limit of the first daemon, closes the hop, and the peer ends the run. A slow reader is nobody's failure. A request that a peer handed over is never handed on. - progress.sent is set with the body, and as before after NotTaken, so a time limit says not-run or unknown as it is. - 410 lines show outcome=handed-over; at most 16 idle connections for each peer.

Ruled out: the whole request at once, with a confirmation by the peer (102) before it handles it: a reset, silence or a frozen peer then leaves open whether it runs, and costs the request.

Evidence: src/relay/tests/handover.rs, two frontends and stand-ins for peers, among them streams cut at each byte; the tests play the control threads. No run of a fleet hands over yet: the node does not send the command.

--- a/src/relay/caller.rs
+++ b/src/relay/caller.rs
@@ -237,7 +237,7 @@
     drop(delivery);
     summary.record(&outcome);
     match outcome {
-        Outcome::Answered => !frontend.control.is_draining(),
+        Outcome::Answered | Outcome::HandedOver(_) => !frontend.control.is_draining(),
         Outcome::Truncated | Outcome::Disconnected => false,
         Outcome::Code(code, retry_after) => {
             answer_error(frontend, conn, code, retry_after, error_fields).await
@@ -276,6 +276,7 @@
     fn record(&self, outcome: &Outcome) {
         let (name, code, retry_after) = match outcome {
             Outcome::Answered => ("answered", None, None),
+            Outcome::HandedOver(code) => ("handed-over", *code, None),
             Outcome::Truncated => ("cut", None, None),
             Outcome::Disconnected => ("caller-left", None, None),
             Outcome::ServerFailure(_) => ("server-failure", None, None),
--- a/src/relay/conn.rs
+++ b/src/relay/conn.rs
@@ -146,15 +146,21 @@
     /// Reads the head of the final answer and skips informational (1xx) ones.
     pub async fn read_response(&mut self, answers_head: bool) -> Result<Response, Cut> {
         loop {
-            match Response::parse(&self.read_ahead, answers_head)? {
-                Some((response, length)) => {
-                    self.read_ahead.drain(..length);
-                    if response.status >= 200 {
-                        return Ok(response);
-                    }
-                }
-                None => self.read_more_head(MAX_ANSWER_HEAD_BYTES).await?,
+            let response = self.read_any_response(answers_head).await?;
+            if response.status >= 200 {
+                return Ok(response);
+            }
+        }
+    }
+
+    /// Reads the head of the next answer, informational or final.
+    pub(super) async fn read_any_response(&mut self, answers_head: bool) -> Result<Response, Cut> {
+        loop {
+            if let Some((response, length)) = Response::parse(&self.read_ahead, answers_head)? {
+                self.read_ahead.drain(..length);
+                return Ok(response);
             }
+            self.read_more_head(MAX_ANSWER_HEAD_BYTES).await?;
         }
     }
 
--- a/src/relay/delivery.rs
+++ b/src/relay/delivery.rs
@@ -18,13 +18,13 @@
 use crate::route::{Route, Workspace};
 
 /// Maximum size of an answer that is buffered completely before it is forwarded.
-const MAX_ANSWER_BYTES: usize = 8 << 20;
+pub(super) const MAX_ANSWER_BYTES: usize = 8 << 20;
 /// Retry-after time for a request that the control thread, having stopped, did not accept.
 const CONTROL_STOPPED_RETRY_AFTER: Duration = Duration::from_millis(500);
 
 /// Time for which a write to a caller blocks if the caller reads slowly. A server closes an answer
 /// that stays unread for some seconds.
-const SLOW_READER_DELAY: Duration = Duration::from_secs(1);
+pub(super) const SLOW_READER_DELAY: Duration = Duration::from_secs(1);
 
 /// Outcome of a request.
 pub(super) enum Outcome {
@@ -36,6 +36,8 @@
     Disconnected,
     /// The request ends with this code and retry-after time.
     Code(Code, Option<Duration>),
+    /// A complete answer of a peer was passed on, with this code if it was the peer's own; the connection can be reused.
+    HandedOver(Option<Code>),
     /// The backend server's own error answer is forwarded.
     ServerFailure(Box<(Response, Vec<u8>)>),
 }
@@ -44,9 +46,9 @@
 #[derive(Debug, Default)]
 pub(super) struct Progress {
     /// Whether a byte may have reached a server that has not refused the request.
-    sent: AtomicBool,
+    pub(super) sent: AtomicBool,
     /// Whether writing the answer to the caller has started.
-    answer_started: AtomicBool,
+    pub(super) answer_started: AtomicBool,
     /// Whether the current attempt has started to write to the caller.
     attempt_writing: AtomicBool,
     /// The time at which the first byte of the answer was written.
@@ -55,7 +57,7 @@
 
 impl Progress {
     /// Records that the current attempt is about to write to the caller.
-    fn record_write(&self, now: Time) {
+    pub(super) fn record_write(&self, now: Time) {
         self.first_byte.get_or_init(|| now);
         self.answer_started.store(true, Ordering::Release);
         self.attempt_writing.store(true, Ordering::Release);
@@ -126,13 +128,22 @@
                     false => Outcome::Code(Code::NoServer, Some(CONTROL_STOPPED_RETRY_AFTER)),
                 };
             };
+            self.progress.attempt_writing.store(false, Ordering::Release);
             let dispatch = match command {
                 Command::Dispatch(dispatch) => dispatch,
-                Command::HandOver(_) => continue,
+                Command::HandOver(peer) => {
+                    let superseded = async {
+                        self.superseded(&commands, &mut next).await;
+                        None
+                    };
+                    match self.hand_over(writer, &peer).or(superseded).await {
+                        Some(outcome) => return outcome,
+                        None => continue,
+                    }
+                }
                 Command::Refuse(code, after) => return Outcome::Code(code, Some(after)),
                 Command::GiveUp => return self.failed_outcome(failure),
             };
-            self.progress.attempt_writing.store(false, Ordering::Release);
             let superseded = self.superseded(&commands, &mut next);
             let attempt = self.attempt(writer, &dispatch, &mut events).or(superseded).await;
             let report = match attempt {
@@ -191,19 +202,21 @@
         self.frontend.control.tell(Message::Report { request, attempt, report });
     }
 
+    /// Returns the time that the caller still waits, if it gave one.
+    pub(super) fn remaining(&self) -> Option<Duration> {
+        let now = self.frontend.control.clock.now();
+        self.metadata.timeout.map(|_| self.deadline.saturating_sub(now))
+    }
+
     /// Encodes the complete message for a backend server.
     fn encode_request(&self, dispatch: &Dispatch, events: &Events) -> Vec<u8> {
-        let remaining = self
-            .metadata
-            .timeout
-            .map(|_| self.deadline.saturating_sub(self.frontend.control.clock.now()));
         let workspace = self.workspace.as_deref();
         let fields = self.frontend.dialect.forwarded_fields(
             self.request,
             &self.metadata,
             workspace,
             dispatch,
-            remaining,
+            self.remaining(),
             events.last_id(),
         );
         let length = self.body.len().to_string();
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -20,7 +20,7 @@
 /// An exchange that failed.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Failure {
-    /// No byte was sent, so the request did not run.
+    /// The request was not sent, or not to its end, so it did not run.
     Unsent(String),
     /// Bytes were sent, but no complete answer arrived. The request may have run.
     Lost(Cut),
@@ -84,7 +84,7 @@
     Ok(Answer { response, decoder, address, conn })
 }
 
-async fn write(conn: &Conn, request: &[u8]) -> Result<(), Failure> {
+pub(super) async fn write(conn: &Conn, request: &[u8]) -> Result<(), Failure> {
     let stream = conn.writer();
     let mut sent = 0;
     while sent < request.len() {
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -13,6 +13,7 @@
 mod drain;
 mod events;
 mod exchange;
+mod handover;
 mod head;
 mod pool;
 mod takeover;
--- a/src/relay/tests.rs
+++ b/src/relay/tests.rs
@@ -1,6 +1,9 @@
 //! Tests of heads, bodies and events, complete and split at any byte.
 
 mod delivery;
+mod fixture;
+mod handover;
+mod takeover;
 
 use super::*;
 
--- a/src/relay/tests/delivery.rs
+++ b/src/relay/tests/delivery.rs
@@ -59,7 +59,7 @@
     }
 }
 
-fn table(streams: bool) -> Arc<Table> {
+pub(super) fn table(streams: bool) -> Arc<Table> {
     let route = Route {
         name: "only".into(),
         host: "a.example".into(),
@@ -111,7 +111,7 @@
     })
 }
 
-fn dispatch(attempt: u32, address: SocketAddr) -> Command {
+pub(super) fn dispatch(attempt: u32, address: SocketAddr) -> Command {
     Command::Dispatch(Dispatch {
         attempt,
         server: format!("s-{attempt}"),
@@ -259,15 +259,16 @@
     }
 }
 
-/// Starts a server that streams events until nobody reads them, reports that, and closes the connection when told to.
-fn serve_until_unread() -> (SocketAddr, Receiver<()>, Sender<()>) {
+/// Starts a server that streams events after `start` until nobody reads them, reports that, and closes the connection
+/// when told to.
+pub(super) fn serve_until_unread(start: &'static str) -> (SocketAddr, Receiver<()>, Sender<()>) {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port is available");
     let address = listener.local_addr().expect("the listener is bound");
     let (unread, is_unread) = async_channel::bounded(1);
     let (close, closing) = async_channel::bounded::<()>(1);
     thread::spawn(move || {
         let (mut stream, _) = listener.accept().expect("the daemon connects");
-        let head = "HTTP/1.1 200 OK\r\nContent-Length: 1000000000\r\n\r\n";
+        let head = format!("{start}HTTP/1.1 200 OK\r\nContent-Length: 1000000000\r\n\r\n");
         stream.write_all(head.as_bytes()).expect("the daemon reads the head");
         stream.set_nonblocking(true).expect("the stream can be polled");
         let piece = "a".repeat(60_000);
@@ -293,7 +294,7 @@
 #[test]
 fn relay_stream_closed_because_its_caller_reads_slowly_is_no_failure_of_the_server() {
     let mut fixture = Fixture::start(true);
-    let (server, is_unread, close) = serve_until_unread();
+    let (server, is_unread, close) = serve_until_unread("");
     let (_, commands) = fixture.receive_arrival();
     commands.try_send(dispatch(1, server)).expect("the delivery awaits a command");
     assert_eq!(fixture.receive_report(), (1, Report::Begun(None)));
