Log how an answer was framed and where it ended

416 when an answer ends before it is complete, 417 when a stream with neither length nor chunks ends with its connection: the framing, the last whole event and the bytes of an event after it. An answer with a length or chunks that ends whole has no new line. Until now a stream that ended inside an event could not be told from a whole one.

--- a/src/relay/body.rs
+++ b/src/relay/body.rs
@@ -17,6 +17,15 @@
 }
 
 impl Framing {
+    /// Returns the name of the framing, for log lines.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Length(_) => "length",
+            Self::Chunked => "chunked",
+            Self::UntilClose => "until-close",
+        }
+    }
+
     /// Returns the framing of a request with these fields.
     pub fn of_request(fields: &Fields) -> Result<Self, Malformed> {
         Ok(declared_framing(fields)?.unwrap_or(Self::Length(0)))
--- a/src/relay/conn.rs
+++ b/src/relay/conn.rs
@@ -1,5 +1,6 @@
 //! A TCP connection with a read-ahead buffer.
 
+use std::fmt;
 use std::io;
 use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
@@ -38,6 +39,16 @@
     TooLarge,
 }
 
+impl fmt::Display for Cut {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Closed => f.write_str("the connection ended before a message"),
+            Self::Broken(reason) | Self::Malformed(reason) => f.write_str(reason),
+            Self::TooLarge => f.write_str("the message is too large"),
+        }
+    }
+}
+
 impl From<Malformed> for Cut {
     fn from(malformed: Malformed) -> Self {
         Self::Malformed(malformed.0)
--- a/src/relay/delivery.rs
+++ b/src/relay/delivery.rs
@@ -10,11 +10,12 @@
 
 use super::answer::{encode_answer, encode_stream_head, push_chunk};
 use super::exchange::{self, Answer, Failure};
-use super::{Classification, Cut, Events, Frontend, Metadata, Request, Response, head};
+use super::{Classification, Cut, Events, Framing, Frontend, Metadata, Request, Response, head};
 use crate::fleet::{Arrival, Command, Dispatch, Key, Loss, Message, Refusal, Report};
 use crate::poison::Fingerprint;
 use crate::prelude::*;
 use crate::route::{Route, Workspace};
+use crate::telemetry::emit;
 
 /// Maximum size of an answer that is buffered completely before it is forwarded.
 const MAX_ANSWER_BYTES: usize = 8 << 20;
@@ -266,7 +267,7 @@
         self.send_report(dispatch, Report::Begun(weights));
         let body = match answer.read_whole(MAX_ANSWER_BYTES).await {
             Ok(body) => body,
-            Err(cut) => return Attempt::Unanswered(Report::Lost(loss(&cut))),
+            Err(cut) => return self.answer_cut(dispatch, &answer, None, &cut),
         };
         let response = answer.response.clone();
         answer.release(&self.frontend.pool, dispatch.max_idle);
@@ -282,6 +283,34 @@
         }
     }
 
+    /// Logs that an answer was cut within its body. The attempt has failed.
+    fn answer_cut(
+        &self,
+        dispatch: &Dispatch,
+        answer: &Answer,
+        events: Option<&Events>,
+        cut: &Cut,
+    ) -> Attempt {
+        let detail = self.ending_detail(dispatch, answer, events).and("cut", cut.to_string());
+        emit(Event::AnswerCut, detail);
+        Attempt::Unanswered(Report::Lost(loss(cut)))
+    }
+
+    /// Describes how an answer was framed and, for a stream, where in its events it ended.
+    fn ending_detail(
+        &self,
+        dispatch: &Dispatch,
+        answer: &Answer,
+        events: Option<&Events>,
+    ) -> Detail {
+        Detail::of("request", self.metadata.id.as_str())
+            .and("attempt", dispatch.attempt)
+            .and("server", dispatch.server.as_str())
+            .and("framing", answer.response.framing.name())
+            .and_some("last_event", events.and_then(Events::last_id))
+            .and_some("partial_bytes", events.map(Events::partial_bytes))
+    }
+
     /// Forwards a stream in complete events.
     async fn relay_stream(
         &self,
@@ -300,9 +329,13 @@
                 Ok(more) => more,
                 // The cut says nothing about the server, and the same would happen at another one.
                 Err(_) if is_slow_reader => return Attempt::CallerTooSlow,
-                Err(cut) => return Attempt::Unanswered(Report::Lost(loss(&cut))),
+                Err(cut) => return self.answer_cut(dispatch, &answer, Some(events), &cut),
             };
             let mut whole = events.feed(&bytes);
+            if !more && answer.response.framing == Framing::UntilClose {
+                let detail = self.ending_detail(dispatch, &answer, Some(events));
+                emit(Event::UnframedStreamEnded, detail);
+            }
             if !more || answer.decoder.is_complete() {
                 whole.extend_from_slice(&events.take_partial());
             }
--- a/src/relay/events.rs
+++ b/src/relay/events.rs
@@ -49,6 +49,11 @@
         std::mem::take(&mut self.partial)
     }
 
+    /// Returns the number of bytes after the last complete event.
+    pub fn partial_bytes(&self) -> usize {
+        self.partial.len()
+    }
+
     /// Returns the id of the last complete event.
     pub fn last_id(&self) -> Option<u64> {
         self.last_id
--- a/src/telemetry/event.rs
+++ b/src/telemetry/event.rs
@@ -83,6 +83,8 @@
     RequestBlocked = 413, Warn, "A request is refused from now on: servers have ended whenever they ran it.";
     BlockEnded = 414, Info, "A request that was blocked is sent to backend servers again.";
     QuotaUsed = 415, Info, "A request was refused: its workspace has used what this daemon may let in of its quota.";
+    AnswerCut = 416, Info, "A backend server's answer ended before it was complete.";
+    UnframedStreamEnded = 417, Info, "A stream with neither a length nor chunks ended with its connection.";
     ClaimAbandoned = 500, Warn, "A claim was given up on; it is released when it shows up on the log.";
     ClaimReleased = 501, Info, "A claim that was never dispatched was released.";
     OutcomeAppendFailed = 502, Warn, "An outcome could not be appended yet; it is tried again.";
