--- a/src/relay/tests/delivery.rs
+++ b/src/relay/tests/delivery.rs
@@ -6,6 +6,7 @@
 
 use async_channel::{Receiver, Sender};
 use async_io::{Async, block_on};
+use rustix::net::sockopt;
 
 use crate::fleet::{Arrival, Command, Control, Dispatch, Input, Loss, Message, Report};
 use crate::prelude::*;
@@ -73,8 +74,20 @@
     Arc::new(table.expect("the table is valid"))
 }
 
+/// End of a server's connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum End {
+    Close,
+    Reset,
+}
+
 /// Starts a server that answers the first request of each connection according to its head.
 fn serve_each(answer: impl Fn(&str) -> Vec<u8> + Send + 'static) -> SocketAddr {
+    serve_and_end(answer, End::Close)
+}
+
+/// Starts a server that answers the first request of each connection and ends the connection by `end`.
+fn serve_and_end(answer: impl Fn(&str) -> Vec<u8> + Send + 'static, end: End) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port is available");
     let address = listener.local_addr().expect("the listener is bound");
     thread::spawn(move || {
@@ -85,6 +98,9 @@
             assert!(head[..read].ends_with(b"\r\n\r\n"), "the head arrives in one read");
             let head = String::from_utf8_lossy(&head[..read]).into_owned();
             stream.write_all(&answer(&head)).ok();
+            if end == End::Reset {
+                sockopt::set_socket_linger(&stream, Some(Duration::ZERO)).expect("it is open");
+            }
         }
     });
     address
@@ -240,9 +256,8 @@
 
 #[test]
 fn relay_stream_cut_at_any_byte_resumes_without_gap_or_repeat() {
-    let events = ["id: 1\ndata: a\n\n", "id: 2\r\ndata: b\r\n\r\n", "id: 3\ndata: c\n\n"];
-    let whole = events.concat();
-    let second = serve_stream(&events);
+    let whole = EVENTS.concat();
+    let second = serve_stream(&EVENTS);
     for cut in 0..whole.len() {
         let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", whole.len());
         let first = serve_once(format!("{head}{}", &whole[..cut]).into_bytes());
@@ -255,6 +270,73 @@
     }
 }
 
+const EVENTS: [&str; 3] = ["id: 1\ndata: a\n\n", "id: 2\r\ndata: b\r\n\r\n", "id: 3\ndata: c\n\n"];
+
+/// Starts a server that answers with `body`, without a length or chunks, and ends the connection by `end`.
+fn serve_unframed(body: &str, end: End) -> SocketAddr {
+    let answer = format!("HTTP/1.1 200 OK\r\n\r\n{body}").into_bytes();
+    serve_and_end(move |_| answer.clone(), end)
+}
+
+/// Relays a stream whose first answer is lost and continues at `second`. Returns the caller's body.
+fn relay_continued(first: SocketAddr, second: SocketAddr) -> String {
+    let mut fixture = Fixture::start(true);
+    let (_, commands) = fixture.receive_arrival();
+    commands.try_send(dispatch(1, first)).expect("the delivery awaits a command");
+    let mut report = fixture.receive_report();
+    if report == (1, Report::Begun(None)) {
+        report = fixture.receive_report();
+    }
+    assert_eq!(report, (1, Report::Lost(Loss::Connection)));
+    commands.try_send(dispatch(2, second)).expect("the delivery awaits a command");
+    String::from_utf8(fixture.body()).expect("the events are text")
+}
+
+/// Returns the positions in a stream of `EVENTS` at which an event ends.
+fn event_ends() -> Vec<usize> {
+    let lengths = EVENTS.iter().scan(0, |end, event| {
+        *end += event.len();
+        Some(*end)
+    });
+    lengths.collect()
+}
+
+// A stream with neither a length nor chunks counted as complete wherever its connection ended. Callers got a part of an
+// event, then the last chunk.
+#[test]
+fn relay_unframed_stream_cut_within_an_event_resumes_without_gap_or_repeat() {
+    let whole = EVENTS.concat();
+    let second = serve_stream(&EVENTS);
+    for cut in (1..whole.len()).filter(|cut| !event_ends().contains(cut)) {
+        let first = serve_unframed(&whole[..cut], End::Close);
+        assert_eq!(relay_continued(first, second), whole, "cut after {cut} bytes");
+    }
+}
+
+#[test]
+fn relay_unframed_stream_reset_between_events_resumes_without_gap_or_repeat() {
+    let whole = EVENTS.concat();
+    let second = serve_stream(&EVENTS);
+    for cut in event_ends() {
+        let first = serve_unframed(&whole[..cut], End::Reset);
+        assert_eq!(relay_continued(first, second), whole, "reset after {cut} bytes");
+    }
+}
+
+#[test]
+fn relay_unframed_stream_closed_between_events_is_complete() {
+    let whole = EVENTS.concat();
+    for end in event_ends() {
+        let mut fixture = Fixture::start(true);
+        let (_, commands) = fixture.receive_arrival();
+        let server = serve_unframed(&whole[..end], End::Close);
+        commands.try_send(dispatch(1, server)).expect("the delivery awaits a command");
+        assert_eq!(String::from_utf8_lossy(&fixture.body()), whole[..end]);
+        assert_eq!(fixture.receive_report(), (1, Report::Begun(None)));
+        assert_eq!(fixture.receive_report(), (1, Report::Ended));
+    }
+}
+
 /// Starts a server that streams events until nobody reads them, reports that, and closes the connection when told to.
 fn serve_until_unread() -> (SocketAddr, Receiver<()>, Sender<()>) {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port is available");
