A stream without framing that ends inside an event is broken off, not complete

Callers got 200, a server's signature, a part of an event and the last chunk: an answer framed as whole that was not.

Cause: the end of the connection completed an answer with neither a length nor chunks wherever it came, and relay_stream then passed on the part of the event that it held back and closed the caller's body.

Why it works: such an end now is a Cut, as a broken length or chunk is. So the attempt is Lost(Connection): the server is looked at, a resumable stream goes on after its last whole event at another server, any other ends without its last chunk and its connection is closed.

Ruled out: framed bodies taken for complete too early (relay_stream_cut_at_any_byte_resumes_without_gap_or_repeat passes before and after, at every byte), and a reset taken for an end (the new tests of resets pass before and after). A stream whose length or chunks are complete is passed on as it is, also if its last event lacks its empty line: its server has stated that this is all.

--- a/src/relay/delivery.rs
+++ b/src/relay/delivery.rs
@@ -325,7 +325,7 @@
         let mut bytes = Vec::new();
         loop {
             bytes.clear();
-            let more = match answer.read(&mut bytes).await {
+            let more = match read_events(&mut answer, &mut bytes, events).await {
                 Ok(more) => more,
                 // The cut says nothing about the server, and the same would happen at another one.
                 Err(_) if is_slow_reader => return Attempt::CallerTooSlow,
@@ -372,6 +372,21 @@
     }
 }
 
+/// Waits for more bytes of a stream. Returns false once it is complete. The end of the connection
+/// completes a stream only between two events.
+async fn read_events(
+    answer: &mut Answer,
+    output: &mut Vec<u8>,
+    events: &Events,
+) -> Result<bool, Cut> {
+    let more = answer.read(output).await?;
+    let ended_with_connection = !more && answer.decoder.completes_on_close();
+    if ended_with_connection && events.partial_bytes() > 0 {
+        return Err(Cut::Broken("the connection ended within an event".into()));
+    }
+    Ok(more)
+}
+
 fn loss(cut: &Cut) -> Loss {
     match cut {
         Cut::Closed | Cut::Broken(_) => Loss::Connection,
