A stream without framing that ends before its first event is broken off

Callers would have got 200 and an empty stream, framed as complete. A stream has at least one event, unless its caller asked only for what follows one that it has; an end without any proves nothing.

relay_unframed_stream_without_an_event_is_not_complete failed before (reported Ended where Lost was due) and passes now.

--- a/src/relay/delivery.rs
+++ b/src/relay/delivery.rs
@@ -373,7 +373,7 @@
 }
 
 /// Waits for more bytes of a stream. Returns false once it is complete. The end of the connection
-/// completes a stream only between two events.
+/// completes a stream only after a whole event.
 async fn read_events(
     answer: &mut Answer,
     output: &mut Vec<u8>,
@@ -381,7 +381,7 @@
 ) -> Result<bool, Cut> {
     let more = answer.read(output).await?;
     let ended_with_connection = !more && answer.decoder.completes_on_close();
-    if ended_with_connection && events.partial_bytes() > 0 {
+    if ended_with_connection && !events.end_with_whole_event() {
         return Err(Cut::Broken("the connection ended within an event".into()));
     }
     Ok(more)
--- a/src/relay/events.rs
+++ b/src/relay/events.rs
@@ -7,12 +7,14 @@
     partial: Vec<u8>,
     /// The id of the last complete event.
     last_id: Option<u64>,
+    /// Whether the caller has a complete event.
+    has_event: bool,
 }
 
 impl Events {
     /// Creates the state for a caller that already has the events up to `last_id`.
     pub fn after(last_id: Option<u64>) -> Self {
-        Self { partial: Vec::new(), last_id }
+        Self { partial: Vec::new(), last_id, has_event: last_id.is_some() }
     }
 
     /// Adds received bytes and returns the events that are now complete. Events with an id not above
@@ -41,6 +43,7 @@
             from = end;
         }
         self.partial.drain(..start);
+        self.has_event |= start > 0;
         whole
     }
 
@@ -54,6 +57,20 @@
         self.partial.len()
     }
 
+    /// Returns whether an event has arrived and no byte follows the last one.
+    ///
+    /// ```
+    /// let mut events = cardamomvalve::relay::Events::default();
+    /// assert!(!events.end_with_whole_event());
+    /// events.feed(b"id: 1\n\nid: 2");
+    /// assert!(!events.end_with_whole_event());
+    /// events.feed(b"\n\n");
+    /// assert!(events.end_with_whole_event());
+    /// ```
+    pub fn end_with_whole_event(&self) -> bool {
+        self.has_event && self.partial.is_empty()
+    }
+
     /// Returns the id of the last complete event.
     pub fn last_id(&self) -> Option<u64> {
         self.last_id
--- a/src/relay/tests/delivery.rs
+++ b/src/relay/tests/delivery.rs
@@ -323,6 +323,16 @@
     }
 }
 
+// A server that ended right after its head made an empty stream, which counted as complete.
+#[test]
+fn relay_unframed_stream_without_an_event_is_not_complete() {
+    let second = serve_stream(&EVENTS);
+    for end in [End::Close, End::Reset] {
+        let first = serve_unframed("", end);
+        assert_eq!(relay_continued(first, second), EVENTS.concat(), "{end:?}");
+    }
+}
+
 #[test]
 fn relay_unframed_stream_closed_between_events_is_complete() {
     let whole = EVENTS.concat();
