An answer to HEAD ends with its head

On a streaming route the answer to HEAD was followed by a last chunk, and an error of the router's own by its body. A caller that keeps its connection takes those bytes for the start of the next answer. And each answer named a Content-Length of 0, whatever length the server had named.

Cause: the end of the body was encoded without a look at the request's method.

relay_answer_to_head_ends_with_its_head and answer_error_to_head_ends_with_its_head failed before ("0\r\n\r\n", the JSON of the error) and pass now. Errors that close the connection, for heads that can't be read, keep their body.

--- a/src/relay/answer.rs
+++ b/src/relay/answer.rs
@@ -1,6 +1,6 @@
 //! Encoding of answers to callers.
 
-use super::{Fields, Response, head};
+use super::{Fields, Framing, Response, head};
 use crate::prelude::*;
 
 pub(super) fn push_chunk(out: &mut Vec<u8>, data: &[u8]) {
@@ -24,9 +24,14 @@
 }
 
 pub(super) fn encode_answer(response: &Response, body: &[u8], close: bool) -> Vec<u8> {
-    let length = body.len().to_string();
+    let length = match response.framing {
+        // The length in an answer to HEAD is not that of its own body.
+        Framing::Length(0) => response.fields.get("content-length").map(str::to_owned),
+        _ => Some(body.len().to_string()),
+    };
     let bodiless = matches!(response.status, 204 | 304);
-    let framing = (!bodiless).then_some(("Content-Length", length.as_str()));
+    let length = length.filter(|_| !bodiless);
+    let framing = length.as_deref().map(|length| ("Content-Length", length));
     let closing = close.then_some(("Connection", "close"));
     let fields = response.fields.end_to_end().chain(framing).chain(closing);
     let mut answer = head::encode(&status_line(response), fields).into_bytes();
@@ -34,6 +39,12 @@
     answer
 }
 
+/// Removes the body of an encoded answer, for an answer to HEAD.
+pub(super) fn strip_body(answer: &mut Vec<u8>) {
+    let head_end = answer.windows(4).position(|bytes| bytes == b"\r\n\r\n");
+    answer.truncate(head_end.map_or(answer.len(), |end| end + 4));
+}
+
 /// Encodes an error answer from this router.
 pub(super) fn encode_error(
     error: &Error,
--- a/src/relay/caller.rs
+++ b/src/relay/caller.rs
@@ -7,7 +7,7 @@
 use async_io::{Async, Timer};
 use futures_lite::FutureExt;
 
-use super::answer::{encode_answer, encode_error};
+use super::answer::{encode_answer, encode_error, strip_body};
 use super::delivery::{Delivery, Outcome, Progress};
 use super::{Conn, Cut, Dialect, Fields, Metadata, Pool, Request};
 use crate::fleet::Control;
@@ -179,6 +179,7 @@
             return answer_error(
                 frontend,
                 conn,
+                request,
                 Code::NoManifest,
                 Some(NO_MANIFEST_RETRY_AFTER),
                 error_fields,
@@ -192,7 +193,7 @@
             let unknown = matches!(found, Lookup::NoRoute);
             let code = if unknown { Code::UnknownPath } else { Code::WrongKey };
             summary.record(&Outcome::Code(code, None));
-            return answer_error(frontend, conn, code, None, error_fields).await;
+            return answer_error(frontend, conn, request, code, None, error_fields).await;
         }
     };
     summary.route = route.name.clone();
@@ -231,7 +232,7 @@
         Outcome::Answered => !frontend.control.is_draining(),
         Outcome::Truncated | Outcome::Disconnected => false,
         Outcome::Code(code, retry_after) => {
-            answer_error(frontend, conn, code, retry_after, error_fields).await
+            answer_error(frontend, conn, request, code, retry_after, error_fields).await
         }
         Outcome::ServerFailure(answer) => {
             let (response, body) = *answer;
@@ -289,11 +290,15 @@
 async fn answer_error(
     frontend: &Frontend,
     conn: &Conn,
+    request: &Request,
     code: Code,
     retry_after: Option<Duration>,
     error_fields: Fields,
 ) -> bool {
     let close = frontend.control.is_draining();
-    let answer = encode_error(&Error::from(code), retry_after, error_fields, !close);
+    let mut answer = encode_error(&Error::from(code), retry_after, error_fields, !close);
+    if request.is_head() {
+        strip_body(&mut answer);
+    }
     conn.write(&answer).await.is_ok() && !close
 }
--- a/src/relay/delivery.rs
+++ b/src/relay/delivery.rs
@@ -219,7 +219,7 @@
         events: &mut Events,
     ) -> Attempt {
         let message = self.encode_request(dispatch, events);
-        let answers_head = self.request.method == "HEAD";
+        let answers_head = self.request.is_head();
         let on_send = || self.progress.sent.store(true, Ordering::Release);
         let pool = &self.frontend.pool;
         let sent = exchange::send(pool, dispatch.address, &message, answers_head, on_send).await;
@@ -234,7 +234,7 @@
                 self.finish_refused(dispatch, answer, refusal).await
             }
             Classification::Answer(weights)
-                if self.route.is_streaming && answer.response.status == 200 =>
+                if self.route.is_streaming && answer.response.status == 200 && !answers_head =>
             {
                 self.relay_stream(writer, dispatch, answer, weights, events).await
             }
--- a/src/relay/head.rs
+++ b/src/relay/head.rs
@@ -129,6 +129,11 @@
         Ok(Some((request, length)))
     }
 
+    /// Returns whether this is a HEAD request, whose answer has no body.
+    pub fn is_head(&self) -> bool {
+        self.method == "HEAD"
+    }
+
     /// Returns the path without the query.
     pub fn path(&self) -> &str {
         self.target.split_once('?').map_or(self.target.as_str(), |(path, _)| path)
--- a/src/relay/tests/delivery.rs
+++ b/src/relay/tests/delivery.rs
@@ -1,7 +1,7 @@
 //! Tests of a caller's connection; each test acts as the control thread.
 
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::thread;
 
 use async_channel::{Receiver, Sender};
@@ -152,6 +152,10 @@
 
 impl Fixture {
     fn start(streams: bool) -> Self {
+        Self::start_with("GET", streams)
+    }
+
+    fn start_with(method: &str, streams: bool) -> Self {
         let (control, inputs) = Control::new();
         control.set_table(table(streams));
         let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port is available");
@@ -170,7 +174,7 @@
             drop(shutdown_sender);
         });
         caller
-            .write_all(b"GET / HTTP/1.1\r\nHost: a.example\r\n\r\n")
+            .write_all(format!("{method} / HTTP/1.1\r\nHost: a.example\r\n\r\n").as_bytes())
             .expect("the connection is open");
         Self { frontend, caller, inputs }
     }
@@ -347,6 +351,50 @@
     }
 }
 
+/// Waits for the end of the delivery, then closes the caller's sending side. Returns the answer's head and what follows.
+fn answer_to_head(mut fixture: Fixture) -> (String, String) {
+    loop {
+        match fixture.inputs.recv_blocking() {
+            Ok(Input::Message(message)) if matches!(*message, Message::Cancel(_)) => break,
+            Ok(Input::Message(_)) => {}
+            other => panic!("expected a message: {other:?}"),
+        }
+    }
+    fixture.caller.shutdown(Shutdown::Write).expect("the connection is open");
+    let mut answer = String::new();
+    fixture.caller.read_to_string(&mut answer).expect("an answer arrives");
+    let (head, rest) = answer.split_once("\r\n\r\n").expect("a head arrives");
+    (head.to_owned(), rest.to_owned())
+}
+
+// An answer to HEAD has no body. One to a stream's path was followed by the last chunk, an error by its body: callers
+// took them for the start of the next answer.
+#[test]
+fn relay_answer_to_head_ends_with_its_head() {
+    for streams in [true, false] {
+        for framing in ["Content-Length: 5\r\n", "Transfer-Encoding: chunked\r\n", ""] {
+            let fixture = Fixture::start_with("HEAD", streams);
+            let (_, commands) = fixture.receive_arrival();
+            let server = serve_once(format!("HTTP/1.1 200 OK\r\n{framing}\r\n").into_bytes());
+            commands.try_send(dispatch(1, server)).expect("the delivery awaits a command");
+            let (head, rest) = answer_to_head(fixture);
+            assert_eq!(rest, "", "{streams} {framing}");
+            let is_length_kept = head.contains("Content-Length: 5") == framing.contains('5');
+            assert!(is_length_kept && !head.contains("Content-Length: 0"), "{head}");
+        }
+    }
+}
+
+#[test]
+fn answer_error_to_head_ends_with_its_head() {
+    let fixture = Fixture::start_with("HEAD", true);
+    let (_, commands) = fixture.receive_arrival();
+    let refuse = Command::Refuse(Code::NoServer, Duration::ZERO);
+    commands.try_send(refuse).expect("the delivery awaits a command");
+    let (head, rest) = answer_to_head(fixture);
+    assert!(head.starts_with("HTTP/1.1 503") && rest.is_empty(), "{head}: {rest}");
+}
+
 /// Starts a server that streams events until nobody reads them, reports that, and closes the connection when told to.
 fn serve_until_unread() -> (SocketAddr, Receiver<()>, Sender<()>) {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port is available");
