standin-call fails on an answer cut short of its length

It printed such an answer and ended with success, though its description promises a failure: the HTTP library takes the end of the connection for the end of a counted body. Only scripts use the tool; the daemons read bodies through src/http/body.rs, which counts. call_fails_on_truncated_answer failed before (status 0) and passes now.

--- a/standin/src/call.rs
+++ b/standin/src/call.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use async_io::block_on;
+use cardamomvalve::http::body::Framing;
 use cardamomvalve::http::client::{self, Limits};
 use clap::Parser;
 use futures_lite::AsyncReadExt;
@@ -66,15 +67,21 @@
         println!();
     }
     let mut body = answer.response.take_body();
+    let mut total_bytes = 0;
     let mut buffer = [0; 4_096];
     loop {
         let count = body.read(&mut buffer).await?;
         if count == 0 {
             break;
         }
+        total_bytes += count as u64;
         std::io::stdout().write_all(&buffer[..count])?;
         std::io::stdout().flush()?;
     }
+    // The HTTP library takes a body cut short of its length as whole.
+    if let Framing::Length(length) = answer.framing {
+        eyre::ensure!(total_bytes == length, "{total_bytes} of {length} bytes arrived");
+    }
     eyre::ensure!(status.is_success(), "the answer is {}", u16::from(status));
     Ok(())
 }
