--- a/standin/tests/call_tool.rs
+++ b/standin/tests/call_tool.rs
@@ -12,7 +12,8 @@
     let serving = thread::spawn(move || {
         let (mut stream, _) = listener.accept().expect("the tool connects");
         let mut head = [0; 4_096];
-        stream.read(&mut head).expect("a request arrives");
+        let read = stream.read(&mut head).expect("a request arrives");
+        assert!(head[..read].ends_with(b"\r\n\r\n"), "the head arrives in one read");
         stream.write_all(answer.as_bytes()).expect("the tool reads");
     });
     let output = Command::new(env!("CARGO_BIN_EXE_standin-call"))
