--- a/src/relay/delivery.rs
+++ b/src/relay/delivery.rs
@@ -11,11 +11,12 @@
 use super::answer::{encode_answer, encode_stream_head, push_chunk};
 use super::exchange::{self, Answer, Failure};
 use super::takeover::Origin;
-use super::{Classification, Cut, Events, Frontend, Metadata, Request, Response, head};
+use super::{Classification, Cut, Events, Framing, Frontend, Metadata, Request, Response, head};
 use crate::fleet::{Arrival, Command, Dispatch, Key, Loss, Message, Refusal, Report};
 use crate::poison::Fingerprint;
 use crate::prelude::*;
 use crate::route::{Route, Workspace};
+use crate::telemetry::emit;
 
 /// Maximum size of an answer that is buffered completely before it is forwarded.
 pub(super) const MAX_ANSWER_BYTES: usize = 8 << 20;
@@ -235,7 +236,7 @@
         events: &mut Events,
     ) -> Attempt {
         let message = self.encode_request(dispatch, events);
-        let answers_head = self.request.method == "HEAD";
+        let answers_head = self.request.is_head();
         let on_send = || self.progress.sent.store(true, Ordering::Release);
         let pool = &self.frontend.pool;
         let sent = exchange::send(pool, dispatch.address, &message, answers_head, on_send).await;
@@ -250,7 +251,7 @@
                 self.finish_refused(dispatch, answer, refusal).await
             }
             Classification::Answer(weights)
-                if self.route.is_streaming && answer.response.status == 200 =>
+                if self.route.is_streaming && answer.response.status == 200 && !answers_head =>
             {
                 self.relay_stream(writer, dispatch, answer, weights, events).await
             }
@@ -283,7 +284,7 @@
         self.send_report(dispatch, Report::Begun(weights));
         let body = match answer.read_whole(MAX_ANSWER_BYTES).await {
             Ok(body) => body,
-            Err(cut) => return Attempt::Unanswered(Report::Lost(loss(&cut))),
+            Err(cut) => return self.answer_cut(dispatch, &answer, None, &cut),
         };
         let response = answer.response.clone();
         answer.release(&self.frontend.pool, dispatch.max_idle);
@@ -299,6 +300,34 @@
         }
     }
 
+    /// Logs that an answer was cut within its body. The attempt has failed.
+    fn answer_cut(
+        &self,
+        dispatch: &Dispatch,
+        answer: &Answer,
+        events: Option<&Events>,
+        cut: &Cut,
+    ) -> Attempt {
+        let detail = self.ending_detail(dispatch, answer, events).and("cut", cut.to_string());
+        emit(Event::AnswerCut, detail);
+        Attempt::Unanswered(Report::Lost(loss(cut)))
+    }
+
+    /// Describes how an answer was framed and, for a stream, where in its events it ended.
+    fn ending_detail(
+        &self,
+        dispatch: &Dispatch,
+        answer: &Answer,
+        events: Option<&Events>,
+    ) -> Detail {
+        Detail::of("request", self.metadata.id.as_str())
+            .and("attempt", dispatch.attempt)
+            .and("server", dispatch.server.as_str())
+            .and("framing", answer.response.framing.name())
+            .and_some("last_event", events.and_then(Events::last_id))
+            .and_some("partial_bytes", events.map(Events::partial_bytes))
+    }
+
     /// Forwards a stream in complete events.
     async fn relay_stream(
         &self,
@@ -313,13 +342,17 @@
         let mut bytes = Vec::new();
         loop {
             bytes.clear();
-            let more = match answer.read(&mut bytes).await {
+            let more = match read_events(&mut answer, &mut bytes, events).await {
                 Ok(more) => more,
                 // The cut says nothing about the server, and the same would happen at another one.
                 Err(_) if is_slow_reader => return Attempt::CallerTooSlow,
-                Err(cut) => return Attempt::Unanswered(Report::Lost(loss(&cut))),
+                Err(cut) => return self.answer_cut(dispatch, &answer, Some(events), &cut),
             };
             let mut whole = events.feed(&bytes);
+            if !more && answer.response.framing == Framing::UntilClose {
+                let detail = self.ending_detail(dispatch, &answer, Some(events));
+                emit(Event::UnframedStreamEnded, detail);
+            }
             if !more || answer.decoder.is_complete() {
                 whole.extend_from_slice(&events.take_partial());
             }
@@ -356,6 +389,21 @@
     }
 }
 
+/// Waits for more bytes of a stream. Returns false once it is complete. The end of the connection
+/// completes a stream only after a whole event.
+async fn read_events(
+    answer: &mut Answer,
+    output: &mut Vec<u8>,
+    events: &Events,
+) -> Result<bool, Cut> {
+    let more = answer.read(output).await?;
+    let ended_with_connection = !more && answer.decoder.completes_on_close();
+    if ended_with_connection && !events.end_with_whole_event() {
+        return Err(Cut::Broken("the connection ended within an event".into()));
+    }
+    Ok(more)
+}
+
 fn loss(cut: &Cut) -> Loss {
     match cut {
         Cut::Closed | Cut::Broken(_) => Loss::Connection,
--- a/src/relay/handover.rs
+++ b/src/relay/handover.rs
@@ -101,8 +101,7 @@
         let mut conn = self.offer(address).or(expire).await?;
         self.progress.sent.store(true, Ordering::Release);
         exchange::write(&conn, &self.encode_hop_body()).await?;
-        let answers_head = self.request.method == "HEAD";
-        let response = conn.read_response(answers_head).await.map_err(Failure::Lost)?;
+        let response = conn.read_response(self.request.is_head()).await.map_err(Failure::Lost)?;
         Ok(Hop { conn, response })
     }
 
@@ -150,7 +149,8 @@
         }
         let class = self.frontend.dialect.classify(&self.metadata, &hop.response);
         let is_from_server = matches!(class, Classification::Answer(_));
-        if is_from_server && self.route.is_streaming && hop.response.status == 200 {
+        let is_stream = self.route.is_streaming && !self.request.is_head();
+        if is_from_server && is_stream && hop.response.status == 200 {
             return self.relay_hop_stream(writer, address, hop).await;
         }
         self.relay_hop_whole(writer, address, hop, is_from_server).await
@@ -250,7 +250,7 @@
 }
 
 fn unsent(cut: Cut) -> Failure {
-    Failure::Unsent(format!("{cut:?}"))
+    Failure::Unsent(cut.to_string())
 }
 
 /// Judges an answer that is not a backend server's.
--- a/src/relay/tests/delivery.rs
+++ b/src/relay/tests/delivery.rs
@@ -1,11 +1,12 @@
 //! Tests of a caller's connection; each test acts as the control thread.
 
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::thread;
 
 use async_channel::{Receiver, Sender};
 use async_io::{Async, block_on};
+use rustix::net::sockopt;
 
 use crate::fleet::{Arrival, Command, Control, Dispatch, Input, Loss, Message, Report};
 use crate::prelude::*;
@@ -77,8 +78,20 @@
     Arc::new(table.expect("the table is valid"))
 }
 
+/// End of a server's connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum End {
+    Close,
+    Reset,
+}
+
 /// Starts a server that answers the first request of each connection according to its head.
 fn serve_each(answer: impl Fn(&str) -> Vec<u8> + Send + 'static) -> SocketAddr {
+    serve_and_end(answer, End::Close)
+}
+
+/// Starts a server that answers the first request of each connection and ends the connection by `end`.
+fn serve_and_end(answer: impl Fn(&str) -> Vec<u8> + Send + 'static, end: End) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port is available");
     let address = listener.local_addr().expect("the listener is bound");
     thread::spawn(move || {
@@ -89,6 +102,9 @@
             assert!(head[..read].ends_with(b"\r\n\r\n"), "the head arrives in one read");
             let head = String::from_utf8_lossy(&head[..read]).into_owned();
             stream.write_all(&answer(&head)).ok();
+            if end == End::Reset {
+                sockopt::set_socket_linger(&stream, Some(Duration::ZERO)).expect("it is open");
+            }
         }
     });
     address
@@ -140,6 +156,10 @@
 
 impl Fixture {
     fn start(streams: bool) -> Self {
+        Self::start_with("GET", streams)
+    }
+
+    fn start_with(method: &str, streams: bool) -> Self {
         let (control, inputs) = Control::new();
         control.set_table(table(streams));
         let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port is available");
@@ -158,7 +178,7 @@
             drop(shutdown_sender);
         });
         caller
-            .write_all(b"GET / HTTP/1.1\r\nHost: a.example\r\n\r\n")
+            .write_all(format!("{method} / HTTP/1.1\r\nHost: a.example\r\n\r\n").as_bytes())
             .expect("the connection is open");
         Self { frontend, caller, inputs }
     }
@@ -244,9 +264,8 @@
 
 #[test]
 fn relay_stream_cut_at_any_byte_resumes_without_gap_or_repeat() {
-    let events = ["id: 1\ndata: a\n\n", "id: 2\r\ndata: b\r\n\r\n", "id: 3\ndata: c\n\n"];
-    let whole = events.concat();
-    let second = serve_stream(&events);
+    let whole = EVENTS.concat();
+    let second = serve_stream(&EVENTS);
     for cut in 0..whole.len() {
         let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", whole.len());
         let first = serve_once(format!("{head}{}", &whole[..cut]).into_bytes());
@@ -259,6 +278,127 @@
     }
 }
 
+const EVENTS: [&str; 3] = ["id: 1\ndata: a\n\n", "id: 2\r\ndata: b\r\n\r\n", "id: 3\ndata: c\n\n"];
+
+/// Starts a server that answers with `body`, without a length or chunks, and ends the connection by `end`.
+fn serve_unframed(body: &str, end: End) -> SocketAddr {
+    let answer = format!("HTTP/1.1 200 OK\r\n\r\n{body}").into_bytes();
+    serve_and_end(move |_| answer.clone(), end)
+}
+
+/// Relays a stream whose first answer is lost and continues at `second`. Returns the caller's body.
+fn relay_continued(first: SocketAddr, second: SocketAddr) -> String {
+    let mut fixture = Fixture::start(true);
+    let (_, commands) = fixture.receive_arrival();
+    commands.try_send(dispatch(1, first)).expect("the delivery awaits a command");
+    let mut report = fixture.receive_report();
+    if report == (1, Report::Begun(None)) {
+        report = fixture.receive_report();
+    }
+    assert_eq!(report, (1, Report::Lost(Loss::Connection)));
+    commands.try_send(dispatch(2, second)).expect("the delivery awaits a command");
+    String::from_utf8(fixture.body()).expect("the events are text")
+}
+
+/// Returns the positions in a stream of `EVENTS` at which an event ends.
+fn event_ends() -> Vec<usize> {
+    let lengths = EVENTS.iter().scan(0, |end, event| {
+        *end += event.len();
+        Some(*end)
+    });
+    lengths.collect()
+}
+
+// A stream with neither a length nor chunks counted as complete wherever its connection ended. Callers got a part of an
+// event, then the last chunk.
+#[test]
+fn relay_unframed_stream_cut_within_an_event_resumes_without_gap_or_repeat() {
+    let whole = EVENTS.concat();
+    let second = serve_stream(&EVENTS);
+    for cut in (1..whole.len()).filter(|cut| !event_ends().contains(cut)) {
+        let first = serve_unframed(&whole[..cut], End::Close);
+        assert_eq!(relay_continued(first, second), whole, "cut after {cut} bytes");
+    }
+}
+
+#[test]
+fn relay_unframed_stream_reset_between_events_resumes_without_gap_or_repeat() {
+    let whole = EVENTS.concat();
+    let second = serve_stream(&EVENTS);
+    for cut in event_ends() {
+        let first = serve_unframed(&whole[..cut], End::Reset);
+        assert_eq!(relay_continued(first, second), whole, "reset after {cut} bytes");
+    }
+}
+
+// A server that ended right after its head made an empty stream, which counted as complete.
+#[test]
+fn relay_unframed_stream_without_an_event_is_not_complete() {
+    let second = serve_stream(&EVENTS);
+    for end in [End::Close, End::Reset] {
+        let first = serve_unframed("", end);
+        assert_eq!(relay_continued(first, second), EVENTS.concat(), "{end:?}");
+    }
+}
+
+#[test]
+fn relay_unframed_stream_closed_between_events_is_complete() {
+    let whole = EVENTS.concat();
+    for end in event_ends() {
+        let mut fixture = Fixture::start(true);
+        let (_, commands) = fixture.receive_arrival();
+        let server = serve_unframed(&whole[..end], End::Close);
+        commands.try_send(dispatch(1, server)).expect("the delivery awaits a command");
+        assert_eq!(String::from_utf8_lossy(&fixture.body()), whole[..end]);
+        assert_eq!(fixture.receive_report(), (1, Report::Begun(None)));
+        assert_eq!(fixture.receive_report(), (1, Report::Ended));
+    }
+}
+
+/// Waits for the end of the delivery, then closes the caller's sending side. Returns the answer's head and what follows.
+fn answer_to_head(mut fixture: Fixture) -> (String, String) {
+    loop {
+        match fixture.inputs.recv_blocking() {
+            Ok(Input::Message(message)) if matches!(*message, Message::Cancel(_)) => break,
+            Ok(Input::Message(_)) => {}
+            other => panic!("expected a message: {other:?}"),
+        }
+    }
+    fixture.caller.shutdown(Shutdown::Write).expect("the connection is open");
+    let mut answer = String::new();
+    fixture.caller.read_to_string(&mut answer).expect("an answer arrives");
+    let (head, rest) = answer.split_once("\r\n\r\n").expect("a head arrives");
+    (head.to_owned(), rest.to_owned())
+}
+
+// An answer to HEAD has no body. One to a stream's path was followed by the last chunk, an error by its body: callers
+// took them for the start of the next answer.
+#[test]
+fn relay_answer_to_head_ends_with_its_head() {
+    for streams in [true, false] {
+        for framing in ["Content-Length: 5\r\n", "Transfer-Encoding: chunked\r\n", ""] {
+            let fixture = Fixture::start_with("HEAD", streams);
+            let (_, commands) = fixture.receive_arrival();
+            let server = serve_once(format!("HTTP/1.1 200 OK\r\n{framing}\r\n").into_bytes());
+            commands.try_send(dispatch(1, server)).expect("the delivery awaits a command");
+            let (head, rest) = answer_to_head(fixture);
+            assert_eq!(rest, "", "{streams} {framing}");
+            let is_length_kept = head.contains("Content-Length: 5") == framing.contains('5');
+            assert!(is_length_kept && !head.contains("Content-Length: 0"), "{head}");
+        }
+    }
+}
+
+#[test]
+fn answer_error_to_head_ends_with_its_head() {
+    let fixture = Fixture::start_with("HEAD", true);
+    let (_, commands) = fixture.receive_arrival();
+    let refuse = Command::Refuse(Code::NoServer, Duration::ZERO);
+    commands.try_send(refuse).expect("the delivery awaits a command");
+    let (head, rest) = answer_to_head(fixture);
+    assert!(head.starts_with("HTTP/1.1 503") && rest.is_empty(), "{head}: {rest}");
+}
+
 /// Starts a server that streams events after `start` until nobody reads them, reports that, and closes the connection
 /// when told to.
 pub(super) fn serve_until_unread(start: &'static str) -> (SocketAddr, Receiver<()>, Sender<()>) {
--- a/src/relay/tests/fixture.rs
+++ b/src/relay/tests/fixture.rs
@@ -8,7 +8,7 @@
 use async_io::{Async, block_on};
 
 use super::delivery::{dispatch, table};
-use crate::fleet::{Arrival, Command, Control, Dispatch, Input, Message};
+use crate::fleet::{Arrival, Command, Control, Dispatch, Handover, HandoverEnd, Input, Message};
 use crate::http::header;
 use crate::prelude::*;
 use crate::relay::*;
@@ -223,3 +223,32 @@
         String::from_utf8(body).expect("text")
     }
 }
+
+pub(super) fn hand_over(attempt: u32, address: SocketAddr) -> Command {
+    Command::HandOver(Handover { attempt, daemon: format!("peer-{attempt}"), address })
+}
+
+pub(super) fn give(commands: &Sender<Command>, command: Command) {
+    commands.try_send(command).expect("the delivery awaits a command");
+}
+
+pub(super) fn receive_end(daemon: &Daemon) -> (u32, HandoverEnd) {
+    match daemon.receive_message() {
+        Message::HandoverEnded { attempt, end, .. } => (attempt, end),
+        other => panic!("expected the end of a handover: {other:?}"),
+    }
+}
+
+/// Sends `request` to a daemon that hands it over to `peer`. Returns the caller and the channel for more commands.
+pub(super) fn send_through(
+    daemon: &Daemon,
+    peer: SocketAddr,
+    request: &str,
+) -> (Caller, Sender<Command>) {
+    let caller = Caller::connect(daemon.entry);
+    caller.send(request);
+    let (arrival, commands) = daemon.receive_arrival();
+    assert!(!arrival.is_handed_over);
+    give(&commands, hand_over(1, peer));
+    (caller, commands)
+}
--- a/src/relay/tests/handover.rs
+++ b/src/relay/tests/handover.rs
@@ -1,16 +1,18 @@
 //! Tests of requests that one daemon hands over to another, or to a stand-in for one.
 
 use std::io::{Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, TcpListener, TcpStream};
 use std::sync::atomic::Ordering;
 use std::thread;
 
-use async_channel::Sender;
 use rustix::net::sockopt;
 
 use super::delivery::{dispatch, serve_until_unread};
-use super::fixture::{CONTINUE, Caller, Daemon, answer_each, listen, read_request};
-use crate::fleet::{Command, Handover, HandoverEnd, Message, Report};
+use super::fixture::{
+    CONTINUE, Caller, Daemon, answer_each, give, hand_over, listen, read_request, receive_end,
+    send_through,
+};
+use crate::fleet::{Command, HandoverEnd, Message, Report};
 use crate::prelude::*;
 use crate::relay::*;
 
@@ -18,31 +20,6 @@
 const ANSWER: &str = "HTTP/1.1 200 OK\r\nX-Seal: s\r\nContent-Length: 5\r\n\r\nwhole";
 const EVENTS: [&str; 3] = ["id: 1\ndata: a\n\n", "id: 2\r\ndata: b\r\n\r\n", "id: 3\ndata: c\n\n"];
 
-fn hand_over(attempt: u32, address: SocketAddr) -> Command {
-    Command::HandOver(Handover { attempt, daemon: format!("peer-{attempt}"), address })
-}
-
-fn give(commands: &Sender<Command>, command: Command) {
-    commands.try_send(command).expect("the delivery awaits a command");
-}
-
-fn receive_end(daemon: &Daemon) -> (u32, HandoverEnd) {
-    match daemon.receive_message() {
-        Message::HandoverEnded { attempt, end, .. } => (attempt, end),
-        other => panic!("expected the end of a handover: {other:?}"),
-    }
-}
-
-/// Sends `request` to a daemon that hands it over to `peer`. Returns the caller and the channel for more commands.
-fn send_through(daemon: &Daemon, peer: SocketAddr, request: &str) -> (Caller, Sender<Command>) {
-    let caller = Caller::connect(daemon.entry);
-    caller.send(request);
-    let (arrival, commands) = daemon.receive_arrival();
-    assert!(!arrival.is_handed_over);
-    give(&commands, hand_over(1, peer));
-    (caller, commands)
-}
-
 fn own_answer(code: Code) -> String {
     let row = code.row();
     format!(
@@ -127,6 +104,26 @@
     assert_eq!(receive_end(&first), (1, HandoverEnd::Answered));
 }
 
+// An answer to HEAD may give the length of a body that does not follow.
+#[test]
+fn hand_over_answer_to_head_ends_with_its_head() {
+    for streams in [true, false] {
+        let (first, second) = (Daemon::start(streams), Daemon::start(streams));
+        let (server, _) = answer_each("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n");
+        let mut caller = Caller::connect(first.entry);
+        for _ in 0..2 {
+            caller.send("HEAD / HTTP/1.1\r\nHost: a.example\r\n\r\n");
+            let (_, commands) = first.receive_arrival();
+            give(&commands, hand_over(1, second.handover));
+            second.send_to(server);
+            let response = caller.read_head();
+            assert_eq!((response.status, response.fields.get("content-length")), (200, Some("5")));
+            assert_eq!(receive_end(&first), (1, HandoverEnd::Answered));
+            second.wait_for_end();
+        }
+    }
+}
+
 #[test]
 fn hand_over_refused_by_peer_goes_to_another() {
     let codes = [
