--- a/src/fleet/tests/mod.rs
+++ b/src/fleet/tests/mod.rs
@@ -10,6 +10,7 @@
 mod isolation;
 mod lives;
 mod naming;
+mod partition;
 mod parts;
 mod peers;
 mod poison;
--- /dev/null
+++ b/src/fleet/tests/partition/mod.rs
@@ -0,0 +1,162 @@
+//! Daemons that are partitioned from all servers, while callers, the store and other daemons reach them.
+
+mod traffic;
+
+use super::site::Cut;
+use super::world::*;
+use crate::prelude::*;
+use crate::route::Repeat;
+use traffic::Traffic;
+
+/// Number of daemons.
+const DAEMONS: u8 = 7;
+/// Time for which connections are cut.
+const CUT_SPAN: Duration = Duration::from_secs(12);
+/// Time after the begin of a cut from which callers are to be served as if there were none.
+const ADAPTATION: Duration = Duration::from_secs(3);
+/// Seeds played by default; `PARTITION_SEEDS=100-200` plays others.
+const SEEDS: std::ops::Range<u64> = 0..3;
+
+fn servers() -> Vec<(String, String)> {
+    let plain = (1..=3).map(|n| (format!("s-{n}"), format!("plain {} ready", 100 + n)));
+    let engines = (1..=12).map(|n| (format!("e-{n}"), format!("engine {} ready 1", 20 + n)));
+    plain.chain(engines).collect()
+}
+
+fn seeds() -> std::ops::Range<u64> {
+    let Ok(text) = std::env::var("PARTITION_SEEDS") else { return SEEDS };
+    let (from, to) = text.split_once('-').expect("PARTITION_SEEDS is a range such as 100-200");
+    from.parse().expect("a number")..to.parse().expect("a number")
+}
+
+fn traffic(seed: u64) -> Traffic {
+    let servers = servers();
+    Traffic::new(seed, DAEMONS, &borrowed(&servers))
+}
+
+/// Whether the scheduler of the plain pool is among the daemons that are cut off.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Who {
+    OneAndTheScheduler,
+    OthersThanSchedulers,
+    ThreeWithTwoSchedulers,
+}
+
+fn choose(traffic: &Traffic, who: Who) -> Vec<usize> {
+    let site = &traffic.site;
+    let (plain, engines) = (site.scheduler("plain"), site.scheduler("engines"));
+    let is_other = |index: &usize| !site.daemons[*index].node.is_scheduler(site.now);
+    let mut others = (0..usize::from(DAEMONS)).filter(is_other);
+    let chosen = match who {
+        Who::OneAndTheScheduler => vec![plain, others.next().expect("another daemon")],
+        Who::OthersThanSchedulers => others.take(2).collect(),
+        Who::ThreeWithTwoSchedulers => {
+            vec![plain, engines, others.next().expect("another daemon")]
+        }
+    };
+    chosen.into_iter().collect::<BTreeSet<usize>>().into_iter().collect()
+}
+
+/// Plays a cut and checks what callers at all daemons see.
+fn play(seed: u64, who: Who, cut: Cut) {
+    let mut traffic = traffic(seed);
+    traffic.run(ms(4_000));
+    let daemons = choose(&traffic, who);
+    let others: Vec<usize> =
+        (0..usize::from(DAEMONS)).filter(|daemon| !daemons.contains(daemon)).collect();
+    let begin = traffic.site.now;
+    traffic.cut(&daemons, cut);
+    traffic.run(CUT_SPAN);
+    let healed = traffic.site.now;
+    traffic.heal();
+    traffic.run(ms(4_000));
+    let settled = traffic.site.now - ms(2_000);
+    traffic.rates.clear();
+    traffic.run(ms(6_000));
+    let name = format!("seed {seed}, {who:?} {daemons:?}, {cut:?}");
+    let from = begin + ADAPTATION;
+    let ends = |of: &[usize], from: Time, to: Time| traffic.ends(of, from, to);
+    for call in &traffic.calls {
+        assert!(call.end.is_some(), "{name}: a call has no end: {call:?}");
+        let most = if call.repeat == Repeat::AtMostOnce { 1 } else { 2 };
+        assert!(call.runs <= most, "{name}: a call ran too often: {call:?}");
+    }
+    let (cut_off, near) =
+        (traffic.served(&daemons, from, healed), traffic.served(&others, from, healed));
+    assert!(
+        near >= 0.97,
+        "{name}: daemons that reach servers served {near}: {:?}",
+        ends(&others, from, healed)
+    );
+    assert!(
+        cut_off >= near * 0.95,
+        "{name}: daemons that reach no server served {cut_off}, the others {near}: {:?}",
+        ends(&daemons, from, healed)
+    );
+    let all: Vec<usize> = (0..usize::from(DAEMONS)).collect();
+    let after = traffic.served(&all, settled, settled + ms(2_000));
+    assert!(after >= 0.99, "{name}: after the cut {after} of the calls were served");
+    let late = traffic.calls.iter().filter(|call| call.sent_at >= settled);
+    assert!(late.clone().all(|call| call.takers.is_empty()), "{name}: handed over after the cut");
+    check_shares(&traffic, &name, &others);
+}
+
+/// Checks that no daemon took over much more than its share.
+fn check_shares(traffic: &Traffic, name: &str, takers: &[usize]) {
+    let mut taken: BTreeMap<usize, usize> = BTreeMap::new();
+    for taker in traffic.calls.iter().flat_map(|call| &call.takers) {
+        assert!(takers.contains(taker), "{name}: a daemon that is cut off took a request over");
+        *taken.entry(*taker).or_default() += 1;
+    }
+    let (all, most) = (taken.values().sum::<usize>(), taken.values().max().copied());
+    let fair = all as f64 / takers.len() as f64;
+    assert!(most.unwrap_or_default() as f64 <= fair * 1.6, "{name}: taken over {taken:?}");
+}
+
+fn play_all(cut: Cut) {
+    for seed in seeds() {
+        for who in [Who::OneAndTheScheduler, Who::OthersThanSchedulers, Who::ThreeWithTwoSchedulers]
+        {
+            play(seed, who, cut);
+        }
+    }
+}
+
+#[test]
+fn callers_of_daemons_with_silent_paths_to_all_servers_are_served() {
+    play_all(Cut::Silent);
+}
+
+#[test]
+fn callers_of_daemons_with_reset_paths_to_all_servers_are_served() {
+    play_all(Cut::Reset);
+}
+
+#[test]
+fn callers_of_daemons_that_get_no_new_connections_to_servers_are_served() {
+    play_all(Cut::OnlyNew);
+}
+
+/// Plays the end of servers, with `rate` calls a second at each daemon and pool.
+fn play_ends(seed: u64, ended: impl Iterator<Item = u8>, rate: f64) {
+    let mut traffic = traffic(seed);
+    traffic.rates = vec![("plain", rate), ("engines", rate)];
+    traffic.run(ms(4_000));
+    for last in ended {
+        traffic.end_server(address(last));
+    }
+    traffic.run(ms(4_000));
+    let handed_over = traffic.calls.iter().filter(|call| !call.takers.is_empty()).count();
+    assert_eq!(handed_over, 0, "seed {seed}: handed over although only servers ended");
+}
+
+#[test]
+fn ends_of_servers_are_no_partition() {
+    for seed in seeds() {
+        for rate in [1.0, 5.0] {
+            play_ends(seed, 101..=103, rate);
+            play_ends(seed, 21..=25, rate);
+            play_ends(seed, (101..=101).chain(21..=26), rate);
+        }
+    }
+}
