Placement: what one daemon fails at hardly counts against a server

While some daemons reached no server, the scheduler backed off from each server they failed at, up to 4 s, for all: callers of the other daemons got 2002, most in the plain pool with its three servers.

Failures are now kept by the daemon that saw them, for seconds: a server is avoided for that daemon (doubling, as before), for all only for the first 200 ms; a second daemon's failure lengthens that, as each did before. A daemon that failed at two servers without a success in between is doubted: its failures don't count, and those that it alone saw are forgotten. A server that has ended still costs the others a short back-off at the first failure and the longer one from the second daemon's on.

The three tests of daemons that are cut off fail as before; what they serve themselves comes next.

--- a/src/fleet/message.rs
+++ b/src/fleet/message.rs
@@ -69,6 +69,17 @@
     Failed,
 }
 
+impl Report {
+    /// Whether bytes of the server show it.
+    pub const fn is_from_server(self) -> bool {
+        match self {
+            Self::Begun(_) | Self::Ended | Self::Refused(_) | Self::Failed => true,
+            Self::Lost(Loss::InvalidAnswer) => true,
+            Self::Unsent | Self::Lost(Loss::Connection) => false,
+        }
+    }
+}
+
 /// An instruction to the traffic handler about a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Command {
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -5,6 +5,7 @@
 //! product's own interface.
 
 mod admission;
+mod blame;
 mod drain;
 mod explain;
 mod figures;
--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -5,6 +5,7 @@
 use slotmap::SlotMap;
 
 use super::admission::{Position, Refusals};
+use super::blame::Failures;
 use super::drain::Throughput;
 use super::isolation::Isolation;
 use super::life::Incarnations;
@@ -90,6 +91,8 @@
     pub(super) budgets: BTreeMap<String, Budget>,
     pub(super) peers: BTreeMap<String, Peer>,
     pub(super) ranking: Ranking,
+    /// Recent failed attempts, by daemon.
+    pub(super) failures: Failures,
     /// Requests of other daemons that this one schedules.
     pub(super) served: Submissions,
     /// Own requests for which a scheduler's answer is outstanding.
@@ -176,6 +179,7 @@
             budgets: BTreeMap::new(),
             peers: Peer::from_seeds(seeds, identity.address),
             ranking: Ranking::default(),
+            failures: Failures::default(),
             served: Submissions::default(),
             awaiting_scheduler: BTreeSet::new(),
             unanswered: BTreeSet::new(),
--- a/src/fleet/place.rs
+++ b/src/fleet/place.rs
@@ -110,8 +110,9 @@
         }
         for cell in pool.cells_of(request) {
             let servers = cell.keys().filter_map(|key| Some((key, self.servers.get(key)?)));
-            let usable: Vec<(server::Key, &Server)> =
-                servers.filter(|(key, server)| self.has_room(now, *key, server)).collect();
+            let usable: Vec<(server::Key, &Server)> = servers
+                .filter(|(key, server)| self.may_place(now, request, *key, server))
+                .collect();
             let has_room = !usable.is_empty();
             let choice = self.place_in_cell(now, request, cell, usable);
             if choice.is_some() || has_room && !self.has_waited_for_home(now, request) {
@@ -121,6 +122,10 @@
         None
     }
 
+    fn may_place(&self, now: Time, request: &Request, key: server::Key, server: &Server) -> bool {
+        self.has_room(now, key, server) && !self.avoids(now, request, key)
+    }
+
     /// Chooses one of the usable servers of a cell.
     fn place_in_cell(
         &self,
--- a/src/fleet/reports.rs
+++ b/src/fleet/reports.rs
@@ -16,6 +16,10 @@
         }
         let Phase::Sent { server, prefill_tokens, begun, sent_at } = request.phase else { return };
         let model = request.arrival.prompt.as_ref().map(|prompt| prompt.model.clone());
+        if report.is_from_server() {
+            self.record_answered_attempt(key, server);
+        }
+        let Some(request) = self.requests.get_mut(&key) else { return };
         match report {
             Report::Begun(weights) => {
                 if let (Some(model), Some(version)) = (model, weights) {
@@ -44,16 +48,19 @@
                 request.possible_runs -= 1;
                 self.counts.unsent += 1;
                 self.log_failed(key, server, "could not connect to the server");
-                self.note_failure(now, server);
+                self.record_failed_attempt(now, key, server);
                 self.retry_unexecuted(now, key, false, Code::RetriesExhausted);
             }
             Report::Lost(loss) => {
                 self.counts.lost += 1;
                 self.log_failed(key, server, loss.reason());
-                if loss == Loss::Connection {
-                    self.connection_lost(now, key, server, now.saturating_sub(sent_at));
+                match loss {
+                    Loss::Connection => {
+                        self.connection_lost(now, key, server, now.saturating_sub(sent_at));
+                        self.record_failed_attempt(now, key, server);
+                    }
+                    Loss::InvalidAnswer => self.note_failure(now, server),
                 }
-                self.note_failure(now, server);
                 self.retry_or_give_up(now, key);
             }
             Report::Failed => {
--- a/src/fleet/scheduling/serving.rs
+++ b/src/fleet/scheduling/serving.rs
@@ -26,6 +26,13 @@
     incarnation: u64,
 }
 
+impl Origin {
+    /// The daemon.
+    pub(in crate::fleet) fn daemon(&self) -> &str {
+        &self.daemon
+    }
+}
+
 /// Index of the requests submitted by other daemons.
 #[derive(Debug, Default)]
 pub(in crate::fleet) struct Submissions {
--- a/src/fleet/server.rs
+++ b/src/fleet/server.rs
@@ -75,6 +75,8 @@
     /// The parts of prompts in its cache.
     pub(super) residency: Residency,
     failures: u32,
+    /// The daemon that alone has seen the failures since the last success.
+    only_witness: Option<String>,
     backoff_until: Time,
 }
 
@@ -91,6 +93,7 @@
             unconfirmed_removal_at: None,
             residency: Residency::default(),
             failures: 0,
+            only_witness: None,
             backoff_until: Time::ZERO,
         }
     }
@@ -158,9 +161,30 @@
     pub fn record_failure(&mut self, now: Time) {
         let wait = BACKOFF_BASE.saturating_mul(1 << self.failures.min(8)).min(BACKOFF_MAX);
         self.failures += 1;
+        self.only_witness = None;
         self.backoff_until = self.backoff_until.max(now + wait);
     }
 
+    /// Records a failure that `daemon` saw: the server gets no requests for a short time, and for a
+    /// longer one if another daemon has seen a failure, too.
+    pub fn record_failure_of(&mut self, now: Time, daemon: &str) {
+        match &self.only_witness {
+            None if self.failures == 0 => {
+                self.record_failure(now);
+                self.only_witness = Some(daemon.to_owned());
+            }
+            Some(witness) if witness == daemon => self.refused(now),
+            None | Some(_) => self.record_failure(now),
+        }
+    }
+
+    /// Forgets failures that `daemon` alone has seen, because its path to the server is doubted.
+    pub fn forget_failures_of(&mut self, daemon: &str) {
+        if self.only_witness.as_deref() == Some(daemon) {
+            self.record_success();
+        }
+    }
+
     /// Records a refusal: the server gets no requests for a short time, but this is no failure.
     pub fn refused(&mut self, now: Time) {
         self.backoff_until = self.backoff_until.max(now + BACKOFF_BASE);
@@ -169,6 +193,7 @@
     /// Records a success, which ends any backoff.
     pub fn record_success(&mut self) {
         self.failures = 0;
+        self.only_witness = None;
         self.backoff_until = Time::ZERO;
     }
 }
--- a/src/fleet/tests/partition/mod.rs
+++ b/src/fleet/tests/partition/mod.rs
@@ -34,7 +34,7 @@
     Traffic::new(seed, DAEMONS, &borrowed(&servers))
 }
 
-/// Whether the scheduler of the plain pool is among the daemons that are cut off.
+/// The daemons that are cut off.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Who {
     OneAndTheScheduler,
@@ -57,48 +57,81 @@
     chosen.into_iter().collect::<BTreeSet<usize>>().into_iter().collect()
 }
 
-/// Plays a cut and checks what callers at all daemons see.
-fn play(seed: u64, who: Who, cut: Cut) {
+/// A cut that was played.
+struct Played {
+    traffic: Traffic,
+    name: String,
+    /// The daemons that were cut off.
+    daemons: Vec<usize>,
+    others: Vec<usize>,
+    /// When callers were to be served again.
+    from: Time,
+    healed: Time,
+}
+
+/// Plays a cut, and the time after it.
+fn play_cut(seed: u64, who: Who, cut: Cut) -> Played {
     let mut traffic = traffic(seed);
     traffic.run(ms(4_000));
     let daemons = choose(&traffic, who);
     let others: Vec<usize> =
         (0..usize::from(DAEMONS)).filter(|daemon| !daemons.contains(daemon)).collect();
-    let begin = traffic.site.now;
+    let from = traffic.site.now + ADAPTATION;
     traffic.cut(&daemons, cut);
     traffic.run(CUT_SPAN);
     let healed = traffic.site.now;
     traffic.heal();
     traffic.run(ms(4_000));
-    let settled = traffic.site.now - ms(2_000);
-    traffic.rates.clear();
+    let rates = std::mem::take(&mut traffic.rates);
     traffic.run(ms(6_000));
+    traffic.rates = rates;
     let name = format!("seed {seed}, {who:?} {daemons:?}, {cut:?}");
-    let from = begin + ADAPTATION;
-    let ends = |of: &[usize], from: Time, to: Time| traffic.ends(of, from, to);
     for call in &traffic.calls {
         assert!(call.end.is_some(), "{name}: a call has no end: {call:?}");
         let most = if call.repeat == Repeat::AtMostOnce { 1 } else { 2 };
         assert!(call.runs <= most, "{name}: a call ran too often: {call:?}");
     }
-    let (cut_off, near) =
-        (traffic.served(&daemons, from, healed), traffic.served(&others, from, healed));
-    assert!(
-        near >= 0.97,
-        "{name}: daemons that reach servers served {near}: {:?}",
-        ends(&others, from, healed)
-    );
-    assert!(
-        cut_off >= near * 0.95,
-        "{name}: daemons that reach no server served {cut_off}, the others {near}: {:?}",
-        ends(&daemons, from, healed)
-    );
-    let all: Vec<usize> = (0..usize::from(DAEMONS)).collect();
-    let after = traffic.served(&all, settled, settled + ms(2_000));
-    assert!(after >= 0.99, "{name}: after the cut {after} of the calls were served");
-    let late = traffic.calls.iter().filter(|call| call.sent_at >= settled);
-    assert!(late.clone().all(|call| call.takers.is_empty()), "{name}: handed over after the cut");
-    check_shares(&traffic, &name, &others);
+    Played { traffic, name, daemons, others, from, healed }
+}
+
+impl Played {
+    /// Checks that callers of the daemons that reach the servers are served; returns their share.
+    fn check_others(&self) -> f64 {
+        let Self { traffic, name, others, from, healed, .. } = self;
+        let served = traffic.served(others, *from, *healed);
+        let ends = traffic.ends(others, *from, *healed);
+        assert!(served >= 0.97, "{name}: daemons that reach servers served {served}: {ends:?}");
+        served
+    }
+
+    /// Checks that callers of the daemons that are cut off are served as often.
+    fn check_cut_off(&self) {
+        let Self { traffic, name, daemons, from, healed, .. } = self;
+        let (served, others) = (traffic.served(daemons, *from, *healed), self.check_others());
+        let ends = traffic.ends(daemons, *from, *healed);
+        assert!(
+            served >= others * 0.95,
+            "{name}: daemons that reach no server served {served}, the others {others}: {ends:?}",
+        );
+    }
+
+    /// Checks that all is as before two seconds after the cut.
+    fn check_afterwards(&self) {
+        let Self { traffic, name, healed, .. } = self;
+        let settled = *healed + ms(2_000);
+        let all: Vec<usize> = (0..usize::from(DAEMONS)).collect();
+        let served = traffic.served(&all, settled, settled + ms(2_000));
+        assert!(served >= 0.99, "{name}: after the cut {served} of the calls were served");
+        let mut late = traffic.calls.iter().filter(|call| call.sent_at >= settled);
+        assert!(late.all(|call| call.takers.is_empty()), "{name}: handed over after the cut");
+    }
+}
+
+fn play(seed: u64, who: Who, cut: Cut) {
+    let played = play_cut(seed, who, cut);
+    played.check_cut_off();
+    played.check_afterwards();
+    check_shares(&played.traffic, &played.name, &played.others);
 }
 
 /// Checks that no daemon took over much more than its share.
@@ -113,15 +146,28 @@
     assert!(most.unwrap_or_default() as f64 <= fair * 1.6, "{name}: taken over {taken:?}");
 }
 
+const GROUPS: [Who; 3] =
+    [Who::OneAndTheScheduler, Who::OthersThanSchedulers, Who::ThreeWithTwoSchedulers];
+
 fn play_all(cut: Cut) {
     for seed in seeds() {
-        for who in [Who::OneAndTheScheduler, Who::OthersThanSchedulers, Who::ThreeWithTwoSchedulers]
-        {
+        for who in GROUPS {
             play(seed, who, cut);
         }
     }
 }
 
+#[test]
+fn callers_of_other_daemons_are_served_while_some_reach_no_server() {
+    for seed in seeds() {
+        for who in GROUPS {
+            for cut in [Cut::Silent, Cut::Reset, Cut::OnlyNew] {
+                play_cut(seed, who, cut).check_others();
+            }
+        }
+    }
+}
+
 #[test]
 fn callers_of_daemons_with_silent_paths_to_all_servers_are_served() {
     play_all(Cut::Silent);
--- a/src/fleet/tests/scheduling.rs
+++ b/src/fleet/tests/scheduling.rs
@@ -265,3 +265,52 @@
     assert!(many < few * 1.5, "{few} frames per second and daemon with 20 daemons, {many} with 80");
     assert!(many < 40.0, "{many} frames per second and daemon");
 }
+
+/// Has an attempt of a daemon fail at the server that its scheduler chooses; returns the server.
+fn fail_once(site: &mut Site, daemon: usize) -> String {
+    let key = site.arrive(daemon, "plain", Repeat::AtMostOnce);
+    let sent = site.only_dispatch(daemon, key);
+    site.report(daemon, key, sent.attempt, Report::Unsent);
+    site.apply(daemon, Message::Cancel(key));
+    sent.server
+}
+
+fn backoff_ends(site: &Site, scheduler: usize, server: &str) -> bool {
+    let servers = &site.daemons[scheduler].node.servers;
+    let server = servers.values().find(|known| known.entry.incarnation.id == server);
+    !server.expect("a known server").is_backing_off(site.now)
+}
+
+#[test]
+fn failures_of_one_daemon_hardly_count_against_a_server() {
+    let mut site = Site::new(6, &SERVERS[..1]);
+    let (scheduler, other) = (site.scheduler("plain"), site.non_scheduler());
+    for _ in 0..4 {
+        let server = fail_once(&mut site, other);
+        site.advance(ms(220));
+        assert!(backoff_ends(&site, scheduler, &server));
+        site.advance(ms(4_000));
+    }
+}
+
+#[test]
+fn failures_of_two_daemons_count_against_a_server() {
+    let mut site = Site::new(6, &SERVERS[..1]);
+    let scheduler = site.scheduler("plain");
+    let mut others = (0..6).filter(|index| *index != scheduler);
+    let (one, two) = (others.next().expect("a daemon"), others.next().expect("a daemon"));
+    let server = fail_once(&mut site, one);
+    site.advance(ms(220));
+    assert_eq!(fail_once(&mut site, two), server);
+    site.advance(ms(220));
+    assert!(!backoff_ends(&site, scheduler, &server), "it is avoided for longer");
+}
+
+#[test]
+fn failures_of_a_daemon_at_several_servers_are_no_servers_fault() {
+    let mut site = Site::new(6, &SERVERS);
+    let (scheduler, other) = (site.scheduler("plain"), site.non_scheduler());
+    let failed = [fail_once(&mut site, other), fail_once(&mut site, other)];
+    assert_ne!(failed[0], failed[1], "the daemon is not sent to the same server again");
+    assert!(failed.iter().all(|server| backoff_ends(&site, scheduler, server)));
+}
