A daemon that reaches no server hands its requests to others

A daemon that is partitioned from all servers tried one server after the other, 400 ms each, until its callers left. As a scheduler it went on placing for all.

Detection (fleet::reach): a failed connect, a broken connection, 400 ms without a byte from two servers or 1 s from one starts a probe of one random server, at most once a second. If it fails, six servers are probed 150 ms later, among them those that answered last. If all fail, and servers that answered meanwhile refuse new connections too, the daemon is cut off. A tick that comes 500 ms late voids the evidence. Two accepted connects end the state; it probes two random servers every 250 ms. With four probes in place of six, a test that ends six of eight servers took it for a partition (request_that_was_answered_since_is_not_blocked).

Those that may have run are given up. A peer takes a bounded number over, none while it is cut off or draining, and never hands one on.

Schedulers that are cut off leave the ranking and return what waits, unless no daemon is known that reaches servers; they order no engines and don't renew the lease. Peers are told at once. The quota's keeper follows the ranking.

--- a/src/fleet/admission.rs
+++ b/src/fleet/admission.rs
@@ -112,6 +112,9 @@
     }
 
     pub(super) fn send_or_queue(&mut self, now: Time, key: Key) {
+        if self.leave_if_cut_off(now, key) || self.return_if_not_scheduling(now, key) {
+            return;
+        }
         if self.try_send(now, key) {
             return;
         }
--- a/src/fleet/explain.rs
+++ b/src/fleet/explain.rs
@@ -3,7 +3,7 @@
 use super::place::Choice;
 use super::pool::Pool;
 use super::request::{Phase, Request};
-use super::{Dependency, Dispatch, Key, Loss, Node, Refusal, Topic, server};
+use super::{Dependency, Dispatch, Handover, Key, Loss, Node, Refusal, Topic, server};
 use crate::prelude::*;
 
 impl Loss {
@@ -118,7 +118,7 @@
         let Some(request) = self.requests.get(&key) else { return };
         let waited = match request.phase {
             Phase::Waiting(since) => now.saturating_sub(since),
-            Phase::Submitted(_) | Phase::Sent { .. } => Duration::ZERO,
+            Phase::Submitted(_) | Phase::Sent { .. } | Phase::HandedOver => Duration::ZERO,
         };
         let detail = Self::request_detail(request)
             .and("code", u32::from(code.row().number))
@@ -158,6 +158,16 @@
         self.event(Event::AttemptRefused, detail);
     }
 
+    pub(super) fn log_handed_over(&mut self, key: Key, handover: &Handover) {
+        let Some(request) = self.requests.get(&key) else { return };
+        let detail = Self::request_detail(request)
+            .and("attempt", handover.attempt)
+            .and("daemon", handover.daemon.as_str())
+            .and("address", handover.address)
+            .and("fingerprint", request.arrival.fingerprint.to_string());
+        self.event(Event::RequestHandedOver, detail);
+    }
+
     /// Logs the withdrawal of a sent request; `event` gives the reason.
     pub(super) fn log_withdrawn(&mut self, event: Event, now: Time, key: Key) {
         let Some(request) = self.requests.get(&key) else { return };
--- a/src/fleet/figures.rs
+++ b/src/fleet/figures.rs
@@ -26,6 +26,10 @@
     pub submitted: u64,
     /// Submitted requests that this daemon then placed itself.
     pub unscheduled: u64,
+    /// Requests that were handed over to a peer, counted at each offer.
+    pub handed_over: u64,
+    /// Requests that were taken over from peers.
+    pub taken_over: u64,
     /// Records of the platform's store that could not be decoded.
     pub unreadable: u64,
 }
@@ -64,6 +68,9 @@
             Gauge::new("scheduled_for_others", self.served.len() as u64),
             Gauge::new("submitted", self.counts.submitted),
             Gauge::new("unscheduled", self.counts.unscheduled),
+            Gauge::new("servers_unreachable", u64::from(self.is_cut_off())),
+            Gauge::new("handed_over", self.counts.handed_over),
+            Gauge::new("taken_over", self.counts.taken_over),
             Gauge::new("records_unreadable", self.counts.unreadable),
             Gauge::new("requests_blocked", self.poison.blocks(now).count() as u64),
             Gauge::new("blocks_unwritten", self.poison.unstored_blocks(now).len() as u64),
--- a/src/fleet/gossip.rs
+++ b/src/fleet/gossip.rs
@@ -218,7 +218,7 @@
             daemon: self.identity.id.clone(),
             address: self.identity.address.to_string(),
             handover_address: self.identity.handover_address.to_string(),
-            is_isolated: false,
+            is_isolated: self.is_cut_off(),
             cores: self.identity.cores,
             zone: self.identity.zone.clone(),
             interval: DIGEST_INTERVAL,
@@ -288,11 +288,13 @@
         // Refill first, so that the peer's transfers are deducted from the current budget and not
         // from that of the last send.
         self.refill_link(now);
+        let mut reach_changed = false;
         if let Some(peer) = self.peers.get_mut(&digest.daemon) {
             let last = peer.digest.as_ref().filter(|last| last.incarnation == digest.incarnation);
             let moved =
                 last.map(|last| digest.link_bytes_moved.saturating_sub(last.link_bytes_moved));
             self.kv_link.deduct(moved.unwrap_or_default());
+            reach_changed = peer.is_cut_off() != digest.is_isolated;
             let restarted =
                 peer.digest.as_ref().is_some_and(|last| last.incarnation != digest.incarnation);
             peer.heard_at = Some(now);
@@ -318,6 +320,9 @@
             }
         }
         self.peer_loads_stale = true;
+        if reach_changed {
+            self.refresh_ranking(now);
+        }
     }
 
     /// Applies a peer's report of when it last had every operator record, if this daemon has all
--- a/src/fleet/message.rs
+++ b/src/fleet/message.rs
@@ -300,6 +300,8 @@
     Events(Location, Option<EventBatch>),
     /// The port of a server that may have crashed was probed.
     Probed(Incarnation, Answer),
+    /// A server was probed to learn whether this daemon reaches it.
+    PathProbed(server::Key, bool),
     /// A frame arrived from a peer.
     Frame(Frame),
     /// A planned stop was requested.
@@ -347,9 +349,11 @@
     },
     /// Probe whether anything still listens at the address of a server that may have crashed.
     Probe(Incarnation, SocketAddr),
+    /// Probe whether this daemon reaches a server.
+    ProbePath(server::Key, SocketAddr),
     /// Write to the platform's store for how long a request has been blocked, or that it no longer is.
     WriteBlock(Fingerprint, Option<Duration>),
-    /// Close idle connections to this address because the server there has ended.
+    /// Close idle connections to this address because the server there has ended or is not reached.
     Disconnect(SocketAddr),
     /// Ask an engine for its state.
     Poll(server::Key, String, SocketAddr),
--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -7,6 +7,7 @@
 use super::admission::{Position, Refusals};
 use super::blame::Failures;
 use super::drain::Throughput;
+use super::handover::Handovers;
 use super::isolation::Isolation;
 use super::life::Incarnations;
 use super::load::Load;
@@ -14,6 +15,7 @@
 use super::peer::Peer;
 use super::pool::Pool;
 use super::quotas::Leadership;
+use super::reach::Reach;
 use super::replication::Bootstrap;
 use super::request::Request;
 use super::residency::{EventPoll, Link, StoreState};
@@ -91,6 +93,9 @@
     pub(super) budgets: BTreeMap<String, Budget>,
     pub(super) peers: BTreeMap<String, Peer>,
     pub(super) ranking: Ranking,
+    /// Whether this daemon reaches any server.
+    pub(super) reach: Reach,
+    pub(super) handovers: Handovers,
     /// Recent failed attempts, by daemon.
     pub(super) failures: Failures,
     /// Requests of other daemons that this one schedules.
@@ -179,6 +184,8 @@
             budgets: BTreeMap::new(),
             peers: Peer::from_seeds(seeds, identity.address),
             ranking: Ranking::default(),
+            reach: Reach::default(),
+            handovers: Handovers::default(),
             failures: Failures::default(),
             served: Submissions::default(),
             awaiting_scheduler: BTreeSet::new(),
@@ -228,7 +235,9 @@
             Message::Report { request, attempt, report } => {
                 self.handle_report(now, request, attempt, report);
             }
-            Message::HandoverEnded { .. } => {}
+            Message::HandoverEnded { request, attempt, end } => {
+                self.handover_ended(now, request, attempt, end);
+            }
             Message::Cancel(request) => self.remove_request(now, request),
             Message::Read(read) => self.handle_read(now, read),
             Message::ReadFailed(tracked, reason) => self.mark_unreadable(now, tracked, &reason),
@@ -237,6 +246,7 @@
             Message::Polled(server, state) => self.polled(now, server, state),
             Message::Events(place, read) => self.handle_cache_events(now, place, read.as_ref()),
             Message::Probed(incarnation, answer) => self.probed(now, incarnation, answer),
+            Message::PathProbed(server, accepted) => self.path_probed(now, server, accepted),
             Message::Frame(frame) => self.handle_frame(now, frame),
             Message::Stop => self.stop(now),
             Message::StopDeadline => self.finish_stop(now),
@@ -268,6 +278,7 @@
             || !self.quota_leadership.undecided.is_empty()
             || self.rollout.is_active()
             || self.detector.has_probe_due()
+            || self.reach.is_suspicious()
     }
 
     /// The offset of the next lease record to read.
@@ -325,6 +336,7 @@
         self.refresh_namings(now);
         self.read_events(now);
         self.sum_peer_load(now);
+        self.check_reach(now);
         self.check_unanswered(now);
         self.maintain_blocks(now);
         self.remove_lapsed(now);
--- a/src/fleet/peer.rs
+++ b/src/fleet/peer.rs
@@ -106,6 +106,11 @@
         self.digest.as_ref().is_some_and(|digest| digest.draining)
     }
 
+    /// Whether its last digest says that it reaches no server.
+    pub(super) fn is_cut_off(&self) -> bool {
+        self.digest.as_ref().is_some_and(|digest| digest.is_isolated)
+    }
+
     /// Whether it is draining, or has sent no digest for `after` since it began to rank among the
     /// schedulers.
     pub(super) fn is_silent_or_draining(&self, now: Time, after: Duration) -> bool {
--- a/src/fleet/reports.rs
+++ b/src/fleet/reports.rs
@@ -16,8 +16,12 @@
         }
         let Phase::Sent { server, prefill_tokens, begun, sent_at } = request.phase else { return };
         let model = request.arrival.prompt.as_ref().map(|prompt| prompt.model.clone());
+        let is_own = request.origin.is_none();
         if report.is_from_server() {
             self.record_answered_attempt(key, server);
+            if is_own {
+                self.note_server_contact(now, server);
+            }
         }
         let Some(request) = self.requests.get_mut(&key) else { return };
         match report {
@@ -49,6 +53,7 @@
                 self.counts.unsent += 1;
                 self.log_failed(key, server, "could not connect to the server");
                 self.record_failed_attempt(now, key, server);
+                self.note_own_path_failure(now, key);
                 self.retry_unexecuted(now, key, false, Code::RetriesExhausted);
             }
             Report::Lost(loss) => {
@@ -58,6 +63,7 @@
                     Loss::Connection => {
                         self.connection_lost(now, key, server, now.saturating_sub(sent_at));
                         self.record_failed_attempt(now, key, server);
+                        self.note_own_path_failure(now, key);
                     }
                     Loss::InvalidAnswer => self.note_failure(now, server),
                 }
@@ -72,6 +78,13 @@
         }
     }
 
+    /// Records a failed attempt of a request that this daemon received.
+    fn note_own_path_failure(&mut self, now: Time, key: Key) {
+        if self.requests.get(&key).is_some_and(|request| request.origin.is_none()) {
+            self.note_path_failure(now);
+        }
+    }
+
     pub(super) fn note_response(&mut self, now: Time, server: server::Key) {
         self.server_answered(now, server);
         if let Some(server) = self.servers.get_mut(server) {
--- a/src/fleet/request.rs
+++ b/src/fleet/request.rs
@@ -14,6 +14,8 @@
     Submitted(Stage),
     /// The request was sent to a server.
     Sent { server: server::Key, prefill_tokens: u32, begun: bool, sent_at: Time },
+    /// A peer serves the request.
+    HandedOver,
 }
 
 /// One request.
@@ -47,6 +49,8 @@
     pub(super) scheduler: String,
     /// Number of schedulers to which it was submitted so far.
     pub(super) submissions: u8,
+    /// Peers to which it was offered because this daemon reaches no server.
+    pub(super) offered_to: Vec<String>,
 }
 
 impl Request {
@@ -68,6 +72,7 @@
             origin,
             scheduler: String::new(),
             submissions: 0,
+            offered_to: Vec::new(),
         }
     }
 
@@ -84,7 +89,10 @@
 
     /// Returns whether it was sent and its answer has not begun.
     pub(super) fn is_unanswered(&self) -> bool {
-        let sent = matches!(self.phase, Phase::Sent { .. } | Phase::Submitted(Stage::Placed(_)));
+        let sent = matches!(
+            self.phase,
+            Phase::Sent { .. } | Phase::HandedOver | Phase::Submitted(Stage::Placed(_))
+        );
         sent && !self.has_begun()
     }
 
@@ -93,9 +101,9 @@
         match self.phase {
             Phase::Sent { begun, .. } => begun,
             Phase::Submitted(Stage::Placed(placed)) => placed.has_begun(),
-            Phase::Submitted(Stage::AwaitingVerdict(_) | Stage::Queued) | Phase::Waiting(_) => {
-                false
-            }
+            Phase::Submitted(Stage::AwaitingVerdict(_) | Stage::Queued)
+            | Phase::Waiting(_)
+            | Phase::HandedOver => false,
         }
     }
 }
--- a/src/fleet/requests.rs
+++ b/src/fleet/requests.rs
@@ -43,12 +43,21 @@
 
     pub(super) fn arrive(&mut self, now: Time, arrival: Arrival) {
         let pool = self.choose_pool(&arrival);
-        let key = arrival.request;
+        let (key, is_handed_over) = (arrival.request, arrival.is_handed_over);
         let request = Request::new(now, arrival, pool, None);
         self.requests.insert(key, request);
         if self.is_blocked(key) {
             return self.refuse_blocked(now, key);
         }
+        if is_handed_over {
+            if !self.may_take_over() {
+                return self.refuse(now, key, Code::HandoverRefused);
+            }
+            self.note_taken_over(key);
+        }
+        if self.leave_if_cut_off(now, key) {
+            return;
+        }
         if !self.submit(now, key)
             && let Some(request) = self.requests.remove(&key)
         {
@@ -152,6 +161,9 @@
             begun: false,
             sent_at: now,
         };
+        if request.origin.is_none() {
+            self.reach.note_sent(now, choice.server);
+        }
         server.running += 1;
         self.kv_link.spend(choice.moved_bytes);
         server.pending_tokens = server.pending_tokens.saturating_add(choice.read_tokens);
@@ -224,8 +236,16 @@
         }
     }
 
+    /// Takes a request out of the queue of waiting ones.
+    pub(super) fn leave_queue(&mut self, key: Key) {
+        if let Some(request) = self.requests.get(&key) {
+            self.waiting.remove(&Position::of(key, request));
+        }
+    }
+
     pub(super) fn remove_request(&mut self, now: Time, key: Key) {
         self.release_slot(key);
+        self.end_handover(key);
         self.withdraw(key);
         self.refund_quota(now, key);
         self.quota_leadership.undecided.remove(&key);
--- a/src/fleet/rollout.rs
+++ b/src/fleet/rollout.rs
@@ -175,14 +175,14 @@
         // A daemon that does not read the lease would try to take one that is held.
         let candidate = self.should_read(now, Dependency::Lease)
             && now >= since + CANDIDATE_DELAY_STEP * self.rank_among_daemons();
-        if !self.draining
-            && let Some(record) = self.lease.due_record(now, candidate)
-        {
+        // A holder that reaches no engine leaves the lease to another daemon.
+        let may_order = !self.draining && !self.is_cut_off();
+        if may_order && let Some(record) = self.lease.due_record(now, candidate) {
             self.effects.push(Effect::AppendLease(record.encode()));
         }
         self.poll_ordered(now);
         let Some(fence) = self.lease.fence(now) else { return };
-        if self.draining || !(self.policy.engines_check_fences || self.lease.is_settled(now)) {
+        if !may_order || !(self.policy.engines_check_fences || self.lease.is_settled(now)) {
             return;
         }
         self.order_next(now, fence);
--- a/src/fleet/run.rs
+++ b/src/fleet/run.rs
@@ -286,6 +286,7 @@
                 | Effect::Poll(..)
                 | Effect::ReadEvents { .. }
                 | Effect::Probe(..)
+                | Effect::ProbePath(..)
                 | Effect::WriteBlock(..)
                 | Effect::Disconnect(_)) => {
                     self.platform_effects.try_send(platform_effect).ok();
--- a/src/fleet/scheduling/ranking.rs
+++ b/src/fleet/scheduling/ranking.rs
@@ -82,6 +82,14 @@
         if !self.draining {
             ranked.push((own, None));
         }
+        // Daemons that reach no server schedule only if none is known that does.
+        let reaches = |id: Option<&str>| match id {
+            Some(id) => !self.peers.get(id).is_some_and(Peer::is_cut_off),
+            None => !self.is_cut_off(),
+        };
+        if ranked.iter().any(|(_, id)| reaches(*id)) {
+            ranked.retain(|(_, id)| reaches(*id));
+        }
         ranked.sort_by(|(a, _), (b, _)| a.compare(b));
         let first = ranked.into_iter().take(SCHEDULER_COUNT);
         let schedulers: Vec<String> =
--- a/src/fleet/scheduling/serving.rs
+++ b/src/fleet/scheduling/serving.rs
@@ -76,7 +76,7 @@
         let Submission { daemon, incarnation, request, .. } = &submission;
         let (daemon, request, incarnation) = (daemon.clone(), *request, *incarnation);
         let origin = Origin { daemon, request, address, incarnation };
-        if self.draining || !self.is_ready() {
+        if !self.is_ready() || self.has_left_scheduling(now) {
             return self.send_verdict(&origin, Decision::Return);
         }
         if let Some(known) = self.served.key(&origin.daemon, origin.request) {
@@ -149,8 +149,26 @@
         self.effects.push(Effect::Send(vec![origin.address], Frame::Verdict(Box::new(verdict))));
     }
 
-    /// Returns the queued requests of other daemons because this daemon is stopping.
+    /// Whether this daemon places nothing for others because it reaches no server, and others do.
+    fn has_left_scheduling(&self, now: Time) -> bool {
+        self.is_cut_off() && !self.is_scheduler(now)
+    }
+
+    /// Returns a request to its daemon if this one has left scheduling; returns whether it did.
+    pub(in crate::fleet) fn return_if_not_scheduling(&mut self, now: Time, key: Key) -> bool {
+        let origin = self.requests.get(&key).and_then(|request| request.origin.clone());
+        let Some(origin) = origin.filter(|_| self.has_left_scheduling(now)) else { return false };
+        self.send_verdict(&origin, Decision::Return);
+        self.remove_request(now, key);
+        true
+    }
+
+    /// Returns the queued requests of other daemons because this daemon is stopping or reaches no
+    /// server.
     pub(in crate::fleet) fn return_queued_requests(&mut self, now: Time) {
+        if !self.draining && !self.has_left_scheduling(now) {
+            return;
+        }
         let is_waiting = |request: &Request| matches!(request.phase, Phase::Waiting(_));
         let waiting = self.requests.iter().filter(|(_, request)| is_waiting(request));
         let waiting = waiting.filter_map(|(key, request)| Some((*key, request.origin.clone()?)));
--- a/src/fleet/scheduling/submitting.rs
+++ b/src/fleet/scheduling/submitting.rs
@@ -3,7 +3,7 @@
 use super::{Assignment, Decision, Progress, Step, Submission, Verdict};
 use crate::fleet::request::{Phase, Request};
 use crate::fleet::{
-    Arrival, Command, Dispatch, Effect, Frame, Identity, Key, Node, Refusal, Report, server,
+    Arrival, Command, Dispatch, Effect, Frame, Identity, Key, Loss, Node, Refusal, Report, server,
 };
 use crate::prelude::*;
 
@@ -103,6 +103,9 @@
 
     /// Sends a request to the assigned server, unless this daemon has newer information against it.
     fn dispatch_assignment(&mut self, now: Time, key: Key, assignment: Assignment) {
+        if self.leave_if_cut_off(now, key) {
+            return;
+        }
         let Some(server) = self.incarnations.server(&assignment.server) else {
             return self.withdraw_from_scheduler(now, key);
         };
@@ -110,6 +113,7 @@
             return self.withdraw_from_scheduler(now, key);
         }
         let most_idle = self.max_idle_connections(key);
+        self.note_request_sent(now, server);
         let Some(request) = self.requests.get_mut(&key) else { return };
         request.sends += 1;
         request.possible_runs += 1;
@@ -163,6 +167,9 @@
         let scheduler = request.scheduler.clone();
         let model = request.arrival.prompt.as_ref().map(|prompt| prompt.model.clone());
         self.send_progress(&scheduler, key, attempt, Step::Report(report));
+        if report.is_from_server() {
+            self.note_server_contact(now, server);
+        }
         match report {
             Report::Begun(weights) => {
                 if let (Some(model), Some(version)) = (&model, weights) {
@@ -186,11 +193,15 @@
             Report::Unsent => {
                 self.log_failed(key, server, "could not connect to the server");
                 self.counts.unsent += 1;
+                self.note_path_failure(now);
                 self.handle_not_run(now, key, false);
             }
             Report::Lost(loss) => {
                 self.log_failed(key, server, loss.reason());
                 self.counts.lost += 1;
+                if loss == Loss::Connection {
+                    self.note_path_failure(now);
+                }
                 self.handle_possible_run(now, key);
             }
             Report::Failed => {
@@ -219,6 +230,7 @@
             request.draws_on_retry_budget |= arrived;
             request.phase = Phase::Submitted(Stage::AwaitingVerdict(now));
             self.awaiting_scheduler.insert(key);
+            self.leave_if_cut_off(now, key);
         }
     }
 
@@ -229,6 +241,7 @@
             request.draws_on_retry_budget = true;
             request.phase = Phase::Submitted(Stage::AwaitingVerdict(now));
             self.awaiting_scheduler.insert(key);
+            self.leave_if_cut_off(now, key);
             return;
         }
         self.effects.push(Effect::Command(key, Command::GiveUp));
@@ -256,7 +269,7 @@
                 unanswered.contains(&request.scheduler) || gone(&request.scheduler)
             }
             Phase::Submitted(Stage::Placed(_)) => gone(&request.scheduler),
-            Phase::Waiting(_) | Phase::Sent { .. } => false,
+            Phase::Waiting(_) | Phase::Sent { .. } | Phase::HandedOver => false,
         });
         let orphaned: Vec<Key> = orphaned.map(|(key, _)| *key).collect();
         for key in orphaned {
@@ -281,6 +294,9 @@
         request.scheduler.clear();
         let Stage::Placed(Placement { server, prefill_tokens, begun, sent_at, .. }) = stage else {
             request.phase = Phase::Waiting(now);
+            if self.leave_if_cut_off(now, key) {
+                return;
+            }
             if !self.submit(now, key) && self.charge_quota(now, key) {
                 self.send_or_queue(now, key);
             }
--- a/src/fleet/tests/beliefs/carriage.rs
+++ b/src/fleet/tests/beliefs/carriage.rs
@@ -221,6 +221,11 @@
                         Payload::from_message(Message::Probed(incarnation, answer)),
                     );
                 }
+                Effect::ProbePath(server, at) => {
+                    let up = self.servers.iter().any(|s| s.is_up && address(s.last_octet) == at);
+                    let message = Message::PathProbed(server, up);
+                    self.enqueue(vm, ms(5), Payload::from_message(message));
+                }
                 Effect::Command(..)
                 | Effect::ReadEvents { .. }
                 | Effect::Disconnect(_)
--- a/src/fleet/tests/partition/mod.rs
+++ b/src/fleet/tests/partition/mod.rs
@@ -115,6 +115,22 @@
         );
     }
 
+    /// Checks that no daemon took over much more than its share, and none that is cut off anything,
+    /// once all have noticed the cut.
+    fn check_shares(&self) {
+        let Self { traffic, name, others, from, healed, .. } = self;
+        let mut taken: BTreeMap<usize, usize> = BTreeMap::new();
+        let calls =
+            traffic.calls.iter().filter(|call| call.sent_at >= *from && call.sent_at < *healed);
+        for (call, taker) in calls.flat_map(|call| call.takers.iter().map(move |t| (call, t))) {
+            assert!(others.contains(taker), "{name}: {taker} is cut off and took over {call:?}");
+            *taken.entry(*taker).or_default() += 1;
+        }
+        let (all, most) = (taken.values().sum::<usize>(), taken.values().max().copied());
+        let fair = all as f64 / others.len() as f64;
+        assert!(most.unwrap_or_default() as f64 <= fair * 1.6, "{name}: taken over {taken:?}");
+    }
+
     /// Checks that all is as before two seconds after the cut.
     fn check_afterwards(&self) {
         let Self { traffic, name, healed, .. } = self;
@@ -131,19 +147,7 @@
     let played = play_cut(seed, who, cut);
     played.check_cut_off();
     played.check_afterwards();
-    check_shares(&played.traffic, &played.name, &played.others);
-}
-
-/// Checks that no daemon took over much more than its share.
-fn check_shares(traffic: &Traffic, name: &str, takers: &[usize]) {
-    let mut taken: BTreeMap<usize, usize> = BTreeMap::new();
-    for taker in traffic.calls.iter().flat_map(|call| &call.takers) {
-        assert!(takers.contains(taker), "{name}: a daemon that is cut off took a request over");
-        *taken.entry(*taker).or_default() += 1;
-    }
-    let (all, most) = (taken.values().sum::<usize>(), taken.values().max().copied());
-    let fair = all as f64 / takers.len() as f64;
-    assert!(most.unwrap_or_default() as f64 <= fair * 1.6, "{name}: taken over {taken:?}");
+    played.check_shares();
 }
 
 const GROUPS: [Who; 3] =
--- a/src/fleet/tests/site.rs
+++ b/src/fleet/tests/site.rs
@@ -163,6 +163,16 @@
                         Answer::Refused | Answer::Accepted => messages.push((index, message)),
                     }
                 }
+                Effect::ProbePath(server, address) => {
+                    let answer = self.connect(index, address);
+                    let message = Message::PathProbed(server, answer == Answer::Accepted);
+                    match answer {
+                        Answer::Silent => {
+                            self.delayed.push((self.now + PROBE_TIMEOUT, index, message));
+                        }
+                        Answer::Refused | Answer::Accepted => messages.push((index, message)),
+                    }
+                }
                 Effect::WriteBlock(fingerprint, age) => {
                     self.block_writes.push((fingerprint, age.is_some()))
                 }
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -14,6 +14,9 @@
 /// enough to try another server within a caller's latency target.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Time in which a partition resets a connection that it has let through.
+const RESET_DELAY: Duration = Duration::from_millis(30);
+
 /// Maximum number of idle connections per server for this router's own calls, which include long polls.
 const MAX_IDLE_CALL_CONNECTIONS: usize = 8;
 
@@ -112,6 +115,14 @@
     }
 }
 
+/// Returns whether a connection to `address` is accepted and stays open for a moment. A partition may
+/// reset connections that it has let through.
+pub async fn reaches(address: SocketAddr) -> bool {
+    let Ok(conn) = Conn::connect(address, CONNECT_TIMEOUT).await else { return false };
+    Timer::after(RESET_DELAY).await;
+    !conn.has_unexpected_input()
+}
+
 /// A complete request that this router makes itself, not on behalf of a caller.
 #[derive(Debug, Clone, Default)]
 pub struct Call {
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -24,6 +24,6 @@
 pub use dialect::{Classification, Dialect, Metadata};
 pub use drain::drain;
 pub use events::Events;
-pub use exchange::{Answer, Call, Failure, fetch, probe};
+pub use exchange::{Answer, Call, Failure, fetch, probe, reaches};
 pub use head::{Fields, Malformed, Request, Response};
 pub use pool::Pool;
--- a/src/telemetry/event.rs
+++ b/src/telemetry/event.rs
@@ -67,6 +67,8 @@
     CacheEventGap = 306, Debug, "Cache events of a backend server were lost; past a quarter of its cache entries, these are dropped.";
     ServerEnded = 307, Warn, "A backend server ended while requests ran there; its end is noted with each of them.";
     ServerChecked = 308, Info, "A backend server whose connection broke was checked; 307 follows if it has ended.";
+    ServersUnreachable = 309, Warn, "This daemon reaches no backend server; other daemons serve its requests.";
+    ServersReachable = 310, Info, "This daemon reaches backend servers again.";
     AttemptFailed = 400, Info, "An attempt at a backend server failed.";
     AnswerDiscarded = 401, Warn, "An answer named another attempt, incarnation or weights version, and was discarded.";
     StreamResumed = 402, Info, "A stream was resumed after its connection broke.";
@@ -83,6 +85,7 @@
     RequestBlocked = 413, Warn, "A request is refused from now on: servers have ended whenever they ran it.";
     BlockEnded = 414, Info, "A request that was blocked is sent to backend servers again.";
     QuotaUsed = 415, Info, "A request was refused: its workspace has used what this daemon may let in of its quota.";
+    RequestHandedOver = 416, Info, "A request was handed over to another daemon, since this one reaches no backend server.";
     ClaimAbandoned = 500, Warn, "A claim was given up on; it is released when it shows up on the log.";
     ClaimReleased = 501, Info, "A claim that was never dispatched was released.";
     OutcomeAppendFailed = 502, Warn, "An outcome could not be appended yet; it is tried again.";
