--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -5,11 +5,13 @@
 //! product's own interface.
 
 mod admission;
+mod blame;
 mod drain;
 mod explain;
 mod figures;
 mod frame;
 mod gossip;
+mod handover;
 mod homes;
 mod isolation;
 mod life;
@@ -25,6 +27,7 @@
 mod pool;
 mod prompt;
 mod quotas;
+mod reach;
 mod recall;
 mod replication;
 mod reports;
