Ends of servers: refused connections count only while another server accepts some

Two refused connects 60 ms apart proved a server's end.

At the first refusal two other servers are probed, one of them the last that answered. A later refusal counts if any server has accepted a connection since the first; else the port is probed on within the known bounds, and only the registration can confirm the end. Answers on existing connections don't count, since these may live on in a cut. With no other server known, a refusal counts as before.

--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -116,6 +116,8 @@
     pub(super) poison: poison::State,
     /// Servers that may have crashed while they ran requests.
     pub(super) detector: poison::Detector,
+    /// When servers that may have crashed first refused a connection.
+    pub(super) refused_since: BTreeMap<poison::Incarnation, Time>,
     /// Suspects that run alone at a server.
     pub(super) isolation: Isolation,
     pub(super) next_block_expiry: Time,
@@ -197,6 +199,7 @@
             quota_leadership: Leadership::default(),
             poison: poison::State::isolating(),
             detector: poison::Detector::default(),
+            refused_since: BTreeMap::new(),
             isolation: Isolation::default(),
             next_block_expiry: Time::ZERO,
             heat: Heat::default(),
--- a/src/fleet/poison.rs
+++ b/src/fleet/poison.rs
@@ -20,6 +20,8 @@
 const BLOCK_WRITE_STAGGER: Duration = Duration::from_millis(700);
 /// Maximum number of peers that get crash reports if no scheduler is known.
 const MAX_REPORT_PEERS: usize = 8;
+/// Time from the first refused connection to a server in which another may prove its end.
+const VERIFICATION_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time between two removals of expired state.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(10);
 
@@ -58,11 +60,49 @@
 
     /// Handles the result of a probe of a server's port.
     pub(super) fn probed(&mut self, now: Time, incarnation: Incarnation, answer: Answer) {
+        let answer = self.verify_refusal(now, incarnation, answer);
         let steps = self.detector.record_probe(now, incarnation, answer);
         self.log_findings();
         self.apply_steps(now, steps);
     }
 
+    /// Returns what a probe's result is worth. A path to all servers that is cut may refuse
+    /// connections too, so after the first refusal other servers are probed, and a later one counts
+    /// if any of them has accepted a connection.
+    fn verify_refusal(&mut self, now: Time, incarnation: Incarnation, answer: Answer) -> Answer {
+        let is_current = |first: &Time| now < *first + VERIFICATION_TIMEOUT;
+        let first = self.refused_since.get(&incarnation).copied().filter(is_current);
+        match (answer, first) {
+            (Answer::Refused, None) => {
+                self.refused_since.insert(incarnation, now);
+                self.verify_path(incarnation);
+                Answer::Refused
+            }
+            (Answer::Refused, Some(first)) if self.reach.has_accepted_since(first) => {
+                Answer::Refused
+            }
+            (Answer::Refused, Some(_)) if !self.verify_path(incarnation) => Answer::Refused,
+            (Answer::Refused, Some(_)) => Answer::Unverified,
+            (Answer::Accepted, _) => {
+                self.refused_since.remove(&incarnation);
+                self.note_accepted_connect(now);
+                answer
+            }
+            (Answer::Silent | Answer::Unverified, _) => {
+                self.refused_since.remove(&incarnation);
+                answer
+            }
+        }
+    }
+
+    /// Probes servers other than one that refused a connection; returns false if there is none.
+    fn verify_path(&mut self, refused: Incarnation) -> bool {
+        let mut known = self.servers.iter();
+        let found = known.find(|(_, server)| server.poison_incarnation() == refused);
+        let found = found.map(|(key, _)| key);
+        self.probe_other_paths(found)
+    }
+
     /// Handles the removal of a server's registration, or a restart of the server.
     pub(super) fn registration_ended(&mut self, now: Time, server: &Server) {
         if !server.entry.draining {
@@ -253,6 +293,7 @@
             return;
         }
         self.next_block_expiry = now + EXPIRY_INTERVAL;
+        self.refused_since.retain(|_, first| now < *first + VERIFICATION_TIMEOUT);
         for expired in self.poison.expire(now) {
             self.event(Event::BlockEnded, Detail::of("fingerprint", expired.to_string()));
             if self.is_scheduler(now) {
--- a/src/fleet/reach.rs
+++ b/src/fleet/reach.rs
@@ -24,6 +24,8 @@
 const CONFIRMING_PROBES: usize = 6;
 /// Servers that answered last among them.
 const MIN_ANSWERED_PROBED: usize = 2;
+/// Servers that are probed to tell the end of another one from a cut path.
+const VERIFYING_PROBES: usize = 2;
 /// Interval between probes while this daemon is cut off, and servers probed each time.
 const RECOVERY_INTERVAL: Duration = Duration::from_millis(250);
 const RECOVERY_PROBES: usize = 2;
@@ -211,16 +213,20 @@
         }
     }
 
-    /// Probes a server other than the given one, to tell the end of that server from a cut path.
-    pub(super) fn probe_other_path(&mut self, than: server::Key) {
-        let last = self.reach.answered.iter().map(|(key, _)| *key).find(|key| *key != than);
-        let mut targets = self.draw_servers(3, last.into_iter().collect());
-        targets.retain(|key| *key != than);
-        for key in targets.into_iter().take(2) {
-            if let Some(server) = self.servers.get(key) {
-                self.effects.push(Effect::ProbePath(key, server.entry.address));
+    /// Probes two servers other than `than`, one of them the last that answered; returns false if
+    /// there is none.
+    pub(super) fn probe_other_paths(&mut self, than: Option<server::Key>) -> bool {
+        let answered = self.reach.answered.iter().map(|(key, _)| *key);
+        let last = answered.into_iter().find(|key| Some(*key) != than);
+        let mut targets = self.draw_servers(VERIFYING_PROBES + 1, last.into_iter().collect());
+        targets.retain(|key| Some(*key) != than);
+        targets.truncate(VERIFYING_PROBES);
+        for key in &targets {
+            if let Some(server) = self.servers.get(*key) {
+                self.effects.push(Effect::ProbePath(*key, server.entry.address));
             }
         }
+        !targets.is_empty()
     }
 
     /// Handles the result of a probe of a path.
--- a/src/fleet/tests/poison.rs
+++ b/src/fleet/tests/poison.rs
@@ -1,6 +1,6 @@
 //! Requests that crash servers, and requests that only ran beside them.
 
-use super::site::Site;
+use super::site::{Cut, Site};
 use super::world::*;
 use crate::fleet::*;
 use crate::poison::{self, Fingerprint};
@@ -338,3 +338,28 @@
     let key = send_request(&mut site, 0, CRASHING);
     assert_eq!(refusal(&mut site, 0, key), Some(Code::RequestBlocked));
 }
+
+/// Has requests break at several servers when the path of the daemon that placed them to all servers
+/// is cut; returns the number of interruptions by ends of servers that are believed.
+fn interruptions_seen_in_a_cut(cut: Cut) -> usize {
+    let mut site = site(3, 8);
+    let scheduler = site.scheduler("engines");
+    let mut sent = Vec::new();
+    for n in 0..3 {
+        let key = send_request(&mut site, scheduler, Fingerprint(100 + n));
+        sent.push((key, site.only_dispatch(scheduler, key).attempt));
+    }
+    site.cuts.insert(scheduler, cut);
+    for (key, attempt) in sent {
+        site.report(scheduler, key, attempt, Report::Lost(Loss::Connection));
+    }
+    site.advance(ms(2_000));
+    let believed = |daemon: &Daemon| daemon.node.poison.interruptions(site.now).len();
+    site.daemons.iter().map(believed).sum()
+}
+
+#[test]
+fn refusals_of_a_path_that_is_cut_are_no_ends_of_servers() {
+    assert_eq!(interruptions_seen_in_a_cut(Cut::Reset), 0);
+    assert_eq!(interruptions_seen_in_a_cut(Cut::OnlyNew), 0);
+}
--- a/src/fleet/tests/site.rs
+++ b/src/fleet/tests/site.rs
@@ -160,7 +160,9 @@
                         Answer::Silent => {
                             self.delayed.push((self.now + PROBE_TIMEOUT, index, message));
                         }
-                        Answer::Refused | Answer::Accepted => messages.push((index, message)),
+                        Answer::Refused | Answer::Unverified | Answer::Accepted => {
+                            messages.push((index, message));
+                        }
                     }
                 }
                 Effect::ProbePath(server, address) => {
@@ -170,7 +172,9 @@
                         Answer::Silent => {
                             self.delayed.push((self.now + PROBE_TIMEOUT, index, message));
                         }
-                        Answer::Refused | Answer::Accepted => messages.push((index, message)),
+                        Answer::Refused | Answer::Unverified | Answer::Accepted => {
+                            messages.push((index, message));
+                        }
                     }
                 }
                 Effect::WriteBlock(fingerprint, age) => {
--- a/src/poison/detector.rs
+++ b/src/poison/detector.rs
@@ -31,6 +31,9 @@
 pub enum Answer {
     /// The connection was refused.
     Refused,
+    /// The connection was refused, and no other server has accepted one since the first refusal: the
+    /// path to all servers may be cut.
+    Unverified,
     /// The connection was accepted.
     Accepted,
     /// There was no response.
@@ -71,9 +74,10 @@
     pub const fn name(self) -> &'static str {
         match self {
             Self::Probed(Answer::Refused) => "refused",
+            Self::Probed(Answer::Unverified) => "refused, path not verified",
             Self::Probed(Answer::Accepted) => "accepted",
             Self::Probed(Answer::Silent) => "silent",
-            Self::Ignored(Answer::Refused) => "refused, ignored",
+            Self::Ignored(Answer::Refused | Answer::Unverified) => "refused, ignored",
             Self::Ignored(Answer::Accepted) => "accepted, ignored",
             Self::Ignored(Answer::Silent) => "silent, ignored",
             Self::NotClosed => "not closed",
@@ -242,10 +246,12 @@
             return Steps::default();
         };
         self.findings.push(check.finding(now, Outcome::Probed(answer)));
-        let is_closed = answer == Answer::Refused;
-        if is_closed && found_closed {
-            return self.record_crash(now, incarnation);
-        }
+        let is_closed = match answer {
+            Answer::Refused if found_closed => return self.record_crash(now, incarnation),
+            Answer::Refused => true,
+            Answer::Unverified => found_closed && check.has_probes_left(now),
+            Answer::Accepted | Answer::Silent => false,
+        };
         check.stage = Stage::Due { at: now + PROBE_INTERVAL, found_closed: is_closed };
         Steps::default()
     }
