Tests of unframed answers whose end proves nothing: six fail

A resumed stream without the event whose start had come, a stream of comments alone, an answer whose reset shows in the write of its request (plain and stream), an end and a reset found together: reported as complete. A sound stream with a further line break after its last event: reported as lost.

--- a/src/relay/tests/delivery.rs
+++ b/src/relay/tests/delivery.rs
@@ -156,6 +156,11 @@
     }
 
     fn start_with(method: &str, streams: bool) -> Self {
+        let request = format!("{method} / HTTP/1.1\r\nHost: a.example\r\n\r\n");
+        Self::start_request(request.as_bytes(), streams)
+    }
+
+    fn start_request(request: &[u8], streams: bool) -> Self {
         let (control, inputs) = Control::new();
         control.set_table(table(streams));
         let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port is available");
@@ -173,9 +178,7 @@
             block_on(serve(serving, stream));
             drop(shutdown_sender);
         });
-        caller
-            .write_all(format!("{method} / HTTP/1.1\r\nHost: a.example\r\n\r\n").as_bytes())
-            .expect("the connection is open");
+        caller.write_all(request).expect("the connection is open");
         Self { frontend, caller, inputs }
     }
 
@@ -351,6 +354,120 @@
     }
 }
 
+/// Receives reports until the attempt has ended. Returns the last one.
+fn receive_last_report(fixture: &Fixture, attempt: u32) -> Report {
+    loop {
+        match fixture.receive_report() {
+            (number, Report::Begun(_)) => assert_eq!(number, attempt),
+            (number, report) => {
+                assert_eq!(number, attempt);
+                return report;
+            }
+        }
+    }
+}
+
+// The first answer shows the start of event 2. A second one that ends before that event is broken off, wherever it ends.
+#[test]
+fn relay_unframed_resumed_stream_without_the_event_that_was_cut_is_not_complete() {
+    for second in ["", EVENTS[0]] {
+        for first_head in ["", "Content-Length: 100\r\n"] {
+            let start = &EVENTS.concat()[..EVENTS[0].len() + 8];
+            let first = serve_once(format!("HTTP/1.1 200 OK\r\n{first_head}\r\n{start}").into());
+            let second = serve_unframed(second, End::Close);
+            let fixture = Fixture::start(true);
+            let (_, commands) = fixture.receive_arrival();
+            commands.try_send(dispatch(1, first)).expect("the delivery awaits a command");
+            assert_eq!(receive_last_report(&fixture, 1), Report::Lost(Loss::Connection));
+            commands.try_send(dispatch(2, second)).expect("the delivery awaits a command");
+            assert_eq!(receive_last_report(&fixture, 2), Report::Lost(Loss::Connection));
+        }
+    }
+}
+
+// Comments and empty lines are no piece of a stream.
+#[test]
+fn relay_unframed_stream_of_comments_alone_is_not_complete() {
+    for body in [": ping\n\n", "\n\n"] {
+        let first = serve_unframed(body, End::Close);
+        let fixture = Fixture::start(true);
+        let (_, commands) = fixture.receive_arrival();
+        commands.try_send(dispatch(1, first)).expect("the delivery awaits a command");
+        assert_eq!(receive_last_report(&fixture, 1), Report::Lost(Loss::Connection), "{body:?}");
+    }
+}
+
+// A line break after the empty line of the last event begins no event.
+#[test]
+fn relay_unframed_stream_with_a_further_line_break_is_complete() {
+    for rest in ["\n", "\r\n"] {
+        let server = serve_unframed(&(EVENTS.concat() + rest), End::Close);
+        let fixture = Fixture::start(true);
+        let (_, commands) = fixture.receive_arrival();
+        commands.try_send(dispatch(1, server)).expect("the delivery awaits a command");
+        assert_eq!(receive_last_report(&fixture, 1), Report::Ended, "{rest:?}");
+    }
+}
+
+/// Starts a server that reads only the start of a request, answers with `answer`, and then closes the connection, which
+/// resets it.
+fn serve_without_reading(answer: String) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port is available");
+    sockopt::set_socket_recv_buffer_size(&listener, 16 << 10).expect("it is open");
+    let address = listener.local_addr().expect("the listener is bound");
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("the daemon connects");
+        stream.read_exact(&mut [0; 64]).expect("a request arrives");
+        stream.write_all(answer.as_bytes()).expect("the connection is open");
+        thread::sleep(Duration::from_millis(300));
+    });
+    address
+}
+
+// The reset shows in the write of the request, which leaves no error for the next read: it looks like an orderly end.
+#[test]
+fn fetch_unframed_answer_reset_while_its_request_is_sent_is_not_complete() {
+    let body = vec![b'b'; 3 * LARGE_BYTES];
+    let address = serve_without_reading("HTTP/1.1 200 OK\r\n\r\nhalf of an ans".into());
+    let call = Call { method: "POST", target: "/".into(), body, ..Call::default() };
+    let limit = Duration::from_secs(5);
+    let answer = block_on(fetch(&Pool::default(), address, call, limit, LARGE_BYTES));
+    assert!(matches!(answer, Err(Failure::Lost(Cut::Broken(_)))), "{answer:?}");
+}
+
+// The same on a caller's request, with a body that exceeds the socket's send buffer and is within the limits.
+#[test]
+fn relay_unframed_answer_reset_while_its_request_is_sent_is_not_complete() {
+    let body = "b".repeat(Limits::default().max_body_bytes);
+    let head =
+        format!("POST / HTTP/1.1\r\nHost: a.example\r\nContent-Length: {}\r\n\r\n", body.len());
+    for (streams, part) in [(false, "half of an ans"), (true, EVENTS[0])] {
+        let fixture = Fixture::start_request(format!("{head}{body}").as_bytes(), streams);
+        let (_, commands) = fixture.receive_arrival();
+        let server = serve_without_reading(format!("HTTP/1.1 200 OK\r\n\r\n{part}"));
+        commands.try_send(dispatch(1, server)).expect("the delivery awaits a command");
+        let report = receive_last_report(&fixture, 1);
+        assert_eq!(report, Report::Lost(Loss::Connection), "{streams}");
+    }
+}
+
+// A daemon that was frozen meanwhile finds the end and the reset together.
+#[test]
+fn read_whole_unframed_body_reset_after_its_end_is_not_complete() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port is available");
+    let address = listener.local_addr().expect("the listener is bound");
+    let connected = block_on(Conn::connect(address, Duration::from_secs(1)));
+    let mut conn = connected.expect("the listener accepts connections");
+    let (mut stream, _) = listener.accept().expect("a connection arrives");
+    stream.write_all(b"half").expect("the connection is open");
+    stream.shutdown(Shutdown::Write).expect("the connection is open");
+    sockopt::set_socket_linger(&stream, Some(Duration::ZERO)).expect("it is open");
+    drop(stream);
+    thread::sleep(Duration::from_millis(100));
+    let body = block_on(conn.read_whole(Framing::UntilClose, 100));
+    assert!(matches!(body, Err(Cut::Broken(_))), "{body:?}");
+}
+
 /// Waits for the end of the delivery, then closes the caller's sending side. Returns the answer's head and what follows.
 fn answer_to_head(mut fixture: Fixture) -> (String, String) {
     loop {
