An unframed answer on a failed connection is not complete

A reset that a write of the request met, and one that came with the end before the daemon read it, left no error for the next read: the end looked orderly.

--- a/src/relay/conn.rs
+++ b/src/relay/conn.rs
@@ -67,6 +67,8 @@
     stream: Arc<Async<TcpStream>>,
     /// Bytes that were read and not yet consumed.
     read_ahead: Vec<u8>,
+    /// Whether a write has failed. The failure took the socket's error, so that a read then sees an orderly end.
+    write_failed: bool,
 }
 
 impl Conn {
@@ -79,7 +81,7 @@
         sockopt::set_tcp_keepintvl(socket, KEEPALIVE_IDLE).ok();
         sockopt::set_tcp_keepcnt(socket, KEEPALIVE_PROBES).ok();
         sockopt::set_tcp_user_timeout(socket, USER_TIMEOUT_MS).ok();
-        Self { stream: Arc::new(stream), read_ahead: Vec::new() }
+        Self { stream: Arc::new(stream), read_ahead: Vec::new(), write_failed: false }
     }
 
     /// Connects to `address` within `timeout`.
@@ -102,6 +104,16 @@
         (&mut &*self.stream).write_all(bytes).await
     }
 
+    /// Records that a write has failed.
+    pub(super) fn record_write_failure(&mut self) {
+        self.write_failed = true;
+    }
+
+    /// Returns whether the connection, which has ended, was reset or failed.
+    fn has_failed(&self) -> bool {
+        self.write_failed || !matches!(self.stream.get_ref().take_error(), Ok(None))
+    }
+
     /// Returns whether an idle connection has received bytes or was closed, without consuming
     /// anything. Such a connection cannot be reused.
     pub fn has_unexpected_input(&self) -> bool {
@@ -200,6 +212,9 @@
             }
             if self.fill().await? == 0 {
                 return match decoder.completes_on_close() {
+                    true if self.has_failed() => {
+                        Err(Cut::Broken("the connection was reset".into()))
+                    }
                     true => Ok(false),
                     false => Err(Cut::Broken("the connection ended within a body".into())),
                 };
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -78,13 +78,13 @@
             .map_err(|error| Failure::Unsent(error.to_string()))?,
     };
     on_send();
-    write(&conn, request).await?;
+    write(&mut conn, request).await?;
     let response = conn.read_response(answers_head).await.map_err(Failure::Lost)?;
     let decoder = Decoder::new(response.framing);
     Ok(Answer { response, decoder, address, conn })
 }
 
-async fn write(conn: &Conn, request: &[u8]) -> Result<(), Failure> {
+async fn write(conn: &mut Conn, request: &[u8]) -> Result<(), Failure> {
     let stream = conn.writer();
     let mut sent = 0;
     while sent < request.len() {
@@ -92,7 +92,10 @@
             Ok(count) if count > 0 => sent += count,
             _ if sent == 0 => return Err(Failure::Unsent("the connection was closed".into())),
             // The server may have answered before it read all of a long body, so read the answer.
-            _ => return Ok(()),
+            _ => {
+                conn.record_write_failure();
+                return Ok(());
+            }
         }
     }
     Ok(())
