An unframed stream ends only after each event that was begun

A resumed stream ended as complete though the start of a further event had come before; so did one of comments alone. A line break after the last event began none, and its sound stream was lost.

--- a/src/relay/events.rs
+++ b/src/relay/events.rs
@@ -7,14 +7,14 @@
     partial: Vec<u8>,
     /// The id of the last complete event.
     last_id: Option<u64>,
-    /// Whether the caller has a complete event.
-    has_event: bool,
+    /// Whether the start of an event arrived that has not been forwarded since.
+    owes_event: bool,
 }
 
 impl Events {
     /// Creates the state for a caller that already has the events up to `last_id`.
     pub fn after(last_id: Option<u64>) -> Self {
-        Self { partial: Vec::new(), last_id, has_event: last_id.is_some() }
+        Self { partial: Vec::new(), last_id, owes_event: false }
     }
 
     /// Adds received bytes and returns the events that are now complete. Events with an id not above
@@ -38,12 +38,12 @@
             if !repeated {
                 whole.extend_from_slice(event);
                 self.last_id = id.or(self.last_id);
+                self.owes_event &= id.is_none();
             }
             start = end;
             from = end;
         }
         self.partial.drain(..start);
-        self.has_event |= start > 0;
         whole
     }
 
@@ -57,7 +57,8 @@
         self.partial.len()
     }
 
-    /// Returns whether an event has arrived and no byte follows the last one.
+    /// Returns whether the end of the connection can be the end of the stream: an event with an id has arrived, none was
+    /// begun since, in this attempt or an earlier one, and only line breaks follow the last one.
     ///
     /// ```
     /// let mut events = cardamomvalve::relay::Events::default();
@@ -68,7 +69,7 @@
     /// assert!(events.end_with_whole_event());
     /// ```
     pub fn end_with_whole_event(&self) -> bool {
-        self.has_event && self.partial.is_empty()
+        self.last_id.is_some() && !self.owes_event && !self.has_begun_event()
     }
 
     /// Returns the id of the last complete event.
@@ -78,8 +79,13 @@
 
     /// Discards an incomplete event; the next attempt sends it again from its start.
     pub fn discard_partial(&mut self) {
+        self.owes_event |= self.has_begun_event();
         self.partial.clear();
     }
+
+    fn has_begun_event(&self) -> bool {
+        self.partial.iter().any(|byte| !matches!(byte, b'\r' | b'\n'))
+    }
 }
 
 /// Finds the end of an event, just past its empty line, by a search that starts at `from`.
