--- a/src/relay/handover.rs
+++ b/src/relay/handover.rs
@@ -100,7 +100,7 @@
         };
         let mut conn = self.offer(address).or(expire).await?;
         self.progress.sent.store(true, Ordering::Release);
-        exchange::write(&conn, &self.encode_hop_body()).await?;
+        exchange::write(&mut conn, &self.encode_hop_body()).await?;
         let response = conn.read_response(self.request.is_head()).await.map_err(Failure::Lost)?;
         Ok(Hop { conn, response })
     }
