Tests of handovers: not run after a refusal, events in pieces

Two changes of the code went unseen by the tests: progress.sent that stays set after NotTaken, and events lost where a read ends inside one. hand_over_not_taken_leaves_request_not_run sees the first; the streams cut at any byte now come in pieces of nine bytes, and see the second.

--- a/src/relay/tests/handover.rs
+++ b/src/relay/tests/handover.rs
@@ -161,6 +161,17 @@
     assert_eq!(receive_end(&first), (1, HandoverEnd::NotTaken));
 }
 
+#[test]
+fn hand_over_not_taken_leaves_request_not_run() {
+    let first = Daemon::start(false);
+    let (refusing, _) = answer_each(own_answer(Code::HandoverRefused));
+    let request = "GET / HTTP/1.1\r\nHost: a.example\r\nX-Timeout-Ms: 300\r\n\r\n";
+    let (mut caller, _commands) = send_through(&first, refusing, request);
+    assert_eq!(receive_end(&first), (1, HandoverEnd::NotTaken));
+    let response = caller.read_head();
+    assert_eq!(response.fields.get("x-cardamomvalve-execution"), Some("not-run"));
+}
+
 #[test]
 fn hand_over_passes_peers_decision_on() {
     for code in [Code::QueueFull, Code::NoServer, Code::OverQuota, Code::OutcomeUnknown] {
@@ -382,7 +393,12 @@
         let part = format!("{head}{}", &whole[..cut]);
         let peer = listen(move |mut stream| {
             read_request(&mut stream).expect("a request arrives");
-            stream.write_all(part.as_bytes()).expect("the connection is open");
+            // Pieces that the daemon reads one by one.
+            stream.set_nodelay(true).expect("the connection is open");
+            for piece in part.as_bytes().chunks(9) {
+                stream.write_all(piece).expect("the connection is open");
+                thread::sleep(Duration::from_millis(1));
+            }
         });
         let (mut caller, commands) = send_through(&first, peer, GET);
         assert_eq!(receive_end(&first), (1, HandoverEnd::Lost), "cut after {cut} bytes");
