--- a/src/relay/tests/delivery.rs
+++ b/src/relay/tests/delivery.rs
@@ -385,6 +385,22 @@
     }
 }
 
+// The first answer was broken off between two events. A second one that ends after its head shows no more than the first.
+#[test]
+fn relay_unframed_resumed_stream_that_brings_nothing_is_not_complete() {
+    let chunk =
+        format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nf\r\n{}\r\n", EVENTS[0]);
+    for first in [serve_unframed(EVENTS[0], End::Reset), serve_once(chunk.into())] {
+        let second = serve_unframed("", End::Close);
+        let fixture = Fixture::start(true);
+        let (_, commands) = fixture.receive_arrival();
+        commands.try_send(dispatch(1, first)).expect("the delivery awaits a command");
+        assert_eq!(receive_last_report(&fixture, 1), Report::Lost(Loss::Connection));
+        commands.try_send(dispatch(2, second)).expect("the delivery awaits a command");
+        assert_eq!(receive_last_report(&fixture, 2), Report::Lost(Loss::Connection));
+    }
+}
+
 // Comments and empty lines are no piece of a stream.
 #[test]
 fn relay_unframed_stream_of_comments_alone_is_not_complete() {
@@ -561,6 +577,63 @@
     assert!(is_cancelled, "{next:?}");
 }
 
+/// Starts a server that reads its request, streams unframed events until nobody reads them and reports that. When told to,
+/// it finishes the event that it is writing and closes the connection, which does not reset it.
+fn serve_unframed_until_unread() -> (SocketAddr, Receiver<()>, Sender<()>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port is available");
+    let address = listener.local_addr().expect("the listener is bound");
+    let (unread, is_unread) = async_channel::bounded(1);
+    let (close, closing) = async_channel::bounded::<()>(1);
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("the daemon connects");
+        let read = stream.read(&mut [0; 4_096]).expect("a request arrives");
+        assert!(read > 0, "a request arrives");
+        stream.write_all(b"HTTP/1.1 200 OK\r\n\r\n").expect("the daemon reads the head");
+        stream.set_nonblocking(true).expect("the stream can be polled");
+        let piece = "a".repeat(60_000);
+        let (mut event, mut sent, mut rejected) = (String::new(), 0, 0);
+        for id in 1.. {
+            event = format!("id: {id}\ndata: {piece}\n\n");
+            sent = 0;
+            while sent < event.len() && rejected < 10 {
+                match stream.write(&event.as_bytes()[sent..]) {
+                    Ok(count) => (sent, rejected) = (sent + count, 0),
+                    Err(_) => {
+                        rejected += 1;
+                        thread::sleep(Duration::from_millis(20));
+                    }
+                }
+            }
+            if rejected == 10 {
+                break;
+            }
+        }
+        unread.try_send(()).expect("the test waits");
+        closing.recv_blocking().ok();
+        stream.set_nonblocking(false).expect("the stream can block");
+        stream.write_all(&event.as_bytes()[sent..]).expect("the daemon reads the last event");
+    });
+    (address, is_unread, close)
+}
+
+// A server gave up an answer that stayed unread, after a whole event. Nothing tells that from the stream's end.
+#[test]
+fn relay_unframed_stream_closed_because_its_caller_reads_slowly_is_not_complete() {
+    let fixture = Fixture::start(true);
+    let (server, is_unread, close) = serve_unframed_until_unread();
+    let (_, commands) = fixture.receive_arrival();
+    commands.try_send(dispatch(1, server)).expect("the delivery awaits a command");
+    assert_eq!(fixture.receive_report(), (1, Report::Begun(None)));
+    is_unread.recv_blocking().expect("the server runs");
+    thread::sleep(Duration::from_millis(1_100));
+    drop(close);
+    let mut reader = fixture.caller.try_clone().expect("the connection is open");
+    thread::spawn(move || std::io::copy(&mut reader, &mut std::io::sink()));
+    let next = fixture.inputs.recv_blocking().expect("the delivery ends");
+    let is_cancelled = matches!(&next, Input::Message(m) if matches!(**m, Message::Cancel(_)));
+    assert!(is_cancelled, "{next:?}");
+}
+
 #[test]
 fn drain_waits_for_answers_to_refused_requests() {
     let mut fixture = Fixture::start(true);
