A resumed stream ends with its connection only after a new event; a slow caller's never does

The price: where the first server had sent all but the end of its framing, the resumed stream is cut, and its caller asks again; so is a whole stream without framing of a caller that let a write block for a second.

--- a/src/relay/delivery.rs
+++ b/src/relay/delivery.rs
@@ -337,15 +337,16 @@
         weights: Option<u64>,
         events: &mut Events,
     ) -> Attempt {
-        events.discard_partial();
+        events.begin_answer();
         let (mut started, mut is_slow_reader) = (false, false);
         let mut bytes = Vec::new();
         loop {
             bytes.clear();
             let more = match read_events(&mut answer, &mut bytes, events).await {
+                // The server may have closed an answer that stays unread. That says nothing about the
+                // server, and the same would happen at another one.
+                Err(_) | Ok(false) if is_slow_reader => return Attempt::CallerTooSlow,
                 Ok(more) => more,
-                // The cut says nothing about the server, and the same would happen at another one.
-                Err(_) if is_slow_reader => return Attempt::CallerTooSlow,
                 Err(cut) => return self.answer_cut(dispatch, &answer, Some(events), &cut),
             };
             let mut whole = events.feed(&bytes);
--- a/src/relay/events.rs
+++ b/src/relay/events.rs
@@ -7,14 +7,16 @@
     partial: Vec<u8>,
     /// The id of the last complete event.
     last_id: Option<u64>,
-    /// Whether the start of an event arrived that has not been forwarded since.
+    /// Whether an answer has begun.
+    has_answer: bool,
+    /// Whether an answer was broken off, and no new event has arrived since.
     owes_event: bool,
 }
 
 impl Events {
     /// Creates the state for a caller that already has the events up to `last_id`.
     pub fn after(last_id: Option<u64>) -> Self {
-        Self { partial: Vec::new(), last_id, owes_event: false }
+        Self { last_id, ..Self::default() }
     }
 
     /// Adds received bytes and returns the events that are now complete. Events with an id not above
@@ -57,8 +59,8 @@
         self.partial.len()
     }
 
-    /// Returns whether the end of the connection can be the end of the stream: an event with an id has arrived, none was
-    /// begun since, in this attempt or an earlier one, and only line breaks follow the last one.
+    /// Returns whether the end of the connection can be the end of the stream: an event with an id
+    /// has arrived, also since the last answer that was broken off, and only line breaks follow it.
     ///
     /// ```
     /// let mut events = cardamomvalve::relay::Events::default();
@@ -77,9 +79,11 @@
         self.last_id
     }
 
-    /// Discards an incomplete event; the next attempt sends it again from its start.
-    pub fn discard_partial(&mut self) {
-        self.owes_event |= self.has_begun_event();
+    /// Begins an answer. If it is not the first, the one before was broken off: its incomplete event
+    /// is sent again from its start, and at least one event is to come.
+    pub fn begin_answer(&mut self) {
+        self.owes_event |= self.has_answer;
+        self.has_answer = true;
         self.partial.clear();
     }
 
--- a/src/relay/tests.rs
+++ b/src/relay/tests.rs
@@ -176,7 +176,7 @@
     let mut events = Events::default();
     assert_eq!(events.feed(b"id: 1\ndata: a\n\nid: 2\nda"), b"id: 1\ndata: a\n\n");
     // The server disconnected within the second event; another one resumes after the first.
-    events.discard_partial();
+    events.begin_answer();
     let resumed = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
     assert_eq!(events.feed(resumed), b"id: 2\ndata: b\n\n");
     assert_eq!(events.last_id(), Some(2));
