Retry budget: a request that is submitted again counts once, and its repeat is charged

Cause: a scheduler that does not reply within 60 ms is followed by another. To that one the request was new: it counted for the budget a second time, and a repeat of it was sent uncharged. Crowds make schedulers late, failing servers make repeats, so both come together.

Change: a submission says whether it was submitted before, and whether its next send is a repeat.

--- a/src/fleet/requests.rs
+++ b/src/fleet/requests.rs
@@ -5,7 +5,6 @@
 use super::prompt::{salted_key, shared_parts};
 use super::request::{Phase, Request};
 use super::retry::Terms;
-use super::scheduling::Origin;
 use super::{Arrival, Command, Dispatch, Key, Node, Topic};
 use crate::prelude::*;
 
@@ -61,30 +60,22 @@
         if !self.submit(now, key)
             && let Some(request) = self.requests.remove(&key)
         {
-            self.accept(now, request.arrival, request.pool, None);
+            self.count_request(now, &request.pool);
+            self.accept(now, Request::new(now, request.arrival, request.pool, None));
         }
     }
 
     /// Accepts a request that this daemon places itself.
-    pub(super) fn accept(
-        &mut self,
-        now: Time,
-        arrival: Arrival,
-        pool: String,
-        origin: Option<Origin>,
-    ) {
+    pub(super) fn accept(&mut self, now: Time, mut request: Request) {
         self.sum_peer_load(now);
-        let terms = self.retry_terms(now);
-        self.budgets.entry(pool.clone()).or_default().note_request(now, terms);
+        let arrival = &request.arrival;
         if let Some(prompt) = &arrival.prompt {
             let isolated = arrival.workspace.as_ref().filter(|owner| owner.isolated);
             let owner = isolated.map_or("", |owner| owner.name.as_str());
             self.note_heat(now, owner, prompt);
         }
         let key = arrival.request;
-        let returned = self.expected.is_retry(now, arrival.fingerprint);
-        let request =
-            Request { refused_before: returned, ..Request::new(now, arrival, pool, origin) };
+        request.refused_before = self.expected.is_retry(now, arrival.fingerprint);
         self.requests.insert(key, request);
         if self.is_blocked(key) {
             return self.refuse_blocked(now, key);
@@ -94,6 +85,12 @@
         }
     }
 
+    /// Counts a new request for the retry budget of its pool.
+    pub(super) fn count_request(&mut self, now: Time, pool: &str) {
+        let terms = self.retry_terms(now);
+        self.budgets.entry(pool.to_owned()).or_default().note_request(now, terms);
+    }
+
     /// Draws the pool for a request by the weights of its route's splits.
     pub(super) fn choose_pool(&mut self, arrival: &Arrival) -> String {
         let splits = &arrival.route.splits;
--- a/src/fleet/scheduling/message.rs
+++ b/src/fleet/scheduling/message.rs
@@ -38,6 +38,10 @@
     pub prompt: Option<Prompt>,
     /// The hash of its content and caller.
     pub fingerprint: Fingerprint,
+    /// Whether another scheduler has counted it as a request for the retry budget.
+    pub is_counted: bool,
+    /// Whether its next send is charged to the retry budget.
+    pub draws_on_retry_budget: bool,
 }
 
 /// A state change of a request at the daemon that received it.
--- a/src/fleet/scheduling/submitting.rs
+++ b/src/fleet/scheduling/submitting.rs
@@ -3,7 +3,7 @@
 use super::{Assignment, Decision, Progress, Step, Submission, Verdict};
 use crate::fleet::request::{Phase, Request};
 use crate::fleet::{
-    Arrival, Command, Dispatch, Effect, Frame, Identity, Key, Loss, Node, Refusal, Report, server,
+    Command, Dispatch, Effect, Frame, Identity, Key, Loss, Node, Refusal, Report, server,
 };
 use crate::prelude::*;
 
@@ -53,7 +53,7 @@
         };
         let Some(address) = self.peer_address(scheduler) else { return false };
         let scheduler = scheduler.to_owned();
-        let submission = submission(now, &self.identity, &request.pool, &request.arrival);
+        let submission = submission(now, &self.identity, request);
         if let Some(request) = self.requests.get_mut(&key) {
             request.phase = Phase::Submitted(Stage::AwaitingVerdict(now));
             request.scheduler = scheduler;
@@ -338,7 +338,8 @@
     }
 }
 
-fn submission(now: Time, own: &Identity, pool: &str, arrival: &Arrival) -> Submission {
+fn submission(now: Time, own: &Identity, request: &Request) -> Submission {
+    let arrival = &request.arrival;
     let workspace = arrival.workspace.as_deref();
     let route = &arrival.route;
     Submission {
@@ -351,10 +352,12 @@
         target: route.target_latency,
         priority: workspace.and_then(|owner| owner.priority).unwrap_or(route.priority),
         max_attempts: route.max_attempts,
-        pool: pool.to_owned(),
+        pool: request.pool.clone(),
         workspace: workspace.cloned(),
         time_left: arrival.deadline.saturating_sub(now),
         prompt: arrival.prompt.clone(),
         fingerprint: arrival.fingerprint,
+        is_counted: request.submissions > 0,
+        draws_on_retry_budget: request.draws_on_retry_budget,
     }
 }
--- a/src/fleet/scheduling/wire.rs
+++ b/src/fleet/scheduling/wire.rs
@@ -45,6 +45,10 @@
     workspace: Option<String>,
     #[prost(message, optional, tag = "16")]
     quota: Option<WireQuota>,
+    #[prost(bool, tag = "17")]
+    is_counted: bool,
+    #[prost(bool, tag = "18")]
+    draws_on_retry_budget: bool,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -177,6 +181,8 @@
             fingerprint: submission.fingerprint.0,
             workspace,
             quota: quota.map(WireQuota::from),
+            is_counted: submission.is_counted,
+            draws_on_retry_budget: submission.draws_on_retry_budget,
         }
     }
 }
@@ -213,6 +219,8 @@
             time_left: duration(wire.time_left_ms),
             prompt: wire.prompt.map(Prompt::try_from).transpose()?,
             fingerprint: Fingerprint(wire.fingerprint),
+            is_counted: wire.is_counted,
+            draws_on_retry_budget: wire.draws_on_retry_budget,
         })
     }
 }
--- a/src/fleet/tests/scheduling.rs
+++ b/src/fleet/tests/scheduling.rs
@@ -239,6 +239,28 @@
     assert!(slack(&site.daemons[scheduler]) >= POLICY.retry_slack / 8.0);
 }
 
+// A scheduler that did not reply was followed by another, which took each request for a new one: its repeat was not charged,
+// and it counted twice.
+#[test]
+fn submit_again_charges_the_repeat() {
+    let servers: Vec<(String, String)> =
+        (0..6).map(|n| (format!("s-{n}"), format!("plain {} ready", 101 + n))).collect();
+    let mut site = Site::new(6, &borrowed(&servers));
+    let (scheduler, other) = (site.scheduler("plain"), site.non_scheduler());
+    let keys: Vec<Key> = (0..12).map(|_| site.arrive(other, "plain", Repeat::Idempotent)).collect();
+    let sent = std::mem::take(&mut site.sent_commands[other]);
+    assert_eq!(sent.len(), keys.len(), "each request is sent");
+    site.down.insert(scheduler);
+    for key in &keys {
+        site.report(other, *key, 1, Report::Failed);
+    }
+    site.advance(ms(100));
+    let is_repeat = |(_, command): &&(Key, Command)| matches!(command, Command::Dispatch(_));
+    let repeats = site.sent_commands[other].iter().filter(is_repeat).count();
+    // The next scheduler has counted no request, and may use a sixth of the fixed part of the budget.
+    assert!(repeats > 0 && repeats as f64 <= POLICY.retry_slack / 6.0, "{repeats} repeats");
+}
+
 #[test]
 fn frames_per_daemon_nearly_constant() {
     let sent = |count: u8| {
