Cut-off daemons: peers listed at an interval only, plainer calls, a test of the connect probe

The list of peers that may take requests over was made again at each end of a handover, at a cost that grows with the fleet; now a peer that refuses is left out of it until the next listing. Calls that only passed on are gone. relay::reaches is tested against a listener, one that closes what it accepts, and none.

--- a/src/fleet/blame.rs
+++ b/src/fleet/blame.rs
@@ -6,7 +6,7 @@
 //! without a success in between has probably lost its paths, and what it sees is not counted.
 
 use super::request::Request;
-use super::{Node, server};
+use super::{Key, Node, server};
 use crate::prelude::*;
 
 /// Time for which a server is avoided for a daemon after its first failure there.
@@ -86,12 +86,7 @@
     }
 
     /// Records that an attempt of a request failed at a server, or on the way to it.
-    pub(super) fn record_failed_attempt(
-        &mut self,
-        now: Time,
-        key: super::Key,
-        server: server::Key,
-    ) {
+    pub(super) fn record_failed_attempt(&mut self, now: Time, key: Key, server: server::Key) {
         let Some(request) = self.requests.get(&key) else { return };
         let daemon = self.receiver(request).to_owned();
         let doubted = self.failures.record(now, &daemon, server);
@@ -109,7 +104,7 @@
     }
 
     /// Records that a server answered an attempt of a request.
-    pub(super) fn record_answered_attempt(&mut self, key: super::Key, server: server::Key) {
+    pub(super) fn record_answered_attempt(&mut self, key: Key, server: server::Key) {
         let Some(request) = self.requests.get(&key) else { return };
         let daemon = self.receiver(request).to_owned();
         self.failures.record_success(&daemon, server);
--- a/src/fleet/handover.rs
+++ b/src/fleet/handover.rs
@@ -1,5 +1,7 @@
 //! Handovers: peers serve the requests of a daemon that reaches no server.
 
+use std::net::SocketAddr;
+
 use super::request::{Phase, Request};
 use super::scheduling::Stage;
 use super::{Command, Handover, HandoverEnd, Key, Node};
@@ -21,7 +23,7 @@
 #[derive(Debug, Default)]
 pub(super) struct Handovers {
     /// Peers that may take requests over, with the addresses for that.
-    takers: Vec<(String, std::net::SocketAddr)>,
+    takers: Vec<(String, SocketAddr)>,
     listed_at: Option<Time>,
     /// Open handovers by peer.
     open: BTreeMap<String, u32>,
@@ -128,6 +130,7 @@
                 request.phase = Phase::Waiting(now);
                 let peer = request.offered_to.last().cloned().unwrap_or_default();
                 self.handovers.close(&peer);
+                self.handovers.takers.retain(|(id, _)| *id != peer);
                 self.handovers.refused.insert(peer, now + REFUSAL_PERIOD);
                 if !self.leave_if_cut_off(now, key)
                     && !self.submit(now, key)
@@ -148,11 +151,7 @@
     }
 
     /// Chooses a random peer to serve a request: of two, the one that serves fewer of this daemon's.
-    fn choose_taker(
-        &mut self,
-        now: Time,
-        offered: &[String],
-    ) -> Option<(String, std::net::SocketAddr)> {
+    fn choose_taker(&mut self, now: Time, offered: &[String]) -> Option<(String, SocketAddr)> {
         self.list_takers(now);
         let Handovers { takers, open, .. } = &self.handovers;
         let mut candidates: Vec<usize> =
@@ -201,7 +200,5 @@
                 self.open.remove(peer);
             }
         }
-        // It is offered nothing for a while if it has just refused.
-        self.listed_at = None;
     }
 }
--- a/src/fleet/reach.rs
+++ b/src/fleet/reach.rs
@@ -154,22 +154,14 @@
         self.reach.is_cut_off()
     }
 
-    /// Records that a request of this daemon was sent to a server.
-    pub(super) fn note_request_sent(&mut self, now: Time, server: server::Key) {
-        self.reach.note_sent(now, server);
-    }
-
     /// Records bytes of a server.
     pub(super) fn note_server_contact(&mut self, now: Time, server: server::Key) {
         self.reach.note_answer(now, server);
     }
 
-    /// Records a failed connect or a broken connection.
-    pub(super) fn note_path_failure(&mut self, now: Time) {
-        self.suspect_paths(now);
-    }
-
-    fn suspect_paths(&mut self, now: Time) {
+    /// Has the paths probed after a failed connect, a broken connection or silence, unless that was
+    /// done lately.
+    pub(super) fn suspect_paths(&mut self, now: Time) {
         if !matches!(self.reach.belief, Belief::Sound) || now < self.reach.next_round {
             return;
         }
--- a/src/fleet/reports.rs
+++ b/src/fleet/reports.rs
@@ -53,7 +53,7 @@
                 self.counts.unsent += 1;
                 self.log_failed(key, server, "could not connect to the server");
                 self.record_failed_attempt(now, key, server);
-                self.note_own_path_failure(now, key);
+                self.suspect_own_paths(now, key);
                 self.retry_unexecuted(now, key, false, Code::RetriesExhausted);
             }
             Report::Lost(loss) => {
@@ -63,7 +63,7 @@
                     Loss::Connection => {
                         self.connection_lost(now, key, server, now.saturating_sub(sent_at));
                         self.record_failed_attempt(now, key, server);
-                        self.note_own_path_failure(now, key);
+                        self.suspect_own_paths(now, key);
                     }
                     Loss::InvalidAnswer => self.note_failure(now, server),
                 }
@@ -78,10 +78,10 @@
         }
     }
 
-    /// Records a failed attempt of a request that this daemon received.
-    fn note_own_path_failure(&mut self, now: Time, key: Key) {
+    /// Has the paths probed after a failed attempt of a request that this daemon received.
+    fn suspect_own_paths(&mut self, now: Time, key: Key) {
         if self.requests.get(&key).is_some_and(|request| request.origin.is_none()) {
-            self.note_path_failure(now);
+            self.suspect_paths(now);
         }
     }
 
--- a/src/fleet/scheduling/submitting.rs
+++ b/src/fleet/scheduling/submitting.rs
@@ -113,7 +113,7 @@
             return self.withdraw_from_scheduler(now, key);
         }
         let most_idle = self.max_idle_connections(key);
-        self.note_request_sent(now, server);
+        self.reach.note_sent(now, server);
         let Some(request) = self.requests.get_mut(&key) else { return };
         request.sends += 1;
         request.possible_runs += 1;
@@ -193,14 +193,14 @@
             Report::Unsent => {
                 self.log_failed(key, server, "could not connect to the server");
                 self.counts.unsent += 1;
-                self.note_path_failure(now);
+                self.suspect_paths(now);
                 self.handle_not_run(now, key, false);
             }
             Report::Lost(loss) => {
                 self.log_failed(key, server, loss.reason());
                 self.counts.lost += 1;
                 if loss == Loss::Connection {
-                    self.note_path_failure(now);
+                    self.suspect_paths(now);
                 }
                 self.handle_possible_run(now, key);
             }
--- a/src/relay/tests.rs
+++ b/src/relay/tests.rs
@@ -229,3 +229,20 @@
     let answer = futures_lite::future::block_on(probe);
     assert_ne!(answer, crate::poison::Answer::Silent);
 }
+
+#[test]
+fn reaches_needs_a_connection_that_stays_open() {
+    let listener =
+        std::net::TcpListener::bind("127.0.0.1:0").expect("a loopback port is available");
+    let address = listener.local_addr().expect("the listener has an address");
+    assert!(async_io::block_on(reaches(address)), "the listener keeps the connection");
+    let closing = std::thread::spawn(move || {
+        // The first connection is the one above.
+        for stream in listener.incoming().take(2) {
+            drop(stream);
+        }
+    });
+    assert!(!async_io::block_on(reaches(address)), "the connection is closed at once");
+    closing.join().expect("the thread ends");
+    assert!(!async_io::block_on(reaches(address)), "nothing listens");
+}
