--- a/src/fleet/tests/partition/mod.rs
+++ b/src/fleet/tests/partition/mod.rs
@@ -210,3 +210,31 @@
         }
     }
 }
+
+#[test]
+fn callers_of_a_third_of_forty_daemons_are_served() {
+    let servers = servers();
+    let mut traffic = Traffic::new(0, 40, &borrowed(&servers));
+    traffic.rates = vec![("plain", 0.4), ("engines", 0.6)];
+    traffic.run(ms(4_000));
+    let daemons: Vec<usize> = (0..13).collect();
+    let others: Vec<usize> = (13..40).collect();
+    let from = traffic.site.now + ADAPTATION;
+    traffic.cut(&daemons, Cut::Silent);
+    traffic.run(CUT_SPAN);
+    let healed = traffic.site.now;
+    traffic.heal();
+    traffic.rates.clear();
+    traffic.run(ms(6_000));
+    let (served, near) =
+        (traffic.served(&daemons, from, healed), traffic.served(&others, from, healed));
+    assert!(near >= 0.97, "{near} {:?}", traffic.ends(&others, from, healed));
+    assert!(served >= near * 0.9, "{served} {near} {:?}", traffic.ends(&daemons, from, healed));
+    let mut taken: BTreeMap<usize, usize> = BTreeMap::new();
+    for call in traffic.calls.iter().filter(|call| call.sent_at >= from && call.sent_at < healed) {
+        call.takers.iter().for_each(|taker| *taken.entry(*taker).or_default() += 1);
+    }
+    let (all, most) = (taken.values().sum::<usize>(), taken.values().max().copied());
+    let most = most.unwrap_or_default();
+    assert!(most * others.len() <= all * 3, "taken over {taken:?}");
+}
