Reject limits: a server rejects no more than it states to bear, over all daemons

Cause: a server may state how many requests a second it can reject for lack of capacity; with more it crashes. Nothing bounded rejects: a server that rejects gets nothing for 0.2 s, but any answer that ends there ends that pause, bursts are rejected as a whole before the first reject is heard of, and each of many daemons that place by themselves has a pause of its own.

Change: `fleet::rejection` keeps the lowest limit that a pool's servers stated in the last 5 s (digests tell it to all), and bounds, where requests are placed, recent rejects plus what may still be rejected. Shares that add up to the limit hold while schedulers change; a daemon that is no scheduler may use the servers that a hash opens to it. Events 309 and 310, metrics `reject_limit` and `rejects_max`. State by server exists only in pools with a limit; the check is one lookup otherwise.

--- a/src/fleet/figures.rs
+++ b/src/fleet/figures.rs
@@ -107,6 +107,10 @@
             let usable = usable.filter(|server| server.is_usable(now)).count();
             figures.push(Gauge::labeled("servers", "pool", pool, keys.len() as u64));
             figures.push(Gauge::labeled("servers_usable", "pool", pool, usable as u64));
+            if let Some((limit, rejects)) = self.reject_figures(now, pool) {
+                figures.push(Gauge::labeled("reject_limit", "pool", pool, u64::from(limit)));
+                figures.push(Gauge::labeled("rejects_max", "pool", pool, rejects as u64));
+            }
         }
         let terms = self.retry_terms(now);
         for (pool, budget) in &mut self.budgets {
--- a/src/fleet/frame/mod.rs
+++ b/src/fleet/frame/mod.rs
@@ -10,7 +10,9 @@
 use compression::{compress, decompress};
 
 use super::scheduling::{Progress, Submission, Verdict};
-use super::{Batch, Holder, Incarnation, Naming, Notice, Record, Relay, Topic, Update};
+use super::{
+    Batch, Holder, Incarnation, Naming, Notice, Record, RejectLimit, Relay, Topic, Update,
+};
 use crate::poison::{self, Blocked, Fingerprint};
 use crate::prelude::*;
 use crate::quota::Usage;
@@ -82,6 +84,8 @@
     pub quota_keeper: String,
     /// Its recent use of workspaces' quotas.
     pub quota_use: Vec<Usage>,
+    /// The reject limits of pools in force.
+    pub reject_limits: Vec<RejectLimit>,
 }
 
 /// A message between daemons.
@@ -410,6 +414,19 @@
     }
 }
 
+impl From<RejectLimit> for wire::RejectLimit {
+    fn from(limit: RejectLimit) -> Self {
+        Self { pool: limit.pool, rejects: limit.rejects, age_ms: millis(limit.age) }
+    }
+}
+
+impl From<wire::RejectLimit> for RejectLimit {
+    fn from(limit: wire::RejectLimit) -> Self {
+        let age = Duration::from_millis(u64::from(limit.age_ms));
+        Self { pool: limit.pool, rejects: limit.rejects, age }
+    }
+}
+
 impl From<Digest> for wire::Digest {
     fn from(digest: Digest) -> Self {
         let (blocked, blocked_ages_ms) = poison::blocks_to_wire(&digest.blocked);
@@ -441,6 +458,7 @@
             quota_keeper: digest.quota_keeper,
             quota_workspaces: digest.quota_use.iter().map(|used| used.workspace.clone()).collect(),
             quota_units: digest.quota_use.iter().map(|used| used.units).collect(),
+            reject_limits: digest.reject_limits.into_iter().map(wire::RejectLimit::from).collect(),
         }
     }
 }
@@ -498,6 +516,7 @@
                 .zip(digest.quota_units)
                 .map(|(workspace, units)| Usage { workspace, units })
                 .collect(),
+            reject_limits: digest.reject_limits.into_iter().map(RejectLimit::from).collect(),
         })
     }
 }
--- a/src/fleet/frame/wire.rs
+++ b/src/fleet/frame/wire.rs
@@ -85,6 +85,18 @@
     pub(super) quota_units: Vec<u64>,
     #[prost(string, tag = "23")]
     pub(super) zone: String,
+    #[prost(message, repeated, tag = "24")]
+    pub(super) reject_limits: Vec<RejectLimit>,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub(super) struct RejectLimit {
+    #[prost(string, tag = "1")]
+    pub(super) pool: String,
+    #[prost(uint32, tag = "2")]
+    pub(super) rejects: u32,
+    #[prost(uint32, tag = "3")]
+    pub(super) age_ms: u32,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
--- a/src/fleet/gossip.rs
+++ b/src/fleet/gossip.rs
@@ -71,6 +71,11 @@
         }
     }
 
+    /// Position of this daemon among all daemons by id.
+    pub(super) fn position_among_daemons(&self) -> usize {
+        self.peers.range(..self.identity.id.clone()).count()
+    }
+
     /// Peers that sent a digest, with the time of the last one.
     pub(super) fn peers_heard(&self) -> impl Iterator<Item = (&str, Time)> {
         self.peers.iter().filter_map(|(id, peer)| Some((id.as_str(), peer.heard_at?)))
@@ -237,6 +242,7 @@
             caught_up_age: self.rollout.complete_until.map(|at| now.saturating_sub(at)),
             quota_keeper: self.quota_leadership.keeper_id().to_owned(),
             quota_use: self.quota.recent_usage(now),
+            reject_limits: self.rejection.limits(now),
         }
     }
 
@@ -282,6 +288,7 @@
         }
         self.expected.merge_peer(now, &digest.refused);
         self.merge_blocks(now, &digest.blocked);
+        self.merge_reject_limits(now, &digest.reject_limits);
         self.record_peer_usage(now, &digest);
         // Refill first, so that the peer's transfers are deducted from the current budget and not
         // from that of the last send.
--- a/src/fleet/message.rs
+++ b/src/fleet/message.rs
@@ -238,6 +238,9 @@
         /// The state change.
         report: Report,
     },
+    /// The answer to a request states how many requests per second its server can reject without
+    /// crashing.
+    RejectLimit(Key, u32),
     /// The caller disconnected, or the request reached its time limit.
     Cancel(Key),
     /// A topic was read.
--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -20,7 +20,7 @@
 use super::scheduling::{Ranking, Submissions};
 use super::{
     Budget, Catalog, Change, Command, Counts, Dependency, Effect, Key, Location, Message, Record,
-    Server, Topic, server,
+    Server, Topic, rejection, server,
 };
 use crate::lease;
 use crate::placement::Heat;
@@ -106,6 +106,8 @@
     pub(super) poison: poison::State,
     /// Servers that may have crashed while they ran requests.
     pub(super) detector: poison::Detector,
+    /// Reject limits of servers.
+    pub(super) rejection: rejection::State,
     /// Suspects that run alone at a server.
     pub(super) isolation: Isolation,
     pub(super) next_block_expiry: Time,
@@ -184,6 +186,7 @@
             quota_leadership: Leadership::default(),
             poison: poison::State::isolating(),
             detector: poison::Detector::default(),
+            rejection: rejection::State::default(),
             isolation: Isolation::default(),
             next_block_expiry: Time::ZERO,
             heat: Heat::default(),
@@ -223,6 +226,9 @@
                 self.handle_report(now, request, attempt, report);
             }
             Message::Cancel(request) => self.remove_request(now, request),
+            Message::RejectLimit(request, rejects) => {
+                self.note_reject_limit(now, request, rejects);
+            }
             Message::Read(read) => self.handle_read(now, read),
             Message::ReadFailed(tracked, reason) => self.mark_unreadable(now, tracked, &reason),
             Message::Lease(first, records) => self.lease_read(now, first, &records),
@@ -320,6 +326,7 @@
         self.sum_peer_load(now);
         self.check_unanswered(now);
         self.maintain_blocks(now);
+        self.maintain_rejection(now);
         self.remove_lapsed(now);
         self.check_schedulers(now);
         self.drop_expired_submissions(now);
--- a/src/fleet/reports.rs
+++ b/src/fleet/reports.rs
@@ -84,6 +84,7 @@
         if begun {
             return;
         }
+        self.settle_possible_reject(key);
         self.log_begun(now, key, at);
         if let Some(cost_ms) = self.requests.get(&key).and_then(|request| request.fetch_cost_ms) {
             let waited_ms = now.saturating_sub(at).as_secs_f64() * 1_000.0;
@@ -109,6 +110,9 @@
         if let (Refusal::WrongWeights(Some(version)), Some(model)) = (refused, model) {
             return self.note_weights(now, key, model, version);
         }
+        if refused == Refusal::Busy {
+            self.note_reject(now, key);
+        }
         if let Some(server) = self.servers.get_mut(key) {
             match refused {
                 Refusal::Replaced => server.record_failure(now),
--- a/src/fleet/requests.rs
+++ b/src/fleet/requests.rs
@@ -137,6 +137,7 @@
     pub(super) fn dispatch(&mut self, now: Time, key: Key, choice: Choice) {
         let most_idle = self.max_idle_connections(key);
         self.begin_isolated_run(now, key, choice.server);
+        self.note_possible_reject(now, key, choice.server);
         self.charge_run(now, key);
         let Some(request) = self.requests.get_mut(&key) else { return };
         let Some(server) = self.servers.get_mut(choice.server) else { return };
@@ -185,6 +186,7 @@
     /// Retries a request that provably did not run. If it `arrived` at its server, the retry counts
     /// against the budget; the request waits for an exhausted budget as it would for a server.
     pub(super) fn retry_unexecuted(&mut self, now: Time, key: Key, arrived: bool, code: Code) {
+        self.settle_possible_reject(key);
         self.release_slot(key);
         let Some(request) = self.requests.get_mut(&key) else { return };
         request.draws_on_retry_budget |= arrived;
--- a/src/fleet/scheduling/ranking.rs
+++ b/src/fleet/scheduling/ranking.rs
@@ -157,6 +157,19 @@
         (!own).then_some(best)
     }
 
+    /// Number of schedulers that place the requests of a pool before this one while they are heard;
+    /// `None` if this daemon is no scheduler.
+    pub(in crate::fleet) fn scheduler_position(&self, now: Time, pool: &str) -> Option<usize> {
+        if !self.is_scheduler(now) {
+            return None;
+        }
+        let score = |id: &str| xxh3_64_with_seed(pool.as_bytes(), xxh3_64(id.as_bytes()));
+        let own = score(&self.identity.id);
+        let heard =
+            self.other_schedulers().filter(|(_, peer)| peer.is_fresh(now) && !peer.is_draining());
+        Some(heard.filter(|(id, _)| score(id) > own).count())
+    }
+
     /// The scheduler heard from last, even if avoided: for requests that only a scheduler can admit.
     pub(in crate::fleet) fn last_heard_scheduler(&self, now: Time) -> Option<&str> {
         let heard =
--- a/src/fleet/tests/frames.rs
+++ b/src/fleet/tests/frames.rs
@@ -36,6 +36,11 @@
         caught_up_age: Some(Duration::ZERO),
         quota_keeper: "router-2".into(),
         quota_use: vec![Usage { workspace: "lab".into(), units: 1 << 40 }],
+        reject_limits: vec![RejectLimit {
+            pool: "engines".into(),
+            rejects: 8,
+            age: Duration::from_millis(70),
+        }],
         named: vec![Naming { model: "m".into(), version: 4, age: Some(Duration::from_millis(70)) }],
     }
 }
--- a/src/fleet/tests/mod.rs
+++ b/src/fleet/tests/mod.rs
@@ -15,6 +15,7 @@
 mod poison;
 mod pool;
 mod quotas;
+mod rejection;
 mod requests;
 mod residency;
 mod review;
--- a/src/telemetry/event.rs
+++ b/src/telemetry/event.rs
@@ -67,6 +67,8 @@
     CacheEventGap = 306, Debug, "Cache events of a backend server were lost; past a quarter of its cache entries, these are dropped.";
     ServerEnded = 307, Warn, "A backend server ended while requests ran there; its end is noted with each of them.";
     ServerChecked = 308, Info, "A backend server whose connection broke was checked; 307 follows if it has ended.";
+    RejectLimitStated = 309, Info, "The backend servers of a pool state how many requests a second they can reject without crashing; the daemons stay below that.";
+    RejectLimitEnded = 310, Info, "The backend servers of a pool state no reject limit any more.";
     AttemptFailed = 400, Info, "An attempt at a backend server failed.";
     AnswerDiscarded = 401, Warn, "An answer named another attempt, incarnation or weights version, and was discarded.";
     StreamResumed = 402, Info, "A stream was resumed after its connection broke.";
