Platform: reject limits are read from the head of any answer

Cause: nothing read the field in which servers state how many requests a second they can reject.

Change: `Dialect::reject_limit`; the relay hands it to the control thread for successes, refusals and failures alike, unless the answer is no server's. Without the field an answer costs one look-up more.

Ruled out: a field in each report (reports go to schedulers, and most answers state no limit).

--- a/src/relay/delivery.rs
+++ b/src/relay/delivery.rs
@@ -227,7 +227,9 @@
             Err(Failure::Unsent(_)) => return Attempt::Unanswered(Report::Unsent),
             Err(Failure::Lost(cut)) => return Attempt::Unanswered(Report::Lost(loss(&cut))),
         };
-        match self.frontend.dialect.classify(&self.metadata, &answer.response) {
+        let class = self.frontend.dialect.classify(&self.metadata, &answer.response);
+        self.report_reject_limit(class, &answer.response);
+        match class {
             Classification::Invalid => Attempt::Unanswered(Report::Lost(Loss::InvalidAnswer)),
             Classification::Refused(refusal) => {
                 self.finish_refused(dispatch, answer, refusal).await
@@ -243,6 +245,13 @@
         }
     }
 
+    fn report_reject_limit(&self, class: Classification, response: &Response) {
+        let limit = self.frontend.dialect.reject_limit(response);
+        if let Some(limit) = limit.filter(|_| class != Classification::Invalid) {
+            self.frontend.control.tell(Message::RejectLimit(self.key, limit));
+        }
+    }
+
     async fn finish_refused(
         &self,
         dispatch: &Dispatch,
--- a/src/relay/dialect.rs
+++ b/src/relay/dialect.rs
@@ -52,6 +52,9 @@
     /// Classifies an answer by its head.
     fn classify(&self, metadata: &Metadata, response: &Response) -> Classification;
 
+    /// Returns the number of requests per second that the server states it can reject without crashing.
+    fn reject_limit(&self, response: &Response) -> Option<u32>;
+
     /// Returns the fields of an error answer from this router.
     fn error_fields(&self, metadata: &Metadata) -> Fields;
 }
--- a/src/relay/tests/delivery.rs
+++ b/src/relay/tests/delivery.rs
@@ -50,6 +50,10 @@
         Classification::Answer(None)
     }
 
+    fn reject_limit(&self, _: &Response) -> Option<u32> {
+        None
+    }
+
     fn error_fields(&self, _: &Metadata) -> Fields {
         Fields::default()
     }
