--- a/src/fleet/frame/wire.rs
+++ b/src/fleet/frame/wire.rs
@@ -85,7 +85,11 @@
     pub(super) quota_units: Vec<u64>,
     #[prost(string, tag = "23")]
     pub(super) zone: String,
-    #[prost(message, repeated, tag = "24")]
+    #[prost(string, tag = "24")]
+    pub(super) handover_address: String,
+    #[prost(bool, tag = "25")]
+    pub(super) is_isolated: bool,
+    #[prost(message, repeated, tag = "26")]
     pub(super) reject_limits: Vec<RejectLimit>,
 }
 
--- a/src/fleet/message.rs
+++ b/src/fleet/message.rs
@@ -28,6 +28,8 @@
     pub prompt: Option<Prompt>,
     /// The hash of its content and caller; equal when the caller repeats the request.
     pub fingerprint: Fingerprint,
+    /// Whether a peer that reaches no server handed the request over. It is not handed over again.
+    pub is_handed_over: bool,
 }
 
 /// The reason a server gave for not running a request.
@@ -67,11 +69,24 @@
     Failed,
 }
 
+impl Report {
+    /// Whether bytes of the server show it.
+    pub const fn is_from_server(self) -> bool {
+        match self {
+            Self::Begun(_) | Self::Ended | Self::Refused(_) | Self::Failed => true,
+            Self::Lost(Loss::InvalidAnswer) => true,
+            Self::Unsent | Self::Lost(Loss::Connection) => false,
+        }
+    }
+}
+
 /// An instruction to the traffic handler about a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Command {
     /// Send the request.
     Dispatch(Dispatch),
+    /// Have a peer serve the request.
+    HandOver(Handover),
     /// Refuse the request, which has not run, with this code and retry-after time.
     Refuse(Code, Duration),
     /// End the request with the outcome of its last attempt.
@@ -101,6 +116,28 @@
     pub max_idle: usize,
 }
 
+/// A peer that is to serve a request in place of this daemon, which reaches no server.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Handover {
+    /// The number of the request's attempt, from 1; attempts at servers count, too.
+    pub attempt: u32,
+    /// The peer's id.
+    pub daemon: String,
+    /// The address on which it takes requests over.
+    pub address: SocketAddr,
+}
+
+/// The outcome of a handover.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum HandoverEnd {
+    /// The caller has the peer's answer.
+    Answered,
+    /// The peer did not take the request over, or could not be reached; the request did not run.
+    NotTaken,
+    /// No complete answer came; the request may have run.
+    Lost,
+}
+
 /// What a daemon registers of itself.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Registration {
@@ -238,6 +275,15 @@
         /// The state change.
         report: Report,
     },
+    /// A handover of a request ended.
+    HandoverEnded {
+        /// The request.
+        request: Key,
+        /// The attempt's number.
+        attempt: u32,
+        /// The outcome.
+        end: HandoverEnd,
+    },
     /// The answer to a request states how many requests per second its server can reject without
     /// crashing.
     RejectLimit(Key, u32),
@@ -257,6 +303,8 @@
     Events(Location, Option<EventBatch>),
     /// The port of a server that may have crashed was probed.
     Probed(Incarnation, Answer),
+    /// A server was probed to learn whether this daemon reaches it.
+    PathProbed(server::Key, bool),
     /// A frame arrived from a peer.
     Frame(Frame),
     /// A planned stop was requested.
@@ -304,9 +352,11 @@
     },
     /// Probe whether anything still listens at the address of a server that may have crashed.
     Probe(Incarnation, SocketAddr),
+    /// Probe whether this daemon reaches a server.
+    ProbePath(server::Key, SocketAddr),
     /// Write to the platform's store for how long a request has been blocked, or that it no longer is.
     WriteBlock(Fingerprint, Option<Duration>),
-    /// Close idle connections to this address because the server there has ended.
+    /// Close idle connections to this address because the server there has ended or is not reached.
     Disconnect(SocketAddr),
     /// Ask an engine for its state.
     Poll(server::Key, String, SocketAddr),
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -5,11 +5,13 @@
 //! product's own interface.
 
 mod admission;
+mod blame;
 mod drain;
 mod explain;
 mod figures;
 mod frame;
 mod gossip;
+mod handover;
 mod homes;
 mod isolation;
 mod life;
@@ -25,6 +27,7 @@
 mod pool;
 mod prompt;
 mod quotas;
+mod reach;
 mod recall;
 mod rejection;
 mod replication;
@@ -44,8 +47,8 @@
 pub use frame::{Digest, Frame, Malformed, Workload};
 pub use life::Incarnation;
 pub use message::{
-    Arrival, Change, Command, Dependency, Dispatch, Effect, Key, Loss, Message, OrderEnd, Read,
-    Refusal, Registration, Report, State,
+    Arrival, Change, Command, Dependency, Dispatch, Effect, Handover, HandoverEnd, Key, Loss,
+    Message, OrderEnd, Read, Refusal, Registration, Report, State,
 };
 pub use naming::Naming;
 pub use node::{Identity, Node, Policy};
--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -5,7 +5,9 @@
 use slotmap::SlotMap;
 
 use super::admission::{Position, Refusals};
+use super::blame::Failures;
 use super::drain::Throughput;
+use super::handover::Handovers;
 use super::isolation::Isolation;
 use super::life::Incarnations;
 use super::load::Load;
@@ -13,6 +15,7 @@
 use super::peer::Peer;
 use super::pool::Pool;
 use super::quotas::Leadership;
+use super::reach::Reach;
 use super::replication::Bootstrap;
 use super::request::Request;
 use super::residency::{EventPoll, Link, StoreState};
@@ -40,6 +43,8 @@
     pub zone: String,
     /// Address on which it listens for peers.
     pub address: SocketAddr,
+    /// Address on which it takes requests over from peers.
+    pub handover_address: SocketAddr,
     /// Cores of its VM.
     pub cores: f32,
 }
@@ -88,6 +93,11 @@
     pub(super) budgets: BTreeMap<String, Budget>,
     pub(super) peers: BTreeMap<String, Peer>,
     pub(super) ranking: Ranking,
+    /// Whether this daemon reaches any server.
+    pub(super) reach: Reach,
+    pub(super) handovers: Handovers,
+    /// Recent failed attempts, by daemon.
+    pub(super) failures: Failures,
     /// Requests of other daemons that this one schedules.
     pub(super) served: Submissions,
     /// Own requests for which a scheduler's answer is outstanding.
@@ -106,6 +116,8 @@
     pub(super) poison: poison::State,
     /// Servers that may have crashed while they ran requests.
     pub(super) detector: poison::Detector,
+    /// When servers that may have crashed first refused a connection.
+    pub(super) refused_since: BTreeMap<poison::Incarnation, Time>,
     /// Reject limits of servers.
     pub(super) rejection: rejection::State,
     /// Suspects that run alone at a server.
@@ -176,6 +188,9 @@
             budgets: BTreeMap::new(),
             peers: Peer::from_seeds(seeds, identity.address),
             ranking: Ranking::default(),
+            reach: Reach::default(),
+            handovers: Handovers::default(),
+            failures: Failures::default(),
             served: Submissions::default(),
             awaiting_scheduler: BTreeSet::new(),
             unanswered: BTreeSet::new(),
@@ -186,6 +201,7 @@
             quota_leadership: Leadership::default(),
             poison: poison::State::isolating(),
             detector: poison::Detector::default(),
+            refused_since: BTreeMap::new(),
             rejection: rejection::State::default(),
             isolation: Isolation::default(),
             next_block_expiry: Time::ZERO,
@@ -225,6 +241,9 @@
             Message::Report { request, attempt, report } => {
                 self.handle_report(now, request, attempt, report);
             }
+            Message::HandoverEnded { request, attempt, end } => {
+                self.handover_ended(now, request, attempt, end);
+            }
             Message::Cancel(request) => self.remove_request(now, request),
             Message::RejectLimit(request, rejects) => {
                 self.note_reject_limit(now, request, rejects);
@@ -236,6 +255,7 @@
             Message::Polled(server, state) => self.polled(now, server, state),
             Message::Events(place, read) => self.handle_cache_events(now, place, read.as_ref()),
             Message::Probed(incarnation, answer) => self.probed(now, incarnation, answer),
+            Message::PathProbed(server, accepted) => self.path_probed(now, server, accepted),
             Message::Frame(frame) => self.handle_frame(now, frame),
             Message::Stop => self.stop(now),
             Message::StopDeadline => self.finish_stop(now),
@@ -267,6 +287,7 @@
             || !self.quota_leadership.undecided.is_empty()
             || self.rollout.is_active()
             || self.detector.has_probe_due()
+            || self.reach.is_suspicious()
     }
 
     /// The offset of the next lease record to read.
@@ -324,6 +345,7 @@
         self.refresh_namings(now);
         self.read_events(now);
         self.sum_peer_load(now);
+        self.check_reach(now);
         self.check_unanswered(now);
         self.maintain_blocks(now);
         self.maintain_rejection(now);
--- a/src/fleet/tests/rejection/simulation.rs
+++ b/src/fleet/tests/rejection/simulation.rs
@@ -296,6 +296,11 @@
                         self.retries.push((now + wait, caller));
                     }
                 }
+                Command::HandOver(Handover { attempt, .. }) => {
+                    let (request, end) = (key, HandoverEnd::NotTaken);
+                    let ended = crate::fleet::Message::HandoverEnded { request, attempt, end };
+                    self.site.apply(daemon, ended);
+                }
                 Command::GiveUp => {
                     self.callers.remove(&(daemon, key));
                 }
--- a/src/relay/conn.rs
+++ b/src/relay/conn.rs
@@ -1,5 +1,6 @@
 //! A TCP connection with a read-ahead buffer.
 
+use std::fmt;
 use std::io;
 use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
@@ -38,6 +39,16 @@
     TooLarge,
 }
 
+impl fmt::Display for Cut {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Closed => f.write_str("the connection ended before a message"),
+            Self::Broken(reason) | Self::Malformed(reason) => f.write_str(reason),
+            Self::TooLarge => f.write_str("the message is too large"),
+        }
+    }
+}
+
 impl From<Malformed> for Cut {
     fn from(malformed: Malformed) -> Self {
         Self::Malformed(malformed.0)
@@ -56,6 +67,8 @@
     stream: Arc<Async<TcpStream>>,
     /// Bytes that were read and not yet consumed.
     read_ahead: Vec<u8>,
+    /// Whether a write has failed. The failure took the socket's error, so that a read then sees an orderly end.
+    write_failed: bool,
 }
 
 impl Conn {
@@ -68,7 +81,7 @@
         sockopt::set_tcp_keepintvl(socket, KEEPALIVE_IDLE).ok();
         sockopt::set_tcp_keepcnt(socket, KEEPALIVE_PROBES).ok();
         sockopt::set_tcp_user_timeout(socket, USER_TIMEOUT_MS).ok();
-        Self { stream: Arc::new(stream), read_ahead: Vec::new() }
+        Self { stream: Arc::new(stream), read_ahead: Vec::new(), write_failed: false }
     }
 
     /// Connects to `address` within `timeout`.
@@ -91,6 +104,16 @@
         (&mut &*self.stream).write_all(bytes).await
     }
 
+    /// Records that a write has failed.
+    pub(super) fn record_write_failure(&mut self) {
+        self.write_failed = true;
+    }
+
+    /// Returns whether the connection, which has ended, was reset or failed.
+    fn has_failed(&self) -> bool {
+        self.write_failed || matches!(self.stream.get_ref().take_error(), Ok(Some(_)))
+    }
+
     /// Returns whether an idle connection has received bytes or was closed, without consuming
     /// anything. Such a connection cannot be reused.
     pub fn has_unexpected_input(&self) -> bool {
@@ -146,15 +169,21 @@
     /// Reads the head of the final answer and skips informational (1xx) ones.
     pub async fn read_response(&mut self, answers_head: bool) -> Result<Response, Cut> {
         loop {
-            match Response::parse(&self.read_ahead, answers_head)? {
-                Some((response, length)) => {
-                    self.read_ahead.drain(..length);
-                    if response.status >= 200 {
-                        return Ok(response);
-                    }
-                }
-                None => self.read_more_head(MAX_ANSWER_HEAD_BYTES).await?,
+            let response = self.read_any_response(answers_head).await?;
+            if response.status >= 200 {
+                return Ok(response);
+            }
+        }
+    }
+
+    /// Reads the head of the next answer, informational or final.
+    pub(super) async fn read_any_response(&mut self, answers_head: bool) -> Result<Response, Cut> {
+        loop {
+            if let Some((response, length)) = Response::parse(&self.read_ahead, answers_head)? {
+                self.read_ahead.drain(..length);
+                return Ok(response);
             }
+            self.read_more_head(MAX_ANSWER_HEAD_BYTES).await?;
         }
     }
 
@@ -189,6 +218,9 @@
             }
             if self.fill().await? == 0 {
                 return match decoder.completes_on_close() {
+                    true if self.has_failed() => {
+                        Err(Cut::Broken("the connection was reset".into()))
+                    }
                     true => Ok(false),
                     false => Err(Cut::Broken("the connection ended within a body".into())),
                 };
--- a/src/relay/delivery.rs
+++ b/src/relay/delivery.rs
@@ -10,20 +10,22 @@
 
 use super::answer::{encode_answer, encode_stream_head, push_chunk};
 use super::exchange::{self, Answer, Failure};
-use super::{Classification, Cut, Events, Frontend, Metadata, Request, Response, head};
+use super::takeover::Origin;
+use super::{Classification, Cut, Events, Framing, Frontend, Metadata, Request, Response, head};
 use crate::fleet::{Arrival, Command, Dispatch, Key, Loss, Message, Refusal, Report};
 use crate::poison::Fingerprint;
 use crate::prelude::*;
 use crate::route::{Route, Workspace};
+use crate::telemetry::emit;
 
 /// Maximum size of an answer that is buffered completely before it is forwarded.
-const MAX_ANSWER_BYTES: usize = 8 << 20;
+pub(super) const MAX_ANSWER_BYTES: usize = 8 << 20;
 /// Retry-after time for a request that the control thread, having stopped, did not accept.
 const CONTROL_STOPPED_RETRY_AFTER: Duration = Duration::from_millis(500);
 
 /// Time for which a write to a caller blocks if the caller reads slowly. A server closes an answer
 /// that stays unread for some seconds.
-const SLOW_READER_DELAY: Duration = Duration::from_secs(1);
+pub(super) const SLOW_READER_DELAY: Duration = Duration::from_secs(1);
 
 /// Outcome of a request.
 pub(super) enum Outcome {
@@ -35,6 +37,8 @@
     Disconnected,
     /// The request ends with this code and retry-after time.
     Code(Code, Option<Duration>),
+    /// A complete answer of a peer was passed on, with this code if it was the peer's own; the connection can be reused.
+    HandedOver(Option<Code>),
     /// The backend server's own error answer is forwarded.
     ServerFailure(Box<(Response, Vec<u8>)>),
 }
@@ -43,9 +47,9 @@
 #[derive(Debug, Default)]
 pub(super) struct Progress {
     /// Whether a byte may have reached a server that has not refused the request.
-    sent: AtomicBool,
+    pub(super) sent: AtomicBool,
     /// Whether writing the answer to the caller has started.
-    answer_started: AtomicBool,
+    pub(super) answer_started: AtomicBool,
     /// Whether the current attempt has started to write to the caller.
     attempt_writing: AtomicBool,
     /// The time at which the first byte of the answer was written.
@@ -54,7 +58,7 @@
 
 impl Progress {
     /// Records that the current attempt is about to write to the caller.
-    fn record_write(&self, now: Time) {
+    pub(super) fn record_write(&self, now: Time) {
         self.first_byte.get_or_init(|| now);
         self.answer_started.store(true, Ordering::Release);
         self.attempt_writing.store(true, Ordering::Release);
@@ -75,6 +79,7 @@
     pub(super) route: Arc<Route>,
     pub(super) workspace: Option<Arc<Workspace>>,
     pub(super) key: Key,
+    pub(super) origin: Origin,
     /// The time at which the caller stops waiting.
     pub(super) deadline: Time,
     pub(super) progress: Progress,
@@ -107,6 +112,7 @@
             deadline: self.deadline,
             prompt: self.metadata.prompt.clone(),
             fingerprint: self.fingerprint(),
+            is_handed_over: self.origin == Origin::Peer,
         });
         let mut events = Events::after(self.metadata.last_event_id);
         let mut failure = None;
@@ -123,12 +129,22 @@
                     false => Outcome::Code(Code::NoServer, Some(CONTROL_STOPPED_RETRY_AFTER)),
                 };
             };
+            self.progress.attempt_writing.store(false, Ordering::Release);
             let dispatch = match command {
                 Command::Dispatch(dispatch) => dispatch,
+                Command::HandOver(peer) => {
+                    let superseded = async {
+                        self.superseded(&commands, &mut next).await;
+                        None
+                    };
+                    match self.hand_over(writer, &peer).or(superseded).await {
+                        Some(outcome) => return outcome,
+                        None => continue,
+                    }
+                }
                 Command::Refuse(code, after) => return Outcome::Code(code, Some(after)),
                 Command::GiveUp => return self.failed_outcome(failure),
             };
-            self.progress.attempt_writing.store(false, Ordering::Release);
             let superseded = self.superseded(&commands, &mut next);
             let attempt = self.attempt(writer, &dispatch, &mut events).or(superseded).await;
             let report = match attempt {
@@ -187,19 +203,21 @@
         self.frontend.control.tell(Message::Report { request, attempt, report });
     }
 
+    /// Returns the time that the caller still waits, if it gave one.
+    pub(super) fn remaining(&self) -> Option<Duration> {
+        let now = self.frontend.control.clock.now();
+        self.metadata.timeout.map(|_| self.deadline.saturating_sub(now))
+    }
+
     /// Encodes the complete message for a backend server.
     fn encode_request(&self, dispatch: &Dispatch, events: &Events) -> Vec<u8> {
-        let remaining = self
-            .metadata
-            .timeout
-            .map(|_| self.deadline.saturating_sub(self.frontend.control.clock.now()));
         let workspace = self.workspace.as_deref();
         let fields = self.frontend.dialect.forwarded_fields(
             self.request,
             &self.metadata,
             workspace,
             dispatch,
-            remaining,
+            self.remaining(),
             events.last_id(),
         );
         let length = self.body.len().to_string();
@@ -218,7 +236,7 @@
         events: &mut Events,
     ) -> Attempt {
         let message = self.encode_request(dispatch, events);
-        let answers_head = self.request.method == "HEAD";
+        let answers_head = self.request.is_head();
         let on_send = || self.progress.sent.store(true, Ordering::Release);
         let pool = &self.frontend.pool;
         let sent = exchange::send(pool, dispatch.address, &message, answers_head, on_send).await;
@@ -235,7 +253,7 @@
                 self.finish_refused(dispatch, answer, refusal).await
             }
             Classification::Answer(weights)
-                if self.route.is_streaming && answer.response.status == 200 =>
+                if self.route.is_streaming && answer.response.status == 200 && !answers_head =>
             {
                 self.relay_stream(writer, dispatch, answer, weights, events).await
             }
@@ -275,7 +293,7 @@
         self.send_report(dispatch, Report::Begun(weights));
         let body = match answer.read_whole(MAX_ANSWER_BYTES).await {
             Ok(body) => body,
-            Err(cut) => return Attempt::Unanswered(Report::Lost(loss(&cut))),
+            Err(cut) => return self.answer_cut(dispatch, &answer, None, &cut),
         };
         let response = answer.response.clone();
         answer.release(&self.frontend.pool, dispatch.max_idle);
@@ -291,6 +309,34 @@
         }
     }
 
+    /// Logs that an answer was cut within its body. The attempt has failed.
+    fn answer_cut(
+        &self,
+        dispatch: &Dispatch,
+        answer: &Answer,
+        events: Option<&Events>,
+        cut: &Cut,
+    ) -> Attempt {
+        let detail = self.ending_detail(dispatch, answer, events).and("cut", cut.to_string());
+        emit(Event::AnswerCut, detail);
+        Attempt::Unanswered(Report::Lost(loss(cut)))
+    }
+
+    /// Describes how an answer was framed and, for a stream, where in its events it ended.
+    fn ending_detail(
+        &self,
+        dispatch: &Dispatch,
+        answer: &Answer,
+        events: Option<&Events>,
+    ) -> Detail {
+        Detail::of("request", self.metadata.id.as_str())
+            .and("attempt", dispatch.attempt)
+            .and("server", dispatch.server.as_str())
+            .and("framing", answer.response.framing.name())
+            .and_some("last_event", events.and_then(Events::last_id))
+            .and_some("partial_bytes", events.map(Events::partial_bytes))
+    }
+
     /// Forwards a stream in complete events.
     async fn relay_stream(
         &self,
@@ -300,18 +346,23 @@
         weights: Option<u64>,
         events: &mut Events,
     ) -> Attempt {
-        events.discard_partial();
+        events.begin_answer();
         let (mut started, mut is_slow_reader) = (false, false);
         let mut bytes = Vec::new();
         loop {
             bytes.clear();
-            let more = match answer.read(&mut bytes).await {
+            let more = match read_events(&mut answer, &mut bytes, events).await {
+                // The server may have closed an answer that stays unread. That says nothing about the
+                // server, and the same would happen at another one.
+                Err(_) | Ok(false) if is_slow_reader => return Attempt::CallerTooSlow,
                 Ok(more) => more,
-                // The cut says nothing about the server, and the same would happen at another one.
-                Err(_) if is_slow_reader => return Attempt::CallerTooSlow,
-                Err(cut) => return Attempt::Unanswered(Report::Lost(loss(&cut))),
+                Err(cut) => return self.answer_cut(dispatch, &answer, Some(events), &cut),
             };
             let mut whole = events.feed(&bytes);
+            if !more && answer.response.framing == Framing::UntilClose {
+                let detail = self.ending_detail(dispatch, &answer, Some(events));
+                emit(Event::UnframedStreamEnded, detail);
+            }
             if !more || answer.decoder.is_complete() {
                 whole.extend_from_slice(&events.take_partial());
             }
@@ -348,6 +399,21 @@
     }
 }
 
+/// Waits for more bytes of a stream. Returns false once it is complete. The end of the connection
+/// completes a stream only after a whole event.
+async fn read_events(
+    answer: &mut Answer,
+    output: &mut Vec<u8>,
+    events: &Events,
+) -> Result<bool, Cut> {
+    let more = answer.read(output).await?;
+    let ended_with_connection = !more && answer.decoder.completes_on_close();
+    if ended_with_connection && !events.end_with_whole_event() {
+        return Err(Cut::Broken("the connection ended within an event".into()));
+    }
+    Ok(more)
+}
+
 fn loss(cut: &Cut) -> Loss {
     match cut {
         Cut::Closed | Cut::Broken(_) => Loss::Connection,
--- a/src/relay/events.rs
+++ b/src/relay/events.rs
@@ -7,12 +7,16 @@
     partial: Vec<u8>,
     /// The id of the last complete event.
     last_id: Option<u64>,
+    /// Whether an answer has begun.
+    has_answer: bool,
+    /// Whether an answer was broken off, and no new event has arrived since.
+    owes_event: bool,
 }
 
 impl Events {
     /// Creates the state for a caller that already has the events up to `last_id`.
     pub fn after(last_id: Option<u64>) -> Self {
-        Self { partial: Vec::new(), last_id }
+        Self { last_id, ..Self::default() }
     }
 
     /// Adds received bytes and returns the events that are now complete. Events with an id not above
@@ -36,6 +40,7 @@
             if !repeated {
                 whole.extend_from_slice(event);
                 self.last_id = id.or(self.last_id);
+                self.owes_event &= id.is_none();
             }
             start = end;
             from = end;
@@ -49,15 +54,42 @@
         std::mem::take(&mut self.partial)
     }
 
+    /// Returns the number of bytes after the last complete event.
+    pub fn partial_bytes(&self) -> usize {
+        self.partial.len()
+    }
+
+    /// Returns whether the end of the connection can be the end of the stream: an event with an id
+    /// has arrived, also since the last answer that was broken off, and only line breaks follow it.
+    ///
+    /// ```
+    /// let mut events = cardamomvalve::relay::Events::default();
+    /// assert!(!events.end_with_whole_event());
+    /// events.feed(b"id: 1\n\nid: 2");
+    /// assert!(!events.end_with_whole_event());
+    /// events.feed(b"\n\n");
+    /// assert!(events.end_with_whole_event());
+    /// ```
+    pub fn end_with_whole_event(&self) -> bool {
+        self.last_id.is_some() && !self.owes_event && !self.has_begun_event()
+    }
+
     /// Returns the id of the last complete event.
     pub fn last_id(&self) -> Option<u64> {
         self.last_id
     }
 
-    /// Discards an incomplete event; the next attempt sends it again from its start.
-    pub fn discard_partial(&mut self) {
+    /// Begins an answer. If it is not the first, the one before was broken off: its incomplete event
+    /// is sent again from its start, and at least one event is to come.
+    pub fn begin_answer(&mut self) {
+        self.owes_event |= self.has_answer;
+        self.has_answer = true;
         self.partial.clear();
     }
+
+    fn has_begun_event(&self) -> bool {
+        self.partial.iter().any(|byte| !matches!(byte, b'\r' | b'\n'))
+    }
 }
 
 /// Finds the end of an event, just past its empty line, by a search that starts at `from`.
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -14,13 +14,16 @@
 /// enough to try another server within a caller's latency target.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Time in which a partition resets a connection that it has let through.
+const RESET_DELAY: Duration = Duration::from_millis(30);
+
 /// Maximum number of idle connections per server for this router's own calls, which include long polls.
 const MAX_IDLE_CALL_CONNECTIONS: usize = 8;
 
 /// An exchange that failed.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Failure {
-    /// No byte was sent, so the request did not run.
+    /// The request was not sent, or not to its end, so it did not run.
     Unsent(String),
     /// Bytes were sent, but no complete answer arrived. The request may have run.
     Lost(Cut),
@@ -78,13 +81,13 @@
             .map_err(|error| Failure::Unsent(error.to_string()))?,
     };
     on_send();
-    write(&conn, request).await?;
+    write(&mut conn, request).await?;
     let response = conn.read_response(answers_head).await.map_err(Failure::Lost)?;
     let decoder = Decoder::new(response.framing);
     Ok(Answer { response, decoder, address, conn })
 }
 
-async fn write(conn: &Conn, request: &[u8]) -> Result<(), Failure> {
+pub(super) async fn write(conn: &mut Conn, request: &[u8]) -> Result<(), Failure> {
     let stream = conn.writer();
     let mut sent = 0;
     while sent < request.len() {
@@ -92,7 +95,10 @@
             Ok(count) if count > 0 => sent += count,
             _ if sent == 0 => return Err(Failure::Unsent("the connection was closed".into())),
             // The server may have answered before it read all of a long body, so read the answer.
-            _ => return Ok(()),
+            _ => {
+                conn.record_write_failure();
+                return Ok(());
+            }
         }
     }
     Ok(())
@@ -112,6 +118,14 @@
     }
 }
 
+/// Returns whether a connection to `address` is accepted and stays open for a moment. A partition may
+/// reset connections that it has let through.
+pub async fn reaches(address: SocketAddr) -> bool {
+    let Ok(conn) = Conn::connect(address, CONNECT_TIMEOUT).await else { return false };
+    Timer::after(RESET_DELAY).await;
+    !conn.has_unexpected_input()
+}
+
 /// A complete request that this router makes itself, not on behalf of a caller.
 #[derive(Debug, Clone, Default)]
 pub struct Call {
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -13,8 +13,10 @@
 mod drain;
 mod events;
 mod exchange;
+mod handover;
 mod head;
 mod pool;
+mod takeover;
 #[cfg(test)]
 mod tests;
 
@@ -24,6 +26,7 @@
 pub use dialect::{Classification, Dialect, Metadata};
 pub use drain::drain;
 pub use events::Events;
-pub use exchange::{Answer, Call, Failure, fetch, probe};
+pub use exchange::{Answer, Call, Failure, fetch, probe, reaches};
 pub use head::{Fields, Malformed, Request, Response};
 pub use pool::Pool;
+pub use takeover::serve_peer;
