--- a/src/fleet/frame/wire.rs
+++ b/src/fleet/frame/wire.rs
@@ -89,6 +89,18 @@
     pub(super) handover_address: String,
     #[prost(bool, tag = "25")]
     pub(super) is_isolated: bool,
+    #[prost(message, repeated, tag = "26")]
+    pub(super) reject_limits: Vec<RejectLimit>,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub(super) struct RejectLimit {
+    #[prost(string, tag = "1")]
+    pub(super) pool: String,
+    #[prost(uint32, tag = "2")]
+    pub(super) rejects: u32,
+    #[prost(uint32, tag = "3")]
+    pub(super) age_ms: u32,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
--- a/src/fleet/message.rs
+++ b/src/fleet/message.rs
@@ -284,6 +284,9 @@
         /// The outcome.
         end: HandoverEnd,
     },
+    /// The answer to a request states how many requests per second its server can reject without
+    /// crashing.
+    RejectLimit(Key, u32),
     /// The caller disconnected, or the request reached its time limit.
     Cancel(Key),
     /// A topic was read.
--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -23,7 +23,7 @@
 use super::scheduling::{Ranking, Submissions};
 use super::{
     Budget, Catalog, Change, Command, Counts, Dependency, Effect, Key, Location, Message, Record,
-    Server, Topic, server,
+    Server, Topic, rejection, server,
 };
 use crate::lease;
 use crate::placement::Heat;
@@ -118,6 +118,8 @@
     pub(super) detector: poison::Detector,
     /// When servers that may have crashed first refused a connection.
     pub(super) refused_since: BTreeMap<poison::Incarnation, Time>,
+    /// Reject limits of servers.
+    pub(super) rejection: rejection::State,
     /// Suspects that run alone at a server.
     pub(super) isolation: Isolation,
     pub(super) next_block_expiry: Time,
@@ -200,6 +202,7 @@
             poison: poison::State::isolating(),
             detector: poison::Detector::default(),
             refused_since: BTreeMap::new(),
+            rejection: rejection::State::default(),
             isolation: Isolation::default(),
             next_block_expiry: Time::ZERO,
             heat: Heat::default(),
@@ -242,6 +245,9 @@
                 self.handover_ended(now, request, attempt, end);
             }
             Message::Cancel(request) => self.remove_request(now, request),
+            Message::RejectLimit(request, rejects) => {
+                self.note_reject_limit(now, request, rejects);
+            }
             Message::Read(read) => self.handle_read(now, read),
             Message::ReadFailed(tracked, reason) => self.mark_unreadable(now, tracked, &reason),
             Message::Lease(first, records) => self.lease_read(now, first, &records),
@@ -342,6 +348,7 @@
         self.check_reach(now);
         self.check_unanswered(now);
         self.maintain_blocks(now);
+        self.maintain_rejection(now);
         self.remove_lapsed(now);
         self.check_schedulers(now);
         self.drop_expired_submissions(now);
--- a/src/relay/tests/fixture.rs
+++ b/src/relay/tests/fixture.rs
@@ -68,6 +68,10 @@
         }
     }
 
+    fn reject_limit(&self, _: &Response) -> Option<u32> {
+        None
+    }
+
     fn error_fields(&self, _: &Metadata) -> Fields {
         Fields::default()
     }
--- a/src/telemetry/event.rs
+++ b/src/telemetry/event.rs
@@ -69,6 +69,8 @@
     ServerChecked = 308, Info, "A backend server whose connection broke was checked; 307 follows if it has ended.";
     ServersUnreachable = 309, Warn, "This daemon reaches no backend server; other daemons serve its requests.";
     ServersReachable = 310, Info, "This daemon reaches backend servers again.";
+    RejectLimitStated = 311, Info, "The backend servers of a pool state how many requests a second they can reject without crashing; the daemons stay below that.";
+    RejectLimitEnded = 312, Info, "The backend servers of a pool state no reject limit any more.";
     AttemptFailed = 400, Info, "An attempt at a backend server failed.";
     AnswerDiscarded = 401, Warn, "An answer named another attempt, incarnation or weights version, and was discarded.";
     StreamResumed = 402, Info, "A stream was resumed after its connection broke.";
