--- a/src/fleet/message.rs
+++ b/src/fleet/message.rs
@@ -261,6 +261,17 @@
     }
 }
 
+/// Outcome of a connect to a server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Connect {
+    /// The connection was accepted and stayed open for a moment.
+    Accepted,
+    /// The connection was reset, as by a server that has as many as it accepts.
+    Reset,
+    /// The connection was refused, or there was no response.
+    Failed,
+}
+
 /// An input to a node.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Message {
@@ -304,7 +315,7 @@
     /// The port of a server that may have crashed was probed.
     Probed(Incarnation, Answer),
     /// A server was probed to learn whether this daemon reaches it.
-    PathProbed(server::Key, bool),
+    PathProbed(server::Key, Connect),
     /// A frame arrived from a peer.
     Frame(Frame),
     /// A planned stop was requested.
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -47,8 +47,8 @@
 pub use frame::{Digest, Frame, Malformed, Workload};
 pub use life::Incarnation;
 pub use message::{
-    Arrival, Change, Command, Dependency, Dispatch, Effect, Handover, HandoverEnd, Key, Loss,
-    Message, OrderEnd, Read, Refusal, Registration, Report, State,
+    Arrival, Change, Command, Connect, Dependency, Dispatch, Effect, Handover, HandoverEnd, Key,
+    Loss, Message, OrderEnd, Read, Refusal, Registration, Report, State,
 };
 pub use naming::Naming;
 pub use node::{Identity, Node, Policy};
--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -255,7 +255,7 @@
             Message::Polled(server, state) => self.polled(now, server, state),
             Message::Events(place, read) => self.handle_cache_events(now, place, read.as_ref()),
             Message::Probed(incarnation, answer) => self.probed(now, incarnation, answer),
-            Message::PathProbed(server, accepted) => self.path_probed(now, server, accepted),
+            Message::PathProbed(server, connect) => self.path_probed(now, server, connect),
             Message::Frame(frame) => self.handle_frame(now, frame),
             Message::Stop => self.stop(now),
             Message::StopDeadline => self.finish_stop(now),
--- a/src/fleet/poison.rs
+++ b/src/fleet/poison.rs
@@ -27,7 +27,7 @@
 
 impl Server {
     /// Its current incarnation under the id that all daemons use for crashes.
-    fn poison_incarnation(&self) -> Incarnation {
+    pub(super) fn poison_incarnation(&self) -> Incarnation {
         let incarnation = &self.entry.incarnation;
         Incarnation::of(&incarnation.id, Some(&incarnation.started_ms.to_string()))
     }
--- a/src/fleet/reach.rs
+++ b/src/fleet/reach.rs
@@ -8,7 +8,7 @@
 
 use std::collections::VecDeque;
 
-use super::{Effect, Node, server};
+use super::{Connect, Effect, Node, server};
 use crate::prelude::*;
 
 /// Silence of two or more servers to which requests were sent from which the paths are suspected.
@@ -139,8 +139,8 @@
         self.answered.iter().take(count).map(|(key, _)| *key).collect()
     }
 
-    /// Whether the failed probes outweigh the answers since the suspicion arose: those who answered
-    /// refuse new connections.
+    /// Whether the answers since the suspicion arose outweigh the probes: those who answered do not
+    /// refuse new connections. A server that resets them may have as many as it accepts.
     fn is_refuted_by_answers(&self, since: Time) -> bool {
         let answered: Vec<server::Key> = self.answered_since(since).collect();
         let failed = answered.iter().filter(|key| self.round.failed.contains(*key)).count();
@@ -222,15 +222,17 @@
     }
 
     /// Handles the result of a probe of a path.
-    pub(super) fn path_probed(&mut self, now: Time, server: server::Key, accepted: bool) {
-        if accepted {
+    pub(super) fn path_probed(&mut self, now: Time, server: server::Key, connect: Connect) {
+        if connect == Connect::Accepted {
             return self.note_accepted_connect(now);
         }
         let reach = &mut self.reach;
         if !reach.round.open.remove(&server) {
             return;
         }
-        reach.round.failed.insert(server);
+        if connect == Connect::Failed {
+            reach.round.failed.insert(server);
+        }
         if !reach.round.open.is_empty() {
             return;
         }
--- a/src/fleet/tests/beliefs/carriage.rs
+++ b/src/fleet/tests/beliefs/carriage.rs
@@ -223,7 +223,8 @@
                 }
                 Effect::ProbePath(server, at) => {
                     let up = self.servers.iter().any(|s| s.is_up && address(s.last_octet) == at);
-                    let message = Message::PathProbed(server, up);
+                    let connect = if up { Connect::Accepted } else { Connect::Failed };
+                    let message = Message::PathProbed(server, connect);
                     self.enqueue(vm, ms(5), Payload::from_message(message));
                 }
                 Effect::Command(..)
--- a/src/fleet/tests/partition/mod.rs
+++ b/src/fleet/tests/partition/mod.rs
@@ -1,5 +1,6 @@
 //! Daemons that are partitioned from all servers, while callers, the store and other daemons reach them.
 
+mod suspicion;
 mod traffic;
 
 use super::site::{Cut, Site};
--- /dev/null
+++ b/src/fleet/tests/partition/suspicion.rs
@@ -0,0 +1,96 @@
+//! Suspicions of a partition at one daemon, whose probes the tests answer.
+
+use crate::fleet::tests::world::*;
+use crate::fleet::*;
+use crate::poison::Answer;
+use crate::prelude::*;
+use crate::route::Repeat;
+
+const ENGINES: [(&str, &str); 8] = [
+    ("e-1", "engine 21 ready 1"),
+    ("e-2", "engine 22 ready 1"),
+    ("e-3", "engine 23 ready 1"),
+    ("e-4", "engine 24 ready 1"),
+    ("e-5", "engine 25 ready 1"),
+    ("e-6", "engine 26 ready 1"),
+    ("e-7", "engine 27 ready 1"),
+    ("e-8", "engine 28 ready 1"),
+];
+
+/// How probes end.
+#[derive(Debug, Clone, Copy)]
+struct Probes {
+    connect: Connect,
+    after_ms: u64,
+}
+
+const REFUSED: Probes = Probes { connect: Connect::Failed, after_ms: 10 };
+const RESET: Probes = Probes { connect: Connect::Reset, after_ms: 10 };
+const HANGING: Probes = Probes { connect: Connect::Failed, after_ms: 400 };
+
+/// Ticks, and ends all probes; `during` runs at each tick.
+fn run(
+    daemon: &mut Daemon,
+    from: u64,
+    to: u64,
+    probes: Probes,
+    mut during: impl FnMut(&mut Daemon, u64) -> Vec<Effect>,
+) {
+    let mut due: Vec<(u64, server::Key)> = Vec::new();
+    for at in (from..to).step_by(10) {
+        let mut effects = daemon.tick(ms(at));
+        let ready: Vec<_> = due.extract_if(.., |(when, _)| *when <= at).collect();
+        for (_, key) in ready {
+            effects.extend(daemon.node.apply(ms(at), Message::PathProbed(key, probes.connect)));
+        }
+        effects.extend(during(daemon, at));
+        for effect in effects {
+            if let Effect::ProbePath(key, _) = effect {
+                due.push((at + probes.after_ms, key));
+            }
+        }
+    }
+}
+
+fn arrive(daemon: &mut Daemon, at: u64) -> (Key, Vec<Command>) {
+    let (key, effects) =
+        daemon.arrive(ms(at), &route("engines", Repeat::AtMostOnce, 1), Some(prompt(7, at)));
+    (key, commands(&effects))
+}
+
+// Servers at their connection limit reset new connections, and kept ones went on. The daemon took that for a partition.
+#[test]
+fn crowd_at_the_connection_limit_is_no_partition() {
+    let mut daemon = Daemon::with_servers(1, &ENGINES);
+    run(&mut daemon, 0, 6_000, REFUSED, |_, _| Vec::new());
+    let mut refused = BTreeMap::new();
+    let (mut served, mut n) = (0, 0);
+    run(&mut daemon, 6_000, 9_000, RESET, |daemon, at| {
+        let mut effects = Vec::new();
+        if at % 50 != 0 {
+            return effects;
+        }
+        let (key, commands) = arrive(daemon, at);
+        n += 1;
+        for command in commands {
+            match command {
+                Command::Dispatch(dispatch) => {
+                    // One in ten needs a new connection, which is reset.
+                    let reports = match n % 10 {
+                        0 => vec![Report::Lost(Loss::Connection)],
+                        _ => vec![Report::Begun(Some(1)), Report::Ended],
+                    };
+                    for report in reports {
+                        effects.extend(daemon.report(ms(at), key, dispatch.attempt, report));
+                    }
+                    served += 1;
+                }
+                Command::Refuse(code, _) => *refused.entry(code).or_insert(0) += 1,
+                _ => {}
+            }
+        }
+        effects
+    });
+    assert!(refused.is_empty(), "served {served}, refused {refused:?}");
+}
+
--- a/src/fleet/tests/site.rs
+++ b/src/fleet/tests/site.rs
@@ -167,7 +167,11 @@
                 }
                 Effect::ProbePath(server, address) => {
                     let answer = self.connect(index, address);
-                    let message = Message::PathProbed(server, answer == Answer::Accepted);
+                    let connect = match answer {
+                        Answer::Accepted => Connect::Accepted,
+                        Answer::Refused | Answer::Silent | Answer::Unverified => Connect::Failed,
+                    };
+                    let message = Message::PathProbed(server, connect);
                     match answer {
                         Answer::Silent => {
                             self.delayed.push((self.now + PROBE_TIMEOUT, index, message));
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -8,6 +8,7 @@
 use futures_lite::{AsyncWriteExt, FutureExt};
 
 use super::{Conn, Cut, Decoder, Fields, Pool, Response, head};
+use crate::fleet::Connect;
 use crate::poison;
 
 /// Timeout for connecting to a server. It is many times the latency within a region, and short
@@ -118,12 +119,19 @@
     }
 }
 
-/// Returns whether a connection to `address` is accepted and stays open for a moment. A partition may
-/// reset connections that it has let through.
-pub async fn reaches(address: SocketAddr) -> bool {
-    let Ok(conn) = Conn::connect(address, CONNECT_TIMEOUT).await else { return false };
+/// Probes the path to the server at `address` by a connect. A connection counts as accepted once it has
+/// stayed open for a moment.
+pub async fn probe_path(address: SocketAddr) -> Connect {
+    let conn = match Conn::connect(address, CONNECT_TIMEOUT).await {
+        Ok(conn) => conn,
+        Err(error) if error.kind() == ErrorKind::ConnectionReset => return Connect::Reset,
+        Err(_) => return Connect::Failed,
+    };
     Timer::after(RESET_DELAY).await;
-    !conn.has_unexpected_input()
+    match conn.has_unexpected_input() {
+        true => Connect::Reset,
+        false => Connect::Accepted,
+    }
 }
 
 /// A complete request that this router makes itself, not on behalf of a caller.
--- a/src/relay/tests.rs
+++ b/src/relay/tests.rs
@@ -6,6 +6,7 @@
 mod takeover;
 
 use super::*;
+use crate::fleet::Connect;
 
 fn request(text: &str) -> Result<Option<(Request, usize)>, Malformed> {
     Request::parse(text.as_bytes())
@@ -234,18 +235,18 @@
 }
 
 #[test]
-fn reaches_needs_a_connection_that_stays_open() {
+fn probe_path_needs_a_connection_that_stays_open() {
     let listener =
         std::net::TcpListener::bind("127.0.0.1:0").expect("a loopback port is available");
     let address = listener.local_addr().expect("the listener has an address");
-    assert!(async_io::block_on(reaches(address)), "the listener keeps the connection");
+    assert_eq!(async_io::block_on(probe_path(address)), Connect::Accepted);
     let closing = std::thread::spawn(move || {
         // The first connection is the one above.
         for stream in listener.incoming().take(2) {
             drop(stream);
         }
     });
-    assert!(!async_io::block_on(reaches(address)), "the connection is closed at once");
+    assert_eq!(async_io::block_on(probe_path(address)), Connect::Reset, "closed at once");
     closing.join().expect("the thread ends");
-    assert!(!async_io::block_on(reaches(address)), "nothing listens");
+    assert_eq!(async_io::block_on(probe_path(address)), Connect::Failed, "nothing listens");
 }
