A suspicion without a server to probe ends

No result came, so the suspicion stayed, and no later one could arise (after 19 s in the test, which failed before). Found by a review: the last servers leave while one is silent.

--- a/src/fleet/reach.rs
+++ b/src/fleet/reach.rs
@@ -203,6 +203,10 @@
             self.reach.round.open.insert(key);
             self.effects.push(Effect::ProbePath(key, address));
         }
+        if self.reach.round.open.is_empty() && !self.is_cut_off() {
+            // There is no server to probe.
+            self.trust_paths();
+        }
     }
 
     /// Probes two servers other than `than`, one of them the last that answered; returns false if
--- a/src/fleet/tests/partition/suspicion.rs
+++ b/src/fleet/tests/partition/suspicion.rs
@@ -58,6 +58,16 @@
     (key, commands(&effects))
 }
 
+// A suspicion without a server to probe never ended, and no other could arise.
+#[test]
+fn suspicion_without_servers_ends() {
+    let mut daemon = Daemon::with_servers(1, &[]);
+    run(&mut daemon, 0, 1_000, REFUSED, |_, _| Vec::new());
+    daemon.node.suspect_paths(ms(1_000));
+    run(&mut daemon, 1_000, 20_000, REFUSED, |_, _| Vec::new());
+    assert!(!daemon.node.reach.is_suspicious(), "still suspicious after 19 s");
+}
+
 // Servers at their connection limit reset new connections, and kept ones went on. The daemon took that for a partition.
 #[test]
 fn crowd_at_the_connection_limit_is_no_partition() {
