A daemon whose connects hang while servers answer on kept connections is cut off

The answers at the end of a round were those of other servers than the ones it had probed. The round now names those that had answered when it began, and is judged by them.

--- a/src/fleet/reach.rs
+++ b/src/fleet/reach.rs
@@ -41,6 +41,8 @@
 struct Round {
     open: BTreeSet<server::Key>,
     failed: BTreeSet<server::Key>,
+    /// Servers that answered between the suspicion and the begin of the round.
+    witnesses: Vec<server::Key>,
 }
 
 /// What is believed of the paths to servers.
@@ -142,9 +144,12 @@
     /// Whether the answers since the suspicion arose outweigh the probes: those who answered do not
     /// refuse new connections. A server that resets them may have as many as it accepts.
     fn is_refuted_by_answers(&self, since: Time) -> bool {
-        let answered: Vec<server::Key> = self.answered_since(since).collect();
-        let failed = answered.iter().filter(|key| self.round.failed.contains(*key)).count();
-        failed < answered.len().min(2)
+        if self.answered_since(since).next().is_none() {
+            return false;
+        }
+        let Round { failed, witnesses, .. } = &self.round;
+        let failed = witnesses.iter().filter(|key| failed.contains(*key)).count();
+        failed < witnesses.len().clamp(1, 2)
     }
 }
 
@@ -326,6 +331,7 @@
                     *is_confirming = true;
                     let since = *since;
                     let answered = self.reach.last_answered(since);
+                    self.reach.round.witnesses = self.reach.answered_since(since).collect();
                     let targets = self.draw_servers(CONFIRMING_PROBES, answered);
                     self.start_round(targets);
                 }
--- a/src/fleet/tests/partition/suspicion.rs
+++ b/src/fleet/tests/partition/suspicion.rs
@@ -104,3 +104,20 @@
     assert!(refused.is_empty(), "served {served}, refused {refused:?}");
 }
 
+// New connections hung while many servers answered on kept ones: their answers outweighed the probes of others.
+#[test]
+fn hanging_connects_of_a_busy_daemon_are_noticed() {
+    let engines: Vec<(String, String)> =
+        (1..=60).map(|n| (format!("e-{n}"), format!("engine {} ready 1", 20 + n))).collect();
+    let mut daemon = Daemon::with_servers(1, &borrowed(&engines));
+    run(&mut daemon, 0, 6_000, REFUSED, |_, _| Vec::new());
+    let keys: Vec<_> = daemon.node.servers.keys().collect();
+    let mut cut = false;
+    run(&mut daemon, 6_000, 14_000, HANGING, |daemon, at| {
+        daemon.node.note_server_contact(ms(at), keys[(at / 10) as usize % keys.len()]);
+        daemon.node.suspect_paths(ms(at));
+        cut |= daemon.node.is_cut_off();
+        Vec::new()
+    });
+    assert!(cut, "never cut off in 8 s in which all connects failed");
+}
