Probes of servers that may have crashed do not end a cut

Such a probe counts a reset as accepted. In a partition that accepts and resets, two of them ended the state, so callers would have met unreachable servers again for a second or so. Only probes of the path, which wait whether the connection stays open, end it and vouch for the path.

--- a/src/fleet/poison.rs
+++ b/src/fleet/poison.rs
@@ -83,12 +83,7 @@
             }
             (Answer::Refused, Some(_)) if !self.verify_path(incarnation) => Answer::Refused,
             (Answer::Refused, Some(_)) => Answer::Unverified,
-            (Answer::Accepted, _) => {
-                self.refused_since.remove(&incarnation);
-                self.note_accepted_connect(now);
-                answer
-            }
-            (Answer::Silent | Answer::Unverified, _) => {
+            (Answer::Accepted | Answer::Silent | Answer::Unverified, _) => {
                 self.refused_since.remove(&incarnation);
                 answer
             }
--- a/src/fleet/reach.rs
+++ b/src/fleet/reach.rs
@@ -262,7 +262,7 @@
     }
 
     /// Records that a server accepted a connection.
-    pub(super) fn note_accepted_connect(&mut self, now: Time) {
+    fn note_accepted_connect(&mut self, now: Time) {
         self.reach.accepted_at = Some(now);
         match &mut self.reach.belief {
             Belief::Sound => {}
--- a/src/fleet/tests/partition/suspicion.rs
+++ b/src/fleet/tests/partition/suspicion.rs
@@ -104,6 +104,22 @@
     assert!(refused.is_empty(), "served {served}, refused {refused:?}");
 }
 
+// The probe of a server that may have crashed counts as accepted if it is reset afterwards. Two such ended the state.
+#[test]
+fn accepted_crash_probes_do_not_end_a_cut() {
+    let mut daemon = Daemon::with_servers(1, &ENGINES);
+    run(&mut daemon, 0, 6_000, REFUSED, |_, _| Vec::new());
+    daemon.node.suspect_paths(ms(6_000));
+    run(&mut daemon, 6_000, 7_000, REFUSED, |_, _| Vec::new());
+    let known: Vec<_> =
+        daemon.node.servers.iter().map(|(_, server)| server.poison_incarnation()).collect();
+    assert!(daemon.node.is_cut_off(), "all probes failed");
+    for incarnation in known.into_iter().take(2) {
+        daemon.node.apply(ms(7_000), Message::Probed(incarnation, Answer::Accepted));
+    }
+    assert!(daemon.node.is_cut_off(), "the path probes still fail");
+}
+
 // New connections hung while many servers answered on kept ones: their answers outweighed the probes of others.
 #[test]
 fn hanging_connects_of_a_busy_daemon_are_noticed() {
