--- a/src/fleet/frame/mod.rs
+++ b/src/fleet/frame/mod.rs
@@ -49,7 +49,7 @@
     /// The address on which it takes requests over from peers; empty if it takes none over.
     pub handover_address: String,
     /// Whether it reaches no backend server.
-    pub is_isolated: bool,
+    pub is_cut_off: bool,
     /// The cores of its VM; 0 if unknown.
     pub cores: f32,
     /// Its availability zone.
@@ -442,7 +442,7 @@
             daemon: digest.daemon,
             address: digest.address,
             handover_address: digest.handover_address,
-            is_isolated: digest.is_isolated,
+            is_cut_off: digest.is_cut_off,
             cores: digest.cores,
             zone: digest.zone,
             interval_ms: millis(digest.interval),
@@ -494,7 +494,7 @@
             daemon: digest.daemon,
             address: digest.address,
             handover_address: digest.handover_address,
-            is_isolated: digest.is_isolated,
+            is_cut_off: digest.is_cut_off,
             cores: digest.cores,
             zone: digest.zone,
             interval: Duration::from_millis(u64::from(digest.interval_ms)),
--- a/src/fleet/frame/wire.rs
+++ b/src/fleet/frame/wire.rs
@@ -88,7 +88,7 @@
     #[prost(string, tag = "24")]
     pub(super) handover_address: String,
     #[prost(bool, tag = "25")]
-    pub(super) is_isolated: bool,
+    pub(super) is_cut_off: bool,
     #[prost(message, repeated, tag = "26")]
     pub(super) reject_limits: Vec<RejectLimit>,
 }
--- a/src/fleet/gossip.rs
+++ b/src/fleet/gossip.rs
@@ -223,7 +223,7 @@
             daemon: self.identity.id.clone(),
             address: self.identity.address.to_string(),
             handover_address: self.identity.handover_address.to_string(),
-            is_isolated: self.is_cut_off(),
+            is_cut_off: self.is_cut_off(),
             cores: self.identity.cores,
             zone: self.identity.zone.clone(),
             interval: DIGEST_INTERVAL,
@@ -301,7 +301,7 @@
             let moved =
                 last.map(|last| digest.link_bytes_moved.saturating_sub(last.link_bytes_moved));
             self.kv_link.deduct(moved.unwrap_or_default());
-            reach_changed = peer.is_cut_off() != digest.is_isolated;
+            reach_changed = peer.is_cut_off() != digest.is_cut_off;
             let restarted =
                 peer.digest.as_ref().is_some_and(|last| last.incarnation != digest.incarnation);
             peer.heard_at = Some(now);
--- a/src/fleet/handover.rs
+++ b/src/fleet/handover.rs
@@ -178,7 +178,7 @@
             let digest = peer.digest.as_ref()?;
             let may_take = peer.is_fresh(now)
                 && !digest.draining
-                && !digest.is_isolated
+                && !digest.is_cut_off
                 && !refused.contains_key(id);
             let address = digest.handover_address.parse().ok()?;
             may_take.then(|| (id.clone(), address))
--- a/src/fleet/peer.rs
+++ b/src/fleet/peer.rs
@@ -108,7 +108,7 @@
 
     /// Whether its last digest says that it reaches no server.
     pub(super) fn is_cut_off(&self) -> bool {
-        self.digest.as_ref().is_some_and(|digest| digest.is_isolated)
+        self.digest.as_ref().is_some_and(|digest| digest.is_cut_off)
     }
 
     /// Whether it is draining, or has sent no digest for `after` since it began to rank among the
--- a/src/fleet/tests/frames.rs
+++ b/src/fleet/tests/frames.rs
@@ -19,7 +19,7 @@
         cores: 0.5,
         zone: "zone-1".into(),
         handover_address: "10.0.0.2:701".into(),
-        is_isolated: true,
+        is_cut_off: true,
         interval: Duration::from_millis(250),
         read_ages: vec![Some(Duration::ZERO), None, Some(Duration::from_millis(90))],
         incarnation: u64::MAX,
