--- a/src/fleet/reach.rs
+++ b/src/fleet/reach.rs
@@ -24,7 +24,7 @@
 const CONFIRMING_PROBES: usize = 6;
 /// Servers that answered last among them.
 const MIN_ANSWERED_PROBED: usize = 2;
-/// Servers that are probed to tell the end of another one from a cut path.
+/// Number of other servers that are probed to distinguish a server's crash from a cut path.
 const VERIFYING_PROBES: usize = 2;
 /// Interval between probes while this daemon is cut off, and servers probed each time.
 const RECOVERY_INTERVAL: Duration = Duration::from_millis(250);
@@ -45,7 +45,7 @@
     witnesses: Vec<server::Key>,
 }
 
-/// What is believed of the paths to servers.
+/// State of the paths to servers.
 #[derive(Debug, Default)]
 enum Belief {
     #[default]
@@ -120,7 +120,7 @@
         }
     }
 
-    /// Starts from scratch after the process was stopped: what is late may be late by that.
+    /// Discards the evidence after the process was paused: answers may be late because of that.
     fn forget(&mut self) {
         self.unanswered.clear();
         self.round = Round::default();
@@ -135,7 +135,7 @@
     }
 
     /// The servers that answered since a time, and at least the last two that answered at all: a
-    /// server that has answered lately has hardly ended.
+    /// server that answered recently has probably not crashed.
     fn last_answered(&self, since: Time) -> Vec<server::Key> {
         let count = self.answered_since(since).count().max(MIN_ANSWERED_PROBED);
         self.answered.iter().take(count).map(|(key, _)| *key).collect()
@@ -165,7 +165,7 @@
     }
 
     /// Has the paths probed after a failed connect, a broken connection or silence, unless that was
-    /// done lately.
+    /// done recently.
     pub(super) fn suspect_paths(&mut self, now: Time) {
         if !matches!(self.reach.belief, Belief::Sound) || now < self.reach.next_round {
             return;
@@ -306,7 +306,7 @@
         self.announce_reach(now);
     }
 
-    /// Tells peers at once whether this daemon reaches servers.
+    /// Informs peers immediately of whether this daemon reaches servers.
     fn announce_reach(&mut self, now: Time) {
         self.refresh_ranking(now);
         self.send_digests(now);
--- a/src/fleet/rejection/limit.rs
+++ b/src/fleet/rejection/limit.rs
@@ -6,7 +6,7 @@
 /// daemons several times within it.
 const LIFETIME: Duration = Duration::from_secs(5);
 
-/// The reject limit of a pool's servers, as told to other daemons.
+/// The reject limit of a pool's servers, as reported to other daemons.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Limit {
     /// The pool.
--- a/src/fleet/rejection/mod.rs
+++ b/src/fleet/rejection/mod.rs
@@ -74,7 +74,7 @@
             .retain(|key, exposure| servers.contains_key(*key) && !exposure.is_idle(now));
     }
 
-    /// Updates this daemon's share of the limit of each pool. A daemon that hears only a minority of
+    /// Updates this daemon's share of the limit of each pool. A daemon with digests from only a minority of
     /// the daemons may be one of several that each regard themselves as the scheduler.
     fn update_reject_shares(&mut self, now: Time) {
         let daemons = self.daemon_count();
