--- a/src/relay/tests/delivery.rs
+++ b/src/relay/tests/delivery.rs
@@ -379,7 +379,7 @@
     (address, is_unread, close)
 }
 
-// A server gave up an answer that stayed unread, after a whole event. Nothing tells that from the stream's end.
+// A server closed an answer that stayed unread, after a whole event. That looked like the end of the stream.
 #[test]
 fn relay_unframed_stream_closed_because_its_caller_reads_slowly_is_not_complete() {
     let fixture = Fixture::start(true);
