Logs name the software version of servers and attempts, and requests that take a stream up

A server's software version was read by no one, and neither was the attempt that a caller names when it takes a stream up.

No decision uses them.

--- a/benches/fleet.rs
+++ b/benches/fleet.rs
@@ -7,7 +7,7 @@
 
 use cardamomvalve::fleet::{
     Arrival, Batch, Change, Digest, Entry, Frame, Identity, Incarnation, Key, Message, Node, Part,
-    Policy, Prompt, Read, Record, Registration, Report, Topic,
+    Policy, Prompt, Read, Record, Registration, Report, Start, Topic,
 };
 use cardamomvalve::lease;
 use cardamomvalve::poison::Fingerprint;
@@ -37,6 +37,7 @@
         Topic::Servers => Change::Server(Entry {
             incarnation: Incarnation::new(record.key.clone(), record.offset),
             pool: "engines".into(),
+            software: "v1".into(),
             address: address(index),
             zone: format!("zone-{}", index % 5),
             slots: 24,
@@ -158,6 +159,7 @@
         }),
         fingerprint: Fingerprint(number),
         is_handed_over: false,
+        start: Start::New,
     }
 }
 
--- a/src/fleet/explain.rs
+++ b/src/fleet/explain.rs
@@ -3,7 +3,7 @@
 use super::place::Choice;
 use super::pool::Pool;
 use super::request::{Phase, Request};
-use super::{Dependency, Dispatch, Handover, Key, Loss, Node, Refusal, Topic, server};
+use super::{Dependency, Dispatch, Handover, Key, Loss, Node, Refusal, Start, Topic, server};
 use crate::prelude::*;
 
 impl Loss {
@@ -16,6 +16,16 @@
     }
 }
 
+/// Adds whether a request takes a stream up, and the attempt that began the stream.
+fn with_start(detail: Detail, request: &Request) -> Detail {
+    match &request.arrival.start {
+        Start::New => detail,
+        Start::Resumed(first) => {
+            detail.and("takes_up", true).and_some("first_attempt", first.as_deref())
+        }
+    }
+}
+
 impl Node {
     /// Starts the detail of each event on a request: the request and its route.
     fn request_detail(request: &Request) -> Detail {
@@ -47,6 +57,7 @@
         let detail = Self::request_detail(request)
             .and("attempt", request.sends)
             .and("server", server.entry.incarnation.id.as_str())
+            .and("software", server.entry.software.as_str())
             .and("address", server.entry.address)
             .and("fingerprint", request.arrival.fingerprint.to_string())
             .and("cost_ms", choice.cost_ms.round())
@@ -62,6 +73,7 @@
             .and("home", choice.is_home)
             .and_some("fetch_from", choice.fetch_from)
             .and("save", choice.save_to.is_some());
+        let detail = with_start(detail, request);
         let detail = self.with_data_ages(now, detail);
         self.event(Event::AttemptSent, detail);
     }
@@ -69,14 +81,17 @@
     /// Logs the placement of a request by a scheduler.
     pub(super) fn log_assigned(&mut self, now: Time, key: Key, dispatch: &Dispatch) {
         let Some(request) = self.requests.get(&key) else { return };
+        let server = request.tried.last().and_then(|server| self.servers.get(*server));
         let detail = Self::request_detail(request)
             .and("attempt", dispatch.attempt)
             .and("scheduler", request.scheduler.as_str())
             .and("server", dispatch.server.as_str())
+            .and_some("software", server.map(|server| server.entry.software.as_str()))
             .and("address", dispatch.address)
             .and("fingerprint", request.arrival.fingerprint.to_string())
             .and_some("weights", dispatch.weights_version)
             .and_some("overtaken_ms", self.overtaken(now, request, dispatch.weights_version));
+        let detail = with_start(detail, request);
         self.event(Event::AttemptSent, detail);
     }
 
--- a/src/fleet/message.rs
+++ b/src/fleet/message.rs
@@ -30,6 +30,19 @@
     pub fingerprint: Fingerprint,
     /// Whether a peer that reaches no server handed the request over. It is not handed over again.
     pub is_handed_over: bool,
+    /// Whether it begins a stream or takes one up.
+    pub start: Start,
+}
+
+/// How a request starts.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub enum Start {
+    /// With a new answer.
+    #[default]
+    New,
+    /// With the rest of a stream of which its caller has a part. Carries the id of the caller's attempt that brought
+    /// the first event, if the caller named it.
+    Resumed(Option<String>),
 }
 
 /// The reason a server gave for not running a request.
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -48,7 +48,7 @@
 pub use life::Incarnation;
 pub use message::{
     Arrival, Change, Command, Connect, Dependency, Dispatch, Effect, Handover, HandoverEnd, Key,
-    Loss, Message, OrderEnd, Read, Refusal, Registration, Report, State,
+    Loss, Message, OrderEnd, Read, Refusal, Registration, Report, Start, State,
 };
 pub use naming::Naming;
 pub use node::{Identity, Node, Policy};
--- a/src/fleet/replication/records.rs
+++ b/src/fleet/replication/records.rs
@@ -200,6 +200,7 @@
             Event::ServerAdded,
             Detail::of("server", entry.incarnation.id.as_str())
                 .and("pool", entry.pool.as_str())
+                .and("software", entry.software.as_str())
                 .and("address", entry.address)
                 .and("born", entry.incarnation.started_ms),
         );
--- a/src/fleet/scheduling/serving.rs
+++ b/src/fleet/scheduling/serving.rs
@@ -5,7 +5,7 @@
 use super::{Assignment, Decision, Progress, Step, Submission, Verdict};
 use crate::fleet::place::Choice;
 use crate::fleet::request::{Phase, Request};
-use crate::fleet::{Arrival, Command, Dispatch, Effect, Frame, Key, Node};
+use crate::fleet::{Arrival, Command, Dispatch, Effect, Frame, Key, Node, Start};
 use crate::prelude::*;
 use crate::route::{Route, Split, Workspace};
 
@@ -244,6 +244,7 @@
         prompt: submission.prompt,
         fingerprint: submission.fingerprint,
         is_handed_over: false,
+        start: Start::New,
     };
     (submission.pool, arrival)
 }
--- a/src/fleet/server.rs
+++ b/src/fleet/server.rs
@@ -26,6 +26,8 @@
     pub incarnation: Incarnation,
     /// The pool that it belongs to.
     pub pool: String,
+    /// The version of its software, which is not that of its weights.
+    pub software: String,
     /// Address on which it listens.
     pub address: SocketAddr,
     /// Its availability zone.
--- a/src/fleet/tests/partition/mod.rs
+++ b/src/fleet/tests/partition/mod.rs
@@ -5,7 +5,7 @@
 
 use super::site::{Cut, Site};
 use super::world::*;
-use crate::fleet::{Arrival, Command, Key, Message};
+use crate::fleet::{Arrival, Command, Key, Message, Start};
 use crate::poison::Fingerprint;
 use crate::prelude::*;
 use crate::route::Repeat;
@@ -262,6 +262,7 @@
             prompt: None,
             fingerprint: Fingerprint(key.0),
             is_handed_over: true,
+            start: Start::New,
         };
         site.apply(0, Message::Arrive(Box::new(arrival)));
     }
--- a/src/fleet/tests/partition/traffic.rs
+++ b/src/fleet/tests/partition/traffic.rs
@@ -221,6 +221,7 @@
             prompt: (call.pool == "engines").then(|| prompt(7, subject)),
             fingerprint: Fingerprint(hop.call as u64),
             is_handed_over: hop.from.is_some(),
+            start: Start::New,
         };
         if hop.from.is_none() {
             self.schedule(arrival.route.timeout, Happening::Deadline(daemon, key));
--- a/src/fleet/tests/world.rs
+++ b/src/fleet/tests/world.rs
@@ -60,6 +60,16 @@
         entry.incarnation.started_ms = parse_number(born)?;
         return Ok(Change::Server(entry));
     }
+    if let [rest @ .., software] = words.as_slice()
+        && let Some(software) = software.strip_prefix("software:")
+    {
+        let value = Some(rest.join(" ").into_bytes());
+        let Change::Server(mut entry) = decode(topic, &Record { value, ..record.clone() })? else {
+            return Err("only a server record has a software version".into());
+        };
+        entry.software = software.into();
+        return Ok(Change::Server(entry));
+    }
     match words.as_slice() {
         ["table", version] => {
             let table = Arc::new(table(parse_number(version)?));
@@ -107,6 +117,7 @@
     Ok(Entry {
         incarnation: Incarnation::new(id, 0),
         pool: "plain".into(),
+        software: "v1".into(),
         address: address(parse_number(last)? as u8),
         zone: "zone-1".into(),
         slots: 2,
@@ -159,6 +170,8 @@
     next_request: u64,
     /// Fingerprint of the requests that arrive next.
     pub fingerprint: Fingerprint,
+    /// How the requests that arrive next start.
+    pub start: Start,
 }
 
 impl Daemon {
@@ -180,7 +193,13 @@
     }
 
     pub fn with_node(node: Node) -> Self {
-        Self { node, offsets: BTreeMap::new(), next_request: 0, fingerprint: Fingerprint(0) }
+        Self {
+            node,
+            offsets: BTreeMap::new(),
+            next_request: 0,
+            fingerprint: Fingerprint(0),
+            start: Start::New,
+        }
     }
 
     /// Returns a daemon that has read a table, `servers` and its own registration.
@@ -243,13 +262,14 @@
         let request = Key(self.next_request);
         let arrival = Arrival {
             request,
-            id: format!("request-{}", self.next_request),
+            id: format!("{}-request-{}", self.node.identity.id, self.next_request),
             route: Arc::clone(route),
             workspace: workspace.map(Arc::new),
             deadline: now + route.timeout,
             prompt,
             fingerprint: self.fingerprint,
             is_handed_over: false,
+            start: self.start.clone(),
         };
         (request, self.node.apply(now, Message::Arrive(Box::new(arrival))))
     }
--- a/src/relay/delivery.rs
+++ b/src/relay/delivery.rs
@@ -12,7 +12,7 @@
 use super::exchange::{self, Answer, Failure};
 use super::takeover::Origin;
 use super::{Classification, Cut, Events, Framing, Frontend, Metadata, Request, Response, head};
-use crate::fleet::{Arrival, Command, Dispatch, Key, Loss, Message, Refusal, Report};
+use crate::fleet::{Arrival, Command, Dispatch, Key, Loss, Message, Refusal, Report, Start};
 use crate::poison::Fingerprint;
 use crate::prelude::*;
 use crate::route::{Route, Workspace};
@@ -113,6 +113,7 @@
             prompt: self.metadata.prompt.clone(),
             fingerprint: self.fingerprint(),
             is_handed_over: self.origin == Origin::Peer,
+            start: self.start(),
         });
         let mut events = Events::after(self.metadata.last_event_id);
         let mut failure = None;
@@ -183,6 +184,10 @@
         Attempt::Superseded
     }
 
+    fn start(&self) -> Start {
+        if self.route.is_streaming { self.metadata.start() } else { Start::New }
+    }
+
     fn fingerprint(&self) -> Fingerprint {
         let workspace = self.workspace.as_ref().map_or("", |workspace| workspace.name.as_str());
         Fingerprint::of(workspace, &self.request.method, &self.request.target, self.body)
--- a/src/relay/dialect.rs
+++ b/src/relay/dialect.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::{Fields, Malformed, Request, Response};
-use crate::fleet::{Dispatch, Prompt, Refusal};
+use crate::fleet::{Dispatch, Prompt, Refusal, Start};
 use crate::route::Workspace;
 
 /// Metadata in the head of a caller's request.
@@ -19,6 +19,18 @@
     pub prompt: Option<Prompt>,
     /// The id of the last stream event that the caller received.
     pub last_event_id: Option<u64>,
+    /// The id of the caller's attempt that brought the first event of the stream that this request takes up.
+    pub first_attempt_id: Option<String>,
+}
+
+impl Metadata {
+    /// Returns how the request starts.
+    pub(super) fn start(&self) -> Start {
+        match (&self.first_attempt_id, self.last_event_id) {
+            (None, None) => Start::New,
+            (first, _) => Start::Resumed(first.clone()),
+        }
+    }
 }
 
 /// Classification of a backend server's answer by its head.
--- a/src/relay/tests/delivery.rs
+++ b/src/relay/tests/delivery.rs
@@ -33,6 +33,7 @@
             workspace_key: None,
             prompt: None,
             last_event_id: None,
+            first_attempt_id: None,
         })
     }
 
--- a/src/relay/tests/fixture.rs
+++ b/src/relay/tests/fixture.rs
@@ -34,6 +34,7 @@
             workspace_key: None,
             prompt: None,
             last_event_id: number("Last-Event-Id"),
+            first_attempt_id: None,
         })
     }
 
