Failing tests: streams go on at servers of another software version

Six tests drive seven daemons by messages: a second attempt within one answer, a takeup at another daemon, after two daemons have ended, with an unknown version, and with none left of its version. A seventh, which must go on to pass, holds that a stream goes on where one version alone has served.

--- a/src/fleet/tests/mod.rs
+++ b/src/fleet/tests/mod.rs
@@ -24,6 +24,7 @@
 mod scheduling;
 mod servers;
 mod site;
+mod software;
 mod spread;
 mod store;
 mod world;
--- /dev/null
+++ b/src/fleet/tests/software.rs
@@ -0,0 +1,200 @@
+//! Streams while servers of several software versions serve: each goes on at the version that began it.
+
+use super::site::Site;
+use super::world::*;
+use crate::fleet::*;
+use crate::route::Repeat;
+
+const DAEMONS: u8 = 7;
+
+/// Returns engines, `count` of them with the software `version`, whose ids begin with it.
+fn engines(version: &str, count: u8) -> Vec<(String, String)> {
+    let first = if version == "v1" { 20 } else { 60 };
+    let engine = |number: u8| {
+        let record = format!("engine {} ready 1 software:{version}", first + number);
+        (format!("{version}-{number}"), record)
+    };
+    (0..count).map(engine).collect()
+}
+
+/// Returns the removals of engines.
+fn removals(engines: &[(String, String)]) -> Vec<(String, String)> {
+    engines.iter().map(|(id, _)| (id.clone(), String::new())).collect()
+}
+
+fn id_of(key: Key, daemon: usize) -> String {
+    format!("router-{}-request-{}", daemon + 1, key.0)
+}
+
+/// Daemons before engines of one or two versions.
+struct Release {
+    site: Site,
+    next_subject: u64,
+}
+
+impl Release {
+    /// Returns daemons before `first` engines of v1 alone.
+    fn new(first: u8) -> Self {
+        let site = Site::new(DAEMONS, &borrowed(&engines("v1", first)));
+        Self { site, next_subject: 0 }
+    }
+
+    /// Tells all running daemons of registrations.
+    fn register(&mut self, records: &[(String, String)]) {
+        for index in 0..self.site.daemons.len() {
+            if !self.site.down.contains(&index) {
+                let now = self.site.clock(index);
+                let daemon = &mut self.site.daemons[index];
+                let effects = daemon.deliver_records(now, Topic::Servers, &borrowed(records));
+                for (to, message) in self.site.execute_effects(index, effects) {
+                    self.site.apply(to, message);
+                }
+            }
+        }
+    }
+
+    /// A request arrives that starts as given. Prompts differ, so that they do not all go to one engine.
+    fn arrive(&mut self, daemon: usize, start: Start) -> Key {
+        self.next_subject += 1;
+        self.site.subject = self.next_subject;
+        self.site.daemons[daemon].start = start;
+        let key = self.site.arrive(daemon, "engines", Repeat::Resumable);
+        self.site.advance(ms(300));
+        key
+    }
+
+    /// Begins a stream; returns its request, and the dispatch that brought the first event.
+    fn begin(&mut self, daemon: usize) -> (Key, Dispatch) {
+        let key = self.arrive(daemon, Start::New);
+        let dispatch = self.site.only_dispatch(daemon, key);
+        self.site.report(daemon, key, dispatch.attempt, Report::Begun(Some(1)));
+        (key, dispatch)
+    }
+
+    /// A stream ends complete.
+    fn end(&mut self, daemon: usize, key: Key, dispatch: &Dispatch) {
+        self.site.report(daemon, key, dispatch.attempt, Report::Begun(Some(1)));
+        self.site.report(daemon, key, dispatch.attempt, Report::Ended);
+    }
+
+    /// A caller takes up a stream that it began at another daemon; returns the commands for that.
+    fn take_up(&mut self, daemon: usize, key: Key, begun_at: usize) -> Vec<Command> {
+        let first = id_of(key, begun_at);
+        let taken_up = self.arrive(daemon, Start::Resumed(Some(first)));
+        self.site.commands(daemon, taken_up)
+    }
+}
+
+fn version(server: &str) -> &str {
+    server.split('-').next().expect("an id begins with the version")
+}
+
+/// Returns the version of the server to which the only command sends the request; `None` if it is refused.
+fn version_of(commands: &[Command]) -> Option<&str> {
+    match commands {
+        [Command::Dispatch(dispatch)] => Some(version(&dispatch.server)),
+        [Command::Refuse(..)] => None,
+        other => panic!("expected a dispatch or a refusal, found {other:?}"),
+    }
+}
+
+#[test]
+fn stream_broken_midway_goes_on_at_the_version_that_began_it() {
+    for daemon in 0..usize::from(DAEMONS) {
+        let mut release = Release::new(3);
+        release.register(&engines("v2", 9));
+        for _ in 0..6 {
+            let (key, begun) = release.begin(daemon);
+            release.site.report(daemon, key, begun.attempt, Report::Lost(Loss::Connection));
+            release.site.advance(ms(100));
+            let next = release.site.only_dispatch(daemon, key);
+            assert_eq!(version(&next.server), version(&begun.server), "daemon {daemon}");
+            release.end(daemon, key, &next);
+        }
+    }
+}
+
+#[test]
+fn stream_of_a_version_that_is_gone_ends_as_broken() {
+    for daemon in 0..usize::from(DAEMONS) {
+        let mut release = Release::new(3);
+        let (key, begun) = release.begin(daemon);
+        release.register(&engines("v2", 9));
+        release.register(&removals(&engines("v1", 3)));
+        release.site.report(daemon, key, begun.attempt, Report::Lost(Loss::Connection));
+        release.site.advance(ms(100));
+        assert_eq!(release.site.commands(daemon, key), [Command::GiveUp], "daemon {daemon}");
+    }
+}
+
+#[test]
+fn stream_taken_up_elsewhere_goes_on_at_the_version_that_began_it() {
+    let mut release = Release::new(3);
+    let before = release.begin(0).0;
+    release.register(&engines("v2", 9));
+    for begun_at in 0..usize::from(DAEMONS) {
+        let taken_up_at = (begun_at + 1) % usize::from(DAEMONS);
+        for _ in 0..4 {
+            let (key, begun) = release.begin(begun_at);
+            let commands = release.take_up(taken_up_at, key, begun_at);
+            assert_eq!(version_of(&commands), Some(version(&begun.server)), "{begun_at}");
+        }
+    }
+    // One that began before there were two versions.
+    let commands = release.take_up(1, before, 0);
+    assert_eq!(version_of(&commands), Some("v1"));
+}
+
+#[test]
+fn stream_of_a_daemon_that_is_gone_goes_on_at_the_version_that_began_it() {
+    for begun_at in 0..usize::from(DAEMONS) {
+        let mut release = Release::new(3);
+        let before = release.begin(begun_at).0;
+        release.register(&engines("v2", 9));
+        let after: Vec<(Key, Dispatch)> = (0..6).map(|_| release.begin(begun_at)).collect();
+        // Two daemons end, the one that served the streams and another.
+        release.site.down.insert(begun_at);
+        release.site.down.insert((begun_at + 3) % usize::from(DAEMONS));
+        let taken_up_at = (begun_at + 1) % usize::from(DAEMONS);
+        assert_eq!(version_of(&release.take_up(taken_up_at, before, begun_at)), Some("v1"));
+        for (key, begun) in after {
+            let commands = release.take_up(taken_up_at, key, begun_at);
+            assert_eq!(version_of(&commands), Some(version(&begun.server)), "{begun_at}");
+        }
+    }
+}
+
+#[test]
+fn stream_of_an_unknown_version_is_refused_while_two_serve() {
+    let mut release = Release::new(3);
+    release.register(&engines("v2", 9));
+    for start in [Start::Resumed(None), Start::Resumed(Some("unknown".into()))] {
+        for daemon in 0..usize::from(DAEMONS) {
+            let key = release.arrive(daemon, start.clone());
+            let commands = release.site.commands(daemon, key);
+            assert!(matches!(commands[..], [Command::Refuse(..)]), "{commands:?}");
+        }
+    }
+}
+
+#[test]
+fn stream_of_an_unknown_version_goes_on_where_one_has_served_alone() {
+    let mut release = Release::new(3);
+    for start in [Start::Resumed(None), Start::Resumed(Some("unknown".into()))] {
+        for daemon in 0..usize::from(DAEMONS) {
+            let key = release.arrive(daemon, start.clone());
+            let dispatch = release.site.only_dispatch(daemon, key);
+            assert_eq!(version(&dispatch.server), "v1");
+            release.end(daemon, key, &dispatch);
+        }
+    }
+}
+
+#[test]
+fn stream_taken_up_is_refused_at_once_if_its_version_is_gone() {
+    let mut release = Release::new(3);
+    let (key, _) = release.begin(0);
+    release.register(&engines("v2", 9));
+    release.register(&removals(&engines("v1", 3)));
+    assert_eq!(version_of(&release.take_up(1, key, 0)), None);
+}
