Streams go on only at servers of the software version that began them

Cause: the software version in each server's registration was read by no one. A second attempt within one answer, and a caller's takeup at any daemon, were placed as if all servers wrote the same; the attempt that a caller names in its takeup was passed on unread.

Change: the version is a fact of a stream (src/fleet/streams). - Within one answer the first event binds the request to the version of its server, at the daemon and its scheduler; submissions carry it; placement, moves, assignments and the relay hold to it. - A takeup is looked up: by the daemon's own notes, else by three keepers drawn by the stream's id from the 32 largest VMs, else by the scheduler that placed it. Daemons have keepers note versions only while a pool has had several within 30 s; at the second version's arrival they send those of their open streams, and at a planned stop all they hold. A note lasts until its caller's deadline. - Not known, and several versions served: refused at once as not run (2015). No server of its version left: refused at once as not run (2014), or the answer ends as broken. One version alone: goes on, as before. - A version with few servers in a large pool is a cell of its own, as a request's cells may hold none of it.

Why it works: every way to a server passes placement or an assignment's check, and both compare versions.

Ruled out: a field in the answer (callers send back nothing but their own id); asking all daemons (grows with the fleet); choosing versions by a hash of the id (gives up placement by cached parts, and shares change as a release goes on); a write to the store for each stream (priced, and limited for all daemons together).

--- a/src/fleet/admission.rs
+++ b/src/fleet/admission.rs
@@ -112,7 +112,10 @@
     }
 
     pub(super) fn send_or_queue(&mut self, now: Time, key: Key) {
-        if self.leave_if_cut_off(now, key) || self.return_if_not_scheduling(now, key) {
+        if self.leave_if_cut_off(now, key)
+            || self.return_if_not_scheduling(now, key)
+            || self.refuse_if_version_gone(now, key)
+        {
             return;
         }
         if self.try_send(now, key) {
@@ -206,8 +209,15 @@
         keys.iter().any(room)
     }
 
-    /// Refuses the requests whose maximum wait has passed.
+    /// Refuses the requests whose maximum wait has passed, or that no server may serve any more.
     pub(super) fn expire(&mut self, now: Time) {
+        let waiting = self.waiting.iter().map(|position| position.key);
+        let bound =
+            waiting.filter(|key| self.requests.get(key).is_some_and(|r| r.software.is_some()));
+        let bound: Vec<Key> = bound.collect();
+        for key in bound {
+            self.refuse_if_version_gone(now, key);
+        }
         let expired: Vec<Key> = self
             .waiting
             .iter()
--- a/src/fleet/explain.rs
+++ b/src/fleet/explain.rs
@@ -114,6 +114,13 @@
         self.event(Event::AnswerBegun, detail);
     }
 
+    /// Logs that a request takes a stream up, and whether the version that began the stream is known.
+    pub(super) fn log_taken_up(&mut self, key: Key, version: &'static str) {
+        let Some(request) = self.requests.get(&key) else { return };
+        let detail = with_start(Self::request_detail(request), request).and("version", version);
+        self.event(Event::StreamTakenUp, detail);
+    }
+
     pub(super) fn log_waiting(&mut self, now: Time, key: Key) {
         let Some(request) = self.requests.get(&key) else { return };
         let servers = self.pools.get(&request.pool).map(Pool::keys).unwrap_or_default();
@@ -133,6 +140,7 @@
         let Some(request) = self.requests.get(&key) else { return };
         let waited = match request.phase {
             Phase::Waiting(since) => now.saturating_sub(since),
+            Phase::LookingUp { since, .. } => now.saturating_sub(since),
             Phase::Submitted(_) | Phase::Sent { .. } | Phase::HandedOver => Duration::ZERO,
         };
         let detail = Self::request_detail(request)
--- a/src/fleet/figures.rs
+++ b/src/fleet/figures.rs
@@ -71,6 +71,7 @@
             Gauge::new("servers_unreachable", u64::from(self.is_cut_off())),
             Gauge::new("handed_over", self.counts.handed_over),
             Gauge::new("taken_over", self.counts.taken_over),
+            Gauge::new("stream_versions_known", self.streams.len() as u64),
             Gauge::new("records_unreadable", self.counts.unreadable),
             Gauge::new("requests_blocked", self.poison.blocks(now).count() as u64),
             Gauge::new("blocks_unwritten", self.poison.unstored_blocks(now).len() as u64),
@@ -114,6 +115,8 @@
             let usable = usable.filter(|server| server.is_usable(now)).count();
             figures.push(Gauge::labeled("servers", "pool", pool, keys.len() as u64));
             figures.push(Gauge::labeled("servers_usable", "pool", pool, usable as u64));
+            let versions = servers.versions.count(now) as u64;
+            figures.push(Gauge::labeled("software_versions", "pool", pool, versions));
             if let Some((limit, rejects)) = self.reject_figures(now, pool) {
                 figures.push(Gauge::labeled("reject_limit", "pool", pool, u64::from(limit)));
                 figures.push(Gauge::labeled("rejects_max", "pool", pool, rejects as u64));
--- a/src/fleet/frame/mod.rs
+++ b/src/fleet/frame/mod.rs
@@ -11,7 +11,7 @@
 
 use super::scheduling::{Progress, Submission, Verdict};
 use super::{
-    Batch, Holder, Incarnation, Naming, Notice, Record, RejectLimit, Relay, Topic, Update,
+    Batch, Holder, Incarnation, Naming, Notice, Record, RejectLimit, Relay, Topic, Update, streams,
 };
 use crate::poison::{self, Blocked, Fingerprint};
 use crate::prelude::*;
@@ -117,6 +117,8 @@
     Verdict(Box<Verdict>),
     /// A message about requests that crash servers.
     Poison(poison::Message),
+    /// A message about software versions of streams.
+    Streams(streams::Message),
     /// A frame to be handled and passed on.
     Relay(Relay),
 }
@@ -158,6 +160,7 @@
             Self::Progress(progress) => wire::Body::Progress(progress.into()),
             Self::Verdict(verdict) => wire::Body::Verdict((*verdict).into()),
             Self::Poison(message) => wire::Body::Poison(message.into()),
+            Self::Streams(message) => wire::Body::Streams(message.into()),
             Self::Relay(Relay { to, frame }) => wire::Body::Relay(wire::Relay {
                 to: to.into_iter().map(encode_address).collect(),
                 frame: frame.encode(),
@@ -235,6 +238,7 @@
             Some(wire::Body::Progress(progress)) => Ok(Self::Progress(progress.try_into()?)),
             Some(wire::Body::Verdict(verdict)) => Ok(Self::Verdict(Box::new(verdict.try_into()?))),
             Some(wire::Body::Poison(message)) => Ok(Self::Poison(message.into())),
+            Some(wire::Body::Streams(message)) => Ok(Self::Streams(message.try_into()?)),
         }
     }
 }
--- a/src/fleet/frame/wire.rs
+++ b/src/fleet/frame/wire.rs
@@ -1,6 +1,7 @@
 //! Wire format of frames.
 
 use crate::fleet::scheduling::{WireProgress, WireSubmission, WireVerdict};
+use crate::fleet::streams::WireMessage as WireStreams;
 use crate::poison::WireMessage as WirePoison;
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -238,10 +239,12 @@
     Relay(Relay),
     #[prost(message, tag = "12")]
     Compressed(Compressed),
+    #[prost(message, tag = "13")]
+    Streams(WireStreams),
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
 pub(super) struct Frame {
-    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12")]
+    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13")]
     pub(super) body: Option<Body>,
 }
--- a/src/fleet/gossip.rs
+++ b/src/fleet/gossip.rs
@@ -259,6 +259,7 @@
             Frame::Progress(progress) => self.handle_progress(now, progress),
             Frame::Verdict(verdict) => self.handle_verdict(now, *verdict),
             Frame::Poison(message) => self.receive_poison_message(now, message),
+            Frame::Streams(message) => self.handle_streams(now, message),
             Frame::Fetch(daemon, topic, from) => self.send_records(now, &daemon, topic, from),
             Frame::Records(batch) => {
                 self.apply_from_peer(batch.topic, |node| node.apply_batch(now, batch, true));
--- a/src/fleet/handover.rs
+++ b/src/fleet/handover.rs
@@ -70,7 +70,7 @@
     /// Hands over the requests that wait for a server, as this daemon reaches none.
     pub(super) fn leave_servers(&mut self, now: Time) {
         let waits = |request: &Request| match request.phase {
-            Phase::Waiting(_) => true,
+            Phase::Waiting(_) | Phase::LookingUp { .. } => true,
             Phase::Submitted(Stage::AwaitingVerdict(_) | Stage::Queued) => true,
             Phase::Submitted(Stage::Placed(_)) | Phase::Sent { .. } | Phase::HandedOver => false,
         };
@@ -133,6 +133,7 @@
                 self.handovers.takers.retain(|(id, _)| *id != peer);
                 self.handovers.refused.insert(peer, now + REFUSAL_PERIOD);
                 if !self.leave_if_cut_off(now, key)
+                    && !self.look_up_stream(now, key)
                     && !self.submit(now, key)
                     && self.charge_quota(now, key)
                 {
--- a/src/fleet/isolation.rs
+++ b/src/fleet/isolation.rs
@@ -158,7 +158,7 @@
         let kept = match self.isolation_stage(now, &pool) {
             Some(Stage::Running(_, other)) if other == fingerprint => return,
             Some(Stage::Draining(kept, _)) if is_available(kept) => Some(kept),
-            _ => self.server_to_drain(now, &pool),
+            _ => self.server_to_drain(now, request),
         };
         let stage = match kept {
             Some(kept) => Stage::Draining(kept, fingerprint),
@@ -169,9 +169,11 @@
 
     /// Returns the server with the fewest running requests, if the others have room for one more
     /// server to crash.
-    fn server_to_drain(&self, now: Time, pool: &str) -> Option<server::Key> {
-        let keys = self.pools.get(pool)?.keys();
+    fn server_to_drain(&self, now: Time, request: &Request) -> Option<server::Key> {
+        let keys = self.pools.get(&request.pool)?.keys();
         let servers = keys.iter().filter_map(|key| Some((*key, self.servers.get(*key)?)));
+        let goes_on = |server: &Server| request.software.is_none_or(|s| s == server.software);
+        let servers = servers.filter(|(_, server)| goes_on(server));
         let available = servers.filter(|(key, server)| self.accepts_work(now, *key, server));
         let mut available: Vec<(u32, u32, server::Key)> = available
             .map(|(key, server)| (self.load(key, server).running, self.slots(server), key))
--- a/src/fleet/message.rs
+++ b/src/fleet/message.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use super::{Batch, Entry, EventBatch, Frame, Location, Prompt, Topic, server};
+use super::{Batch, Entry, EventBatch, Frame, Location, Prompt, Software, Topic, server};
 use crate::poison::{Answer, Blocked, Fingerprint, Incarnation};
 use crate::prelude::*;
 use crate::route::{Route, Table, Workspace};
@@ -113,6 +113,8 @@
     pub attempt: u32,
     /// The server's id.
     pub server: String,
+    /// The version of its software.
+    pub software: Software,
     /// The address on which it listens.
     pub address: SocketAddr,
     /// The salt of cached prompts, for an engine.
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -40,6 +40,7 @@
 mod run;
 mod scheduling;
 mod server;
+pub mod streams;
 #[cfg(test)]
 mod tests;
 
@@ -63,3 +64,4 @@
 pub use run::{Control, Fleet};
 pub use scheduling::{Assignment, Decision, Progress, Step, Submission, Verdict};
 pub use server::{Entry, Server};
+pub use streams::{Software, StreamId};
--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -21,6 +21,7 @@
 use super::residency::{EventPoll, Link, StoreState};
 use super::rollout::Rollout;
 use super::scheduling::{Ranking, Submissions};
+use super::streams::Streams;
 use super::{
     Budget, Catalog, Change, Command, Counts, Dependency, Effect, Key, Location, Message, Record,
     Server, Topic, rejection, server,
@@ -84,6 +85,8 @@
     /// Servers by pool.
     pub(super) pools: BTreeMap<String, Pool>,
     pub(super) requests: BTreeMap<Key, Request>,
+    /// Software versions of streams.
+    pub(super) streams: Streams,
     /// The queue of waiting requests, in the order in which they are sent.
     pub(super) waiting: BTreeSet<Position>,
     /// Rate at which waiting requests are sent, by pool.
@@ -182,6 +185,7 @@
             incarnations: Incarnations::default(),
             pools: BTreeMap::new(),
             requests: BTreeMap::new(),
+            streams: Streams::default(),
             waiting: BTreeSet::new(),
             drains: BTreeMap::new(),
             expected: Refusals::default(),
@@ -284,6 +288,7 @@
     pub fn needs_fast_ticks(&self) -> bool {
         !self.waiting.is_empty()
             || !self.awaiting_scheduler.is_empty()
+            || !self.streams.lookups.is_empty()
             || !self.quota_leadership.undecided.is_empty()
             || self.rollout.is_active()
             || self.detector.has_probe_due()
@@ -310,6 +315,7 @@
             self.draining = true;
             self.event(Event::StopRequested, Detail::none());
             self.send_digests(now);
+            self.hand_over_streams(now);
             self.return_queued_requests(now);
         }
     }
@@ -351,6 +357,7 @@
         self.maintain_rejection(now);
         self.remove_lapsed(now);
         self.check_schedulers(now);
+        self.check_lookups(now);
         self.drop_expired_submissions(now);
         self.roll_out(now);
         self.send_waiting(now);
--- a/src/fleet/place.rs
+++ b/src/fleet/place.rs
@@ -123,7 +123,8 @@
     }
 
     fn may_place(&self, now: Time, request: &Request, key: server::Key, server: &Server) -> bool {
-        self.has_room(now, key, server) && !self.avoids(now, request, key)
+        let goes_on = request.software.is_none_or(|software| software == server.software);
+        goes_on && self.has_room(now, key, server) && !self.avoids(now, request, key)
     }
 
     /// Chooses one of the usable servers of a cell.
--- a/src/fleet/pool.rs
+++ b/src/fleet/pool.rs
@@ -10,6 +10,7 @@
 use super::prompt::{salted_key, shared_parts};
 use super::request::Request;
 use super::server;
+use super::streams::History;
 
 /// Mean number of servers in a cell at which cells are divided: enough for the homes of many parts
 /// and for an even load.
@@ -23,6 +24,8 @@
     keys: Vec<server::Key>,
     /// Servers with the hashes of their ids, by cell. The number of cells is a power of two.
     cells: Vec<Vec<(server::Key, u64)>>,
+    /// The software versions of its servers, now and recently.
+    pub(super) versions: History,
 }
 
 /// One cell of a pool.
@@ -81,8 +84,17 @@
         }
     }
 
-    /// The cells in which a request may be placed, its own first.
+    /// The cells in which a request may be placed, its own first. A stream that must go on at a version with few
+    /// servers has those as its only cell, as its own cells may hold none of them.
     pub(super) fn cells_of(&self, request: &Request) -> impl Iterator<Item = Cell<'_>> {
+        let servers = request.software.map(|software| self.versions.servers_of(software));
+        let few = servers.filter(|servers| servers.len() <= MAX_MEAN_CELL_SIZE);
+        let few = few.map(|servers| Cell { servers, count: 1 });
+        let cells = self.cells_by_affinity(request).filter(move |_| few.is_none());
+        few.into_iter().chain(cells)
+    }
+
+    fn cells_by_affinity(&self, request: &Request) -> impl Iterator<Item = Cell<'_>> {
         let count = self.cells.len();
         let hash = affinity(request);
         // With an odd step, the cells differ.
--- a/src/fleet/replication/records.rs
+++ b/src/fleet/replication/records.rs
@@ -53,8 +53,13 @@
     /// Records that a topic is known. Whether this daemon reads the store for others depends on the
     /// daemons that it knows.
     fn note_known(&mut self, now: Time, topic: Topic) {
-        if self.known_topics.insert(topic) && topic == Topic::Routers {
-            self.refresh_ranking(now);
+        if !self.known_topics.insert(topic) {
+            return;
+        }
+        match topic {
+            Topic::Routers => self.refresh_ranking(now),
+            Topic::Servers => self.streams.watched_since = Some(now),
+            Topic::Operator => {}
         }
     }
 
@@ -178,24 +183,31 @@
     pub(in crate::fleet) fn register(&mut self, now: Time, entry: Entry) {
         match self.incarnations.find(&entry.incarnation) {
             Known::Ended => {}
-            Known::Same(key) => self.update_server(key, entry),
-            Known::New => self.add_server(entry),
+            Known::Same(key) => self.update_server(now, key, entry),
+            Known::New => self.add_server(now, entry),
             Known::Next(former) => self.replace_restarted(now, former, entry),
         }
     }
 
-    fn update_server(&mut self, key: server::Key, entry: Entry) {
+    fn update_server(&mut self, now: Time, key: server::Key, entry: Entry) {
         let Some(server) = self.servers.get_mut(key) else { return };
         let was_leaving = server.entry.draining;
+        let former = server.software;
         let id = entry.incarnation.id.clone();
         server.update(entry);
+        if let Some(pool) = self.pools.get_mut(&server.entry.pool)
+            && server.software != former
+        {
+            pool.versions.remove(now, former, key);
+            pool.versions.add(server.software, key, &id);
+        }
         if server.entry.draining && !was_leaving {
             self.event(Event::ServerLeaving, Detail::of("server", id));
         }
         self.refresh_outdated_server(key);
     }
 
-    fn add_server(&mut self, entry: Entry) {
+    fn add_server(&mut self, now: Time, entry: Entry) {
         self.event(
             Event::ServerAdded,
             Detail::of("server", entry.incarnation.id.as_str())
@@ -205,9 +217,17 @@
                 .and("born", entry.incarnation.started_ms),
         );
         let (incarnation, pool) = (entry.incarnation.clone(), entry.pool.clone());
-        let key = self.servers.insert(Server::new(entry));
+        let server = Server::new(entry);
+        let software = server.software;
+        let key = self.servers.insert(server);
         self.incarnations.begin(&incarnation, key);
-        self.pools.entry(pool).or_default().add(key, &incarnation.id);
+        let pool = self.pools.entry(pool).or_default();
+        pool.add(key, &incarnation.id);
+        let was_mixed = pool.versions.count(now) > 1;
+        pool.versions.add(software, key, &incarnation.id);
+        if !was_mixed && pool.versions.count(now) > 1 {
+            self.send_own_streams(now);
+        }
         self.schedule_event_read(Location::Engine(key), Time::ZERO);
         self.refresh_outdated_server(key);
         // What peers reported of this incarnation before it was known counts from now on.
@@ -231,7 +251,7 @@
             self.connection_lost(now, *key, former, now.saturating_sub(*at));
         }
         self.remove_server(now, former);
-        self.add_server(entry);
+        self.add_server(now, entry);
         self.effects.extend(address.map(Effect::Disconnect));
         let repeatable = |key: &Key| self.requests.get(key).is_some_and(Request::may_repeat);
         let lost: Vec<Key> = attempts.into_iter().map(|(key, _)| key).filter(repeatable).collect();
@@ -280,6 +300,7 @@
         self.event_reads.remove(&Location::Engine(key));
         if let Some(pool) = self.pools.get_mut(&server.entry.pool) {
             pool.remove(key, &server.entry.incarnation.id);
+            pool.versions.remove(now, server.software, key);
         }
         self.event(Event::ServerRemoved, Detail::of("server", server.entry.incarnation.id));
     }
--- a/src/fleet/reports.rs
+++ b/src/fleet/reports.rs
@@ -7,6 +7,12 @@
 
 impl Node {
     pub(super) fn handle_report(&mut self, now: Time, key: Key, attempt: u32, report: Report) {
+        match report {
+            // An attempt that writes to the caller stays, also if another one was to replace it.
+            Report::Begun(_) => self.bind_stream(now, key, attempt),
+            Report::Ended => self.forget_stream(key),
+            Report::Refused(_) | Report::Unsent | Report::Lost(_) | Report::Failed => {}
+        }
         let Some(request) = self.requests.get_mut(&key) else { return };
         if request.sends != attempt {
             return;
--- a/src/fleet/request.rs
+++ b/src/fleet/request.rs
@@ -1,7 +1,7 @@
 //! The state of one request and its attempts.
 
 use super::scheduling::{Origin, Stage};
-use super::{Arrival, server};
+use super::{Arrival, Software, server};
 use crate::prelude::*;
 use crate::route::Repeat;
 
@@ -12,6 +12,8 @@
     Waiting(Time),
     /// A scheduler places the request.
     Submitted(Stage),
+    /// The version that began its stream is looked up since this time; this number of daemons has not answered.
+    LookingUp { since: Time, unanswered: usize },
     /// The request was sent to a server.
     Sent { server: server::Key, prefill_tokens: u32, begun: bool, sent_at: Time },
     /// A peer serves the request.
@@ -37,6 +39,10 @@
     /// Predicted TTFT in milliseconds, without queueing on the KV store's link, if it fetches from
     /// there.
     pub(super) fetch_cost_ms: Option<f64>,
+    /// The version that began its stream, at which alone it may go on.
+    pub(super) software: Option<Software>,
+    /// The versions to which it was sent, by attempt.
+    pub(super) sent_software: Vec<(u32, Software)>,
     /// Servers to which it was sent.
     pub(super) tried: Vec<server::Key>,
     /// Whether its next send is charged to the retry budget.
@@ -66,6 +72,8 @@
             admission_deadline: None,
             weights_version: None,
             fetch_cost_ms: None,
+            software: None,
+            sent_software: Vec::new(),
             tried: Vec::new(),
             draws_on_retry_budget: false,
             refused_before: false,
@@ -76,6 +84,12 @@
         }
     }
 
+    /// Returns the version to which an attempt was sent.
+    pub(super) fn software_of(&self, attempt: u32) -> Option<Software> {
+        let sent = self.sent_software.iter().find(|(number, _)| *number == attempt);
+        sent.map(|(_, software)| *software)
+    }
+
     /// Returns whether it may be resent although a server may have run it.
     pub(super) fn may_repeat(&self) -> bool {
         let route = &self.arrival.route;
@@ -103,6 +117,7 @@
             Phase::Submitted(Stage::Placed(placed)) => placed.has_begun(),
             Phase::Submitted(Stage::AwaitingVerdict(_) | Stage::Queued)
             | Phase::Waiting(_)
+            | Phase::LookingUp { .. }
             | Phase::HandedOver => false,
         }
     }
--- a/src/fleet/requests.rs
+++ b/src/fleet/requests.rs
@@ -54,14 +54,18 @@
             }
             self.note_taken_over(key);
         }
-        if self.leave_if_cut_off(now, key) {
-            return;
+        if !self.leave_if_cut_off(now, key) && !self.look_up_stream(now, key) {
+            self.begin_placement(now, key);
         }
+    }
+
+    /// Has a new request placed by its scheduler, or by this daemon.
+    pub(super) fn begin_placement(&mut self, now: Time, key: Key) {
         if !self.submit(now, key)
             && let Some(request) = self.requests.remove(&key)
         {
             self.count_request(now, &request.pool);
-            self.accept(now, Request::new(now, request.arrival, request.pool, None));
+            self.accept(now, request);
         }
     }
 
@@ -150,6 +154,7 @@
         request.sends += 1;
         request.possible_runs += 1;
         request.tried.push(choice.server);
+        request.sent_software.push((request.sends, server.software));
         request.weights_version = choice.weights;
         request.fetch_cost_ms =
             choice.from_store.then(|| choice.cost_ms - self.kv_link.delay_ms(now));
@@ -179,6 +184,7 @@
         let dispatch = Dispatch {
             attempt: request.sends,
             server: server.entry.incarnation.id.clone(),
+            software: server.software,
             address: server.entry.address,
             cache_salt: choice.salt.clone(),
             weights_version: choice.weights,
--- a/src/fleet/scheduling/message.rs
+++ b/src/fleet/scheduling/message.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use crate::fleet::{Incarnation, Key, Prompt, Report};
+use crate::fleet::{Incarnation, Key, Prompt, Report, Software};
 use crate::poison::Fingerprint;
 use crate::prelude::*;
 use crate::route::{Repeat, Workspace};
@@ -42,6 +42,8 @@
     pub is_counted: bool,
     /// Whether its next send is charged to the retry budget.
     pub draws_on_retry_budget: bool,
+    /// The software version that began its stream, at which alone it may go on.
+    pub software: Option<Software>,
 }
 
 /// A state change of a request at the daemon that received it.
--- a/src/fleet/scheduling/ranking.rs
+++ b/src/fleet/scheduling/ranking.rs
@@ -43,7 +43,7 @@
     }
 
     /// Compares two ranks; the preferred daemon is the lesser.
-    fn compare(&self, other: &Self) -> Ordering {
+    pub(in crate::fleet) fn compare(&self, other: &Self) -> Ordering {
         other.cores.total_cmp(&self.cores).then(other.hash.cmp(&self.hash))
     }
 }
--- a/src/fleet/scheduling/serving.rs
+++ b/src/fleet/scheduling/serving.rs
@@ -84,14 +84,14 @@
             self.remove_request(now, known);
         }
         let key = self.served.add(&origin.daemon, origin.request);
-        let (is_counted, draws_on_retry_budget) =
-            (submission.is_counted, submission.draws_on_retry_budget);
+        let (is_counted, draws_on_retry_budget, software) =
+            (submission.is_counted, submission.draws_on_retry_budget, submission.software);
         let (pool, arrival) = arrival(now, key, submission);
         if !is_counted {
             self.count_request(now, &pool);
         }
         let request = Request::new(now, arrival, pool, Some(origin));
-        self.accept(now, Request { draws_on_retry_budget, ..request });
+        self.accept(now, Request { draws_on_retry_budget, software, ..request });
     }
 
     /// Tells the submitting daemon that its request waits here, for the first time or again. Daemons
--- a/src/fleet/scheduling/submitting.rs
+++ b/src/fleet/scheduling/submitting.rs
@@ -114,10 +114,12 @@
         }
         let most_idle = self.max_idle_connections(key);
         self.reach.note_sent(now, server);
+        let Some(software) = self.servers.get(server).map(|server| server.software) else { return };
         let Some(request) = self.requests.get_mut(&key) else { return };
         request.sends += 1;
         request.possible_runs += 1;
         request.tried.push(server);
+        request.sent_software.push((request.sends, software));
         request.weights_version = assignment.weights_version;
         request.phase = Phase::Submitted(Stage::Placed(Placement {
             attempt: assignment.attempt,
@@ -129,6 +131,7 @@
         let dispatch = Dispatch {
             attempt: request.sends,
             server: assignment.server.id,
+            software,
             address: assignment.address,
             cache_salt: assignment.cache_salt,
             weights_version: assignment.weights_version,
@@ -143,10 +146,12 @@
     }
 
     /// Returns whether this daemon's own state allows an assignment. The scheduler may not know yet of
-    /// a leaving server, newly named weights, or a possible execution of the request.
+    /// a leaving server, newly named weights, a possible execution of the request, or the version that began its stream.
     fn may_be_sent(&self, now: Time, key: Key, server: server::Key, weights: Option<u64>) -> bool {
         let Some(request) = self.requests.get(&key) else { return false };
-        let stays = self.servers.get(server).is_some_and(|server| !server.entry.draining);
+        let goes_on = |software| request.software.is_none_or(|began| began == software);
+        let stays = self.servers.get(server);
+        let stays = stays.is_some_and(|server| !server.entry.draining && goes_on(server.software));
         let weights_allowed = match (&request.arrival.prompt, weights) {
             (Some(prompt), Some(version)) => self.is_version_allowed(now, &prompt.model, version),
             _ => true,
@@ -269,7 +274,10 @@
                 unanswered.contains(&request.scheduler) || gone(&request.scheduler)
             }
             Phase::Submitted(Stage::Placed(_)) => gone(&request.scheduler),
-            Phase::Waiting(_) | Phase::Sent { .. } | Phase::HandedOver => false,
+            Phase::Waiting(_)
+            | Phase::LookingUp { .. }
+            | Phase::Sent { .. }
+            | Phase::HandedOver => false,
         });
         let orphaned: Vec<Key> = orphaned.map(|(key, _)| *key).collect();
         for key in orphaned {
@@ -359,5 +367,6 @@
         fingerprint: arrival.fingerprint,
         is_counted: request.submissions > 0,
         draws_on_retry_budget: request.draws_on_retry_budget,
+        software: request.software,
     }
 }
--- a/src/fleet/scheduling/wire.rs
+++ b/src/fleet/scheduling/wire.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use super::{Assignment, Decision, Step};
-use crate::fleet::{Incarnation, Key, Loss, Malformed, Part, Prompt, Refusal, Report};
+use crate::fleet::{Incarnation, Key, Loss, Malformed, Part, Prompt, Refusal, Report, Software};
 use crate::poison::Fingerprint;
 use crate::prelude::*;
 use crate::quota::{Quota, Unit};
@@ -49,6 +49,8 @@
     is_counted: bool,
     #[prost(bool, tag = "18")]
     draws_on_retry_budget: bool,
+    #[prost(fixed64, optional, tag = "19")]
+    software: Option<u64>,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -183,6 +185,7 @@
             quota: quota.map(WireQuota::from),
             is_counted: submission.is_counted,
             draws_on_retry_budget: submission.draws_on_retry_budget,
+            software: submission.software.map(|software| software.0),
         }
     }
 }
@@ -221,6 +224,7 @@
             fingerprint: Fingerprint(wire.fingerprint),
             is_counted: wire.is_counted,
             draws_on_retry_budget: wire.draws_on_retry_budget,
+            software: wire.software.map(Software),
         })
     }
 }
--- a/src/fleet/server.rs
+++ b/src/fleet/server.rs
@@ -2,8 +2,8 @@
 
 use std::net::SocketAddr;
 
-use super::Incarnation;
 use super::residency::Residency;
+use super::{Incarnation, Software};
 use crate::prelude::*;
 
 slotmap::new_key_type! {
@@ -62,6 +62,8 @@
 pub struct Server {
     /// Its registration.
     pub entry: Entry,
+    /// The version of its software.
+    pub software: Software,
     /// Number of this daemon's requests that run there.
     pub running: u32,
     /// Prompt tokens of the running requests whose answers have not begun.
@@ -86,6 +88,7 @@
     /// Creates a newly registered server.
     pub fn new(entry: Entry) -> Self {
         Self {
+            software: Software::of(&entry.pool, &entry.software),
             entry,
             running: 0,
             pending_tokens: 0,
@@ -109,6 +112,7 @@
         }
         let weights = std::mem::take(&mut self.entry.weights);
         let sequence = self.entry.sequence.max(entry.sequence);
+        self.software = Software::of(&entry.pool, &entry.software);
         self.entry = Entry { draining, weights, sequence, ..entry };
     }
 
--- /dev/null
+++ b/src/fleet/streams/lookup.rs
@@ -0,0 +1,194 @@
+//! Finds the software version of a stream that a caller takes up.
+
+use super::{Lookup, Message, Software, StreamId};
+use crate::fleet::request::{Phase, Request};
+use crate::fleet::{Effect, Frame, Key, Node, Start, Topic};
+use crate::prelude::*;
+
+use super::software::MAX_STREAM_AGE;
+
+/// Time limit for the answers of other daemons: many round trips within a region, and short relative to the pauses
+/// that callers accept.
+const LOOKUP_TIMEOUT: Duration = Duration::from_millis(150);
+/// The same while this daemon sees a single version, and only lacks proof that no other has served recently.
+const PROOF_TIMEOUT: Duration = Duration::from_millis(40);
+/// Age of the last read of the servers from which this daemon may have missed a new version. Each daemon learns of a
+/// read within half of this.
+const MAX_VIEW_AGE: Duration = Duration::from_secs(3);
+
+impl Node {
+    /// Finds the version of the stream that a new request takes up, if it does. Returns whether the request waits for
+    /// that, or was refused.
+    pub(in crate::fleet) fn look_up_stream(&mut self, now: Time, key: Key) -> bool {
+        let Some(request) = self.requests.get(&key) else { return true };
+        if request.arrival.start == Start::New {
+            return false;
+        }
+        if let Some(software) = self.known_software(now, request) {
+            self.log_taken_up(key, "known");
+            return self.resume_at(now, key, software);
+        }
+        let Some(stream) = request.stream() else { return self.resume_unknown(now, key) };
+        let pool = request.pool.clone();
+        let asked = self.daemons_to_ask(now, stream);
+        if asked.is_empty() {
+            return self.resume_unknown(now, key);
+        }
+        if let Some(request) = self.requests.get_mut(&key) {
+            request.phase = Phase::LookingUp { since: now, unanswered: asked.len() };
+        }
+        self.streams.lookups.insert(key);
+        let daemon = self.identity.id.clone();
+        let lookup = Lookup { daemon, request: key, stream, pool };
+        let frame = Frame::Streams(Message::Lookup(lookup));
+        self.effects.push(Effect::Send(asked.into_iter().collect(), frame));
+        true
+    }
+
+    /// The version of the stream that a request takes up, as far as this daemon knows by itself.
+    fn known_software(&self, now: Time, request: &Request) -> Option<Software> {
+        let noted = request.stream().and_then(|stream| self.streams.software(now, stream));
+        noted.or_else(|| self.proven_software(now, &request.pool))
+    }
+
+    /// The version of a pool's servers, if this daemon has seen that no other has served since the oldest stream began.
+    fn proven_software(&self, now: Time, pool: &str) -> Option<Software> {
+        let since = self.streams.watched_since?;
+        let has_watched = now >= since + MAX_STREAM_AGE && self.sees_servers(now);
+        self.pools.get(pool).filter(|_| has_watched)?.versions.only(now)
+    }
+
+    /// Whether this daemon knows the servers that are registered now: from a recent read, its own or a peer's. While
+    /// the store is down for all, no server is added; a daemon that hears from no peer may be partitioned.
+    fn sees_servers(&self, now: Time) -> bool {
+        let read_at = self.read_at.get(&Topic::Servers);
+        read_at.is_some_and(|at| now < *at + MAX_VIEW_AGE) || self.fresh_peer_count(now) > 0
+    }
+
+    /// Handles a message about versions of streams.
+    pub(in crate::fleet) fn handle_streams(&mut self, now: Time, message: Message) {
+        match message {
+            Message::Keep(streams) => self.keep_streams(now, streams),
+            Message::Lookup(lookup) => self.answer_lookup(now, &lookup),
+            Message::Found(request, stream, software) => {
+                self.handle_found(now, request, stream, software);
+            }
+        }
+    }
+
+    fn answer_lookup(&mut self, now: Time, lookup: &Lookup) {
+        let Some(address) = self.peer_address(&lookup.daemon) else { return };
+        let noted = self.streams.software(now, lookup.stream);
+        let software = noted.or_else(|| self.proven_software(now, &lookup.pool));
+        let frame = Frame::Streams(Message::Found(lookup.request, lookup.stream, software));
+        self.effects.push(Effect::Send(vec![address], frame));
+    }
+
+    fn handle_found(&mut self, now: Time, key: Key, stream: StreamId, software: Option<Software>) {
+        let is_asked = |request: &&mut Request| request.stream() == Some(stream);
+        let Some(request) = self.requests.get_mut(&key).filter(is_asked) else { return };
+        let Phase::LookingUp { unanswered, .. } = &mut request.phase else { return };
+        *unanswered = unanswered.saturating_sub(1);
+        let is_last = *unanswered == 0;
+        match software {
+            Some(software) => self.end_lookup(now, key, Some(software)),
+            None if is_last => self.end_lookup(now, key, None),
+            None => {}
+        }
+    }
+
+    /// Ends the lookups whose time limit has passed.
+    pub(in crate::fleet) fn check_lookups(&mut self, now: Time) {
+        let lookups = self.streams.lookups.iter().copied();
+        let overdue: Vec<Key> = lookups.filter(|key| self.is_overdue(now, *key)).collect();
+        for key in overdue {
+            self.end_lookup(now, key, None);
+        }
+    }
+
+    fn is_overdue(&self, now: Time, key: Key) -> bool {
+        let Some(request) = self.requests.get(&key) else { return true };
+        let Phase::LookingUp { since, .. } = request.phase else { return true };
+        let pool = self.pools.get(&request.pool);
+        let limit = match pool.is_some_and(|pool| pool.versions.count(now) > 1) {
+            true => LOOKUP_TIMEOUT,
+            false => PROOF_TIMEOUT,
+        };
+        now >= since + limit
+    }
+
+    fn end_lookup(&mut self, now: Time, key: Key, software: Option<Software>) {
+        self.streams.lookups.remove(&key);
+        let is_looking = |request: &&mut Request| matches!(request.phase, Phase::LookingUp { .. });
+        let Some(request) = self.requests.get_mut(&key).filter(is_looking) else { return };
+        request.phase = Phase::Waiting(now);
+        let is_refused = match software {
+            Some(software) => {
+                self.log_taken_up(key, "told by another daemon");
+                self.resume_at(now, key, software)
+            }
+            None => self.resume_unknown(now, key),
+        };
+        if !is_refused && !self.leave_if_cut_off(now, key) {
+            self.begin_placement(now, key);
+        }
+    }
+
+    /// Binds a request to the version that began its stream. Returns whether the request is refused because no server
+    /// of that version is left. A stream of another pool is not bound: operators have moved the route.
+    fn resume_at(&mut self, now: Time, key: Key, software: Software) -> bool {
+        let Some(request) = self.requests.get_mut(&key) else { return true };
+        let mut pools = self.pools.iter().filter(|(_, pool)| pool.versions.includes(software));
+        let pool = pools.next().map(|(name, _)| name);
+        let splits = &request.arrival.route.splits;
+        match pool {
+            Some(name) if splits.iter().any(|split| split.pool == *name) => {
+                request.pool.clone_from(name);
+            }
+            Some(_) => return false,
+            None => {}
+        }
+        request.software = Some(software);
+        self.refuse_if_version_gone(now, key)
+    }
+
+    /// Continues with a stream whose version no daemon knows. Returns whether the request is refused.
+    fn resume_unknown(&mut self, now: Time, key: Key) -> bool {
+        let Some(request) = self.requests.get(&key) else { return true };
+        let versions = self.pools.get(&request.pool).map(|pool| &pool.versions);
+        if versions.is_none_or(|versions| versions.count(now) == 0) {
+            return false;
+        }
+        match versions.and_then(|versions| versions.only(now)).filter(|_| self.sees_servers(now)) {
+            Some(software) => {
+                self.log_taken_up(key, "the only one that serves");
+                self.resume_at(now, key, software)
+            }
+            None => {
+                self.log_taken_up(key, "unknown");
+                self.refuse(now, key, Code::StreamVersionUnknown);
+                true
+            }
+        }
+    }
+
+    /// Refuses a request, or ends its answer as broken, if no server of the version that began its stream is left.
+    /// Returns whether it did.
+    pub(in crate::fleet) fn refuse_if_version_gone(&mut self, now: Time, key: Key) -> bool {
+        let is_gone = self.requests.get(&key).is_some_and(|request| self.is_version_gone(request));
+        if is_gone {
+            self.refuse(now, key, Code::StreamVersionGone);
+        }
+        is_gone
+    }
+
+    /// Whether no server of the version that began a request's stream is left. Those that are about to stop count as
+    /// gone.
+    pub(in crate::fleet) fn is_version_gone(&self, request: &Request) -> bool {
+        let Some(software) = request.software else { return false };
+        let Some(pool) = self.pools.get(&request.pool) else { return true };
+        let mut servers = pool.versions.servers_of(software).iter();
+        let stays = |key| self.servers.get(key).is_some_and(|server| !server.entry.draining);
+        !servers.any(|(key, _)| stays(*key))
+    }
+}
--- /dev/null
+++ b/src/fleet/streams/wire.rs
@@ -0,0 +1,123 @@
+//! Wire format of the messages about software versions of streams.
+
+use super::{Kept, Lookup, Software, StreamId};
+use crate::fleet::{Key, Malformed};
+use crate::prelude::*;
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub(in crate::fleet) struct WireKept {
+    #[prost(fixed64, tag = "1")]
+    stream: u64,
+    #[prost(fixed64, tag = "2")]
+    software: u64,
+    #[prost(uint32, tag = "3")]
+    time_left_ms: u32,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub(in crate::fleet) struct WireKeep {
+    #[prost(message, repeated, tag = "1")]
+    streams: Vec<WireKept>,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub(in crate::fleet) struct WireLookup {
+    #[prost(string, tag = "1")]
+    daemon: String,
+    #[prost(uint64, tag = "2")]
+    request: u64,
+    #[prost(fixed64, tag = "3")]
+    stream: u64,
+    #[prost(string, tag = "4")]
+    pool: String,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub(in crate::fleet) struct WireFound {
+    #[prost(uint64, tag = "1")]
+    request: u64,
+    #[prost(fixed64, tag = "2")]
+    stream: u64,
+    #[prost(fixed64, optional, tag = "3")]
+    software: Option<u64>,
+}
+
+#[derive(Clone, PartialEq, prost::Oneof)]
+pub(in crate::fleet) enum Body {
+    #[prost(message, tag = "1")]
+    Keep(WireKeep),
+    #[prost(message, tag = "2")]
+    Lookup(WireLookup),
+    #[prost(message, tag = "3")]
+    Found(WireFound),
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub(in crate::fleet) struct Message {
+    #[prost(oneof = "Body", tags = "1, 2, 3")]
+    body: Option<Body>,
+}
+
+impl From<Kept> for WireKept {
+    fn from(kept: Kept) -> Self {
+        let time_left_ms = u32::try_from(kept.time_left.as_millis()).unwrap_or(u32::MAX);
+        Self { stream: kept.stream.0, software: kept.software.0, time_left_ms }
+    }
+}
+
+impl From<WireKept> for Kept {
+    fn from(wire: WireKept) -> Self {
+        Self {
+            stream: StreamId(wire.stream),
+            software: Software(wire.software),
+            time_left: Duration::from_millis(u64::from(wire.time_left_ms)),
+        }
+    }
+}
+
+impl From<super::Message> for Message {
+    fn from(message: super::Message) -> Self {
+        let body = match message {
+            super::Message::Keep(streams) => {
+                let streams = streams.into_iter().map(WireKept::from).collect();
+                Body::Keep(WireKeep { streams })
+            }
+            super::Message::Lookup(lookup) => Body::Lookup(WireLookup {
+                daemon: lookup.daemon,
+                request: lookup.request.0,
+                stream: lookup.stream.0,
+                pool: lookup.pool,
+            }),
+            super::Message::Found(request, stream, software) => Body::Found(WireFound {
+                request: request.0,
+                stream: stream.0,
+                software: software.map(|software| software.0),
+            }),
+        };
+        Self { body: Some(body) }
+    }
+}
+
+impl TryFrom<Message> for super::Message {
+    type Error = Malformed;
+
+    fn try_from(wire: Message) -> Result<Self, Malformed> {
+        match wire.body {
+            Some(Body::Keep(keep)) => {
+                Ok(Self::Keep(keep.streams.into_iter().map(Kept::from).collect()))
+            }
+            Some(Body::Lookup(lookup)) => Ok(Self::Lookup(Lookup {
+                daemon: lookup.daemon,
+                request: Key(lookup.request),
+                stream: StreamId(lookup.stream),
+                pool: lookup.pool,
+            })),
+            Some(Body::Found(found)) => Ok(Self::Found(
+                Key(found.request),
+                StreamId(found.stream),
+                found.software.map(Software),
+            )),
+            None => Err(Malformed("the message about streams is empty".into())),
+        }
+    }
+}
--- a/src/fleet/tests/frames.rs
+++ b/src/fleet/tests/frames.rs
@@ -76,6 +76,19 @@
         Frame::FetchResidency("router-2".into(), Holder::Store(([10, 0, 0, 9], 80).into())),
         Frame::Records(Batch { topic: Topic::Servers, from: 1, to: 3, records: records.clone() }),
         Frame::Snapshot(Batch { topic: Topic::Operator, from: 0, to: 3, records }),
+        Frame::Streams(streams::Message::Keep(vec![streams::Kept {
+            stream: StreamId::of("lab", "r-1"),
+            software: Software::of("engines", "v1"),
+            time_left: Duration::from_millis(14_999),
+        }])),
+        Frame::Streams(streams::Message::Lookup(streams::Lookup {
+            daemon: "router-1".into(),
+            request: Key(4),
+            stream: StreamId(u64::MAX),
+            pool: "engines".into(),
+        })),
+        Frame::Streams(streams::Message::Found(Key(4), StreamId(0), None)),
+        Frame::Streams(streams::Message::Found(Key(4), StreamId(1), Some(Software(0)))),
         Frame::Poison(poison::Message::Interruptions(vec![poison::Interruption {
             fingerprint: Fingerprint(u64::MAX),
             incarnation: poison::Incarnation::of("server-1", None),
--- a/src/relay/delivery.rs
+++ b/src/relay/delivery.rs
@@ -12,7 +12,9 @@
 use super::exchange::{self, Answer, Failure};
 use super::takeover::Origin;
 use super::{Classification, Cut, Events, Framing, Frontend, Metadata, Request, Response, head};
-use crate::fleet::{Arrival, Command, Dispatch, Key, Loss, Message, Refusal, Report, Start};
+use crate::fleet::{
+    Arrival, Command, Dispatch, Key, Loss, Message, Refusal, Report, Software, Start,
+};
 use crate::poison::Fingerprint;
 use crate::prelude::*;
 use crate::route::{Route, Workspace};
@@ -54,6 +56,8 @@
     attempt_writing: AtomicBool,
     /// The time at which the first byte of the answer was written.
     first_byte: OnceLock<Time>,
+    /// The software version of the server that brought the first event of a stream.
+    software: OnceLock<Software>,
 }
 
 impl Progress {
@@ -146,6 +150,10 @@
                 Command::Refuse(code, after) => return Outcome::Code(code, Some(after)),
                 Command::GiveUp => return self.failed_outcome(failure),
             };
+            // The attempt was chosen before the one that it was to replace began the stream.
+            if self.progress.software.get().is_some_and(|began| *began != dispatch.software) {
+                return Outcome::Truncated;
+            }
             let superseded = self.superseded(&commands, &mut next);
             let attempt = self.attempt(writer, &dispatch, &mut events).or(superseded).await;
             let report = match attempt {
@@ -373,6 +381,7 @@
             }
             if !started && !whole.is_empty() {
                 started = true;
+                self.progress.software.set(dispatch.software).ok();
                 self.send_report(dispatch, Report::Begun(weights));
             }
             let complete = !more || answer.decoder.is_complete();
--- a/src/relay/handover.rs
+++ b/src/relay/handover.rs
@@ -267,6 +267,7 @@
             | Code::DeadlinePassed
             | Code::RequestBlocked
             | Code::OverQuota
+            | Code::StreamVersionGone
             | Code::OutcomeUnknown
             | Code::AnswerTimeout),
         ) => Verdict::Final(*code),
--- a/src/relay/tests/delivery.rs
+++ b/src/relay/tests/delivery.rs
@@ -10,7 +10,7 @@
 use async_io::{Async, block_on};
 use rustix::net::sockopt;
 
-use crate::fleet::{Arrival, Command, Control, Dispatch, Input, Loss, Message, Report};
+use crate::fleet::{Arrival, Command, Control, Dispatch, Input, Loss, Message, Report, Software};
 use crate::prelude::*;
 use crate::relay::*;
 use crate::route::{Limits, Repeat, Route, Split, Table, Workspace};
@@ -141,6 +141,7 @@
     Command::Dispatch(Dispatch {
         attempt,
         server: format!("s-{attempt}"),
+        software: Software::of("engines", "v1"),
         address,
         cache_salt: None,
         weights_version: None,
