A daemon that hears from few others does not take the one version that it sees for the only one

What callers would see: while some daemons are partitioned from the store and from most others, and a release goes on, streams of the new version are taken up at the old one.

Cause: a daemon counted its view of the servers as current if it heard from any other, since while the store is down for all no server is added. Three daemons partitioned together hear each other.

--- a/src/fleet/streams/lookup.rs
+++ b/src/fleet/streams/lookup.rs
@@ -15,6 +15,8 @@
 /// Age of the last read of the servers from which this daemon may have missed a new version. Each daemon learns of a
 /// read within half of this.
 const MAX_VIEW_AGE: Duration = Duration::from_secs(3);
+/// Number of peers from which a daemon of a large fleet hears at least, unless it is partitioned.
+const MIN_PEERS_HEARD: usize = 8;
 
 impl Node {
     /// Finds the version of the stream that a new request takes up, if it does. Returns whether the request waits for
@@ -59,10 +61,11 @@
     }
 
     /// Whether this daemon knows the servers that are registered now: from a recent read, its own or a peer's. While
-    /// the store is down for all, no server is added; a daemon that hears from no peer may be partitioned.
+    /// the store is down for all, no server is added; a daemon that hears from few peers may be partitioned.
     fn sees_servers(&self, now: Time) -> bool {
         let read_at = self.read_at.get(&Topic::Servers);
-        read_at.is_some_and(|at| now < *at + MAX_VIEW_AGE) || self.fresh_peer_count(now) > 0
+        let heard = self.peers.len().div_ceil(2).min(MIN_PEERS_HEARD);
+        read_at.is_some_and(|at| now < *at + MAX_VIEW_AGE) || self.fresh_peer_count(now) >= heard
     }
 
     /// Handles a message about versions of streams.
