Own interface: a stream is continued only at the software version that began it

What callers would see: while engines are upgraded, an answer whose first part one version of their software made and whose rest another one made from that text.

Cause: the interface continues a broken stream at any engine with the same weights, and engines did not state a version of their software.

Change: an engine's report may state `software`. The first event notes it with the request, and only engines that state the same, or none if none was stated, are candidates from then on. Without one the request ends with an error event, as where no engine has the weights. Callers take no stream up on this interface, so nothing need be kept elsewhere.

Test: broken_stream_continues_only_at_the_software_version_that_began_it, seen to fail without the condition.

--- a/src/attempt/state.rs
+++ b/src/attempt/state.rs
@@ -44,6 +44,8 @@
     pub maybe_ran: bool,
     /// Whether any part of the answer was sent to the caller.
     pub begun: bool,
+    /// Version of the software that began the answer, if its engine states one.
+    pub software: Option<String>,
     /// Server and incarnation that hold the request's interrupted stream.
     pub stream_holder: Option<(membership::Key, Option<String>)>,
 }
@@ -59,6 +61,7 @@
             failed_servers: BTreeSet::new(),
             maybe_ran: false,
             begun: false,
+            software: None,
             stream_holder: None,
         }
     }
--- a/src/control/candidates.rs
+++ b/src/control/candidates.rs
@@ -231,5 +231,7 @@
         Target::Model { model, weights, .. } => server.serves(model, weights),
         Target::Service { .. } => server.vm.role == Role::ServiceServer,
     };
-    serves && server.is_usable(now)
+    // What two versions of the software write does not fit together.
+    let goes_on = !state.begun || server.software == state.software;
+    serves && goes_on && server.is_usable(now)
 }
--- a/src/control/outcomes.rs
+++ b/src/control/outcomes.rs
@@ -2,6 +2,7 @@
 
 use super::Node;
 use crate::attempt::{self, Action, Outcome, Phase, Report, next_action};
+use crate::membership;
 use crate::prelude::*;
 
 /// Time within which a broken stream must continue.
@@ -46,6 +47,9 @@
         }
         self.membership.reset_connect_failures(server);
         self.record_response(now, server);
+        if is_first_begin {
+            self.note_software(request, server);
+        }
         if let Some(cached) = cached_tokens
             && is_first_begin
         {
@@ -58,6 +62,14 @@
         }
     }
 
+    /// Notes the version of the software that has begun the answer to a request.
+    fn note_software(&mut self, request: attempt::Key, server: membership::Key) {
+        let software = self.membership.get(server).and_then(|server| server.software.clone());
+        if let Some(state) = self.requests.get_mut(&request) {
+            state.software = software;
+        }
+    }
+
     fn attempt_ended(&mut self, now: Time, request: attempt::Key, outcome: Outcome) {
         self.record_outcome(now, request, &outcome);
         let may_retry = match outcome {
--- a/src/control/tests/servers.rs
+++ b/src/control/tests/servers.rs
@@ -380,6 +380,30 @@
     assert_eq!(find_refusal(&effects), Some((Code::GenerationFailed, Execution::Unknown)));
 }
 
+/// An engine's report with a version of its software.
+fn report_of_software(software: &str) -> crate::membership::Report {
+    crate::membership::Report { software: Some(software.into()), ..report("one", "v1") }
+}
+
+#[test]
+fn broken_stream_continues_only_at_the_software_version_that_began_it() {
+    for (other, continues) in [("s1", true), ("s2", false)] {
+        let mut fixture = Fixture::new();
+        fixture.deliver_report("engine-0", report_of_software("s1"));
+        fixture.deliver_report("engine-1", report_of_software("s1"));
+        let (request, effects) = fixture.send_request("w", "v1");
+        let first = find_dispatch(&effects).expect("the request is dispatched").id.clone();
+        fixture.begin_answer(request, 1);
+        let second = if first == "engine-0" { "engine-1" } else { "engine-0" };
+        fixture.deliver_report(second, report_of_software(other));
+        // The stream is resumed at its engine, in vain.
+        fixture.end_attempt(request, 1, Outcome::Broken("cut".into()));
+        let effects = fixture.end_attempt(request, 2, Outcome::Broken("cut again".into()));
+        let next = find_dispatch(&effects).map(|dispatch| dispatch.id.as_str());
+        assert_eq!(next == Some(second), continues, "{next:?} after {first}");
+    }
+}
+
 #[test]
 fn failure_reports_execution() {
     let cases = [
--- a/src/membership/report.rs
+++ b/src/membership/report.rs
@@ -43,6 +43,9 @@
     /// Whether the engine is draining.
     #[serde(default)]
     pub leaving: bool,
+    /// Version of the engine's software; `None` for an engine that does not state it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub software: Option<String>,
     /// Loaded weights versions by model.
     pub weights: BTreeMap<String, BTreeSet<String>>,
     /// Running requests.
--- a/src/membership/state.rs
+++ b/src/membership/state.rs
@@ -45,6 +45,8 @@
     pub draining: bool,
     /// Last reported incarnation; `None` before the first report.
     pub incarnation: Option<String>,
+    /// Last reported version of its software, if it states one.
+    pub software: Option<String>,
     /// Loaded weights versions by model.
     pub weights: BTreeMap<String, BTreeSet<String>>,
     /// Last reported load.
@@ -72,6 +74,7 @@
             vm,
             draining: false,
             incarnation: None,
+            software: None,
             weights: BTreeMap::new(),
             load,
             next_seq: 0,
@@ -276,6 +279,7 @@
             }
             server.next_seq = report.next_seq;
         }
+        server.software.clone_from(&report.software);
         server.weights.clone_from(&report.weights);
         server.load = Load {
             read_at: now,
--- a/standin/src/engine.rs
+++ b/standin/src/engine.rs
@@ -205,6 +205,7 @@
         incarnation: state.incarnation.clone(),
         from,
         leaving: state.draining,
+        software: None,
         weights: state.weights.clone(),
         running: state.running,
         waiting: state.prefills.len() as u32,
--- a/standin/src/replay/world/daemons.rs
+++ b/standin/src/replay/world/daemons.rs
@@ -166,6 +166,7 @@
                 incarnation: state.incarnation.to_string(),
                 from,
                 leaving: false,
+                software: None,
                 weights: BTreeMap::from([("m".into(), BTreeSet::from(["v1".to_owned()]))]),
                 running: state.running,
                 waiting: state.waiting(),
