One version that serves is taken for the only one only if a daemon has watched for as long as a stream can last

What callers would see: all daemons are killed as a release ends; they start, see the new version alone, and go on at it with streams of the former one.

Cause: a daemon that no one could tell a stream's version went on at the one version that it saw, a guess. And a read of the servers counted as recent for 3 s, though a daemon hears of one each 1.3 s.

Change: such a stream is refused (2015) unless a daemon, this one or one that is asked, has watched the pool with one version for twice the route's timeout. A read counts for 1.5 s.

Cost: for so long after all daemons have started, takeups are refused, also where no release went on. Weighed: a record in the platform's store of each release, which would prove the rest at a start; left for later.

Tests: stream_is_refused_if_all_daemons_have_started_since_it_can_have_begun fails without the change. stream_of_an_unknown_version_goes_on_where_one_has_served_alone now lets the daemons watch first: before that, what it asked for is the guess above; what it asserts is the same.

--- a/src/fleet/streams/lookup.rs
+++ b/src/fleet/streams/lookup.rs
@@ -12,9 +12,12 @@
 const LOOKUP_TIMEOUT: Duration = Duration::from_millis(150);
 /// The same while this daemon sees a single version, and only lacks proof that no other has served recently.
 const PROOF_TIMEOUT: Duration = Duration::from_millis(40);
-/// Age of the last read of the servers from which this daemon may have missed a new version. Each daemon learns of a
-/// read within half of this.
-const MAX_VIEW_AGE: Duration = Duration::from_secs(3);
+/// Age of the last read of the servers from which this daemon may have missed a new version. A daemon that learns of no
+/// read reads by itself before that.
+const MAX_VIEW_AGE: Duration = Duration::from_millis(1_500);
+/// Multiple of its route's timeout within which a stream has begun: an answer is cut at the timeout, and callers go on
+/// for a last time after that.
+const MAX_AGE_IN_TIMEOUTS: u32 = 2;
 /// Number of peers from which a daemon of a large fleet hears at least, unless it is partitioned.
 const MIN_PEERS_HEARD: usize = 8;
 
@@ -31,7 +34,7 @@
             return self.resume_at(now, key, software);
         }
         let Some(stream) = request.stream() else { return self.resume_unknown(now, key) };
-        let pool = request.pool.clone();
+        let (pool, max_age) = (request.pool.clone(), max_age(request));
         let asked = self.daemons_to_ask(now, stream);
         if asked.is_empty() {
             return self.resume_unknown(now, key);
@@ -41,7 +44,7 @@
         }
         self.streams.lookups.insert(key);
         let daemon = self.identity.id.clone();
-        let lookup = Lookup { daemon, request: key, stream, pool };
+        let lookup = Lookup { daemon, request: key, stream, pool, max_age };
         let frame = Frame::Streams(Message::Lookup(lookup));
         self.effects.push(Effect::Send(asked.into_iter().collect(), frame));
         true
@@ -50,14 +53,14 @@
     /// The version of the stream that a request takes up, as far as this daemon knows by itself.
     fn known_software(&self, now: Time, request: &Request) -> Option<Software> {
         let noted = request.stream().and_then(|stream| self.streams.software(now, stream));
-        noted.or_else(|| self.proven_software(now, &request.pool))
+        noted.or_else(|| self.proven_software(now, &request.pool, max_age(request)))
     }
 
-    /// The version of a pool's servers, if this daemon has seen that no other has served since the oldest stream began.
-    fn proven_software(&self, now: Time, pool: &str) -> Option<Software> {
+    /// The version of a pool's servers, if this daemon has seen that no other has served for `max_age`.
+    fn proven_software(&self, now: Time, pool: &str, max_age: Duration) -> Option<Software> {
         let since = self.streams.watched_since?;
-        let has_watched = now >= since + MAX_STREAM_AGE && self.sees_servers(now);
-        self.pools.get(pool).filter(|_| has_watched)?.versions.only(now)
+        let has_watched = now >= since + max_age && self.sees_servers(now);
+        self.pools.get(pool).filter(|_| has_watched)?.versions.only(now, max_age)
     }
 
     /// Whether this daemon knows the servers that are registered now: from a recent read, its own or a peer's. While
@@ -82,7 +85,7 @@
     fn answer_lookup(&mut self, now: Time, lookup: &Lookup) {
         let Some(address) = self.peer_address(&lookup.daemon) else { return };
         let noted = self.streams.software(now, lookup.stream);
-        let software = noted.or_else(|| self.proven_software(now, &lookup.pool));
+        let software = noted.or_else(|| self.proven_software(now, &lookup.pool, lookup.max_age));
         let frame = Frame::Streams(Message::Found(lookup.request, lookup.stream, software));
         self.effects.push(Effect::Send(vec![address], frame));
     }
@@ -162,17 +165,9 @@
         if versions.is_none_or(|versions| versions.count(now) == 0) {
             return false;
         }
-        match versions.and_then(|versions| versions.only(now)).filter(|_| self.sees_servers(now)) {
-            Some(software) => {
-                self.log_taken_up(key, "the only one that serves");
-                self.resume_at(now, key, software)
-            }
-            None => {
-                self.log_taken_up(key, "unknown");
-                self.refuse(now, key, Code::StreamVersionUnknown);
-                true
-            }
-        }
+        self.log_taken_up(key, "unknown");
+        self.refuse(now, key, Code::StreamVersionUnknown);
+        true
     }
 
     /// Refuses a request, or ends its answer as broken, if no server of the version that began its stream is left.
@@ -195,3 +190,8 @@
         !servers.any(|(key, _)| stays(*key))
     }
 }
+
+/// The longest time since a stream that a request takes up has begun.
+fn max_age(request: &Request) -> Duration {
+    (request.arrival.route.timeout * MAX_AGE_IN_TIMEOUTS).min(MAX_STREAM_AGE)
+}
--- a/src/fleet/streams/wire.rs
+++ b/src/fleet/streams/wire.rs
@@ -30,6 +30,8 @@
     stream: u64,
     #[prost(string, tag = "4")]
     pool: String,
+    #[prost(uint32, tag = "5")]
+    max_age_ms: u32,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -58,9 +60,13 @@
     body: Option<Body>,
 }
 
+fn millis(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+}
+
 impl From<Kept> for WireKept {
     fn from(kept: Kept) -> Self {
-        let time_left_ms = u32::try_from(kept.time_left.as_millis()).unwrap_or(u32::MAX);
+        let time_left_ms = millis(kept.time_left);
         Self { stream: kept.stream.0, software: kept.software.0, time_left_ms }
     }
 }
@@ -87,6 +93,7 @@
                 request: lookup.request.0,
                 stream: lookup.stream.0,
                 pool: lookup.pool,
+                max_age_ms: millis(lookup.max_age),
             }),
             super::Message::Found(request, stream, software) => Body::Found(WireFound {
                 request: request.0,
@@ -111,6 +118,7 @@
                 request: Key(lookup.request),
                 stream: StreamId(lookup.stream),
                 pool: lookup.pool,
+                max_age: Duration::from_millis(u64::from(lookup.max_age_ms)),
             })),
             Some(Body::Found(found)) => Ok(Self::Found(
                 Key(found.request),
--- a/src/fleet/tests/software/mod.rs
+++ b/src/fleet/tests/software/mod.rs
@@ -8,9 +8,12 @@
 use super::world::*;
 use crate::fleet::*;
 use crate::poison::Fingerprint;
+use crate::prelude::*;
 use crate::route::Repeat;
 
 const DAEMONS: u8 = 7;
+/// Time within which a stream of these routes has begun: twice their timeout.
+const MAX_AGE: Duration = Duration::from_secs(10);
 /// Streams with events of two versions that callers bear on a day.
 const MAX_MIXED: usize = 2;
 /// Number of takeups from which their share that goes on must be at least half of that of new streams.
@@ -263,6 +266,7 @@
 #[test]
 fn stream_of_an_unknown_version_goes_on_where_one_has_served_alone() {
     let mut release = Release::new(3);
+    release.site.advance(MAX_AGE);
     for start in [Start::Resumed(None), Start::Resumed(Some("unknown".into()))] {
         for daemon in 0..usize::from(DAEMONS) {
             let key = release.arrive(daemon, start.clone());
@@ -273,6 +277,22 @@
     }
 }
 
+#[test]
+fn stream_is_refused_if_all_daemons_have_started_since_it_can_have_begun() {
+    let mut release = Release::new(3);
+    let (key, _) = release.begin(0);
+    release.register(&engines("v2", 9));
+    // All daemons end, and so do the servers of v1, before they start again.
+    for daemon in 0..usize::from(DAEMONS) {
+        release.site.restart(daemon, &borrowed(&engines("v2", 9)));
+    }
+    release.site.advance(ms(1_000));
+    assert_eq!(version_of(&release.take_up(1, key, 0)), None);
+    // Once they have seen v2 alone for as long as a stream can last, all streams are of v2.
+    release.site.advance(MAX_AGE);
+    assert_eq!(version_of(&release.take_up(1, key, 0)), Some("v2"));
+}
+
 #[test]
 fn stream_taken_up_is_refused_at_once_if_its_version_is_gone() {
     let mut release = Release::new(3);
