--- a/src/relay/tests/delivery.rs
+++ b/src/relay/tests/delivery.rs
@@ -276,6 +276,30 @@
     assert_eq!(fixture.receive_report(), (2, Report::Ended));
 }
 
+// The second attempt was chosen before the first one began the stream, and would go on at another version.
+#[test]
+fn run_deferred_dispatch_to_another_software_version_ends_the_answer_as_broken() {
+    let mut fixture = Fixture::start(true);
+    let first = EVENTS[0];
+    let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", first.len() + 100);
+    let cut = serve_once(format!("{head}{first}id: 2").into_bytes());
+    let second = TcpListener::bind("127.0.0.1:0").expect("a loopback port is available");
+    second.set_nonblocking(true).expect("the listener can be polled");
+    let address = second.local_addr().expect("the listener is bound");
+    let Command::Dispatch(mut other) = dispatch(2, address) else { panic!("it is a dispatch") };
+    other.software = Software::of("engines", "v2");
+    let (_, commands) = fixture.receive_arrival();
+    commands.try_send(dispatch(1, cut)).expect("the delivery awaits a command");
+    assert_eq!(fixture.receive_report(), (1, Report::Begun(None)));
+    fixture.wait_for_answer();
+    commands.try_send(Command::Dispatch(other)).expect("the command channel is open");
+    let mut received = Vec::new();
+    fixture.caller.read_to_end(&mut received).ok();
+    let received = String::from_utf8_lossy(&received).into_owned();
+    assert!(received.contains(first) && !received.ends_with("0\r\n\r\n"), "{received}");
+    assert!(second.accept().is_err(), "the request was sent to the other version");
+}
+
 #[test]
 fn relay_stream_cut_at_any_byte_resumes_without_gap_or_repeat() {
     let whole = EVENTS.concat();
