An error on a streaming route begins no stream

What callers would see: a server fails a request for a stream before its first event; the request is then bound to the software version of that server, and ends if it was the last one.

Cause: the relay reported an answer as begun at the head of an error, too.

Change: on a streaming route, an answer has begun with its first event.

Test: relay_error_answer_on_a_streaming_route_begins_no_stream, seen to fail before (Begun came first).

--- a/src/fleet/message.rs
+++ b/src/fleet/message.rs
@@ -68,7 +68,7 @@
 /// A state change of one attempt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Report {
-    /// The answer has begun, from this version of the weights.
+    /// The answer has begun, or the first event of a stream is there, from this version of the weights.
     Begun(Option<u64>),
     /// The answer is complete.
     Ended,
--- a/src/relay/delivery.rs
+++ b/src/relay/delivery.rs
@@ -303,7 +303,10 @@
         mut answer: Answer,
         weights: Option<u64>,
     ) -> Attempt {
-        self.send_report(dispatch, Report::Begun(weights));
+        // A stream has begun once its caller has an event; an error brings none.
+        if !self.route.is_streaming {
+            self.send_report(dispatch, Report::Begun(weights));
+        }
         let body = match answer.read_whole(MAX_ANSWER_BYTES).await {
             Ok(body) => body,
             Err(cut) => return self.answer_cut(dispatch, &answer, None, &cut),
--- a/src/relay/tests/delivery.rs
+++ b/src/relay/tests/delivery.rs
@@ -276,6 +276,16 @@
     assert_eq!(fixture.receive_report(), (2, Report::Ended));
 }
 
+// A stream is bound to the software version of the server that began it. An error begins none.
+#[test]
+fn relay_error_answer_on_a_streaming_route_begins_no_stream() {
+    let fixture = Fixture::start(true);
+    let failing = serve_once(b"HTTP/1.1 500 Failed\r\nContent-Length: 2\r\n\r\nno".to_vec());
+    let (_, commands) = fixture.receive_arrival();
+    commands.try_send(dispatch(1, failing)).expect("the delivery awaits a command");
+    assert_eq!(fixture.receive_report(), (1, Report::Failed));
+}
+
 // The second attempt was chosen before the first one began the stream, and would go on at another version.
 #[test]
 fn run_deferred_dispatch_to_another_software_version_ends_the_answer_as_broken() {
