A request whose stream is being looked up is refused when its daemon's stop is cut short

What callers would see: a closed connection instead of "not run" (2006) for a takeup that waits for other daemons, 150 ms at most, when the time for a planned stop runs out.

Cause: the end of a stop refuses requests that wait, are at schedulers or lack a quota's decision, and knew no lookups.

Test: stream_whose_version_is_looked_up_is_refused_when_its_daemon_stops, seen to fail before. Beside it, the choice of keepers stands once (streams/keeping.rs).

--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -329,7 +329,10 @@
             self.requests.iter().filter(|(_, request)| request.is_awaiting_scheduler());
         let at_schedulers = at_schedulers.map(|(key, _)| *key);
         let undecided = self.quota_leadership.undecided.iter().copied();
-        let waiting: Vec<Key> = waiting.chain(at_schedulers).chain(undecided).collect();
+        let looking_up = self.requests.iter().filter(|(_, request)| request.is_looking_up());
+        let looking_up = looking_up.map(|(key, _)| *key);
+        let waiting = waiting.chain(at_schedulers).chain(undecided).chain(looking_up);
+        let waiting: Vec<Key> = waiting.collect();
         for key in waiting {
             self.refuse(now, key, Code::Draining);
         }
--- a/src/fleet/request.rs
+++ b/src/fleet/request.rs
@@ -1,7 +1,7 @@
 //! The state of one request and its attempts.
 
 use super::scheduling::{Origin, Stage};
-use super::{Arrival, Software, server};
+use super::{Arrival, Software, Start, StreamId, server};
 use crate::prelude::*;
 use crate::route::Repeat;
 
@@ -84,6 +84,18 @@
         }
     }
 
+    /// Returns the stream that it begins or takes up; `None` for other requests, and if its caller does not name the
+    /// stream.
+    pub(super) fn stream(&self) -> Option<StreamId> {
+        let arrival = &self.arrival;
+        let workspace = arrival.workspace.as_ref().map_or("", |owner| owner.name.as_str());
+        match &arrival.start {
+            _ if !arrival.route.is_streaming => None,
+            Start::New => Some(StreamId::of(workspace, &arrival.id)),
+            Start::Resumed(first) => Some(StreamId::of(workspace, first.as_deref()?)),
+        }
+    }
+
     /// Returns the version to which an attempt was sent.
     pub(super) fn software_of(&self, attempt: u32) -> Option<Software> {
         let sent = self.sent_software.iter().find(|(number, _)| *number == attempt);
@@ -101,6 +113,11 @@
         matches!(self.phase, Phase::Submitted(Stage::AwaitingVerdict(_) | Stage::Queued))
     }
 
+    /// Returns whether it waits for the version that began its stream.
+    pub(super) fn is_looking_up(&self) -> bool {
+        matches!(self.phase, Phase::LookingUp { .. })
+    }
+
     /// Returns whether it was sent and its answer has not begun.
     pub(super) fn is_unanswered(&self) -> bool {
         let sent = matches!(
--- a/src/fleet/streams/keeping.rs
+++ b/src/fleet/streams/keeping.rs
@@ -7,7 +7,7 @@
 
 use super::{Kept, Message, StreamId};
 use crate::fleet::scheduling::Rank;
-use crate::fleet::{Effect, Frame, Key, Node, Start};
+use crate::fleet::{Effect, Frame, Key, Node};
 use crate::prelude::*;
 
 /// Number of daemons that keep the version of a stream, besides the one that serves it.
@@ -64,11 +64,7 @@
             return;
         };
         let mut streams = self.streams.list(now, true);
-        streams.retain(|kept| {
-            let keepers = self.ranked_keepers(now, kept.stream);
-            let mut keepers = keepers.iter().filter(|keeper| self.may_keep(now, keeper));
-            keepers.by_ref().take(KEEPERS_PER_STREAM).any(|keeper| keeper == id)
-        });
+        streams.retain(|kept| self.keepers(now, kept.stream).iter().any(|keeper| keeper == id));
         if !streams.is_empty() {
             let frame = Frame::Streams(Message::Keep(streams));
             self.effects.push(Effect::Send(vec![address], frame));
@@ -98,10 +94,8 @@
     fn send_to_keepers(&mut self, now: Time, streams: Vec<Kept>) {
         let mut by_keeper: BTreeMap<SocketAddr, Vec<Kept>> = BTreeMap::new();
         for kept in streams {
-            let keepers = self.ranked_keepers(now, kept.stream);
-            let heard = keepers.iter().filter(|id| self.may_keep(now, id));
-            let addresses = heard.filter_map(|id| self.peer_address(id));
-            for address in addresses.take(KEEPERS_PER_STREAM) {
+            let keepers = self.keepers(now, kept.stream);
+            for address in keepers.iter().filter_map(|id| self.peer_address(id)) {
                 by_keeper.entry(address).or_default().push(kept);
             }
         }
@@ -111,6 +105,14 @@
         }
     }
 
+    /// The daemons that are to keep the version of a stream.
+    fn keepers(&mut self, now: Time, stream: StreamId) -> Vec<String> {
+        let mut keepers = self.ranked_keepers(now, stream);
+        keepers.retain(|id| self.may_keep(now, id));
+        keepers.truncate(KEEPERS_PER_STREAM);
+        keepers
+    }
+
     /// Whether nothing is known against a keeper. In a large fleet, a daemon does not hear from most others, and one
     /// that has just started has heard from none.
     fn may_keep(&self, now: Time, id: &str) -> bool {
@@ -150,16 +152,3 @@
         self.streams.keepers = keepers.collect();
     }
 }
-
-impl crate::fleet::request::Request {
-    /// The stream that it begins or takes up; `None` for other requests, and if its caller does not name the stream.
-    pub(super) fn stream(&self) -> Option<StreamId> {
-        let arrival = &self.arrival;
-        let workspace = arrival.workspace.as_ref().map_or("", |owner| owner.name.as_str());
-        match &arrival.start {
-            _ if !arrival.route.is_streaming => None,
-            Start::New => Some(StreamId::of(workspace, &arrival.id)),
-            Start::Resumed(first) => Some(StreamId::of(workspace, first.as_deref()?)),
-        }
-    }
-}
--- a/src/fleet/streams/lookup.rs
+++ b/src/fleet/streams/lookup.rs
@@ -125,8 +125,8 @@
 
     fn end_lookup(&mut self, now: Time, key: Key, software: Option<Software>) {
         self.streams.lookups.remove(&key);
-        let is_looking = |request: &&mut Request| matches!(request.phase, Phase::LookingUp { .. });
-        let Some(request) = self.requests.get_mut(&key).filter(is_looking) else { return };
+        let request = self.requests.get_mut(&key).filter(|request| request.is_looking_up());
+        let Some(request) = request else { return };
         request.phase = Phase::Waiting(now);
         let is_refused = match software {
             Some(software) => {
--- a/src/fleet/tests/software/mod.rs
+++ b/src/fleet/tests/software/mod.rs
@@ -215,6 +215,22 @@
     }
 }
 
+#[test]
+fn stream_whose_version_is_looked_up_is_refused_when_its_daemon_stops() {
+    let mut release = Release::new(3);
+    release.register(&engines("v2", 9));
+    let (key, _) = release.begin(0);
+    // No keeper answers.
+    release.site.down.extend(2..usize::from(DAEMONS));
+    release.site.daemons[1].start = Start::Resumed(Some(id_of(key, 0)));
+    release.site.cut_links.insert((1, 0));
+    let taken_up = release.site.arrive(1, "engines", Repeat::Resumable);
+    release.site.apply(1, Message::Stop);
+    release.site.apply(1, Message::StopDeadline);
+    let commands = release.site.commands(1, taken_up);
+    assert!(matches!(commands[..], [Command::Refuse(Code::Draining, _)]), "{commands:?}");
+}
+
 #[test]
 fn few_servers_of_a_version_get_no_more_streams_than_they_have_slots() {
     let mut release = Release::new(1);
