--- a/src/fleet/tests/software/mod.rs
+++ b/src/fleet/tests/software/mod.rs
@@ -219,13 +219,12 @@
 fn stream_whose_version_is_looked_up_is_refused_when_its_daemon_stops() {
     let mut release = Release::new(3);
     release.register(&engines("v2", 9));
-    let (key, _) = release.begin(0);
-    // No keeper answers.
-    release.site.down.extend(2..usize::from(DAEMONS));
-    release.site.daemons[1].start = Start::Resumed(Some(id_of(key, 0)));
-    release.site.cut_links.insert((1, 0));
+    // No other daemon answers.
+    release.site.down.extend((0..usize::from(DAEMONS)).filter(|daemon| *daemon != 1));
+    release.site.daemons[1].start = Start::Resumed(Some("unknown".into()));
     let taken_up = release.site.arrive(1, "engines", Repeat::Resumable);
     release.site.apply(1, Message::Stop);
+    assert!(release.site.commands(1, taken_up).is_empty(), "the version is looked up");
     release.site.apply(1, Message::StopDeadline);
     let commands = release.site.commands(1, taken_up);
     assert!(matches!(commands[..], [Command::Refuse(Code::Draining, _)]), "{commands:?}");
