Names: bindings of streams and their replicas

The word for what daemons note of a stream was keeping; the field's is a binding and its replicas. No behaviour changes: the tests of the fleet pass as they are, two of them under names that follow.

--- a/src/fleet/gossip.rs
+++ b/src/fleet/gossip.rs
@@ -325,7 +325,7 @@
             self.apply_peer_completeness(now, report, delay);
             if restarted {
                 self.drop_past_incarnations(now, &daemon, incarnation);
-                self.send_own_streams_to(now, &daemon);
+                self.restore_replicas(now, &daemon);
             }
         }
         self.peer_loads_stale = true;
--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -315,7 +315,7 @@
             self.draining = true;
             self.event(Event::StopRequested, Detail::none());
             self.send_digests(now);
-            self.hand_over_streams(now);
+            self.replicate_all_streams(now);
             self.return_queued_requests(now);
         }
     }
--- a/src/fleet/replication/records.rs
+++ b/src/fleet/replication/records.rs
@@ -226,7 +226,7 @@
         let was_mixed = pool.versions.count(now) > 1;
         pool.versions.add(software, key, &incarnation.id);
         if !was_mixed && pool.versions.count(now) > 1 {
-            self.send_own_streams(now);
+            self.replicate_own_streams(now);
         }
         self.schedule_event_read(Location::Engine(key), Time::ZERO);
         self.refresh_outdated_server(key);
--- a/src/fleet/reports.rs
+++ b/src/fleet/reports.rs
@@ -10,7 +10,7 @@
         match report {
             // An attempt that writes to the caller stays, also if another one was to replace it.
             Report::Begun(_) => self.bind_stream(now, key, attempt),
-            Report::Ended => self.forget_stream(key),
+            Report::Ended => self.unbind_stream(key),
             Report::Refused(_) | Report::Unsent | Report::Lost(_) | Report::Failed => {}
         }
         let Some(request) = self.requests.get_mut(&key) else { return };
--- a/src/fleet/streams/lookup.rs
+++ b/src/fleet/streams/lookup.rs
@@ -7,23 +7,23 @@
 
 use super::software::MAX_STREAM_AGE;
 
-/// Time limit for the answers of other daemons: many round trips within a region, and short relative to the pauses
+/// Time limit for the replies of other daemons: many round trips within a region, and short relative to the pauses
 /// that callers accept.
 const LOOKUP_TIMEOUT: Duration = Duration::from_millis(150);
-/// The same while this daemon sees a single version, and only lacks proof that no other has served recently.
+/// The same while this daemon knows a single version, and only lacks proof that no other has served recently.
 const PROOF_TIMEOUT: Duration = Duration::from_millis(40);
-/// Age of the last read of the servers from which this daemon may have missed a new version. A daemon that learns of no
-/// read reads by itself before that.
+/// Age of the last known read of the servers from which this daemon may have missed a new version. A daemon that knows of
+/// no recent read makes one sooner than that.
 const MAX_VIEW_AGE: Duration = Duration::from_millis(1_500);
 /// Multiple of its route's timeout within which a stream has begun: an answer is cut at the timeout, and callers go on
 /// for a last time after that.
 const MAX_AGE_IN_TIMEOUTS: u32 = 2;
-/// Number of peers from which a daemon of a large fleet hears at least, unless it is partitioned.
-const MIN_PEERS_HEARD: usize = 8;
+/// Number of peers whose digests a daemon of a large fleet gets at least, unless it is partitioned.
+const MIN_FRESH_PEERS: usize = 8;
 
 impl Node {
-    /// Finds the version of the stream that a new request takes up, if it does. Returns whether the request waits for
-    /// that, or was refused.
+    /// Finds the version of the stream that a request takes up, if it does. Returns whether the request waits for
+    /// that or was refused.
     pub(in crate::fleet) fn look_up_stream(&mut self, now: Time, key: Key) -> bool {
         let Some(request) = self.requests.get(&key) else { return true };
         if request.arrival.start == Start::New {
@@ -50,31 +50,31 @@
         true
     }
 
-    /// The version of the stream that a request takes up, as far as this daemon knows by itself.
+    /// The version of the stream that a request takes up, from this daemon's own state.
     fn known_software(&self, now: Time, request: &Request) -> Option<Software> {
-        let noted = request.stream().and_then(|stream| self.streams.software(now, stream));
-        noted.or_else(|| self.proven_software(now, &request.pool, max_age(request)))
+        let bound = request.stream().and_then(|stream| self.streams.software(now, stream));
+        bound.or_else(|| self.proven_software(now, &request.pool, max_age(request)))
     }
 
-    /// The version of a pool's servers, if this daemon has seen that no other has served for `max_age`.
+    /// The version of a pool's servers, if it is proven that no other has served for `max_age`.
     fn proven_software(&self, now: Time, pool: &str, max_age: Duration) -> Option<Software> {
         let since = self.streams.watched_since?;
         let has_watched = now >= since + max_age && self.sees_servers(now);
         self.pools.get(pool).filter(|_| has_watched)?.versions.only(now, max_age)
     }
 
-    /// Whether this daemon knows the servers that are registered now: from a recent read, its own or a peer's. While
-    /// the store is down for all, no server is added; a daemon that hears from few peers may be partitioned.
+    /// Whether this daemon knows the servers that are registered now: by a recent read, its own or a peer's. While
+    /// the store is down for all, no server is added. A daemon with few fresh peers may be partitioned instead.
     fn sees_servers(&self, now: Time) -> bool {
         let read_at = self.read_at.get(&Topic::Servers);
-        let heard = self.peers.len().div_ceil(2).min(MIN_PEERS_HEARD);
-        read_at.is_some_and(|at| now < *at + MAX_VIEW_AGE) || self.fresh_peer_count(now) >= heard
+        let needed = self.peers.len().div_ceil(2).min(MIN_FRESH_PEERS);
+        read_at.is_some_and(|at| now < *at + MAX_VIEW_AGE) || self.fresh_peer_count(now) >= needed
     }
 
     /// Handles a message about versions of streams.
     pub(in crate::fleet) fn handle_streams(&mut self, now: Time, message: Message) {
         match message {
-            Message::Keep(streams) => self.keep_streams(now, streams),
+            Message::Replicate(streams) => self.store_replicas(now, streams),
             Message::Lookup(lookup) => self.answer_lookup(now, &lookup),
             Message::Found(request, stream, software) => {
                 self.handle_found(now, request, stream, software);
@@ -84,8 +84,8 @@
 
     fn answer_lookup(&mut self, now: Time, lookup: &Lookup) {
         let Some(address) = self.peer_address(&lookup.daemon) else { return };
-        let noted = self.streams.software(now, lookup.stream);
-        let software = noted.or_else(|| self.proven_software(now, &lookup.pool, lookup.max_age));
+        let bound = self.streams.software(now, lookup.stream);
+        let software = bound.or_else(|| self.proven_software(now, &lookup.pool, lookup.max_age));
         let frame = Frame::Streams(Message::Found(lookup.request, lookup.stream, software));
         self.effects.push(Effect::Send(vec![address], frame));
     }
@@ -130,7 +130,7 @@
         request.phase = Phase::Waiting(now);
         let is_refused = match software {
             Some(software) => {
-                self.log_taken_up(key, "told by another daemon");
+                self.log_taken_up(key, "from another daemon");
                 self.resume_at(now, key, software)
             }
             None => self.resume_unknown(now, key),
@@ -158,7 +158,8 @@
         self.refuse_if_version_gone(now, key)
     }
 
-    /// Continues with a stream whose version no daemon knows. Returns whether the request is refused.
+    /// Refuses a request whose stream has an unknown version. Returns false if the pool has no servers, which placement
+    /// handles.
     fn resume_unknown(&mut self, now: Time, key: Key) -> bool {
         let Some(request) = self.requests.get(&key) else { return true };
         let versions = self.pools.get(&request.pool).map(|pool| &pool.versions);
--- a/src/fleet/streams/message.rs
+++ b/src/fleet/streams/message.rs
@@ -4,21 +4,21 @@
 use crate::fleet::Key;
 use crate::prelude::*;
 
-/// The version of a stream that a daemon has others keep.
+/// The software version that began a stream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Kept {
+pub struct Binding {
     /// The stream.
     pub stream: StreamId,
-    /// The version that began it.
+    /// The version.
     pub software: Software,
-    /// Time for which it can be taken up.
+    /// Time for which the stream can still be taken up.
     pub time_left: Duration,
 }
 
-/// A question for the version of a stream.
+/// A query for the version that began a stream.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Lookup {
-    /// The daemon that asks.
+    /// The daemon that sends it.
     pub daemon: String,
     /// Its key of the request that takes the stream up.
     pub request: Key,
@@ -33,10 +33,10 @@
 /// A message about software versions of streams.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Message {
-    /// Versions to keep.
-    Keep(Vec<Kept>),
-    /// A question.
+    /// Replicas of bindings.
+    Replicate(Vec<Binding>),
+    /// A query.
     Lookup(Lookup),
-    /// The answer: the request and the stream of the question, and the version if it is known.
+    /// The reply: the request and the stream of the query, and the version if the daemon has it.
     Found(Key, StreamId, Option<Software>),
 }
--- a/src/fleet/streams/mod.rs
+++ b/src/fleet/streams/mod.rs
@@ -2,23 +2,23 @@
 //!
 //! Servers of several software versions may serve a pool side by side, and what two versions write does not fit
 //! together. Within one answer, the daemon binds a stream to the version of the server that brought its first event. A
-//! caller may also take a stream up at any daemon, and names the attempt that began it. So each daemon notes the
-//! versions of its streams, and has a few others keep them while a pool has several versions:
+//! caller may also take a stream up at any daemon, and names the attempt that began it. So each daemon records the
+//! bindings of its streams and, while a pool has several versions, replicates them to a few others:
 //!
-//! * The keepers of a stream are drawn by its id from the largest VMs, so that every daemon finds them. Their number,
-//!   and the connections to them, do not grow with the fleet.
-//! * A version is kept until the caller's deadline. While one version alone has served, nothing is sent.
-//! * A daemon that does not know the version of a stream asks the keepers. If none knows, and several versions serve,
-//!   the request is refused: it has not run.
+//! * The replicas of a binding are chosen by the stream's id among the daemons on the largest VMs, so that every daemon
+//!   finds them. Their number, and the connections to them, do not grow with the fleet.
+//! * A binding expires at the caller's deadline. While one version alone has served, nothing is replicated.
+//! * A daemon without a binding for a stream asks the replicas. If none has one, and several versions serve, the
+//!   request is refused: it has not run.
 
-mod keeping;
+mod binding;
 mod lookup;
 mod message;
 mod registry;
 mod software;
 mod wire;
 
-pub use message::{Kept, Lookup, Message};
+pub use message::{Binding, Lookup, Message};
 pub use registry::StreamId;
 pub(super) use registry::Streams;
 pub(super) use software::History;
--- a/src/fleet/streams/registry.rs
+++ b/src/fleet/streams/registry.rs
@@ -3,12 +3,12 @@
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use super::software::MAX_STREAM_AGE;
-use super::{Kept, Software};
+use super::{Binding, Software};
 use crate::fleet::Key;
 use crate::prelude::*;
 
-/// Maximum number of streams of which a daemon knows the version: some 6 MB. At 8,200 streams a second that ask 32
-/// daemons to keep their versions for 15 s, three each, a daemon keeps some 12,000.
+/// Maximum number of bindings at a daemon. At 8,200 streams a second, each with three replicas at 32 daemons for 15 s, a
+/// daemon has some 12,000.
 const MAX_STREAMS: usize = 65_536;
 
 /// Hash of a workspace and of the id of the caller's attempt that began a stream.
@@ -27,48 +27,48 @@
     }
 }
 
-/// What is known of one stream.
+/// The binding of one stream.
 #[derive(Debug, Clone, Copy)]
-struct Known {
+struct Entry {
     software: Software,
     expires_at: Time,
-    /// Whether this daemon serves or served it.
+    /// Whether this daemon serves or served the stream.
     is_own: bool,
 }
 
-/// The streams whose version this daemon knows, and the requests that wait for a version.
+/// The bindings at this daemon, and the requests whose streams are looked up.
 #[derive(Debug, Default)]
 pub(in crate::fleet) struct Streams {
-    known: BTreeMap<StreamId, Known>,
+    entries: BTreeMap<StreamId, Entry>,
     by_expiry: BTreeSet<(Time, StreamId)>,
-    /// Requests that wait for the answers of keepers.
+    /// Requests that wait for replies to lookups.
     pub(in crate::fleet) lookups: BTreeSet<Key>,
     /// When this daemon first knew the servers.
     pub(in crate::fleet) watched_since: Option<Time>,
-    /// The daemons from which keepers are drawn.
-    pub(super) keepers: Vec<String>,
-    pub(super) keepers_listed_at: Option<Time>,
+    /// The daemons among which replicas are chosen.
+    pub(super) candidates: Vec<String>,
+    pub(super) candidates_listed_at: Option<Time>,
 }
 
 impl Streams {
-    /// Notes the version of a stream. If there are too many, those that expire first are dropped.
-    pub(super) fn insert(&mut self, now: Time, kept: Kept, is_own: bool) {
+    /// Adds a binding. If there are too many, the one that expires first is dropped.
+    pub(super) fn insert(&mut self, now: Time, binding: Binding, is_own: bool) {
         self.remove_expired(now);
-        let Kept { stream, software, time_left } = kept;
+        let Binding { stream, software, time_left } = binding;
         let expires_at = now + time_left.min(MAX_STREAM_AGE);
         self.remove(stream);
-        if self.known.len() >= MAX_STREAMS
+        if self.entries.len() >= MAX_STREAMS
             && let Some((_, first)) = self.by_expiry.first().copied()
         {
             self.remove(first);
         }
-        self.known.insert(stream, Known { software, expires_at, is_own });
+        self.entries.insert(stream, Entry { software, expires_at, is_own });
         self.by_expiry.insert((expires_at, stream));
     }
 
     pub(super) fn remove(&mut self, stream: StreamId) {
-        if let Some(known) = self.known.remove(&stream) {
-            self.by_expiry.remove(&(known.expires_at, stream));
+        if let Some(entry) = self.entries.remove(&stream) {
+            self.by_expiry.remove(&(entry.expires_at, stream));
         }
     }
 
@@ -81,25 +81,26 @@
         }
     }
 
-    /// The version of a stream.
+    /// The version that began a stream.
     pub(super) fn software(&self, now: Time, stream: StreamId) -> Option<Software> {
-        let known = self.known.get(&stream).filter(|known| now < known.expires_at);
-        known.map(|known| known.software)
+        let entry = self.entries.get(&stream).filter(|entry| now < entry.expires_at);
+        entry.map(|entry| entry.software)
     }
 
-    /// The streams that are known, or only those of this daemon.
-    pub(super) fn list(&self, now: Time, only_own: bool) -> Vec<Kept> {
-        let listed = self.known.iter().filter(|(_, known)| known.is_own || !only_own);
-        let kept = listed.map(|(stream, known)| Kept {
+    /// All bindings, or only those of this daemon's streams.
+    pub(super) fn list(&self, now: Time, only_own: bool) -> Vec<Binding> {
+        let listed = self.entries.iter().filter(|(_, entry)| entry.is_own || !only_own);
+        let listed = listed.filter(|(_, entry)| now < entry.expires_at);
+        let bindings = listed.map(|(stream, entry)| Binding {
             stream: *stream,
-            software: known.software,
-            time_left: known.expires_at.saturating_sub(now),
+            software: entry.software,
+            time_left: entry.expires_at - now,
         });
-        kept.filter(|kept| kept.time_left > Duration::ZERO).collect()
+        bindings.collect()
     }
 
-    /// Number of streams whose version is known.
+    /// Number of bindings.
     pub(in crate::fleet) fn len(&self) -> usize {
-        self.known.len()
+        self.entries.len()
     }
 }
--- a/src/fleet/streams/wire.rs
+++ b/src/fleet/streams/wire.rs
@@ -1,11 +1,11 @@
 //! Wire format of the messages about software versions of streams.
 
-use super::{Kept, Lookup, Software, StreamId};
+use super::{Binding, Lookup, Software, StreamId};
 use crate::fleet::{Key, Malformed};
 use crate::prelude::*;
 
 #[derive(Clone, PartialEq, prost::Message)]
-pub(in crate::fleet) struct WireKept {
+pub(in crate::fleet) struct WireBinding {
     #[prost(fixed64, tag = "1")]
     stream: u64,
     #[prost(fixed64, tag = "2")]
@@ -15,9 +15,9 @@
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
-pub(in crate::fleet) struct WireKeep {
+pub(in crate::fleet) struct WireReplicate {
     #[prost(message, repeated, tag = "1")]
-    streams: Vec<WireKept>,
+    bindings: Vec<WireBinding>,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -47,7 +47,7 @@
 #[derive(Clone, PartialEq, prost::Oneof)]
 pub(in crate::fleet) enum Body {
     #[prost(message, tag = "1")]
-    Keep(WireKeep),
+    Replicate(WireReplicate),
     #[prost(message, tag = "2")]
     Lookup(WireLookup),
     #[prost(message, tag = "3")]
@@ -64,15 +64,15 @@
     u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
 }
 
-impl From<Kept> for WireKept {
-    fn from(kept: Kept) -> Self {
-        let time_left_ms = millis(kept.time_left);
-        Self { stream: kept.stream.0, software: kept.software.0, time_left_ms }
+impl From<Binding> for WireBinding {
+    fn from(binding: Binding) -> Self {
+        let time_left_ms = millis(binding.time_left);
+        Self { stream: binding.stream.0, software: binding.software.0, time_left_ms }
     }
 }
 
-impl From<WireKept> for Kept {
-    fn from(wire: WireKept) -> Self {
+impl From<WireBinding> for Binding {
+    fn from(wire: WireBinding) -> Self {
         Self {
             stream: StreamId(wire.stream),
             software: Software(wire.software),
@@ -84,9 +84,9 @@
 impl From<super::Message> for Message {
     fn from(message: super::Message) -> Self {
         let body = match message {
-            super::Message::Keep(streams) => {
-                let streams = streams.into_iter().map(WireKept::from).collect();
-                Body::Keep(WireKeep { streams })
+            super::Message::Replicate(bindings) => {
+                let bindings = bindings.into_iter().map(WireBinding::from).collect();
+                Body::Replicate(WireReplicate { bindings })
             }
             super::Message::Lookup(lookup) => Body::Lookup(WireLookup {
                 daemon: lookup.daemon,
@@ -110,8 +110,8 @@
 
     fn try_from(wire: Message) -> Result<Self, Malformed> {
         match wire.body {
-            Some(Body::Keep(keep)) => {
-                Ok(Self::Keep(keep.streams.into_iter().map(Kept::from).collect()))
+            Some(Body::Replicate(replicate)) => {
+                Ok(Self::Replicate(replicate.bindings.into_iter().map(Binding::from).collect()))
             }
             Some(Body::Lookup(lookup)) => Ok(Self::Lookup(Lookup {
                 daemon: lookup.daemon,
--- a/src/fleet/tests/frames.rs
+++ b/src/fleet/tests/frames.rs
@@ -76,7 +76,7 @@
         Frame::FetchResidency("router-2".into(), Holder::Store(([10, 0, 0, 9], 80).into())),
         Frame::Records(Batch { topic: Topic::Servers, from: 1, to: 3, records: records.clone() }),
         Frame::Snapshot(Batch { topic: Topic::Operator, from: 0, to: 3, records }),
-        Frame::Streams(streams::Message::Keep(vec![streams::Kept {
+        Frame::Streams(streams::Message::Replicate(vec![streams::Binding {
             stream: StreamId::of("lab", "r-1"),
             software: Software::of("engines", "v1"),
             time_left: Duration::from_millis(14_999),
--- a/src/fleet/tests/software/mod.rs
+++ b/src/fleet/tests/software/mod.rs
@@ -51,7 +51,7 @@
         Self { site, next_subject: 0 }
     }
 
-    /// Tells all running daemons of registrations.
+    /// Delivers registrations to all running daemons.
     fn register(&mut self, records: &[(String, String)]) {
         for index in 0..self.site.daemons.len() {
             if !self.site.down.contains(&index) {
@@ -187,7 +187,7 @@
 }
 
 #[test]
-fn stream_begun_right_after_the_start_of_its_daemon_is_kept() {
+fn stream_begun_right_after_the_start_of_its_daemon_is_replicated() {
     for begun_at in 0..usize::from(DAEMONS) {
         let mut release = Release::new(3);
         release.register(&engines("v2", 9));
@@ -200,7 +200,7 @@
 }
 
 #[test]
-fn stream_is_kept_again_by_daemons_that_have_restarted() {
+fn stream_is_replicated_again_to_daemons_that_have_restarted() {
     for begun_at in 0..usize::from(DAEMONS) {
         let mut release = Release::new(3);
         release.register(&engines("v2", 9));
@@ -235,13 +235,13 @@
     let mut release = Release::new(1);
     release.register(&engines("v2", 20));
     release.site.advance(ms(1_000));
-    let kept = streams::Kept {
+    let binding = streams::Binding {
         stream: StreamId::of("", "begun"),
         software: Software::of("engines", "v1"),
         time_left: ms(10_000),
     };
     for daemon in 0..usize::from(DAEMONS) {
-        let message = Message::Frame(Frame::Streams(streams::Message::Keep(vec![kept])));
+        let message = Message::Frame(Frame::Streams(streams::Message::Replicate(vec![binding])));
         release.site.apply(daemon, message);
     }
     let mut sent = 0;
