A daemon that was frozen or partitioned watches the servers anew

What callers would see: a stream of a new version goes on at the old one, at a daemon that has just come back.

Cause: a daemon that stood still gets its peers' digests before the records that it has missed. A digest says that the servers were read a moment ago; the daemon took that for its own view, and proved the one version that it knew.

Change: the proof needs an unbroken watch. A tick that is 500 ms late, or one at which the daemon does not see the servers, begins it anew, and a daemon that was frozen proves nothing before its next tick.

Tests: stream_is_refused_by_a_daemon_that_was_frozen_while_a_version_appeared, seen to fail before.

--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -347,6 +347,7 @@
     }
 
     fn tick(&mut self, now: Time) {
+        self.watch_servers(now);
         self.update_ranking(now);
         self.update_quota_role(now);
         self.gossip(now);
--- a/src/fleet/replication/records.rs
+++ b/src/fleet/replication/records.rs
@@ -58,7 +58,9 @@
         }
         match topic {
             Topic::Routers => self.refresh_ranking(now),
-            Topic::Servers => self.streams.watched_since = Some(now),
+            Topic::Servers => {
+                self.streams.watched_since.get_or_insert(now);
+            }
             Topic::Operator => {}
         }
     }
--- a/src/fleet/streams/lookup.rs
+++ b/src/fleet/streams/lookup.rs
@@ -18,6 +18,8 @@
 /// Multiple of its route's timeout within which a stream has begun: an answer is cut at the timeout, and callers go on
 /// for a last time after that.
 const MAX_AGE_IN_TIMEOUTS: u32 = 2;
+/// Time without a tick after which this daemon was frozen, and its peers' digests may arrive before what it has missed.
+const MAX_TICK_GAP: Duration = Duration::from_millis(500);
 /// Number of peers whose digests a daemon of a large fleet gets at least, unless it is partitioned.
 const MIN_FRESH_PEERS: usize = 8;
 
@@ -59,7 +61,7 @@
     /// The version of a pool's servers, if it is proven that no other has served for `max_age`.
     fn proven_software(&self, now: Time, pool: &str, max_age: Duration) -> Option<Software> {
         let since = self.streams.watched_since?;
-        let has_watched = now >= since + max_age && self.sees_servers(now);
+        let has_watched = now >= since + max_age && !self.was_frozen(now) && self.sees_servers(now);
         self.pools.get(pool).filter(|_| has_watched)?.versions.only(now, max_age)
     }
 
@@ -71,6 +73,20 @@
         read_at.is_some_and(|at| now < *at + MAX_VIEW_AGE) || self.fresh_peer_count(now) >= needed
     }
 
+    /// Whether this daemon has not run for a moment, and no tick has come since.
+    fn was_frozen(&self, now: Time) -> bool {
+        self.streams.last_tick_at.is_none_or(|at| now >= at + MAX_TICK_GAP)
+    }
+
+    /// Restarts the time for which the servers have been known if there was an interruption.
+    pub(in crate::fleet) fn watch_servers(&mut self, now: Time) {
+        let is_interrupted = self.was_frozen(now) || !self.sees_servers(now);
+        if is_interrupted && self.streams.watched_since.is_some() {
+            self.streams.watched_since = Some(now);
+        }
+        self.streams.last_tick_at = Some(now);
+    }
+
     /// Handles a message about versions of streams.
     pub(in crate::fleet) fn handle_streams(&mut self, now: Time, message: Message) {
         match message {
--- a/src/fleet/streams/registry.rs
+++ b/src/fleet/streams/registry.rs
@@ -43,8 +43,9 @@
     by_expiry: BTreeSet<(Time, StreamId)>,
     /// Requests that wait for replies to lookups.
     pub(in crate::fleet) lookups: BTreeSet<Key>,
-    /// When this daemon first knew the servers.
+    /// Since when this daemon has known all registered servers without interruption.
     pub(in crate::fleet) watched_since: Option<Time>,
+    pub(super) last_tick_at: Option<Time>,
     /// The daemons among which replicas are chosen.
     pub(super) candidates: Vec<String>,
     pub(super) candidates_listed_at: Option<Time>,
--- a/src/fleet/tests/software/mod.rs
+++ b/src/fleet/tests/software/mod.rs
@@ -308,6 +308,21 @@
     assert_eq!(version_of(&release.take_up(1, key, 0)), Some("v2"));
 }
 
+#[test]
+fn stream_is_refused_by_a_daemon_that_was_frozen_while_a_version_appeared() {
+    let mut release = Release::new(3);
+    release.site.advance(MAX_AGE);
+    release.site.down.insert(1);
+    release.site.advance(ms(4_000));
+    release.register(&engines("v2", 9));
+    release.site.down.remove(&1);
+    // Digests of the others arrive, with the ages of their reads, and no record yet.
+    release.site.advance(ms(40));
+    release.site.down.extend((0..usize::from(DAEMONS)).filter(|daemon| *daemon != 1));
+    let taken_up = release.arrive(1, Start::Resumed(Some("begun-at-v2".into())));
+    assert_eq!(version_of(&release.site.commands(1, taken_up)), None);
+}
+
 #[test]
 fn stream_taken_up_is_refused_at_once_if_its_version_is_gone() {
     let mut release = Release::new(3);
