A daemon that can't prove the only version asks others also for a stream that its caller does not name

What callers would see: after the start of one daemon, a takeup that names no attempt is refused there (2015) for twice the route's timeout, though the other daemons have watched one version alone.

Cause: without a stream's id nothing was asked. But others may prove the one version, whatever the stream.

Change: a stream that its caller does not name is identified by the request itself; it is bound nowhere, and the proof is asked for.

Test: stream_goes_on_at_a_daemon_that_has_just_started_if_others_have_watched, seen to fail before (2015).

--- a/src/fleet/request.rs
+++ b/src/fleet/request.rs
@@ -84,15 +84,17 @@
         }
     }
 
-    /// Returns the stream that it begins or takes up; `None` for other requests, and if its caller does not name the
-    /// stream.
+    /// Returns the stream that it begins or takes up; `None` for other requests. A stream that its caller does not name
+    /// is identified by this request, and so is bound nowhere.
     pub(super) fn stream(&self) -> Option<StreamId> {
         let arrival = &self.arrival;
         let workspace = arrival.workspace.as_ref().map_or("", |owner| owner.name.as_str());
         match &arrival.start {
             _ if !arrival.route.is_streaming => None,
             Start::New => Some(StreamId::of(workspace, &arrival.id)),
-            Start::Resumed(first) => Some(StreamId::of(workspace, first.as_deref()?)),
+            Start::Resumed(first) => {
+                Some(StreamId::of(workspace, first.as_deref().unwrap_or(&arrival.id)))
+            }
         }
     }
 
--- a/src/fleet/tests/software/mod.rs
+++ b/src/fleet/tests/software/mod.rs
@@ -292,6 +292,20 @@
     }
 }
 
+#[test]
+fn stream_goes_on_at_a_daemon_that_has_just_started_if_others_have_watched() {
+    let mut release = Release::new(3);
+    release.site.advance(MAX_AGE);
+    release.site.restart(1, &borrowed(&engines("v1", 3)));
+    release.site.advance(ms(200));
+    for start in [Start::Resumed(None), Start::Resumed(Some("unknown".into()))] {
+        let key = release.arrive(1, start);
+        let dispatch = release.site.only_dispatch(1, key);
+        assert_eq!(version(&dispatch.server), "v1");
+        release.end(1, key, &dispatch);
+    }
+}
+
 #[test]
 fn stream_is_refused_if_all_daemons_have_started_since_it_can_have_begun() {
     let mut release = Release::new(3);
