--- a/src/control/tests/servers.rs
+++ b/src/control/tests/servers.rs
@@ -396,7 +396,7 @@
         fixture.begin_answer(request, 1);
         let second = if first == "engine-0" { "engine-1" } else { "engine-0" };
         fixture.deliver_report(second, report_of_software(other));
-        // The stream is resumed at its engine, in vain.
+        // The first retry resumes the stream at its engine and fails.
         fixture.end_attempt(request, 1, Outcome::Broken("cut".into()));
         let effects = fixture.end_attempt(request, 2, Outcome::Broken("cut again".into()));
         let next = find_dispatch(&effects).map(|dispatch| dispatch.id.as_str());
--- a/src/fleet/tests/software/mod.rs
+++ b/src/fleet/tests/software/mod.rs
@@ -14,7 +14,7 @@
 const DAEMONS: u8 = 7;
 /// Time within which a stream of these routes has begun: twice their timeout.
 const MAX_AGE: Duration = Duration::from_secs(10);
-/// Streams with events of two versions that callers bear on a day.
+/// Maximum number of streams with events of two versions on a day, as the users state it.
 const MAX_MIXED: usize = 2;
 /// Number of takeups from which their share that goes on must be at least half of that of new streams.
 const MIN_TAKEUPS: usize = 12;
