--- a/src/fleet/replication/records.rs
+++ b/src/fleet/replication/records.rs
@@ -225,9 +225,9 @@
         self.incarnations.begin(&incarnation, key);
         let pool = self.pools.entry(pool).or_default();
         pool.add(key, &incarnation.id);
-        let was_mixed = pool.versions.count(now) > 1;
+        let had_several = pool.versions.count(now) > 1;
         pool.versions.add(software, key, &incarnation.id);
-        if !was_mixed && pool.versions.count(now) > 1 {
+        if !had_several && pool.versions.count(now) > 1 {
             self.replicate_own_streams(now);
         }
         self.schedule_event_read(Location::Engine(key), Time::ZERO);
--- a/src/fleet/streams/lookup.rs
+++ b/src/fleet/streams/lookup.rs
@@ -1,27 +1,19 @@
 //! Finds the software version of a stream that a caller takes up.
 
+use super::software::MAX_STREAM_AGE;
 use super::{Lookup, Message, Software, StreamId};
 use crate::fleet::request::{Phase, Request};
-use crate::fleet::{Effect, Frame, Key, Node, Start, Topic};
+use crate::fleet::{Effect, Frame, Key, Node, Start};
 use crate::prelude::*;
 
-use super::software::MAX_STREAM_AGE;
-
 /// Time limit for the replies of other daemons: many round trips within a region, and short relative to the pauses
 /// that callers accept.
 const LOOKUP_TIMEOUT: Duration = Duration::from_millis(150);
 /// The same while this daemon knows a single version, and only lacks proof that no other has served recently.
 const PROOF_TIMEOUT: Duration = Duration::from_millis(40);
-/// Age of the last known read of the servers from which this daemon may have missed a new version. A daemon that knows of
-/// no recent read makes one sooner than that.
-const MAX_VIEW_AGE: Duration = Duration::from_millis(1_500);
 /// Multiple of its route's timeout within which a stream has begun: an answer is cut at the timeout, and callers go on
 /// for a last time after that.
 const MAX_AGE_IN_TIMEOUTS: u32 = 2;
-/// Time without a tick after which this daemon was frozen, and its peers' digests may arrive before what it has missed.
-const MAX_TICK_GAP: Duration = Duration::from_millis(500);
-/// Number of peers whose digests a daemon of a large fleet gets at least, unless it is partitioned.
-const MIN_FRESH_PEERS: usize = 8;
 
 impl Node {
     /// Finds the version of the stream that a request takes up, if it does. Returns whether the request waits for
@@ -58,35 +50,6 @@
         bound.or_else(|| self.proven_software(now, &request.pool, max_age(request)))
     }
 
-    /// The version of a pool's servers, if it is proven that no other has served for `max_age`.
-    fn proven_software(&self, now: Time, pool: &str, max_age: Duration) -> Option<Software> {
-        let since = self.streams.watched_since?;
-        let has_watched = now >= since + max_age && !self.was_frozen(now) && self.sees_servers(now);
-        self.pools.get(pool).filter(|_| has_watched)?.versions.only(now, max_age)
-    }
-
-    /// Whether this daemon knows the servers that are registered now: by a recent read, its own or a peer's. While
-    /// the store is down for all, no server is added. A daemon with few fresh peers may be partitioned instead.
-    fn sees_servers(&self, now: Time) -> bool {
-        let read_at = self.read_at.get(&Topic::Servers);
-        let needed = self.peers.len().div_ceil(2).min(MIN_FRESH_PEERS);
-        read_at.is_some_and(|at| now < *at + MAX_VIEW_AGE) || self.fresh_peer_count(now) >= needed
-    }
-
-    /// Whether this daemon has not run for a moment, and no tick has come since.
-    fn was_frozen(&self, now: Time) -> bool {
-        self.streams.last_tick_at.is_none_or(|at| now >= at + MAX_TICK_GAP)
-    }
-
-    /// Restarts the time for which the servers have been known if there was an interruption.
-    pub(in crate::fleet) fn watch_servers(&mut self, now: Time) {
-        let is_interrupted = self.was_frozen(now) || !self.sees_servers(now);
-        if is_interrupted && self.streams.watched_since.is_some() {
-            self.streams.watched_since = Some(now);
-        }
-        self.streams.last_tick_at = Some(now);
-    }
-
     /// Handles a message about versions of streams.
     pub(in crate::fleet) fn handle_streams(&mut self, now: Time, message: Message) {
         match message {
--- a/src/fleet/streams/mod.rs
+++ b/src/fleet/streams/mod.rs
@@ -16,6 +16,7 @@
 mod message;
 mod registry;
 mod software;
+mod watch;
 mod wire;
 
 pub use message::{Binding, Lookup, Message};
