--- a/src/fleet/figures.rs
+++ b/src/fleet/figures.rs
@@ -72,6 +72,7 @@
             Gauge::new("handed_over", self.counts.handed_over),
             Gauge::new("taken_over", self.counts.taken_over),
             Gauge::new("stream_versions_known", self.streams.len() as u64),
+            Gauge::new("servers_watched_ms", ms(self.watched_time(now))),
             Gauge::new("records_unreadable", self.counts.unreadable),
             Gauge::new("requests_blocked", self.poison.blocks(now).count() as u64),
             Gauge::new("blocks_unwritten", self.poison.unstored_blocks(now).len() as u64),
--- a/src/fleet/streams/watch.rs
+++ b/src/fleet/streams/watch.rs
@@ -33,6 +33,11 @@
         read_at.is_some_and(|at| now < *at + MAX_VIEW_AGE) || self.fresh_peer_count(now) >= needed
     }
 
+    /// Time for which this daemon has known all registered servers without interruption.
+    pub(in crate::fleet) fn watched_time(&self, now: Time) -> Duration {
+        self.streams.watched_since.map_or(Duration::ZERO, |since| now.saturating_sub(since))
+    }
+
     /// Whether this daemon has not run for a moment, and no tick has come since.
     fn was_frozen(&self, now: Time) -> bool {
         self.streams.last_tick_at.is_none_or(|at| now >= at + MAX_TICK_GAP)
