--- a/src/fleet/tests/software/mod.rs
+++ b/src/fleet/tests/software/mod.rs
@@ -8,9 +8,12 @@
 use super::world::*;
 use crate::fleet::*;
 use crate::poison::Fingerprint;
+use crate::prelude::*;
 use crate::route::Repeat;
 
 const DAEMONS: u8 = 7;
+/// Time within which a stream of these routes has begun: twice their timeout.
+const MAX_AGE: Duration = Duration::from_secs(10);
 /// Streams with events of two versions that callers bear on a day.
 const MAX_MIXED: usize = 2;
 /// Number of takeups from which their share that goes on must be at least half of that of new streams.
@@ -48,7 +51,7 @@
         Self { site, next_subject: 0 }
     }
 
-    /// Tells all running daemons of registrations.
+    /// Delivers registrations to all running daemons.
     fn register(&mut self, records: &[(String, String)]) {
         for index in 0..self.site.daemons.len() {
             if !self.site.down.contains(&index) {
@@ -184,7 +187,7 @@
 }
 
 #[test]
-fn stream_begun_right_after_the_start_of_its_daemon_is_kept() {
+fn stream_begun_right_after_the_start_of_its_daemon_is_replicated() {
     for begun_at in 0..usize::from(DAEMONS) {
         let mut release = Release::new(3);
         release.register(&engines("v2", 9));
@@ -197,7 +200,7 @@
 }
 
 #[test]
-fn stream_is_kept_again_by_daemons_that_have_restarted() {
+fn stream_is_replicated_again_to_daemons_that_have_restarted() {
     for begun_at in 0..usize::from(DAEMONS) {
         let mut release = Release::new(3);
         release.register(&engines("v2", 9));
@@ -212,18 +215,33 @@
     }
 }
 
+#[test]
+fn stream_whose_version_is_looked_up_is_refused_when_its_daemon_stops() {
+    let mut release = Release::new(3);
+    release.register(&engines("v2", 9));
+    // No other daemon answers.
+    release.site.down.extend((0..usize::from(DAEMONS)).filter(|daemon| *daemon != 1));
+    release.site.daemons[1].start = Start::Resumed(Some("unknown".into()));
+    let taken_up = release.site.arrive(1, "engines", Repeat::Resumable);
+    release.site.apply(1, Message::Stop);
+    assert!(release.site.commands(1, taken_up).is_empty(), "the version is looked up");
+    release.site.apply(1, Message::StopDeadline);
+    let commands = release.site.commands(1, taken_up);
+    assert!(matches!(commands[..], [Command::Refuse(Code::Draining, _)]), "{commands:?}");
+}
+
 #[test]
 fn few_servers_of_a_version_get_no_more_streams_than_they_have_slots() {
     let mut release = Release::new(1);
     release.register(&engines("v2", 20));
     release.site.advance(ms(1_000));
-    let kept = streams::Kept {
+    let binding = streams::Binding {
         stream: StreamId::of("", "begun"),
         software: Software::of("engines", "v1"),
         time_left: ms(10_000),
     };
     for daemon in 0..usize::from(DAEMONS) {
-        let message = Message::Frame(Frame::Streams(streams::Message::Keep(vec![kept])));
+        let message = Message::Frame(Frame::Streams(streams::Message::Replicate(vec![binding])));
         release.site.apply(daemon, message);
     }
     let mut sent = 0;
@@ -263,6 +281,7 @@
 #[test]
 fn stream_of_an_unknown_version_goes_on_where_one_has_served_alone() {
     let mut release = Release::new(3);
+    release.site.advance(MAX_AGE);
     for start in [Start::Resumed(None), Start::Resumed(Some("unknown".into()))] {
         for daemon in 0..usize::from(DAEMONS) {
             let key = release.arrive(daemon, start.clone());
@@ -273,6 +292,22 @@
     }
 }
 
+#[test]
+fn stream_is_refused_if_all_daemons_have_started_since_it_can_have_begun() {
+    let mut release = Release::new(3);
+    let (key, _) = release.begin(0);
+    release.register(&engines("v2", 9));
+    // All daemons end, and so do the servers of v1, before they start again.
+    for daemon in 0..usize::from(DAEMONS) {
+        release.site.restart(daemon, &borrowed(&engines("v2", 9)));
+    }
+    release.site.advance(ms(1_000));
+    assert_eq!(version_of(&release.take_up(1, key, 0)), None);
+    // Once they have seen v2 alone for as long as a stream can last, all streams are of v2.
+    release.site.advance(MAX_AGE);
+    assert_eq!(version_of(&release.take_up(1, key, 0)), Some("v2"));
+}
+
 #[test]
 fn stream_taken_up_is_refused_at_once_if_its_version_is_gone() {
     let mut release = Release::new(3);
