Retry budget: metrics of what each daemon counts and charges, and how each attempt counts

The hypotheses on the retries beyond the budget can't be told apart by logs or metrics. Now each daemon shows the requests that it has counted, the retries that it has charged and those that had to wait (retry_requests, retries_charged, retries_withheld by pool): summed over all daemons they show budgets that several spend side by side. No decision is changed.

--- a/src/fleet/explain.rs
+++ b/src/fleet/explain.rs
@@ -56,6 +56,7 @@
         let load = self.load(choice.server, server);
         let detail = Self::request_detail(request)
             .and("attempt", request.sends)
+            .and("retry", request.charge.name())
             .and("server", server.entry.incarnation.id.as_str())
             .and("software", server.entry.software.as_str())
             .and("address", server.entry.address)
--- a/src/fleet/figures.rs
+++ b/src/fleet/figures.rs
@@ -127,6 +127,10 @@
         for (pool, budget) in &mut self.budgets {
             let left = budget.remaining(now, terms);
             figures.push(Gauge::labeled("retries_left", "pool", pool, left));
+            let totals = budget.totals();
+            figures.push(Gauge::labeled("retry_requests", "pool", pool, totals.requests));
+            figures.push(Gauge::labeled("retries_charged", "pool", pool, totals.retries));
+            figures.push(Gauge::labeled("retries_withheld", "pool", pool, totals.withheld));
         }
     }
 
--- a/src/fleet/recall.rs
+++ b/src/fleet/recall.rs
@@ -1,6 +1,7 @@
 //! Takes requests back from servers that are silent or whose weights are too old.
 
 use super::request::Phase;
+use super::retry::Charge;
 use super::scheduling::Stage;
 use super::{Command, Key, Node};
 use crate::prelude::*;
@@ -93,6 +94,9 @@
         // The request may have crashed the server; whether its registration ends will show that.
         self.connection_lost(now, key, server, now.saturating_sub(sent_at));
         self.release_slot(key);
+        if let Some(request) = self.requests.get_mut(&key) {
+            request.charge = Charge::Charged;
+        }
         self.dispatch(now, key, choice);
     }
 }
--- a/src/fleet/request.rs
+++ b/src/fleet/request.rs
@@ -1,5 +1,6 @@
 //! The state of one request and its attempts.
 
+use super::retry::Charge;
 use super::scheduling::{Origin, Stage};
 use super::{Arrival, Software, Start, StreamId, server};
 use crate::prelude::*;
@@ -47,6 +48,8 @@
     pub(super) tried: Vec<server::Key>,
     /// Whether its next send is charged to the retry budget.
     pub(super) draws_on_retry_budget: bool,
+    /// How its last attempt counts for the retry budget.
+    pub(super) charge: Charge,
     /// Whether its caller retries a recently refused request.
     pub(super) refused_before: bool,
     /// The daemon that submitted it, unless it is this daemon's own.
@@ -76,6 +79,7 @@
             sent_software: Vec::new(),
             tried: Vec::new(),
             draws_on_retry_budget: false,
+            charge: Charge::First,
             refused_before: false,
             origin,
             scheduler: String::new(),
--- a/src/fleet/requests.rs
+++ b/src/fleet/requests.rs
@@ -4,7 +4,7 @@
 use super::place::Choice;
 use super::prompt::{salted_key, shared_parts};
 use super::request::{Phase, Request};
-use super::retry::Terms;
+use super::retry::{Charge, Terms};
 use super::{Arrival, Command, Dispatch, Key, Node, Topic};
 use crate::prelude::*;
 
@@ -126,11 +126,17 @@
     fn charge_retry(&mut self, now: Time, key: Key) -> bool {
         let Some(request) = self.requests.get(&key) else { return false };
         let pool = request.pool.clone();
-        if request.draws_on_retry_budget && !self.spend_retry(now, &pool) {
+        let charge = match (request.draws_on_retry_budget, request.sends) {
+            (true, _) => Charge::Charged,
+            (false, 0) => Charge::First,
+            (false, _) => Charge::Free,
+        };
+        if charge == Charge::Charged && !self.spend_retry(now, &pool) {
             return false;
         }
         if let Some(request) = self.requests.get_mut(&key) {
             request.draws_on_retry_budget = false;
+            request.charge = charge;
         }
         true
     }
--- a/src/fleet/retry.rs
+++ b/src/fleet/retry.rs
@@ -15,6 +15,41 @@
 pub struct Budget {
     requests: VecDeque<Time>,
     retries: VecDeque<Time>,
+    totals: Totals,
+}
+
+/// Counts of a budget since the daemon's start.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Totals {
+    /// Requests.
+    pub requests: u64,
+    /// Retries that were charged.
+    pub retries: u64,
+    /// Times at which a retry had to wait, counted at each try.
+    pub withheld: u64,
+}
+
+/// How an attempt counts for the retry budget.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Charge {
+    /// It is the first attempt of its request.
+    #[default]
+    First,
+    /// An earlier attempt may have arrived at a server, and this one was charged.
+    Charged,
+    /// No earlier attempt is known to have arrived.
+    Free,
+}
+
+impl Charge {
+    /// Its name in the log.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::First => "first",
+            Self::Charged => "charged",
+            Self::Free => "free",
+        }
+    }
 }
 
 /// Limits of a budget.
@@ -32,6 +67,7 @@
     /// Records a request.
     pub fn note_request(&mut self, now: Time, terms: Terms) {
         self.requests.push_back(now);
+        self.totals.requests += 1;
         drop_expired(&mut self.requests, now, terms.window);
     }
 
@@ -48,9 +84,17 @@
         let allowed = self.remaining(now, terms) > 0;
         if allowed {
             self.retries.push_back(now);
+            self.totals.retries += 1;
+        } else {
+            self.totals.withheld += 1;
         }
         allowed
     }
+
+    /// The counts since the daemon's start.
+    pub fn totals(&self) -> Totals {
+        self.totals
+    }
 }
 
 fn drop_expired(times: &mut VecDeque<Time>, now: Time, window: Duration) {
