Failing test: successive schedulers spend the retry budget of more than one window

What callers saw: more retries than the budget allows. With 24 daemons and 24 engines, 300 requests a second, nine tenths of the servers fail after 11 s without failures, and the pool's scheduler is killed each 2.5 s: 804 retries of 3,000 requests within 10 s, 654 allowed. Listed until the fix.

--- a/src/fleet/tests/mod.rs
+++ b/src/fleet/tests/mod.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod beliefs;
 mod beside;
+mod budget;
 mod catalog;
 mod crowd;
 mod deadly;
