Retry budget: a token bucket for each daemon, so that successive schedulers spend one budget

What callers saw: more retries than all daemons together may make.

Cause: each daemon measured its retries against the requests that it had counted itself in the last window. A scheduler may spend at once what 10 s of requests allow, then end, freeze, or no longer be heard; whoever places the pool's requests next counts from zero and earns the same share of the next 10 s. Two such windows lie within one of the users'. The fixed number had the same weakness: each start of a scheduler brought a new sixth, and any number of daemons that hear no others took one each.

Change: `retry::Budget` is a token bucket. A counted request adds 0.8 of the ratio; the bucket holds 0.1 of the ratio for each request that this daemon counted in the last window, and half of its share of the fixed number, whose other half flows in during a window. What all buckets hold when a window begins and what flows in during it are ratios of the requests of two of the users' windows, whichever daemons count, start or end. A larger share counts from when it is held; a daemon that has just started begins with that of a daemon that doesn't schedule; a scheduler must hear most daemons for its own.

--- a/src/fleet/requests.rs
+++ b/src/fleet/requests.rs
@@ -5,7 +5,7 @@
 use super::prompt::{salted_key, shared_parts};
 use super::request::{Phase, Request};
 use super::retry::{Charge, Terms};
-use super::{Arrival, Command, Dispatch, Key, Node, Topic};
+use super::{Arrival, Budget, Command, Dispatch, Key, Node, Topic};
 use crate::prelude::*;
 
 /// Maximum sends of one request, including those that were refused or never left.
@@ -13,31 +13,54 @@
 /// Maximum idle connections of a daemon to one server: about the requests that it has in flight there
 /// at its share of the load.
 const MAX_IDLE_CONNECTIONS: usize = 16;
-/// Share of the fixed number of retries that each scheduler may use. All schedulers together stay
-/// within that number, also while others take over from those that have just ended.
-const SCHEDULER_SLACK_SHARE: f64 = 1.0 / 6.0;
+/// Share of the fixed number of retries that each of the three schedulers may use.
+const SCHEDULER_SLACK_SHARE: f64 = 0.25;
 /// Share of the fixed number of retries that all other daemons may use together.
 const OTHERS_SLACK_SHARE: f64 = 0.25;
 
 impl Node {
-    /// This daemon's share of the retry budget. A daemon that has just started counts as no scheduler:
-    /// daemons that start together all believe to be schedulers until they hear of each other. Without
-    /// the daemons' registrations, the number that share the fixed part is unknown, and the share is 0.
+    /// This daemon's share of the retry budget. A daemon that does not hear most of the others counts as
+    /// no scheduler, since any number of them may believe to be one.
     pub(super) fn retry_terms(&self, now: Time) -> Terms {
-        let part = if self.is_scheduler(now) && !self.has_just_started(now) {
-            SCHEDULER_SLACK_SHARE
-        } else if self.known_topics.contains(&Topic::Routers) {
-            OTHERS_SLACK_SHARE / self.daemon_count() as f64
-        } else {
-            0.0
-        };
-        let slack = self.policy.retry_slack * part;
+        if self.is_scheduler(now) && self.hears_most() && !self.has_just_started(now) {
+            return self.retry_terms_with(SCHEDULER_SLACK_SHARE);
+        }
+        self.retry_terms_of_others()
+    }
+
+    /// The share of the retry budget of a daemon that is no scheduler. Without the daemons' registrations,
+    /// the number that share the fixed part is unknown, and the share of that is 0.
+    fn retry_terms_of_others(&self) -> Terms {
+        match self.known_topics.contains(&Topic::Routers) {
+            true => self.retry_terms_with(OTHERS_SLACK_SHARE / self.daemon_count() as f64),
+            false => self.retry_terms_with(0.0),
+        }
+    }
+
+    fn retry_terms_with(&self, slack_share: f64) -> Terms {
+        let slack = self.policy.retry_slack * slack_share;
         Terms { window: self.policy.retry_window, ratio: self.policy.retry_ratio, slack }
     }
 
+    /// The retry budget of a pool, with the current share.
+    fn retry_budget(&mut self, now: Time, pool: &str) -> (&mut Budget, Terms) {
+        let (terms, initial) = (self.retry_terms(now), self.retry_terms_of_others());
+        let new = || Budget::new(now, initial);
+        (self.budgets.entry(pool.to_owned()).or_insert_with(new), terms)
+    }
+
+    /// Adds to the retry budgets of all pools what their fixed number brings.
+    pub(super) fn fill_retry_budgets(&mut self, now: Time) {
+        let pools: Vec<String> = self.pools.keys().cloned().collect();
+        for pool in pools {
+            let (budget, terms) = self.retry_budget(now, &pool);
+            budget.fill(now, terms);
+        }
+    }
+
     pub(super) fn spend_retry(&mut self, now: Time, pool: &str) -> bool {
-        let terms = self.retry_terms(now);
-        self.budgets.entry(pool.to_owned()).or_default().try_spend(now, terms)
+        let (budget, terms) = self.retry_budget(now, pool);
+        budget.try_spend(now, terms)
     }
 
     pub(super) fn arrive(&mut self, now: Time, arrival: Arrival) {
@@ -91,8 +114,8 @@
 
     /// Counts a new request for the retry budget of its pool.
     pub(super) fn count_request(&mut self, now: Time, pool: &str) {
-        let terms = self.retry_terms(now);
-        self.budgets.entry(pool.to_owned()).or_default().note_request(now, terms);
+        let (budget, terms) = self.retry_budget(now, pool);
+        budget.note_request(now, terms);
     }
 
     /// Draws the pool for a request by the weights of its route's splits.
--- a/src/fleet/scheduling/ranking.rs
+++ b/src/fleet/scheduling/ranking.rs
@@ -57,6 +57,8 @@
     started_at: Option<Time>,
     /// Number of daemons that rank above this one, whether heard from or not.
     higher_ranked: usize,
+    /// Whether this daemon hears most of the daemons; one that does not may be partitioned from them.
+    hears_most: bool,
 }
 
 impl Node {
@@ -75,6 +77,7 @@
             .collect();
         self.ranking.higher_ranked =
             ranked.iter().filter(|(rank, _)| rank.compare(&own).is_lt()).count();
+        self.ranking.hears_most = 2 * (self.fresh_peer_count(now) + 1) > self.daemon_count();
         let silent = |id: &str| {
             self.peers.get(id).is_none_or(|peer| peer.is_silent_or_draining(now, SILENCE_LIMIT))
         };
@@ -101,6 +104,7 @@
         let newcomers = newcomers.filter_map(|id| self.peer_address(id)).collect();
         self.ranking.schedulers = schedulers;
         self.send_known_crashes(now, newcomers);
+        self.fill_retry_budgets(now);
     }
 
     /// Updates the schedulers at once, unless this daemon has not started to rank daemons.
@@ -119,6 +123,11 @@
             && ranking.schedulers.contains(&self.identity.id)
     }
 
+    /// Whether this daemon hears most of the daemons, itself included, as of the last update of the ranking.
+    pub(in crate::fleet) fn hears_most(&self) -> bool {
+        self.ranking.hears_most
+    }
+
     /// The schedulers other than this daemon.
     pub(in crate::fleet) fn other_schedulers(&self) -> impl Iterator<Item = (&String, &Peer)> {
         let ids = self.ranking.schedulers.iter();
--- a/src/fleet/tests/software/mod.rs
+++ b/src/fleet/tests/software/mod.rs
@@ -127,6 +127,8 @@
     for daemon in 0..usize::from(DAEMONS) {
         let mut release = Release::new(3);
         release.register(&engines("v2", 9));
+        // By then, the retry budget is enough for all of them.
+        release.site.advance(POLICY.retry_window);
         for _ in 0..6 {
             let (key, begun) = release.begin(daemon);
             release.site.report(daemon, key, begun.attempt, Report::Lost(Loss::Connection));
