Retry budget: a refusal by a server that replaced another counts as an arrival wherever the request is placed next

Cause: a daemon whose request was refused with "another server has the address" kept no mark that it had arrived at a server, though its scheduler does. If the scheduler ended before it placed the request again, the next attempt was free. Arrivals that a server refuses count, whatever the reason.

Change: every refusal marks the request at the daemon as it does at the scheduler.

Evidence: retry_after_a_refusal_is_charged_when_the_scheduler_ends failed before (one request, 0 retries charged for two arrivals after such a refusal; 1 after the two other refusals).

--- a/src/fleet/scheduling/submitting.rs
+++ b/src/fleet/scheduling/submitting.rs
@@ -193,7 +193,7 @@
                 self.counts.declined += 1;
                 self.note_response(now, server);
                 self.note_refusal(now, server, model.as_deref(), refused);
-                self.handle_not_run(now, key, refused != Refusal::Replaced);
+                self.handle_not_run(now, key, true);
             }
             Report::Unsent => {
                 self.log_failed(key, server, "could not connect to the server");
--- /dev/null
+++ b/src/fleet/tests/budget/charges.rs
@@ -0,0 +1,35 @@
+//! Which requests and attempts count for the retry budget.
+
+use crate::fleet::tests::site::Site;
+use crate::fleet::tests::world::*;
+use crate::fleet::*;
+use crate::prelude::*;
+use crate::route::Repeat;
+
+const SERVERS: [(&str, &str); 3] =
+    [("s-1", "plain 101 ready"), ("s-2", "plain 102 ready"), ("s-3", "plain 103 ready")];
+
+/// Requests that all daemons have counted, and retries that they have charged.
+fn totals(site: &Site) -> (u64, u64) {
+    let budgets = site.daemons.iter().filter_map(|daemon| daemon.node.budgets.get("plain"));
+    let totals = budgets.map(|budget| budget.totals());
+    totals.fold((0, 0), |(requests, retries), totals| {
+        (requests + totals.requests, retries + totals.retries)
+    })
+}
+
+// A daemon did not charge the retry if its scheduler ended before it could.
+#[test]
+fn retry_after_a_refusal_is_charged_when_the_scheduler_ends() {
+    for refusal in [Refusal::Busy, Refusal::Replaced, Refusal::WrongWeights(None)] {
+        let mut site = Site::new(6, &SERVERS);
+        let (scheduler, other) = (site.scheduler("plain"), site.non_scheduler());
+        let key = site.arrive(other, "plain", Repeat::Idempotent);
+        let first = site.only_dispatch(other, key);
+        site.down.insert(scheduler);
+        site.report(other, key, first.attempt, Report::Refused(refusal));
+        site.advance(ms(100));
+        assert_eq!(site.only_dispatch(other, key).attempt, 2);
+        assert_eq!(totals(&site), (1, 1), "{refusal:?}");
+    }
+}
--- a/src/fleet/tests/budget/mod.rs
+++ b/src/fleet/tests/budget/mod.rs
@@ -1,6 +1,7 @@
 //! Arrivals at servers against the retry budget that all daemons share.
 
 mod arrivals;
+mod charges;
 mod faults;
 mod simulation;
 
