Retry budget: a request that is handed over is counted once

Cause: a daemon that reaches no server hands over requests that it has already submitted to a scheduler, which counted them for the retry budget; the daemon that takes one over had it counted again, so it brought twice its part of a retry.

Change: a request that was handed over is not counted where it is taken over. One that its first daemon had not submitted is then counted nowhere, which errs on the safe side.

Evidence: request_handed_over_is_not_counted_again failed before (counted at a scheduler and at another daemon).

--- a/src/fleet/requests.rs
+++ b/src/fleet/requests.rs
@@ -87,7 +87,10 @@
         if !self.submit(now, key)
             && let Some(request) = self.requests.remove(&key)
         {
-            self.count_request(now, &request.pool);
+            // The daemon that handed a request over may have had it counted.
+            if !request.arrival.is_handed_over {
+                self.count_request(now, &request.pool);
+            }
             self.accept(now, request);
         }
     }
--- a/src/fleet/scheduling/message.rs
+++ b/src/fleet/scheduling/message.rs
@@ -38,7 +38,7 @@
     pub prompt: Option<Prompt>,
     /// The hash of its content and caller.
     pub fingerprint: Fingerprint,
-    /// Whether another scheduler has counted it as a request for the retry budget.
+    /// Whether another daemon may have counted it as a request for the retry budget.
     pub is_counted: bool,
     /// Whether its next send is charged to the retry budget.
     pub draws_on_retry_budget: bool,
--- a/src/fleet/scheduling/submitting.rs
+++ b/src/fleet/scheduling/submitting.rs
@@ -365,7 +365,7 @@
         time_left: arrival.deadline.saturating_sub(now),
         prompt: arrival.prompt.clone(),
         fingerprint: arrival.fingerprint,
-        is_counted: request.submissions > 0,
+        is_counted: request.submissions > 0 || arrival.is_handed_over,
         draws_on_retry_budget: request.draws_on_retry_budget,
         software: request.software,
     }
--- a/src/fleet/tests/budget/charges.rs
+++ b/src/fleet/tests/budget/charges.rs
@@ -3,6 +3,7 @@
 use crate::fleet::tests::site::Site;
 use crate::fleet::tests::world::*;
 use crate::fleet::*;
+use crate::poison::Fingerprint;
 use crate::prelude::*;
 use crate::route::Repeat;
 
@@ -33,3 +34,26 @@
         assert_eq!(totals(&site), (1, 1), "{refusal:?}");
     }
 }
+
+// A request that its daemon had submitted before it was cut off counted again where it was handed over.
+#[test]
+fn request_handed_over_is_not_counted_again() {
+    let mut site = Site::new(6, &SERVERS);
+    let (scheduler, other) = (site.scheduler("plain"), site.non_scheduler());
+    for taker in [scheduler, other] {
+        let route = route("plain", Repeat::Idempotent, 2);
+        let arrival = Arrival {
+            request: Key(1_000 + taker as u64),
+            id: "handed-over".into(),
+            deadline: site.clock(taker) + route.timeout,
+            route,
+            workspace: None,
+            prompt: None,
+            fingerprint: Fingerprint(1),
+            is_handed_over: true,
+            start: Start::New,
+        };
+        site.apply(taker, Message::Arrive(Box::new(arrival)));
+        assert_eq!(totals(&site), (0, 0));
+    }
+}
