--- a/src/fleet/tests/budget/faults.rs
+++ b/src/fleet/tests/budget/faults.rs
@@ -47,6 +47,18 @@
         Self::ReplaceServers,
         Self::Recover,
     ];
+
+    /// The faults of daemons and their connections.
+    pub const OF_DAEMONS: [Self; 8] = [
+        Self::KillScheduler,
+        Self::Kill,
+        Self::KillAll,
+        Self::Freeze,
+        Self::FreezeScheduler,
+        Self::Partition,
+        Self::Isolation,
+        Self::CutServers,
+    ];
 }
 
 impl Day {
--- a/src/fleet/tests/budget/mod.rs
+++ b/src/fleet/tests/budget/mod.rs
@@ -68,6 +68,19 @@
     assert_eq!(broken.collect::<Vec<u64>>(), Vec::<u64>::new());
 }
 
+// All that a quiet window saved is spent at once, while daemons fail.
+#[test]
+fn budget_is_kept_through_all_faults_after_a_quiet_window() {
+    let broken = seeds().filter(|seed| {
+        let mut day = Day::new(Setup { daemons: daemons(), ..ENGINES }, *seed);
+        day.play(Duration::from_secs(11), &[]);
+        day.fail_servers(0.9);
+        day.play(Duration::from_secs(13), &Fault::OF_DAEMONS);
+        !is_kept(&day, &format!("seed {seed}, after a quiet window"))
+    });
+    assert_eq!(broken.collect::<Vec<u64>>(), Vec::<u64>::new());
+}
+
 // Daemons spend what they can at once, end, and start anew; requests come in bursts at changing daemons.
 quickcheck! {
     fn budgets_of_daemons_that_start_and_end_keep_to_the_ratio(seed: u64) -> bool {
