--- a/src/fleet/tests/budget/charges.rs
+++ b/src/fleet/tests/budget/charges.rs
@@ -4,7 +4,6 @@
 use crate::fleet::tests::world::*;
 use crate::fleet::*;
 use crate::poison::Fingerprint;
-use crate::prelude::*;
 use crate::route::Repeat;
 
 const SERVERS: [(&str, &str); 3] =
