Request limits: what a server states is read, logged and shown

Servers in need state in their answers how many requests a second they take from all daemons together. No code read that, so logs and metrics could not show whether a limit was known, where, and for how long. Now the relay reports it with the attempt that it came with, a daemon keeps the newest statement of each server, logs a change (313, 314) and shows the limit (request_limit_per_1000_s). An answer without a limit ends it; a refusal without one says nothing. A dispatch carries whether its server stated a limit, so answers of other servers cost no message.

No decision is changed.

--- a/src/fleet/figures.rs
+++ b/src/fleet/figures.rs
@@ -146,6 +146,9 @@
             show("silent_ms", ms(load.silence(now)));
             show("parts_held", server.residency.len() as u64);
             show("events_age_ms", server.residency.age(now).map_or(0, ms));
+            if let Some(limit) = self.request_limit(key) {
+                show("request_limit_per_1000_s", (limit * 1_000.0) as u64);
+            }
             if let Some(version) = server.entry.weights.values().max() {
                 show("weights", *version);
             }
--- a/src/fleet/message.rs
+++ b/src/fleet/message.rs
@@ -129,6 +129,8 @@
     pub priority: u8,
     /// Maximum number of idle connections that this daemon keeps to the server.
     pub max_idle: usize,
+    /// Whether the server has stated a request limit, so that an answer without one ends it.
+    pub has_limit: bool,
 }
 
 /// A peer that is to serve a request in place of this daemon, which reaches no server.
@@ -313,6 +315,16 @@
     /// The answer to a request states how many requests per second its server can reject without
     /// crashing.
     RejectLimit(Key, u32),
+    /// The answer to an attempt states how many requests per second its server takes from all daemons together, or no
+    /// longer states it.
+    RequestLimit {
+        /// The request.
+        request: Key,
+        /// The attempt's number.
+        attempt: u32,
+        /// The limit; `None` if the answer states none.
+        per_s: Option<f64>,
+    },
     /// The caller disconnected, or the request reached its time limit.
     Cancel(Key),
     /// A topic was read.
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -33,6 +33,7 @@
 mod replication;
 mod reports;
 mod request;
+mod request_limit;
 mod requests;
 mod residency;
 mod retry;
--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -24,7 +24,7 @@
 use super::streams::Streams;
 use super::{
     Budget, Catalog, Change, Command, Counts, Dependency, Effect, Key, Location, Message, Record,
-    Server, Topic, rejection, server,
+    Server, Topic, rejection, request_limit, server,
 };
 use crate::lease;
 use crate::placement::Heat;
@@ -123,6 +123,8 @@
     pub(super) refused_since: BTreeMap<poison::Incarnation, Time>,
     /// Reject limits of servers.
     pub(super) rejection: rejection::State,
+    /// Request limits of servers.
+    pub(super) request_limits: request_limit::State,
     /// Suspects that run alone at a server.
     pub(super) isolation: Isolation,
     pub(super) next_block_expiry: Time,
@@ -207,6 +209,7 @@
             detector: poison::Detector::default(),
             refused_since: BTreeMap::new(),
             rejection: rejection::State::default(),
+            request_limits: request_limit::State::default(),
             isolation: Isolation::default(),
             next_block_expiry: Time::ZERO,
             heat: Heat::default(),
@@ -252,6 +255,9 @@
             Message::RejectLimit(request, rejects) => {
                 self.note_reject_limit(now, request, rejects);
             }
+            Message::RequestLimit { request, attempt, per_s } => {
+                self.note_request_limit(now, request, attempt, per_s);
+            }
             Message::Read(read) => self.handle_read(now, read),
             Message::ReadFailed(tracked, reason) => self.mark_unreadable(now, tracked, &reason),
             Message::Lease(first, records) => self.lease_read(now, first, &records),
@@ -359,6 +365,7 @@
         self.check_unanswered(now);
         self.maintain_blocks(now);
         self.maintain_rejection(now);
+        self.maintain_request_limits(now);
         self.remove_lapsed(now);
         self.check_schedulers(now);
         self.check_lookups(now);
--- a/src/fleet/requests.rs
+++ b/src/fleet/requests.rs
@@ -224,6 +224,7 @@
             save_to: choice.save_to,
             priority: Self::priority(request).min(9),
             max_idle: most_idle,
+            has_limit: self.has_stated_request_limit(choice.server),
         };
         self.log_sent(now, key, &choice);
         self.send_notice(now, choice.server, choice.read_tokens, parts);
--- a/src/fleet/scheduling/message.rs
+++ b/src/fleet/scheduling/message.rs
@@ -87,6 +87,8 @@
     pub fetch_from: Option<SocketAddr>,
     /// The destination to which the engine saves the parts that it computes.
     pub save_to: Option<SocketAddr>,
+    /// Whether the server has stated a request limit.
+    pub has_limit: bool,
 }
 
 /// A scheduler's decision on a request.
--- a/src/fleet/scheduling/serving.rs
+++ b/src/fleet/scheduling/serving.rs
@@ -145,6 +145,7 @@
             weights_version: dispatch.weights_version,
             fetch_from: dispatch.fetch_from,
             save_to: dispatch.save_to,
+            has_limit: dispatch.has_limit,
         };
         self.send_verdict(&origin, Decision::Send(assignment));
     }
--- a/src/fleet/scheduling/submitting.rs
+++ b/src/fleet/scheduling/submitting.rs
@@ -2,9 +2,7 @@
 
 use super::{Assignment, Decision, Progress, Step, Submission, Verdict};
 use crate::fleet::request::{Phase, Request};
-use crate::fleet::{
-    Command, Dispatch, Effect, Frame, Identity, Key, Loss, Node, Refusal, Report, server,
-};
+use crate::fleet::{Command, Dispatch, Effect, Frame, Identity, Key, Loss, Node, Report, server};
 use crate::prelude::*;
 
 /// Time limit for a scheduler's verdict: some ten round trips to another zone. After it the daemon
@@ -113,6 +111,7 @@
             return self.withdraw_from_scheduler(now, key);
         }
         let most_idle = self.max_idle_connections(key);
+        let has_limit = assignment.has_limit || self.has_stated_request_limit(server);
         self.reach.note_sent(now, server);
         let Some(software) = self.servers.get(server).map(|server| server.software) else { return };
         let Some(request) = self.requests.get_mut(&key) else { return };
@@ -139,6 +138,7 @@
             save_to: assignment.save_to,
             priority: Self::priority(request).min(9),
             max_idle: most_idle,
+            has_limit,
         };
         self.counts.sent += 1;
         self.log_assigned(now, key, &dispatch);
--- a/src/fleet/scheduling/wire.rs
+++ b/src/fleet/scheduling/wire.rs
@@ -116,6 +116,8 @@
     fetch_from: Option<String>,
     #[prost(string, optional, tag = "9")]
     save_to: Option<String>,
+    #[prost(bool, tag = "10")]
+    has_limit: bool,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -328,6 +330,7 @@
             weights: assignment.weights_version,
             fetch_from: assignment.fetch_from.map(|address| address.to_string()),
             save_to: assignment.save_to.map(|address| address.to_string()),
+            has_limit: assignment.has_limit,
         }
     }
 }
@@ -345,6 +348,7 @@
             weights_version: wire.weights,
             fetch_from: optional_address(wire.fetch_from)?,
             save_to: optional_address(wire.save_to)?,
+            has_limit: wire.has_limit,
         })
     }
 }
--- a/src/fleet/tests/scheduling.rs
+++ b/src/fleet/tests/scheduling.rs
@@ -130,6 +130,7 @@
         weights_version: None,
         fetch_from: None,
         save_to: None,
+        has_limit: false,
     };
     let verdict = Verdict { daemon, request: key, decision: Decision::Send(assignment) };
     site.apply(other, Message::Frame(Frame::Verdict(Box::new(verdict.clone()))));
--- a/src/relay/delivery.rs
+++ b/src/relay/delivery.rs
@@ -260,6 +260,7 @@
         };
         let class = self.frontend.dialect.classify(&self.metadata, &answer.response);
         self.report_reject_limit(class, &answer.response);
+        self.report_request_limit(dispatch, class, &answer.response);
         match class {
             Classification::Invalid => Attempt::Unanswered(Report::Lost(Loss::InvalidAnswer)),
             Classification::Refused(refusal) => {
@@ -283,6 +284,26 @@
         }
     }
 
+    /// Reports the request limit that the server states, or that its answer states none any more. A refusal without a
+    /// limit says nothing, nor does one of another server at the same address.
+    fn report_request_limit(
+        &self,
+        dispatch: &Dispatch,
+        class: Classification,
+        response: &Response,
+    ) {
+        let per_s = self.frontend.dialect.request_limit(response);
+        let is_statement = match class {
+            Classification::Answer(_) => per_s.is_some() || dispatch.has_limit,
+            Classification::Refused(refusal) => per_s.is_some() && refusal != Refusal::Replaced,
+            Classification::Invalid => false,
+        };
+        if is_statement {
+            let (request, attempt) = (self.key, dispatch.attempt);
+            self.frontend.control.tell(Message::RequestLimit { request, attempt, per_s });
+        }
+    }
+
     async fn finish_refused(
         &self,
         dispatch: &Dispatch,
--- a/src/relay/dialect.rs
+++ b/src/relay/dialect.rs
@@ -71,6 +71,9 @@
     /// Returns the number of requests per second that the server states it can reject without crashing.
     fn reject_limit(&self, response: &Response) -> Option<u32>;
 
+    /// Returns the number of requests per second that the server states it takes from all daemons together.
+    fn request_limit(&self, response: &Response) -> Option<f64>;
+
     /// Returns the fields of an error answer from this router.
     fn error_fields(&self, metadata: &Metadata) -> Fields;
 }
--- a/src/relay/tests/delivery.rs
+++ b/src/relay/tests/delivery.rs
@@ -61,6 +61,10 @@
         Classification::Answer(None)
     }
 
+    fn request_limit(&self, _: &Response) -> Option<f64> {
+        None
+    }
+
     fn reject_limit(&self, _: &Response) -> Option<u32> {
         None
     }
@@ -149,6 +153,7 @@
         save_to: None,
         priority: 5,
         max_idle: 4,
+        has_limit: false,
     })
 }
 
--- a/src/relay/tests/fixture.rs
+++ b/src/relay/tests/fixture.rs
@@ -69,6 +69,10 @@
         }
     }
 
+    fn request_limit(&self, _: &Response) -> Option<f64> {
+        None
+    }
+
     fn reject_limit(&self, _: &Response) -> Option<u32> {
         None
     }
--- a/src/telemetry/event.rs
+++ b/src/telemetry/event.rs
@@ -71,6 +71,8 @@
     ServersReachable = 310, Info, "This daemon reaches backend servers again.";
     RejectLimitStated = 311, Info, "The backend servers of a pool state how many requests a second they can reject without crashing; the daemons stay below that.";
     RejectLimitEnded = 312, Info, "The backend servers of a pool state no reject limit any more.";
+    RequestLimitStated = 313, Info, "A backend server states how many requests a second it takes from all daemons together.";
+    RequestLimitEnded = 314, Info, "A backend server states no request limit any more.";
     AttemptFailed = 400, Info, "An attempt at a backend server failed.";
     AnswerDiscarded = 401, Warn, "An answer named another attempt, incarnation or weights version, and was discarded.";
     StreamResumed = 402, Info, "A stream was resumed after its connection broke.";
