Failing tests: servers that state a request limit get as much as others

What callers saw: a server that states 1.7 requests a second got 16 in 4 s from daemons that it had told.

--- a/src/fleet/tests/budget/mod.rs
+++ b/src/fleet/tests/budget/mod.rs
@@ -1,15 +1,10 @@
 //! Arrivals at servers against the retry budget that all daemons share.
 
-mod arrivals;
 mod charges;
-mod faults;
-mod simulation;
 
-use arrivals::{Arrivals, Usage};
-use faults::Fault;
 use quickcheck::quickcheck;
-use simulation::{Day, Setup};
 
+use super::day::{Arrivals, Day, Fault, STEP, Setup, Usage};
 use super::world::POLICY;
 use crate::fleet::Budget;
 use crate::fleet::retry::Terms;
@@ -90,7 +85,7 @@
         let mut arrivals = Arrivals::default();
         let (mut counting, mut failing, mut per_step) = (0, false, 10);
         for step in 0..2_000 {
-            let now = simulation::STEP * step;
+            let now = STEP * step;
             arrivals.begin_step();
             if rng.u32(..100) == 0 {
                 (counting, per_step) = (rng.usize(..budgets.len()), rng.u32(..40));
--- a/src/fleet/tests/budget/arrivals.rs
+++ b/src/fleet/tests/day/arrivals.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 
-use super::simulation::STEP;
+use super::STEP;
 use crate::fleet::tests::world::POLICY;
 
 /// Requests of callers, and arrivals beyond the first of their request, by step of the day.
--- a/src/fleet/tests/budget/faults.rs
+++ b/src/fleet/tests/day/faults.rs
@@ -1,6 +1,6 @@
 //! Faults of daemons, their connections, and servers.
 
-use super::simulation::{Day, Health, registration, server_id};
+use super::{Day, Health, registration, server_id};
 use crate::fleet::tests::site::Cut;
 use crate::fleet::tests::world::*;
 use crate::fleet::*;
@@ -88,6 +88,7 @@
                 self.heals_at = now + ms(5_000);
                 for daemon in daemons.iter().take(count / 6) {
                     self.site.cuts.insert(*daemon, Cut::Reset);
+                    self.limits.excuse(*daemon, self.heals_at);
                 }
             }
             Fault::FailServers => {
@@ -108,6 +109,10 @@
         let links = (0..count).flat_map(|from| (0..count).map(move |to| (from, to)));
         self.site.cut_links = links.filter(|(from, to)| is_cut(*from, *to)).collect();
         self.heals_at = self.site.now + ms(self.rng.u64(2_000..6_000));
+        let cut: BTreeSet<usize> = self.site.cut_links.iter().map(|(from, _)| *from).collect();
+        for daemon in cut {
+            self.limits.excuse(daemon, self.heals_at);
+        }
     }
 
     /// A share of the servers fails, drops or rejects requests.
@@ -174,6 +179,7 @@
     fn take_down(&mut self, daemon: usize, until: Time, is_frozen: bool) {
         self.site.down.insert(daemon);
         self.back_at.insert(daemon, (until, is_frozen));
+        self.limits.excuse(daemon, until);
         if !is_frozen {
             self.drop_hops(daemon);
         }
--- a/src/fleet/tests/budget/simulation.rs
+++ b/src/fleet/tests/day/mod.rs
@@ -1,9 +1,15 @@
-//! Callers, daemons and servers of a day.
+//! Callers, daemons and servers of a day, with faults of all of them.
+
+mod arrivals;
+mod faults;
+mod limits;
 
 use std::net::SocketAddr;
 
-use super::arrivals::{Arrivals, Usage};
-use super::faults::Fault;
+pub use arrivals::{Arrivals, Usage};
+pub use faults::Fault;
+pub use limits::Limits;
+
 use crate::fleet::tests::site::Site;
 use crate::fleet::tests::world::*;
 use crate::fleet::*;
@@ -52,19 +58,30 @@
     pub address: SocketAddr,
     pub incarnation: u32,
     pub health: Health,
+    /// Requests per second that it states to take.
+    pub limit: Option<f64>,
     running: usize,
 }
 
 /// A request at a daemon: a caller's, or one that another daemon handed over.
 struct Hop {
     call: usize,
+    arrived_at: Time,
     attempt: u32,
     /// The handover by which it came: daemon, request and attempt there.
     from: Option<(usize, Key, u32)>,
 }
 
+/// What the head of an answer states, and whether that is known to end a limit.
+#[derive(Clone, Copy)]
+struct Head {
+    server: usize,
+    limit: Option<f64>,
+    ends_limit: bool,
+}
+
 enum Happening {
-    Report { daemon: usize, key: Key, attempt: u32, report: Report },
+    Report { daemon: usize, key: Key, attempt: u32, report: Report, head: Option<Head> },
     HandoverEnded { daemon: usize, key: Key, attempt: u32, end: HandoverEnd },
     Freed(usize),
 }
@@ -87,8 +104,11 @@
     /// Arrivals at servers, by request of a caller.
     arrived: Vec<u32>,
     arrivals: Arrivals,
+    pub limits: Limits,
     sequence: u64,
     answered: usize,
+    /// Time from the arrival of each request that was refused to its refusal.
+    refused_after: Vec<Duration>,
 }
 
 impl Day {
@@ -97,6 +117,7 @@
             address: address(FIRST_SERVER_ADDRESS + number),
             incarnation: 0,
             health: Health::Sound,
+            limit: None,
             running: 0,
         });
         let backends: Vec<Backend> = backends.collect();
@@ -121,8 +142,10 @@
             due: BTreeMap::new(),
             arrived: Vec::new(),
             arrivals: Arrivals::default(),
+            limits: Limits::default(),
             sequence: 0,
             answered: 0,
+            refused_after: Vec::new(),
         }
     }
 
@@ -153,10 +176,28 @@
         self.arrivals.max_usage(POLICY.retry_slack)
     }
 
+    pub fn now(&self) -> Time {
+        self.site.now
+    }
+
     pub fn answered(&self) -> usize {
         self.answered
     }
 
+    /// Times from the arrival of each request that was refused to its refusal, since the last call.
+    pub fn take_refusals(&mut self) -> Vec<Duration> {
+        std::mem::take(&mut self.refused_after)
+    }
+
+    /// Some servers state a limit from now on, or none.
+    pub fn set_limit(&mut self, servers: std::ops::Range<usize>, limit: Option<f64>) {
+        let now = self.site.now;
+        for number in servers {
+            self.backends[number].limit = limit;
+            self.limits.set(now, number, limit);
+        }
+    }
+
     pub(super) fn is_up(&self, daemon: usize) -> bool {
         !self.site.down.contains(&daemon)
     }
@@ -192,7 +233,7 @@
             is_handed_over: from.is_some(),
             start: Start::New,
         };
-        self.hops.insert((daemon, key), Hop { call, attempt: 0, from });
+        self.hops.insert((daemon, key), Hop { call, arrived_at: self.site.now, attempt: 0, from });
         self.site.apply(daemon, Message::Arrive(Box::new(arrival)));
     }
 
@@ -232,10 +273,17 @@
         let Some(hop) = self.hops.get_mut(&(daemon, key)) else { return };
         hop.attempt = dispatch.attempt;
         let (call, attempt) = (hop.call, dispatch.attempt);
-        let report = |report| Happening::Report { daemon, key, attempt, report };
         let number = self.backends.iter().position(|b| b.address == dispatch.address);
         let number = number.expect("daemons know only these servers");
         let health = self.backends[number].health;
+        let limit = self.backends[number].limit;
+        let head = Head { server: number, limit, ends_limit: dispatch.has_limit };
+        let report = |report| {
+            let is_answer = matches!(report, Report::Begun(_) | Report::Failed);
+            let states = is_answer || matches!(report, Report::Refused(Refusal::Busy));
+            let head = Some(Head { ends_limit: is_answer && head.ends_limit, ..head });
+            Happening::Report { daemon, key, attempt, report, head: head.filter(|_| states) }
+        };
         if self.site.cuts.contains_key(&daemon) || health == Health::Down {
             return self.schedule(ROUND_TRIP, report(Report::Unsent));
         }
@@ -243,6 +291,7 @@
             self.arrivals.note_retry();
         }
         self.arrived[call] += 1;
+        self.limits.note_arrival(self.site.now, number, daemon);
         let backend = &mut self.backends[number];
         if dispatch.server != server_id(number, backend.incarnation) {
             return self.schedule(ROUND_TRIP, report(Report::Refused(Refusal::Replaced)));
@@ -281,11 +330,13 @@
 
     fn happen(&mut self, happening: Happening) {
         match happening {
-            Happening::Report { daemon, key, attempt, report } => {
+            Happening::Report { daemon, key, attempt, report, head } => {
                 if let Some((at, true)) = self.back_at.get(&daemon) {
                     let wait = at.saturating_sub(self.site.now) + STEP;
-                    return self.schedule(wait, Happening::Report { daemon, key, attempt, report });
+                    let late = Happening::Report { daemon, key, attempt, report, head };
+                    return self.schedule(wait, late);
                 }
+                self.state_limit(daemon, key, attempt, head);
                 self.site.report(daemon, key, attempt, report);
                 let current = self.hops.get(&(daemon, key)).map(|hop| hop.attempt);
                 if report == Report::Ended && current == Some(attempt) {
@@ -300,9 +351,27 @@
         }
     }
 
+    /// A daemon gets the head of an answer.
+    fn state_limit(&mut self, daemon: usize, request: Key, attempt: u32, head: Option<Head>) {
+        let Some(Head { server, limit: per_s, ends_limit }) = head else { return };
+        if !self.hops.contains_key(&(daemon, request)) {
+            return;
+        }
+        if per_s.is_some() || ends_limit {
+            let stated = Message::RequestLimit { request, attempt, per_s };
+            self.site.apply(daemon, stated);
+        }
+        if per_s.is_some() {
+            self.limits.note_told(self.site.now, server, daemon);
+        }
+    }
+
     /// A request ends at a daemon, as refused with this code or otherwise.
     fn end(&mut self, daemon: usize, key: Key, refused: Option<Code>) {
-        let Some(Hop { from, .. }) = self.hops.remove(&(daemon, key)) else { return };
+        let Some(Hop { from, arrived_at, .. }) = self.hops.remove(&(daemon, key)) else { return };
+        if refused.is_some() {
+            self.refused_after.push(self.site.now.saturating_sub(arrived_at));
+        }
         let Some((origin, of, attempt)) = from else { return };
         // As the relay judges the answer of a peer.
         let is_final = !matches!(
