Request limits: a server that states one gets no more, over all daemons and all ways to it

What callers saw: a server that states 1.7 requests a second got 16 in 4 s from daemons that it had told (15 allowed). Servers in need were not spared.

Cause: no code read the field. Requests were placed at such a server as at others, at every daemon and by every way.

Change: `fleet::request_limit` keeps what each server stated last, bound to its incarnation, until an answer of it states none. Where a request is placed, for whichever daemon and whatever attempt, a token bucket for its server must hold a token; a dispatch takes it. Tokens come at this daemon's share of the limit: 0.8 for the first scheduler of the pool, 0.3 and 0.15 for the next ones, which place few while it is heard, and 0.15 for the one other daemon that the server is assigned to. A new bucket is empty, a higher share counts after 1 s, and a scheduler must hear most daemons. A pool whose servers all have limits refuses at once what it can't send within the wait, and says when to come back from its rate. Daemons report what they got to the schedulers, these announce the newest 16 statements: both bounded, whatever the size of the fleet. `rejection`'s shares are now `fleet::share`, used by both; what a daemon hears and its position are computed once in 100 ms rather than at each tick.

Why it works: all rates together are 1.4 of the limit at most, and five daemons at most may send one at once; half more than the limit and five are allowed.

--- a/src/fleet/admission.rs
+++ b/src/fleet/admission.rs
@@ -136,7 +136,8 @@
         }
     }
 
-    /// Whether the throughput of the queue predicts that a request would be refused after its wait.
+    /// Whether the throughput of the queue, or the limits of all servers, predict that a request would be refused after
+    /// its wait.
     /// It is then refused at once, and its caller retries sooner. This does not apply to a request
     /// that was sent before, nor to a returning caller of a pool where servers have just crashed:
     /// its tries are limited, and the throughput does not show that replacements start.
@@ -149,8 +150,11 @@
         if returns_after_crash || self.claims_isolation(now, key) {
             return false;
         }
-        let Some(throughput) = self.drains.get(&request.pool) else { return false };
         let ahead = self.count_ahead(Position::of(key, request), &request.pool);
+        if let Some(per_s) = self.pool_request_rate(&request.pool) {
+            return time_for(ahead + 1, per_s) > Self::max_wait(request);
+        }
+        let Some(throughput) = self.drains.get(&request.pool) else { return false };
         let expected =
             throughput.expected_wait(now, ahead).filter(|_| ahead >= MIN_AHEAD_FOR_ESTIMATE);
         expected.is_some_and(|wait| wait > Self::max_wait(request))
@@ -282,9 +286,10 @@
         // daemon.
         let daemons = if self.is_scheduler(now) { 1 } else { self.daemon_count() };
         let work_ms = (ahead + 1) as f64 * daemons as f64 * request_ms;
-        let queue_time = match concurrency {
-            0 => NO_SERVER_RETRY_AFTER,
-            _ => Duration::from_secs_f64(work_ms / concurrency as f64 / 1_000.0),
+        let queue_time = match (self.pool_request_rate(&request.pool), concurrency) {
+            (Some(per_s), _) => time_for(ahead + 1, per_s).min(limit),
+            (None, 0) => NO_SERVER_RETRY_AFTER,
+            (None, _) => Duration::from_secs_f64(work_ms / concurrency as f64 / 1_000.0),
         };
         self.with_jitter(queue_time).min(limit.max(MIN_RETRY_AFTER / 2))
     }
@@ -306,6 +311,11 @@
     }
 }
 
+/// Time in which `requests` are sent at a rate per second.
+fn time_for(requests: usize, per_s: f64) -> Duration {
+    Duration::try_from_secs_f64(requests as f64 / per_s).unwrap_or(Duration::MAX)
+}
+
 impl Node {
     /// Whether a request has waited for a home for half of its maximum wait.
     pub(super) fn has_waited_for_home(&self, now: Time, request: &Request) -> bool {
--- a/src/fleet/frame/mod.rs
+++ b/src/fleet/frame/mod.rs
@@ -11,7 +11,8 @@
 
 use super::scheduling::{Progress, Submission, Verdict};
 use super::{
-    Batch, Holder, Incarnation, Naming, Notice, Record, RejectLimit, Relay, Topic, Update, streams,
+    Batch, Holder, Incarnation, LimitStatement, Naming, Notice, Record, RejectLimit, Relay, Topic,
+    Update, streams,
 };
 use crate::poison::{self, Blocked, Fingerprint};
 use crate::prelude::*;
@@ -90,6 +91,8 @@
     pub quota_use: Vec<Usage>,
     /// The reject limits of pools in force.
     pub reject_limits: Vec<RejectLimit>,
+    /// The newest statements of servers on their request limits.
+    pub limit_statements: Vec<LimitStatement>,
 }
 
 /// A message between daemons.
@@ -435,6 +438,26 @@
     }
 }
 
+impl From<LimitStatement> for wire::LimitStatement {
+    fn from(statement: LimitStatement) -> Self {
+        let LimitStatement { server, per_s, age } = statement;
+        Self { server: server.id, born: server.started_ms, per_s, age_ms: millis(age) }
+    }
+}
+
+impl TryFrom<wire::LimitStatement> for LimitStatement {
+    type Error = Malformed;
+
+    fn try_from(statement: wire::LimitStatement) -> Result<Self, Malformed> {
+        let wire::LimitStatement { server, born, per_s, age_ms } = statement;
+        if per_s.is_some_and(|per_s| !per_s.is_finite() || per_s < 0.0) {
+            return Err(Malformed("a request limit is negative or not finite".into()));
+        }
+        let age = Duration::from_millis(u64::from(age_ms));
+        Ok(Self { server: Incarnation::new(server, born), per_s, age })
+    }
+}
+
 impl From<Digest> for wire::Digest {
     fn from(digest: Digest) -> Self {
         let (blocked, blocked_ages_ms) = poison::blocks_to_wire(&digest.blocked);
@@ -469,6 +492,11 @@
             quota_workspaces: digest.quota_use.iter().map(|used| used.workspace.clone()).collect(),
             quota_units: digest.quota_use.iter().map(|used| used.units).collect(),
             reject_limits: digest.reject_limits.into_iter().map(wire::RejectLimit::from).collect(),
+            limit_statements: digest
+                .limit_statements
+                .into_iter()
+                .map(wire::LimitStatement::from)
+                .collect(),
         }
     }
 }
@@ -529,6 +557,11 @@
                 .map(|(workspace, units)| Usage { workspace, units })
                 .collect(),
             reject_limits: digest.reject_limits.into_iter().map(RejectLimit::from).collect(),
+            limit_statements: digest
+                .limit_statements
+                .into_iter()
+                .map(LimitStatement::try_from)
+                .collect::<Result<_, _>>()?,
         })
     }
 }
--- a/src/fleet/frame/wire.rs
+++ b/src/fleet/frame/wire.rs
@@ -92,6 +92,21 @@
     pub(super) is_cut_off: bool,
     #[prost(message, repeated, tag = "26")]
     pub(super) reject_limits: Vec<RejectLimit>,
+    #[prost(message, repeated, tag = "27")]
+    pub(super) limit_statements: Vec<LimitStatement>,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub(super) struct LimitStatement {
+    #[prost(string, tag = "1")]
+    pub(super) server: String,
+    #[prost(uint64, tag = "2")]
+    pub(super) born: u64,
+    /// Requests per second; absent if the server states no limit.
+    #[prost(double, optional, tag = "3")]
+    pub(super) per_s: Option<f64>,
+    #[prost(uint32, tag = "4")]
+    pub(super) age_ms: u32,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
--- a/src/fleet/gossip.rs
+++ b/src/fleet/gossip.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use super::peer::{DIGEST_INTERVAL, Peer};
+use super::request_limit::MAX_ANNOUNCED_STATEMENTS;
 use super::scheduling::Rank;
 use super::{Digest, Effect, Frame, Incarnation, Node, Registration, Relay, Topic, Workload};
 use crate::prelude::*;
@@ -132,6 +133,12 @@
                 hot_parts: Vec::new(),
                 refused: Vec::new(),
                 quota_use: Vec::new(),
+                limit_statements: digest
+                    .limit_statements
+                    .iter()
+                    .take(MAX_ANNOUNCED_STATEMENTS)
+                    .cloned()
+                    .collect(),
                 ..digest.clone()
             };
             self.announce(now, &others, announced);
@@ -245,6 +252,7 @@
             quota_keeper: self.quota_leadership.keeper_id().to_owned(),
             quota_use: self.quota.recent_usage(now),
             reject_limits: self.rejection.limits(now),
+            limit_statements: self.limit_statements(now),
         }
     }
 
@@ -292,6 +300,7 @@
         self.expected.merge_peer(now, &digest.refused);
         self.merge_blocks(now, &digest.blocked);
         self.merge_reject_limits(now, &digest.reject_limits);
+        self.merge_limit_statements(now, &digest.limit_statements);
         self.record_peer_usage(now, &digest);
         // Refill first, so that the peer's transfers are deducted from the current budget and not
         // from that of the last send.
--- a/src/fleet/load.rs
+++ b/src/fleet/load.rs
@@ -68,11 +68,12 @@
         server.is_usable(now) && !self.load(key, server).loading
     }
 
-    /// Whether a server has a slot for one more request, and stays within its reject limit.
+    /// Whether a server has a slot for one more request, and stays within its limits.
     pub(super) fn has_room(&self, now: Time, key: server::Key, server: &Server) -> bool {
         self.accepts_work(now, key, server)
             && self.load(key, server).running < self.slots(server)
             && self.bears_reject(now, key, server)
+            && self.takes_request(now, key, server)
     }
 
     /// Number of requests that a server runs at once.
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -41,6 +41,7 @@
 mod run;
 mod scheduling;
 mod server;
+mod share;
 pub mod streams;
 #[cfg(test)]
 mod tests;
@@ -58,6 +59,7 @@
 pub use prompt::{Part, Prompt};
 pub use rejection::Limit as RejectLimit;
 pub use replication::{Batch, Catalog, Record, Relay, Topic};
+pub use request_limit::Statement as LimitStatement;
 pub use residency::{CacheEvent, EventBatch, Holder, Location, Update};
 pub use retry::Budget;
 #[cfg(test)]
--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -21,6 +21,7 @@
 use super::residency::{EventPoll, Link, StoreState};
 use super::rollout::Rollout;
 use super::scheduling::{Ranking, Submissions};
+use super::share::Shares;
 use super::streams::Streams;
 use super::{
     Budget, Catalog, Change, Command, Counts, Dependency, Effect, Key, Location, Message, Record,
@@ -123,6 +124,8 @@
     pub(super) refused_since: BTreeMap<poison::Incarnation, Time>,
     /// Reject limits of servers.
     pub(super) rejection: rejection::State,
+    /// Its shares of the limits of servers.
+    pub(super) shares: Shares,
     /// Request limits of servers.
     pub(super) request_limits: request_limit::State,
     /// Suspects that run alone at a server.
@@ -209,6 +212,7 @@
             detector: poison::Detector::default(),
             refused_since: BTreeMap::new(),
             rejection: rejection::State::default(),
+            shares: Shares::default(),
             request_limits: request_limit::State::default(),
             isolation: Isolation::default(),
             next_block_expiry: Time::ZERO,
@@ -364,6 +368,7 @@
         self.check_reach(now);
         self.check_unanswered(now);
         self.maintain_blocks(now);
+        self.update_shares(now);
         self.maintain_rejection(now);
         self.maintain_request_limits(now);
         self.remove_lapsed(now);
--- a/src/fleet/rejection/mod.rs
+++ b/src/fleet/rejection/mod.rs
@@ -8,14 +8,15 @@
 
 mod exposure;
 mod limit;
-pub(super) mod share;
+mod part;
 
 use exposure::Exposure;
 pub use limit::Limit;
 use limit::Limits;
-use share::{Claim, Share};
+pub(super) use part::rejects;
 
 use super::request::Phase;
+use super::share::Share;
 use super::{Key, Node, Server, server};
 use crate::prelude::*;
 use crate::route::Kind;
@@ -25,10 +26,6 @@
 pub(super) struct State {
     limits: Limits,
     exposures: BTreeMap<server::Key, Exposure>,
-    /// This daemon's position among the schedulers, by pool.
-    claims: BTreeMap<String, Claim>,
-    /// Its share of the limits of pools for which it is no scheduler.
-    other_share: Share,
 }
 
 impl State {
@@ -67,40 +64,17 @@
         for pool in self.rejection.limits.remove_lapsed(now) {
             self.event(Event::RejectLimitEnded, Detail::of("pool", pool.as_str()));
         }
-        self.update_reject_shares(now);
         let servers = &self.servers;
         self.rejection
             .exposures
             .retain(|key, exposure| servers.contains_key(*key) && !exposure.is_idle(now));
     }
 
-    /// Updates this daemon's share of the limit of each pool. A daemon with digests from only a minority of
-    /// the daemons may be one of several that each regard themselves as the scheduler.
-    fn update_reject_shares(&mut self, now: Time) {
-        let daemons = self.daemon_count();
-        let hears_most = 2 * (self.fresh_peer_count(now) + 1) > daemons;
-        let may_lead = hears_most && !self.has_just_started(now);
-        let other = Share::Other { position: self.position_among_daemons(), daemons };
-        let mut claims = std::mem::take(&mut self.rejection.claims);
-        claims.retain(|pool, _| self.pools.contains_key(pool));
-        for pool in self.pools.keys() {
-            let position = self.scheduler_position(now, pool).filter(|_| may_lead);
-            claims.entry(pool.clone()).or_default().update(now, position);
-        }
-        self.rejection.claims = claims;
-        self.rejection.other_share = other;
-    }
-
-    fn reject_share(&self, pool: &str) -> Share {
-        let position = self.rejection.claims.get(pool).and_then(Claim::position);
-        position.map_or(self.rejection.other_share, Share::Scheduler)
-    }
-
     /// Whether a server stays within its reject limit if it gets one more request from this daemon.
     pub(super) fn bears_reject(&self, now: Time, key: server::Key, server: &Server) -> bool {
         let Some(limit) = self.rejection.limits.get(now, &server.entry.pool) else { return true };
-        let share = self.reject_share(&server.entry.pool);
-        let allowed = share.rejects(limit, &server.entry.incarnation.id) as usize;
+        let share = self.share(&server.entry.pool);
+        let allowed = rejects(share, limit, &server.entry.incarnation.id) as usize;
         let Some(exposure) = self.rejection.exposures.get(&key) else {
             return allowed > 0
                 || self.held_capacity(server, None) > self.load(key, server).running;
@@ -119,7 +93,7 @@
     /// not the first scheduler does not know what others send at the same time.
     fn held_capacity(&self, server: &Server, shown: Option<u32>) -> u32 {
         let pool = self.table.as_ref().and_then(|table| table.pool(&server.entry.pool));
-        match (self.reject_share(&server.entry.pool), pool.map(|pool| &pool.kind)) {
+        match (self.share(&server.entry.pool), pool.map(|pool| &pool.kind)) {
             (Share::Scheduler(0), Some(Kind::Plain)) => shown.unwrap_or(server.entry.slots),
             _ => 0,
         }
--- a/src/fleet/request_limit/limit.rs
+++ b/src/fleet/request_limit/limit.rs
@@ -1,44 +1,74 @@
-//! What servers stated last.
+//! What servers stated last, and the requests that this leaves to them.
 
-use crate::fleet::server;
+use super::bucket::Bucket;
+use crate::fleet::{Incarnation, server};
 use crate::prelude::*;
 
 /// Time for which a statement is kept that no other follows. A server with the lowest limit that is used in full still
 /// answers several requests within it, and all copies of an older statement are gone after it.
 const LIFETIME: Duration = Duration::from_secs(20);
 
+/// What a server stated, as reported to other daemons.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Statement {
+    /// The server.
+    pub server: Incarnation,
+    /// Requests per second that it takes from all daemons together; `None` if it stated no limit.
+    pub per_s: Option<f64>,
+    /// Time since the answer that states it.
+    pub age: Duration,
+}
+
 /// What a server stated in an answer.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Limit {
+pub(super) struct Limit {
     /// Requests per second that it takes from all daemons together; `None` if it stated no limit.
-    pub per_s: Option<f64>,
+    pub(super) per_s: Option<f64>,
     /// When the answer arrived.
-    pub stated_at: Time,
+    pub(super) stated_at: Time,
+    /// Whether this daemon got the answer.
+    pub(super) is_own: bool,
 }
 
-/// The last statement of each server that has stated a limit lately.
+/// The last statement of each server that has stated a limit lately, with the tokens left for it.
 #[derive(Debug, Default)]
 pub(super) struct Limits {
-    stated: BTreeMap<server::Key, Limit>,
+    stated: BTreeMap<server::Key, (Limit, Bucket)>,
 }
 
 impl Limits {
     /// Merges a statement; returns whether another limit is in force now. The newest statement counts.
-    pub(super) fn merge(&mut self, key: server::Key, limit: Limit) -> bool {
-        let known = self.stated.get(&key).copied();
-        if known.is_some_and(|known| known.stated_at >= limit.stated_at) {
+    pub(super) fn merge(&mut self, now: Time, key: server::Key, limit: Limit) -> bool {
+        if now >= limit.stated_at + LIFETIME {
             return false;
         }
-        if known.is_none() && limit.per_s.is_none() {
+        let known = self.stated.get(&key).copied();
+        if known.is_some_and(|(known, _)| known.stated_at >= limit.stated_at) {
             return false;
         }
-        self.stated.insert(key, limit);
-        known.and_then(|known| known.per_s) != limit.per_s
+        let before = known.and_then(|(known, _)| known.per_s);
+        let bucket = known.filter(|_| before.is_some()).map(|(_, bucket)| bucket);
+        self.stated.insert(key, (limit, bucket.unwrap_or_else(|| Bucket::new(now))));
+        before != limit.per_s
     }
 
-    /// The limit in force, in requests per second.
-    pub(super) fn get(&self, key: server::Key) -> Option<f64> {
-        self.stated.get(&key)?.per_s
+    /// The limit in force, in requests per second, and the tokens left for it.
+    pub(super) fn get(&self, key: server::Key) -> Option<(f64, Bucket)> {
+        if self.stated.is_empty() {
+            return None;
+        }
+        let (limit, bucket) = self.stated.get(&key)?;
+        Some((limit.per_s?, *bucket))
+    }
+
+    /// The tokens left for a server with a limit.
+    pub(super) fn bucket_mut(&mut self, key: server::Key) -> Option<&mut Bucket> {
+        self.stated.get_mut(&key).map(|(_, bucket)| bucket)
+    }
+
+    /// Whether no server has stated a limit lately.
+    pub(super) fn is_empty(&self) -> bool {
+        self.stated.is_empty()
     }
 
     /// Whether a limit is in force, or was a moment ago.
@@ -48,6 +78,14 @@
 
     /// Keeps the recent statements of some servers.
     pub(super) fn retain(&mut self, now: Time, is_kept: impl Fn(server::Key) -> bool) {
-        self.stated.retain(|key, limit| now < limit.stated_at + LIFETIME && is_kept(*key));
+        self.stated.retain(|key, (limit, _)| now < limit.stated_at + LIFETIME && is_kept(*key));
+    }
+
+    /// The last statements, newest first.
+    pub(super) fn newest(&self) -> Vec<(server::Key, Limit)> {
+        let mut all: Vec<(server::Key, Limit)> =
+            self.stated.iter().map(|(key, (limit, _))| (*key, *limit)).collect();
+        all.sort_by_key(|(_, limit)| std::cmp::Reverse(limit.stated_at));
+        all
     }
 }
--- a/src/fleet/requests.rs
+++ b/src/fleet/requests.rs
@@ -180,6 +180,7 @@
         let most_idle = self.max_idle_connections(key);
         self.begin_isolated_run(now, key, choice.server);
         self.note_possible_reject(now, key, choice.server);
+        self.charge_request_limit(now, choice.server);
         self.charge_run(now, key);
         let Some(request) = self.requests.get_mut(&key) else { return };
         let Some(server) = self.servers.get_mut(choice.server) else { return };
--- a/src/fleet/tests/frames.rs
+++ b/src/fleet/tests/frames.rs
@@ -43,6 +43,18 @@
             rejects: 8,
             age: Duration::from_millis(70),
         }],
+        limit_statements: vec![
+            LimitStatement {
+                server: Incarnation::new("server-1", 9),
+                per_s: Some(1.7),
+                age: Duration::from_millis(70),
+            },
+            LimitStatement {
+                server: Incarnation::new("server-2", 0),
+                per_s: None,
+                age: Duration::ZERO,
+            },
+        ],
         named: vec![Naming { model: "m".into(), version: 4, age: Some(Duration::from_millis(70)) }],
     }
 }
--- a/src/fleet/tests/rejection/limit.rs
+++ b/src/fleet/tests/rejection/limit.rs
@@ -2,7 +2,8 @@
 
 use super::super::site::Site;
 use super::super::world::*;
-use crate::fleet::rejection::share::Share;
+use crate::fleet::rejection::rejects;
+use crate::fleet::share::Share;
 use crate::fleet::*;
 use crate::prelude::*;
 use crate::route::Repeat;
@@ -158,12 +159,12 @@
 fn shares_of_all_daemons_stay_within_limit() {
     for limit in 3..40 {
         let schedulers: u32 =
-            (0..3).map(|position| Share::Scheduler(position).rejects(limit, "s")).sum();
+            (0..3).map(|position| rejects(Share::Scheduler(position), limit, "s")).sum();
         for daemons in [1, 2, 9, 12, 195, 390] {
             for server in 0..20 {
                 let server = format!("s-{server}");
                 let others = (0..daemons)
-                    .map(|position| Share::Other { position, daemons }.rejects(limit, &server));
+                    .map(|position| rejects(Share::Other { position, daemons }, limit, &server));
                 let others: u32 = others.sum();
                 assert!(others >= 1, "no other daemon may use {server}");
                 assert!(schedulers + others <= limit, "{limit}: {schedulers} and {others}");
@@ -178,7 +179,7 @@
     let open = (0..daemons).map(|position| {
         let servers = (0..2_000).map(|server| format!("s-{server}"));
         let share = Share::Other { position, daemons };
-        servers.filter(|server| share.rejects(8, server) > 0).count()
+        servers.filter(|server| rejects(share, 8, server) > 0).count()
     });
     let open: Vec<usize> = open.collect();
     assert_eq!(open.iter().sum::<usize>(), 2 * 2_000);
--- a/src/fleet/tests/request_limit/mod.rs
+++ b/src/fleet/tests/request_limit/mod.rs
@@ -1,6 +1,11 @@
 //! Servers that state how many requests per second they take from all daemons together.
 
 use super::day::{Day, Fault, Setup};
+use super::site::Site;
+use super::world::*;
+use crate::fleet::request_limit::rate;
+use crate::fleet::share::Share;
+use crate::fleet::*;
 use crate::prelude::*;
 use crate::route::Repeat;
 
@@ -62,6 +67,64 @@
     assert_eq!(broken.collect::<Vec<u64>>(), Vec::<u64>::new());
 }
 
+#[test]
+fn servers_get_no_more_than_they_take_while_all_are_limited_and_daemons_fail() {
+    let broken = seeds().filter(|seed| {
+        let mut day = Day::new(Setup { daemons: daemons(), ..ENGINES }, *seed);
+        day.play(Duration::from_secs(1), &[]);
+        day.set_limit(0..18, Some(1.7));
+        day.play(Duration::from_secs(20), &Fault::OF_DAEMONS);
+        !is_kept(&day, &format!("seed {seed}, all limited"))
+    });
+    assert_eq!(broken.collect::<Vec<u64>>(), Vec::<u64>::new());
+}
+
+#[test]
+fn rates_of_986_daemons_stay_within_what_a_server_takes() {
+    let daemons = 986;
+    for server in 0..200 {
+        let server = format!("s-{server}");
+        let others = (0..daemons).map(|position| Share::Other { position, daemons });
+        let schedulers = (0..3).map(Share::Scheduler);
+        let rates: Vec<f64> =
+            schedulers.chain(others).map(|share| rate(share, 1.7, &server)).collect();
+        // Half more than the limit is allowed at most.
+        assert!(rates.iter().sum::<f64>() <= 1.5 * 1.7);
+        // Each daemon with a rate may send a request at once; five more than the limit are allowed.
+        assert!(rates.iter().filter(|rate| **rate > 0.0).count() <= 5);
+    }
+}
+
+#[test]
+fn limit_that_one_daemon_got_is_known_to_all_and_binds_its_server_alone() {
+    let engines = [("e-1", "engine 101 ready 1"), ("e-2", "engine 102 ready 1")];
+    let mut site = Site::new(12, &engines);
+    let key = site.arrive(3, "engines", Repeat::Idempotent);
+    let dispatch = site.only_dispatch(3, key);
+    let stated = |per_s| Message::RequestLimit { request: key, attempt: dispatch.attempt, per_s };
+    site.apply(3, stated(Some(1.7)));
+    site.report(3, key, dispatch.attempt, Report::Begun(None));
+    site.advance(ms(1_000));
+    let known = |site: &Site, daemon: usize| -> Vec<Option<f64>> {
+        let node = &site.daemons[daemon].node;
+        let keys = engines.map(|(id, _)| Incarnation::new(id, 0));
+        let limits = keys.iter().filter_map(|id| node.incarnations.server(id));
+        limits.map(|server| node.request_limit(server)).collect()
+    };
+    let expected = match dispatch.server.as_str() {
+        "e-1" => [Some(1.7), None],
+        _ => [None, Some(1.7)],
+    };
+    for daemon in 0..12 {
+        assert_eq!(known(&site, daemon), expected, "daemon {daemon}");
+    }
+    site.apply(3, stated(None));
+    site.advance(ms(1_000));
+    for daemon in 0..12 {
+        assert_eq!(known(&site, daemon), [None, None], "daemon {daemon}");
+    }
+}
+
 #[test]
 fn requests_that_no_server_takes_are_refused_at_once() {
     let mut day = Day::new(Setup { daemons: daemons(), ..ENGINES }, 1);
