Retry budget: a request that servers refused at a peer is not handed back

Cause: a peer that took a request over, sent it, and had servers refuse it, and then stopped or was cut off itself, answered with a code that says it reached no server. The daemon that had handed the request over offered it to another peer, and the next attempt counted as the first.

Change: once a server has refused a request that was handed over, the peer refuses it for lack of a server, which the other daemon passes on: not run, with a time to come back.

Evidence: request_handed_over_that_servers_refused_is_not_handed_back failed before: the peer refused with 2006, which the other daemon takes for a request that was not taken over. Small: it needs a peer that stops or is cut off between a refusal and the next attempt.

--- a/src/fleet/admission.rs
+++ b/src/fleet/admission.rs
@@ -253,6 +253,7 @@
         after: Duration,
     ) {
         let Some(request) = self.requests.get(&key) else { return };
+        let code = request.refusal_code(code);
         let command = match request.possible_runs {
             0 => Command::Refuse(code, after),
             _ => Command::GiveUp,
--- a/src/fleet/request.rs
+++ b/src/fleet/request.rs
@@ -48,6 +48,8 @@
     pub(super) tried: Vec<server::Key>,
     /// Whether its next send is charged to the retry budget.
     pub(super) draws_on_retry_budget: bool,
+    /// Whether a server has refused it.
+    pub(super) was_refused_by_server: bool,
     /// How its last attempt counts for the retry budget.
     pub(super) charge: Charge,
     /// Whether its caller retries a recently refused request.
@@ -79,6 +81,7 @@
             sent_software: Vec::new(),
             tried: Vec::new(),
             draws_on_retry_budget: false,
+            was_refused_by_server: false,
             charge: Charge::First,
             refused_before: false,
             origin,
@@ -88,6 +91,13 @@
         }
     }
 
+    /// Returns the code with which it is refused for the reason of `code`. The daemon that handed a request over would
+    /// take some codes for a request that has reached no server, and offer it to another peer.
+    pub(super) fn refusal_code(&self, code: Code) -> Code {
+        let is_known_there = self.arrival.is_handed_over && self.was_refused_by_server;
+        if is_known_there { Code::NoServer } else { code }
+    }
+
     /// Returns the stream that it begins or takes up; `None` for other requests. A stream that its caller does not name
     /// is identified by this request, and so is bound nowhere.
     pub(super) fn stream(&self) -> Option<StreamId> {
--- a/src/fleet/requests.rs
+++ b/src/fleet/requests.rs
@@ -239,6 +239,7 @@
         self.release_slot(key);
         let Some(request) = self.requests.get_mut(&key) else { return };
         request.draws_on_retry_budget |= arrived;
+        request.was_refused_by_server |= arrived;
         if request.sends >= MAX_SENDS_PER_REQUEST {
             return self.refuse(now, key, code);
         }
--- a/src/fleet/scheduling/submitting.rs
+++ b/src/fleet/scheduling/submitting.rs
@@ -85,6 +85,7 @@
             }
             Decision::Send(assignment) => self.dispatch_assignment(now, key, assignment),
             Decision::Refuse(code, after) if request.possible_runs == 0 => {
+                let code = request.refusal_code(code);
                 self.effects.push(Effect::Command(key, Command::Refuse(code, after)));
                 self.requests.remove(&key);
             }
@@ -233,6 +234,7 @@
         if let Some(request) = self.requests.get_mut(&key) {
             request.possible_runs -= 1;
             request.draws_on_retry_budget |= arrived;
+            request.was_refused_by_server |= arrived;
             request.phase = Phase::Submitted(Stage::AwaitingVerdict(now));
             self.awaiting_scheduler.insert(key);
             self.leave_if_cut_off(now, key);
--- a/src/fleet/tests/budget/charges.rs
+++ b/src/fleet/tests/budget/charges.rs
@@ -4,6 +4,7 @@
 use crate::fleet::tests::world::*;
 use crate::fleet::*;
 use crate::poison::Fingerprint;
+use crate::prelude::*;
 use crate::route::Repeat;
 
 const SERVERS: [(&str, &str); 3] =
@@ -56,3 +57,32 @@
         assert_eq!(totals(&site), (0, 0));
     }
 }
+
+// The daemon that had handed the request over offered it to another peer, whose first attempt was not charged.
+#[test]
+fn request_handed_over_that_servers_refused_is_not_handed_back() {
+    let mut site = Site::new(6, &SERVERS[..1]);
+    for taker in [site.scheduler("plain"), site.non_scheduler()] {
+        let route = route("plain", Repeat::AtMostOnce, 1);
+        let key = Key(1_000 + taker as u64);
+        let arrival = Arrival {
+            request: key,
+            id: "handed-over".into(),
+            deadline: site.clock(taker) + route.timeout,
+            route,
+            workspace: None,
+            prompt: None,
+            fingerprint: Fingerprint(1),
+            is_handed_over: true,
+            start: Start::New,
+        };
+        site.apply(taker, Message::Arrive(Box::new(arrival)));
+        let attempt = site.only_dispatch(taker, key).attempt;
+        site.report(taker, key, attempt, Report::Refused(Refusal::Busy));
+        site.apply(taker, Message::Stop);
+        site.apply(taker, Message::StopDeadline);
+        let ended = site.commands(taker, key);
+        assert!(matches!(ended.as_slice(), [Command::Refuse(Code::NoServer, _)]), "{ended:?}");
+        site.advance(ms(2_000));
+    }
+}
