Read-through: walks over statements ten times a second, pools without a staying server, plainer comments

A pool whose servers all drain was taken for one whose servers all have limits, once any server stated one: its requests were refused at once instead of after their wait. Statements were walked over at each tick.

--- a/src/fleet/frame/digest.rs
+++ b/src/fleet/frame/digest.rs
@@ -72,7 +72,7 @@
     pub quota_use: Vec<Usage>,
     /// The reject limits of pools in force.
     pub reject_limits: Vec<RejectLimit>,
-    /// The newest statements of servers on their request limits.
+    /// The newest statements of servers about their request limits.
     pub limit_statements: Vec<LimitStatement>,
 }
 
--- a/src/fleet/request_limit/bucket.rs
+++ b/src/fleet/request_limit/bucket.rs
@@ -4,11 +4,11 @@
 use crate::prelude::*;
 
 /// Parts of a limit that the schedulers may use, in the order in which they place a pool's requests. The second and the
-/// third place few while the first is heard.
+/// third place few requests while the first runs.
 const SCHEDULER_PARTS: [f64; 3] = [0.8, 0.3, 0.15];
-/// Part of which the daemon has all to which a server is assigned among those that schedule no requests.
+/// Part for a daemon that schedules no requests and that the server is assigned to.
 const OTHERS_PART: f64 = 0.15;
-/// Number of those daemons that a server is assigned to. A fraction of a request for each of them would be none.
+/// Number of such daemons for each server. A fraction of a request for each of many daemons would be none.
 const OTHERS_PER_SERVER: usize = 1;
 /// Lowest limit that is used. Without any request, the end of a limit would not be noticed.
 const MIN_PER_S: f64 = 0.2;
@@ -34,7 +34,7 @@
         (self.tokens + inflow).min(1.0 + per_s * BURST.as_secs_f64())
     }
 
-    /// Takes a token. More may be taken than there are, by requests that were placed before the limit was known.
+    /// Takes a token, which a request that was placed before the limit was known may owe.
     pub(super) fn take(&mut self, now: Time, per_s: f64) {
         self.tokens = (self.tokens(now, per_s) - 1.0).max(-1.0);
         self.filled_at = now;
--- a/src/fleet/request_limit/limit.rs
+++ b/src/fleet/request_limit/limit.rs
@@ -1,4 +1,4 @@
-//! What servers stated last, and the requests that this leaves to them.
+//! The last statements of servers.
 
 use super::bucket::Bucket;
 use crate::fleet::{Incarnation, server};
@@ -26,11 +26,11 @@
     pub(super) per_s: Option<f64>,
     /// When the answer arrived.
     pub(super) stated_at: Time,
-    /// Whether this daemon got the answer.
+    /// Whether this daemon received the answer.
     pub(super) is_own: bool,
 }
 
-/// The last statement of each server that has stated a limit lately, with the tokens left for it.
+/// The last statement of each server that has stated a limit, with the tokens left for it, until it expires.
 #[derive(Debug, Default)]
 pub(super) struct Limits {
     stated: BTreeMap<server::Key, (Limit, Bucket)>,
@@ -66,7 +66,7 @@
         self.stated.get_mut(&key).map(|(_, bucket)| bucket)
     }
 
-    /// Whether no server has stated a limit lately.
+    /// Whether there is no statement.
     pub(super) fn is_empty(&self) -> bool {
         self.stated.is_empty()
     }
--- a/src/fleet/request_limit/mod.rs
+++ b/src/fleet/request_limit/mod.rs
@@ -2,8 +2,8 @@
 //!
 //! A server in need states in its answers how many requests per second it takes from all daemons together, for as long
 //! as it states it. The limit is that of one server, and ends with an answer that does not state it. All daemons
-//! together stay within it: each has a share, by which tokens for requests to the server come, and the first scheduler
-//! of its pool has most. Daemons tell each other in digests what they heard last.
+//! together stay within it: each has a share of the limit as the rate of a token bucket, and the first scheduler of the
+//! pool has most. Digests carry the newest statements.
 
 mod bucket;
 mod limit;
@@ -15,10 +15,10 @@
 use super::{Key, Node, Server, server};
 use crate::prelude::*;
 
-/// Interval between updates of the rates of pools. They look at all servers of a pool if each has a limit.
-const POOL_UPDATE_INTERVAL: Duration = Duration::from_millis(100);
-/// Time for which a daemon that is no scheduler repeats what it got: longer than its interval between digests.
-const REPEAT_TIME: Duration = Duration::from_millis(1_500);
+/// Interval between walks over the statements, and over the servers of a pool if each has a limit.
+const UPDATE_INTERVAL: Duration = Duration::from_millis(100);
+/// Time for which a daemon that is no scheduler reports a statement: longer than its interval between digests.
+const REPORT_TIME: Duration = Duration::from_millis(1_500);
 /// Maximum number of statements in a digest.
 const MAX_STATEMENTS: usize = 64;
 /// Maximum number of statements in a scheduler's digest to all daemons. The newest ones change, so others follow.
@@ -30,7 +30,7 @@
     limits: Limits,
     /// Requests per second that this daemon may send to pools whose servers all have a limit.
     pool_rates: BTreeMap<String, f64>,
-    next_pool_update: Time,
+    next_update: Time,
 }
 
 impl Node {
@@ -49,7 +49,7 @@
         self.merge_request_limit(now, server, Limit { per_s, stated_at: now, is_own: true });
     }
 
-    /// Merges what peers heard from servers.
+    /// Merges statements that a peer reported.
     pub(super) fn merge_limit_statements(&mut self, now: Time, statements: &[Statement]) {
         for statement in statements {
             if let Some(server) = self.incarnations.server(&statement.server) {
@@ -74,13 +74,13 @@
         }
     }
 
-    /// The newest statements of servers, to include them in digests: all known ones at a scheduler, those that it got
-    /// itself at any other daemon.
+    /// The newest statements, to include them in digests: all at a scheduler, at any other daemon those in answers that
+    /// it received itself.
     pub(super) fn limit_statements(&self, now: Time) -> Vec<Statement> {
         let schedules = self.is_scheduler(now);
         let newest = self.request_limits.limits.newest().into_iter();
         let reported = newest
-            .filter(|(_, limit)| schedules || limit.is_own && now < limit.stated_at + REPEAT_TIME);
+            .filter(|(_, limit)| schedules || limit.is_own && now < limit.stated_at + REPORT_TIME);
         let statements = reported.take(MAX_STATEMENTS).filter_map(|(key, limit)| {
             Some(Statement {
                 server: self.servers.get(key)?.entry.incarnation.clone(),
@@ -124,14 +124,15 @@
         }
     }
 
-    /// Drops the limits of servers that are gone, and those that no server has stated for long.
+    /// Drops the limits of servers that are gone and expired statements, and updates the rates of pools.
     pub(super) fn maintain_request_limits(&mut self, now: Time) {
+        if now < self.request_limits.next_update {
+            return;
+        }
+        self.request_limits.next_update = now + UPDATE_INTERVAL;
         let servers = &self.servers;
         self.request_limits.limits.retain(now, |key| servers.contains_key(key));
-        if now >= self.request_limits.next_pool_update {
-            self.request_limits.next_pool_update = now + POOL_UPDATE_INTERVAL;
-            self.request_limits.pool_rates = self.limited_pools();
-        }
+        self.request_limits.pool_rates = self.limited_pools();
     }
 
     /// Requests per second that this daemon may send to a pool, if all servers of it have a limit.
@@ -143,12 +144,18 @@
         if self.request_limits.limits.is_empty() {
             return BTreeMap::new();
         }
-        let rate = |keys: &[server::Key]| {
-            let servers = keys.iter().filter_map(|key| Some((*key, self.servers.get(*key)?)));
-            let staying = servers.filter(|(_, server)| !server.entry.draining);
-            staying.map(|(key, server)| self.request_rate(key, server)).sum::<Option<f64>>()
-        };
-        let pools = self.pools.iter().filter(|(_, pool)| pool.len() > 0);
-        pools.filter_map(|(name, pool)| Some((name.clone(), rate(pool.keys())?))).collect()
+        let pools = self.pools.iter();
+        pools
+            .filter_map(|(name, pool)| Some((name.clone(), self.total_rate(pool.keys())?)))
+            .collect()
+    }
+
+    /// Requests per second that this daemon may send to the servers that stay; `None` if one of them has no limit, or
+    /// none stays.
+    fn total_rate(&self, keys: &[server::Key]) -> Option<f64> {
+        let servers = keys.iter().filter_map(|key| Some((*key, self.servers.get(*key)?)));
+        let mut staying = servers.filter(|(_, server)| !server.entry.draining).peekable();
+        staying.peek()?;
+        staying.map(|(key, server)| self.request_rate(key, server)).sum()
     }
 }
--- a/src/fleet/requests.rs
+++ b/src/fleet/requests.rs
@@ -19,8 +19,8 @@
 const OTHERS_SLACK_SHARE: f64 = 0.25;
 
 impl Node {
-    /// This daemon's share of the retry budget. A daemon that does not hear most of the others counts as
-    /// no scheduler, since any number of them may believe to be one.
+    /// This daemon's share of the retry budget. A daemon without digests from most of the others counts as
+    /// no scheduler, since any number of such daemons may regard themselves as one.
     pub(super) fn retry_terms(&self, now: Time) -> Terms {
         if self.is_scheduler(now) && self.hears_most() && !self.has_just_started(now) {
             return self.retry_terms_with(SCHEDULER_SLACK_SHARE);
--- a/src/fleet/scheduling/ranking.rs
+++ b/src/fleet/scheduling/ranking.rs
@@ -57,7 +57,7 @@
     started_at: Option<Time>,
     /// Number of daemons that rank above this one, whether heard from or not.
     higher_ranked: usize,
-    /// Whether this daemon hears most of the daemons; one that does not may be partitioned from them.
+    /// Whether there are recent digests from most of the daemons; otherwise this one may be partitioned from them.
     hears_most: bool,
 }
 
@@ -123,7 +123,7 @@
             && ranking.schedulers.contains(&self.identity.id)
     }
 
-    /// Whether this daemon hears most of the daemons, itself included, as of the last update of the ranking.
+    /// Whether there were recent digests from most of the daemons, this one included, at the last update of the ranking.
     pub(in crate::fleet) fn hears_most(&self) -> bool {
         self.ranking.hears_most
     }
--- a/src/fleet/share.rs
+++ b/src/fleet/share.rs
@@ -82,8 +82,8 @@
 }
 
 impl Node {
-    /// Updates this daemon's shares. A daemon that hears only a minority of the daemons may be one of several that each
-    /// regard themselves as the scheduler.
+    /// Updates this daemon's shares. A daemon with digests from only a minority of the daemons may be one of several that
+    /// each regard themselves as the scheduler.
     pub(super) fn update_shares(&mut self, now: Time) {
         let may_lead = self.hears_most() && !self.has_just_started(now);
         let mut claims = std::mem::take(&mut self.shares.claims);
--- a/src/fleet/tests/budget/charges.rs
+++ b/src/fleet/tests/budget/charges.rs
@@ -35,25 +35,31 @@
     }
 }
 
+/// A peer hands a request over to a daemon.
+fn hand_over(site: &mut Site, taker: usize, repeat: Repeat) -> Key {
+    let route = route("plain", repeat, 2);
+    let key = Key(1_000 + taker as u64);
+    let arrival = Arrival {
+        request: key,
+        id: "handed-over".into(),
+        deadline: site.clock(taker) + route.timeout,
+        route,
+        workspace: None,
+        prompt: None,
+        fingerprint: Fingerprint(1),
+        is_handed_over: true,
+        start: Start::New,
+    };
+    site.apply(taker, Message::Arrive(Box::new(arrival)));
+    key
+}
+
 // A request that its daemon had submitted before it was cut off counted again where it was handed over.
 #[test]
 fn request_handed_over_is_not_counted_again() {
     let mut site = Site::new(6, &SERVERS);
-    let (scheduler, other) = (site.scheduler("plain"), site.non_scheduler());
-    for taker in [scheduler, other] {
-        let route = route("plain", Repeat::Idempotent, 2);
-        let arrival = Arrival {
-            request: Key(1_000 + taker as u64),
-            id: "handed-over".into(),
-            deadline: site.clock(taker) + route.timeout,
-            route,
-            workspace: None,
-            prompt: None,
-            fingerprint: Fingerprint(1),
-            is_handed_over: true,
-            start: Start::New,
-        };
-        site.apply(taker, Message::Arrive(Box::new(arrival)));
+    for taker in [site.scheduler("plain"), site.non_scheduler()] {
+        hand_over(&mut site, taker, Repeat::Idempotent);
         assert_eq!(totals(&site), (0, 0));
     }
 }
@@ -63,20 +69,7 @@
 fn request_handed_over_that_servers_refused_is_not_handed_back() {
     let mut site = Site::new(6, &SERVERS[..1]);
     for taker in [site.scheduler("plain"), site.non_scheduler()] {
-        let route = route("plain", Repeat::AtMostOnce, 1);
-        let key = Key(1_000 + taker as u64);
-        let arrival = Arrival {
-            request: key,
-            id: "handed-over".into(),
-            deadline: site.clock(taker) + route.timeout,
-            route,
-            workspace: None,
-            prompt: None,
-            fingerprint: Fingerprint(1),
-            is_handed_over: true,
-            start: Start::New,
-        };
-        site.apply(taker, Message::Arrive(Box::new(arrival)));
+        let key = hand_over(&mut site, taker, Repeat::AtMostOnce);
         let attempt = site.only_dispatch(taker, key).attempt;
         site.report(taker, key, attempt, Report::Refused(Refusal::Busy));
         site.apply(taker, Message::Stop);
