--- a/src/fleet/tests/request_limit/mod.rs
+++ b/src/fleet/tests/request_limit/mod.rs
@@ -125,6 +125,31 @@
     }
 }
 
+#[test]
+fn digests_stay_bounded_when_many_servers_state_limits() {
+    let servers: Vec<(String, String)> =
+        (0..200).map(|n| (format!("e-{n}"), format!("engine {} ready 1", n % 250))).collect();
+    let mut site = Site::new(3, &borrowed(&servers));
+    let statements = servers.iter().map(|(id, _)| LimitStatement {
+        server: Incarnation::new(id, 0),
+        per_s: Some(1.7),
+        age: ms(0),
+    });
+    let digest = Digest {
+        daemon: "router-3".into(),
+        address: address(3).to_string(),
+        limit_statements: statements.collect(),
+        ..Digest::default()
+    };
+    for daemon in 0..2 {
+        site.apply(daemon, Message::Frame(Frame::Digest(Box::new(digest.clone()))));
+        let (now, node) = (site.clock(daemon), &site.daemons[daemon].node);
+        let limited = servers.iter().filter_map(|(id, _)| node.incarnations.registered(id));
+        assert_eq!(limited.filter(|key| node.request_limit(*key).is_some()).count(), 200);
+        assert!(node.digest(now).limit_statements.len() <= 64);
+    }
+}
+
 #[test]
 fn requests_that_no_server_takes_are_refused_at_once() {
     let mut day = Day::new(Setup { daemons: daemons(), ..ENGINES }, 1);
