--- a/src/control/tests/mod.rs
+++ b/src/control/tests/mod.rs
@@ -1,9 +1,13 @@
 //! Tests of several nodes under seeded message orders and faults.
 
 mod at_most_once;
+mod attempts;
 mod blocks;
 mod checkpoints;
+mod fixture;
 mod manifests;
 mod orders;
+mod readiness;
 mod servers;
 mod simulation;
+mod weights;
