--- a/src/fleet/frame/digest.rs
+++ b/src/fleet/frame/digest.rs
@@ -38,14 +38,14 @@
     pub zone: String,
     /// Time until its next digest to the same peer.
     pub interval: Duration,
-    /// Age of its last read of each topic in the platform's store, in the order of [`Topic::ALL`];
+    /// Age of its last read of each topic in the platform's store, in the order of [`Topic::ALL`](crate::fleet::Topic::ALL);
     /// `None` if it has read nothing.
     pub read_ages: Vec<Option<Duration>>,
     /// Its incarnation.
     pub incarnation: u64,
     /// Whether it is stopping.
     pub draining: bool,
-    /// The offsets up to which it has all records, in the order of [`Topic::ALL`].
+    /// The offsets up to which it has all records, in the order of [`Topic::ALL`](crate::fleet::Topic::ALL).
     pub end_offsets: Vec<u64>,
     /// Its work by server.
     pub workloads: BTreeMap<Incarnation, Workload>,
