--- a/src/fleet/requests.rs
+++ b/src/fleet/requests.rs
@@ -19,8 +19,8 @@
 const OTHERS_SLACK_SHARE: f64 = 0.25;
 
 impl Node {
-    /// This daemon's share of the retry budget. A daemon that does not hear most of the others counts as
-    /// no scheduler, since any number of them may believe to be one.
+    /// This daemon's share of the retry budget. A daemon without digests from most of the others counts as
+    /// no scheduler, since any number of such daemons may regard themselves as one.
     pub(super) fn retry_terms(&self, now: Time) -> Terms {
         if self.is_scheduler(now) && self.hears_most() && !self.has_just_started(now) {
             return self.retry_terms_with(SCHEDULER_SLACK_SHARE);
@@ -239,6 +239,7 @@
         self.release_slot(key);
         let Some(request) = self.requests.get_mut(&key) else { return };
         request.draws_on_retry_budget |= arrived;
+        request.was_refused_by_server |= arrived;
         if request.sends >= MAX_SENDS_PER_REQUEST {
             return self.refuse(now, key, code);
         }
