--- a/src/fleet/share.rs
+++ b/src/fleet/share.rs
@@ -1,7 +1,7 @@
 //! Division of a limit of one server among the daemons, without communication.
 //!
-//! The first scheduler of a pool places the requests of all daemons, and has most of what the pool's servers take. Two or
-//! all schedulers place some while one is silent, and any daemon may place its own, so these have a part, too.
+//! The first scheduler of a pool places the requests of all daemons and has most of a limit. While it is silent, other
+//! schedulers place requests, and any daemon may place its own, so these have a part, too.
 
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -9,7 +9,7 @@
 use crate::prelude::*;
 
 /// Time for which a daemon must have had a position among the schedulers until it uses its share: the one before it may
-/// not yet know that it has lost it, and what it caused in the last second still counts.
+/// not yet know that it has lost it, and rejects that it caused in the last second still count.
 const SETTLE_TIME: Duration = Duration::from_millis(1_000);
 
 /// Interval between updates of the share of a daemon that is no scheduler. They look at each peer.
