--- a/src/fleet/tests/budget/mod.rs
+++ b/src/fleet/tests/budget/mod.rs
@@ -4,7 +4,7 @@
 
 use quickcheck::quickcheck;
 
-use super::day::{Arrivals, Day, Fault, STEP, Setup, Usage};
+use super::day::{self, Arrivals, Day, Fault, STEP, Setup, Usage};
 use super::world::POLICY;
 use crate::fleet::Budget;
 use crate::fleet::retry::Terms;
@@ -19,17 +19,14 @@
     calls_per_s: 300,
 };
 
-/// Seeds of the days with all faults; `BUDGET_SEEDS` gives another range, such as `100..160`.
+/// Seeds of the days with all faults.
 fn seeds() -> std::ops::Range<u64> {
-    let Ok(text) = std::env::var("BUDGET_SEEDS") else { return 0..2 };
-    let (from, to) = text.split_once("..").expect("the seeds are a range");
-    from.parse().expect("a number")..to.parse().expect("a number")
+    day::seeds("RETRY_SEEDS", 0..2)
 }
 
-/// The number of daemons; `BUDGET_DAEMONS` gives another one.
+/// The number of daemons.
 fn daemons() -> u8 {
-    let text = std::env::var("BUDGET_DAEMONS").ok();
-    text.map_or(ENGINES.daemons, |text| text.parse().expect("a number"))
+    day::daemons("RETRY_DAEMONS", ENGINES.daemons)
 }
 
 /// Returns whether the day kept to the budget, and prints it.
@@ -76,7 +73,7 @@
     assert_eq!(broken.collect::<Vec<u64>>(), Vec::<u64>::new());
 }
 
-// Daemons spend what they can at once, end, and start anew; requests come in bursts at changing daemons.
+// Daemons spend all tokens at once and restart at random times. Requests arrive in bursts, at one daemon at a time.
 quickcheck! {
     fn budgets_of_daemons_that_start_and_end_keep_to_the_ratio(seed: u64) -> bool {
         let mut rng = fastrand::Rng::with_seed(seed);
--- a/src/fleet/tests/day/arrivals.rs
+++ b/src/fleet/tests/day/arrivals.rs
@@ -44,8 +44,8 @@
         *self.retries.last_mut().expect("a step has begun") += 1;
     }
 
-    /// Returns the window with most retries for what is allowed, given the fixed number. The requests of a window count,
-    /// or those of the one before it or half a window before it, if they are more.
+    /// Returns the window that used most of its budget; `slack` is the fixed number of retries. The requests of a window
+    /// count, or those of the one before it or half a window before it, if they are more.
     pub fn max_usage(&self, slack: f64) -> Usage {
         let window = (POLICY.retry_window.as_millis() / STEP.as_millis()) as usize;
         let sum = |counts: &[usize], from: usize, to: usize| {
--- a/src/fleet/tests/day/faults.rs
+++ b/src/fleet/tests/day/faults.rs
@@ -19,9 +19,9 @@
     Freeze,
     /// The scheduler of the pool stands still for some seconds.
     FreezeScheduler,
-    /// A third of the daemons hears no other ones, and is heard by none.
+    /// A third of the daemons exchanges no frames with the others.
     Partition,
-    /// Daemons hear no others.
+    /// No daemon exchanges frames with another.
     Isolation,
     /// Some daemons reach no server.
     CutServers,
--- a/src/fleet/tests/day/limits.rs
+++ b/src/fleet/tests/day/limits.rs
@@ -15,7 +15,7 @@
 #[derive(Debug, Clone, Copy)]
 struct Arrival {
     at: Time,
-    /// Whether its daemon was told of the limit and is not excused.
+    /// Whether its daemon has passed on the limit before, and no fault excuses it.
     counts: bool,
 }
 
--- a/src/fleet/tests/day/mod.rs
+++ b/src/fleet/tests/day/mod.rs
@@ -393,6 +393,19 @@
     }
 }
 
+/// Returns the seeds to play: those of an environment variable, such as `100..160`, or `default`.
+pub fn seeds(variable: &str, default: std::ops::Range<u64>) -> std::ops::Range<u64> {
+    let Ok(text) = std::env::var(variable) else { return default };
+    let (from, to) = text.split_once("..").expect("the seeds are a range");
+    from.parse().expect("a number")..to.parse().expect("a number")
+}
+
+/// Returns the number of daemons: that of an environment variable, or `default`.
+pub fn daemons(variable: &str, default: u8) -> u8 {
+    let text = std::env::var(variable).ok();
+    text.map_or(default, |text| text.parse().expect("a number"))
+}
+
 pub fn server_id(number: usize, incarnation: u32) -> String {
     format!("s-{number}-{incarnation}")
 }
--- a/src/fleet/tests/request_limit/mod.rs
+++ b/src/fleet/tests/request_limit/mod.rs
@@ -1,6 +1,6 @@
 //! Servers that state how many requests per second they take from all daemons together.
 
-use super::day::{Day, Fault, Setup};
+use super::day::{self, Day, Fault, Setup};
 use super::site::Site;
 use super::world::*;
 use crate::fleet::request_limit::rate;
@@ -18,17 +18,14 @@
 };
 const PLAIN: Setup = Setup { pool: "plain", repeat: Repeat::Idempotent, ..ENGINES };
 
-/// Seeds of the days with all faults; `LIMIT_SEEDS` gives another range, such as `100..160`.
+/// Seeds of the days with all faults.
 fn seeds() -> std::ops::Range<u64> {
-    let Ok(text) = std::env::var("LIMIT_SEEDS") else { return 0..2 };
-    let (from, to) = text.split_once("..").expect("the seeds are a range");
-    from.parse().expect("a number")..to.parse().expect("a number")
+    day::seeds("LIMIT_SEEDS", 0..2)
 }
 
-/// The number of daemons; `LIMIT_DAEMONS` gives another one.
+/// The number of daemons.
 fn daemons() -> u8 {
-    let text = std::env::var("LIMIT_DAEMONS").ok();
-    text.map_or(ENGINES.daemons, |text| text.parse().expect("a number"))
+    day::daemons("LIMIT_DAEMONS", ENGINES.daemons)
 }
 
 /// Returns whether no server with a limit got too much, and prints the one that got most for what it takes.
