Crashes are logged with the prompt parts that they interrupted

The log of a crash (307) named the interrupted requests by their whole content alone.

Interruptions now carry the parts of unanswered requests that others may share, between daemons too (a new field of the message, which older daemons skip), and 307 names them. Nothing reads them yet; the tests of the library hold.

--- a/src/control/poison.rs
+++ b/src/control/poison.rs
@@ -97,7 +97,7 @@
         let steps = self.detector.record_disconnect(
             now,
             endpoint,
-            Disconnect { fingerprint, run_time, ran_alone: false },
+            Disconnect { fingerprint, parts: Vec::new(), run_time, ran_alone: false },
         );
         self.apply_steps(now, steps);
     }
--- a/src/fleet/poison.rs
+++ b/src/fleet/poison.rs
@@ -6,6 +6,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::admission::REFUSAL_LIFETIME;
+use super::prompt::shared_parts;
 use super::request::{Phase, Request};
 use super::{Command, Effect, Frame, Key, Node, Server, server};
 use crate::poison::{
@@ -18,6 +19,8 @@
 const BLOCK_REWRITE_INTERVAL: Duration = Duration::from_secs(2);
 /// Additional delay per rank before a scheduler writes a block, so that usually only the first writes it.
 const BLOCK_WRITE_STAGGER: Duration = Duration::from_millis(700);
+/// Maximum number of parts of a prompt that are reported with a crash.
+const MAX_REPORTED_PARTS: usize = 32;
 /// Maximum number of peers that get crash reports if no scheduler is known.
 const MAX_REPORT_PEERS: usize = 8;
 /// Time from the first refused connection to a server in which another may prove its end.
@@ -53,11 +56,20 @@
         let steps = self.detector.record_disconnect(
             now,
             suspect,
-            Disconnect { fingerprint, run_time: ran, ran_alone },
+            Disconnect { fingerprint, parts: self.unanswered_parts(key), run_time: ran, ran_alone },
         );
         self.apply_steps(now, steps);
     }
 
+    /// Returns the parts of a request's prompt that others may share; none if its answer has begun.
+    fn unanswered_parts(&self, key: Key) -> Vec<Fingerprint> {
+        let request = self.requests.get(&key).filter(|request| !request.has_begun());
+        let prompt = request.and_then(|request| request.arrival.prompt.as_ref());
+        let parts = prompt.map(|prompt| shared_parts(&prompt.parts)).unwrap_or_default();
+        let parts = parts.iter().take(MAX_REPORTED_PARTS);
+        parts.map(|part| Fingerprint::of_part(part.id)).collect()
+    }
+
     /// Handles the result of a probe of a server's port.
     pub(super) fn probed(&mut self, now: Time, incarnation: Incarnation, answer: Answer) {
         let answer = self.verify_refusal(now, incarnation, answer);
@@ -133,9 +145,13 @@
             return;
         }
         let present = steps.interruptions.iter().map(|strike| strike.fingerprint.to_string());
+        let parts: BTreeSet<Fingerprint> =
+            steps.interruptions.iter().flat_map(|strike| strike.parts.iter().copied()).collect();
+        let parts = parts.iter().map(Fingerprint::to_string);
         let detail = Detail::of("server", self.server_id(steps.interruptions[0].incarnation))
             .and("requests", steps.interruptions.len())
-            .and("fingerprints", present.collect::<Vec<String>>().join(" "));
+            .and("fingerprints", present.collect::<Vec<String>>().join(" "))
+            .and("parts", parts.collect::<Vec<String>>().join(" "));
         self.event(Event::ServerEnded, detail);
         let mut addresses = self.scheduler_addresses(now);
         if addresses.is_empty() {
--- a/src/fleet/tests/admission.rs
+++ b/src/fleet/tests/admission.rs
@@ -228,6 +228,7 @@
     daemon.report(ms(20), first, 1, Report::Failed);
     let crash = crate::poison::Interruption {
         fingerprint: Fingerprint(0),
+        parts: Vec::new(),
         incarnation: crate::poison::Incarnation::of("s-2", Some("1")),
         pool: xxhash_rust::xxh3::xxh3_64(b"plain"),
         servers: 2,
--- a/src/fleet/tests/beliefs/faults.rs
+++ b/src/fleet/tests/beliefs/faults.rs
@@ -190,6 +190,7 @@
         let fingerprint = Fingerprint(1_000 + self.sequence);
         let interruptions = (1..=3).map(|server| Interruption {
             fingerprint,
+            parts: Vec::new(),
             incarnation: Incarnation { server: self.sequence * 10 + server, start: Some(1) },
             pool: 1,
             servers: 100,
--- a/src/fleet/tests/frames.rs
+++ b/src/fleet/tests/frames.rs
@@ -104,6 +104,7 @@
         Frame::Streams(streams::Message::Found(Key(4), StreamId(1), Some(Software(0)))),
         Frame::Poison(poison::Message::Interruptions(vec![poison::Interruption {
             fingerprint: Fingerprint(u64::MAX),
+            parts: vec![Fingerprint::of_part(1), Fingerprint::of_part(2)],
             incarnation: poison::Incarnation::of("server-1", None),
             pool: 8,
             servers: 18,
--- a/src/fleet/tests/isolation.rs
+++ b/src/fleet/tests/isolation.rs
@@ -22,6 +22,7 @@
 fn interrupt_twice(site: &mut Site, fingerprint: Fingerprint, run_time: Duration) {
     let interruptions = ["former-1", "former-2"].map(|server| Interruption {
         fingerprint,
+        parts: Vec::new(),
         incarnation: Incarnation::of(server, Some("1")),
         pool: xxh3_64(b"engines"),
         servers: 7,
--- a/src/poison/detector.rs
+++ b/src/poison/detector.rs
@@ -123,10 +123,12 @@
 }
 
 /// A request whose connection to a server broke.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Disconnect {
     /// The request.
     pub fingerprint: Fingerprint,
+    /// The parts of its prompt that others may share, if its answer had not begun.
+    pub parts: Vec<Fingerprint>,
     /// How long it had been running there.
     pub run_time: Duration,
     /// Whether it was to run there without others.
@@ -183,11 +185,12 @@
         Finding { incarnation, address: Some(address), outcome, age }
     }
 
-    fn interruption(&self, now: Time, disconnect: Disconnect) -> Interruption {
-        let Disconnect { fingerprint, run_time, ran_alone } = disconnect;
+    fn interruption(&self, now: Time, disconnect: &Disconnect) -> Interruption {
+        let Disconnect { fingerprint, run_time, ran_alone, .. } = *disconnect;
+        let parts = disconnect.parts.clone();
         let Endpoint { incarnation, pool, servers, .. } = self.endpoint;
         let age = now.saturating_sub(self.broken_at);
-        Interruption { fingerprint, incarnation, pool, servers, run_time, age, ran_alone }
+        Interruption { fingerprint, parts, incarnation, pool, servers, run_time, age, ran_alone }
     }
 }
 
@@ -212,12 +215,12 @@
             check.stage != Stage::Crashed || incarnation.is_same_crash(check.broken_at, now)
         };
         if let Some(check) = self.checks.get_mut(&incarnation).filter(is_same_crash) {
-            check.requests.insert(fingerprint, disconnect);
+            check.requests.insert(fingerprint, disconnect.clone());
             if check.stage != Stage::Crashed {
                 let probes = check.restart_probes(now).into_iter().collect();
                 return Steps { probes, ..Steps::default() };
             }
-            let interruptions = vec![check.interruption(now, disconnect)];
+            let interruptions = vec![check.interruption(now, &disconnect)];
             return Steps { interruptions, ..Steps::default() };
         }
         let stage = Stage::Probing { found_closed: false };
@@ -264,7 +267,7 @@
         }
         check.stage = Stage::Crashed;
         let requests = check.requests.values();
-        let interruptions = requests.map(|disconnect| check.interruption(now, *disconnect));
+        let interruptions = requests.map(|disconnect| check.interruption(now, disconnect));
         Steps { interruptions: interruptions.collect(), ..Steps::default() }
     }
 
--- a/src/poison/fingerprint.rs
+++ b/src/poison/fingerprint.rs
@@ -5,8 +5,11 @@
 
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
-/// Hash of a request's content and workspace. A retry has the same fingerprint, whatever its
-/// request id and whichever daemon receives it.
+/// Seed of the fingerprints of prompt parts, which keeps them apart from those of requests.
+const PART_SEED: u64 = 0x7061_7274;
+
+/// Hash of a request's content and workspace, or of a part of prompts. A retry has the same
+/// fingerprint, whatever its request id and whichever daemon receives it.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Fingerprint(pub u64);
 
@@ -25,6 +28,17 @@
         let target = xxh3_64_with_seed(target.as_bytes(), method);
         Self(xxh3_64_with_seed(body, target))
     }
+
+    /// Returns the fingerprint of the prompt part with this hash, whichever workspaces use it.
+    ///
+    /// ```
+    /// use cardamomvalve::poison::Fingerprint;
+    /// assert_eq!(Fingerprint::of_part(7), Fingerprint::of_part(7));
+    /// assert_ne!(Fingerprint::of_part(7), Fingerprint::of_part(8));
+    /// ```
+    pub fn of_part(part: u64) -> Self {
+        Self(xxh3_64_with_seed(&part.to_le_bytes(), PART_SEED))
+    }
 }
 
 impl FromStr for Fingerprint {
--- a/src/poison/message.rs
+++ b/src/poison/message.rs
@@ -4,10 +4,12 @@
 use crate::prelude::*;
 
 /// A request that was running at a server when the server crashed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Interruption {
     /// The request.
     pub fingerprint: Fingerprint,
+    /// The parts of its prompt that others may share, if its answer had not begun.
+    pub parts: Vec<Fingerprint>,
     /// The server's incarnation.
     pub incarnation: Incarnation,
     /// Hash of the server's pool.
--- a/src/poison/state.rs
+++ b/src/poison/state.rs
@@ -87,6 +87,7 @@
     ///     let incarnation = Incarnation::of(server, Some("1"));
     ///     let interruption = Interruption {
     ///         fingerprint: Fingerprint(7),
+    ///         parts: Vec::new(),
     ///         incarnation,
     ///         pool: 1,
     ///         servers: 20,
@@ -111,7 +112,7 @@
         now: Time,
         interruptions: &[Interruption],
     ) -> Vec<Fingerprint> {
-        let recorded = interruptions.iter().filter(|interruption| self.insert(now, **interruption));
+        let recorded = interruptions.iter().filter(|interruption| self.insert(now, interruption));
         let mut undecided: BTreeSet<Fingerprint> =
             recorded.map(|interruption| interruption.fingerprint).collect();
         let mut blocked = Vec::new();
@@ -125,9 +126,9 @@
     }
 
     /// Records an interruption. Returns whether it counts against its request.
-    fn insert(&mut self, now: Time, interruption: Interruption) -> bool {
-        let Interruption { fingerprint, incarnation, pool, servers, run_time, age, ran_alone } =
-            interruption;
+    fn insert(&mut self, now: Time, interruption: &Interruption) -> bool {
+        let Interruption { fingerprint, incarnation, pool, servers, run_time, age, ran_alone, .. } =
+            *interruption;
         let key = self.crash_key(incarnation, pool, now.saturating_sub(age));
         let Some(crash) = self.crashes.get_mut(&key) else { return false };
         if crash.present.contains_key(&fingerprint) {
@@ -370,6 +371,7 @@
                 let crash = self.crashes.get(key)?;
                 Some(Interruption {
                     fingerprint: *fingerprint,
+                    parts: Vec::new(),
                     incarnation: key.0,
                     pool: crash.pool,
                     servers: suspect.servers,
--- a/src/poison/tests.rs
+++ b/src/poison/tests.rs
@@ -19,6 +19,7 @@
     let incarnation = Incarnation { server, start: Some(1) };
     Interruption {
         fingerprint,
+        parts: Vec::new(),
         incarnation,
         pool: 1,
         servers: 18,
@@ -34,7 +35,7 @@
 }
 
 fn disconnect(fingerprint: Fingerprint) -> Disconnect {
-    Disconnect { fingerprint, run_time: ms(100), ran_alone: false }
+    Disconnect { fingerprint, parts: Vec::new(), run_time: ms(100), ran_alone: false }
 }
 
 #[test]
--- a/src/poison/wire.rs
+++ b/src/poison/wire.rs
@@ -22,6 +22,8 @@
     run_time_ms: u32,
     #[prost(bool, tag = "8")]
     ran_alone: bool,
+    #[prost(fixed64, repeated, tag = "9")]
+    parts: Vec<u64>,
 }
 
 fn millis_u32(time: Duration) -> u32 {
@@ -98,6 +100,7 @@
             servers: interruption.servers,
             run_time_ms: millis_u32(interruption.run_time),
             ran_alone: interruption.ran_alone,
+            parts: interruption.parts.into_iter().map(|part| part.0).collect(),
         }
     }
 }
@@ -113,6 +116,7 @@
             run_time: Duration::from_millis(u64::from(wire.run_time_ms)),
             age: Duration::from_millis(u64::from(wire.age_ms)),
             ran_alone: wire.ran_alone,
+            parts: wire.parts.into_iter().map(Fingerprint).collect(),
         }
     }
 }
