Known failures: a part of the prompts that crashes engines is never blocked

Simulation of sound requests and others whose prompts share one part that crashes each engine that begins an answer on it; no two alike, at any daemon. It checks the users' limits: at most three tries later than three seconds after the fifth crash, no sound request blocked, and half of the sound ones begun at the first attempt from six seconds after it.

The fingerprint of a whole request returns at a few crashes at most, as a part is known by nothing.

--- a/src/fleet/tests/beside.rs
+++ b/src/fleet/tests/beside.rs
@@ -1,4 +1,5 @@
-//! Simulation of many requests on engines that crash, by certain requests (culprits) or for other reasons.
+//! Simulation of many requests on engines that crash, by certain requests or parts of prompts (culprits) or for other
+//! reasons.
 //!
 //! It counts the blocked requests, the engines that culprits crash, and the other requests that are answered
 //! in the end.
@@ -12,6 +13,8 @@
 use crate::prelude::*;
 use crate::route::Repeat;
 
+/// The first part of most prompts.
+const STANDARD: u64 = 7;
 /// Number of prompt subjects; requests with the same subject share its home engines.
 const SUBJECT_COUNT: u64 = 12;
 /// Time between two steps of the simulation.
@@ -24,6 +27,8 @@
 const CRASH_DELAY: Duration = Duration::from_millis(50);
 /// Crashes by a request after which it can be detected.
 const DETECTION_CRASHES: usize = 3;
+/// Crashes by requests with a part of their prompts after which the part can be detected.
+const PART_DETECTION_CRASHES: usize = 5;
 /// Time from these crashes until all daemons must block the request.
 pub const MAX_DETECTION_TIME: Duration = Duration::from_secs(3);
 /// Tries of one culprit that may reach engines after that time.
@@ -41,18 +46,53 @@
     crash_interval: Duration,
 }
 
+/// What crashes the engines that run a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Culprit {
+    /// The request, known by its content.
+    Request(Fingerprint),
+    /// A part of its prompt.
+    Part(u64),
+}
+
+impl Culprit {
+    /// Crashes after which the culprit can be detected.
+    const fn detection_crashes(self) -> usize {
+        match self {
+            Self::Request(_) => DETECTION_CRASHES,
+            Self::Part(_) => PART_DETECTION_CRASHES,
+        }
+    }
+}
+
 /// A caller's request across its tries.
 #[derive(Debug, Clone, Copy)]
 pub struct Call {
     pub fingerprint: Fingerprint,
-    pub is_culprit: bool,
+    pub culprit: Option<Culprit>,
+    /// The shared parts of its prompt; drawn by its fingerprint if absent.
+    pub parts: Option<(u64, u64)>,
     pub tries: u32,
 }
 
+impl Call {
+    /// A call with a request that crashes engines, of which `tries` were made before.
+    pub const fn crashing(fingerprint: Fingerprint, tries: u32) -> Self {
+        let culprit = Some(Culprit::Request(fingerprint));
+        Self { fingerprint, culprit, parts: None, tries }
+    }
+
+    pub const fn is_culprit(&self) -> bool {
+        self.culprit.is_some()
+    }
+}
+
 /// A try that a daemon has not finished.
 #[derive(Debug)]
 struct OpenRequest {
     call: Call,
+    /// Whether it is counted in [`Tally::sound_late`].
+    counts_as_sound: bool,
     address: Option<SocketAddr>,
     attempt: u32,
     begins_at: Time,
@@ -68,10 +108,14 @@
     pub ended: u64,
     /// Engines that crashed while they ran a culprit.
     pub by_culprits: u64,
-    /// Tries later than [`MAX_DETECTION_TIME`] after the third such crash; the highest count of a culprit.
+    /// Tries later than [`MAX_DETECTION_TIME`] after the crash at which a culprit can be detected; the highest count of a
+    /// culprit.
     pub late_tries: u64,
     /// Sends of culprits that were as late.
     pub late_asks: u64,
+    /// Sound requests sent once all culprits should long be detected, and those that began at the first attempt.
+    pub sound_late: u64,
+    pub sound_late_begun_first: u64,
 }
 
 pub struct Simulation {
@@ -89,7 +133,9 @@
     engine_ids: BTreeMap<u8, String>,
     next_id: u64,
     /// Times of crashes by each culprit, and its number of late tries.
-    culprit_crashes: BTreeMap<Fingerprint, (Vec<Time>, u64)>,
+    culprit_crashes: BTreeMap<Culprit, (Vec<Time>, u64)>,
+    /// When restarted daemons count as stable again.
+    returns_at: BTreeMap<usize, Time>,
     tally: Tally,
 }
 
@@ -113,6 +159,7 @@
             engine_ids,
             next_id: 0,
             culprit_crashes: BTreeMap::new(),
+            returns_at: BTreeMap::new(),
             tally: Tally::default(),
         }
     }
@@ -130,20 +177,25 @@
             for (number, at) in next_calls.iter_mut().enumerate().filter(|(_, at)| now >= **at) {
                 *at = now + faults.culprit_interval;
                 let fingerprint = Fingerprint(u64::MAX - number as u64);
-                self.send(Call { fingerprint, is_culprit: true, tries: MAX_TRIES });
+                self.send(Call::crashing(fingerprint, MAX_TRIES));
             }
             if faults.crash_interval > Duration::ZERO
                 && self.rng.u64(0..faults.crash_interval.as_millis() as u64)
                     < STEP.as_millis() as u64
             {
-                let engine = self.rng.u8(0..self.engines);
-                self.crash_engine(address(101 + engine));
+                self.crash_any_engine();
             }
             self.run_due_events();
         }
         self.into_tally()
     }
 
+    /// Crashes an engine that is drawn.
+    pub fn crash_any_engine(&mut self) {
+        let engine = self.rng.u8(0..self.engines);
+        self.crash_engine(address(101 + engine));
+    }
+
     /// Runs all events that are due.
     pub fn run_due_events(&mut self) {
         self.send_retries();
@@ -156,8 +208,9 @@
     pub fn into_tally(mut self) -> Tally {
         // Unfinished requests are neither answered nor unanswered.
         self.tally.asked -=
-            self.open_requests.values().filter(|f| !f.call.is_culprit).count() as u64;
-        self.tally.asked -= self.retries.iter().filter(|(_, call)| !call.is_culprit).count() as u64;
+            self.open_requests.values().filter(|f| !f.call.is_culprit()).count() as u64;
+        self.tally.asked -=
+            self.retries.iter().filter(|(_, call)| !call.is_culprit()).count() as u64;
         self.tally
     }
 
@@ -165,14 +218,51 @@
     pub fn send_unique_request(&mut self) {
         self.next_id += 1;
         self.tally.asked += 1;
-        self.send(Call { fingerprint: Fingerprint(self.next_id), is_culprit: false, tries: 0 });
+        let fingerprint = Fingerprint(self.next_id);
+        self.send(Call { fingerprint, culprit: None, parts: None, tries: 0 });
+    }
+
+    /// Sends a request whose content no other request has, and whose prompt has a part that crashes engines: the first,
+    /// or the one after the first part of sound requests.
+    pub fn send_with_crashing_part(&mut self, part: u64, is_first: bool) {
+        self.next_id += 1;
+        let fingerprint = Fingerprint(self.next_id);
+        let parts = match is_first {
+            true => (part, fingerprint.0 % SUBJECT_COUNT),
+            false => (STANDARD, part),
+        };
+        let culprit = Some(Culprit::Part(part));
+        self.send(Call { fingerprint, culprit, parts: Some(parts), tries: 0 });
+    }
+
+    /// Restarts a daemon; its callers retry.
+    pub fn restart(&mut self, daemon: usize) {
+        let open = self.open_requests.keys().filter(|(at, _)| *at == daemon);
+        for key in open.copied().collect::<Vec<(usize, Key)>>() {
+            if let Some(request) = self.open_requests.remove(&key) {
+                self.schedule_retry(request.call);
+            }
+        }
+        let servers = self.engine_ids.iter().filter(|(n, _)| self.is_running(**n));
+        let servers: Vec<(String, String)> =
+            servers.map(|(n, id)| (id.clone(), format!("engine {} ready 1", 101 + n))).collect();
+        self.site.restart(daemon, &borrowed(&servers));
+        self.returns_at.insert(daemon, self.site.now + MAX_DETECTION_TIME);
+    }
+
+    fn is_running(&self, engine: u8) -> bool {
+        !self.site.crashed_servers.contains(&address(101 + engine))
     }
 
     pub fn send(&mut self, call: Call) {
-        self.tally.late_asks += u64::from(self.is_late(call.fingerprint));
+        self.tally.late_asks +=
+            u64::from(call.culprit.is_some_and(|culprit| self.is_late(culprit)));
+        let counts = self.counts_as_sound(call);
+        self.tally.sound_late += u64::from(counts);
         let daemon = self.rng.usize(0..self.site.daemons.len());
         self.site.daemons[daemon].fingerprint = call.fingerprint;
-        self.site.subject = call.fingerprint.0 % SUBJECT_COUNT;
+        let drawn = (STANDARD, call.fingerprint.0 % SUBJECT_COUNT);
+        (self.site.standard, self.site.subject) = call.parts.unwrap_or(drawn);
         let repeat = match call.fingerprint.0 % 3 {
             0 => Repeat::Resumable,
             _ => Repeat::AtMostOnce,
@@ -180,6 +270,7 @@
         let key = self.site.arrive(daemon, "engines", repeat);
         let request = OpenRequest {
             call: Call { tries: call.tries + 1, ..call },
+            counts_as_sound: counts,
             address: None,
             attempt: 0,
             begins_at: Time::MAX,
@@ -218,13 +309,13 @@
                     request.attempt = dispatch.attempt;
                     (request.begins_at, request.begun) = (begins_at, false);
                     request.ends_at = begins_at
-                        + if request.call.is_culprit { self.crash_delay } else { run_time };
+                        + if request.call.is_culprit() { self.crash_delay } else { run_time };
                 }
             }
             Command::HandOver(peer) => panic!("a daemon reaches no server: {peer:?}"),
             Command::Refuse(Code::RequestBlocked, _) => {
                 let Some(request) = self.open_requests.remove(&(daemon, key)) else { return };
-                match request.call.is_culprit {
+                match request.call.is_culprit() {
                     true => self.schedule_retry(request.call),
                     false => self.tally.blocked += 1,
                 }
@@ -246,22 +337,39 @@
 
     fn count_late_try(&mut self, daemon: usize, key: Key) {
         let Some(request) = self.open_requests.get(&(daemon, key)) else { return };
-        let fingerprint = request.call.fingerprint;
-        if !self.is_late(fingerprint) {
+        if self.returns_at.get(&daemon).is_some_and(|at| self.site.now < *at) {
             return;
         }
-        let Some((_, tries)) = self.culprit_crashes.get_mut(&fingerprint) else { return };
+        let Some(culprit) = request.call.culprit.filter(|culprit| self.is_late(*culprit)) else {
+            return;
+        };
+        let Some((_, tries)) = self.culprit_crashes.get_mut(&culprit) else { return };
         *tries += 1;
         self.tally.late_tries = self.tally.late_tries.max(*tries);
     }
 
-    /// Returns whether all daemons should block the request by now.
-    fn is_late(&self, fingerprint: Fingerprint) -> bool {
-        let third = self
-            .culprit_crashes
-            .get(&fingerprint)
-            .and_then(|(ends_at, _)| ends_at.get(DETECTION_CRASHES - 1));
-        third.is_some_and(|third| self.site.now > *third + MAX_DETECTION_TIME)
+    /// Returns whether all daemons should block the culprit by now.
+    fn is_late(&self, culprit: Culprit) -> bool {
+        self.detectable_at(culprit).is_some_and(|at| self.site.now > at + MAX_DETECTION_TIME)
+    }
+
+    /// Returns the time of the crash at which a culprit can be detected.
+    fn detectable_at(&self, culprit: Culprit) -> Option<Time> {
+        let (crashes, _) = self.culprit_crashes.get(&culprit)?;
+        crashes.get(culprit.detection_crashes() - 1).copied()
+    }
+
+    /// Whether a request is sound and is sent first when all culprits should long be detected.
+    fn counts_as_sound(&self, call: Call) -> bool {
+        let is_long_detectable = |culprit: &Culprit| {
+            let at = self.detectable_at(*culprit);
+            at.is_some_and(|at| self.site.now >= at + 2 * MAX_DETECTION_TIME)
+        };
+        let culprits = &self.culprit_crashes;
+        !call.is_culprit()
+            && call.tries == 0
+            && !culprits.is_empty()
+            && culprits.keys().all(is_long_detectable)
     }
 
     fn send_retries(&mut self) {
@@ -302,18 +410,20 @@
         for (daemon, key) in due {
             let Some(request) = self.open_requests.get_mut(&(daemon, key)) else { continue };
             let (attempt, call) = (request.attempt, request.call);
-            if !request.begun && !call.is_culprit {
+            if !request.begun && !call.is_culprit() {
                 request.begun = true;
+                let is_first = request.counts_as_sound && attempt == 1;
+                self.tally.sound_late_begun_first += u64::from(is_first);
                 self.site.report(daemon, key, attempt, Report::Begun(Some(1)));
                 continue;
             }
             if now < request.ends_at {
                 continue;
             }
-            if call.is_culprit {
+            if let Some(culprit) = call.culprit {
                 if let Some(address) = request.address {
                     self.tally.by_culprits += 1;
-                    self.culprit_crashes.entry(call.fingerprint).or_default().0.push(now);
+                    self.culprit_crashes.entry(culprit).or_default().0.push(now);
                     self.crash_engine(address);
                 }
                 continue;
--- a/src/fleet/tests/deadly.rs
+++ b/src/fleet/tests/deadly.rs
@@ -46,7 +46,7 @@
     }
 
     fn call(&self) -> Call {
-        Call { fingerprint: self.culprit, is_culprit: true, tries: 0 }
+        Call::crashing(self.culprit, 0)
     }
 }
 
@@ -183,7 +183,7 @@
             if simulation.site.now >= *at {
                 *at = simulation.site.now + ms(simulation.rng.u64(0..2 * trickle.gap));
                 let fingerprint = Fingerprint(u64::MAX - number as u64);
-                simulation.send(Call { fingerprint, is_culprit: true, tries: trickle.tries });
+                simulation.send(Call::crashing(fingerprint, trickle.tries));
             }
         }
         simulation.run_due_events();
--- a/src/fleet/tests/mod.rs
+++ b/src/fleet/tests/mod.rs
@@ -5,6 +5,7 @@
 mod beside;
 mod budget;
 mod catalog;
+mod crashing_part;
 mod crowd;
 mod day;
 mod deadly;
--- a/src/fleet/tests/site.rs
+++ b/src/fleet/tests/site.rs
@@ -34,6 +34,8 @@
     incarnations: u64,
     /// Commands to traffic, by daemon.
     pub sent_commands: Vec<Vec<(Key, Command)>>,
+    /// First part of the prompts that arrive next.
+    pub standard: u64,
     /// Subject of the prompts that arrive next.
     pub subject: u64,
     /// Addresses of crashed servers, which refuse connections.
@@ -67,6 +69,7 @@
             started_at,
             incarnations: 0,
             sent_commands,
+            standard: 7,
             subject: 3,
             crashed_servers: BTreeSet::new(),
             cuts: BTreeMap::new(),
@@ -203,7 +206,7 @@
         repeat: Repeat,
         workspace: Option<Workspace>,
     ) -> Key {
-        let prompt = (pool == "engines").then(|| prompt(7, self.subject));
+        let prompt = (pool == "engines").then(|| prompt(self.standard, self.subject));
         let (now, route) = (self.clock(index), route(pool, repeat, 2));
         let (key, effects) = self.daemons[index].arrive_for(now, &route, prompt, workspace);
         for (to, message) in self.execute_effects(index, effects).into_iter().rev() {
--- a/src/poison/state.rs
+++ b/src/poison/state.rs
@@ -127,8 +127,9 @@
 
     /// Records an interruption. Returns whether it counts against its request.
     fn insert(&mut self, now: Time, interruption: &Interruption) -> bool {
-        let Interruption { fingerprint, incarnation, pool, servers, run_time, age, ran_alone, .. } =
-            *interruption;
+        let Interruption {
+            fingerprint, incarnation, pool, servers, run_time, age, ran_alone, ..
+        } = *interruption;
         let key = self.crash_key(incarnation, pool, now.saturating_sub(age));
         let Some(crash) = self.crashes.get_mut(&key) else { return false };
         if crash.present.contains_key(&fingerprint) {
