What an answer states about its server takes one typed way; leaving and rest are read and logged

Limits came from the dialect by a method each, and reached the node as a message each.

Dialect::statement now returns fleet::Statement, the relay reports it before the outcome of the attempt, and the node hands each fact to the module that acts on it. Also read now: Server-Leaving, and Retry-After of a 503.

Limits behave as before but in one case: a reject limit stated by another server at the same address (421) no longer counts for the pool of the server that was meant. Tests of limits, relay and header fields hold.

--- a/src/fleet/message.rs
+++ b/src/fleet/message.rs
@@ -2,7 +2,9 @@
 
 use std::net::SocketAddr;
 
-use super::{Batch, Entry, EventBatch, Frame, Location, Prompt, Software, Topic, server};
+use super::{
+    Batch, Entry, EventBatch, Frame, Location, Prompt, Software, Statement, Topic, server,
+};
 use crate::poison::{Answer, Blocked, Fingerprint, Incarnation};
 use crate::prelude::*;
 use crate::route::{Route, Table, Workspace};
@@ -312,18 +314,14 @@
         /// The outcome.
         end: HandoverEnd,
     },
-    /// The answer to a request states how many requests per second its server can reject without
-    /// crashing.
-    RejectLimit(Key, u32),
-    /// The answer to an attempt states how many requests per second its server takes from all daemons together, or no
-    /// longer states it.
-    RequestLimit {
+    /// The head of the answer to an attempt states something about its server.
+    Stated {
         /// The request.
         request: Key,
         /// The attempt's number.
         attempt: u32,
-        /// The limit; `None` if the answer states none.
-        per_s: Option<f64>,
+        /// What it states.
+        statement: Statement,
     },
     /// The caller disconnected, or the request reached its time limit.
     Cancel(Key),
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -42,6 +42,7 @@
 mod scheduling;
 mod server;
 mod share;
+mod statement;
 pub mod streams;
 #[cfg(test)]
 mod tests;
@@ -67,4 +68,5 @@
 pub use run::{Control, Fleet};
 pub use scheduling::{Assignment, Decision, Progress, Step, Submission, Verdict};
 pub use server::{Entry, Server};
+pub use statement::{RequestLimit, Statement};
 pub use streams::{Software, StreamId};
--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -256,11 +256,8 @@
                 self.handover_ended(now, request, attempt, end);
             }
             Message::Cancel(request) => self.remove_request(now, request),
-            Message::RejectLimit(request, rejects) => {
-                self.note_reject_limit(now, request, rejects);
-            }
-            Message::RequestLimit { request, attempt, per_s } => {
-                self.note_request_limit(now, request, attempt, per_s);
+            Message::Stated { request, attempt, statement } => {
+                self.note_statement(now, request, attempt, statement);
             }
             Message::Read(read) => self.handle_read(now, read),
             Message::ReadFailed(tracked, reason) => self.mark_unreadable(now, tracked, &reason),
--- a/src/fleet/request_limit/mod.rs
+++ b/src/fleet/request_limit/mod.rs
@@ -12,7 +12,7 @@
 pub use limit::Statement;
 use limit::{Limit, Limits};
 
-use super::{Key, Node, Server, server};
+use super::{Node, Server, server};
 use crate::prelude::*;
 
 /// Interval between walks over the statements, and over the servers of a pool if each has a limit.
@@ -34,18 +34,13 @@
 }
 
 impl Node {
-    /// Handles what a server stated in its answer to an attempt: its request limit, or none.
+    /// Handles what a server stated in an answer to this daemon: its request limit, or none.
     pub(super) fn note_request_limit(
         &mut self,
         now: Time,
-        key: Key,
-        attempt: u32,
+        server: server::Key,
         per_s: Option<f64>,
     ) {
-        let request = self.requests.get(&key).filter(|request| request.sends == attempt);
-        let Some(server) = request.and_then(|request| request.tried.last().copied()) else {
-            return;
-        };
         self.merge_request_limit(now, server, Limit { per_s, stated_at: now, is_own: true });
     }
 
--- /dev/null
+++ b/src/fleet/statement.rs
@@ -0,0 +1,80 @@
+//! What servers state about themselves in their answers.
+//!
+//! All of it takes the same way: the dialect reads it from the head of an answer, the relay reports it before the outcome
+//! of the attempt, and the node hands each fact to the module that acts on it.
+
+use super::{Key, Node, server};
+use crate::prelude::*;
+
+/// What an answer states about its server.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Statement {
+    /// Requests per second that it can reject without crashing.
+    pub reject_limit: Option<u32>,
+    /// Requests per second that it takes from all daemons together.
+    pub request_limit: RequestLimit,
+    /// Whether it is about to stop by plan.
+    pub is_leaving: bool,
+    /// Time for which it wants no requests of the daemon that it turned away.
+    pub rest: Option<Duration>,
+}
+
+/// What an answer says about a request limit.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub enum RequestLimit {
+    /// Nothing. An earlier limit stays in force.
+    #[default]
+    Unstated,
+    /// There is no limit any more.
+    Ended,
+    /// The limit, in requests per second.
+    PerSecond(f64),
+}
+
+impl Statement {
+    /// Whether it states nothing.
+    ///
+    /// ```
+    /// use cardamomvalve::fleet::Statement;
+    /// assert!(Statement::default().is_empty());
+    /// ```
+    pub fn is_empty(&self) -> bool {
+        *self == Self::default()
+    }
+}
+
+impl Node {
+    /// Handles what the answer to an attempt states about its server.
+    pub(super) fn note_statement(
+        &mut self,
+        now: Time,
+        key: Key,
+        attempt: u32,
+        statement: Statement,
+    ) {
+        if let Some(rejects) = statement.reject_limit {
+            self.note_reject_limit(now, key, rejects);
+        }
+        let request = self.requests.get(&key).filter(|request| request.sends == attempt);
+        let Some(server) = request.and_then(|request| request.tried.last().copied()) else {
+            return;
+        };
+        self.log_statement(server, statement);
+        match statement.request_limit {
+            RequestLimit::Unstated => {}
+            RequestLimit::Ended => self.note_request_limit(now, server, None),
+            RequestLimit::PerSecond(per_s) => self.note_request_limit(now, server, Some(per_s)),
+        }
+    }
+
+    fn log_statement(&mut self, key: server::Key, statement: Statement) {
+        let Some(server) = self.servers.get(key) else { return };
+        let detail = Detail::of("server", server.entry.incarnation.id.as_str());
+        if statement.is_leaving && !server.entry.draining {
+            self.event(Event::LeavingStated, detail.clone());
+        }
+        if let Some(rest) = statement.rest {
+            self.event(Event::RestStated, detail.and("rest_ms", rest));
+        }
+    }
+}
--- a/src/fleet/tests/day/mod.rs
+++ b/src/fleet/tests/day/mod.rs
@@ -357,9 +357,14 @@
         if !self.hops.contains_key(&(daemon, request)) {
             return;
         }
-        if per_s.is_some() || ends_limit {
-            let stated = Message::RequestLimit { request, attempt, per_s };
-            self.site.apply(daemon, stated);
+        let request_limit = match per_s {
+            Some(per_s) => RequestLimit::PerSecond(per_s),
+            None if ends_limit => RequestLimit::Ended,
+            None => RequestLimit::Unstated,
+        };
+        let statement = Statement { request_limit, ..Statement::default() };
+        if !statement.is_empty() {
+            self.site.apply(daemon, Message::Stated { request, attempt, statement });
         }
         if per_s.is_some() {
             self.limits.note_told(self.site.now, server, daemon);
--- a/src/fleet/tests/rejection/limit.rs
+++ b/src/fleet/tests/rejection/limit.rs
@@ -14,7 +14,8 @@
 fn state_limit(site: &mut Site, daemon: usize, pool: &str, limit: u32) {
     let key = site.arrive(daemon, pool, Repeat::Idempotent);
     let attempt = site.only_dispatch(daemon, key).attempt;
-    site.apply(daemon, Message::RejectLimit(key, limit));
+    let statement = Statement { reject_limit: Some(limit), ..Statement::default() };
+    site.apply(daemon, Message::Stated { request: key, attempt, statement });
     site.report(daemon, key, attempt, Report::Begun(None));
     site.report(daemon, key, attempt, Report::Ended);
 }
--- a/src/fleet/tests/rejection/simulation.rs
+++ b/src/fleet/tests/rejection/simulation.rs
@@ -323,8 +323,11 @@
                 Message::Report { daemon, key, attempt, report } => {
                     let is_new = matches!(report, Report::Begun(_) | Report::Refused(_));
                     if is_new && self.setup.states_limit {
-                        let limit = crate::fleet::Message::RejectLimit(key, self.setup.limit);
-                        self.site.apply(daemon, limit);
+                        let reject_limit = Some(self.setup.limit);
+                        let statement = Statement { reject_limit, ..Statement::default() };
+                        let stated =
+                            crate::fleet::Message::Stated { request: key, attempt, statement };
+                        self.site.apply(daemon, stated);
                     }
                     if report == Report::Ended && self.callers.remove(&(daemon, key)).is_some() {
                         self.outcome.answered += 1;
--- a/src/fleet/tests/request_limit/mod.rs
+++ b/src/fleet/tests/request_limit/mod.rs
@@ -98,8 +98,12 @@
     let mut site = Site::new(12, &engines);
     let key = site.arrive(3, "engines", Repeat::Idempotent);
     let dispatch = site.only_dispatch(3, key);
-    let stated = |per_s| Message::RequestLimit { request: key, attempt: dispatch.attempt, per_s };
-    site.apply(3, stated(Some(1.7)));
+    let stated = |request_limit| Message::Stated {
+        request: key,
+        attempt: dispatch.attempt,
+        statement: Statement { request_limit, ..Statement::default() },
+    };
+    site.apply(3, stated(RequestLimit::PerSecond(1.7)));
     site.report(3, key, dispatch.attempt, Report::Begun(None));
     site.advance(ms(1_000));
     let known = |site: &Site, daemon: usize| -> Vec<Option<f64>> {
@@ -115,7 +119,7 @@
     for daemon in 0..12 {
         assert_eq!(known(&site, daemon), expected, "daemon {daemon}");
     }
-    site.apply(3, stated(None));
+    site.apply(3, stated(RequestLimit::Ended));
     site.advance(ms(1_000));
     for daemon in 0..12 {
         assert_eq!(known(&site, daemon), [None, None], "daemon {daemon}");
--- a/src/relay/delivery.rs
+++ b/src/relay/delivery.rs
@@ -13,7 +13,7 @@
 use super::takeover::Origin;
 use super::{Classification, Cut, Events, Framing, Frontend, Metadata, Request, Response, head};
 use crate::fleet::{
-    Arrival, Command, Dispatch, Key, Loss, Message, Refusal, Report, Software, Start,
+    Arrival, Command, Dispatch, Key, Loss, Message, Refusal, Report, RequestLimit, Software, Start,
 };
 use crate::poison::Fingerprint;
 use crate::prelude::*;
@@ -259,8 +259,7 @@
             Err(Failure::Lost(cut)) => return Attempt::Unanswered(Report::Lost(loss(&cut))),
         };
         let class = self.frontend.dialect.classify(&self.metadata, &answer.response);
-        self.report_reject_limit(class, &answer.response);
-        self.report_request_limit(dispatch, class, &answer.response);
+        self.report_statement(dispatch, class, &answer.response);
         match class {
             Classification::Invalid => Attempt::Unanswered(Report::Lost(Loss::InvalidAnswer)),
             Classification::Refused(refusal) => {
@@ -277,30 +276,22 @@
         }
     }
 
-    fn report_reject_limit(&self, class: Classification, response: &Response) {
-        let limit = self.frontend.dialect.reject_limit(response);
-        if let Some(limit) = limit.filter(|_| class != Classification::Invalid) {
-            self.frontend.control.tell(Message::RejectLimit(self.key, limit));
-        }
-    }
-
-    /// Reports the request limit that the server states, or that its answer states none any more. A refusal without a
-    /// limit says nothing, nor does one of another server at the same address.
-    fn report_request_limit(
-        &self,
-        dispatch: &Dispatch,
-        class: Classification,
-        response: &Response,
-    ) {
-        let per_s = self.frontend.dialect.request_limit(response);
-        let is_statement = match class {
-            Classification::Answer(_) => per_s.is_some() || dispatch.has_limit,
-            Classification::Refused(refusal) => per_s.is_some() && refusal != Refusal::Replaced,
-            Classification::Invalid => false,
+    /// Reports what the server states. An answer that states no request limit ends one; a refusal without it says
+    /// nothing. An answer of another server at the same address is none of this server's.
+    fn report_statement(&self, dispatch: &Dispatch, class: Classification, response: &Response) {
+        let mut statement = match class {
+            Classification::Invalid | Classification::Refused(Refusal::Replaced) => return,
+            Classification::Answer(_) | Classification::Refused(_) => {
+                self.frontend.dialect.statement(response)
+            }
         };
-        if is_statement {
+        let is_answer = matches!(class, Classification::Answer(_));
+        if statement.request_limit == RequestLimit::Unstated && is_answer && dispatch.has_limit {
+            statement.request_limit = RequestLimit::Ended;
+        }
+        if !statement.is_empty() {
             let (request, attempt) = (self.key, dispatch.attempt);
-            self.frontend.control.tell(Message::RequestLimit { request, attempt, per_s });
+            self.frontend.control.tell(Message::Stated { request, attempt, statement });
         }
     }
 
--- a/src/relay/dialect.rs
+++ b/src/relay/dialect.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::{Fields, Malformed, Request, Response};
-use crate::fleet::{Dispatch, Prompt, Refusal, Start};
+use crate::fleet::{Dispatch, Prompt, Refusal, Start, Statement};
 use crate::route::Workspace;
 
 /// Metadata in the head of a caller's request.
@@ -68,11 +68,8 @@
     /// Classifies an answer by its head.
     fn classify(&self, metadata: &Metadata, response: &Response) -> Classification;
 
-    /// Returns the number of requests per second that the server states it can reject without crashing.
-    fn reject_limit(&self, response: &Response) -> Option<u32>;
-
-    /// Returns the number of requests per second that the server states it takes from all daemons together.
-    fn request_limit(&self, response: &Response) -> Option<f64>;
+    /// Returns what an answer states about its server.
+    fn statement(&self, response: &Response) -> Statement;
 
     /// Returns the fields of an error answer from this router.
     fn error_fields(&self, metadata: &Metadata) -> Fields;
--- a/src/relay/tests/delivery.rs
+++ b/src/relay/tests/delivery.rs
@@ -10,7 +10,9 @@
 use async_io::{Async, block_on};
 use rustix::net::sockopt;
 
-use crate::fleet::{Arrival, Command, Control, Dispatch, Input, Loss, Message, Report, Software};
+use crate::fleet::{
+    Arrival, Command, Control, Dispatch, Input, Loss, Message, Report, Software, Statement,
+};
 use crate::prelude::*;
 use crate::relay::*;
 use crate::route::{Limits, Repeat, Route, Split, Table, Workspace};
@@ -61,12 +63,8 @@
         Classification::Answer(None)
     }
 
-    fn request_limit(&self, _: &Response) -> Option<f64> {
-        None
-    }
-
-    fn reject_limit(&self, _: &Response) -> Option<u32> {
-        None
+    fn statement(&self, _: &Response) -> Statement {
+        Statement::default()
     }
 
     fn error_fields(&self, _: &Metadata) -> Fields {
--- a/src/relay/tests/fixture.rs
+++ b/src/relay/tests/fixture.rs
@@ -8,7 +8,9 @@
 use async_io::{Async, block_on};
 
 use super::delivery::{dispatch, table};
-use crate::fleet::{Arrival, Command, Control, Dispatch, Handover, HandoverEnd, Input, Message};
+use crate::fleet::{
+    Arrival, Command, Control, Dispatch, Handover, HandoverEnd, Input, Message, Statement,
+};
 use crate::http::header;
 use crate::prelude::*;
 use crate::relay::*;
@@ -69,12 +71,8 @@
         }
     }
 
-    fn request_limit(&self, _: &Response) -> Option<f64> {
-        None
-    }
-
-    fn reject_limit(&self, _: &Response) -> Option<u32> {
-        None
+    fn statement(&self, _: &Response) -> Statement {
+        Statement::default()
     }
 
     fn error_fields(&self, _: &Metadata) -> Fields {
--- a/src/telemetry/event.rs
+++ b/src/telemetry/event.rs
@@ -73,6 +73,8 @@
     RejectLimitEnded = 312, Info, "The backend servers of a pool state no reject limit any more.";
     RequestLimitStated = 313, Info, "A backend server states how many requests a second it takes from all daemons together.";
     RequestLimitEnded = 314, Info, "A backend server states no request limit any more.";
+    LeavingStated = 315, Info, "A backend server states in an answer that it is leaving.";
+    RestStated = 316, Info, "A backend server turned a request of this daemon away and wants none of it for a while.";
     AttemptFailed = 400, Info, "An attempt at a backend server failed.";
     AnswerDiscarded = 401, Warn, "An answer named another attempt, incarnation or weights version, and was discarded.";
     StreamResumed = 402, Info, "A stream was resumed after its connection broke.";
