--- a/src/fleet/tests/day/faults.rs
+++ b/src/fleet/tests/day/faults.rs
@@ -89,6 +89,7 @@
                 for daemon in daemons.iter().take(count / 6) {
                     self.site.cuts.insert(*daemon, Cut::Reset);
                     self.limits.excuse(*daemon, self.heals_at);
+                    self.notices.excuse_rest(*daemon);
                 }
             }
             Fault::FailServers => {
@@ -112,6 +113,7 @@
         let cut: BTreeSet<usize> = self.site.cut_links.iter().map(|(from, _)| *from).collect();
         for daemon in cut {
             self.limits.excuse(daemon, self.heals_at);
+            self.notices.excuse_rest(daemon);
         }
     }
 
@@ -133,6 +135,8 @@
             let former = server_id(number, self.backends[number].incarnation);
             self.backends[number].incarnation += 1;
             self.backends[number].health = Health::Sound;
+            self.backends[number].is_leaving = false;
+            self.backends[number].rest = None;
             let (id, value) = registration(&self.setup, number, self.backends[number].incarnation);
             self.register(id, Some(value));
             // Some registrations of ended servers stay for a while.
@@ -180,6 +184,7 @@
         self.site.down.insert(daemon);
         self.back_at.insert(daemon, (until, is_frozen));
         self.limits.excuse(daemon, until);
+        self.notices.excuse(daemon);
         if !is_frozen {
             self.drop_hops(daemon);
         }
--- a/src/fleet/tests/day/mod.rs
+++ b/src/fleet/tests/day/mod.rs
@@ -3,12 +3,14 @@
 mod arrivals;
 mod faults;
 mod limits;
+mod notices;
 
 use std::net::SocketAddr;
 
 pub use arrivals::{Arrivals, Usage};
 pub use faults::Fault;
 pub use limits::Limits;
+use notices::Notices;
 
 use crate::fleet::tests::site::Site;
 use crate::fleet::tests::world::*;
@@ -60,9 +62,21 @@
     pub health: Health,
     /// Requests per second that it states to take.
     pub limit: Option<f64>,
+    /// Whether it states that it leaves.
+    pub is_leaving: bool,
+    /// Time for which it wants no requests of a daemon that it turns away.
+    pub rest: Option<Duration>,
     running: usize,
 }
 
+impl Backend {
+    /// What its answers state.
+    fn statement(&self) -> Statement {
+        let request_limit = self.limit.map_or(RequestLimit::Unstated, RequestLimit::PerSecond);
+        Statement { request_limit, is_leaving: self.is_leaving, ..Statement::default() }
+    }
+}
+
 /// A request at a daemon: a caller's, or one that another daemon handed over.
 struct Hop {
     call: usize,
@@ -72,12 +86,12 @@
     from: Option<(usize, Key, u32)>,
 }
 
-/// What the head of an answer states, and whether that is known to end a limit.
+/// The head of an answer.
 #[derive(Clone, Copy)]
 struct Head {
     server: usize,
-    limit: Option<f64>,
-    ends_limit: bool,
+    incarnation: u32,
+    statement: Statement,
 }
 
 enum Happening {
@@ -103,8 +117,11 @@
     due: BTreeMap<(Time, u64), Happening>,
     /// Arrivals at servers, by request of a caller.
     arrived: Vec<u32>,
+    /// When callers sent their requests.
+    called_at: Vec<Time>,
     arrivals: Arrivals,
     pub limits: Limits,
+    pub notices: Notices,
     sequence: u64,
     answered: usize,
     /// Time from the arrival of each request that was refused to its refusal.
@@ -118,6 +135,8 @@
             incarnation: 0,
             health: Health::Sound,
             limit: None,
+            is_leaving: false,
+            rest: None,
             running: 0,
         });
         let backends: Vec<Backend> = backends.collect();
@@ -141,8 +160,10 @@
             hops: BTreeMap::new(),
             due: BTreeMap::new(),
             arrived: Vec::new(),
+            called_at: Vec::new(),
             arrivals: Arrivals::default(),
             limits: Limits::default(),
+            notices: Notices::default(),
             sequence: 0,
             answered: 0,
             refused_after: Vec::new(),
@@ -207,6 +228,7 @@
         for _ in 0..expected as u32 {
             self.arrivals.note_request();
             self.arrived.push(0);
+            self.called_at.push(self.site.now);
             let daemon = self.rng.usize(..self.site.daemons.len());
             if self.is_up(daemon) {
                 self.arrive(daemon, self.arrived.len() - 1, None);
@@ -276,13 +298,19 @@
         let number = self.backends.iter().position(|b| b.address == dispatch.address);
         let number = number.expect("daemons know only these servers");
         let health = self.backends[number].health;
-        let limit = self.backends[number].limit;
-        let head = Head { server: number, limit, ends_limit: dispatch.has_limit };
+        let incarnation = self.backends[number].incarnation;
+        let statement = self.backends[number].statement();
+        let has_limit = dispatch.has_limit;
         let report = |report| {
             let is_answer = matches!(report, Report::Begun(_) | Report::Failed);
             let states = is_answer || matches!(report, Report::Refused(Refusal::Busy));
-            let head = Some(Head { ends_limit: is_answer && head.ends_limit, ..head });
-            Happening::Report { daemon, key, attempt, report, head: head.filter(|_| states) }
+            let mut statement = statement;
+            if is_answer && has_limit && statement.request_limit == RequestLimit::Unstated {
+                statement.request_limit = RequestLimit::Ended;
+            }
+            let head = Head { server: number, incarnation, statement };
+            let head = Some(head).filter(|_| states);
+            Happening::Report { daemon, key, attempt, report, head }
         };
         if self.site.cuts.contains_key(&daemon) || health == Health::Down {
             return self.schedule(ROUND_TRIP, report(Report::Unsent));
@@ -292,10 +320,19 @@
         }
         self.arrived[call] += 1;
         self.limits.note_arrival(self.site.now, number, daemon);
+        let (now, id) = (self.site.now, server_id(number, incarnation));
+        self.notices.note_arrival(now, &id, daemon, self.called_at[call]);
         let backend = &mut self.backends[number];
         if dispatch.server != server_id(number, backend.incarnation) {
             return self.schedule(ROUND_TRIP, report(Report::Refused(Refusal::Replaced)));
         }
+        if let Some(rest) = backend.rest {
+            let statement = Statement { rest: Some(rest), ..statement };
+            let head = Some(Head { server: number, incarnation, statement });
+            let report = Report::Refused(Refusal::Busy);
+            let turned_away = Happening::Report { daemon, key, attempt, report, head };
+            return self.schedule(ROUND_TRIP, turned_away);
+        }
         if health == Health::Full || backend.running >= SERVER_ROOM {
             return self.schedule(ROUND_TRIP, report(Report::Refused(Refusal::Busy)));
         }
@@ -336,7 +373,7 @@
                     let late = Happening::Report { daemon, key, attempt, report, head };
                     return self.schedule(wait, late);
                 }
-                self.state_limit(daemon, key, attempt, head);
+                self.state(daemon, key, attempt, head);
                 self.site.report(daemon, key, attempt, report);
                 let current = self.hops.get(&(daemon, key)).map(|hop| hop.attempt);
                 if report == Report::Ended && current == Some(attempt) {
@@ -352,22 +389,25 @@
     }
 
     /// A daemon gets the head of an answer.
-    fn state_limit(&mut self, daemon: usize, request: Key, attempt: u32, head: Option<Head>) {
-        let Some(Head { server, limit: per_s, ends_limit }) = head else { return };
-        if !self.hops.contains_key(&(daemon, request)) {
-            return;
-        }
-        let request_limit = match per_s {
-            Some(per_s) => RequestLimit::PerSecond(per_s),
-            None if ends_limit => RequestLimit::Ended,
-            None => RequestLimit::Unstated,
-        };
-        let statement = Statement { request_limit, ..Statement::default() };
+    fn state(&mut self, daemon: usize, request: Key, attempt: u32, head: Option<Head>) {
+        let Some(Head { server, incarnation, statement }) = head else { return };
+        let Some(hop) = self.hops.get(&(daemon, request)) else { return };
+        let origin = hop.from;
         if !statement.is_empty() {
             self.site.apply(daemon, Message::Stated { request, attempt, statement });
         }
-        if per_s.is_some() {
-            self.limits.note_told(self.site.now, server, daemon);
+        let (now, id) = (self.site.now, server_id(server, incarnation));
+        if matches!(statement.request_limit, RequestLimit::PerSecond(_)) {
+            self.limits.note_told(now, server, daemon);
+        }
+        if statement.is_leaving {
+            self.notices.note_leaving(now, &id, daemon);
+            if let Some((origin, ..)) = origin {
+                self.notices.note_leaving(now, &id, origin);
+            }
+        }
+        if let Some(rest) = statement.rest {
+            self.notices.note_rest(now, &id, daemon, rest);
         }
     }
 
--- a/src/fleet/tests/mod.rs
+++ b/src/fleet/tests/mod.rs
@@ -30,5 +30,6 @@
 mod site;
 mod software;
 mod spread;
+mod statement;
 mod store;
 mod world;
