A server that states that it leaves gets no new work from the first answer that states it

Cause: daemons learned of leaving from the registration alone; no code read Server-Leaving. The class of fault is that of software versions and request limits: what a server states is passed on and read by no one.

Change (src/fleet/departure.rs): the daemon that gets such an answer gives the server no new work, whether it places itself, a scheduler assigns the server to it, or the request waits or is sent again. It tells the scheduler of the request at once, and any scheduler that assigns the server later; digests tell all others, bounded as those of request limits. It binds an incarnation: a registration that ends and comes back stays leaving, a restarted server does not.

--- a/src/fleet/frame/digest.rs
+++ b/src/fleet/frame/digest.rs
@@ -74,6 +74,8 @@
     pub reject_limits: Vec<RejectLimit>,
     /// The newest statements of servers about their request limits.
     pub limit_statements: Vec<LimitStatement>,
+    /// Servers that have stated that they leave.
+    pub leaving: Vec<Incarnation>,
 }
 
 fn encode_age(age: Option<Duration>) -> u32 {
@@ -167,6 +169,18 @@
     }
 }
 
+impl From<Incarnation> for wire::Leaving {
+    fn from(incarnation: Incarnation) -> Self {
+        Self { server: incarnation.id, born: incarnation.started_ms }
+    }
+}
+
+impl From<wire::Leaving> for Incarnation {
+    fn from(leaving: wire::Leaving) -> Self {
+        Self::new(leaving.server, leaving.born)
+    }
+}
+
 impl From<Digest> for wire::Digest {
     fn from(digest: Digest) -> Self {
         let (blocked, blocked_ages_ms) = poison::blocks_to_wire(&digest.blocked);
@@ -206,6 +220,7 @@
                 .into_iter()
                 .map(wire::LimitStatement::from)
                 .collect(),
+            leaving: digest.leaving.into_iter().map(wire::Leaving::from).collect(),
         }
     }
 }
@@ -271,6 +286,7 @@
                 .into_iter()
                 .map(LimitStatement::try_from)
                 .collect::<Result<_, _>>()?,
+            leaving: digest.leaving.into_iter().map(Incarnation::from).collect(),
         })
     }
 }
--- a/src/fleet/frame/wire.rs
+++ b/src/fleet/frame/wire.rs
@@ -94,6 +94,16 @@
     pub(super) reject_limits: Vec<RejectLimit>,
     #[prost(message, repeated, tag = "27")]
     pub(super) limit_statements: Vec<LimitStatement>,
+    #[prost(message, repeated, tag = "28")]
+    pub(super) leaving: Vec<Leaving>,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub(super) struct Leaving {
+    #[prost(string, tag = "1")]
+    pub(super) server: String,
+    #[prost(uint64, tag = "2")]
+    pub(super) born: u64,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
--- a/src/fleet/gossip.rs
+++ b/src/fleet/gossip.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use super::departure::MAX_ANNOUNCED;
 use super::peer::{DIGEST_INTERVAL, Peer};
 use super::request_limit::MAX_ANNOUNCED_STATEMENTS;
 use super::scheduling::Rank;
@@ -133,6 +134,7 @@
                 hot_parts: Vec::new(),
                 refused: Vec::new(),
                 quota_use: Vec::new(),
+                leaving: digest.leaving.iter().take(MAX_ANNOUNCED).cloned().collect(),
                 limit_statements: digest
                     .limit_statements
                     .iter()
@@ -253,6 +255,7 @@
             quota_use: self.quota.recent_usage(now),
             reject_limits: self.rejection.limits(now),
             limit_statements: self.limit_statements(now),
+            leaving: self.leaving_servers(now),
         }
     }
 
@@ -301,6 +304,7 @@
         self.merge_blocks(now, &digest.blocked);
         self.merge_reject_limits(now, &digest.reject_limits);
         self.merge_limit_statements(now, &digest.limit_statements);
+        self.merge_leaving(now, &digest.leaving);
         self.record_peer_usage(now, &digest);
         // Refill first, so that the peer's transfers are deducted from the current budget and not
         // from that of the last send.
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -6,6 +6,7 @@
 
 mod admission;
 mod blame;
+mod departure;
 mod drain;
 mod explain;
 mod figures;
--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -6,6 +6,7 @@
 
 use super::admission::{Position, Refusals};
 use super::blame::Failures;
+use super::departure::Departures;
 use super::drain::Throughput;
 use super::handover::Handovers;
 use super::isolation::Isolation;
@@ -128,6 +129,8 @@
     pub(super) shares: Shares,
     /// Request limits of servers.
     pub(super) request_limits: request_limit::State,
+    /// Servers that have stated that they leave.
+    pub(super) departures: Departures,
     /// Suspects that run alone at a server.
     pub(super) isolation: Isolation,
     pub(super) next_block_expiry: Time,
@@ -214,6 +217,7 @@
             rejection: rejection::State::default(),
             shares: Shares::default(),
             request_limits: request_limit::State::default(),
+            departures: Departures::default(),
             isolation: Isolation::default(),
             next_block_expiry: Time::ZERO,
             heat: Heat::default(),
--- a/src/fleet/replication/records.rs
+++ b/src/fleet/replication/records.rs
@@ -219,7 +219,8 @@
                 .and("born", entry.incarnation.started_ms),
         );
         let (incarnation, pool) = (entry.incarnation.clone(), entry.pool.clone());
-        let server = Server::new(entry);
+        let draining = entry.draining || self.departures.contains(&incarnation);
+        let server = Server::new(Entry { draining, ..entry });
         let software = server.software;
         let key = self.servers.insert(server);
         self.incarnations.begin(&incarnation, key);
--- a/src/fleet/scheduling/message.rs
+++ b/src/fleet/scheduling/message.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use crate::fleet::{Incarnation, Key, Prompt, Report, Software};
+use crate::fleet::{Incarnation, Key, Prompt, Report, Software, Statement};
 use crate::poison::Fingerprint;
 use crate::prelude::*;
 use crate::route::{Repeat, Workspace};
@@ -47,16 +47,18 @@
 }
 
 /// A state change of a request at the daemon that received it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Step {
     /// The attempt's state changed.
     Report(Report),
+    /// The server of the attempt has stated this to the daemon.
+    Stated(Statement),
     /// The scheduler can drop the request.
     Withdrawn,
 }
 
 /// A daemon's message to the scheduler of a request.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Progress {
     /// The daemon that received the request.
     pub daemon: String,
--- a/src/fleet/scheduling/serving.rs
+++ b/src/fleet/scheduling/serving.rs
@@ -109,6 +109,9 @@
         match progress.step {
             Step::Withdrawn => self.remove_request(now, key),
             Step::Report(report) => self.handle_report(now, key, progress.attempt, report),
+            Step::Stated(statement) => {
+                self.note_forwarded_statement(now, key, progress.attempt, statement);
+            }
         }
     }
 
--- a/src/fleet/scheduling/submitting.rs
+++ b/src/fleet/scheduling/submitting.rs
@@ -2,7 +2,9 @@
 
 use super::{Assignment, Decision, Progress, Step, Submission, Verdict};
 use crate::fleet::request::{Phase, Request};
-use crate::fleet::{Command, Dispatch, Effect, Frame, Identity, Key, Loss, Node, Report, server};
+use crate::fleet::{
+    Command, Dispatch, Effect, Frame, Identity, Key, Loss, Node, Report, Statement, server,
+};
 use crate::prelude::*;
 
 /// Time limit for a scheduler's verdict: some ten round trips to another zone. After it the daemon
@@ -109,6 +111,7 @@
             return self.withdraw_from_scheduler(now, key);
         };
         if !self.may_be_sent(now, key, server, assignment.weights_version) {
+            self.explain_withdrawal(key, server, assignment.attempt);
             return self.withdraw_from_scheduler(now, key);
         }
         let most_idle = self.max_idle_connections(key);
@@ -146,6 +149,30 @@
         self.effects.push(Effect::Command(key, Command::Dispatch(dispatch)));
     }
 
+    /// Tells a scheduler what the server that it assigned has stated, which it may not know: it may have taken over since.
+    fn explain_withdrawal(&mut self, key: Key, server: server::Key, attempt: u32) {
+        let Some(server) = self.servers.get(server) else { return };
+        let is_leaving = self.departures.contains(&server.entry.incarnation);
+        let statement = Statement { is_leaving, ..Statement::default() };
+        self.send_statement(key, attempt, statement);
+    }
+
+    /// Forwards what the server of a placed request has stated to the scheduler of the request.
+    pub(in crate::fleet) fn forward_statement(&mut self, key: Key, statement: Statement) {
+        let phase = self.requests.get(&key).map(|request| request.phase);
+        if let Some(Phase::Submitted(Stage::Placed(Placement { attempt, .. }))) = phase {
+            self.send_statement(key, attempt, statement);
+        }
+    }
+
+    fn send_statement(&mut self, key: Key, attempt: u32, statement: Statement) {
+        let Some(request) = self.requests.get(&key).filter(|_| !statement.is_empty()) else {
+            return;
+        };
+        let scheduler = request.scheduler.clone();
+        self.send_progress(&scheduler, key, attempt, Step::Stated(statement));
+    }
+
     /// Returns whether this daemon's own state allows an assignment. The scheduler may not know yet of
     /// a leaving server, newly named weights, a possible execution of the request, or the version that began its stream.
     fn may_be_sent(&self, now: Time, key: Key, server: server::Key, weights: Option<u64>) -> bool {
--- a/src/fleet/scheduling/wire.rs
+++ b/src/fleet/scheduling/wire.rs
@@ -3,7 +3,9 @@
 use std::net::SocketAddr;
 
 use super::{Assignment, Decision, Step};
-use crate::fleet::{Incarnation, Key, Loss, Malformed, Part, Prompt, Refusal, Report, Software};
+use crate::fleet::{
+    Incarnation, Key, Loss, Malformed, Part, Prompt, Refusal, Report, Software, Statement,
+};
 use crate::poison::Fingerprint;
 use crate::prelude::*;
 use crate::quota::{Quota, Unit};
@@ -94,6 +96,9 @@
     /// For a lost answer: whether the server sent something that is not a valid answer.
     #[prost(bool, tag = "6")]
     invalid_answer: bool,
+    /// For a statement: whether the server leaves.
+    #[prost(bool, tag = "7")]
+    is_leaving: bool,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -289,10 +294,16 @@
             Step::Report(Report::Unsent) => (6, None),
             Step::Report(Report::Lost(_)) => (7, None),
             Step::Report(Report::Failed) => (8, None),
+            Step::Stated(_) => (9, None),
+        };
+        let statement = match progress.step {
+            Step::Stated(statement) => statement,
+            Step::Report(_) | Step::Withdrawn => Statement::default(),
         };
         let invalid_answer = progress.step == Step::Report(Report::Lost(Loss::InvalidAnswer));
         let super::Progress { daemon, request, attempt, .. } = progress;
-        Self { daemon, request: request.0, attempt, step, weights, invalid_answer }
+        let is_leaving = statement.is_leaving;
+        Self { daemon, request: request.0, attempt, step, weights, invalid_answer, is_leaving }
     }
 }
 
@@ -311,6 +322,7 @@
             7 if wire.invalid_answer => Step::Report(Report::Lost(Loss::InvalidAnswer)),
             7 => Step::Report(Report::Lost(Loss::Connection)),
             8 => Step::Report(Report::Failed),
+            9 => Step::Stated(Statement { is_leaving: wire.is_leaving, ..Statement::default() }),
             other => return Err(unknown("step", other)),
         };
         let Progress { daemon, request, attempt, .. } = wire;
--- a/src/fleet/statement.rs
+++ b/src/fleet/statement.rs
@@ -59,7 +59,10 @@
         let Some(server) = request.and_then(|request| request.tried.last().copied()) else {
             return;
         };
-        self.log_statement(server, statement);
+        self.log_rest(server, statement);
+        if statement.is_leaving && self.note_leaving(now, server) {
+            self.forward_statement(key, statement);
+        }
         match statement.request_limit {
             RequestLimit::Unstated => {}
             RequestLimit::Ended => self.note_request_limit(now, server, None),
@@ -67,14 +70,26 @@
         }
     }
 
-    fn log_statement(&mut self, key: server::Key, statement: Statement) {
-        let Some(server) = self.servers.get(key) else { return };
+    fn log_rest(&mut self, key: server::Key, statement: Statement) {
+        let Some((server, rest)) = self.servers.get(key).zip(statement.rest) else { return };
         let detail = Detail::of("server", server.entry.incarnation.id.as_str());
-        if statement.is_leaving && !server.entry.draining {
-            self.event(Event::LeavingStated, detail.clone());
-        }
-        if let Some(rest) = statement.rest {
-            self.event(Event::RestStated, detail.and("rest_ms", rest));
+        self.event(Event::RestStated, detail.and("rest_ms", rest));
+    }
+
+    /// Handles what a server stated in an answer to the daemon that received a request.
+    pub(super) fn note_forwarded_statement(
+        &mut self,
+        now: Time,
+        key: Key,
+        attempt: u32,
+        statement: Statement,
+    ) {
+        let request = self.requests.get(&key).filter(|request| request.sends == attempt);
+        let Some(server) = request.and_then(|request| request.tried.last().copied()) else {
+            return;
+        };
+        if statement.is_leaving {
+            self.note_leaving(now, server);
         }
     }
 }
--- a/src/fleet/tests/frames.rs
+++ b/src/fleet/tests/frames.rs
@@ -56,6 +56,7 @@
             },
         ],
         named: vec![Naming { model: "m".into(), version: 4, age: Some(Duration::from_millis(70)) }],
+        leaving: vec![Incarnation::new("e-1", 9)],
     }
 }
 
