--- a/src/fleet/frame/mod.rs
+++ b/src/fleet/frame/mod.rs
@@ -64,7 +64,7 @@
     /// ```
     pub fn encode(&self) -> Vec<u8> {
         let body = match self.clone() {
-            Self::Digest(digest) => wire::Body::Digest((*digest).into()),
+            Self::Digest(digest) => wire::Body::Digest(Box::new((*digest).into())),
             Self::Fetch(daemon, topic, from) => {
                 wire::Body::Fetch(wire::Fetch { daemon, topic: topic as u32, from })
             }
@@ -139,7 +139,7 @@
                 Ok(Self::Relay(Relay { to: to?, frame: Box::new(frame) }))
             }
             None => Err(Malformed("the frame is empty".into())),
-            Some(wire::Body::Digest(digest)) => Ok(Self::Digest(Box::new(digest.try_into()?))),
+            Some(wire::Body::Digest(digest)) => Ok(Self::Digest(Box::new((*digest).try_into()?))),
             Some(wire::Body::Fetch(ask)) => {
                 Ok(Self::Fetch(ask.daemon, decode_topic(ask.topic)?, ask.from))
             }
--- a/src/fleet/frame/wire.rs
+++ b/src/fleet/frame/wire.rs
@@ -240,8 +240,8 @@
 
 #[derive(Clone, PartialEq, prost::Oneof)]
 pub(super) enum Body {
-    #[prost(message, tag = "1")]
-    Digest(Digest),
+    #[prost(message, boxed, tag = "1")]
+    Digest(Box<Digest>),
     #[prost(message, tag = "2")]
     Fetch(Fetch),
     #[prost(message, tag = "3")]
