--- a/src/fleet/message.rs
+++ b/src/fleet/message.rs
@@ -241,6 +241,8 @@
     pub sequence: u64,
     /// Its start time in Unix milliseconds; 0 if unknown.
     pub born: u64,
+    /// Whether it is about to stop by plan.
+    pub is_leaving: bool,
 }
 
 /// An external dependency whose availability is tracked.
--- a/src/fleet/rollout.rs
+++ b/src/fleet/rollout.rs
@@ -324,13 +324,13 @@
             Known::Same(_) | Known::New => {}
             // The engine has restarted, and its registration does not show it yet.
             Known::Next(_) => {
-                let State { sequence, weights, .. } = state;
+                let State { sequence, weights, is_leaving, .. } = state;
                 // The previous incarnation may have been draining.
                 let entry = Entry {
                     incarnation,
                     sequence,
                     weights,
-                    draining: false,
+                    draining: is_leaving,
                     ..server.entry.clone()
                 };
                 return self.register(now, entry);
@@ -338,6 +338,9 @@
             // The report is older than what is known.
             Known::Ended => return,
         }
+        if state.is_leaving {
+            self.note_leaving(now, key);
+        }
         for (model, version) in &state.weights {
             self.note_weights(now, key, model, *version);
         }
--- a/src/fleet/tests/beliefs/carriage.rs
+++ b/src/fleet/tests/beliefs/carriage.rs
@@ -206,6 +206,7 @@
                     let found = self.servers.iter().find(|server| server.id == id && server.is_up);
                     let state = found.map(|server| State {
                         weights: BTreeMap::from([("m".into(), server.version)]),
+                        is_leaving: false,
                         busy: server.loading.is_some(),
                         sequence: server.sequence,
                         born: server.started_ms,
--- a/src/fleet/tests/lives.rs
+++ b/src/fleet/tests/lives.rs
@@ -110,7 +110,7 @@
         if expected_counts.len() == 1 && now % 200 == 0 {
             // It restarts while it loads weights; its status reports that before its registration does.
             let weights = BTreeMap::from([("m".to_owned(), 1)]);
-            let state = State { weights, busy: false, sequence: 0, born: 2_000 };
+            let state = State { weights, busy: false, sequence: 0, born: 2_000, is_leaving: false };
             let server = key.expect("an order names its server");
             daemon.node.apply(ms(now), Message::Polled(server, Some(state)));
         }
@@ -127,7 +127,7 @@
         .server(&Incarnation::new("e-1", 2_000))
         .expect("the newest incarnation is registered");
     let weights = BTreeMap::from([("m".to_owned(), 9)]);
-    let state = State { weights, busy: false, sequence: 4, born: 1_000 };
+    let state = State { weights, busy: false, sequence: 4, born: 1_000, is_leaving: false };
     daemon.node.apply(ms(10), Message::Polled(key, Some(state)));
     assert_eq!(metric_values(&mut daemon, ms(20), "weights"), ["1"]);
 }
--- a/src/fleet/tests/parts.rs
+++ b/src/fleet/tests/parts.rs
@@ -208,7 +208,7 @@
     daemon.deliver_records(ms(10), Topic::Servers, &[("e-1", "engine 21 draining 1 born:5")]);
     let key = daemon.node.servers.keys().next().expect("the engine is registered");
     let weights = BTreeMap::from([("m".to_owned(), 1)]);
-    let state = State { weights, busy: false, sequence: 0, born: 6 };
+    let state = State { weights, busy: false, sequence: 0, born: 6, is_leaving: false };
     daemon.node.apply(ms(20), Message::Polled(key, Some(state)));
     daemon.deliver_records(ms(30), Topic::Servers, &[("e-1", "engine 21 ready 1 born:6")]);
     assert_eq!(dispatches(&mut daemon, ms(40), "engines").len(), 1);
--- a/src/fleet/tests/rollout.rs
+++ b/src/fleet/tests/rollout.rs
@@ -259,7 +259,7 @@
     assert!(!effects.iter().any(|effect| matches!(effect, Effect::Order { .. })));
     // The engine had accepted the order: it reports one order, and the next order expects that.
     let weights = BTreeMap::from([("m".to_owned(), 1)]);
-    let state = State { weights, busy: false, sequence: 1, born: 0 };
+    let state = State { weights, busy: false, sequence: 1, born: 0, is_leaving: false };
     daemon.node.apply(ms(4_200), Message::Polled(server, Some(state)));
     let effects = daemon.tick(ms(4_220));
     assert!(
--- a/src/fleet/tests/statement.rs
+++ b/src/fleet/tests/statement.rs
@@ -130,3 +130,20 @@
     let (_, effects) = daemon.arrive(ms(1_000), &route, Some(prompt(7, 4)));
     assert_eq!(dispatch(&effects).server, "e-1");
 }
+
+#[test]
+fn engine_that_reports_that_it_leaves_gets_no_new_work() {
+    let engines = [("e-1", "engine 101 ready 1"), ("e-2", "engine 102 ready 1")];
+    let mut daemon = Daemon::with_servers(1, &engines);
+    let engine = daemon.node.incarnations.registered("e-1").expect("it is registered");
+    let weights = BTreeMap::from([("m".into(), 1)]);
+    let state = State { weights, busy: false, sequence: 0, born: 0, is_leaving: true };
+    daemon.node.apply(ms(10), Message::Polled(engine, Some(state)));
+    for subject in 0..12 {
+        let route = route("engines", Repeat::Resumable, 2);
+        let (key, effects) = daemon.arrive(ms(20), &route, Some(prompt(7, subject)));
+        assert_eq!(dispatch(&effects).server, "e-2");
+        daemon.report(ms(20), key, 1, Report::Begun(Some(1)));
+        daemon.report(ms(20), key, 1, Report::Ended);
+    }
+}
