The own interface blocks a level of prompts that crashes engines, too

Its levels are the parts: a crash counts against the levels of a request whose answer had not begun, an answer that begins clears them here and at all peers, a blocked level is refused, and a request with a suspect level is not sent again.

--- a/src/control/arrivals.rs
+++ b/src/control/arrivals.rs
@@ -27,7 +27,7 @@
         let Some(state) = self.requests.get(&request) else {
             return;
         };
-        if self.poison.is_blocked(state.arrival.fingerprint) {
+        if self.is_blocked(&state.arrival) {
             return self.refuse_blocked(now, request);
         }
         let arrival = &state.arrival;
--- a/src/control/outcomes.rs
+++ b/src/control/outcomes.rs
@@ -49,6 +49,7 @@
         self.record_response(now, server);
         if is_first_begin {
             self.note_software(request, server);
+            self.clear_levels(request);
         }
         if let Some(cached) = cached_tokens
             && is_first_begin
--- a/src/control/poison.rs
+++ b/src/control/poison.rs
@@ -5,7 +5,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::{Effect, Node, Stream, message};
-use crate::attempt::{self, Command, Phase};
+use crate::attempt::{self, Arrival, Command, Phase, Request};
 use crate::membership;
 use crate::peer::Frame;
 use crate::poison::{
@@ -14,6 +14,8 @@
 };
 use crate::prelude::*;
 
+/// Maximum number of levels of a prompt that are reported with a crash.
+const MAX_REPORTED_LEVELS: usize = 32;
 /// Time after which a block that was written and not read back is written again.
 const WRITE_RETRY_INTERVAL: Duration = Duration::from_secs(2);
 /// Blocks are renewed when the retention divided by this has passed since they were written.
@@ -63,6 +65,12 @@
     }
 }
 
+/// Returns the fingerprints of the levels of a request's prompt, which others may share.
+fn level_fingerprints(arrival: &Arrival) -> impl Iterator<Item = Fingerprint> {
+    let levels = (0..arrival.prefix.level_ends.len()).filter_map(|n| arrival.prefix.level_key(n));
+    levels.map(|key| Fingerprint::of_part(key.0))
+}
+
 impl Node {
     /// The present incarnation of a server, as all daemons name it.
     pub(super) fn incarnation(&self, server: membership::Key) -> Option<Incarnation> {
@@ -97,11 +105,23 @@
         let steps = self.detector.record_disconnect(
             now,
             endpoint,
-            Disconnect { fingerprint, parts: Vec::new(), run_time, ran_alone: false },
+            Disconnect {
+                fingerprint,
+                parts: self.unanswered_levels(request),
+                run_time,
+                ran_alone: false,
+            },
         );
         self.apply_steps(now, steps);
     }
 
+    /// Returns the levels of a request's prompt; none if its answer has begun.
+    fn unanswered_levels(&self, request: attempt::Key) -> Vec<Fingerprint> {
+        let state = self.requests.get(&request).filter(|state| !state.begun);
+        let levels = state.map(|state| level_fingerprints(&state.arrival));
+        levels.map_or_else(Vec::new, |levels| levels.take(MAX_REPORTED_LEVELS).collect())
+    }
+
     /// Handles the result of a probe.
     pub(super) fn probed(&mut self, now: Time, incarnation: Incarnation, answer: Answer) {
         let steps = self.detector.record_probe(now, incarnation, answer);
@@ -151,6 +171,8 @@
         self.event(Event::ServerEnded, detail);
         self.send_to_peers(&Message::Interruptions(steps.interruptions.clone()));
         self.record_interruptions(now, &steps.interruptions);
+        let blocked = self.poison.block_parts(now, &steps.interruptions);
+        self.block_and_announce(now, blocked);
     }
 
     fn send_to_peers(&mut self, message: &Message) {
@@ -166,6 +188,7 @@
         match message {
             Message::Interruptions(interruptions) => self.record_interruptions(now, &interruptions),
             Message::Served(fingerprint) => {
+                self.poison.clear_part(fingerprint);
                 let blocked = self.poison.clear_suspect(now, fingerprint);
                 self.block_and_announce(now, blocked.unwrap_or_default());
             }
@@ -206,8 +229,11 @@
     fn enforce_block(&mut self, now: Time, fingerprint: Fingerprint) {
         let detail = self.poison.detail(now, fingerprint);
         self.event(Event::RequestBlocked, detail);
-        let affected =
-            self.requests.iter().filter(|(_, state)| state.arrival.fingerprint == fingerprint);
+        let matches = |arrival: &Arrival| {
+            arrival.fingerprint == fingerprint
+                || level_fingerprints(arrival).any(|level| level == fingerprint)
+        };
+        let affected = self.requests.iter().filter(|(_, state)| matches(&state.arrival));
         let affected: Vec<(attempt::Key, Phase, u32)> =
             affected.map(|(key, state)| (*key, state.phase, state.attempts)).collect();
         for (request, phase, attempt) in affected {
@@ -230,9 +256,39 @@
     /// Whether a request whose attempt has just broken reaches the block threshold when unconfirmed crashes
     /// count too.
     pub(super) fn may_crash_servers(&self, now: Time, request: attempt::Key) -> bool {
-        let Some(fingerprint) = self.fingerprint(request) else { return false };
-        self.poison
-            .reaches_block_threshold(fingerprint, self.detector.possible_crashes(now, fingerprint))
+        let Some(state) = self.requests.get(&request) else { return false };
+        let fingerprint = state.arrival.fingerprint;
+        let possible = self.detector.possible_crashes(now, fingerprint);
+        self.poison.reaches_block_threshold(fingerprint, possible) || self.has_suspect_level(state)
+    }
+
+    /// Whether a sent request has a level on which no answer has begun since an earlier crash.
+    fn has_suspect_level(&self, state: &Request) -> bool {
+        let Phase::Sent { at, .. } = state.phase else { return false };
+        self.poison.suspect_part_count() > 0
+            && level_fingerprints(&state.arrival)
+                .any(|level| self.poison.is_part_suspected_since(level, at))
+    }
+
+    /// Whether a request is blocked, or a level of its prompt.
+    pub(super) fn is_blocked(&self, arrival: &Arrival) -> bool {
+        self.poison.has_blocks()
+            && (self.poison.is_blocked(arrival.fingerprint)
+                || level_fingerprints(arrival).any(|level| self.poison.is_blocked(level)))
+    }
+
+    /// Clears the levels of a prompt on which an answer has begun, here and at all peers.
+    pub(super) fn clear_levels(&mut self, request: attempt::Key) {
+        if self.poison.suspect_part_count() == 0 {
+            return;
+        }
+        let Some(state) = self.requests.get(&request) else { return };
+        let levels: Vec<Fingerprint> = level_fingerprints(&state.arrival).collect();
+        for level in levels {
+            if self.poison.clear_part(level) {
+                self.send_to_peers(&Message::Served(level));
+            }
+        }
     }
 
     fn fingerprint(&self, request: attempt::Key) -> Option<Fingerprint> {
--- a/src/control/tests/mod.rs
+++ b/src/control/tests/mod.rs
@@ -4,6 +4,7 @@
 mod attempts;
 mod blocks;
 mod checkpoints;
+mod crashing_level;
 mod fixture;
 mod manifests;
 mod orders;
