Servers and callers that send without end hold up no other caller

Cause: a read that finds bytes completes at once, so a task that only reads and discards, or whose writes never wait, never yields to the thread's other tasks, and its own deadline is not looked at; the informational answers before an answer, a trailer and an incomplete event had no bound. Ruled out: memory or processor time of the sender (the long stream is bounded and proper).

Change: a connection yields after 64 KB read (relay::Conn::fill, the one place that reads); the informational answers count towards the bound of the head, a trailer may have 16 KB, an event as much as an answer that is held (8 MB). Beyond these the connection is closed and the attempt is lost, so the request goes elsewhere if it may.

--- a/src/relay/body.rs
+++ b/src/relay/body.rs
@@ -2,6 +2,8 @@
 
 use super::{Fields, Malformed};
 
+/// Maximum size of a trailer; none is passed on.
+const MAX_TRAILER_BYTES: usize = 16 << 10;
 /// Maximum length of a line of chunked framing.
 const MAX_CHUNK_LINE_BYTES: usize = 1_024;
 
@@ -83,27 +85,32 @@
 
 /// Incremental decoder that removes a body's framing.
 #[derive(Debug)]
-pub struct Decoder(State);
+pub struct Decoder {
+    state: State,
+    /// Size of the trailer so far.
+    trailer_bytes: usize,
+}
 
 impl Decoder {
     /// Creates a decoder at the start of a body.
     pub fn new(framing: Framing) -> Self {
-        Self(match framing {
+        let state = match framing {
             Framing::Length(0) => State::Complete,
             Framing::Length(length) => State::Length(length),
             Framing::Chunked => State::ChunkSize,
             Framing::UntilClose => State::UntilClose,
-        })
+        };
+        Self { state, trailer_bytes: 0 }
     }
 
     /// Returns whether the body is complete.
     pub fn is_complete(&self) -> bool {
-        self.0 == State::Complete
+        self.state == State::Complete
     }
 
     /// Returns whether the end of the connection completes the body.
     pub fn completes_on_close(&self) -> bool {
-        self.0 == State::UntilClose
+        self.state == State::UntilClose
     }
 
     /// Appends decoded bytes from the front of `input` to `output`. Returns the number of bytes of
@@ -120,7 +127,7 @@
         let mut used = 0;
         loop {
             let rest = &input[used..];
-            let step = match self.0 {
+            let step = match self.state {
                 State::Complete => return Ok(used),
                 State::Length(left) => {
                     self.copy(rest, left, output, State::Length, State::Complete)
@@ -152,7 +159,7 @@
         let count = usize::try_from(left).unwrap_or(usize::MAX).min(input.len());
         output.extend_from_slice(&input[..count]);
         let left = left - count as u64;
-        self.0 = if left == 0 { finished } else { unfinished(left) };
+        self.state = if left == 0 { finished } else { unfinished(left) };
         count
     }
 
@@ -162,7 +169,13 @@
             let long = input.len() > MAX_CHUNK_LINE_BYTES;
             return if long { Err(Malformed("a chunk line is too long".into())) } else { Ok(0) };
         };
-        self.0 = match self.0 {
+        if self.state == State::Trailer {
+            self.trailer_bytes += end + 2;
+            if self.trailer_bytes > MAX_TRAILER_BYTES {
+                return Err(Malformed("the trailer is too long".into()));
+            }
+        }
+        self.state = match self.state {
             State::ChunkSize => match httparse::parse_chunk_size(&input[..end + 2]) {
                 Ok(httparse::Status::Complete((_, 0))) => State::Trailer,
                 Ok(httparse::Status::Complete((_, size))) => State::ChunkData(size),
--- a/src/relay/conn.rs
+++ b/src/relay/conn.rs
@@ -7,14 +7,16 @@
 use std::time::Duration;
 
 use async_io::{Async, Timer};
-use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
+use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt, future};
 use rustix::net::sockopt;
 
 use super::{Decoder, Framing, Malformed, Request, Response};
 
 /// Maximum number of bytes per read.
 const READ_CHUNK_BYTES: usize = 16 << 10;
-/// Maximum size of the head of a backend server's answer.
+/// Number of bytes read from a connection after which other tasks run, and deadlines are seen, although more are there.
+const MAX_BYTES_WITHOUT_YIELD: usize = 64 << 10;
+/// Maximum size of the head of a backend server's answer, and of all informational answers before it.
 const MAX_ANSWER_HEAD_BYTES: usize = 64 << 10;
 /// Maximum number of bytes buffered from a caller that waits for its answer.
 const MAX_READ_AHEAD_BYTES: usize = 64 << 10;
@@ -67,6 +69,8 @@
     stream: Arc<Async<TcpStream>>,
     /// Bytes that were read and not yet consumed.
     read_ahead: Vec<u8>,
+    /// Number of bytes read since other tasks could last run.
+    unyielded: usize,
     /// Whether a write has failed. The failure took the socket's error, so that a read then sees an orderly end.
     write_failed: bool,
 }
@@ -81,7 +85,7 @@
         sockopt::set_tcp_keepintvl(socket, KEEPALIVE_IDLE).ok();
         sockopt::set_tcp_keepcnt(socket, KEEPALIVE_PROBES).ok();
         sockopt::set_tcp_user_timeout(socket, USER_TIMEOUT_MS).ok();
-        Self { stream: Arc::new(stream), read_ahead: Vec::new(), write_failed: false }
+        Self { stream: Arc::new(stream), read_ahead: Vec::new(), unyielded: 0, write_failed: false }
     }
 
     /// Connects to `address` within `timeout`.
@@ -125,10 +129,16 @@
 
     /// Reads more bytes into the buffer. Returns their number, or 0 at the end of the connection.
     async fn fill(&mut self) -> io::Result<usize> {
+        if self.unyielded >= MAX_BYTES_WITHOUT_YIELD {
+            self.unyielded = 0;
+            future::yield_now().await;
+        }
         let start = self.read_ahead.len();
         self.read_ahead.resize(start + READ_CHUNK_BYTES, 0);
         let read = (&mut &*self.stream).read(&mut self.read_ahead[start..]).await;
-        self.read_ahead.truncate(start + read.as_ref().copied().unwrap_or(0));
+        let count = read.as_ref().copied().unwrap_or(0);
+        self.read_ahead.truncate(start + count);
+        self.unyielded += count;
         read
     }
 
@@ -168,20 +178,31 @@
 
     /// Reads the head of the final answer and skips informational (1xx) ones.
     pub async fn read_response(&mut self, answers_head: bool) -> Result<Response, Cut> {
+        let mut skipped = 0;
         loop {
-            let response = self.read_any_response(answers_head).await?;
+            let (response, length) = self.read_head(answers_head).await?;
             if response.status >= 200 {
                 return Ok(response);
             }
+            skipped += length;
+            if skipped > MAX_ANSWER_HEAD_BYTES {
+                return Err(Cut::TooLarge);
+            }
         }
     }
 
     /// Reads the head of the next answer, informational or final.
     pub(super) async fn read_any_response(&mut self, answers_head: bool) -> Result<Response, Cut> {
+        let (response, _) = self.read_head(answers_head).await?;
+        Ok(response)
+    }
+
+    /// Reads the head of the next answer. Returns it with its length in bytes.
+    async fn read_head(&mut self, answers_head: bool) -> Result<(Response, usize), Cut> {
         loop {
             if let Some((response, length)) = Response::parse(&self.read_ahead, answers_head)? {
                 self.read_ahead.drain(..length);
-                return Ok(response);
+                return Ok((response, length));
             }
             self.read_more_head(MAX_ANSWER_HEAD_BYTES).await?;
         }
--- a/src/relay/delivery.rs
+++ b/src/relay/delivery.rs
@@ -20,7 +20,7 @@
 use crate::route::{Route, Workspace};
 use crate::telemetry::emit;
 
-/// Maximum size of an answer that is buffered completely before it is forwarded.
+/// Maximum size of an answer, or of an event of a stream, that is buffered completely before it is forwarded.
 pub(super) const MAX_ANSWER_BYTES: usize = 8 << 20;
 /// Retry-after time for a request that the control thread, having stopped, did not accept.
 const CONTROL_STOPPED_RETRY_AFTER: Duration = Duration::from_millis(500);
@@ -387,6 +387,9 @@
                 Err(cut) => return self.answer_cut(dispatch, &answer, Some(events), &cut),
             };
             let mut whole = events.feed(&bytes);
+            if events.partial_bytes() > MAX_ANSWER_BYTES {
+                return self.answer_cut(dispatch, &answer, Some(events), &Cut::TooLarge);
+            }
             if !more && answer.response.framing == Framing::UntilClose {
                 let detail = self.ending_detail(dispatch, &answer, Some(events));
                 emit(Event::UnframedStreamEnded, detail);
--- a/src/relay/handover.rs
+++ b/src/relay/handover.rs
@@ -203,6 +203,9 @@
             }
             let is_complete = decoder.is_complete();
             let mut whole = events.feed(&bytes);
+            if events.partial_bytes() > MAX_ANSWER_BYTES {
+                return Ending::Lost;
+            }
             if is_complete {
                 whole.extend_from_slice(&events.take_partial());
             }
