--- a/src/fleet/departure.rs
+++ b/src/fleet/departure.rs
@@ -1,7 +1,7 @@
 //! Servers that state in their answers that they leave.
 //!
 //! The platform's store may learn of it much later, or never. A server is therefore given no new work from the first answer
-//! that states it, by the daemon that received the answer, the scheduler of the request, and all daemons that hear of it by
+//! that states it, by the daemon that received the answer, the scheduler of the request, and all daemons that learn it from
 //! digests. It binds an incarnation: the registration of a server may end and come back, and a restarted server is another.
 
 use super::{Incarnation, Node, server};
--- a/src/fleet/scheduling/ranking.rs
+++ b/src/fleet/scheduling/ranking.rs
@@ -146,7 +146,7 @@
         heard.map(|(_, peer)| peer.address).collect()
     }
 
-    /// Addresses of the other schedulers, and of those that would take over from them, that were heard from recently.
+    /// Addresses of the other schedulers and of the daemons that rank next, if they have sent a recent digest.
     pub(in crate::fleet) fn successor_addresses(&self, now: Time) -> Vec<SocketAddr> {
         let ids = self.ranking.schedulers.iter().chain(&self.ranking.successors);
         let heard = ids.filter_map(|id| self.peers.get(id)).filter(|peer| peer.is_fresh(now));
--- a/src/fleet/scheduling/submitting.rs
+++ b/src/fleet/scheduling/submitting.rs
@@ -149,7 +149,7 @@
         self.effects.push(Effect::Command(key, Command::Dispatch(dispatch)));
     }
 
-    /// Tells a scheduler what the server that it assigned has stated, which it may not know: it may have taken over since.
+    /// Reports to a scheduler what the server that it assigned has stated. A scheduler that has taken over may not know it.
     fn explain_withdrawal(&mut self, now: Time, key: Key, server: server::Key, attempt: u32) {
         let Some(server) = self.servers.get(server) else { return };
         let is_leaving = self.departures.contains(&server.entry.incarnation);
--- a/src/fleet/tests/crashing_part.rs
+++ b/src/fleet/tests/crashing_part.rs
@@ -4,7 +4,7 @@
 //! crashed: after five crashes such requests were sent to engines 17 times more. These tests check the documented limits:
 //! at most three tries later than three seconds after the fifth crash, and no sound request blocked.
 
-use super::beside::{ENGINE_COUNT, MAX_LATE_TRIES, Simulation, Tally};
+use super::culprits::{ENGINE_COUNT, MAX_LATE_TRIES, Simulation, Tally};
 use super::world::*;
 use crate::prelude::*;
 
--- a/src/fleet/tests/day/notices.rs
+++ b/src/fleet/tests/day/notices.rs
@@ -29,7 +29,7 @@
     rests: BTreeMap<Pair, Vec<Rest>>,
     /// Requests that reached a leaving server too late.
     pub late: usize,
-    /// Number of times for which daemons were told of.
+    /// Number of statements that daemons received.
     pub told: usize,
 }
 
--- a/src/fleet/tests/deadly.rs
+++ b/src/fleet/tests/deadly.rs
@@ -6,7 +6,7 @@
 //! and check the documented limits: at most three tries later than three seconds after the third crash, and an answer
 //! for all other requests.
 
-use super::beside::{Call, MAX_DETECTION_TIME, MAX_LATE_TRIES, Simulation, Tally};
+use super::culprits::{Call, MAX_DETECTION_TIME, MAX_LATE_TRIES, Simulation, Tally};
 use super::world::*;
 use crate::poison::Fingerprint;
 use crate::prelude::*;
--- a/src/fleet/tests/mod.rs
+++ b/src/fleet/tests/mod.rs
@@ -7,6 +7,7 @@
 mod catalog;
 mod crashing_part;
 mod crowd;
+mod culprits;
 mod day;
 mod deadly;
 mod frames;
--- a/src/poison/mod.rs
+++ b/src/poison/mod.rs
@@ -12,6 +12,7 @@
 
 mod detector;
 mod evidence;
+mod explanation;
 mod fingerprint;
 mod incarnation;
 mod judgement;
--- a/src/poison/part.rs
+++ b/src/poison/part.rs
@@ -2,8 +2,8 @@
 //!
 //! Such a part may crash each server that begins an answer on it, while no two of its requests are alike. A part is a
 //! suspect as long as no answer begins on it. Runs side by side add crashes and no evidence, and so does a request that
-//! returns: it may be the cause itself. Evidence are therefore crashes in succession, each of which interrupted another
-//! request with the part that was sent after the crash before.
+//! returns: it may be the cause itself. The evidence is therefore crashes in succession, each of which interrupted another
+//! request with the part, sent after the previous crash.
 
 use super::evidence::{Evidence, Key, MIN_CRASHES, Suspect};
 use super::judgement::{CRASH_LIMIT, MAX_EXPECTED};
@@ -35,7 +35,7 @@
     /// strongest first: its block explains crashes that then no longer count against the others.
     /// Returns those that this blocks.
     ///
-    /// Only a daemon that placed the requests hears of all answers, and may judge.
+    /// Only the daemon that placed the requests receives the reports of all their answers, and may judge.
     pub fn block_parts(&mut self, now: Time, interruptions: &[Interruption]) -> Vec<Fingerprint> {
         let parts = interruptions.iter().flat_map(|interruption| &interruption.parts);
         let mut undecided: BTreeSet<Fingerprint> = parts.copied().collect();
--- a/src/poison/tests/part.rs
+++ b/src/poison/tests/part.rs
@@ -86,7 +86,7 @@
     }
 }
 
-// A request that returns is blocked by itself, and what it crashed was its part's doing all the same.
+// A request that returns is blocked by itself. Its crashes still count against its part.
 #[test]
 fn block_parts_crash_of_a_blocked_request_counts() {
     let mut state = State::default();
