--- a/src/fleet/tests/crashing_part.rs
+++ b/src/fleet/tests/crashing_part.rs
@@ -18,6 +18,8 @@
 /// detected, for a run to show something.
 const MIN_CULPRIT_ASKS: u64 = 12;
 const MIN_LATE_SOUND: usize = 200;
+/// Time from the send of a request to the begin of its answer where engines are busy, in ms.
+const BUSY_BEGIN_MS: std::ops::Range<u64> = 150..600;
 /// The parts that crash engines.
 const PARTS: [u64; 2] = [900, 901];
 
@@ -34,10 +36,18 @@
     crash_interval: u64,
     /// Time between two restarts of the daemon that schedules the pool, in ms; 0 for none.
     restart_interval: u64,
+    /// Whether engines are busy, so that answers begin late.
+    is_busy: bool,
 }
 
-const ONE_PART: Fault =
-    Fault { parts: 1, are_first: false, interval: 500, crash_interval: 0, restart_interval: 0 };
+const ONE_PART: Fault = Fault {
+    parts: 1,
+    are_first: false,
+    interval: 500,
+    crash_interval: 0,
+    restart_interval: 0,
+    is_busy: false,
+};
 
 /// Draws whether an event that happens once in `interval` ms happens in a step.
 fn happens(simulation: &mut Simulation, interval: u64) -> bool {
@@ -46,6 +56,9 @@
 
 fn run(daemons: u8, engines: u8, seed: u64, fault: Fault) -> Tally {
     let mut simulation = Simulation::new(daemons, engines, seed);
+    if fault.is_busy {
+        simulation.begin_ms = BUSY_BEGIN_MS;
+    }
     let start = simulation.site.now;
     let mut restart_at = start + ms(1_500);
     while simulation.site.now < start + SPAN {
@@ -123,6 +136,18 @@
     keeps_promises(9, ENGINE_COUNT, 3, fault);
 }
 
+#[test]
+fn part_that_crashes_busy_engines_is_blocked() {
+    let fault = Fault { interval: 250, is_busy: true, ..ONE_PART };
+    keeps_promises(7, ENGINE_COUNT, 3, fault);
+}
+
+#[test]
+fn part_that_crashes_busy_engines_is_blocked_among_unrelated_crashes() {
+    let fault = Fault { interval: 250, crash_interval: 2_000, is_busy: true, ..ONE_PART };
+    keeps_promises(7, ENGINE_COUNT, 3, fault);
+}
+
 /// Returns the tally of a run in which `count` engines crash at once, again and again, for no reason in their requests.
 fn run_mass_crashes(count: usize, seed: u64) -> Tally {
     let mut simulation = Simulation::new(9, ENGINE_COUNT, seed);
--- a/src/fleet/tests/culprits.rs
+++ b/src/fleet/tests/culprits.rs
@@ -112,6 +112,8 @@
     engines: u8,
     /// Time from the start of a culprit's run to the crash of its engine.
     pub crash_delay: Duration,
+    /// Time from the send of a request to the begin of its answer, in ms.
+    pub begin_ms: std::ops::Range<u64>,
     open_requests: BTreeMap<(usize, Key), OpenRequest>,
     /// Calls to retry, and when.
     retries: Vec<(Time, Call)>,
@@ -143,6 +145,7 @@
             rng: fastrand::Rng::with_seed(seed),
             engines,
             crash_delay: CRASH_DELAY,
+            begin_ms: 20..60,
             open_requests: BTreeMap::new(),
             retries: Vec::new(),
             pending_starts: Vec::new(),
@@ -268,7 +271,7 @@
                 if self.site.crashed_servers.contains(&dispatch.address) {
                     return self.site.report(daemon, key, dispatch.attempt, Report::Unsent);
                 }
-                let begins_at = now + ms(self.rng.u64(20..60));
+                let begins_at = now + ms(self.rng.u64(self.begin_ms.clone()));
                 let run_time = ms(self.rng.u64(300..4_000));
                 self.count_late_try(daemon, key);
                 if let Some(request) = self.open_requests.get_mut(&(daemon, key)) {
