Answers that refuse a request, or are no valid answer, are logged with the connection that brought them

The logs could not distinguish the hypotheses on the payments that ran after a refusal: they named neither an attempt's connection nor what an answer names. No decision is changed.

--- a/src/relay/caller.rs
+++ b/src/relay/caller.rs
@@ -27,7 +27,7 @@
     pub(super) dialect: Arc<dyn Dialect>,
     pub(super) control: Control,
     pub(super) pool: Arc<Pool>,
-    metrics: Arc<Metrics>,
+    pub(super) metrics: Arc<Metrics>,
     /// Closed as the signal to close idle connections.
     shutdown: Receiver<()>,
     /// Number of requests of which a byte was read and that have no complete answer yet.
--- a/src/relay/conn.rs
+++ b/src/relay/conn.rs
@@ -1,9 +1,11 @@
 //! A TCP connection with a read-ahead buffer.
 
 use std::fmt;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::io;
 use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use async_io::{Async, Timer};
@@ -66,7 +68,11 @@
 /// A TCP connection.
 #[derive(Debug)]
 pub struct Conn {
+    /// Number in the process, for log lines.
+    number: u64,
     stream: Arc<Async<TcpStream>>,
+    /// Hashes of the ids of the requests that were sent on it.
+    carried: Vec<u64>,
     /// Bytes that were read and not yet consumed.
     read_ahead: Vec<u8>,
     /// Number of bytes read since other tasks could last run.
@@ -85,7 +91,36 @@
         sockopt::set_tcp_keepintvl(socket, KEEPALIVE_IDLE).ok();
         sockopt::set_tcp_keepcnt(socket, KEEPALIVE_PROBES).ok();
         sockopt::set_tcp_user_timeout(socket, USER_TIMEOUT_MS).ok();
-        Self { stream: Arc::new(stream), read_ahead: Vec::new(), unyielded: 0, write_failed: false }
+        static NEXT_NUMBER: AtomicU64 = AtomicU64::new(1);
+        Self {
+            number: NEXT_NUMBER.fetch_add(1, Ordering::Relaxed),
+            stream: Arc::new(stream),
+            carried: Vec::new(),
+            read_ahead: Vec::new(),
+            unyielded: 0,
+            write_failed: false,
+        }
+    }
+
+    /// Returns the number of the connection in this process.
+    pub(super) fn number(&self) -> u64 {
+        self.number
+    }
+
+    /// Records that the request `id` is sent on this connection.
+    pub(super) fn record_request(&mut self, id: &str) {
+        self.carried.push(hash(id));
+    }
+
+    /// Returns the number of requests that were sent on this connection.
+    pub(super) fn request_count(&self) -> usize {
+        self.carried.len()
+    }
+
+    /// Returns how many times the request `id` was sent on this connection.
+    pub(super) fn times_carried(&self, id: &str) -> usize {
+        let id = hash(id);
+        self.carried.iter().filter(|carried| **carried == id).count()
     }
 
     /// Connects to `address` within `timeout`.
@@ -264,3 +299,9 @@
         Ok(body)
     }
 }
+
+fn hash(id: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    id.hash(&mut hasher);
+    hasher.finish()
+}
--- a/src/relay/dialect.rs
+++ b/src/relay/dialect.rs
@@ -68,6 +68,9 @@
     /// Classifies an answer by its head.
     fn classify(&self, metadata: &Metadata, response: &Response) -> Classification;
 
+    /// Returns the id of the request that an answer names.
+    fn named_request<'a>(&self, response: &'a Response) -> Option<&'a str>;
+
     /// Returns what an answer states about its server.
     fn statement(&self, response: &Response) -> Statement;
 
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -58,6 +58,11 @@
         Ok(body)
     }
 
+    /// Returns the number of the connection, and how many requests, and how many times the request `id`, it has carried.
+    pub(super) fn connection(&self, id: &str) -> (u64, usize, usize) {
+        (self.conn.number(), self.conn.request_count(), self.conn.times_carried(id))
+    }
+
     /// Returns a reusable connection to `pool`, which keeps at most `max_idle` per server.
     pub fn release(self, pool: &Pool, max_idle: usize) {
         if self.response.keep_alive && self.decoder.is_complete() {
@@ -66,13 +71,22 @@
     }
 }
 
-/// Sends `request`, a complete message, to `address` and reads the head of the answer. `on_send` is
-/// called before the first byte is sent.
+/// A complete request message.
+#[derive(Debug, Clone, Copy)]
+pub struct Question<'a> {
+    /// The request's id.
+    pub id: &'a str,
+    /// The bytes to send.
+    pub message: &'a [u8],
+    /// Whether the answer has no body, whatever its head declares.
+    pub answers_head: bool,
+}
+
+/// Sends `question` to `address` and reads the head of the answer. `on_send` is called before the first byte is sent.
 pub async fn send(
     pool: &Pool,
     address: SocketAddr,
-    request: &[u8],
-    answers_head: bool,
+    question: Question<'_>,
     on_send: impl FnOnce(),
 ) -> Result<Answer, Failure> {
     let mut conn = match pool.take(address) {
@@ -82,8 +96,9 @@
             .map_err(|error| Failure::Unsent(error.to_string()))?,
     };
     on_send();
-    write(&mut conn, request).await?;
-    let response = conn.read_response(answers_head).await.map_err(Failure::Lost)?;
+    conn.record_request(question.id);
+    write(&mut conn, question.message).await?;
+    let response = conn.read_response(question.answers_head).await.map_err(Failure::Lost)?;
     let decoder = Decoder::new(response.framing);
     Ok(Answer { response, decoder, address, conn })
 }
@@ -163,7 +178,8 @@
     let mut message = head::encode(&first_line, fields).into_bytes();
     message.extend_from_slice(&call.body);
     let exchange = async {
-        let mut answer = send(pool, address, &message, false, || {}).await?;
+        let question = Question { id: "", message: &message, answers_head: false };
+        let mut answer = send(pool, address, question, || {}).await?;
         let body = answer.read_whole(max_body_bytes).await.map_err(Failure::Lost)?;
         let status = answer.response.status;
         answer.release(pool, MAX_IDLE_CALL_CONNECTIONS);
--- a/src/relay/tests/fixture.rs
+++ b/src/relay/tests/fixture.rs
@@ -71,6 +71,11 @@
         }
     }
 
+    /// All answers are to the one request.
+    fn named_request<'a>(&self, _: &'a Response) -> Option<&'a str> {
+        Some("r-1")
+    }
+
     fn statement(&self, _: &Response) -> Statement {
         Statement::default()
     }
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -58,6 +58,7 @@
     registry: Registry,
     _provider: SdkMeterProvider,
     answers: Counter<u64>,
+    judgements: Counter<u64>,
     first_token: Histogram<f64>,
     /// Values of the daemon's state for the next export.
     gauges: Arc<Mutex<Vec<Gauge>>>,
@@ -78,6 +79,10 @@
             .u64_counter("cardamomvalve_answers")
             .with_description("Answers by workspace, target and code; code 0 is the server's own")
             .build();
+        let judgements = meter
+            .u64_counter("cardamomvalve_unusual_answers")
+            .with_description("Answers of backend servers other than plain ones, by judgement and by what they name")
+            .build();
         let first_token = meter
             .f64_histogram("cardamomvalve_time_to_first_token_seconds")
             .with_description("Time from a request's arrival to its first token")
@@ -95,7 +100,7 @@
                 }
             })
             .build();
-        Ok(Self { registry, _provider: provider, answers, first_token, gauges })
+        Ok(Self { registry, _provider: provider, answers, judgements, first_token, gauges })
     }
 
     /// Counts an answer. `code` is 0 for an answer of the backend server itself.
@@ -110,6 +115,12 @@
         );
     }
 
+    /// Counts an answer of a backend server that refuses a request, or is no valid answer to it, by what it names.
+    pub fn count_judgement(&self, judgement: &'static str, names: &'static str) {
+        self.judgements
+            .add(1, &[KeyValue::new("judgement", judgement), KeyValue::new("names", names)]);
+    }
+
     /// Records the time from a request's arrival to its first token; `target` is its model or route.
     pub fn record_first_token(&self, target: &str, priority: impl Into<String>, time: Duration) {
         let labels = [
