An answer counts only if it names the request, on a connection that carries the request once

Cause: a rejected attempt's connection was kept, and the next attempt of the request, with the same id, could take it; a copy of the first rejection that came where the next answer was due passed for the second attempt's, which ran. A rejection that names no request passed for any request's. Change: a connection carries a request id once (it remembers the ids, and is closed after 256 requests). An answer that does not name the request belongs to no one: it is discarded, and the own one awaited, bounded in bytes (1 MiB), number (each earlier answer once more) and time (half of what is left). So are bytes between two answers. Handovers read answers in the same way. A connection that carried HEAD, or whose write failed, is not kept: the length of what may still come on it is not known. Why it works: of two answers that name a request on a connection that carried it once, the first is its own; copies follow.

--- a/src/relay/conn.rs
+++ b/src/relay/conn.rs
@@ -20,6 +20,8 @@
 const MAX_BYTES_WITHOUT_YIELD: usize = 64 << 10;
 /// Maximum size of the head of a backend server's answer, and of all informational answers before it.
 const MAX_ANSWER_HEAD_BYTES: usize = 64 << 10;
+/// The first bytes of an answer.
+const HEAD_START: &[u8] = b"HTTP/1.";
 /// Maximum number of bytes buffered from a caller that waits for its answer.
 const MAX_READ_AHEAD_BYTES: usize = 64 << 10;
 /// Idle time before the first TCP keep-alive probe and interval between probes, in whole seconds.
@@ -107,9 +109,9 @@
         self.number
     }
 
-    /// Records that the request `id` is sent on this connection.
-    pub(super) fn record_request(&mut self, id: &str) {
-        self.carried.push(hash(id));
+    /// Records that a request is sent on this connection.
+    pub(super) fn record_request(&mut self, id: Option<&str>) {
+        self.carried.push(id.map_or(0, hash));
     }
 
     /// Returns the number of requests that were sent on this connection.
@@ -117,10 +119,9 @@
         self.carried.len()
     }
 
-    /// Returns how many times the request `id` was sent on this connection.
-    pub(super) fn times_carried(&self, id: &str) -> usize {
-        let id = hash(id);
-        self.carried.iter().filter(|carried| **carried == id).count()
+    /// Returns whether the request `id` was sent on this connection.
+    pub(super) fn has_carried(&self, id: &str) -> bool {
+        self.carried.contains(&hash(id))
     }
 
     /// Connects to `address` within `timeout`.
@@ -148,6 +149,11 @@
         self.write_failed = true;
     }
 
+    /// Returns whether a write has failed, so that the peer may not have read all of the request.
+    pub(super) fn has_failed_write(&self) -> bool {
+        self.write_failed
+    }
+
     /// Returns whether the connection, which has ended, was reset or failed.
     fn has_failed(&self) -> bool {
         self.write_failed || matches!(self.stream.get_ref().take_error(), Ok(Some(_)))
@@ -255,6 +261,29 @@
         }
     }
 
+    /// Discards bytes up to the next one from which an answer may begin, at most `limit` and at least one. Returns their
+    /// number.
+    pub(super) async fn skip_to_head(&mut self, limit: usize) -> Result<usize, Cut> {
+        let mut skipped = 1.min(self.read_ahead.len());
+        self.read_ahead.drain(..skipped);
+        loop {
+            let start = self.read_ahead.windows(HEAD_START.len()).position(|w| w == HEAD_START);
+            let whole = self.read_ahead.len().saturating_sub(HEAD_START.len() - 1);
+            let noise = start.unwrap_or(whole);
+            self.read_ahead.drain(..noise);
+            skipped += noise;
+            if start.is_some() {
+                return Ok(skipped);
+            }
+            if skipped > limit {
+                return Err(Cut::TooLarge);
+            }
+            if self.fill().await? == 0 {
+                return Err(Cut::Broken("the connection ended before an answer".into()));
+            }
+        }
+    }
+
     /// Waits for body bytes and appends them to `output`. Returns false if the body was already
     /// complete or ended with the connection.
     pub async fn read_body(
--- a/src/relay/delivery.rs
+++ b/src/relay/delivery.rs
@@ -10,6 +10,7 @@
 
 use super::answer::{encode_answer, encode_stream_head, push_chunk};
 use super::exchange::{self, Answer, Failure, Question};
+use super::matching::Responder;
 use super::takeover::Origin;
 use super::{Classification, Cut, Events, Framing, Frontend, Metadata, Request, Response, head};
 use crate::fleet::{
@@ -216,6 +217,12 @@
         self.frontend.control.tell(Message::Report { request, attempt, report });
     }
 
+    /// Returns the time that is left for the request, by its caller and its route.
+    pub(super) fn time_left(&self) -> Duration {
+        let now = self.frontend.control.clock.now();
+        self.deadline.saturating_sub(now).min(self.route.timeout)
+    }
+
     /// Returns the time that the caller still waits, if it gave one.
     pub(super) fn remaining(&self) -> Option<Duration> {
         let now = self.frontend.control.clock.now();
@@ -250,20 +257,25 @@
     ) -> Attempt {
         let message = self.encode_request(dispatch, events);
         let answers_head = self.request.is_head();
-        let question = Question { id: &self.metadata.id, message: &message, answers_head };
+        let question = Question { id: Some(&self.metadata.id), message: &message, answers_head };
         let on_send = || self.progress.sent.store(true, Ordering::Release);
         let pool = &self.frontend.pool;
         let sent = exchange::send(pool, dispatch.address, question, on_send).await;
-        let answer = match sent {
-            Ok(answer) => answer,
+        let responder = Responder { attempt: dispatch.attempt, name: &dispatch.server };
+        let matched = match sent {
+            Ok(exchange) => self.match_answer(exchange, responder).await.map_err(Failure::Lost),
+            Err(failure) => Err(failure),
+        };
+        let (answer, class) = match matched {
+            Ok(matched) => matched,
             Err(Failure::Unsent(_)) => return Attempt::Unanswered(Report::Unsent),
             Err(Failure::Lost(cut)) => return Attempt::Unanswered(Report::Lost(loss(&cut))),
         };
-        let class = self.frontend.dialect.classify(&self.metadata, &answer.response);
-        self.log_unusual(dispatch, class, &answer);
         self.report_statement(dispatch, class, &answer.response);
         match class {
-            Classification::Invalid => Attempt::Unanswered(Report::Lost(Loss::InvalidAnswer)),
+            Classification::Invalid | Classification::Foreign => {
+                Attempt::Unanswered(Report::Lost(Loss::InvalidAnswer))
+            }
             Classification::Refused(refusal) => {
                 self.finish_refused(dispatch, answer, refusal).await
             }
@@ -278,38 +290,13 @@
         }
     }
 
-    /// Logs and counts an answer that is no backend server's answer to this request, with the connection that brought it.
-    fn log_unusual(&self, dispatch: &Dispatch, class: Classification, answer: &Answer) {
-        let judgement = match class {
-            Classification::Answer(_) => return,
-            Classification::Refused(_) => "refused",
-            Classification::Invalid => "invalid",
-        };
-        let named = self.frontend.dialect.named_request(&answer.response);
-        let names = match named {
-            Some(id) if id == self.metadata.id => "this request",
-            Some(_) => "another request",
-            None => "no request",
-        };
-        let (connection, requests, times_sent) = answer.connection(&self.metadata.id);
-        self.frontend.metrics.count_judgement(judgement, names);
-        let detail = Detail::of("request", self.metadata.id.as_str())
-            .and("attempt", dispatch.attempt)
-            .and("server", dispatch.server.as_str())
-            .and("status", u32::from(answer.response.status))
-            .and("judgement", judgement)
-            .and("names", names)
-            .and("connection", connection)
-            .and("requests_on_connection", requests)
-            .and("times_sent_on_connection", times_sent);
-        emit(Event::AnswerJudged, detail);
-    }
-
     /// Reports what the server states. An answer that states no request limit ends one; a refusal without it says
     /// nothing. An answer of another server at the same address is none of this server's.
     fn report_statement(&self, dispatch: &Dispatch, class: Classification, response: &Response) {
         let mut statement = match class {
-            Classification::Invalid | Classification::Refused(Refusal::Replaced) => return,
+            Classification::Invalid
+            | Classification::Foreign
+            | Classification::Refused(Refusal::Replaced) => return,
             Classification::Answer(_) | Classification::Refused(_) => {
                 self.frontend.dialect.statement(response)
             }
--- a/src/relay/dialect.rs
+++ b/src/relay/dialect.rs
@@ -40,7 +40,9 @@
     Answer(Option<u64>),
     /// The server refused the request and did not run it.
     Refused(Refusal),
-    /// An answer to another request, or not from a backend server.
+    /// An answer that does not name this request: a late or repeated one, or one to a call of this router.
+    Foreign,
+    /// An answer that is not from a backend server.
     Invalid,
 }
 
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -7,6 +7,7 @@
 use async_io::Timer;
 use futures_lite::{AsyncWriteExt, FutureExt};
 
+use super::pool::MAX_REQUESTS_PER_CONNECTION;
 use super::{Conn, Cut, Decoder, Fields, Pool, Response, head};
 use crate::fleet::Connect;
 use crate::poison;
@@ -18,6 +19,12 @@
 /// Time in which a partition resets a connection that it has let through.
 const RESET_DELAY: Duration = Duration::from_millis(30);
 
+/// Maximum number of answers to other requests that are discarded while an own one is awaited: each earlier answer of the
+/// connection once more.
+const MAX_DISCARDED_ANSWERS: usize = MAX_REQUESTS_PER_CONNECTION;
+/// Maximum size of their bodies together.
+const MAX_DISCARDED_BYTES: usize = 1 << 20;
+
 /// Maximum number of idle connections per server for this router's own calls, which include long polls.
 const MAX_IDLE_CALL_CONNECTIONS: usize = 8;
 
@@ -30,6 +37,68 @@
     Lost(Cut),
 }
 
+/// An exchange whose answer is still to be read.
+#[derive(Debug)]
+pub struct Exchange {
+    address: SocketAddr,
+    conn: Conn,
+    /// Whether the request is a HEAD request.
+    answers_head: bool,
+    discarded: Discarded,
+}
+
+impl Exchange {
+    /// The exchange on `conn`, a connection to `address` on which a request was sent.
+    pub(super) fn new(conn: Conn, address: SocketAddr, answers_head: bool) -> Self {
+        Self { address, conn, answers_head, discarded: Discarded::default() }
+    }
+
+    /// Reads the head of the next answer.
+    pub(super) async fn read_head(&mut self) -> Result<Response, Cut> {
+        self.conn.read_response(self.answers_head).await
+    }
+
+    /// Discards the body of an answer that is not to the request.
+    pub(super) async fn discard_answer(&mut self, response: &Response) -> Result<(), Cut> {
+        // The length of an answer to HEAD is not known: it may be a copy of one to another method.
+        if !response.keep_alive || self.answers_head {
+            return Err(Cut::Malformed("the last answer is to another request".into()));
+        }
+        self.discarded.add_answer()?;
+        let mut decoder = Decoder::new(response.framing);
+        let mut body = Vec::new();
+        while self.conn.read_body(&mut decoder, &mut body).await? {
+            self.discarded.add_bytes(body.len())?;
+            body.clear();
+        }
+        Ok(())
+    }
+
+    /// Discards bytes that are no answer, up to what may be the head of one.
+    pub(super) async fn discard_noise(&mut self) -> Result<(), Cut> {
+        let count = self.conn.skip_to_head(MAX_DISCARDED_BYTES).await?;
+        self.discarded.add_answer()?;
+        self.discarded.add_bytes(count)
+    }
+
+    /// Returns whether the connection carried other requests before, so that bytes on it may be left from them.
+    pub(super) fn is_on_kept_connection(&self) -> bool {
+        self.conn.request_count() > 1
+    }
+
+    /// Returns the number of the connection, and how many requests it has carried.
+    pub(super) fn connection(&self) -> (u64, usize) {
+        (self.conn.number(), self.conn.request_count())
+    }
+
+    /// Returns the answer with this head, which was read last.
+    pub(super) fn into_answer(self, response: Response) -> Answer {
+        let Self { address, conn, answers_head, discarded: _ } = self;
+        let decoder = Decoder::new(response.framing);
+        Answer { response, decoder, address, conn, answers_head }
+    }
+}
+
 /// The head of an answer whose body is still to be read.
 #[derive(Debug)]
 pub struct Answer {
@@ -39,6 +108,8 @@
     pub decoder: Decoder,
     address: SocketAddr,
     conn: Conn,
+    /// Whether the answer is to a HEAD request.
+    answers_head: bool,
 }
 
 impl Answer {
@@ -58,38 +129,57 @@
         Ok(body)
     }
 
-    /// Returns the number of the connection, and how many requests, and how many times the request `id`, it has carried.
-    pub(super) fn connection(&self, id: &str) -> (u64, usize, usize) {
-        (self.conn.number(), self.conn.request_count(), self.conn.times_carried(id))
-    }
-
     /// Returns a reusable connection to `pool`, which keeps at most `max_idle` per server.
     pub fn release(self, pool: &Pool, max_idle: usize) {
-        if self.response.keep_alive && self.decoder.is_complete() {
+        let is_reusable = self.response.keep_alive
+            && self.decoder.is_complete()
+            && !self.conn.has_failed_write()
+            // A late copy of an answer to HEAD declares a body that does not follow.
+            && !self.answers_head;
+        if is_reusable {
             pool.put(self.address, self.conn, &self.response.fields, max_idle);
         }
     }
 }
 
+/// What was read on a connection of answers that were not to the request that was sent.
+#[derive(Debug, Default)]
+pub(super) struct Discarded {
+    answers: usize,
+    bytes: usize,
+}
+
+impl Discarded {
+    fn add_answer(&mut self) -> Result<(), Cut> {
+        self.answers += 1;
+        if self.answers > MAX_DISCARDED_ANSWERS { Err(Cut::TooLarge) } else { Ok(()) }
+    }
+
+    fn add_bytes(&mut self, count: usize) -> Result<(), Cut> {
+        self.bytes += count;
+        if self.bytes > MAX_DISCARDED_BYTES { Err(Cut::TooLarge) } else { Ok(()) }
+    }
+}
+
 /// A complete request message.
 #[derive(Debug, Clone, Copy)]
 pub struct Question<'a> {
-    /// The request's id.
-    pub id: &'a str,
+    /// The request's id, which the answer names; a call of this router has none.
+    pub id: Option<&'a str>,
     /// The bytes to send.
     pub message: &'a [u8],
     /// Whether the answer has no body, whatever its head declares.
     pub answers_head: bool,
 }
 
-/// Sends `question` to `address` and reads the head of the answer. `on_send` is called before the first byte is sent.
+/// Sends `question` to `address`. `on_send` is called before the first byte is sent.
 pub async fn send(
     pool: &Pool,
     address: SocketAddr,
     question: Question<'_>,
     on_send: impl FnOnce(),
-) -> Result<Answer, Failure> {
-    let mut conn = match pool.take(address) {
+) -> Result<Exchange, Failure> {
+    let mut conn = match pool.take(address, question.id) {
         Some(conn) => conn,
         None => Conn::connect(address, CONNECT_TIMEOUT)
             .await
@@ -98,9 +188,7 @@
     on_send();
     conn.record_request(question.id);
     write(&mut conn, question.message).await?;
-    let response = conn.read_response(question.answers_head).await.map_err(Failure::Lost)?;
-    let decoder = Decoder::new(response.framing);
-    Ok(Answer { response, decoder, address, conn })
+    Ok(Exchange::new(conn, address, question.answers_head))
 }
 
 pub(super) async fn write(conn: &mut Conn, request: &[u8]) -> Result<(), Failure> {
@@ -162,6 +250,20 @@
     pub body: Vec<u8>,
 }
 
+impl Call {
+    /// Encodes the complete message for the server at `address`.
+    fn encode(&self, address: SocketAddr) -> Vec<u8> {
+        let host = address.to_string();
+        let length = self.body.len().to_string();
+        let framing = [("Host", host.as_str()), ("Content-Length", length.as_str())];
+        let fields = framing.into_iter().chain(self.fields.iter());
+        let first_line = format!("{} {} HTTP/1.1", self.method, self.target);
+        let mut message = head::encode(&first_line, fields).into_bytes();
+        message.extend_from_slice(&self.body);
+        message
+    }
+}
+
 /// Makes a complete exchange within `timeout`. Returns the status and the body of the answer.
 pub async fn fetch(
     pool: &Pool,
@@ -170,16 +272,12 @@
     timeout: Duration,
     max_body_bytes: usize,
 ) -> Result<(u16, Vec<u8>), Failure> {
-    let host = address.to_string();
-    let length = call.body.len().to_string();
-    let framing = [("Host", host.as_str()), ("Content-Length", length.as_str())];
-    let fields = framing.into_iter().chain(call.fields.iter());
-    let first_line = format!("{} {} HTTP/1.1", call.method, call.target);
-    let mut message = head::encode(&first_line, fields).into_bytes();
-    message.extend_from_slice(&call.body);
+    let message = call.encode(address);
+    let question = Question { id: None, message: &message, answers_head: false };
     let exchange = async {
-        let question = Question { id: "", message: &message, answers_head: false };
-        let mut answer = send(pool, address, question, || {}).await?;
+        let mut sent = send(pool, address, question, || {}).await?;
+        let response = sent.read_head().await.map_err(Failure::Lost)?;
+        let mut answer = sent.into_answer(response);
         let body = answer.read_whole(max_body_bytes).await.map_err(Failure::Lost)?;
         let status = answer.response.status;
         answer.release(pool, MAX_IDLE_CALL_CONNECTIONS);
--- a/src/relay/handover.rs
+++ b/src/relay/handover.rs
@@ -8,9 +8,10 @@
 
 use super::answer::{encode_answer, encode_stream_head, push_chunk};
 use super::delivery::{Delivery, MAX_ANSWER_BYTES, Outcome, SLOW_READER_DELAY};
-use super::exchange::{self, Failure};
+use super::exchange::{self, Answer, Exchange, Failure};
+use super::matching::Responder;
 use super::takeover::Origin;
-use super::{Classification, Conn, Cut, Decoder, Events, Framing, Pool, Response, head};
+use super::{Classification, Conn, Cut, Events, Framing, Response, head};
 use crate::error::Execution;
 use crate::fleet::{Handover, HandoverEnd, Message};
 use crate::http::header;
@@ -49,12 +50,6 @@
     Invalid,
 }
 
-/// The answer of a peer whose body is still to be read.
-struct Hop {
-    conn: Conn,
-    response: Response,
-}
-
 impl Delivery<'_> {
     /// Hands the request to a peer and reports the end. Returns the outcome if the request has ended.
     pub(super) async fn hand_over(
@@ -64,7 +59,7 @@
     ) -> Option<Outcome> {
         let was_sent = self.progress.sent.load(Ordering::Acquire);
         let ending = match self.origin {
-            Origin::Caller => self.exchange_with_peer(writer, peer.address).await,
+            Origin::Caller => self.exchange_with_peer(writer, peer).await,
             // Peers that are partitioned from all servers would send a request in circles.
             Origin::Peer => Ending::NotTaken,
         };
@@ -83,17 +78,22 @@
         outcome
     }
 
-    async fn exchange_with_peer(&self, writer: &Async<TcpStream>, address: SocketAddr) -> Ending {
-        match self.send_to_peer(address).await {
-            Ok(hop) => self.relay_hop(writer, address, hop).await,
-            Err(Failure::Unsent(_)) => Ending::NotTaken,
-            Err(Failure::Lost(_)) => Ending::Lost,
+    async fn exchange_with_peer(&self, writer: &Async<TcpStream>, peer: &Handover) -> Ending {
+        let exchange = match self.send_to_peer(peer.address).await {
+            Ok(exchange) => exchange,
+            Err(Failure::Unsent(_)) => return Ending::NotTaken,
+            Err(Failure::Lost(_)) => return Ending::Lost,
+        };
+        let responder = Responder { attempt: peer.attempt, name: &peer.daemon };
+        match self.match_answer(exchange, responder).await {
+            Ok((answer, class)) => self.relay_hop(writer, answer, class).await,
+            Err(_) => Ending::Lost,
         }
     }
 
     /// Sends the request, its body only once the peer asks for it. Until then the request can't run, whatever becomes
     /// of the connection or the peer.
-    async fn send_to_peer(&self, address: SocketAddr) -> Result<Hop, Failure> {
+    async fn send_to_peer(&self, address: SocketAddr) -> Result<Exchange, Failure> {
         let expire = async {
             Timer::after(CONTINUE_TIMEOUT).await;
             Err(Failure::Unsent("the peer does not ask for the body".into()))
@@ -101,14 +101,13 @@
         let mut conn = self.offer(address).or(expire).await?;
         self.progress.sent.store(true, Ordering::Release);
         exchange::write(&mut conn, &self.encode_hop_body()).await?;
-        let response = conn.read_response(self.request.is_head()).await.map_err(Failure::Lost)?;
-        Ok(Hop { conn, response })
+        Ok(Exchange::new(conn, address, self.request.is_head()))
     }
 
     /// Offers the request on an idle connection, or on a new one if there is none or the peer has closed it. Returns the
     /// connection on which the peer asks for the body.
     async fn offer(&self, address: SocketAddr) -> Result<Conn, Failure> {
-        if let Some(conn) = self.frontend.pool.take(address) {
+        if let Some(conn) = self.frontend.pool.take(address, Some(&self.metadata.id)) {
             match self.offer_on(conn).await {
                 Err(Cut::Closed | Cut::Broken(_)) => {}
                 ended => return ended.map_err(unsent),
@@ -120,6 +119,7 @@
     }
 
     async fn offer_on(&self, mut conn: Conn) -> Result<Conn, Cut> {
+        conn.record_request(Some(&self.metadata.id));
         conn.write(&self.encode_hop_head()).await?;
         match conn.read_any_response(false).await?.status {
             100 => Ok(conn),
@@ -142,31 +142,34 @@
         body
     }
 
-    async fn relay_hop(&self, writer: &Async<TcpStream>, address: SocketAddr, hop: Hop) -> Ending {
+    async fn relay_hop(
+        &self,
+        writer: &Async<TcpStream>,
+        answer: Answer,
+        class: Classification,
+    ) -> Ending {
         // A peer frames all its answers.
-        if hop.response.framing == Framing::UntilClose {
+        if answer.response.framing == Framing::UntilClose {
             return Ending::Lost;
         }
-        let class = self.frontend.dialect.classify(&self.metadata, &hop.response);
         let is_from_server = matches!(class, Classification::Answer(_));
         let is_stream = self.route.is_streaming && !self.request.is_head();
-        if is_from_server && is_stream && hop.response.status == 200 {
-            return self.relay_hop_stream(writer, address, hop).await;
+        if is_from_server && is_stream && answer.response.status == 200 {
+            return self.relay_hop_stream(writer, answer).await;
         }
-        self.relay_hop_whole(writer, address, hop, is_from_server).await
+        self.relay_hop_whole(writer, answer, is_from_server).await
     }
 
     /// Buffers an answer and forwards it once it is complete, unless another peer may take the request.
     async fn relay_hop_whole(
         &self,
         mut writer: &Async<TcpStream>,
-        address: SocketAddr,
-        mut hop: Hop,
+        mut answer: Answer,
         is_from_server: bool,
     ) -> Ending {
-        let reading = hop.conn.read_whole(hop.response.framing, MAX_ANSWER_BYTES).await;
-        let Ok(body) = reading else { return Ending::Lost };
-        let response = hop.release(&self.frontend.pool, address);
+        let Ok(body) = answer.read_whole(MAX_ANSWER_BYTES).await else { return Ending::Lost };
+        let response = answer.response.clone();
+        answer.release(&self.frontend.pool, MAX_IDLE_CONNECTIONS);
         let code = match is_from_server {
             true => None,
             false => match judge(&response) {
@@ -184,24 +187,18 @@
     }
 
     /// Forwards a stream in complete events.
-    async fn relay_hop_stream(
-        &self,
-        mut writer: &Async<TcpStream>,
-        address: SocketAddr,
-        mut hop: Hop,
-    ) -> Ending {
+    async fn relay_hop_stream(&self, mut writer: &Async<TcpStream>, mut answer: Answer) -> Ending {
         let mut events = Events::after(self.metadata.last_event_id);
-        let mut decoder = Decoder::new(hop.response.framing);
         let mut is_slow_reader = false;
         let mut bytes = Vec::new();
         loop {
             bytes.clear();
-            match hop.conn.read_body(&mut decoder, &mut bytes).await {
+            match answer.read(&mut bytes).await {
                 Ok(_) => {}
                 Err(_) if is_slow_reader => return Ending::CallerTooSlow,
                 Err(_) => return Ending::Lost,
             }
-            let is_complete = decoder.is_complete();
+            let is_complete = answer.decoder.is_complete();
             let mut whole = events.feed(&bytes);
             if events.partial_bytes() > MAX_ANSWER_BYTES {
                 return Ending::Lost;
@@ -209,7 +206,7 @@
             if is_complete {
                 whole.extend_from_slice(&events.take_partial());
             }
-            let out = self.encode_events(&hop.response, &whole, is_complete);
+            let out = self.encode_events(&answer.response, &whole, is_complete);
             if !out.is_empty() {
                 self.progress.record_write(self.frontend.control.clock.now());
             }
@@ -220,7 +217,7 @@
             let blocked = self.frontend.control.clock.now().saturating_sub(write_started_at);
             is_slow_reader |= blocked >= SLOW_READER_DELAY;
             if is_complete {
-                hop.release(&self.frontend.pool, address);
+                answer.release(&self.frontend.pool, MAX_IDLE_CONNECTIONS);
                 return Ending::Answered(None);
             }
         }
@@ -242,16 +239,6 @@
     }
 }
 
-impl Hop {
-    /// Returns the connection to `pool` if it can be reused, and the answer's head.
-    fn release(self, pool: &Pool, address: SocketAddr) -> Response {
-        if self.response.keep_alive {
-            pool.put(address, self.conn, &self.response.fields, MAX_IDLE_CONNECTIONS);
-        }
-        self.response
-    }
-}
-
 fn unsent(cut: Cut) -> Failure {
     Failure::Unsent(cut.to_string())
 }
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -15,6 +15,7 @@
 mod exchange;
 mod handover;
 mod head;
+mod matching;
 mod pool;
 mod takeover;
 #[cfg(test)]
--- a/src/relay/pool.rs
+++ b/src/relay/pool.rs
@@ -9,6 +9,8 @@
 
 /// Time to keep an idle connection if the server states none.
 const DEFAULT_KEEP_ALIVE: Duration = Duration::from_secs(2);
+/// Maximum number of requests that a connection carries, which bounds the ids that it remembers.
+pub(super) const MAX_REQUESTS_PER_CONNECTION: usize = 256;
 /// Safety margin subtracted from the server's stated timeout: a request must not race with the
 /// server's close.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(700);
@@ -26,17 +28,25 @@
 }
 
 impl Pool {
-    /// Takes the most recently used idle connection to `address` that received nothing.
-    pub fn take(&self, address: SocketAddr) -> Option<Conn> {
+    /// Takes the most recently used idle connection to `address` that received nothing and has not carried the request
+    /// `id`, if it has one: on one that has, a late copy of the earlier attempt's answer could not be distinguished from the next one's.
+    pub fn take(&self, address: SocketAddr, id: Option<&str>) -> Option<Conn> {
         let mut idle = self.idle.lock().ok()?;
         let kept = idle.get_mut(&address)?;
         let now = Instant::now();
-        while let Some(candidate) = kept.pop() {
-            if candidate.expires_at > now && !candidate.conn.has_unexpected_input() {
+        kept.retain(|idle| idle.expires_at > now);
+        for index in (0..kept.len()).rev() {
+            if id.is_some_and(|id| kept[index].conn.has_carried(id)) {
+                continue;
+            }
+            let candidate = kept.remove(index);
+            if !candidate.conn.has_unexpected_input() {
                 return Some(candidate.conn);
             }
         }
-        idle.remove(&address);
+        if kept.is_empty() {
+            idle.remove(&address);
+        }
         None
     }
 
@@ -52,7 +62,8 @@
     pub fn put(&self, address: SocketAddr, conn: Conn, fields: &Fields, max_idle: usize) {
         let keep_alive = stated_keep_alive(fields)
             .map_or(DEFAULT_KEEP_ALIVE, |stated| stated.saturating_sub(KEEP_ALIVE_MARGIN));
-        if max_idle == 0 || keep_alive.is_zero() || conn.has_unexpected_input() {
+        let is_used_up = conn.request_count() >= MAX_REQUESTS_PER_CONNECTION;
+        if max_idle == 0 || keep_alive.is_zero() || is_used_up || conn.has_unexpected_input() {
             return;
         }
         let now = Instant::now();
--- a/src/relay/tests/fixture.rs
+++ b/src/relay/tests/fixture.rs
@@ -17,6 +17,8 @@
 use crate::route::Workspace;
 use crate::telemetry::metrics::Metrics;
 
+/// The request's id, if it is not `r-1`.
+pub(super) const REQUEST_ID: &str = "X-Id";
 /// Time that the caller waits, in milliseconds.
 const TIMEOUT: &str = "X-Timeout-Ms";
 /// Asks for the body of a request.
@@ -31,7 +33,7 @@
     fn metadata(&self, request: &Request) -> Result<Metadata, Malformed> {
         let number = |name| request.fields.get(name).and_then(|value| value.parse().ok());
         Ok(Metadata {
-            id: "r-1".into(),
+            id: request.fields.get(REQUEST_ID).unwrap_or("r-1").into(),
             timeout: number(TIMEOUT).map(Duration::from_millis),
             workspace_key: None,
             prompt: None,
--- a/src/relay/tests/handover.rs
+++ b/src/relay/tests/handover.rs
@@ -9,8 +9,8 @@
 
 use super::delivery::{dispatch, serve_until_unread};
 use super::fixture::{
-    CONTINUE, Caller, Daemon, answer_each, give, hand_over, listen, read_request, receive_end,
-    send_through,
+    CONTINUE, Caller, Daemon, REQUEST_ID, answer_each, give, hand_over, listen, read_request,
+    receive_end, send_through,
 };
 use crate::fleet::{Command, HandoverEnd, Message, Report};
 use crate::prelude::*;
@@ -472,14 +472,16 @@
     let (first, second) = (Daemon::start(false), Daemon::start(false));
     let (server, _) = answer_each(ANSWER);
     let accepted = || second.frontend.peer_connections.load(Ordering::Acquire);
-    for _ in 0..3 {
-        let (mut caller, _commands) = send_through(&first, second.handover, GET);
+    // A connection carries a request once only: a copy of the earlier answer would name it, too.
+    for (id, connections) in [("r-1", 1), ("r-2", 1), ("r-3", 1), ("r-2", 2)] {
+        let request = GET.replace("\r\n\r\n", &format!("\r\n{REQUEST_ID}: {id}\r\n\r\n"));
+        let (mut caller, _commands) = send_through(&first, second.handover, &request);
         second.send_to(server);
         assert_eq!(caller.read_head().status, 200);
         assert_eq!(receive_end(&first), (1, HandoverEnd::Answered));
         first.wait_for_end();
         second.wait_for_end();
-        assert_eq!(accepted(), 1);
+        assert_eq!(accepted(), connections, "{id}");
     }
 }
 
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -81,7 +81,7 @@
             .build();
         let judgements = meter
             .u64_counter("cardamomvalve_unusual_answers")
-            .with_description("Answers of backend servers other than plain ones, by judgement and by what they name")
+            .with_description("Answers of backend servers other than plain ones, by judgement")
             .build();
         let first_token = meter
             .f64_histogram("cardamomvalve_time_to_first_token_seconds")
@@ -115,10 +115,9 @@
         );
     }
 
-    /// Counts an answer of a backend server that refuses a request, or is no valid answer to it, by what it names.
-    pub fn count_judgement(&self, judgement: &'static str, names: &'static str) {
-        self.judgements
-            .add(1, &[KeyValue::new("judgement", judgement), KeyValue::new("names", names)]);
+    /// Counts an answer of a backend server that refuses a request, or is no valid answer to it.
+    pub fn count_judgement(&self, judgement: &'static str) {
+        self.judgements.add(1, &[KeyValue::new("judgement", judgement)]);
     }
 
     /// Records the time from a request's arrival to its first token; `target` is its model or route.
