Orders, reports and calls of the store have connections of their own; reads of events check what they get

Cause: these calls shared kept connections, so a late copy of the last answer passed for the next call's: an order taken as accepted that was not, a page of records taken for the next page, an append taken as acknowledged. Change: a call says what ties its answer to it (relay::Tie). By default it is the connection, which is new and carries this call alone. A connect for a call may last as long as one lost packet takes to be sent again. All of platform passes.

--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -16,6 +16,10 @@
 /// enough to try another server within a caller's latency target.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Timeout for connecting for a call of this router: the connect survives the loss of its first packet, which is sent
+/// again after a second.
+const CALL_CONNECT_TIMEOUT: Duration = Duration::from_millis(1_200);
+
 /// Time in which a partition resets a connection that it has let through.
 const RESET_DELAY: Duration = Duration::from_millis(30);
 
@@ -179,13 +183,24 @@
     question: Question<'_>,
     on_send: impl FnOnce(),
 ) -> Result<Exchange, Failure> {
-    let mut conn = match pool.take(address, question.id) {
+    let conn = match pool.take(address, question.id) {
         Some(conn) => conn,
-        None => Conn::connect(address, CONNECT_TIMEOUT)
-            .await
-            .map_err(|error| Failure::Unsent(error.to_string()))?,
+        None => connect(address, CONNECT_TIMEOUT).await?,
     };
     on_send();
+    send_on(conn, address, question).await
+}
+
+async fn connect(address: SocketAddr, timeout: Duration) -> Result<Conn, Failure> {
+    let connecting = Conn::connect(address, timeout).await;
+    connecting.map_err(|error| Failure::Unsent(error.to_string()))
+}
+
+async fn send_on(
+    mut conn: Conn,
+    address: SocketAddr,
+    question: Question<'_>,
+) -> Result<Exchange, Failure> {
     conn.record_request(question.id);
     write(&mut conn, question.message).await?;
     Ok(Exchange::new(conn, address, question.answers_head))
@@ -237,6 +252,16 @@
     }
 }
 
+/// What ties the answer of a call to the call. Servers name no request in it.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Tie {
+    /// The connection: it is new, and carries this call alone.
+    #[default]
+    Connection,
+    /// The body, which the caller checks. The connection may be a kept one.
+    Body,
+}
+
 /// A complete request that this router makes itself, not on behalf of a caller.
 #[derive(Debug, Clone, Default)]
 pub struct Call {
@@ -248,6 +273,8 @@
     pub fields: Fields,
     /// The body.
     pub body: Vec<u8>,
+    /// What ties the answer to the call.
+    pub tie: Tie,
 }
 
 impl Call {
@@ -275,12 +302,19 @@
     let message = call.encode(address);
     let question = Question { id: None, message: &message, answers_head: false };
     let exchange = async {
-        let mut sent = send(pool, address, question, || {}).await?;
+        let mut sent = match call.tie {
+            Tie::Connection => {
+                send_on(connect(address, CALL_CONNECT_TIMEOUT).await?, address, question).await?
+            }
+            Tie::Body => send(pool, address, question, || {}).await?,
+        };
         let response = sent.read_head().await.map_err(Failure::Lost)?;
         let mut answer = sent.into_answer(response);
         let body = answer.read_whole(max_body_bytes).await.map_err(Failure::Lost)?;
         let status = answer.response.status;
-        answer.release(pool, MAX_IDLE_CALL_CONNECTIONS);
+        if call.tie == Tie::Body {
+            answer.release(pool, MAX_IDLE_CALL_CONNECTIONS);
+        }
         Ok((status, body))
     };
     let expire = async {
