Tests of each exchange beside repeated answers: servers, peers, early rejections, the own interface

Bounds of what is discarded (without end, without an own answer, noise on a new connection), connections that carried a request or HEAD, the last request of a connection, handovers, the own interface's exchanges, and rejections before a long body is read, among the faults of the servers of the tests.

--- a/src/http/tests.rs
+++ b/src/http/tests.rs
@@ -97,3 +97,24 @@
         );
     }
 }
+
+#[test]
+fn send_extra_answers_belong_to_no_exchange() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port is available");
+    let address = listener.local_addr().expect("the listener is bound");
+    std::thread::spawn(move || {
+        for (number, stream) in listener.incoming().flatten().enumerate() {
+            let mut stream: std::net::TcpStream = stream;
+            let answer =
+                |number: usize| format!("HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\n{number}");
+            let mut head = [0; 1_000];
+            assert!(stream.read(&mut head).is_ok_and(|count| count > 0), "a request arrives");
+            // The own answer, which comes first on a new connection, and a copy of the one before.
+            let both = answer(number) + &answer(number.saturating_sub(1));
+            stream.write_all(both.as_bytes()).ok();
+        }
+    });
+    for number in 0..3 {
+        assert_eq!(exchange(address, LIMITS), Ok(number.to_string()));
+    }
+}
--- a/src/relay/tests.rs
+++ b/src/relay/tests.rs
@@ -3,6 +3,7 @@
 mod delivery;
 mod fixture;
 mod handover;
+mod matching;
 mod takeover;
 
 use super::*;
--- a/src/relay/tests/fixture.rs
+++ b/src/relay/tests/fixture.rs
@@ -65,17 +65,20 @@
         fields
     }
 
-    fn classify(&self, _: &Metadata, response: &Response) -> Classification {
+    fn classify(&self, metadata: &Metadata, response: &Response) -> Classification {
         let is_own = response.fields.get(header::CODE).is_some();
+        if self.named_request(response).is_some_and(|id| id != metadata.id) {
+            return Classification::Foreign;
+        }
         match is_own || response.fields.get("X-Unsigned").is_some() {
             true => Classification::Invalid,
             false => Classification::Answer(None),
         }
     }
 
-    /// All answers are to the one request.
-    fn named_request<'a>(&self, _: &'a Response) -> Option<&'a str> {
-        Some("r-1")
+    /// An answer without the field is to the request that was sent.
+    fn named_request<'a>(&self, response: &'a Response) -> Option<&'a str> {
+        response.fields.get(REQUEST_ID)
     }
 
     fn statement(&self, _: &Response) -> Statement {
