Requests with a suspect part of their prompts run a pause apart

Cause: runs of a suspect part are one at a time, but the next one began as soon as a crash was known, so that engines ended faster than they came back while the evidence was gathered. Change: a request with a part that is run one at a time waits until 300 ms after the last known crash of it. Sound requests share suspect parts, too; the first answer on a part clears it and ends the pause.

--- a/src/fleet/place.rs
+++ b/src/fleet/place.rs
@@ -105,7 +105,7 @@
     pub(super) fn place(&self, now: Time, key: Key) -> Option<Choice> {
         let request = self.requests.get(&key)?;
         let pool = self.pools.get(&request.pool)?;
-        if self.waits_for_running_copy(request) {
+        if self.waits_for_running_copy(now, request) {
             return None;
         }
         for cell in pool.cells_of(request) {
--- a/src/fleet/poison.rs
+++ b/src/fleet/poison.rs
@@ -25,6 +25,9 @@
 const MAX_REPORT_PEERS: usize = 8;
 /// Time from the first refused connection to a server in which another may prove its end.
 const VERIFICATION_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time after a crash in which no request with a suspect part of it runs: a crash elsewhere is known by then, and fewer
+/// servers are down at a time while the evidence is gathered.
+const PART_RUN_PAUSE: Duration = Duration::from_millis(300);
 /// Time between two removals of expired state.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(10);
 
@@ -322,14 +325,14 @@
 
     /// Whether a request waits for the outcome of a running copy of it, or of another request with a
     /// part that may crash servers.
-    pub(super) fn waits_for_running_copy(&self, request: &Request) -> bool {
+    pub(super) fn waits_for_running_copy(&self, now: Time, request: &Request) -> bool {
         let fingerprint = request.arrival.fingerprint;
         self.poison.runs_one_at_a_time(fingerprint)
             && self.running_requests().any(|(other, _)| other == fingerprint)
-            || self.waits_for_part(request)
+            || self.waits_for_part(now, request)
     }
 
-    fn waits_for_part(&self, request: &Request) -> bool {
+    fn waits_for_part(&self, now: Time, request: &Request) -> bool {
         if self.poison.suspect_part_count() == 0 {
             return false;
         }
@@ -340,7 +343,9 @@
         }
         let runs = |other: &Request| matches!(other.phase, Phase::Sent { begun: false, .. });
         let mut running = self.requests.values().filter(|other| runs(other));
-        serialized.iter().any(|part| self.detector.is_checking_part(*part))
+        let pause_start = now.saturating_sub(PART_RUN_PAUSE);
+        serialized.iter().any(|part| self.poison.has_part_crashed_since(*part, pause_start))
+            || serialized.iter().any(|part| self.detector.is_checking_part(*part))
             || running.any(|other| part_fingerprints(other).any(|p| serialized.contains(&p)))
     }
 
--- a/src/fleet/tests/crashing_part.rs
+++ b/src/fleet/tests/crashing_part.rs
@@ -93,7 +93,11 @@
 
 /// Plays some seeds, and checks each when all are played.
 fn keeps_promises(daemons: u8, engines: u8, default: u64, fault: Fault) {
-    let tallies = (0..seeds(default)).map(|seed| (seed, run(daemons, engines, seed, fault)));
+    keeps_promises_at(daemons, engines, 0..seeds(default), fault);
+}
+
+fn keeps_promises_at(daemons: u8, engines: u8, seeds: std::ops::Range<u64>, fault: Fault) {
+    let tallies = seeds.map(|seed| (seed, run(daemons, engines, seed, fault)));
     for (seed, tally) in tallies.collect::<Vec<(u64, Tally)>>() {
         assert!(tally.culprit_asks >= MIN_CULPRIT_ASKS, "seed {seed}: {tally:?}");
         assert!(tally.late_tries <= MAX_LATE_TRIES, "seed {seed}: {tally:?}");
@@ -125,6 +129,12 @@
     keeps_promises(9, ENGINE_COUNT, 3, Fault { parts: 2, ..ONE_PART });
 }
 
+// Most engines were down before there was evidence, and sound requests were given up.
+#[test]
+fn two_parts_that_crash_engines_in_quick_succession_cost_no_sound_requests() {
+    keeps_promises_at(9, ENGINE_COUNT, 7..8, Fault { parts: 2, ..ONE_PART });
+}
+
 #[test]
 fn part_that_crashes_engines_is_blocked_among_unrelated_crashes() {
     keeps_promises(9, ENGINE_COUNT, 3, Fault { crash_interval: 1_000, ..ONE_PART });
--- a/src/poison/part.rs
+++ b/src/poison/part.rs
@@ -167,6 +167,18 @@
         keys.filter_map(|key| self.crashes.get(key)).any(|crash| crash.at <= at)
     }
 
+    /// Whether a part on which no answer has begun since was present at a crash after `from`.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use cardamomvalve::poison::{Fingerprint, State};
+    /// assert!(!State::default().has_part_crashed_since(Fingerprint::of_part(7), Duration::ZERO));
+    /// ```
+    pub fn has_part_crashed_since(&self, part: Fingerprint, from: Time) -> bool {
+        let keys = self.parts.get(&part).into_iter().flat_map(|suspect| suspect.crashes.keys());
+        keys.filter_map(|key| self.crashes.get(key)).any(|crash| crash.at > from)
+    }
+
     /// Number of parts on which no answer has begun since a crash.
     pub fn suspect_part_count(&self) -> usize {
         self.parts.len()
