Unfinished answers of a daemon take 12 MiB together, beyond 64 KB each

Change: relay::held counts what is held over all requests; an answer that would pass the bound is given up as too large, as one over 8 MB is. Answers up to 64 KB always pass.

--- a/src/relay/caller.rs
+++ b/src/relay/caller.rs
@@ -9,6 +9,7 @@
 
 use super::answer::{encode_answer, encode_error, strip_body};
 use super::delivery::{Delivery, Outcome, Progress};
+use super::held::HeldBytes;
 use super::takeover::Origin;
 use super::{Conn, Cut, Dialect, Fields, Metadata, Pool, Request};
 use crate::fleet::Control;
@@ -34,6 +35,8 @@
     unanswered: AtomicUsize,
     /// Number of open connections of peers.
     pub(super) peer_connections: AtomicUsize,
+    /// The memory of unfinished answers.
+    pub(super) held: HeldBytes,
 }
 
 impl Frontend {
@@ -46,7 +49,16 @@
         shutdown: Receiver<()>,
     ) -> Self {
         let (unanswered, peer_connections) = (AtomicUsize::new(0), AtomicUsize::new(0));
-        Self { dialect, control, pool, metrics, shutdown, unanswered, peer_connections }
+        Self {
+            dialect,
+            control,
+            pool,
+            metrics,
+            shutdown,
+            unanswered,
+            peer_connections,
+            held: HeldBytes::default(),
+        }
     }
 
     /// Returns the number of requests of which a byte was read and whose answer was not sent. Only
--- a/src/relay/delivery.rs
+++ b/src/relay/delivery.rs
@@ -317,7 +317,8 @@
         mut answer: Answer,
         refusal: Refusal,
     ) -> Attempt {
-        if answer.read_whole(MAX_ANSWER_BYTES).await.is_ok() {
+        let mut holding = self.frontend.held.begin();
+        if answer.read_whole_held(MAX_ANSWER_BYTES, &mut holding).await.is_ok() {
             answer.release(&self.frontend.pool, dispatch.max_idle);
         }
         Attempt::Unanswered(Report::Refused(refusal))
@@ -335,7 +336,8 @@
         if !self.route.is_streaming {
             self.send_report(dispatch, Report::Begun(weights));
         }
-        let body = match answer.read_whole(MAX_ANSWER_BYTES).await {
+        let mut holding = self.frontend.held.begin();
+        let body = match answer.read_whole_held(MAX_ANSWER_BYTES, &mut holding).await {
             Ok(body) => body,
             Err(cut) => return self.answer_cut(dispatch, &answer, None, &cut),
         };
@@ -392,6 +394,7 @@
     ) -> Attempt {
         events.begin_answer();
         let (mut started, mut is_slow_reader) = (false, false);
+        let mut holding = self.frontend.held.begin();
         let mut bytes = Vec::new();
         loop {
             bytes.clear();
@@ -403,7 +406,8 @@
                 Err(cut) => return self.answer_cut(dispatch, &answer, Some(events), &cut),
             };
             let mut whole = events.feed(&bytes);
-            if events.partial_bytes() > MAX_ANSWER_BYTES {
+            let is_held = holding.set(events.partial_bytes()).is_ok();
+            if !is_held || events.partial_bytes() > MAX_ANSWER_BYTES {
                 return self.answer_cut(dispatch, &answer, Some(events), &Cut::TooLarge);
             }
             if !more && answer.response.framing == Framing::UntilClose {
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -7,6 +7,7 @@
 use async_io::Timer;
 use futures_lite::{AsyncWriteExt, FutureExt};
 
+use super::held::Holding;
 use super::pool::MAX_REQUESTS_PER_CONNECTION;
 use super::{Conn, Cut, Decoder, Fields, Pool, Response, head};
 use crate::fleet::Connect;
@@ -133,6 +134,22 @@
         Ok(body)
     }
 
+    /// Reads the rest of the body, at most `limit` bytes, and counts it among the held bytes.
+    pub(super) async fn read_whole_held(
+        &mut self,
+        limit: usize,
+        holding: &mut Holding<'_>,
+    ) -> Result<Vec<u8>, Cut> {
+        let mut body = Vec::new();
+        while self.read(&mut body).await? {
+            holding.set(body.len())?;
+            if body.len() > limit {
+                return Err(Cut::TooLarge);
+            }
+        }
+        Ok(body)
+    }
+
     /// Returns a reusable connection to `pool`, which keeps at most `max_idle` per server.
     pub fn release(self, pool: &Pool, max_idle: usize) {
         let is_reusable = self.response.keep_alive
--- a/src/relay/handover.rs
+++ b/src/relay/handover.rs
@@ -167,7 +167,9 @@
         mut answer: Answer,
         is_from_server: bool,
     ) -> Ending {
-        let Ok(body) = answer.read_whole(MAX_ANSWER_BYTES).await else { return Ending::Lost };
+        let mut holding = self.frontend.held.begin();
+        let reading = answer.read_whole_held(MAX_ANSWER_BYTES, &mut holding).await;
+        let Ok(body) = reading else { return Ending::Lost };
         let response = answer.response.clone();
         answer.release(&self.frontend.pool, MAX_IDLE_CONNECTIONS);
         let code = match is_from_server {
@@ -190,6 +192,7 @@
     async fn relay_hop_stream(&self, mut writer: &Async<TcpStream>, mut answer: Answer) -> Ending {
         let mut events = Events::after(self.metadata.last_event_id);
         let mut is_slow_reader = false;
+        let mut holding = self.frontend.held.begin();
         let mut bytes = Vec::new();
         loop {
             bytes.clear();
@@ -200,7 +203,8 @@
             }
             let is_complete = answer.decoder.is_complete();
             let mut whole = events.feed(&bytes);
-            if events.partial_bytes() > MAX_ANSWER_BYTES {
+            let is_held = holding.set(events.partial_bytes()).is_ok();
+            if !is_held || events.partial_bytes() > MAX_ANSWER_BYTES {
                 return Ending::Lost;
             }
             if is_complete {
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -15,6 +15,7 @@
 mod exchange;
 mod handover;
 mod head;
+mod held;
 mod matching;
 mod pool;
 mod takeover;
--- a/src/relay/tests.rs
+++ b/src/relay/tests.rs
@@ -3,6 +3,7 @@
 mod delivery;
 mod fixture;
 mod handover;
+mod held;
 mod matching;
 mod takeover;
 
