A request whose body is refused gets an answer that names it; names and comments read again

A daemon that refuses a request's body, as too large or late, answered without the request's id. Read again as a newcomer: relay::Correlation for Tie; an answer that is complete no longer counts among the held bytes while it is written to a slow caller.

--- a/src/relay/caller.rs
+++ b/src/relay/caller.rs
@@ -102,14 +102,16 @@
             return;
         }
         let _unanswered = Counted::new(&frontend.unanswered);
-        let (request, body) = match read_request(conn, limits).await {
-            Ok(read) => read,
+        let request = match read_head(conn, limits).await {
+            Ok(request) => request,
+            Err(code) => return refuse_unread(conn, code, Fields::default()).await,
+        };
+        let body = match read_body(conn, &request, limits).await {
+            Ok(body) => body,
             Err(code) => {
-                if let Some(code) = code {
-                    let answer = encode_error(&Error::from(code), None, Fields::default(), false);
-                    conn.write(&answer).await.ok();
-                }
-                return;
+                let metadata = frontend.dialect.metadata(&request);
+                let fields = metadata.map(|metadata| frontend.dialect.error_fields(&metadata));
+                return refuse_unread(conn, code, fields.unwrap_or_default()).await;
             }
         };
         let keep_alive = request.keep_alive;
@@ -133,8 +135,15 @@
     conn.wait_for_data().or(idle).or(shutdown).await
 }
 
-/// Reads a complete request. On failure, returns the code to answer with, if an answer is possible.
-async fn read_request(conn: &mut Conn, limits: Limits) -> Result<(Request, Vec<u8>), Option<Code>> {
+/// Answers a request that was not read to its end, if `code` says with what. The connection is then closed.
+async fn refuse_unread(conn: &Conn, code: Option<Code>, fields: Fields) {
+    if let Some(code) = code {
+        conn.write(&encode_error(&Error::from(code), None, fields, false)).await.ok();
+    }
+}
+
+/// Reads the head of a request. On failure, returns the code to answer with, if an answer is possible.
+async fn read_head(conn: &mut Conn, limits: Limits) -> Result<Request, Option<Code>> {
     let expire = async {
         Timer::after(limits.head_timeout).await;
         Err(Some(Code::HeadTimeout))
@@ -144,7 +153,15 @@
             .await
             .map_err(|cut| code_for(&cut, Code::HeadTooLarge))
     };
-    let request = read.or(expire).await?;
+    read.or(expire).await
+}
+
+/// Reads the body of a request, after asking for it if the sender waits for that.
+async fn read_body(
+    conn: &mut Conn,
+    request: &Request,
+    limits: Limits,
+) -> Result<Vec<u8>, Option<Code>> {
     if request.fields.get("expect").is_some_and(|expect| expect.starts_with("100-")) {
         conn.write(b"HTTP/1.1 100 Continue\r\n\r\n").await.ok();
     }
@@ -157,8 +174,7 @@
         let body = conn.read_whole(framing, limits.max_body_bytes).await;
         body.map_err(|cut| code_for(&cut, Code::BodyTooLarge))
     };
-    let body = read.or(expire).await?;
-    Ok((request, body))
+    read.or(expire).await
 }
 
 fn code_for(cut: &Cut, too_large: Code) -> Option<Code> {
--- a/src/relay/delivery.rs
+++ b/src/relay/delivery.rs
@@ -341,6 +341,7 @@
             Ok(body) => body,
             Err(cut) => return self.answer_cut(dispatch, &answer, None, &cut),
         };
+        drop(holding);
         let response = answer.response.clone();
         answer.release(&self.frontend.pool, dispatch.max_idle);
         if response.status >= 500 {
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -269,14 +269,14 @@
     }
 }
 
-/// What ties the answer of a call to the call. Servers name no request in it.
+/// What shows that an answer is to a call of this router. Servers name no request in such answers.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub enum Tie {
+pub enum Correlation {
     /// The connection: it is new, and carries this call alone.
     #[default]
     Connection,
-    /// The body, which the caller checks. The connection may be a kept one.
-    Body,
+    /// The content of the body, which the caller checks. The connection may be a kept one.
+    Content,
 }
 
 /// A complete request that this router makes itself, not on behalf of a caller.
@@ -290,8 +290,8 @@
     pub fields: Fields,
     /// The body.
     pub body: Vec<u8>,
-    /// What ties the answer to the call.
-    pub tie: Tie,
+    /// What shows that the answer is to this call.
+    pub correlation: Correlation,
 }
 
 impl Call {
@@ -319,17 +319,17 @@
     let message = call.encode(address);
     let question = Question { id: None, message: &message, answers_head: false };
     let exchange = async {
-        let mut sent = match call.tie {
-            Tie::Connection => {
+        let mut sent = match call.correlation {
+            Correlation::Connection => {
                 send_on(connect(address, CALL_CONNECT_TIMEOUT).await?, address, question).await?
             }
-            Tie::Body => send(pool, address, question, || {}).await?,
+            Correlation::Content => send(pool, address, question, || {}).await?,
         };
         let response = sent.read_head().await.map_err(Failure::Lost)?;
         let mut answer = sent.into_answer(response);
         let body = answer.read_whole(max_body_bytes).await.map_err(Failure::Lost)?;
         let status = answer.response.status;
-        if call.tie == Tie::Body {
+        if call.correlation == Correlation::Content {
             answer.release(pool, MAX_IDLE_CALL_CONNECTIONS);
         }
         Ok((status, body))
--- a/src/relay/handover.rs
+++ b/src/relay/handover.rs
@@ -170,6 +170,7 @@
         let mut holding = self.frontend.held.begin();
         let reading = answer.read_whole_held(MAX_ANSWER_BYTES, &mut holding).await;
         let Ok(body) = reading else { return Ending::Lost };
+        drop(holding);
         let response = answer.response.clone();
         answer.release(&self.frontend.pool, MAX_IDLE_CONNECTIONS);
         let code = match is_from_server {
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -28,7 +28,7 @@
 pub use dialect::{Classification, Dialect, Metadata};
 pub use drain::drain;
 pub use events::Events;
-pub use exchange::{Answer, Call, Failure, Tie, fetch, probe, probe_path};
+pub use exchange::{Answer, Call, Correlation, Failure, fetch, probe, probe_path};
 pub use head::{Fields, Malformed, Request, Response};
 pub use pool::Pool;
 pub use takeover::serve_peer;
