--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -163,7 +163,7 @@
     }
 }
 
-/// What was read on a connection of answers that were not to the request that was sent.
+/// Counts of the answers to other requests that were discarded in one exchange.
 #[derive(Debug, Default)]
 pub(super) struct Discarded {
     answers: usize,
--- a/src/relay/matching.rs
+++ b/src/relay/matching.rs
@@ -21,7 +21,7 @@
     pub(super) name: &'a str,
 }
 
-/// What was read where an answer is due.
+/// One item read from a connection while its answer is awaited.
 enum Received {
     /// The head of an answer to this request.
     Own(Response, Classification),
@@ -94,7 +94,7 @@
         })
     }
 
-    /// Logs and counts what is no plain answer to this request.
+    /// Logs and counts a refusal, an answer that is not this request's, or noise.
     fn log_unusual(
         &self,
         judgement: &'static str,
