Tests: the only scheduler of a pool is asked at each daemon's own time, and is the one that ranks first

Traced: the simulation asked each daemon with the site's time, while a daemon that was restarted counts from its start, so that it seemed to hear no one and to schedule; and a daemon that avoids the scheduler for a second and decides by itself counted as one, too. Now the daemon's own clock is used, and the scheduler is the one with position 0 among those that are heard; exactly one is required, as before.

--- a/src/fleet/tests/site.rs
+++ b/src/fleet/tests/site.rs
@@ -241,14 +241,12 @@
         }
     }
 
-    /// Returns the only daemon that schedules `pool`.
+    /// Returns the only daemon that schedules `pool`. One that avoids the scheduler for a while and decides by itself does
+    /// not schedule.
     pub fn scheduler(&self, pool: &str) -> usize {
-        let node = |index: &usize| &self.daemons[*index].node;
-        let schedules = |index: &usize| {
-            !self.down.contains(index)
-                && node(index).is_scheduler(self.now)
-                && node(index).scheduler_of(self.now, pool).is_none()
-        };
+        let position =
+            |index: &usize| self.daemons[*index].node.scheduler_position(self.clock(*index), pool);
+        let schedules = |index: &usize| !self.down.contains(index) && position(index) == Some(0);
         let found: Vec<usize> = (0..self.daemons.len()).filter(schedules).collect();
         assert_eq!(found.len(), 1, "exactly one daemon schedules {pool}");
         found[0]
@@ -257,7 +255,8 @@
     /// Returns a running daemon that schedules no pool.
     pub fn non_scheduler(&self) -> usize {
         let is_non_scheduler = |index: &usize| {
-            !self.down.contains(index) && !self.daemons[*index].node.is_scheduler(self.now)
+            let is_scheduler = self.daemons[*index].node.is_scheduler(self.clock(*index));
+            !self.down.contains(index) && !is_scheduler
         };
         (0..self.daemons.len()).find(is_non_scheduler).expect("a running daemon schedules no pool")
     }
