--- a/src/fleet/tests/site.rs
+++ b/src/fleet/tests/site.rs
@@ -241,8 +241,8 @@
         }
     }
 
-    /// Returns the only daemon that schedules `pool`. One that avoids the scheduler for a while and decides by itself does
-    /// not schedule.
+    /// Returns the only daemon that schedules `pool`: the first in the ranking. A daemon that avoids the scheduler and places
+    /// only its own requests is not counted.
     pub fn scheduler(&self, pool: &str) -> usize {
         let position =
             |index: &usize| self.daemons[*index].node.scheduler_position(self.clock(*index), pool);
