--- a/benches/fleet.rs
+++ b/benches/fleet.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use cardamomvalve::fairness;
 use cardamomvalve::fleet::{
     Arrival, Batch, Change, Digest, Entry, Frame, Identity, Incarnation, Key, Message, Node, Part,
     Policy, Prompt, Read, Record, Registration, Report, Start, Topic,
@@ -79,6 +80,10 @@
             renewal_interval: Duration::from_secs(1),
         },
         quota: quota::Policy { window: Duration::from_secs(8), overage: 0.0, slack: 0.0 },
+        fair_shares: fairness::Mode::Off,
+        learns_capacity: false,
+        divides_engines: false,
+        uses_all_kv_stores: false,
     }
 }
 
--- /dev/null
+++ b/src/capacity/tests.rs
@@ -0,0 +1,1 @@
+//! Tests of learnt speeds.
--- /dev/null
+++ b/src/division/tests.rs
@@ -0,0 +1,1 @@
+//! Tests of the division of engines.
--- /dev/null
+++ b/src/fairness/tests.rs
@@ -0,0 +1,1 @@
+//! Tests of the division of a pool's room.
--- a/src/fleet/admission.rs
+++ b/src/fleet/admission.rs
@@ -11,11 +11,11 @@
 
 use super::drain::Throughput;
 use super::isolation::has_waited_for_isolation;
-use super::place::PLAIN_REQUEST_MS;
 use super::pool::Pool;
 use super::prompt::unshared_ms;
 use super::request::{Phase, Request};
 use super::{Command, Key, Node, server};
+use crate::fairness::Start;
 use crate::poison::Fingerprint;
 use crate::prelude::*;
 
@@ -43,17 +43,24 @@
 /// Maximum number of refusals that are remembered, and sent to peers in one digest.
 const MAX_REFUSALS: usize = 256;
 
-/// Position of a waiting request: by priority, then returning callers before new ones, then by age.
+/// Position of a waiting request: by priority, then by fair shares where these are in force, then
+/// returning callers before new ones, then by age.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct Position {
     priority: u8,
+    start: Start,
     is_new: bool,
     pub(super) key: Key,
 }
 
 impl Position {
     pub(super) fn of(key: Key, request: &Request) -> Self {
-        Self { priority: Node::priority(request), is_new: !request.refused_before, key }
+        Self {
+            priority: Node::priority(request),
+            start: request.start,
+            is_new: !request.refused_before,
+            key,
+        }
     }
 }
 
@@ -280,10 +287,13 @@
         let available = servers.filter(|(key, server)| self.accepts_work(now, *key, server));
         // An engine reads one prompt after another; a plain server runs several requests at once.
         let (request_ms, concurrency) = match &request.arrival.prompt {
-            Some(prompt) => (unshared_ms(prompt), available.count()),
-            None => {
-                (PLAIN_REQUEST_MS, available.map(|(_, server)| server.entry.slots as usize).sum())
+            Some(prompt) => {
+                (unshared_ms(prompt) * self.pool_slowness(&request.pool), available.count())
             }
+            None => (
+                self.pool_plain_ms(&request.pool),
+                available.map(|(_, server)| server.entry.slots as usize).sum(),
+            ),
         };
         let limit = Self::max_retry_after(now, request);
         let ahead = self.count_ahead(Position::of(key, request), &request.pool);
--- a/src/fleet/figures.rs
+++ b/src/fleet/figures.rs
@@ -111,6 +111,9 @@
     }
 
     fn add_pools(&mut self, now: Time, figures: &mut Vec<Gauge>) {
+        for (pool, ledger) in &self.ledgers {
+            figures.push(Gauge::labeled("waiting_ms", "pool", pool, ledger.waiting_ms() as u64));
+        }
         for (pool, servers) in &self.pools {
             let keys = servers.keys();
             let usable = keys.iter().filter_map(|key| self.servers.get(*key));
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -44,6 +44,7 @@
 mod scheduling;
 mod server;
 mod share;
+mod speed;
 mod statement;
 pub mod streams;
 #[cfg(test)]
--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -29,6 +29,8 @@
     Budget, Catalog, Change, Command, Counts, Dependency, Effect, Key, Location, Message, Record,
     Server, Topic, rejection, request_limit, server,
 };
+use crate::capacity;
+use crate::fairness;
 use crate::lease;
 use crate::placement::Heat;
 use crate::poison;
@@ -70,6 +72,14 @@
     pub lease: lease::Terms,
     /// Parameters of quota accounting.
     pub quota: quota::Policy,
+    /// When the room of pools is divided among workspaces.
+    pub fair_shares: fairness::Mode,
+    /// Whether the speed of servers is learnt from their answers.
+    pub learns_capacity: bool,
+    /// Whether engines are divided between long prompts and token streams.
+    pub divides_engines: bool,
+    /// Whether parts of prompts are spread over all KV stores of the configuration.
+    pub uses_all_kv_stores: bool,
 }
 
 /// Decodes a record of the platform's store.
@@ -94,6 +104,10 @@
     pub(super) waiting: BTreeSet<Position>,
     /// Rate at which waiting requests are sent, by pool.
     pub(super) drains: BTreeMap<String, Throughput>,
+    /// What workspaces were given of pools, while their room is divided.
+    pub(super) ledgers: BTreeMap<String, fairness::Ledger>,
+    /// The typical speed of servers, by pool.
+    pub(super) pool_speeds: BTreeMap<String, capacity::Pool>,
     /// Refused callers that may retry.
     pub(super) expected: Refusals,
     pub(super) budgets: BTreeMap<String, Budget>,
@@ -199,6 +213,8 @@
             streams: Streams::default(),
             waiting: BTreeSet::new(),
             drains: BTreeMap::new(),
+            ledgers: BTreeMap::new(),
+            pool_speeds: BTreeMap::new(),
             expected: Refusals::default(),
             budgets: BTreeMap::new(),
             peers: Peer::from_seeds(seeds, identity.address),
--- a/src/fleet/place.rs
+++ b/src/fleet/place.rs
@@ -6,7 +6,7 @@
 use super::load::Load;
 use super::notice::LARGE_TOKENS;
 use super::pool::Cell;
-use super::prompt::{PREFILL_TOKENS_PER_MS, cache_salt, held_tokens, shared_tokens, unshared_ms};
+use super::prompt::{PREFILL_TOKENS_PER_MS, cache_salt, held_tokens, shared_tokens};
 use super::request::Request;
 use super::residency::{FetchPlan, Sources};
 use super::{Key, Location, Node, Prompt, Server, Topic, server};
@@ -20,8 +20,6 @@
 const NORMAL_SILENCE: Duration = Duration::from_millis(350);
 /// Weight of silence beyond that relative to waiting time: a failed server never answers.
 const SILENCE_WEIGHT: f64 = 2.0;
-/// Delay of the first token per request that runs on the server: its share of the engine's steps.
-const DELAY_MS_PER_RUNNING_REQUEST: f64 = 2.0;
 /// Cost of a server in another availability zone: two crossings, and the price of the bytes.
 const CROSS_ZONE_PENALTY_MS: f64 = 2.0;
 /// Cost of a start on superseded weights after [`OLD_WEIGHTS_GRACE`].
@@ -34,8 +32,6 @@
 /// Time before the weights limit at which requests that have not begun are recalled: the engine
 /// must still receive the recall.
 const RECALL_MARGIN: Duration = Duration::from_millis(400);
-/// Assumed milliseconds for which a request occupies a slot of a plain server.
-pub(super) const PLAIN_REQUEST_MS: f64 = 40.0;
 /// Maximum wait at an engine, as a ratio of the route's target. It covers the requests sent before
 /// and the part of the prompt that the engine lacks. With more, a pool that is overloaded for
 /// seconds (engines gone, weights loading) answers every request late and reads everywhere what one
@@ -90,11 +86,11 @@
 impl Requirement<'_> {
     /// Cost of the shared tokens that must be read, or may have to be. Tokens that no server holds
     /// must be read somewhere: by a home, unless the request has already waited for one in vain.
-    fn reread_ms(&self, role: Role, supply: &FetchPlan) -> f64 {
+    fn reread_ms(&self, role: Role, supply: &FetchPlan, slowness: f64) -> f64 {
         let tokens = f64::from(supply.prefill_tokens + supply.unconfirmed_tokens);
         match role {
             Role::Other if self.waits_for_home => tokens * REREAD_PENALTY_MS_PER_TOKEN,
-            Role::Home | Role::Fallback | Role::Other => tokens / PREFILL_TOKENS_PER_MS,
+            Role::Home | Role::Fallback | Role::Other => tokens / PREFILL_TOKENS_PER_MS * slowness,
         }
     }
 }
@@ -162,7 +158,7 @@
             let running = f64::from(load.running);
             let slots = f64::from(server.entry.slots.max(1));
             let tried_ms = if request.tried.contains(&key) { TRIED_PENALTY_MS } else { 0.0 };
-            running * PLAIN_REQUEST_MS / slots
+            running * self.plain_ms(now, server) / slots
                 + self.zone_ms(server)
                 + silence_penalty_ms(now, load)
                 + tried_ms
@@ -267,9 +263,7 @@
         let old_ms = self.old_weights_penalty_ms(now, &prompt.model, version)?;
         let role = requirement.homes.role(key);
         let load = self.load(key, server);
-        let wait_ms = f64::from(load.pending_tokens) / PREFILL_TOKENS_PER_MS
-            + f64::from(load.running) * DELAY_MS_PER_RUNNING_REQUEST
-            + silence_penalty_ms(now, load);
+        let wait_ms = self.engine_wait_ms(now, server, load) + silence_penalty_ms(now, load);
         let shared = shared_tokens(prompt);
         let held = match role {
             Role::Home if !server.residency.is_current(now) => shared,
@@ -280,7 +274,7 @@
             }
         };
         let supply = sources.plan_fetch(key, &server.entry.zone, held, shared);
-        let reread_ms = requirement.reread_ms(role, &supply);
+        let reread_ms = requirement.reread_ms(role, &supply, self.slowness(now, server));
         // A home reads what it has lost, however long that takes.
         let bound_ms = if role == Role::Home { 0.0 } else { reread_ms };
         if wait_ms + supply.fetch_ms + bound_ms > requirement.max_wait_ms {
@@ -289,7 +283,7 @@
         let tried_ms =
             if requirement.request.tried.contains(&key) { TRIED_PENALTY_MS } else { 0.0 };
         let cost_ms = wait_ms
-            + unshared_ms(prompt)
+            + self.read_ms(now, server, prompt.input.saturating_sub(shared))
             + supply.fetch_ms
             + supply.eviction_cost_ms
             + reread_ms
--- a/src/fleet/request.rs
+++ b/src/fleet/request.rs
@@ -3,6 +3,7 @@
 use super::retry::Charge;
 use super::scheduling::{Origin, Stage};
 use super::{Arrival, Software, Start, StreamId, server};
+use crate::fairness;
 use crate::prelude::*;
 use crate::route::Repeat;
 
@@ -54,6 +55,8 @@
     pub(super) charge: Charge,
     /// Whether its caller retries a recently refused request.
     pub(super) refused_before: bool,
+    /// Its virtual start time, while the room of its pool is divided among workspaces.
+    pub(super) start: fairness::Start,
     /// The daemon that submitted it, unless it is this daemon's own.
     pub(super) origin: Option<Origin>,
     /// The daemon to which it was submitted; empty if this daemon decides.
@@ -84,6 +87,7 @@
             was_refused_by_server: false,
             charge: Charge::First,
             refused_before: false,
+            start: fairness::Start::default(),
             origin,
             scheduler: String::new(),
             submissions: 0,
--- a/src/fleet/server.rs
+++ b/src/fleet/server.rs
@@ -4,6 +4,7 @@
 
 use super::residency::Residency;
 use super::{Incarnation, Software};
+use crate::capacity;
 use crate::prelude::*;
 
 slotmap::new_key_type! {
@@ -76,6 +77,8 @@
     pub order: Option<Order>,
     /// When its registration was last missing during or after an outage of the store.
     pub unconfirmed_removal_at: Option<Time>,
+    /// How fast it works, as learnt from its answers.
+    pub speed: capacity::Speed,
     /// The parts of prompts in its cache.
     pub(super) residency: Residency,
     failures: u32,
@@ -96,6 +99,7 @@
             unanswered_since: None,
             order: None,
             unconfirmed_removal_at: None,
+            speed: capacity::Speed::default(),
             residency: Residency::default(),
             failures: 0,
             only_witness: None,
--- a/src/fleet/tests/world.rs
+++ b/src/fleet/tests/world.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use crate::fairness;
 use crate::fleet::*;
 use crate::lease;
 use crate::poison::{Blocked, Fingerprint};
@@ -34,6 +35,10 @@
         renewal_interval: Duration::from_secs(1),
     },
     quota: quota::Policy { window: Duration::from_secs(8), overage: 0.1, slack: 110_000.0 },
+    fair_shares: fairness::Mode::Off,
+    learns_capacity: false,
+    divides_engines: false,
+    uses_all_kv_stores: false,
 };
 
 /// Decodes the records of these tests, whose values are a few words such as `engine 21 ready 1`.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,13 +11,16 @@
 pub mod admission;
 mod allowance;
 pub mod attempt;
+pub mod capacity;
 pub mod cli;
 pub mod clients;
 pub mod clock;
 pub mod control;
 pub mod daemon;
+pub mod division;
 pub mod entry;
 pub mod error;
+pub mod fairness;
 pub mod fleet;
 pub mod http;
 pub mod lease;
