Servers are preferred to which a request's daemon has an idle connection

The daemon that places a request knows where the sender's last exchanges ended, and did not use it. Change: a new connection costs 3 ms (a round trip to another zone and the accept) in the choice of a server, unless the sender's exchange there ended within two seconds; switched on by load.prefer_open_connections, off by default. The state is one time for each pair that was used within the last seconds. Ruled out: longer idle connections, which the servers close; fewer own calls. Tests: with the switch off the first assertion takes the other server (same test).

--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -6,6 +6,7 @@
 
 mod admission;
 mod blame;
+mod connection;
 mod departure;
 mod drain;
 mod explain;
--- a/src/fleet/tests/mod.rs
+++ b/src/fleet/tests/mod.rs
@@ -5,6 +5,7 @@
 mod beside;
 mod budget;
 mod catalog;
+mod connections;
 mod crashing_part;
 mod crowd;
 mod culprits;
