Revert "Servers are preferred to which a request's daemon has an idle connection"

No gain: the home of a prompt's parts outweighs a round trip, so few requests move to a server with a connection.

--- a/benches/fleet.rs
+++ b/benches/fleet.rs
@@ -84,7 +84,6 @@
         learns_capacity: false,
         divides_engines: false,
         uses_all_kv_stores: false,
-        prefers_open_connections: false,
     }
 }
 
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -6,7 +6,6 @@
 
 mod admission;
 mod blame;
-mod connection;
 mod departure;
 mod drain;
 mod explain;
--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -6,7 +6,6 @@
 
 use super::admission::{Position, Refusals};
 use super::blame::Failures;
-use super::connection::Connections;
 use super::departure::Departures;
 use super::drain::Throughput;
 use super::handover::Handovers;
@@ -81,8 +80,6 @@
     pub divides_engines: bool,
     /// Whether parts of prompts are spread over all KV stores of the configuration.
     pub uses_all_kv_stores: bool,
-    /// Whether servers are preferred to which a request's daemon has an idle connection.
-    pub prefers_open_connections: bool,
 }
 
 /// Decodes a record of the platform's store.
@@ -111,8 +108,6 @@
     pub(super) ledgers: BTreeMap<String, fairness::Ledger>,
     /// The typical speed of servers, by pool.
     pub(super) pool_speeds: BTreeMap<String, capacity::Pool>,
-    /// Idle connections of daemons to servers.
-    pub(super) connections: Connections,
     /// Refused callers that may retry.
     pub(super) expected: Refusals,
     pub(super) budgets: BTreeMap<String, Budget>,
@@ -220,7 +215,6 @@
             drains: BTreeMap::new(),
             ledgers: BTreeMap::new(),
             pool_speeds: BTreeMap::new(),
-            connections: Connections::default(),
             expected: Refusals::default(),
             budgets: BTreeMap::new(),
             peers: Peer::from_seeds(seeds, identity.address),
--- a/src/fleet/place.rs
+++ b/src/fleet/place.rs
@@ -160,7 +160,6 @@
             let tried_ms = if request.tried.contains(&key) { TRIED_PENALTY_MS } else { 0.0 };
             running * self.plain_ms(now, server) / slots
                 + self.zone_ms(server)
-                + self.connect_ms(now, request, key)
                 + silence_penalty_ms(now, load)
                 + tried_ms
         };
@@ -289,7 +288,6 @@
             + supply.eviction_cost_ms
             + reread_ms
             + self.zone_ms(server)
-            + self.connect_ms(now, requirement.request, key)
             + old_ms
             + tried_ms;
         let spare = || sources.fallback_source(key, &server.entry.zone, supply.prefill_tokens);
--- a/src/fleet/reports.rs
+++ b/src/fleet/reports.rs
@@ -40,7 +40,6 @@
             }
             Report::Ended => {
                 self.note_response(now, server);
-                self.note_connection_idle(now, key, server);
                 self.request_answered(now, key);
                 if let Some(server) = self.servers.get_mut(server) {
                     server.record_success();
--- a/src/fleet/requests.rs
+++ b/src/fleet/requests.rs
@@ -182,7 +182,6 @@
         self.note_possible_reject(now, key, choice.server);
         self.charge_request_limit(now, choice.server);
         self.charge_run(now, key);
-        self.note_connection_used(key, choice.server);
         let Some(request) = self.requests.get_mut(&key) else { return };
         let Some(server) = self.servers.get_mut(choice.server) else { return };
         request.sends += 1;
--- a/src/fleet/tests/mod.rs
+++ b/src/fleet/tests/mod.rs
@@ -5,7 +5,6 @@
 mod beside;
 mod budget;
 mod catalog;
-mod connections;
 mod crashing_part;
 mod crowd;
 mod culprits;
--- a/src/fleet/tests/world.rs
+++ b/src/fleet/tests/world.rs
@@ -39,7 +39,6 @@
     learns_capacity: false,
     divides_engines: false,
     uses_all_kv_stores: false,
-    prefers_open_connections: false,
 };
 
 /// Decodes the records of these tests, whose values are a few words such as `engine 21 ready 1`.
@@ -187,10 +186,6 @@
 
     /// Returns a daemon that has just started and knows only the seed addresses of peers.
     pub fn started(last: u8, incarnation: u64, seeds: &[SocketAddr]) -> Self {
-        Self::started_with(last, incarnation, seeds, POLICY)
-    }
-
-    fn started_with(last: u8, incarnation: u64, seeds: &[SocketAddr], policy: Policy) -> Self {
         let identity = Identity {
             id: format!("router-{last}"),
             incarnation,
@@ -199,7 +194,7 @@
             handover_address: handover_address(last),
             cores: 1.0,
         };
-        Self::with_node(Node::new(identity, policy, decode, seeds))
+        Self::with_node(Node::new(identity, POLICY, decode, seeds))
     }
 
     pub fn with_node(node: Node) -> Self {
@@ -214,12 +209,7 @@
 
     /// Returns a daemon that has read a table, `servers` and its own registration.
     pub fn with_servers(last: u8, servers: &[(&str, &str)]) -> Self {
-        Self::with_policy(last, POLICY, servers)
-    }
-
-    /// The same under another policy.
-    pub fn with_policy(last: u8, policy: Policy, servers: &[(&str, &str)]) -> Self {
-        let mut daemon = Self::started_with(last, u64::from(last), &[], policy);
+        let mut daemon = Self::new(last);
         daemon.deliver_records(ms(0), Topic::Operator, &[("config", "table 1")]);
         daemon.deliver_records(ms(0), Topic::Servers, servers);
         daemon.deliver_records(
