--- a/src/fleet/replication/records.rs
+++ b/src/fleet/replication/records.rs
@@ -176,10 +176,24 @@
             self.event(Event::EntryLeftOut, detail);
         }
         self.event(Event::ManifestInForce, Detail::of("version", table.version()));
+        let table = self.keep_former_quotas(table);
         self.table = Some(Arc::clone(&table));
         self.effects.push(Effect::Table(table));
     }
 
+    /// Completes a table by what the one in force says of quotas that it lacks.
+    fn keep_former_quotas(&mut self, table: Arc<Table>) -> Arc<Table> {
+        let Some(former) = self.table.clone() else { return table };
+        let mut table = Arc::unwrap_or_clone(table);
+        for (workspace, weight) in table.keep_from(&former) {
+            let detail = Detail::of("version", table.version())
+                .and("reason", format!("workspace {workspace}: it has no quota any more"))
+                .and("weight", weight.value());
+            self.event(Event::EntryLeftOut, detail);
+        }
+        Arc::new(table)
+    }
+
     /// Applies a registration of a known server, a new one, or one that has restarted. A
     /// registration from an ended incarnation is ignored.
     pub(in crate::fleet) fn register(&mut self, now: Time, entry: Entry) {
--- a/src/route/table.rs
+++ b/src/route/table.rs
@@ -1,8 +1,9 @@
 //! Routing table: one configuration, indexed by host and by key.
 
 use super::{Engine, Kind, KvStore, Limits, Pool, Route, Workspace};
+use crate::fairness::Weight;
 use crate::prelude::*;
-use crate::quota::Quota;
+use crate::quota::{Quota, Unit};
 
 /// Error in a configuration, with its description.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -17,8 +18,14 @@
     pools: BTreeMap<String, Pool>,
     /// Workspaces by the keys that belong to them.
     workspaces_by_key: BTreeMap<String, Arc<Workspace>>,
+    /// The names of all workspaces.
+    names: BTreeSet<String>,
     /// Quotas by workspace; workspaces without a quota are left out.
     quotas: BTreeMap<String, Quota>,
+    /// Workspaces whose quotas can't be read.
+    unreadable_quotas: BTreeSet<String>,
+    /// Weights by workspace; workspaces that never had a quota are left out.
+    weights: BTreeMap<String, Weight>,
     limits: Limits,
 }
 
@@ -60,13 +67,59 @@
         }
         let mut workspaces_by_key = BTreeMap::new();
         let mut quotas = BTreeMap::new();
+        let mut names = BTreeSet::new();
         for (workspace, owned_keys) in workspaces {
+            names.insert(workspace.name.clone());
             quotas.extend(workspace.quota.map(|quota| (workspace.name.clone(), quota)));
             let workspace = Arc::new(workspace);
             workspaces_by_key
                 .extend(owned_keys.into_iter().map(|key| (key, Arc::clone(&workspace))));
         }
-        Ok(Self { version, routes_by_host, pools, workspaces_by_key, quotas, limits })
+        let weights = weights_of(&quotas);
+        let unreadable_quotas = BTreeSet::new();
+        Ok(Self {
+            version,
+            routes_by_host,
+            pools,
+            workspaces_by_key,
+            names,
+            quotas,
+            unreadable_quotas,
+            weights,
+            limits,
+        })
+    }
+
+    /// Marks workspaces whose quotas the configuration has, but that can't be read.
+    pub fn with_unreadable_quotas(self, workspaces: BTreeSet<String>) -> Self {
+        Self { unreadable_quotas: workspaces, ..self }
+    }
+
+    /// Keeps of the former table what this one does not say: the quotas that can't be read, and the
+    /// weights of workspaces without a quota. Returns the workspaces that had a quota and have none
+    /// now, with the weights that stay.
+    pub fn keep_from(&mut self, former: &Self) -> Vec<(String, Weight)> {
+        for workspace in &self.unreadable_quotas {
+            let quota = former.quota(workspace);
+            self.quotas.extend(quota.map(|quota| (workspace.clone(), quota)));
+        }
+        for workspace in self.workspaces_by_key.values_mut() {
+            if self.unreadable_quotas.contains(&workspace.name) {
+                Arc::make_mut(workspace).quota = self.quotas.get(&workspace.name).copied();
+            }
+        }
+        self.weights = weights_of(&self.quotas);
+        let mut lost = Vec::new();
+        for (workspace, weight) in &former.weights {
+            if !self.names.contains(workspace) || self.weights.contains_key(workspace) {
+                continue;
+            }
+            self.weights.insert(workspace.clone(), *weight);
+            if former.quotas.contains_key(workspace) {
+                lost.push((workspace.clone(), *weight));
+            }
+        }
+        lost
     }
 
     /// Returns the configuration's version.
@@ -84,6 +137,17 @@
         self.quotas.get(workspace).copied()
     }
 
+    /// Whether any workspace has a quota.
+    pub fn has_quotas(&self) -> bool {
+        !self.quotas.is_empty()
+    }
+
+    /// Returns the workspace's weight in the division of pools: its quota's rate over the mean rate
+    /// of the quotas with the same unit; 1 if it never had a quota.
+    pub fn weight(&self, workspace: &str) -> Weight {
+        self.weights.get(workspace).copied().unwrap_or_default()
+    }
+
     /// Returns the pool called `name`.
     pub fn pool(&self, name: &str) -> Option<&Pool> {
         self.pools.get(name)
@@ -131,3 +195,19 @@
         Lookup::Route(Arc::clone(route), workspace)
     }
 }
+
+/// Weights of the workspaces with a quota. Rates of requests and of tokens are not comparable, so
+/// each unit has a mean of its own.
+fn weights_of(quotas: &BTreeMap<String, Quota>) -> BTreeMap<String, Weight> {
+    let counts_tokens = |quota: &Quota| matches!(quota.unit, Unit::Tokens { .. });
+    let mean_rate = |of_tokens: bool| {
+        let same = quotas.values().filter(|quota| counts_tokens(quota) == of_tokens);
+        let rates: Vec<f64> = same.map(|quota| quota.rate as f64).collect();
+        rates.iter().sum::<f64>() / rates.len() as f64
+    };
+    let (tokens, requests) = (mean_rate(true), mean_rate(false));
+    let weight = |quota: &Quota| {
+        Weight::of(Some(*quota), if counts_tokens(quota) { tokens } else { requests })
+    };
+    quotas.iter().map(|(workspace, quota)| (workspace.clone(), weight(quota))).collect()
+}
