Pools' state across schedulers, metrics and an event by workspace

Cause: a new scheduler knows nothing of what the former one gave to workspaces or learnt of servers, and operators can't see who competes. Change: digests of schedulers to schedulers carry, for at most eight pools, the 32 workspaces with most use, the share of streams, and the 64 servers whose speed differs most; each adopts the pools that it does not place for, at each digest, so that the state is there when daemons submit to it, before it has noticed that the former ended. Event 421 names a workspace that begins to be held back; metrics show the eight with most use of a pool. Ruled out: adoption on becoming the scheduler, which is some 1.5 s after the first requests. Bytes: at most 36 a workspace with a name of 20 bytes and 48 a server, by test.

--- a/src/fairness/ledger.rs
+++ b/src/fairness/ledger.rs
@@ -266,7 +266,12 @@
     /// Whether requests were sent, or wait, so that this daemon places requests of the pool.
     pub fn is_active(&self, now: Time) -> bool {
         let has_waiting = self.levels.values().any(|level| level.waiting_us > 0);
-        has_waiting || self.last_sent.is_some_and(|sent| now < sent + REST)
+        has_waiting || self.idle_time(now).is_some_and(|idle| idle < REST)
+    }
+
+    /// Time since a request was last sent; `None` if none was.
+    pub fn idle_time(&self, now: Time) -> Option<Duration> {
+        self.last_sent.map(|sent| now.saturating_sub(sent))
     }
 
     /// Takes over what another daemon says it gave to workspaces of this pool, on becoming its
--- a/src/fairness/mod.rs
+++ b/src/fairness/mod.rs
@@ -32,3 +32,19 @@
     /// Always; workspaces without a quota have equal weights.
     Always,
 }
+
+impl Mode {
+    /// Whether the room of pools is divided, given whether the configuration has quotas.
+    ///
+    /// ```
+    /// use cardamomvalve::fairness::Mode;
+    /// assert!(Mode::WithQuotas.is_on(true) && !Mode::WithQuotas.is_on(false));
+    /// ```
+    pub fn is_on(self, has_quotas: bool) -> bool {
+        match self {
+            Self::Off => false,
+            Self::WithQuotas => has_quotas,
+            Self::Always => true,
+        }
+    }
+}
--- a/src/fleet/figures.rs
+++ b/src/fleet/figures.rs
@@ -1,10 +1,16 @@
 //! Metrics of a node: its view of the platform and the age of that, servers, queue and budgets.
 
 use super::{Dependency, Node};
+use crate::fairness::Ledger;
 use crate::prelude::*;
 use crate::quota::Role;
 use crate::telemetry::metrics::Gauge;
 
+/// Number of workspaces of a pool that have metrics of their own.
+const SHOWN_WORKSPACES: usize = 8;
+/// Name under which the metrics of the others are summed.
+const OTHER_WORKSPACES: &str = "other";
+
 /// Counts of this daemon's attempts by outcome, and of other events, since its start.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Counts {
@@ -52,6 +58,31 @@
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
 
+/// Adds what the workspaces with most use of a pool, and the others together, were given and have
+/// waiting.
+fn add_workspaces(now: Time, pool: &str, ledger: &Ledger, figures: &mut Vec<Gauge>) {
+    let total = ledger.total(now);
+    let mut show = |workspace: &str, given_ms_per_s: f64, waiting_ms: f64| {
+        let percent = 100.0 * given_ms_per_s / total.given_ms_per_s.max(f64::MIN_POSITIVE);
+        for (name, value) in
+            [("workspace_percent", percent.round()), ("workspace_waiting_ms", waiting_ms)]
+        {
+            let gauge = Gauge::labeled(name, "pool", pool, value as u64);
+            figures.push(gauge.and("workspace", workspace));
+        }
+    };
+    let top = ledger.top(now, SHOWN_WORKSPACES);
+    let (mut given_ms_per_s, mut waiting_ms) = (total.given_ms_per_s, total.waiting_ms);
+    for usage in &top {
+        show(&usage.workspace, usage.given_ms_per_s, usage.waiting_ms);
+        given_ms_per_s -= usage.given_ms_per_s;
+        waiting_ms -= usage.waiting_ms;
+    }
+    if top.len() == SHOWN_WORKSPACES {
+        show(OTHER_WORKSPACES, given_ms_per_s.max(0.0), waiting_ms.max(0.0));
+    }
+}
+
 impl Node {
     /// Returns the metrics of the node.
     pub fn metrics(&mut self, now: Time) -> Vec<Gauge> {
@@ -113,6 +144,7 @@
     fn add_pools(&mut self, now: Time, figures: &mut Vec<Gauge>) {
         for (pool, ledger) in &self.ledgers {
             figures.push(Gauge::labeled("waiting_ms", "pool", pool, ledger.waiting_ms() as u64));
+            add_workspaces(now, pool, ledger, figures);
         }
         for (pool, servers) in &self.pools {
             let keys = servers.keys();
--- a/src/fleet/frame/digest.rs
+++ b/src/fleet/frame/digest.rs
@@ -1,6 +1,8 @@
 //! The periodic state message of a daemon.
 
+use super::account::{Account, decode_accounts, decode_speeds};
 use super::{Malformed, millis, wire};
+use crate::capacity;
 use crate::fleet::{Incarnation, LimitStatement, Naming, RejectLimit};
 use crate::poison::{self, Blocked, Fingerprint};
 use crate::prelude::*;
@@ -76,6 +78,11 @@
     pub limit_statements: Vec<LimitStatement>,
     /// Servers that have stated that they leave.
     pub leaving: Vec<Incarnation>,
+    /// The state of the pools that it places requests for; only from schedulers to schedulers.
+    pub accounts: Vec<Account>,
+    /// The speeds of servers that differ most from the assumed one; only from schedulers to
+    /// schedulers.
+    pub speeds: Vec<(Incarnation, capacity::Report)>,
 }
 
 fn encode_age(age: Option<Duration>) -> u32 {
@@ -221,6 +228,8 @@
                 .map(wire::LimitStatement::from)
                 .collect(),
             leaving: digest.leaving.into_iter().map(wire::Leaving::from).collect(),
+            accounts: digest.accounts.into_iter().map(wire::Account::from).collect(),
+            speeds: digest.speeds.into_iter().map(wire::Speed::from).collect(),
         }
     }
 }
@@ -287,6 +296,8 @@
                 .map(LimitStatement::try_from)
                 .collect::<Result<_, _>>()?,
             leaving: digest.leaving.into_iter().map(Incarnation::from).collect(),
+            accounts: decode_accounts(digest.accounts)?,
+            speeds: decode_speeds(digest.speeds)?,
         })
     }
 }
--- a/src/fleet/frame/mod.rs
+++ b/src/fleet/frame/mod.rs
@@ -1,5 +1,6 @@
 //! Frames that daemons exchange about forwarded requests, with their encoding and decoding.
 
+mod account;
 mod compression;
 mod digest;
 mod wire;
@@ -8,6 +9,8 @@
 
 use prost::Message as _;
 
+pub use account::Account;
+pub(in crate::fleet) use account::{MAX_ACCOUNTS, MAX_NAME_BYTES, MAX_SPEEDS, MAX_USAGES};
 use compression::{compress, decompress};
 pub use digest::{Digest, Workload};
 
--- a/src/fleet/frame/wire.rs
+++ b/src/fleet/frame/wire.rs
@@ -96,6 +96,42 @@
     pub(super) limit_statements: Vec<LimitStatement>,
     #[prost(message, repeated, tag = "28")]
     pub(super) leaving: Vec<Leaving>,
+    #[prost(message, repeated, tag = "29")]
+    pub(super) accounts: Vec<Account>,
+    #[prost(message, repeated, tag = "30")]
+    pub(super) speeds: Vec<Speed>,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub(super) struct Account {
+    #[prost(string, tag = "1")]
+    pub(super) pool: String,
+    /// Workspaces, parallel to the three lists after it.
+    #[prost(string, repeated, tag = "2")]
+    pub(super) workspaces: Vec<String>,
+    #[prost(float, repeated, tag = "3")]
+    pub(super) weights: Vec<f32>,
+    #[prost(float, repeated, tag = "4")]
+    pub(super) given_ms_per_s: Vec<f32>,
+    #[prost(float, repeated, tag = "5")]
+    pub(super) waiting_ms: Vec<f32>,
+    /// Absent while the pool is not divided.
+    #[prost(float, optional, tag = "6")]
+    pub(super) stream_share: Option<f32>,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub(super) struct Speed {
+    #[prost(string, tag = "1")]
+    pub(super) server: String,
+    #[prost(uint64, tag = "2")]
+    pub(super) born: u64,
+    #[prost(float, tag = "3")]
+    pub(super) factor: f32,
+    #[prost(float, tag = "4")]
+    pub(super) samples: f32,
+    #[prost(uint32, tag = "5")]
+    pub(super) age_ms: u32,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
--- a/src/fleet/gossip.rs
+++ b/src/fleet/gossip.rs
@@ -144,6 +144,9 @@
                 ..digest.clone()
             };
             self.announce(now, &others, announced);
+            digest.accounts = self.accounts(now);
+            digest.speeds = self.speed_reports(now);
+            self.report_held_back(now);
             self.send_digest(now, &schedulers, digest);
         } else {
             let all: Vec<String> = schedulers.into_iter().chain(others).collect();
@@ -256,6 +259,8 @@
             reject_limits: self.rejection.limits(now),
             limit_statements: self.limit_statements(now),
             leaving: self.leaving_servers(now),
+            accounts: Vec::new(),
+            speeds: Vec::new(),
         }
     }
 
@@ -290,7 +295,7 @@
         }
     }
 
-    fn handle_digest(&mut self, now: Time, digest: Digest) {
+    fn handle_digest(&mut self, now: Time, mut digest: Digest) {
         if let Ok(address) = digest.address.parse() {
             let (id, zone) = (digest.daemon.clone(), digest.zone.clone());
             self.register_peer(now, Registration { id, address, cores: digest.cores, zone });
@@ -306,6 +311,8 @@
         self.merge_limit_statements(now, &digest.limit_statements);
         self.merge_leaving(now, &digest.leaving);
         self.record_peer_usage(now, &digest);
+        self.adopt_accounts(now, std::mem::take(&mut digest.accounts));
+        self.merge_speeds(now, &std::mem::take(&mut digest.speeds));
         // Refill first, so that the peer's transfers are deducted from the current budget and not
         // from that of the last send.
         self.refill_link(now);
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -4,6 +4,7 @@
 //! [`Node`] is a deterministic state machine without I/O, like [`crate::control::Node`] for the
 //! product's own interface.
 
+mod accounts;
 mod admission;
 mod blame;
 mod departure;
@@ -51,7 +52,7 @@
 mod tests;
 
 pub use figures::Counts;
-pub use frame::{Digest, Frame, Malformed, Workload};
+pub use frame::{Account, Digest, Frame, Malformed, Workload};
 pub use life::Incarnation;
 pub use message::{
     Arrival, Change, Command, Connect, Dependency, Dispatch, Effect, Handover, HandoverEnd, Key,
--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -4,6 +4,7 @@
 
 use slotmap::SlotMap;
 
+use super::accounts::HeldBack;
 use super::admission::{Position, Refusals};
 use super::blame::Failures;
 use super::departure::Departures;
@@ -106,6 +107,7 @@
     pub(super) drains: BTreeMap<String, Throughput>,
     /// What workspaces were given of pools, while their room is divided.
     pub(super) ledgers: BTreeMap<String, fairness::Ledger>,
+    pub(super) held_back: HeldBack,
     /// The typical speed of servers, by pool.
     pub(super) pool_speeds: BTreeMap<String, capacity::Pool>,
     /// Refused callers that may retry.
@@ -214,6 +216,7 @@
             waiting: BTreeSet::new(),
             drains: BTreeMap::new(),
             ledgers: BTreeMap::new(),
+            held_back: HeldBack::default(),
             pool_speeds: BTreeMap::new(),
             expected: Refusals::default(),
             budgets: BTreeMap::new(),
--- a/src/fleet/tests/frames.rs
+++ b/src/fleet/tests/frames.rs
@@ -1,5 +1,7 @@
 //! Encoding and decoding of frames, also from arbitrary bytes.
 
+use crate::capacity;
+use crate::fairness::{self, Weight};
 use crate::fleet::*;
 use crate::poison::{self, Fingerprint};
 use crate::prelude::*;
@@ -57,9 +59,32 @@
         ],
         named: vec![Naming { model: "m".into(), version: 4, age: Some(Duration::from_millis(70)) }],
         leaving: vec![Incarnation::new("e-1", 9)],
+        accounts: vec![
+            account("engines", 2),
+            Account { stream_share: None, ..account("plain", 0) },
+        ],
+        speeds: vec![speed(1), speed(2)],
     }
 }
 
+/// The account of a pool with so many workspaces, each with a name of twenty bytes.
+fn account(pool: &str, workspaces: usize) -> Account {
+    let usage = |number| fairness::Usage {
+        workspace: format!("workspace-{number:010}").into(),
+        weight: Weight::new(1.25).expect("a valid weight"),
+        given_ms_per_s: 8_000.5,
+        waiting_ms: 120.0,
+    };
+    let usages = (0..workspaces).map(usage).collect();
+    Account { pool: pool.into(), usages, stream_share: Some(0.25) }
+}
+
+fn speed(server: u64) -> (Incarnation, capacity::Report) {
+    let incarnation = Incarnation::new(format!("i-{server:010}"), 1_764_000_000_123);
+    let age = Duration::from_millis(900);
+    (incarnation, capacity::Report { factor: 1.75, samples: 20.5, age })
+}
+
 #[test]
 fn decode_encoded() {
     let records = vec![
@@ -123,6 +148,98 @@
     }
 }
 
+/// Bytes by which some accounts and speeds lengthen a digest, before compression.
+fn bytes(accounts: Vec<Account>, speeds: Vec<(Incarnation, capacity::Report)>) -> usize {
+    let size = |digest: Digest| {
+        let relay = Relay { to: Vec::new(), frame: Box::new(Frame::Digest(Box::new(digest))) };
+        Frame::Relay(relay).encode().len()
+    };
+    let without = Digest { accounts: Vec::new(), speeds: Vec::new(), ..digest() };
+    size(Digest { accounts, speeds, ..without.clone() }) - size(without)
+}
+
+#[test]
+fn encode_accounts_bounded() {
+    // At most 36 bytes a workspace with a name of twenty, and 48 a server, of which there are 64.
+    let pool = bytes(vec![account("engines", 32)], Vec::new());
+    assert!(pool <= 32 * 36 + 40, "{pool} bytes");
+    let servers = bytes(Vec::new(), (0..64).map(speed).collect());
+    assert!(servers <= 64 * 48, "{servers} bytes");
+}
+
+#[test]
+fn decode_invalid_accounts_refused() {
+    let usage = |given_ms_per_s: f64, waiting_ms: f64| {
+        let mut account = account("engines", 1);
+        account.usages[0].given_ms_per_s = given_ms_per_s;
+        account.usages[0].waiting_ms = waiting_ms;
+        account
+    };
+    let share = |share: f32| Account { stream_share: Some(share), ..account("engines", 1) };
+    for account in [
+        usage(-1.0, 0.0),
+        usage(0.0, -1.0),
+        usage(0.0, f64::NEG_INFINITY),
+        share(-0.1),
+        share(1.1),
+        share(f32::NAN),
+        account("engines", 33),
+    ] {
+        let invalid = Digest { accounts: vec![account.clone()], ..digest() };
+        let frame = Frame::Digest(Box::new(invalid));
+        assert!(Frame::decode(&frame.encode()).is_err(), "{account:?}");
+    }
+    let too_many = Digest { accounts: vec![account("engines", 1); 9], ..digest() };
+    assert!(Frame::decode(&Frame::Digest(Box::new(too_many)).encode()).is_err());
+}
+
+#[test]
+fn decode_use_not_finite_refused() {
+    let only = Digest { accounts: vec![account("engines", 1)], ..Digest::default() };
+    let frame = Frame::Digest(Box::new(Digest { daemon: "router-1".into(), ..only }));
+    let bytes = frame.encode();
+    let given = 8_000.5_f32.to_le_bytes();
+    let at = bytes.windows(4).position(|bytes| bytes == given).expect("the use is encoded");
+    for number in [f32::NAN, f32::INFINITY, -1.0] {
+        let mut bytes = bytes.clone();
+        bytes[at..at + 4].copy_from_slice(&number.to_le_bytes());
+        assert!(Frame::decode(&bytes).is_err(), "{number}");
+    }
+}
+
+#[test]
+fn decode_huge_use_is_finite() {
+    let mut huge = account("engines", 1);
+    huge.usages[0].given_ms_per_s = f64::MAX;
+    let frame = Frame::Digest(Box::new(Digest { accounts: vec![huge], ..digest() }));
+    let Ok(Frame::Digest(decoded)) = Frame::decode(&frame.encode()) else {
+        panic!("a digest was expected");
+    };
+    assert_eq!(decoded.accounts[0].usages[0].given_ms_per_s, f64::from(f32::MAX));
+}
+
+#[test]
+fn decode_invalid_speeds_refused() {
+    let report = |factor: f32, samples: f32| {
+        let (incarnation, report) = speed(1);
+        (incarnation, capacity::Report { factor, samples, ..report })
+    };
+    for speed in [
+        report(0.0, 1.0),
+        report(-1.0, 1.0),
+        report(f32::NAN, 1.0),
+        report(f32::INFINITY, 1.0),
+        report(1.0, -1.0),
+        report(1.0, f32::NAN),
+    ] {
+        let invalid = Digest { speeds: vec![speed.clone()], ..digest() };
+        let frame = Frame::Digest(Box::new(invalid));
+        assert!(Frame::decode(&frame.encode()).is_err(), "{speed:?}");
+    }
+    let too_many = Digest { speeds: (0..65).map(speed).collect(), ..digest() };
+    assert!(Frame::decode(&Frame::Digest(Box::new(too_many)).encode()).is_err());
+}
+
 #[test]
 fn decode_digest_without_id_refused() {
     let without_id = Frame::Digest(Box::new(Digest { daemon: String::new(), ..digest() }));
--- a/src/fleet/tests/mod.rs
+++ b/src/fleet/tests/mod.rs
@@ -1,5 +1,6 @@
 //! Tests of nodes that are driven by messages alone, without sockets or threads.
 
+mod accounts;
 mod admission;
 mod beliefs;
 mod beside;
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -17,8 +17,8 @@
 pub struct Gauge {
     /// Value of the label `name`.
     pub name: &'static str,
-    /// Name and value of one more label, such as the pool or server.
-    pub label: Option<(&'static str, String)>,
+    /// Names and values of more labels, such as the pool or server.
+    pub labels: Vec<(&'static str, String)>,
     /// The current value.
     pub value: u64,
 }
@@ -26,7 +26,7 @@
 impl Gauge {
     /// Creates a gauge of the whole daemon.
     pub fn new(name: &'static str, value: u64) -> Self {
-        Self { name, label: None, value }
+        Self { name, labels: Vec::new(), value }
     }
 
     /// Creates a gauge of one pool, server, peer or similar.
@@ -34,7 +34,7 @@
     /// ```
     /// use cardamomvalve::telemetry::metrics::Gauge;
     /// let gauge = Gauge::labeled("running", "server", "s-1", 3);
-    /// assert_eq!(gauge.label, Some(("server", "s-1".to_owned())));
+    /// assert_eq!(gauge.labels, [("server", "s-1".to_owned())]);
     /// ```
     pub fn labeled(
         name: &'static str,
@@ -42,13 +42,20 @@
         label_value: impl Into<String>,
         value: u64,
     ) -> Self {
-        Self { name, label: Some((label, label_value.into())), value }
+        Self { name, labels: vec![(label, label_value.into())], value }
     }
 
-    fn labels(&self) -> Vec<KeyValue> {
+    /// Adds a label.
+    #[must_use]
+    pub fn and(mut self, label: &'static str, label_value: impl Into<String>) -> Self {
+        self.labels.push((label, label_value.into()));
+        self
+    }
+
+    fn attributes(&self) -> Vec<KeyValue> {
         let name = KeyValue::new("name", self.name);
-        let label = self.label.iter().map(|(key, value)| KeyValue::new(*key, value.clone()));
-        std::iter::once(name).chain(label).collect()
+        let labels = self.labels.iter().map(|(key, value)| KeyValue::new(*key, value.clone()));
+        std::iter::once(name).chain(labels).collect()
     }
 }
 
@@ -96,7 +103,7 @@
             .with_description("The daemon's state, by name")
             .with_callback(move |observer| {
                 for gauge in observed.lock().unwrap_or_else(PoisonError::into_inner).iter() {
-                    observer.observe(gauge.value, &gauge.labels());
+                    observer.observe(gauge.value, &gauge.attributes());
                 }
             })
             .build();
