--- a/benches/fleet.rs
+++ b/benches/fleet.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cardamomvalve::fairness;
+use cardamomvalve::fairness::{self, Claim, Ledger, Weight};
 use cardamomvalve::fleet::{
     Arrival, Batch, Change, Digest, Entry, Frame, Identity, Incarnation, Key, Message, Node, Part,
     Policy, Prompt, Read, Record, Registration, Report, Start, Topic,
@@ -18,6 +18,7 @@
 
 const ENGINES: [usize; 4] = [10, 100, 1_000, 10_000];
 const DAEMONS: [usize; 3] = [10, 100, 1_000];
+const WORKSPACES: [usize; 2] = [16, 10_000];
 /// Time of the first measured input: the node has ranked the daemons by then.
 const START: Duration = Duration::from_secs(5);
 
@@ -233,3 +234,30 @@
         node.apply(START, message)
     });
 }
+
+/// Decides on one request of a pool whose room is divided among workspaces that all have one waiting.
+#[divan::bench(args = WORKSPACES)]
+fn divide_room(bencher: Bencher, workspaces: usize) {
+    let claim = |number: usize| Claim {
+        workspace: format!("workspace-{number:05}").into(),
+        weight: Weight::ONE,
+        priority: 1,
+        cost_ms: 20.0,
+        returns: false,
+    };
+    let claims: Vec<Claim> = (0..workspaces).map(claim).collect();
+    let mut ledger = Ledger::default();
+    for claim in &claims {
+        ledger.join(START, claim);
+    }
+    let (mut number, mut now) = (0, START);
+    bencher.bench_local(|| {
+        number += 1;
+        now += Duration::from_micros(100);
+        let claim = &claims[number % workspaces];
+        let ahead_ms = ledger.ahead_ms(claim);
+        let start = ledger.join(now, claim);
+        ledger.begin(now, claim, start);
+        ahead_ms
+    });
+}
