KV stores: state by store; a prompt's last shared part chooses its store

With one store as before. With uses_all_kv_stores each chain of parts goes to a store by weighted rendezvous hash over all stores of the table; what a store holds, parts in transit, its link's budget and delay, and events are kept by store.

--- a/src/fleet/figures.rs
+++ b/src/fleet/figures.rs
@@ -63,7 +63,6 @@
             Gauge::new("waiting", self.waiting.len() as u64),
             Gauge::new("lease_mine", u64::from(self.lease.fence(now).is_some())),
             Gauge::new("lease_fence", self.lease.holder().map_or(0, |held| held.fence)),
-            Gauge::new("kv_store_up", u64::from(self.kv_store.is_up(now))),
             Gauge::new("scheduler", u64::from(self.is_scheduler(now))),
             Gauge::new("scheduled_for_others", self.served.len() as u64),
             Gauge::new("submitted", self.counts.submitted),
@@ -89,6 +88,7 @@
                 Gauge::labeled("refused", "code", code.row().number.to_string(), *n)
             }),
         );
+        self.add_stores(now, &mut figures);
         self.add_quotas(&mut figures);
         self.add_pools(now, &mut figures);
         self.add_servers(now, &mut figures);
@@ -96,6 +96,22 @@
         figures
     }
 
+    /// Adds the state of KV stores. Without a label: whether the first one is up.
+    fn add_stores(&self, now: Time, figures: &mut Vec<Gauge>) {
+        let first = self.table.as_ref().and_then(|table| table.kv_store());
+        let first = first.and_then(|store| self.stores.get(store.address));
+        let first_is_up = first.is_some_and(|store| store.is_up(now));
+        figures.push(Gauge::new("kv_store_up", u64::from(first_is_up)));
+        for (address, store) in self.stores.iter() {
+            let mut show = |name, value| {
+                figures.push(Gauge::labeled(name, "store", address.to_string(), value));
+            };
+            show("kv_store_reachable", u64::from(store.is_up(now)));
+            show("kv_store_parts", store.held.len() as u64);
+            show("kv_store_bytes_moved", store.link.moved_bytes());
+        }
+    }
+
     /// Adds the keeper's share, and the remaining quota of recently active workspaces.
     fn add_quotas(&self, figures: &mut Vec<Gauge>) {
         let lent = match self.quota.role() {
--- a/src/fleet/frame/digest.rs
+++ b/src/fleet/frame/digest.rs
@@ -1,5 +1,7 @@
 //! The periodic state message of a daemon.
 
+use std::net::SocketAddr;
+
 use super::{Malformed, millis, wire};
 use crate::fleet::{Incarnation, LimitStatement, Naming, RejectLimit};
 use crate::poison::{self, Blocked, Fingerprint};
@@ -56,8 +58,10 @@
     pub hot_parts: Vec<(u64, f32)>,
     /// Fingerprints of recently refused requests.
     pub refused: Vec<Fingerprint>,
-    /// Bytes that it has caused on the KV store's link since its start.
+    /// Bytes that it has caused on the link of the first KV store since its start.
     pub link_bytes_moved: u64,
+    /// The same by store, if all KV stores are used.
+    pub link_bytes_by_store: BTreeMap<SocketAddr, u64>,
     /// Blocked requests that the platform's store is not known to hold yet.
     pub blocked: Vec<Blocked>,
     /// Creation time on its daemon's clock.
@@ -169,6 +173,22 @@
     }
 }
 
+impl From<(SocketAddr, u64)> for wire::StoreTransfer {
+    fn from((store, bytes): (SocketAddr, u64)) -> Self {
+        Self { store: store.to_string(), bytes }
+    }
+}
+
+impl TryFrom<wire::StoreTransfer> for (SocketAddr, u64) {
+    type Error = Malformed;
+
+    fn try_from(transfer: wire::StoreTransfer) -> Result<Self, Malformed> {
+        let store = transfer.store.parse();
+        let store = store.map_err(|_| Malformed("a KV store's address is invalid".into()))?;
+        Ok((store, transfer.bytes))
+    }
+}
+
 impl From<Incarnation> for wire::Leaving {
     fn from(incarnation: Incarnation) -> Self {
         Self { server: incarnation.id, born: incarnation.started_ms }
@@ -206,6 +226,11 @@
             hot_work_ms: digest.hot_parts.iter().map(|(_, work_ms)| *work_ms).collect(),
             refused: digest.refused.into_iter().map(|fingerprint| fingerprint.0).collect(),
             link_bytes_moved: digest.link_bytes_moved,
+            link_bytes_by_store: digest
+                .link_bytes_by_store
+                .into_iter()
+                .map(wire::StoreTransfer::from)
+                .collect(),
             blocked,
             blocked_ages_ms,
             sent_at_ms: u64::try_from(digest.sent_at.as_millis()).unwrap_or(u64::MAX),
@@ -269,6 +294,11 @@
             hot_parts: digest.hot_parts.into_iter().zip(digest.hot_work_ms).collect(),
             refused: digest.refused.into_iter().map(Fingerprint).collect(),
             link_bytes_moved: digest.link_bytes_moved,
+            link_bytes_by_store: digest
+                .link_bytes_by_store
+                .into_iter()
+                .map(<(SocketAddr, u64)>::try_from)
+                .collect::<Result<_, _>>()?,
             blocked: poison::blocks_from_wire(digest.blocked, digest.blocked_ages_ms),
             sent_at: Duration::from_millis(digest.sent_at_ms),
             named: digest.named.into_iter().map(Naming::from).collect(),
--- a/src/fleet/frame/wire.rs
+++ b/src/fleet/frame/wire.rs
@@ -96,6 +96,17 @@
     pub(super) limit_statements: Vec<LimitStatement>,
     #[prost(message, repeated, tag = "28")]
     pub(super) leaving: Vec<Leaving>,
+    #[prost(message, repeated, tag = "40")]
+    pub(super) link_bytes_by_store: Vec<StoreTransfer>,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub(super) struct StoreTransfer {
+    /// Address of the KV store.
+    #[prost(string, tag = "1")]
+    pub(super) store: String,
+    #[prost(uint64, tag = "2")]
+    pub(super) bytes: u64,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
--- a/src/fleet/gossip.rs
+++ b/src/fleet/gossip.rs
@@ -246,7 +246,8 @@
                 .collect(),
             hot_parts: Vec::new(),
             refused: self.expected.own(),
-            link_bytes_moved: self.kv_link.moved_bytes(),
+            link_bytes_moved: self.first_link_bytes_moved(),
+            link_bytes_by_store: self.link_bytes_by_store(),
             blocked: self.poison.unstored_blocks(now),
             sent_at: now,
             named: self.rollout.own_namings.recent(now, self.policy.weights_limit),
@@ -308,13 +309,10 @@
         self.record_peer_usage(now, &digest);
         // Refill first, so that the peer's transfers are deducted from the current budget and not
         // from that of the last send.
-        self.refill_link(now);
+        self.refill_links(now);
+        self.deduct_peer_transfers(&digest);
         let mut reach_changed = false;
         if let Some(peer) = self.peers.get_mut(&digest.daemon) {
-            let last = peer.digest.as_ref().filter(|last| last.incarnation == digest.incarnation);
-            let moved =
-                last.map(|last| digest.link_bytes_moved.saturating_sub(last.link_bytes_moved));
-            self.kv_link.deduct(moved.unwrap_or_default());
             reach_changed = peer.is_cut_off() != digest.is_cut_off;
             let restarted =
                 peer.digest.as_ref().is_some_and(|last| last.incarnation != digest.incarnation);
--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -19,7 +19,7 @@
 use super::reach::Reach;
 use super::replication::Bootstrap;
 use super::request::Request;
-use super::residency::{EventPoll, Link, StoreState};
+use super::residency::{EventPoll, Stores};
 use super::rest::Rests;
 use super::rollout::Rollout;
 use super::scheduling::{Ranking, Submissions};
@@ -153,14 +153,12 @@
     pub(super) next_block_expiry: Time,
     /// Recent work by shared part of prompts.
     pub(super) heat: Heat,
-    /// Contents of the KV store.
-    pub(super) kv_store: StoreState,
+    /// The KV stores: what they hold, and their links.
+    pub(super) stores: Stores,
     /// Schedule of reading cache events, by engine or KV store.
     pub(super) event_reads: BTreeMap<Location, EventPoll>,
     /// Holders whose events this daemon may have to read, by the time of the next check.
     pub(super) event_schedule: BTreeSet<(Time, Location)>,
-    /// The link to the KV store.
-    pub(super) kv_link: Link,
     pub(super) lease: lease::State,
     /// Topics that were read at least once, from the store or a peer.
     pub(super) known_topics: BTreeSet<Topic>,
@@ -241,10 +239,9 @@
             isolation: Isolation::default(),
             next_block_expiry: Time::ZERO,
             heat: Heat::default(),
-            kv_store: StoreState::default(),
+            stores: Stores::default(),
             event_reads: BTreeMap::new(),
-            event_schedule: BTreeSet::from([(Time::ZERO, Location::Store)]),
-            kv_link: Link::default(),
+            event_schedule: BTreeSet::new(),
             lease,
             known_topics: BTreeSet::new(),
             unreadable_records: BTreeMap::new(),
--- a/src/fleet/place.rs
+++ b/src/fleet/place.rs
@@ -8,8 +8,8 @@
 use super::pool::Cell;
 use super::prompt::{PREFILL_TOKENS_PER_MS, cache_salt, held_tokens, shared_tokens};
 use super::request::Request;
-use super::residency::{FetchPlan, Sources};
-use super::{Key, Location, Node, Prompt, Server, Topic, server};
+use super::residency::{FetchPlan, Source, Sources};
+use super::{Key, Node, Prompt, Server, Topic, server};
 use crate::prelude::*;
 
 /// Cost of a shared token that the server lacks and another holds. A transfer costs a fifth of it;
@@ -59,6 +59,8 @@
     pub(super) weights: Option<u64>,
     pub(super) fetch_from: Option<SocketAddr>,
     pub(super) save_to: Option<SocketAddr>,
+    /// The KV store that this fetches from or saves to.
+    pub(super) store: Option<SocketAddr>,
     /// Whether the server fetches from the KV store.
     pub(super) from_store: bool,
     /// Bytes that this moves over the KV store's link, each counted as often as it takes up the
@@ -174,6 +176,7 @@
             weights: None,
             fetch_from: None,
             save_to: None,
+            store: None,
             from_store: false,
             moved_bytes: 0.0,
             is_home: false,
@@ -301,7 +304,8 @@
             salt: Some(salt.to_owned()),
             weights: Some(version),
             fetch_from: source.map(|source| source.address),
-            from_store: supply.source.as_ref().is_some_and(|s| s.location == Location::Store),
+            store: None,
+            from_store: supply.source.as_ref().is_some_and(Source::is_store),
             save_to: None,
             moved_bytes: 0.0,
             is_home: role == Role::Home,
@@ -320,14 +324,15 @@
         supply: FetchPlan,
     ) -> Choice {
         let salt = choice.salt.as_deref().unwrap_or_default();
-        let zones = self.store_zone_factor(choice.server);
+        let Some(store) = self.store_of(prompt, salt) else { return choice };
+        let zones = self.store_zone_factor(store, choice.server);
         if choice.from_store {
             let bytes = f64::from(supply.fetched_tokens) * self.token_bytes(&request.pool);
-            choice.moved_bytes = bytes * zones;
-        } else if let Some((address, bytes)) =
-            self.save_target(now, prompt, salt, &request.pool, zones)
+            (choice.store, choice.moved_bytes) = (Some(store.address), bytes * zones);
+        } else if let Some(bytes) = self.saved_bytes(now, store, prompt, salt, &request.pool, zones)
         {
-            (choice.save_to, choice.moved_bytes) = (Some(address), bytes);
+            (choice.store, choice.moved_bytes) = (Some(store.address), bytes);
+            choice.save_to = choice.store;
         }
         choice
     }
@@ -337,12 +342,6 @@
         engine.map_or(0.0, |engine| engine.kv_token_bytes as f64)
     }
 
-    /// Refills the allowance of the KV store's link.
-    pub(super) fn refill_link(&mut self, now: Time) {
-        let store = self.table.as_ref().and_then(|table| table.kv_store());
-        self.kv_link.refill(now, store.map_or(0, |store| store.link_bytes_per_s));
-    }
-
     /// Cost of a start on this version; `None` if it may no longer be used, or if this daemon has
     /// not yet read the operators' topic: a configuration may come before the topic that it is part
     /// of.
--- a/src/fleet/replication/records.rs
+++ b/src/fleet/replication/records.rs
@@ -177,6 +177,7 @@
         }
         self.event(Event::ManifestInForce, Detail::of("version", table.version()));
         self.table = Some(Arc::clone(&table));
+        self.update_stores();
         self.effects.push(Effect::Table(table));
     }
 
--- a/src/fleet/reports.rs
+++ b/src/fleet/reports.rs
@@ -113,9 +113,12 @@
         self.settle_possible_reject(key);
         self.clear_parts(now, key);
         self.log_begun(now, key, at);
-        if let Some(cost_ms) = self.requests.get(&key).and_then(|request| request.fetch_cost_ms) {
+        let fetch = self.requests.get(&key).and_then(|request| request.store_fetch);
+        if let Some(fetch) = fetch
+            && let Some(store) = self.stores.get_mut(fetch.store)
+        {
             let waited_ms = now.saturating_sub(at).as_secs_f64() * 1_000.0;
-            self.kv_link.record_delay(now, waited_ms - cost_ms);
+            store.link.record_delay(now, waited_ms - fetch.cost_ms);
         }
         if let Some(server) = self.servers.get_mut(server) {
             server.pending_tokens = server.pending_tokens.saturating_sub(tokens);
--- a/src/fleet/request.rs
+++ b/src/fleet/request.rs
@@ -1,5 +1,6 @@
 //! The state of one request and its attempts.
 
+use super::residency::StoreFetch;
 use super::retry::Charge;
 use super::scheduling::{Origin, Stage};
 use super::{Arrival, Software, Start, StreamId, server};
@@ -38,9 +39,8 @@
     pub(super) admission_deadline: Option<Time>,
     /// The weights version to which it was last sent.
     pub(super) weights_version: Option<u64>,
-    /// Predicted TTFT in milliseconds, without queueing on the KV store's link, if it fetches from
-    /// there.
-    pub(super) fetch_cost_ms: Option<f64>,
+    /// Its fetch from a KV store, if it was sent with one.
+    pub(super) store_fetch: Option<StoreFetch>,
     /// The version that began its stream, at which alone it may go on.
     pub(super) software: Option<Software>,
     /// The versions to which it was sent, by attempt.
@@ -79,7 +79,7 @@
             charged_runs: 0,
             admission_deadline: None,
             weights_version: None,
-            fetch_cost_ms: None,
+            store_fetch: None,
             software: None,
             sent_software: Vec::new(),
             tried: Vec::new(),
--- a/src/fleet/requests.rs
+++ b/src/fleet/requests.rs
@@ -4,6 +4,7 @@
 use super::place::Choice;
 use super::prompt::{salted_key, shared_parts};
 use super::request::{Phase, Request};
+use super::residency::StoreFetch;
 use super::retry::{Charge, Terms};
 use super::{Arrival, Budget, Command, Dispatch, Key, Node, Topic};
 use crate::prelude::*;
@@ -136,7 +137,7 @@
     }
 
     pub(super) fn try_send(&mut self, now: Time, key: Key) -> bool {
-        self.refill_link(now);
+        self.refill_links(now);
         let Some(choice) = self.place(now, key) else {
             self.reserve_if_suspect(now, key);
             return false;
@@ -189,8 +190,12 @@
         request.tried.push(choice.server);
         request.sent_software.push((request.sends, server.software));
         request.weights_version = choice.weights;
-        request.fetch_cost_ms =
-            choice.from_store.then(|| choice.cost_ms - self.kv_link.delay_ms(now));
+        let store = choice.store.and_then(|address| self.stores.get(address));
+        let delay_ms = store.map_or(0.0, |store| store.link.delay_ms(now));
+        request.store_fetch = choice
+            .store
+            .filter(|_| choice.from_store)
+            .map(|store| StoreFetch { store, cost_ms: choice.cost_ms - delay_ms });
         request.phase = Phase::Sent {
             server: choice.server,
             prefill_tokens: choice.read_tokens,
@@ -201,7 +206,10 @@
             self.reach.note_sent(now, choice.server);
         }
         server.running += 1;
-        self.kv_link.spend(choice.moved_bytes);
+        let mut store = choice.store.and_then(|address| self.stores.get_mut(address));
+        if let Some(store) = &mut store {
+            store.link.spend(choice.moved_bytes);
+        }
         server.pending_tokens = server.pending_tokens.saturating_add(choice.read_tokens);
         let mut parts = Vec::new();
         if let Some(prompt) = &request.arrival.prompt {
@@ -209,8 +217,8 @@
             for part in shared_parts(&prompt.parts) {
                 parts.push(salted_key(salt, part.id));
                 server.residency.note_sent(now, salted_key(salt, part.id));
-                if choice.save_to.is_some() {
-                    self.kv_store.mark_in_transit(now, salt, part.id);
+                if let Some(store) = store.as_mut().filter(|_| choice.save_to.is_some()) {
+                    store.mark_in_transit(now, salt, part.id);
                 }
             }
         }
--- a/src/fleet/residency/mod.rs
+++ b/src/fleet/residency/mod.rs
@@ -1,11 +1,12 @@
-//! Tracks which shared prompt parts engines and the KV store hold.
+//! Tracks which shared prompt parts engines and KV stores hold.
 //!
-//! Each engine and the KV store publish numbered events about their caches. One daemon reads the
+//! Each engine and each KV store publish numbered events about their caches. One daemon reads the
 //! events of each holder and sends its peers updates ([`Update`]) for parts that are large enough
 //! to transfer; if it goes silent, another daemon takes over. Entries are keyed by cache salt
 //! ([`super::prompt::salted_key`]), so cached parts of other weights or another workspace never match,
 //! and are dropped when their server's incarnation ends.
 
+mod choice;
 mod held;
 mod reading;
 mod sources;
@@ -13,8 +14,8 @@
 
 pub(super) use held::Residency;
 pub(super) use reading::EventPoll;
-pub(super) use sources::{FetchPlan, Sources};
-pub(super) use store::{Link, StoreState};
+pub(super) use sources::{FetchPlan, Source, Sources};
+pub(super) use store::{StoreFetch, Stores};
 
 pub use held::{CacheEvent, EventBatch};
 
@@ -27,8 +28,8 @@
 pub enum Location {
     /// An engine.
     Engine(server::Key),
-    /// The KV store.
-    Store,
+    /// The KV store at this address.
+    Store(SocketAddr),
 }
 
 /// A holder of cached parts, as daemons identify it to each other.
--- a/src/fleet/residency/reading.rs
+++ b/src/fleet/residency/reading.rs
@@ -200,7 +200,7 @@
         let pool = match location {
             Location::Engine(key) => self.servers.get(key).map(|server| server.entry.pool.as_str()),
             // The choice of pool is arbitrary, but all daemons must agree on it.
-            Location::Store => self.table.as_ref().and_then(|table| table.engine_pools().next()),
+            Location::Store(_) => self.table.as_ref().and_then(|table| table.engine_pools().next()),
         };
         let scheduled = |pool| self.is_scheduler(now) && self.scheduler_of(now, pool).is_none();
         !self.draining && pool.is_some_and(scheduled)
@@ -216,7 +216,7 @@
             Location::Engine(key) => {
                 self.servers.get(key).map(|server| Holder::Engine(server.entry.incarnation.clone()))
             }
-            Location::Store => self.holder_address(location).map(Holder::Store),
+            Location::Store(address) => Some(Holder::Store(address)),
         }
     }
 
@@ -225,9 +225,7 @@
             Holder::Engine(incarnation) => {
                 self.incarnations.server(incarnation).map(Location::Engine)
             }
-            Holder::Store(address) => {
-                (self.holder_address(Location::Store) == Some(*address)).then_some(Location::Store)
-            }
+            Holder::Store(address) => self.stores.get(*address).map(|_| Location::Store(*address)),
         }
     }
 
@@ -239,21 +237,21 @@
                 let entry = &self.servers.get(key)?.entry;
                 table.engine(&entry.pool).map(|_| entry.address)
             }
-            Location::Store => table.kv_store().map(|store| store.address),
+            Location::Store(address) => Some(address),
         }
     }
 
     pub(in crate::fleet) fn residency(&self, location: Location) -> Option<&Residency> {
         match location {
             Location::Engine(key) => self.servers.get(key).map(|server| &server.residency),
-            Location::Store => Some(&self.kv_store.held),
+            Location::Store(address) => self.stores.get(address).map(|store| &store.held),
         }
     }
 
     fn residency_mut(&mut self, location: Location) -> Option<&mut Residency> {
         match location {
             Location::Engine(key) => self.servers.get_mut(key).map(|server| &mut server.residency),
-            Location::Store => Some(&mut self.kv_store.held),
+            Location::Store(address) => self.stores.get_mut(address).map(|store| &mut store.held),
         }
     }
 }
--- a/src/fleet/residency/sources.rs
+++ b/src/fleet/residency/sources.rs
@@ -1,5 +1,5 @@
 //! Plans how an engine gets the shared prompt parts that it lacks, at the lowest cost: from another
-//! engine, from the KV store, or by computing them.
+//! engine, from a KV store, or by computing them.
 
 use std::net::SocketAddr;
 
@@ -9,6 +9,7 @@
 use crate::fleet::prompt::{PREFILL_TOKENS_PER_MS, held_tokens, shared_parts, shared_tokens};
 use crate::fleet::{Node, Prompt, server};
 use crate::prelude::*;
+use crate::route::KvStore;
 
 /// Minimum number of shared tokens to transfer: setting up a transfer takes as long as computing
 /// them.
@@ -36,6 +37,13 @@
     unconfirmed: bool,
 }
 
+impl Source {
+    /// Whether it is a KV store.
+    pub(in crate::fleet) fn is_store(&self) -> bool {
+        matches!(self.location, Location::Store(_))
+    }
+}
+
 /// The holders of a prompt's shared parts under one cache salt.
 #[derive(Debug, Clone, Default)]
 pub(in crate::fleet) struct Sources {
@@ -82,7 +90,7 @@
                 f64::from(fetched) * self.token_bytes / source.link_bytes_per_s * 1_000.0;
             let zone_factor = zone_factor(&source.zone, zone);
             let delay_ms = match source.location {
-                Location::Store => self.store_delay_ms,
+                Location::Store(_) => self.store_delay_ms,
                 Location::Engine(_) => 0.0,
             };
             FetchPlan {
@@ -113,7 +121,7 @@
     ) -> Option<Source> {
         let others = self.sources.iter().filter(|source| match source.location {
             Location::Engine(key) => key != server,
-            Location::Store => prefill_tokens == 0,
+            Location::Store(_) => prefill_tokens == 0,
         });
         let rank =
             |source: &&Source| (source.unconfirmed, u32::MAX - source.tokens, source.zone != zone);
@@ -172,28 +180,34 @@
             engines.filter(|source| source.tokens >= MIN_FETCH_TOKENS).collect();
         let rank = |source: &Source| match source.location {
             Location::Engine(key) => homes.rank(key).unwrap_or(usize::MAX),
-            Location::Store => usize::MAX,
+            Location::Store(_) => usize::MAX,
         };
         sources.sort_by_key(rank);
-        sources.extend(self.store_source(now, prompt, salt, token_bytes));
-        Sources { sources, token_bytes, store_delay_ms: self.kv_link.delay_ms(now) }
+        let store = self.store_of(prompt, salt);
+        sources.extend(
+            store.and_then(|store| self.store_source(now, store, prompt, salt, token_bytes)),
+        );
+        let store = store.and_then(|store| self.stores.get(store.address));
+        let store_delay_ms = store.map_or(0.0, |store| store.link.delay_ms(now));
+        Sources { sources, token_bytes, store_delay_ms }
     }
 
-    /// Returns the KV store as a source if its link has capacity left.
+    /// Returns a KV store as a source if its link has capacity left.
     fn store_source(
         &self,
         now: Time,
+        store: &KvStore,
         prompt: &Prompt,
         salt: &str,
         token_bytes: f64,
     ) -> Option<Source> {
-        let store = self.table.as_ref()?.kv_store().filter(|_| self.kv_store.is_up(now))?;
+        let state = self.stores.get(store.address).filter(|state| state.is_up(now))?;
         let tokens = held_tokens(prompt, salt, |part, tokens| {
-            self.kv_store.held.confirmed_tokens(now, part, tokens)
+            state.held.confirmed_tokens(now, part, tokens)
         });
-        let has_room = self.kv_link.has_room(f64::from(tokens) * token_bytes);
+        let has_room = state.link.has_room(f64::from(tokens) * token_bytes);
         (tokens >= MIN_FETCH_TOKENS && has_room).then_some(Source {
-            location: Location::Store,
+            location: Location::Store(store.address),
             address: store.address,
             tokens,
             link_bytes_per_s: store.link_bytes_per_s as f64,
@@ -202,35 +216,31 @@
         })
     }
 
-    /// Factor by which a transfer between the KV store and an engine uses the store's link longer.
-    pub(in crate::fleet) fn store_zone_factor(&self, server: server::Key) -> f64 {
-        let store = self.table.as_ref().and_then(|table| table.kv_store());
+    /// Factor by which a transfer between a KV store and an engine uses the store's link longer.
+    pub(in crate::fleet) fn store_zone_factor(&self, store: &KvStore, server: server::Key) -> f64 {
         let zone = self.servers.get(server).map(|server| server.entry.zone.as_str());
-        match (store, zone) {
-            (Some(store), Some(zone)) => zone_factor(&store.zone, zone),
-            _ => CROSS_ZONE_FACTOR,
-        }
+        zone.map_or(CROSS_ZONE_FACTOR, |zone| zone_factor(&store.zone, zone))
     }
 
-    /// Returns where an engine saves the parts that it computes, and how many bytes of the link
-    /// that takes. This is the KV store, if it lacks shared parts of the prompt that are not in
+    /// Returns how many bytes of a KV store's link it takes if an engine saves the parts there that
+    /// it computes; `None` unless the store lacks shared parts of the prompt that are not in
     /// transit and its link has capacity for the whole prompt.
-    pub(in crate::fleet) fn save_target(
+    pub(in crate::fleet) fn saved_bytes(
         &self,
         now: Time,
+        store: &KvStore,
         prompt: &Prompt,
         salt: &str,
         pool: &str,
         zone_factor: f64,
-    ) -> Option<(SocketAddr, f64)> {
-        let table = self.table.as_ref()?;
-        let store = table.kv_store().filter(|_| self.kv_store.is_up(now))?;
+    ) -> Option<f64> {
+        let state = self.stores.get(store.address).filter(|state| state.is_up(now))?;
         let parts = shared_parts(&prompt.parts);
-        let is_missing = parts.iter().any(|part| !self.kv_store.will_hold(now, salt, *part));
-        let bytes =
-            f64::from(prompt.input) * table.engine(pool)?.kv_token_bytes as f64 * zone_factor;
+        let is_missing = parts.iter().any(|part| !state.will_hold(now, salt, *part));
+        let engine = self.table.as_ref()?.engine(pool)?;
+        let bytes = f64::from(prompt.input) * engine.kv_token_bytes as f64 * zone_factor;
         let worthwhile =
-            shared_tokens(prompt) >= MIN_FETCH_TOKENS && is_missing && self.kv_link.has_room(bytes);
-        worthwhile.then_some((store.address, bytes))
+            shared_tokens(prompt) >= MIN_FETCH_TOKENS && is_missing && state.link.has_room(bytes);
+        worthwhile.then_some(bytes)
     }
 }
--- a/src/fleet/residency/store.rs
+++ b/src/fleet/residency/store.rs
@@ -1,4 +1,7 @@
-//! State of the KV store: the parts it holds, the parts in transit to it, and the load of its link.
+//! State of KV stores: the parts they hold, the parts in transit to them, and the load of their
+//! links.
+
+use std::net::SocketAddr;
 
 use super::Residency;
 use crate::allowance::Allowance;
@@ -9,7 +12,7 @@
 /// Time after which a part that an engine should have saved is sent again if the store's events
 /// don't show it. Covers the prefill, the transfer and the delay of events.
 const TRANSIT_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// Share of the KV store's link that may be used. Transfers run one after another, so the queue
+/// Share of a KV store's link that may be used. Transfers run one after another, so the queue
 /// grows long well before the link is full.
 const MAX_LINK_UTILIZATION: f64 = 0.8;
 /// Maximum burst of transfers, in seconds of the link's bandwidth. First tokens wait for the
@@ -23,7 +26,7 @@
 /// Maximum number of parts tracked as in transit.
 const MAX_IN_TRANSIT: usize = 65_536;
 
-/// The capacity of the KV store's link, as a token bucket of bytes.
+/// The capacity of a KV store's link, as a token bucket of bytes.
 ///
 /// A daemon moves a prompt only now and then, and one prompt takes from a tenth of a second of the
 /// link to several tenths. A fixed share of the link could be too small for one prompt, so the link
@@ -82,11 +85,57 @@
     }
 }
 
-/// The parts that the KV store holds or is being sent.
+/// A fetch from a KV store by a request that has not begun.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(in crate::fleet) struct StoreFetch {
+    /// Address of the store.
+    pub(in crate::fleet) store: SocketAddr,
+    /// Predicted milliseconds to the first token without a queue at the store's link.
+    pub(in crate::fleet) cost_ms: f64,
+}
+
+/// The KV stores that this daemon uses, by address.
+#[derive(Debug, Default)]
+pub(in crate::fleet) struct Stores {
+    by_address: BTreeMap<SocketAddr, StoreState>,
+}
+
+impl Stores {
+    /// The store at `address`, if it is used.
+    pub(in crate::fleet) fn get(&self, address: SocketAddr) -> Option<&StoreState> {
+        self.by_address.get(&address)
+    }
+
+    /// The store at `address`, if it is used.
+    pub(in crate::fleet) fn get_mut(&mut self, address: SocketAddr) -> Option<&mut StoreState> {
+        self.by_address.get_mut(&address)
+    }
+
+    /// All stores with their addresses.
+    pub(in crate::fleet) fn iter(&self) -> impl Iterator<Item = (SocketAddr, &StoreState)> {
+        self.by_address.iter().map(|(address, store)| (*address, store))
+    }
+
+    /// Keeps the state of the stores at `addresses` alone. Returns the addresses that are new.
+    pub(in crate::fleet) fn replace(
+        &mut self,
+        addresses: &BTreeSet<SocketAddr>,
+    ) -> Vec<SocketAddr> {
+        self.by_address.retain(|address, _| addresses.contains(address));
+        let added = addresses.iter().filter(|address| !self.by_address.contains_key(address));
+        let added: Vec<SocketAddr> = added.copied().collect();
+        self.by_address.extend(added.iter().map(|address| (*address, StoreState::default())));
+        added
+    }
+}
+
+/// The parts that a KV store holds or is being sent, and its link.
 #[derive(Debug, Default)]
 pub(in crate::fleet) struct StoreState {
     /// Parts it holds, according to its events.
     pub(in crate::fleet) held: Residency,
+    /// Its link.
+    pub(in crate::fleet) link: Link,
     in_transit: BTreeMap<u64, Time>,
 }
 
--- a/src/fleet/tests/frames.rs
+++ b/src/fleet/tests/frames.rs
@@ -30,6 +30,7 @@
         hot_parts: vec![(9, 120.5), (10, 0.0)],
         refused: vec![Fingerprint(7)],
         link_bytes_moved: 1 << 40,
+        link_bytes_by_store: BTreeMap::from([(([10, 0, 0, 9], 80).into(), 1 << 40)]),
         blocked: vec![poison::Blocked {
             fingerprint: Fingerprint(9),
             age: Duration::from_millis(70),
--- a/src/fleet/tests/residency.rs
+++ b/src/fleet/tests/residency.rs
@@ -357,7 +357,7 @@
         daemon.node.apply(ms(40), Message::Events(place, None));
     }
     let left: Vec<Location> = daemon.node.event_reads.keys().copied().collect();
-    assert_eq!(left, [Location::Store]);
+    assert_eq!(left, [Location::Store(address(200))]);
 }
 
 /// Number of event reads that a scheduler starts in two seconds.
--- a/src/fleet/tests/servers.rs
+++ b/src/fleet/tests/servers.rs
@@ -108,7 +108,7 @@
     let change = |part: &u64| CacheEvent { salt: salt.into(), part: *part, tokens: 4_000 };
     let changes = parts.iter().map(change).collect();
     Message::Events(
-        Location::Store,
+        Location::Store(address(200)),
         Some(EventBatch { epoch, next: 0, has_gap: false, events: changes }),
     )
 }
@@ -134,7 +134,7 @@
 fn kv_store_that_is_down_is_not_used() {
     let mut daemon = Daemon::with_servers(1, &ENGINES);
     daemon.node.apply(ms(900), store_events("1", &[7, 3], 1));
-    daemon.node.apply(ms(1_000), Message::Events(Location::Store, None));
+    daemon.node.apply(ms(1_000), Message::Events(Location::Store(address(200)), None));
     let sent = send(&mut daemon, ms(2_000), None, 3);
     assert_eq!(sent.save_to, None);
     // Another engine may have the parts.
--- a/src/fleet/tests/world.rs
+++ b/src/fleet/tests/world.rs
@@ -156,8 +156,12 @@
         kv_token_bytes: 163_840,
         link_bytes_per_s: 16_250_000_000,
     };
-    let store =
-        KvStore { address: address(200), zone: "zone-1".into(), link_bytes_per_s: 47_000_000_000 };
+    let store = KvStore {
+        address: address(200),
+        zone: "zone-1".into(),
+        capacity_tokens: 1_000_000,
+        link_bytes_per_s: 47_000_000_000,
+    };
     let pool = |kind| Pool { kind, max_connections: 100 };
     let pools = BTreeMap::from([
         ("plain".into(), pool(Kind::Plain)),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod prelude;
 pub mod quota;
 pub mod relay;
+pub mod rendezvous;
 pub mod route;
 pub mod settings;
 pub mod telemetry;
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -81,6 +81,8 @@
     pub address: SocketAddr,
     /// Availability zone; empty if unknown.
     pub zone: String,
+    /// Capacity in tokens; 0 if unknown.
+    pub capacity_tokens: u64,
     /// Bandwidth of its network link, in bytes per second.
     pub link_bytes_per_s: u64,
 }
--- a/src/route/table.rs
+++ b/src/route/table.rs
@@ -96,11 +96,20 @@
 
     /// Returns the first KV store, in order of pool names.
     pub fn kv_store(&self) -> Option<&KvStore> {
-        let mut stores = self.pools.values().filter_map(|pool| match &pool.kind {
-            Kind::KvStore(store) => Some(store),
+        self.kv_stores().next().map(|(_, store)| store)
+    }
+
+    /// Returns all KV stores with the names of their pools, in ascending order.
+    ///
+    /// ```
+    /// use cardamomvalve::route::Table;
+    /// assert_eq!(Table::default().kv_stores().count(), 0);
+    /// ```
+    pub fn kv_stores(&self) -> impl Iterator<Item = (&str, &KvStore)> {
+        self.pools.iter().filter_map(|(name, pool)| match &pool.kind {
+            Kind::KvStore(store) => Some((name.as_str(), store)),
             Kind::Plain | Kind::Engine(_) => None,
-        });
-        stores.next()
+        })
     }
 
     /// Returns the properties of a pool's engines, or `None` if it has no engines.
