Homes of parts in proportion to learnt speed; tests of several KV stores

An engine that takes one and a half times as long as is typical for its pool becomes the home of half as many parts, a fast one of twice as many; few engines change at a time. Equal weights rank as before. Without learn_capacity nothing changes.

--- a/src/fleet/homes.rs
+++ b/src/fleet/homes/mod.rs
@@ -1,17 +1,22 @@
 //! Assigns the shared parts of prompts to servers, alike on every daemon.
 //!
 //! A few long texts start nearly all prompts, and many shorter ones start some. The homes of a part
-//! are the servers that rank first for it in a rendezvous hash over all servers of a cell,
-//! whatever their weights and load. The choice must not depend on anything that differs between
-//! daemons or changes by the second: a part is read again on each server that it moves to.
+//! are the servers that rank first for it in a rendezvous hash over all servers of a cell, in
+//! proportion to their [`Weight`]s, whatever their model's weights and load. The choice must not
+//! depend on anything that differs between daemons or changes by the second: a part is read again
+//! on each server that it moves to.
+
+pub(super) mod weight;
+
+pub(super) use weight::Weight;
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::pool::Cell;
 use super::prompt::{salted_key, shared_parts, unshared_ms};
 use super::{Node, Prompt, Server, server};
-use crate::prefix;
 use crate::prelude::*;
+use crate::{prefix, rendezvous};
 
 /// Engine time of an answer token in a batch of some dozen answers.
 const ANSWER_TOKEN_MS: f64 = 0.5;
@@ -73,10 +78,16 @@
             return Homes::default();
         };
         let servers = ranked.len();
+        let are_weighted = ranked.iter().any(|(_, server)| server.home_weight != Weight::One);
         let mut narrow = |part: u64, cells: usize, limit: fn(usize) -> usize| {
             let part = salted_key(owner, part);
             ranked.sort_by_cached_key(|(_, server)| {
-                std::cmp::Reverse(xxh3_64_with_seed(server.entry.incarnation.id.as_bytes(), part))
+                let id = server.entry.incarnation.id.as_bytes();
+                std::cmp::Reverse(rank(
+                    xxh3_64_with_seed(id, part),
+                    server.home_weight,
+                    are_weighted,
+                ))
             });
             let count = copy_count(self.load_ms_per_s(now, part) / cells as f64, servers);
             ranked.truncate(limit(count));
@@ -112,6 +123,15 @@
     }
 }
 
+/// Rank of a server for a part, from the hash of both; the highest comes first. Equal weights rank
+/// by the hash alone. The bits of positive numbers are in the order of the numbers.
+fn rank(hash: u64, weight: Weight, are_weighted: bool) -> (u64, u64) {
+    if !are_weighted {
+        return (0, hash);
+    }
+    (rendezvous::score(hash, weight.factor()).to_bits(), hash)
+}
+
 /// Number of servers that hold a part: a power of two, or all servers if that is more than half of
 /// them. Daemons measure the work of a part independently, and a home on which they disagree is an
 /// additional server that reads the part.
--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -108,6 +108,8 @@
     pub(super) ledgers: BTreeMap<String, fairness::Ledger>,
     /// The typical speed of servers, by pool.
     pub(super) pool_speeds: BTreeMap<String, capacity::Pool>,
+    /// Time of the next change of servers' weights as homes.
+    pub(super) next_weight_update: Time,
     /// Refused callers that may retry.
     pub(super) expected: Refusals,
     pub(super) budgets: BTreeMap<String, Budget>,
@@ -213,6 +215,7 @@
             drains: BTreeMap::new(),
             ledgers: BTreeMap::new(),
             pool_speeds: BTreeMap::new(),
+            next_weight_update: Time::ZERO,
             expected: Refusals::default(),
             budgets: BTreeMap::new(),
             peers: Peer::from_seeds(seeds, identity.address),
@@ -386,6 +389,7 @@
         self.check_reach(now);
         self.check_unanswered(now);
         self.maintain_blocks(now);
+        self.update_home_weights(now);
         self.update_shares(now);
         self.maintain_rejection(now);
         self.maintain_request_limits(now);
--- a/src/fleet/server.rs
+++ b/src/fleet/server.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use super::homes::Weight;
 use super::residency::Residency;
 use super::{Incarnation, Software};
 use crate::capacity;
@@ -79,6 +80,8 @@
     pub unconfirmed_removal_at: Option<Time>,
     /// How fast it works, as learnt from its answers.
     pub speed: capacity::Speed,
+    /// How many shared parts it keeps, by that speed.
+    pub(super) home_weight: Weight,
     /// The parts of prompts in its cache.
     pub(super) residency: Residency,
     failures: u32,
@@ -100,6 +103,7 @@
             order: None,
             unconfirmed_removal_at: None,
             speed: capacity::Speed::default(),
+            home_weight: Weight::default(),
             residency: Residency::default(),
             failures: 0,
             only_witness: None,
--- a/src/fleet/tests/world.rs
+++ b/src/fleet/tests/world.rs
@@ -77,7 +77,13 @@
     }
     match words.as_slice() {
         ["table", version] => {
-            let table = Arc::new(table(parse_number(version)?));
+            let table = Arc::new(table(parse_number(version)?, &[200]));
+            Ok(Change::Table { table, left_out: Vec::new() })
+        }
+        ["table", version, "stores", stores @ ..] => {
+            let stores = stores.iter().map(|last| Ok(parse_number(last)? as u8));
+            let stores: Vec<u8> = stores.collect::<Result<_, String>>()?;
+            let table = Arc::new(table(parse_number(version)?, &stores));
             Ok(Change::Table { table, left_out: Vec::new() })
         }
         ["weights", version] => {
@@ -149,25 +155,28 @@
     })
 }
 
-fn table(version: u64) -> Table {
+/// A table with a KV store at each of the addresses `stores`, in zones 1 to 3 by turns.
+fn table(version: u64, stores: &[u8]) -> Table {
     let engine = Engine {
         slots: 48,
         kv_capacity_tokens: 100_000,
         kv_token_bytes: 163_840,
         link_bytes_per_s: 16_250_000_000,
     };
-    let store = KvStore {
-        address: address(200),
-        zone: "zone-1".into(),
+    let store = |last: u8| KvStore {
+        address: address(last),
+        zone: format!("zone-{}", (last - 200) % 3 + 1),
         capacity_tokens: 1_000_000,
         link_bytes_per_s: 47_000_000_000,
     };
     let pool = |kind| Pool { kind, max_connections: 100 };
-    let pools = BTreeMap::from([
+    let mut pools = BTreeMap::from([
         ("plain".into(), pool(Kind::Plain)),
         ("engines".into(), pool(Kind::Engine(engine))),
-        ("kept".into(), pool(Kind::KvStore(store))),
     ]);
+    let stores =
+        stores.iter().map(|last| (format!("kept-{last}"), pool(Kind::KvStore(store(*last)))));
+    pools.extend(stores);
     Table::new(version, Vec::new(), pools, Vec::new(), Limits::default())
         .expect("the table is valid")
 }
