--- a/src/fleet/frame/wire.rs
+++ b/src/fleet/frame/wire.rs
@@ -100,6 +100,8 @@
     pub(super) accounts: Vec<Account>,
     #[prost(message, repeated, tag = "30")]
     pub(super) speeds: Vec<Speed>,
+    #[prost(message, repeated, tag = "31")]
+    pub(super) link_bytes_by_store: Vec<StoreTransfer>,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -134,6 +136,15 @@
     pub(super) age_ms: u32,
 }
 
+#[derive(Clone, PartialEq, prost::Message)]
+pub(super) struct StoreTransfer {
+    /// Address of the KV store.
+    #[prost(string, tag = "1")]
+    pub(super) store: String,
+    #[prost(uint64, tag = "2")]
+    pub(super) bytes: u64,
+}
+
 #[derive(Clone, PartialEq, prost::Message)]
 pub(super) struct Leaving {
     #[prost(string, tag = "1")]
--- a/src/fleet/replication/records.rs
+++ b/src/fleet/replication/records.rs
@@ -178,6 +178,7 @@
         self.event(Event::ManifestInForce, Detail::of("version", table.version()));
         let table = self.keep_former_quotas(table);
         self.table = Some(Arc::clone(&table));
+        self.update_stores();
         self.effects.push(Effect::Table(table));
     }
 
