--- a/src/division/mod.rs
+++ b/src/division/mod.rs
@@ -7,8 +7,9 @@
 //! go to some of the engines and long prompts to the others, in proportion to the work of both, and
 //! each takes the engines of the other when its own have no room. See `docs/design/uneven-load.md`.
 
+mod demand;
 mod share;
 #[cfg(test)]
 mod tests;
 
-pub use share::{Division, Work};
+pub use share::{Division, MIN_ENGINES, Work};
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -12,6 +12,7 @@
 mod figures;
 mod frame;
 mod gossip;
+mod group;
 mod handover;
 mod homes;
 mod isolation;
--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -30,6 +30,7 @@
     Server, Topic, rejection, request_limit, server,
 };
 use crate::capacity;
+use crate::division;
 use crate::fairness;
 use crate::lease;
 use crate::placement::Heat;
@@ -108,6 +109,8 @@
     pub(super) ledgers: BTreeMap<String, fairness::Ledger>,
     /// The typical speed of servers, by pool.
     pub(super) pool_speeds: BTreeMap<String, capacity::Pool>,
+    /// The division of engines between long prompts and token streams, by pool.
+    pub(super) divisions: BTreeMap<String, division::Division>,
     /// Refused callers that may retry.
     pub(super) expected: Refusals,
     pub(super) budgets: BTreeMap<String, Budget>,
@@ -215,6 +218,7 @@
             drains: BTreeMap::new(),
             ledgers: BTreeMap::new(),
             pool_speeds: BTreeMap::new(),
+            divisions: BTreeMap::new(),
             expected: Refusals::default(),
             budgets: BTreeMap::new(),
             peers: Peer::from_seeds(seeds, identity.address),
