--- a/src/fleet/tests/mod.rs
+++ b/src/fleet/tests/mod.rs
@@ -10,6 +10,7 @@
 mod culprits;
 mod day;
 mod deadly;
+mod division;
 mod frames;
 mod isolation;
 mod lives;
