--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -13,6 +13,7 @@
 mod figures;
 mod frame;
 mod gossip;
+mod group;
 mod handover;
 mod homes;
 mod isolation;
--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -31,6 +31,7 @@
     Server, Topic, rejection, request_limit, server,
 };
 use crate::capacity;
+use crate::division;
 use crate::fairness;
 use crate::lease;
 use crate::placement::Heat;
@@ -112,6 +113,8 @@
     pub(super) pool_speeds: BTreeMap<String, capacity::Pool>,
     /// Time of the next change of servers' weights as homes.
     pub(super) next_weight_update: Time,
+    /// The division of engines between long prompts and token streams, by pool.
+    pub(super) divisions: BTreeMap<String, division::Division>,
     /// Refused callers that may retry.
     pub(super) expected: Refusals,
     pub(super) budgets: BTreeMap<String, Budget>,
@@ -219,6 +222,7 @@
             held_back: HeldBack::default(),
             pool_speeds: BTreeMap::new(),
             next_weight_update: Time::ZERO,
+            divisions: BTreeMap::new(),
             expected: Refusals::default(),
             budgets: BTreeMap::new(),
             peers: Peer::from_seeds(seeds, identity.address),
--- a/src/fleet/tests/mod.rs
+++ b/src/fleet/tests/mod.rs
@@ -11,6 +11,7 @@
 mod culprits;
 mod day;
 mod deadly;
+mod division;
 mod frames;
 mod homes;
 mod isolation;
