--- a/src/fairness/tests/load.rs
+++ b/src/fairness/tests/load.rs
@@ -97,7 +97,7 @@
             }
             let (back, away) = self.away.drain(..).partition(|(at, _)| *at <= self.now);
             self.away = away;
-            for (_, load) in Vec::<(Time, Load)>::from(back) {
+            for (_, load) in back {
                 self.join(self.now, &Load { returns: true, ..load });
             }
             self.begin();
