--- a/src/fairness/ledger.rs
+++ b/src/fairness/ledger.rs
@@ -161,27 +161,31 @@
 
     /// Records that a request that joined was sent to a server.
     pub fn begin(&mut self, now: Time, claim: &Claim, start: Start) {
-        self.remove(claim, start);
         self.last_sent = Some(now);
+        let level = self.levels.entry(claim.priority).or_default();
+        let has_waited = level.remove(start, claim.cost_us());
         let mut behind_us = 0;
         if let Some(account) = self.accounts.get_mut(&claim.account()) {
             account.used_at = now;
             account.give(now, claim.cost_us() as f64 / 1_000.0);
             behind_us = account.debt_us(now);
+            if let Some(flow) = account.flow_mut(claim.priority).filter(|_| has_waited) {
+                flow.remove(level, claim.returns, claim.cost_us());
+            }
         }
         // A workspace that starts behind others stays so when it takes what is free meanwhile.
-        let reached = Start(start.0.saturating_sub(behind_us));
-        self.levels.entry(claim.priority).or_default().advance(reached);
+        level.advance(Start(start.0.saturating_sub(behind_us)));
     }
 
     /// Records that a request that joined was refused or cancelled: its cost is given back.
     pub fn leave(&mut self, _now: Time, claim: &Claim, start: Start) {
-        if !self.remove(claim, start) {
+        let Some(level) = self.levels.get_mut(&claim.priority) else { return };
+        if !level.remove(start, claim.cost_us()) {
             return;
         }
-        let Some(level) = self.levels.get(&claim.priority) else { return };
         let account = self.accounts.get_mut(&claim.account());
         if let Some(flow) = account.and_then(|account| account.flow_mut(claim.priority)) {
+            flow.remove(level, claim.returns, claim.cost_us());
             flow.refund(level, claim.returns, claim.virtual_us());
         }
     }
@@ -304,19 +308,6 @@
         self.accounts.is_empty()
     }
 
-    /// Removes a request from those that wait; returns whether it was one.
-    fn remove(&mut self, claim: &Claim, start: Start) -> bool {
-        let Some(level) = self.levels.get_mut(&claim.priority) else { return false };
-        if !level.remove(start, claim.cost_us()) {
-            return false;
-        }
-        let account = self.accounts.get_mut(&claim.account());
-        if let Some(flow) = account.and_then(|account| account.flow_mut(claim.priority)) {
-            flow.remove(level, claim.returns, claim.cost_us());
-        }
-        true
-    }
-
     /// Drops the workspaces of which nothing needs to be known, at intervals.
     fn sweep(&mut self, now: Time) {
         let is_full = self.accounts.len() >= self.max_accounts.max(MAX_WORKSPACES);
--- a/src/fairness/tests/load.rs
+++ b/src/fairness/tests/load.rs
@@ -95,9 +95,9 @@
             for load in loads {
                 (0..load.arrivals(step)).for_each(|_| self.join(self.now, load));
             }
-            let (back, away) = self.away.drain(..).partition(|(at, _)| *at <= self.now);
-            self.away = away;
-            for (_, load) in Vec::<(Time, Load)>::from(back) {
+            let now = self.now;
+            let back: Vec<(Time, Load)> = self.away.extract_if(.., |(at, _)| *at <= now).collect();
+            for (_, load) in back {
                 self.join(self.now, &Load { returns: true, ..load });
             }
             self.begin();
