Fair shares: what another scheduler says is bounded before it is adopted

Cause: a use of any size in a digest could move the virtual time to its end for good, and one that is no number ended the process. Change: uses are bounded by the time of 100,000 servers; the stated memory a workspace takes half-full nodes into account (352 bytes).

--- a/src/fairness/ledger.rs
+++ b/src/fairness/ledger.rs
@@ -15,10 +15,12 @@
 const MAX_WORKSPACES: usize = 16_384;
 /// Time after which a workspace without requests is like one that was never seen.
 const IDLE_LIFETIME: Duration = Duration::from_secs(10);
-/// Milliseconds of server time a second below which what a workspace was given no longer counts.
-const MIN_GIVEN_MS_PER_S: f64 = 1.0;
 /// Interval between two searches for such workspaces.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(5);
+/// Milliseconds of server time a second below which what a workspace was given no longer counts,
+/// and the most that another daemon's word is taken for: all the time of 100,000 servers.
+const MIN_GIVEN_MS_PER_S: f64 = 1.0;
+const MAX_GIVEN_MS_PER_S: f64 = 1e8;
 /// Time without a sent request after which another daemon schedules the pool, or none is needed.
 const REST: Duration = Duration::from_secs(1);
 /// Time by which a workspace with more than its share starts behind all others on a change of the
@@ -96,6 +98,15 @@
         self.given_ms_per_s * weight.value() / self.weights.max(weight.value())
     }
 
+    /// Virtual microseconds by which a workspace that was given more than its share starts behind
+    /// the others.
+    fn excess_us(&self, usage: &Usage) -> u64 {
+        let excess = usage.given_ms_per_s - self.share_ms_per_s(usage.weight);
+        let share = self.given_ms_per_s / self.weights;
+        let behind = (excess / usage.weight.value()).min(share).max(0.0);
+        (behind * ADOPTED_TIME.as_secs_f64() * 1_000.0) as u64
+    }
+
     fn add(&mut self, usage: &Usage) {
         self.given_ms_per_s += usage.given_ms_per_s;
         self.waiting_ms += usage.waiting_ms;
@@ -115,8 +126,8 @@
 
 /// The account of one pool.
 ///
-/// It takes at most 256 bytes a workspace with requests of one priority, beside its name, and some
-/// 20 a waiting request.
+/// It takes at most 352 bytes a workspace with requests of one priority, beside its name, and some
+/// 20 a waiting request. A request's calls must all have the claim with which it joined.
 #[derive(Debug, Default)]
 pub struct Ledger {
     pub(super) levels: BTreeMap<u8, Level>,
@@ -283,17 +294,19 @@
     /// what half a second gives a workspace of their weight. What it said before is forgotten.
     pub fn adopt(&mut self, now: Time, given: &[Usage]) {
         self.accounts.retain(|_, account| account.is_waiting());
+        let bounded = given.iter().take(MAX_WORKSPACES).map(|usage| {
+            let given = if usage.given_ms_per_s.is_nan() { 0.0 } else { usage.given_ms_per_s };
+            let given_ms_per_s = given.clamp(0.0, MAX_GIVEN_MS_PER_S);
+            Usage { given_ms_per_s, ..usage.clone() }
+        });
+        let given: Vec<Usage> = bounded.collect();
         let mut total = Total::default();
         given.iter().for_each(|usage| total.add(usage));
-        for usage in given.iter().take(MAX_WORKSPACES) {
-            let excess = usage.given_ms_per_s - total.share_ms_per_s(usage.weight);
-            let pace = total.given_ms_per_s / total.weights.max(usage.weight.value());
-            let behind =
-                (excess / usage.weight.value()).clamp(0.0, pace) * ADOPTED_TIME.as_secs_f64();
+        for usage in &given {
             let account = self.accounts.entry(Key::of(&usage.workspace));
             let account = account.or_insert_with(|| Account::new(now, &usage.workspace));
             account.adopt(now, usage);
-            let virtual_us = (behind * 1_000.0) as u64;
+            let virtual_us = total.excess_us(usage);
             account.owe(&self.levels, Debt { virtual_us, until: now + ADOPTED_LIFETIME });
         }
     }
--- a/src/fairness/tests/takeover.rs
+++ b/src/fairness/tests/takeover.rs
@@ -72,6 +72,20 @@
     }
 }
 
+#[test]
+fn adopt_any_number() {
+    let mut ledger = Ledger::default();
+    for given in [f64::NAN, f64::INFINITY, f64::NEG_INFINITY, -1.0, 0.0, f64::MAX] {
+        ledger.adopt(ms(0), &[usage("hot", given), usage("a", given), usage("b", 0.0)]);
+        let claim = load("hot", 1).claim();
+        let start = ledger.join(ms(0), &claim);
+        // Years of such words leave the virtual time in its range.
+        assert!(start.0 < u64::MAX >> 20, "{given}: {start:?}");
+        ledger.leave(ms(0), &claim, start);
+        assert!(ledger.top(ms(0), 8).iter().all(|usage| usage.given_ms_per_s.is_finite()));
+    }
+}
+
 #[test]
 fn two_ledgers_give_at_most_a_share_each() {
     // For two seconds two daemons place requests for half of the servers each, and the requests of
