--- a/src/fairness/ledger.rs
+++ b/src/fairness/ledger.rs
@@ -15,10 +15,12 @@
 const MAX_WORKSPACES: usize = 16_384;
 /// Time after which a workspace without requests is like one that was never seen.
 const IDLE_LIFETIME: Duration = Duration::from_secs(10);
-/// Milliseconds of server time a second below which what a workspace was given no longer counts.
-const MIN_GIVEN_MS_PER_S: f64 = 1.0;
 /// Interval between two searches for such workspaces.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(5);
+/// Milliseconds of server time a second below which what a workspace was given no longer counts,
+/// and the most that another daemon's word is taken for: all the time of 100,000 servers.
+const MIN_GIVEN_MS_PER_S: f64 = 1.0;
+const MAX_GIVEN_MS_PER_S: f64 = 1e8;
 /// Time without a sent request after which another daemon schedules the pool, or none is needed.
 const REST: Duration = Duration::from_secs(1);
 /// Time by which a workspace with more than its share starts behind all others on a change of the
@@ -96,6 +98,15 @@
         self.given_ms_per_s * weight.value() / self.weights.max(weight.value())
     }
 
+    /// Virtual microseconds by which a workspace that was given more than its share starts behind
+    /// the others.
+    fn excess_us(&self, usage: &Usage) -> u64 {
+        let excess = usage.given_ms_per_s - self.share_ms_per_s(usage.weight);
+        let share = self.given_ms_per_s / self.weights;
+        let behind = (excess / usage.weight.value()).min(share).max(0.0);
+        (behind * ADOPTED_TIME.as_secs_f64() * 1_000.0) as u64
+    }
+
     fn add(&mut self, usage: &Usage) {
         self.given_ms_per_s += usage.given_ms_per_s;
         self.waiting_ms += usage.waiting_ms;
@@ -115,8 +126,8 @@
 
 /// The account of one pool.
 ///
-/// It takes at most 256 bytes a workspace with requests of one priority, beside its name, and some
-/// 20 a waiting request.
+/// It takes at most 352 bytes a workspace with requests of one priority, beside its name, and some
+/// 20 a waiting request. A request's calls must all have the claim with which it joined.
 #[derive(Debug, Default)]
 pub struct Ledger {
     pub(super) levels: BTreeMap<u8, Level>,
@@ -161,27 +172,31 @@
 
     /// Records that a request that joined was sent to a server.
     pub fn begin(&mut self, now: Time, claim: &Claim, start: Start) {
-        self.remove(claim, start);
         self.last_sent = Some(now);
+        let level = self.levels.entry(claim.priority).or_default();
+        let has_waited = level.remove(start, claim.cost_us());
         let mut behind_us = 0;
         if let Some(account) = self.accounts.get_mut(&claim.account()) {
             account.used_at = now;
             account.give(now, claim.cost_us() as f64 / 1_000.0);
             behind_us = account.debt_us(now);
+            if let Some(flow) = account.flow_mut(claim.priority).filter(|_| has_waited) {
+                flow.remove(level, claim.returns, claim.cost_us());
+            }
         }
         // A workspace that starts behind others stays so when it takes what is free meanwhile.
-        let reached = Start(start.0.saturating_sub(behind_us));
-        self.levels.entry(claim.priority).or_default().advance(reached);
+        level.advance(Start(start.0.saturating_sub(behind_us)));
     }
 
     /// Records that a request that joined was refused or cancelled: its cost is given back.
     pub fn leave(&mut self, _now: Time, claim: &Claim, start: Start) {
-        if !self.remove(claim, start) {
+        let Some(level) = self.levels.get_mut(&claim.priority) else { return };
+        if !level.remove(start, claim.cost_us()) {
             return;
         }
-        let Some(level) = self.levels.get(&claim.priority) else { return };
         let account = self.accounts.get_mut(&claim.account());
         if let Some(flow) = account.and_then(|account| account.flow_mut(claim.priority)) {
+            flow.remove(level, claim.returns, claim.cost_us());
             flow.refund(level, claim.returns, claim.virtual_us());
         }
     }
@@ -279,17 +294,19 @@
     /// what half a second gives a workspace of their weight. What it said before is forgotten.
     pub fn adopt(&mut self, now: Time, given: &[Usage]) {
         self.accounts.retain(|_, account| account.is_waiting());
+        let bounded = given.iter().take(MAX_WORKSPACES).map(|usage| {
+            let given = if usage.given_ms_per_s.is_nan() { 0.0 } else { usage.given_ms_per_s };
+            let given_ms_per_s = given.clamp(0.0, MAX_GIVEN_MS_PER_S);
+            Usage { given_ms_per_s, ..usage.clone() }
+        });
+        let given: Vec<Usage> = bounded.collect();
         let mut total = Total::default();
         given.iter().for_each(|usage| total.add(usage));
-        for usage in given.iter().take(MAX_WORKSPACES) {
-            let excess = usage.given_ms_per_s - total.share_ms_per_s(usage.weight);
-            let pace = total.given_ms_per_s / total.weights.max(usage.weight.value());
-            let behind =
-                (excess / usage.weight.value()).clamp(0.0, pace) * ADOPTED_TIME.as_secs_f64();
+        for usage in &given {
             let account = self.accounts.entry(Key::of(&usage.workspace));
             let account = account.or_insert_with(|| Account::new(now, &usage.workspace));
             account.adopt(now, usage);
-            let virtual_us = (behind * 1_000.0) as u64;
+            let virtual_us = total.excess_us(usage);
             account.owe(&self.levels, Debt { virtual_us, until: now + ADOPTED_LIFETIME });
         }
     }
@@ -304,19 +321,6 @@
         self.accounts.is_empty()
     }
 
-    /// Removes a request from those that wait; returns whether it was one.
-    fn remove(&mut self, claim: &Claim, start: Start) -> bool {
-        let Some(level) = self.levels.get_mut(&claim.priority) else { return false };
-        if !level.remove(start, claim.cost_us()) {
-            return false;
-        }
-        let account = self.accounts.get_mut(&claim.account());
-        if let Some(flow) = account.and_then(|account| account.flow_mut(claim.priority)) {
-            flow.remove(level, claim.returns, claim.cost_us());
-        }
-        true
-    }
-
     /// Drops the workspaces of which nothing needs to be known, at intervals.
     fn sweep(&mut self, now: Time) {
         let is_full = self.accounts.len() >= self.max_accounts.max(MAX_WORKSPACES);
--- a/src/fairness/tests/load.rs
+++ b/src/fairness/tests/load.rs
@@ -95,8 +95,8 @@
             for load in loads {
                 (0..load.arrivals(step)).for_each(|_| self.join(self.now, load));
             }
-            let (back, away) = self.away.drain(..).partition(|(at, _)| *at <= self.now);
-            self.away = away;
+            let now = self.now;
+            let back: Vec<(Time, Load)> = self.away.extract_if(.., |(at, _)| *at <= now).collect();
             for (_, load) in back {
                 self.join(self.now, &Load { returns: true, ..load });
             }
