Fetch plans compare a transfer with reading at the learnt speed

Reading was compared at the assumed speed, also for an engine known to be faster or slower. Without learn_capacity the factor is 1 and plans are as before.

--- a/src/fleet/place.rs
+++ b/src/fleet/place.rs
@@ -276,8 +276,9 @@
                 })
             }
         };
-        let supply = sources.plan_fetch(key, &server.entry.zone, held, shared);
-        let reread_ms = requirement.reread_ms(role, &supply, self.slowness(now, server));
+        let slowness = self.slowness(now, server);
+        let supply = sources.plan_fetch(key, &server.entry.zone, (held, shared), slowness);
+        let reread_ms = requirement.reread_ms(role, &supply, slowness);
         // A home reads what it has lost, however long that takes.
         let bound_ms = if role == Role::Home { 0.0 } else { reread_ms };
         if wait_ms + supply.fetch_ms + bound_ms > requirement.max_wait_ms {
--- a/src/fleet/residency/sources.rs
+++ b/src/fleet/residency/sources.rs
@@ -71,13 +71,14 @@
 }
 
 impl Sources {
-    /// Returns the cheapest plan for `server` in `zone`, which holds `held` of `shared` tokens.
+    /// Returns the cheapest plan for `server` in `zone`, which holds `held` of `shared` tokens and
+    /// takes `slowness` times as long as assumed to read.
     pub(in crate::fleet) fn plan_fetch(
         &self,
         server: server::Key,
         zone: &str,
-        held: u32,
-        shared: u32,
+        (held, shared): (u32, u32),
+        slowness: f64,
     ) -> FetchPlan {
         let prefill_all = FetchPlan { prefill_tokens: shared - held, ..FetchPlan::default() };
         let others =
@@ -103,7 +104,7 @@
             }
         });
         let cost = |plan: &FetchPlan| {
-            plan.fetch_ms + f64::from(plan.prefill_tokens) / PREFILL_TOKENS_PER_MS
+            plan.fetch_ms + f64::from(plan.prefill_tokens) / PREFILL_TOKENS_PER_MS * slowness
         };
         let best = plans.min_by(|a, b| cost(a).total_cmp(&cost(b)));
         best.filter(|best| cost(best) < cost(&prefill_all)).unwrap_or(prefill_all)
