Learnt capacity: servers' speeds from their answers, and requests at once at plain servers

Cause: one speed was assumed for all servers, so requests queued at slow engines while fast ones idled, and a plain server was filled up to its slots however slow that makes it.

Change: a server's factor over the assumed time is learnt from complete answers that this daemon placed, with what was predicted when it was sent; it counts relative to the median of its pool, only beyond a dead band, and less with few or old samples. Answers after a pause, with fetched parts or during a load of weights are no samples. Plain servers get no more at once than pays, unless the request would be refused. Metrics slowness_percent and answers_within_percent; events 320 and 321. Off by default.

Ruled out: the pool's factor below 1 in placement.

--- a/src/capacity/mod.rs
+++ b/src/capacity/mod.rs
@@ -9,8 +9,13 @@
 //! the server's own, since a fast error shows no speed, and ends with the server's incarnation. See
 //! `docs/design/uneven-load.md`.
 
+mod concurrency;
+mod deviation;
+mod ratio;
 mod speed;
 #[cfg(test)]
 mod tests;
 
-pub use speed::{Estimate, Pool, Report, Sample, Speed};
+pub use concurrency::Concurrency;
+pub use deviation::Deviation;
+pub use speed::{Change, Estimate, Pool, Report, Sample, Speed};
--- a/src/fleet/admission.rs
+++ b/src/fleet/admission.rs
@@ -129,6 +129,9 @@
             return;
         }
         if self.would_time_out(now, key) {
+            if self.fill_server(now, key) {
+                return;
+            }
             return self.refuse(now, key, Code::NoServer);
         }
         if self.waiting.is_empty() {
--- a/src/fleet/figures.rs
+++ b/src/fleet/figures.rs
@@ -89,6 +89,9 @@
                 Gauge::labeled("refused", "code", code.row().number.to_string(), *n)
             }),
         );
+        if self.policy.learns_capacity {
+            self.add_deviation(&mut figures);
+        }
         self.add_quotas(&mut figures);
         self.add_pools(now, &mut figures);
         self.add_servers(now, &mut figures);
@@ -96,6 +99,14 @@
         figures
     }
 
+    /// Adds how many answers took up to some percent of the predicted time.
+    fn add_deviation(&self, figures: &mut Vec<Gauge>) {
+        for (percent, answers) in self.deviation.cumulative() {
+            let bound = percent.map_or("inf".to_owned(), |percent| percent.to_string());
+            figures.push(Gauge::labeled("answers_within_percent", "percent", bound, answers));
+        }
+    }
+
     /// Adds the keeper's share, and the remaining quota of recently active workspaces.
     fn add_quotas(&self, figures: &mut Vec<Gauge>) {
         let lent = match self.quota.role() {
@@ -144,6 +155,9 @@
             let load = self.load(key, server);
             let mut show = |name, value| figures.push(Gauge::labeled(name, "server", id, value));
             show("running", u64::from(load.running));
+            if self.policy.learns_capacity {
+                show("slowness_percent", self.slowness_percent(now, server));
+            }
             show("unread_tokens", u64::from(load.pending_tokens));
             show("usable", u64::from(server.is_usable(now)));
             show("failures_in_a_row", u64::from(server.failures()));
--- a/src/fleet/load.rs
+++ b/src/fleet/load.rs
@@ -1,5 +1,6 @@
 //! Sums the work of all daemons at a server.
 
+use super::request::Request;
 use super::{Node, Server, Workload, server};
 use crate::prelude::*;
 use crate::route::Kind;
@@ -84,4 +85,29 @@
             _ => server.entry.slots,
         }
     }
+
+    /// Whether a server has room for this request: a slot, and no more requests at once than serve
+    /// callers best. A request whose wait would end in a refusal may use all slots.
+    pub(super) fn has_room_for(
+        &self,
+        now: Time,
+        request: &Request,
+        key: server::Key,
+        server: &Server,
+    ) -> bool {
+        self.has_room(now, key, server)
+            && (request.may_fill_server
+                || self.has_waited_for_home(now, request)
+                || self.load(key, server).running < self.preferred_slots(now, server))
+    }
+
+    /// Number of requests at once at which a server serves callers best.
+    fn preferred_slots(&self, now: Time, server: &Server) -> u32 {
+        let slots = self.slots(server);
+        let is_plain = server.entry.weights.is_empty();
+        match self.policy.learns_capacity && is_plain {
+            true => server.concurrency.limit(now, slots),
+            false => slots,
+        }
+    }
 }
--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -108,6 +108,8 @@
     pub(super) ledgers: BTreeMap<String, fairness::Ledger>,
     /// The typical speed of servers, by pool.
     pub(super) pool_speeds: BTreeMap<String, capacity::Pool>,
+    /// How far predicted times of answers are from real ones.
+    pub(super) deviation: capacity::Deviation,
     /// Refused callers that may retry.
     pub(super) expected: Refusals,
     pub(super) budgets: BTreeMap<String, Budget>,
@@ -215,6 +217,7 @@
             drains: BTreeMap::new(),
             ledgers: BTreeMap::new(),
             pool_speeds: BTreeMap::new(),
+            deviation: capacity::Deviation::default(),
             expected: Refusals::default(),
             budgets: BTreeMap::new(),
             peers: Peer::from_seeds(seeds, identity.address),
--- a/src/fleet/reports.rs
+++ b/src/fleet/reports.rs
@@ -41,6 +41,7 @@
             Report::Ended => {
                 self.note_response(now, server);
                 self.request_answered(now, key);
+                self.note_answered_in(now, key);
                 if let Some(server) = self.servers.get_mut(server) {
                     server.record_success();
                 }
@@ -113,6 +114,7 @@
         self.settle_possible_reject(key);
         self.clear_parts(now, key);
         self.log_begun(now, key, at);
+        self.note_begun_in(now, key, at);
         if let Some(cost_ms) = self.requests.get(&key).and_then(|request| request.fetch_cost_ms) {
             let waited_ms = now.saturating_sub(at).as_secs_f64() * 1_000.0;
             self.kv_link.record_delay(now, waited_ms - cost_ms);
--- a/src/fleet/request.rs
+++ b/src/fleet/request.rs
@@ -2,6 +2,7 @@
 
 use super::retry::Charge;
 use super::scheduling::{Origin, Stage};
+use super::speed::Prediction;
 use super::{Arrival, Software, Start, StreamId, server};
 use crate::fairness;
 use crate::prelude::*;
@@ -41,6 +42,10 @@
     /// Predicted TTFT in milliseconds, without queueing on the KV store's link, if it fetches from
     /// there.
     pub(super) fetch_cost_ms: Option<f64>,
+    /// What its server was predicted to take for the newest attempt.
+    pub(super) prediction: Option<Prediction>,
+    /// Whether it may use all slots of a server, since it would be refused otherwise.
+    pub(super) may_fill_server: bool,
     /// The version that began its stream, at which alone it may go on.
     pub(super) software: Option<Software>,
     /// The versions to which it was sent, by attempt.
@@ -80,6 +85,8 @@
             admission_deadline: None,
             weights_version: None,
             fetch_cost_ms: None,
+            prediction: None,
+            may_fill_server: false,
             software: None,
             sent_software: Vec::new(),
             tried: Vec::new(),
--- a/src/fleet/requests.rs
+++ b/src/fleet/requests.rs
@@ -182,6 +182,7 @@
         self.note_possible_reject(now, key, choice.server);
         self.charge_request_limit(now, choice.server);
         self.charge_run(now, key);
+        self.note_prediction(now, key, &choice);
         let Some(request) = self.requests.get_mut(&key) else { return };
         let Some(server) = self.servers.get_mut(choice.server) else { return };
         request.sends += 1;
--- a/src/fleet/server.rs
+++ b/src/fleet/server.rs
@@ -79,6 +79,8 @@
     pub unconfirmed_removal_at: Option<Time>,
     /// How fast it works, as learnt from its answers.
     pub speed: capacity::Speed,
+    /// How its answers slow down as more requests run there, if it is a plain server.
+    pub concurrency: capacity::Concurrency,
     /// The parts of prompts in its cache.
     pub(super) residency: Residency,
     failures: u32,
@@ -100,6 +102,7 @@
             order: None,
             unconfirmed_removal_at: None,
             speed: capacity::Speed::default(),
+            concurrency: capacity::Concurrency::default(),
             residency: Residency::default(),
             failures: 0,
             only_witness: None,
--- a/src/fleet/tests/mod.rs
+++ b/src/fleet/tests/mod.rs
@@ -30,6 +30,7 @@
 mod servers;
 mod site;
 mod software;
+mod speed;
 mod spread;
 mod statement;
 mod store;
--- a/src/telemetry/event.rs
+++ b/src/telemetry/event.rs
@@ -75,6 +75,8 @@
     RequestLimitEnded = 314, Info, "A backend server states no request limit any more.";
     LeavingStated = 315, Info, "A backend server states in an answer that it is leaving.";
     RestStated = 316, Info, "A backend server turned a request of this daemon away and wants none of it for a while.";
+    ServerSlow = 320, Warn, "A backend server takes clearly longer than its pool; less work is sent there.";
+    ServerWell = 321, Info, "A backend server that was slow is about as fast as its pool again.";
     AttemptFailed = 400, Info, "An attempt at a backend server failed.";
     AnswerDiscarded = 401, Warn, "An answer named another attempt, incarnation or weights version, and was discarded.";
     StreamResumed = 402, Info, "A stream was resumed after its connection broke.";
