--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -115,6 +115,8 @@
     pub(super) next_weight_update: Time,
     /// The division of engines between long prompts and token streams, by pool.
     pub(super) divisions: BTreeMap<String, division::Division>,
+    /// How far predicted times of answers are from real ones.
+    pub(super) deviation: capacity::Deviation,
     /// Refused callers that may retry.
     pub(super) expected: Refusals,
     pub(super) budgets: BTreeMap<String, Budget>,
@@ -223,6 +225,7 @@
             pool_speeds: BTreeMap::new(),
             next_weight_update: Time::ZERO,
             divisions: BTreeMap::new(),
+            deviation: capacity::Deviation::default(),
             expected: Refusals::default(),
             budgets: BTreeMap::new(),
             peers: Peer::from_seeds(seeds, identity.address),
--- a/src/fleet/reports.rs
+++ b/src/fleet/reports.rs
@@ -41,6 +41,7 @@
             Report::Ended => {
                 self.note_response(now, server);
                 self.request_answered(now, key);
+                self.note_answered_in(now, key);
                 if let Some(server) = self.servers.get_mut(server) {
                     server.record_success();
                 }
@@ -113,6 +114,7 @@
         self.settle_possible_reject(key);
         self.clear_parts(now, key);
         self.log_begun(now, key, at);
+        self.note_begun_in(now, key, at);
         let fetch = self.requests.get(&key).and_then(|request| request.store_fetch);
         if let Some(fetch) = fetch
             && let Some(store) = self.stores.get_mut(fetch.store)
--- a/src/fleet/server.rs
+++ b/src/fleet/server.rs
@@ -82,6 +82,8 @@
     pub speed: capacity::Speed,
     /// How many shared parts it keeps, by that speed.
     pub(super) home_weight: Weight,
+    /// How its answers slow down as more requests run there, if it is a plain server.
+    pub concurrency: capacity::Concurrency,
     /// The parts of prompts in its cache.
     pub(super) residency: Residency,
     failures: u32,
@@ -104,6 +106,7 @@
             unconfirmed_removal_at: None,
             speed: capacity::Speed::default(),
             home_weight: Weight::default(),
+            concurrency: capacity::Concurrency::default(),
             residency: Residency::default(),
             failures: 0,
             only_witness: None,
