--- a/src/fleet/tests/division.rs
+++ b/src/fleet/tests/division.rs
@@ -344,8 +344,7 @@
     })
 }
 
-/// Load: three times as many streams for some seconds. With streams beside long prompts, the more is
-/// asked, the less is served.
+/// Load: three times as many streams for some seconds.
 #[test]
 fn crowd_of_streams_leaves_long_prompts_in_time() {
     let [crowded, calm] = with_and_without_crowd(true, 3.0);
