--- a/src/fleet/group.rs
+++ b/src/fleet/group.rs
@@ -11,6 +11,9 @@
 use crate::division::{MIN_ENGINES, Work};
 use crate::prelude::*;
 
+/// Weight of an answer's engine time against that of its prompt. A stream that is taken for a long
+/// prompt is slow up to its last token; a long prompt that is taken for a stream delays others once.
+const ANSWER_WEIGHT: f64 = 2.0;
 /// Maximum share of an engine's slots in use at which it takes a long prompt although it serves
 /// streams first: each of these pauses.
 const MAX_RUNNING_RATIO_FOR_READ: f64 = 0.25;
@@ -20,10 +23,10 @@
 /// What a prompt mostly asks of an engine, by its numbers of tokens. Shared parts do not count,
 /// because few engines read them.
 pub(super) fn work_of(prompt: &Prompt) -> Work {
-    if unshared_ms(prompt) > answer_ms(prompt) { Work::Read } else { Work::Stream }
+    if unshared_ms(prompt) > answer_ms(prompt) * ANSWER_WEIGHT { Work::Read } else { Work::Stream }
 }
 
-/// Milliseconds of engine time for an answer of the maximum length that the caller states.
+/// Milliseconds of engine time for an answer.
 fn answer_ms(prompt: &Prompt) -> f64 {
     f64::from(prompt.output) * ANSWER_TOKEN_MS
 }
