--- a/src/fleet/accounts.rs
+++ b/src/fleet/accounts.rs
@@ -113,18 +113,12 @@
     }
 
     /// The share of a pool's engines that serves streams, while it is divided.
-    fn stream_share(&self, now: Time, pool: &str) -> Option<f32> {
-        let division = self.divisions.get(pool).filter(|_| self.policy.divides_engines);
-        division.and_then(|division| division.stream_share(now)).map(|share| share as f32)
+    fn stream_share(&self, _now: Time, _pool: &str) -> Option<f32> {
+        None
     }
 
     /// Adopts the share of a pool's engines that served streams at its former scheduler.
-    fn adopt_stream_share(&mut self, now: Time, pool: &str, share: f32) {
-        if self.policy.divides_engines {
-            let division = self.divisions.entry(pool.to_owned()).or_default();
-            division.adopt(now, f64::from(share));
-        }
-    }
+    fn adopt_stream_share(&mut self, _now: Time, _pool: &str, _share: f32) {}
 
     /// Reports the workspaces that begin to be held back for the shares of others.
     pub(super) fn report_held_back(&mut self, now: Time) {
