Engines are not divided between long prompts and token streams

Not tried: the cost of harm to others in each placement, a bound of what is read at engines that stream.

--- a/benches/fleet.rs
+++ b/benches/fleet.rs
@@ -83,7 +83,6 @@
         quota: quota::Policy { window: Duration::from_secs(8), overage: 0.0, slack: 0.0 },
         fair_shares: fairness::Mode::Off,
         learns_capacity: false,
-        divides_engines: false,
         uses_all_kv_stores: false,
     }
 }
--- a/src/fleet/accounts.rs
+++ b/src/fleet/accounts.rs
@@ -1,5 +1,5 @@
-//! State of pools that outlives their scheduler: what workspaces were given, the speeds of servers
-//! and the division of engines.
+//! State of pools that outlives their scheduler: what workspaces were given, and the speeds of
+//! servers.
 //!
 //! A scheduler sends it to the other schedulers with its digests. Each of them adopts the state of
 //! the pools that it does not place requests for, so that it is there when the scheduler ends: the
@@ -51,9 +51,7 @@
         let ledger = self.ledgers.get(pool).filter(|ledger| ledger.is_active(now));
         let mut usages = ledger.map(|ledger| ledger.top(now, MAX_USAGES)).unwrap_or_default();
         usages.retain(|usage| usage.workspace.len() <= MAX_NAME_BYTES);
-        let stream_share = self.stream_share(now, pool);
-        let is_empty = usages.is_empty() && stream_share.is_none();
-        (!is_empty).then(|| Account { pool: pool.to_owned(), usages, stream_share })
+        (!usages.is_empty()).then(|| Account { pool: pool.to_owned(), usages })
     }
 
     /// The speeds of the servers that differ most from the assumed one.
@@ -79,13 +77,10 @@
         if !self.is_scheduler(now) {
             return;
         }
-        for Account { pool, usages, stream_share } in accounts {
+        for Account { pool, usages } in accounts {
             if !self.pools.contains_key(&pool) {
                 continue;
             }
-            if let Some(share) = stream_share {
-                self.adopt_stream_share(now, &pool, share);
-            }
             if self.has_fair_shares() {
                 self.adopt_usages(now, pool, &usages);
             }
@@ -112,14 +107,6 @@
         }
     }
 
-    /// The share of a pool's engines that serves streams, while it is divided.
-    fn stream_share(&self, _now: Time, _pool: &str) -> Option<f32> {
-        None
-    }
-
-    /// Adopts the share of a pool's engines that served streams at its former scheduler.
-    fn adopt_stream_share(&mut self, _now: Time, _pool: &str, _share: f32) {}
-
     /// Reports the workspaces that begin to be held back for the shares of others.
     pub(super) fn report_held_back(&mut self, now: Time) {
         let mut details = Vec::new();
--- a/src/fleet/explain.rs
+++ b/src/fleet/explain.rs
@@ -72,7 +72,6 @@
             .and_some("weights", choice.weights)
             .and_some("overtaken_ms", self.overtaken(now, request, choice.weights))
             .and("home", choice.is_home)
-            .and_some("overflow", choice.is_overflow.then_some(true))
             .and_some("fetch_from", choice.fetch_from)
             .and("save", choice.save_to.is_some());
         let detail = with_start(detail, request);
--- a/src/fleet/figures.rs
+++ b/src/fleet/figures.rs
@@ -181,9 +181,6 @@
             figures.push(Gauge::labeled("servers_usable", "pool", pool, usable as u64));
             let versions = servers.versions.count(now) as u64;
             figures.push(Gauge::labeled("software_versions", "pool", pool, versions));
-            if let Some(engines) = self.stream_engines(now, pool) {
-                figures.push(Gauge::labeled("stream_engines", "pool", pool, engines as u64));
-            }
             if let Some((limit, rejects)) = self.reject_figures(now, pool) {
                 figures.push(Gauge::labeled("reject_limit", "pool", pool, u64::from(limit)));
                 figures.push(Gauge::labeled("rejects_max", "pool", pool, rejects as u64));
--- a/src/fleet/frame/account.rs
+++ b/src/fleet/frame/account.rs
@@ -20,8 +20,6 @@
     pub pool: String,
     /// The workspaces that were given most of it lately.
     pub usages: Vec<Usage>,
-    /// The share of its engines that serves streams, from 0 to 1; `None` while it is not divided.
-    pub stream_share: Option<f32>,
 }
 
 /// Converts a number to one that is finite in its encoding.
@@ -47,7 +45,6 @@
                 .map(|usage| encode_number(usage.given_ms_per_s))
                 .collect(),
             waiting_ms: usages.iter().map(|usage| encode_number(usage.waiting_ms)).collect(),
-            stream_share: account.stream_share,
         }
     }
 }
@@ -56,8 +53,7 @@
     type Error = Malformed;
 
     fn try_from(account: wire::Account) -> Result<Self, Malformed> {
-        let wire::Account { pool, workspaces, weights, given_ms_per_s, waiting_ms, stream_share } =
-            account;
+        let wire::Account { pool, workspaces, weights, given_ms_per_s, waiting_ms } = account;
         let count = workspaces.len();
         if [weights.len(), given_ms_per_s.len(), waiting_ms.len()] != [count; 3] {
             return Err(Malformed("a pool's workspaces and their use differ in number".into()));
@@ -65,9 +61,6 @@
         if count > MAX_USAGES {
             return Err(Malformed("a pool has too many workspaces".into()));
         }
-        if stream_share.is_some_and(|share| !(0.0..=1.0).contains(&share)) {
-            return Err(Malformed("the share of streams is not from 0 to 1".into()));
-        }
         let numbers = weights.into_iter().zip(given_ms_per_s).zip(waiting_ms);
         let usages = workspaces.into_iter().zip(numbers);
         let usages = usages.map(|(workspace, ((weight, given_ms_per_s), waiting_ms))| {
@@ -79,7 +72,7 @@
                 waiting_ms: decode_number(waiting_ms)?,
             })
         });
-        Ok(Self { pool, usages: usages.collect::<Result<_, Malformed>>()?, stream_share })
+        Ok(Self { pool, usages: usages.collect::<Result<_, Malformed>>()? })
     }
 }
 
--- a/src/fleet/frame/wire.rs
+++ b/src/fleet/frame/wire.rs
@@ -117,9 +117,6 @@
     pub(super) given_ms_per_s: Vec<f32>,
     #[prost(float, repeated, tag = "5")]
     pub(super) waiting_ms: Vec<f32>,
-    /// Absent while the pool is not divided.
-    #[prost(float, optional, tag = "6")]
-    pub(super) stream_share: Option<f32>,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
--- a/src/fleet/homes/mod.rs
+++ b/src/fleet/homes/mod.rs
@@ -12,7 +12,6 @@
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use super::group::Groups;
 use super::pool::Cell;
 use super::prompt::{salted_key, shared_parts, unshared_ms};
 use super::{Node, Prompt, Server, server};
@@ -20,7 +19,7 @@
 use crate::{prefix, rendezvous};
 
 /// Engine time of an answer token in a batch of some dozen answers.
-pub(super) const ANSWER_TOKEN_MS: f64 = 0.5;
+const ANSWER_TOKEN_MS: f64 = 0.5;
 /// Work per second that one copy of a part carries: a fifth of an engine, so that the home of
 /// several hot parts still has room.
 const COPY_LOAD_MS_PER_S: f64 = 200.0;
@@ -69,19 +68,11 @@
     /// Computes the homes of a prompt's shared parts in a cell. Each part selects among the servers selected
     /// by the parts before it, so that a server keeps few of the parts that many prompts begin
     /// with.
-    pub(super) fn homes(
-        &self,
-        now: Time,
-        owner: &str,
-        cell: Cell<'_>,
-        groups: Option<&Groups>,
-        prompt: &Prompt,
-    ) -> Homes {
+    pub(super) fn homes(&self, now: Time, owner: &str, cell: Cell<'_>, prompt: &Prompt) -> Homes {
         let mut ranked: Vec<(server::Key, &Server)> = cell
             .keys()
             .filter_map(|key| Some((key, self.servers.get(key)?)))
             .filter(|(_, server)| !server.entry.draining)
-            .filter(|(_, server)| groups.is_none_or(|groups| groups.serves_first(server, prompt)))
             .collect();
         let Some((last, earlier)) = shared_parts(&prompt.parts).split_last() else {
             return Homes::default();
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -13,7 +13,6 @@
 mod figures;
 mod frame;
 mod gossip;
-mod group;
 mod handover;
 mod homes;
 mod isolation;
--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -31,7 +31,6 @@
     Server, Topic, rejection, request_limit, server,
 };
 use crate::capacity;
-use crate::division;
 use crate::fairness;
 use crate::lease;
 use crate::placement::Heat;
@@ -78,8 +77,6 @@
     pub fair_shares: fairness::Mode,
     /// Whether the speed of servers is learnt from their answers.
     pub learns_capacity: bool,
-    /// Whether engines are divided between long prompts and token streams.
-    pub divides_engines: bool,
     /// Whether parts of prompts are spread over all KV stores of the configuration.
     pub uses_all_kv_stores: bool,
 }
@@ -113,8 +110,6 @@
     pub(super) pool_speeds: BTreeMap<String, capacity::Pool>,
     /// Time of the next change of servers' weights as homes.
     pub(super) next_weight_update: Time,
-    /// The division of engines between long prompts and token streams, by pool.
-    pub(super) divisions: BTreeMap<String, division::Division>,
     /// How far predicted times of answers are from real ones.
     pub(super) deviation: capacity::Deviation,
     /// Refused callers that may retry.
@@ -224,7 +219,6 @@
             held_back: HeldBack::default(),
             pool_speeds: BTreeMap::new(),
             next_weight_update: Time::ZERO,
-            divisions: BTreeMap::new(),
             deviation: capacity::Deviation::default(),
             expected: Refusals::default(),
             budgets: BTreeMap::new(),
--- a/src/fleet/place.rs
+++ b/src/fleet/place.rs
@@ -2,7 +2,6 @@
 
 use std::net::SocketAddr;
 
-use super::group::Groups;
 use super::homes::{Homes, Role};
 use super::load::Load;
 use super::notice::LARGE_TOKENS;
@@ -69,8 +68,6 @@
     pub(super) moved_bytes: f64,
     /// Whether the server is a home of the shared parts.
     pub(super) is_home: bool,
-    /// Whether the server serves requests of another kind first.
-    pub(super) is_overflow: bool,
     /// Predicted milliseconds to the first token, with penalties.
     pub(super) cost_ms: f64,
 }
@@ -81,8 +78,6 @@
     prompt: &'a Prompt,
     /// The workspace of the request if it shares no cache with others.
     isolated: Option<&'a str>,
-    /// The groups of engines, if the pool is divided.
-    groups: Option<Groups>,
     homes: Homes,
     /// Maximum milliseconds that it may wait at an engine.
     max_wait_ms: f64,
@@ -185,7 +180,6 @@
             from_store: false,
             moved_bytes: 0.0,
             is_home: false,
-            is_overflow: false,
             cost_ms,
         })
     }
@@ -199,30 +193,6 @@
         usable: &[(server::Key, &Server)],
     ) -> Option<Choice> {
         let requirement = self.requirement(now, request, prompt, cell, usable);
-        let Some(groups) = &requirement.groups else {
-            return self.place_among(now, &requirement, cell, usable);
-        };
-        let (own, others): (Vec<_>, Vec<_>) =
-            usable.iter().copied().partition(|(_, server)| groups.serves_first(server, prompt));
-        self.place_among(now, &requirement, cell, &own).or_else(|| {
-            let takes = |(key, server): &(server::Key, &Server)| {
-                self.takes_other_work(server, self.load(*key, server), prompt)
-            };
-            let others: Vec<_> = others.into_iter().filter(takes).collect();
-            let choice = self.place_among(now, &requirement, cell, &others)?;
-            Some(Choice { is_overflow: true, ..choice })
-        })
-    }
-
-    /// Chooses the engine with the lowest cost; `None` if none could begin in time.
-    fn place_among(
-        &self,
-        now: Time,
-        requirement: &Requirement<'_>,
-        cell: Cell<'_>,
-        usable: &[(server::Key, &Server)],
-    ) -> Option<Choice> {
-        let (request, prompt) = (requirement.request, requirement.prompt);
         let mut by_version: BTreeMap<u64, (String, Sources)> = BTreeMap::new();
         let mut best: Option<(Choice, FetchPlan)> = None;
         for (key, server) in usable {
@@ -239,7 +209,7 @@
                 );
                 (salt, sources)
             });
-            let candidate = self.evaluate(now, requirement, *key, server, salt, sources);
+            let candidate = self.evaluate(now, &requirement, *key, server, salt, sources);
             let cost = |candidate: &Option<(Choice, FetchPlan)>| {
                 candidate.as_ref().map_or(f64::INFINITY, |(choice, _)| choice.cost_ms)
             };
@@ -261,9 +231,7 @@
     ) -> Requirement<'a> {
         let isolated = request.arrival.workspace.as_ref().filter(|owner| owner.isolated);
         let isolated = isolated.map(|owner| owner.name.as_str());
-        let groups = self.groups(now, &request.pool, cell);
-        let owner = isolated.unwrap_or_default();
-        let homes = self.homes(now, owner, cell, groups.as_ref(), prompt);
+        let homes = self.homes(now, isolated.unwrap_or_default(), cell, prompt);
         let ratio = if prompt.input < LARGE_TOKENS {
             MAX_ENGINE_WAIT_RATIO_SMALL
         } else {
@@ -279,7 +247,7 @@
             homes.role(*key) == Role::Home && version.is_some_and(begins)
         });
         let waits_for_home = has_home && !self.has_waited_for_home(now, request);
-        Requirement { request, prompt, isolated, groups, homes, max_wait_ms, waits_for_home }
+        Requirement { request, prompt, isolated, homes, max_wait_ms, waits_for_home }
     }
 
     /// Predicts the cost of a request on an engine and the source of the parts that the engine
@@ -342,7 +310,6 @@
             save_to: None,
             moved_bytes: 0.0,
             is_home: role == Role::Home,
-            is_overflow: false,
             cost_ms,
         };
         Some((choice, supply))
--- a/src/fleet/requests.rs
+++ b/src/fleet/requests.rs
@@ -104,7 +104,6 @@
             let isolated = arrival.workspace.as_ref().filter(|owner| owner.isolated);
             let owner = isolated.map_or("", |owner| owner.name.as_str());
             self.note_heat(now, owner, prompt);
-            self.note_work(now, &request.pool, prompt);
         }
         let key = arrival.request;
         request.refused_before = self.expected.is_retry(now, arrival.fingerprint);
--- a/src/fleet/tests/frames.rs
+++ b/src/fleet/tests/frames.rs
@@ -60,10 +60,7 @@
         ],
         named: vec![Naming { model: "m".into(), version: 4, age: Some(Duration::from_millis(70)) }],
         leaving: vec![Incarnation::new("e-1", 9)],
-        accounts: vec![
-            account("engines", 2),
-            Account { stream_share: None, ..account("plain", 0) },
-        ],
+        accounts: vec![account("engines", 2), account("plain", 0)],
         speeds: vec![speed(1), speed(2)],
     }
 }
@@ -77,7 +74,7 @@
         waiting_ms: 120.0,
     };
     let usages = (0..workspaces).map(usage).collect();
-    Account { pool: pool.into(), usages, stream_share: Some(0.25) }
+    Account { pool: pool.into(), usages }
 }
 
 fn speed(server: u64) -> (Incarnation, capacity::Report) {
@@ -176,16 +173,9 @@
         account.usages[0].waiting_ms = waiting_ms;
         account
     };
-    let share = |share: f32| Account { stream_share: Some(share), ..account("engines", 1) };
-    for account in [
-        usage(-1.0, 0.0),
-        usage(0.0, -1.0),
-        usage(0.0, f64::NEG_INFINITY),
-        share(-0.1),
-        share(1.1),
-        share(f32::NAN),
-        account("engines", 33),
-    ] {
+    for account in
+        [usage(-1.0, 0.0), usage(0.0, -1.0), usage(0.0, f64::NEG_INFINITY), account("engines", 33)]
+    {
         let invalid = Digest { accounts: vec![account.clone()], ..digest() };
         let frame = Frame::Digest(Box::new(invalid));
         assert!(Frame::decode(&frame.encode()).is_err(), "{account:?}");
--- a/src/fleet/tests/homes.rs
+++ b/src/fleet/tests/homes.rs
@@ -43,7 +43,7 @@
     let request = &daemon.node.requests[&request];
     let cell = daemon.node.pools["engines"].cells_of(request).next().expect("a pool has a cell");
     let prompts = (0..SUBJECTS).map(|subject| prompt(subject, subject));
-    prompts.map(|prompt| daemon.node.homes(ms(6_000), "", cell, None, &prompt)).collect()
+    prompts.map(|prompt| daemon.node.homes(ms(6_000), "", cell, &prompt)).collect()
 }
 
 /// Number of prompts that have an engine as home, by its id.
--- a/src/fleet/tests/mod.rs
+++ b/src/fleet/tests/mod.rs
@@ -11,7 +11,6 @@
 mod culprits;
 mod day;
 mod deadly;
-mod division;
 mod frames;
 mod homes;
 mod isolation;
--- a/src/fleet/tests/world.rs
+++ b/src/fleet/tests/world.rs
@@ -37,7 +37,6 @@
     quota: quota::Policy { window: Duration::from_secs(8), overage: 0.1, slack: 110_000.0 },
     fair_shares: fairness::Mode::Off,
     learns_capacity: false,
-    divides_engines: false,
     uses_all_kv_stores: false,
 };
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,7 +17,6 @@
 pub mod clock;
 pub mod control;
 pub mod daemon;
-pub mod division;
 pub mod entry;
 pub mod error;
 pub mod fairness;
