--- a/src/fleet/drain.rs
+++ b/src/fleet/drain.rs
@@ -14,6 +14,16 @@
     at: Time,
     /// Start of the period in which requests wait.
     waiting_since: Option<Time>,
+    work: Work,
+}
+
+/// The work that is sent while requests wait. Older work and time count less.
+#[derive(Debug, Clone, Copy, Default)]
+struct Work {
+    ms: f64,
+    seconds: f64,
+    at: Time,
+    since: Option<Time>,
 }
 
 impl Throughput {
@@ -49,4 +59,34 @@
         let wait_s = ahead as f64 / self.per_s(now).max(f64::MIN_POSITIVE);
         Some(Duration::try_from_secs_f64(wait_s).unwrap_or(Duration::MAX))
     }
+
+    /// Records that requests of the pool wait from now on.
+    pub(super) fn reset_work(&mut self, now: Time) {
+        self.work = Work { at: now, since: Some(now), ..Work::default() };
+    }
+
+    /// Records that work was sent to the pool's servers, in milliseconds of server time.
+    pub(super) fn note_work(&mut self, now: Time, ms: f64) {
+        self.work = self.work.at(now);
+        self.work.ms += ms;
+    }
+
+    /// Milliseconds of work sent per second while requests wait; `None` until they have waited long
+    /// enough for an estimate.
+    pub(super) fn work_ms_per_s(&self, now: Time) -> Option<f64> {
+        let since = self.work.since?;
+        let work = self.work.at(now);
+        (now >= since + HALF_LIFE / 2).then(|| work.ms / work.seconds)
+    }
+}
+
+impl Work {
+    /// The same, aged until `now`.
+    fn at(self, now: Time) -> Self {
+        let passed = now.saturating_sub(self.at).as_secs_f64();
+        let half_life = HALF_LIFE.as_secs_f64();
+        let kept = (-passed / half_life).exp2();
+        let added = half_life / std::f64::consts::LN_2 * (1.0 - kept);
+        Self { ms: self.ms * kept, seconds: self.seconds * kept + added, at: now, ..self }
+    }
 }
--- a/src/fleet/explain.rs
+++ b/src/fleet/explain.rs
@@ -1,5 +1,6 @@
 //! Log events for the decisions on a request: the inputs of each decision, their age, and the outcome.
 
+use super::patience::Shortage;
 use super::place::Choice;
 use super::pool::Pool;
 use super::request::{Phase, Request};
@@ -122,6 +123,21 @@
         self.event(Event::StreamTakenUp, detail);
     }
 
+    /// Adds the request's workspace with the work ahead of it under fair shares, the pace of the
+    /// pool, and why it cannot be sent, while the room of the pool is divided.
+    fn with_share(&self, now: Time, detail: Detail, key: Key, request: &Request) -> Detail {
+        let Some(stake) = &request.stake else { return detail };
+        let ledger = self.ledgers.get(&request.pool);
+        let ahead_ms = ledger.map_or(0.0, |ledger| ledger.ahead_ms(&stake.claim));
+        detail
+            .and("workspace", stake.claim.workspace.as_ref())
+            .and("ahead_ms", ahead_ms.round())
+            .and("pace_ms_per_s", self.pace_ms_per_s(now, &request.pool).round())
+            .and("returns", request.refused_before)
+            .and("late", request.is_late)
+            .and_some("why", self.shortage(now, key).map(Shortage::name))
+    }
+
     pub(super) fn log_waiting(&mut self, now: Time, key: Key) {
         let Some(request) = self.requests.get(&key) else { return };
         let servers = self.pools.get(&request.pool).map(Pool::keys).unwrap_or_default();
@@ -132,6 +148,7 @@
             .and("servers", servers.len())
             .and("usable", usable)
             .and("sends", request.sends);
+        let detail = self.with_share(now, detail, key, request);
         let detail = self.with_data_ages(now, detail);
         self.event(Event::RequestWaits, detail);
     }
@@ -152,6 +169,10 @@
             .and("waited_ms", waited)
             .and("waiting", self.waiting.len())
             .and("retry_after_ms", after);
+        let detail = match code {
+            Code::NoServer => self.with_share(now, detail, key, request),
+            _ => detail,
+        };
         let detail = self.with_data_ages(now, detail);
         self.event(Event::RequestRefused, detail);
     }
--- a/src/fleet/handover.rs
+++ b/src/fleet/handover.rs
@@ -106,7 +106,7 @@
         self.withdraw(key);
         self.refund_quota(now, key);
         self.quota_leadership.undecided.remove(&key);
-        self.leave_queue(key);
+        self.leave_queue(now, key);
         if let Some(request) = self.requests.get_mut(&key) {
             request.charged_runs = request.possible_runs;
             request.scheduler.clear();
--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -16,6 +16,7 @@
 use super::notice::Allowance;
 use super::peer::Peer;
 use super::pool::Pool;
+use super::queue::Queue;
 use super::quotas::Leadership;
 use super::reach::Reach;
 use super::replication::Bootstrap;
@@ -102,7 +103,7 @@
     /// Software versions of streams.
     pub(super) streams: Streams,
     /// The queue of waiting requests, in the order in which they are sent.
-    pub(super) waiting: BTreeSet<Position>,
+    pub(super) waiting: Queue,
     /// Rate at which waiting requests are sent, by pool.
     pub(super) drains: BTreeMap<String, Throughput>,
     /// What workspaces were given of pools, while their room is divided.
@@ -182,6 +183,8 @@
     /// The earliest time of the next scan of the queue, and the turn after which it continues.
     pub(super) next_queue_scan: Time,
     pub(super) queue_cursor: Option<Position>,
+    /// The earliest time of the next prediction for what waits.
+    pub(super) next_prediction: Time,
     /// Allowance for notices to peers.
     pub(super) notice_allowance: Allowance,
     pub(super) next_digest: Time,
@@ -213,7 +216,7 @@
             pools: BTreeMap::new(),
             requests: BTreeMap::new(),
             streams: Streams::default(),
-            waiting: BTreeSet::new(),
+            waiting: Queue::default(),
             drains: BTreeMap::new(),
             ledgers: BTreeMap::new(),
             held_back: HeldBack::default(),
@@ -258,6 +261,7 @@
             copy_allowance: Allowance::default(),
             next_queue_scan: Time::ZERO,
             queue_cursor: None,
+            next_prediction: Time::ZERO,
             notice_allowance: Allowance::default(),
             next_digest: Time::ZERO,
             next_heat_digest: Time::ZERO,
--- a/src/fleet/place.rs
+++ b/src/fleet/place.rs
@@ -235,6 +235,7 @@
             MAX_ENGINE_WAIT_RATIO
         };
         let max_wait_ms = request.arrival.route.target_latency.as_secs_f64() * 1_000.0 * ratio;
+        let max_wait_ms = max_wait_ms.min(self.max_engine_wait_ms(now, request));
         // A request waits for a home that will soon have room. If no home is usable, or it has
         // waited for one in vain, another idle engine reads the parts in time.
         let has_home = usable.iter().any(|(key, server)| {
--- a/src/fleet/request.rs
+++ b/src/fleet/request.rs
@@ -1,5 +1,6 @@
 //! The state of one request and its attempts.
 
+use super::claim::Stake;
 use super::retry::Charge;
 use super::scheduling::{Origin, Stage};
 use super::{Arrival, Software, Start, StreamId, server};
@@ -55,6 +56,12 @@
     pub(super) charge: Charge,
     /// Whether its caller retries a recently refused request.
     pub(super) refused_before: bool,
+    /// When its caller first asked, as far as this daemon knows.
+    pub(super) asked_at: Time,
+    /// Whether it waits although it can no longer be answered in time.
+    pub(super) is_late: bool,
+    /// Its entry in the ledger of its pool, while the room of that is divided.
+    pub(super) stake: Option<Stake>,
     /// Its virtual start time, while the room of its pool is divided among workspaces.
     pub(super) start: fairness::Start,
     /// The daemon that submitted it, unless it is this daemon's own.
@@ -87,6 +94,9 @@
             was_refused_by_server: false,
             charge: Charge::First,
             refused_before: false,
+            asked_at: now,
+            is_late: false,
+            stake: None,
             start: fairness::Start::default(),
             origin,
             scheduler: String::new(),
--- a/src/fleet/requests.rs
+++ b/src/fleet/requests.rs
@@ -1,6 +1,5 @@
 //! The states of a request: it arrives, waits, and is sent, retried, refused or given up.
 
-use super::admission::Position;
 use super::place::Choice;
 use super::prompt::{salted_key, shared_parts};
 use super::request::{Phase, Request};
@@ -105,7 +104,9 @@
             self.note_heat(now, owner, prompt);
         }
         let key = arrival.request;
-        request.refused_before = self.expected.is_retry(now, arrival.fingerprint);
+        let asked_at = self.expected.asked_at(now, arrival.fingerprint);
+        request.refused_before = asked_at.is_some();
+        request.asked_at = asked_at.unwrap_or(request.asked_at);
         self.requests.insert(key, request);
         if self.is_blocked(key) {
             return self.refuse_blocked(now, key);
@@ -182,6 +183,7 @@
         self.note_possible_reject(now, key, choice.server);
         self.charge_request_limit(now, choice.server);
         self.charge_run(now, key);
+        self.charge_ledger(now, key);
         let Some(request) = self.requests.get_mut(&key) else { return };
         let Some(server) = self.servers.get_mut(choice.server) else { return };
         request.sends += 1;
@@ -256,8 +258,8 @@
             request.draws_on_retry_budget = true;
             return self.send_or_queue(now, key);
         }
-        let fingerprint = request.arrival.fingerprint;
-        self.expected.record(now, fingerprint);
+        let (fingerprint, asked_at) = (request.arrival.fingerprint, request.asked_at);
+        self.expected.record(now, fingerprint, asked_at);
         self.command(key, Command::GiveUp);
         self.remove_request(now, key);
     }
@@ -277,13 +279,15 @@
     }
 
     /// Takes a request out of the queue of waiting ones.
-    pub(super) fn leave_queue(&mut self, key: Key) {
+    pub(super) fn leave_queue(&mut self, now: Time, key: Key) {
         if let Some(request) = self.requests.get(&key) {
-            self.waiting.remove(&Position::of(key, request));
+            self.waiting.remove(key, request);
         }
+        self.leave_ledger(now, key);
     }
 
     pub(super) fn remove_request(&mut self, now: Time, key: Key) {
+        self.leave_queue(now, key);
         self.release_slot(key);
         self.end_handover(key);
         self.withdraw(key);
@@ -293,7 +297,6 @@
             if let Some(origin) = &request.origin {
                 self.served.remove(origin);
             }
-            self.waiting.remove(&Position::of(key, &request));
             if !self.waiting.is_empty() {
                 self.send_waiting(now);
             }
