--- a/src/fleet/patience.rs
+++ b/src/fleet/patience.rs
@@ -13,22 +13,6 @@
 /// Least wait that is granted: the target divided by this, also where the predicted time at a
 /// server leaves less.
 const MIN_WAIT_DIVISOR: u32 = 2;
-/// Time for which a late request waits: that until its deadline divided by this. A retry must
-/// still fit in.
-const LATE_WAIT_DIVISOR: u32 = 2;
-/// What becomes of requests that can no longer be answered in time.
-const LATE: Late = Late::Refused;
-
-/// What becomes of requests that can no longer be answered within their target, but could be
-/// before their deadline.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Late {
-    /// They are refused.
-    Refused,
-    /// They wait behind all others.
-    Waits,
-}
-
 /// The times of one waiting request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) struct Times {
@@ -89,15 +73,10 @@
         in_time.max(least.min(self.last_send()))
     }
 
-    /// The time until which it waits once it is late.
+    /// The time until which it waits once it is late: a part of its target after it came back, or
+    /// was last sent.
     pub(super) fn late_until(&self) -> Time {
-        let left = self.last_send().saturating_sub(self.waits_since);
-        match LATE {
-            Late::Waits => self.waits_since + left / LATE_WAIT_DIVISOR,
-            Late::Refused => {
-                self.last_send().min(self.waits_since + self.target / MIN_WAIT_DIVISOR)
-            }
-        }
+        self.last_send().min(self.waits_since + self.target / MIN_WAIT_DIVISOR)
     }
 
     /// The last time at which it can be sent and answered before its deadline.
@@ -112,11 +91,10 @@
         if sent_at <= self.in_time_until() {
             return Verdict::Wait;
         }
-        let is_late_already = now > self.in_time_until();
-        match LATE {
-            Late::Refused if !is_late_already => Verdict::Refuse,
-            Late::Waits | Late::Refused if sent_at <= self.late_until() => Verdict::WaitBehind,
-            Late::Waits | Late::Refused => Verdict::Refuse,
+        let is_late = now > self.in_time_until();
+        match is_late && sent_at <= self.late_until() {
+            true => Verdict::WaitBehind,
+            false => Verdict::Refuse,
         }
     }
 
