--- a/src/fleet/admission.rs
+++ b/src/fleet/admission.rs
@@ -237,12 +237,6 @@
         }
     }
 
-    /// Whether waiting requests have a time by which they can still be answered as their routes
-    /// ask. Otherwise each may wait for a part of its target.
-    fn is_patient(&self) -> bool {
-        self.policy.learns_capacity || self.divides_room()
-    }
-
     /// The times that decide how long a request waits.
     fn times(&self, request: &Request) -> Times {
         let waits_since = match request.phase {
@@ -264,9 +258,10 @@
     }
 
     /// Maximum milliseconds that a request may wait at an engine so that it can be answered in
-    /// time; infinite while requests wait for a part of their target.
+    /// time; infinite while the room of pools is not divided: requests then wait for a part of
+    /// their target.
     pub(super) fn max_engine_wait_ms(&self, now: Time, request: &Request) -> f64 {
-        match self.is_patient() {
+        match self.divides_room() {
             true => self.times(request).max_engine_wait_ms(now, request.is_late),
             false => f64::INFINITY,
         }
@@ -407,7 +402,7 @@
     /// its tries are limited, and the throughput does not show that replacements start.
     fn would_time_out(&self, now: Time, key: Key) -> bool {
         let Some(request) = self.requests.get(&key) else { return false };
-        let max_wait = match self.is_patient() {
+        let max_wait = match self.divides_room() {
             true => self.times_from(now, request).in_time_until().saturating_sub(now),
             false => Self::max_wait(request),
         };
@@ -676,7 +671,7 @@
         let Phase::Waiting(since) = request.phase else { return false };
         let has_waited = match self.claims_isolation(now, key) {
             true => has_waited_for_isolation(now, request),
-            false if self.is_patient() => now >= self.waits_until(request),
+            false if self.divides_room() => now >= self.waits_until(request),
             false => now >= since + Self::max_wait(request),
         };
         has_waited || now >= request.arrival.deadline
