--- a/src/fleet/accounts.rs
+++ b/src/fleet/accounts.rs
@@ -35,12 +35,6 @@
 }
 
 impl Node {
-    /// Whether the room of pools is divided among workspaces.
-    pub(super) fn has_fair_shares(&self) -> bool {
-        let has_quotas = self.table.as_ref().is_some_and(|table| table.has_quotas());
-        self.policy.fair_shares.is_on(has_quotas)
-    }
-
     /// What this daemon tells other schedulers of the pools that it places requests for.
     pub(super) fn accounts(&self, now: Time) -> Vec<Account> {
         let accounts = self.pools.keys().filter_map(|pool| self.account(now, pool));
@@ -81,7 +75,7 @@
             if !self.pools.contains_key(&pool) {
                 continue;
             }
-            if self.has_fair_shares() {
+            if self.divides_room() {
                 self.adopt_usages(now, pool, &usages);
             }
         }
--- a/src/fleet/claim.rs
+++ b/src/fleet/claim.rs
@@ -7,12 +7,12 @@
 use super::prompt::{PREFILL_TOKENS_PER_MS, unshared_ms};
 use super::request::{Phase, Request};
 use super::{Key, Node};
-use crate::fairness::{Claim, Mode, Weight};
+use crate::fairness::{Claim, Weight};
 use crate::prelude::*;
 
 /// Milliseconds of an engine's step that one token of an answer takes up: a step of some
 /// milliseconds makes a token for each of the requests that run.
-const ANSWER_TOKEN_MS: f64 = 0.2;
+const STEP_SHARE_MS: f64 = 0.2;
 
 /// The entry of a request in the ledger of its pool.
 #[derive(Debug, Clone)]
@@ -42,11 +42,8 @@
 impl Node {
     /// Whether the room of pools is divided among workspaces.
     pub(super) fn divides_room(&self) -> bool {
-        match self.policy.fair_shares {
-            Mode::Off => false,
-            Mode::WithQuotas => self.table.as_ref().is_some_and(|table| table.has_quotas()),
-            Mode::Always => true,
-        }
+        let has_quotas = self.table.as_ref().is_some_and(|table| table.has_quotas());
+        self.policy.fair_shares.is_on(has_quotas)
     }
 
     /// Enters a request in the ledger of its pool, once, while room is divided.
@@ -130,7 +127,7 @@
         match &request.arrival.prompt {
             None => self.pool_plain_ms(&request.pool),
             Some(prompt) => {
-                let answer_ms = f64::from(prompt.output) * ANSWER_TOKEN_MS;
+                let answer_ms = f64::from(prompt.output) * STEP_SHARE_MS;
                 (unshared_ms(prompt) + answer_ms) * self.pool_slowness(&request.pool)
             }
         }
@@ -146,7 +143,7 @@
             None => now.saturating_sub(sent_at).as_secs_f64() * 1_000.0,
             Some(prompt) => {
                 let read_ms = f64::from(prefill_tokens) / PREFILL_TOKENS_PER_MS;
-                let answer_ms = f64::from(prompt.output) * ANSWER_TOKEN_MS;
+                let answer_ms = f64::from(prompt.output) * STEP_SHARE_MS;
                 (read_ms + answer_ms) * self.pool_slowness(&request.pool)
             }
         }
--- a/src/fleet/patience.rs
+++ b/src/fleet/patience.rs
@@ -13,6 +13,7 @@
 /// Least wait that is granted: the target divided by this, also where the predicted time at a
 /// server leaves less.
 const MIN_WAIT_DIVISOR: u32 = 2;
+
 /// The times of one waiting request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) struct Times {
