A slow engine becomes the home of fewer parts once its speed is learnt

Cause: a weight needed twelve samples, and an estimate has six at most, since older ones lose theirs: weights never changed (found by a reading of the diff). Change: four samples. Test: update_home_weights_halves_that_of_a_slow_engine goes through the samples; with twelve it would fail, as no weight could change (not run so). Off where speeds are not learnt.

--- a/src/fleet/homes/weight.rs
+++ b/src/fleet/homes/weight.rs
@@ -15,8 +15,9 @@
 const SLOW_RATIO: f64 = 1.5;
 /// Ratio below which its weight is 1 again.
 const NO_LONGER_SLOW_RATIO: f64 = 1.25;
-/// Minimum samples of an estimate that changes a weight.
-const MIN_SAMPLES: f64 = 12.0;
+/// Minimum samples of an estimate that changes a weight; older samples lose theirs, so an estimate
+/// rests on six at most.
+const MIN_SAMPLES: f64 = 4.0;
 /// Maximum age of the newest sample of such an estimate.
 const MAX_SAMPLE_AGE: Duration = Duration::from_secs(5);
 /// Interval between changes of weights.
--- a/src/fleet/tests/homes.rs
+++ b/src/fleet/tests/homes.rs
@@ -1,6 +1,7 @@
 //! Homes of parts by the learnt speed of engines.
 
 use super::world::*;
+use crate::capacity::Sample;
 use crate::fleet::homes::weight::{Candidate, changes};
 use crate::fleet::homes::{Homes, Role, Weight};
 use crate::fleet::*;
@@ -129,3 +130,37 @@
     assert_eq!(changes(ENGINES, candidates.clone()), [(keys[7], Weight::Half)]);
     assert_eq!(changes(100, candidates).len(), 5);
 }
+
+/// The weights of all engines after each has answered eight times, the first three times as slowly
+/// as the others.
+fn weights_after_answers(learns_capacity: bool) -> Vec<(String, Weight)> {
+    let mut daemon = daemon(learns_capacity);
+    let pool = daemon.node.pool_speeds.entry("engines".into()).or_default();
+    for round in 0..8 {
+        let now = ms(5_000 + round * 100);
+        for server in daemon.node.servers.values_mut() {
+            let is_slow = server.entry.incarnation.id == "e-0";
+            let took_ms = if is_slow { 60.0 } else { 20.0 };
+            let sample = Sample { predicted_ms: 20.0, took_ms };
+            server.speed.record(now, sample);
+            pool.record(now, sample);
+        }
+    }
+    daemon.node.update_home_weights(ms(6_000));
+    let servers = daemon.node.servers.values();
+    servers.map(|server| (server.entry.incarnation.id.clone(), server.home_weight)).collect()
+}
+
+/// Weights needed more samples than an estimate ever has, so a slow engine kept its parts.
+#[test]
+fn update_home_weights_halves_that_of_a_slow_engine() {
+    for (id, weight) in weights_after_answers(true) {
+        let expected = if id == "e-0" { Weight::Half } else { Weight::One };
+        assert_eq!(weight, expected, "{id}");
+    }
+}
+
+#[test]
+fn update_home_weights_without_learnt_speeds_changes_nothing() {
+    assert!(weights_after_answers(false).iter().all(|(_, weight)| *weight == Weight::One));
+}
