--- a/src/capacity/mod.rs
+++ b/src/capacity/mod.rs
@@ -5,9 +5,9 @@
 //! servers while fast ones are idle.
 //!
 //! A time is predicted by a model with assumed constants. What a server took over what the model
-//! predicted, is its factor: 1 as assumed, 2 twice as slow. It counts only from complete answers of
-//! the server's own, since a fast error shows no speed, and ends with the server's incarnation. See
-//! `docs/design/uneven-load.md`.
+//! predicted, is its factor: 1 as assumed, 2 twice as slow. A sample is the time to an engine's first
+//! token, or to the end of a plain server's answer; a fast error shows no speed and is none. What was
+//! learnt ends with the server's incarnation. See `docs/design/uneven-load.md`.
 
 mod concurrency;
 mod deviation;
--- a/src/capacity/speed.rs
+++ b/src/capacity/speed.rs
@@ -3,10 +3,9 @@
 use super::ratio::{MAX_FACTOR, Ratio};
 use crate::prelude::*;
 
-/// Time in which a sample loses half of its weight. Servers turn slow for about a second.
+/// Time in which a sample loses half of its weight: a slowdown of a second shows while it lasts.
 const HALF_LIFE: Duration = Duration::from_secs(2);
-/// Samples after which an older one has lost its weight. An engine answers a few requests a second,
-/// and a slow one should be left within a second of its answers.
+/// Maximum weight of earlier samples against a new one: a slow server is left after a few answers.
 const MAX_SAMPLES: f64 = 6.0;
 /// Samples of a server that count as much as what is known of its pool.
 const PRIOR_SAMPLES: f64 = 1.0;
--- a/src/fairness/ledger.rs
+++ b/src/fairness/ledger.rs
@@ -1,4 +1,4 @@
-//! The account of one pool: what each workspace has been given, and has waiting.
+//! The ledger of one pool: what each workspace has been given, and has waiting.
 
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -124,7 +124,7 @@
     }
 }
 
-/// The account of one pool.
+/// What workspaces were given of one pool, and have waiting.
 ///
 /// It takes at most 352 bytes a workspace with requests of one priority, beside its name, and some
 /// 20 a waiting request. A request's calls must all have the claim with which it joined.
--- a/src/fairness/weight.rs
+++ b/src/fairness/weight.rs
@@ -35,7 +35,8 @@
         is_valid.then_some(Self(millionths.round() as u32))
     }
 
-    /// Returns the weight of a quota, relative to the mean rate of all quotas; 1 if the workspace
+    /// Returns the weight of a quota, relative to `mean_rate`, the mean rate of the quotas with the
+    /// same unit; 1 if the workspace
     /// has no quota.
     ///
     /// ```
--- a/src/fleet/accounts.rs
+++ b/src/fleet/accounts.rs
@@ -1,9 +1,9 @@
-//! State of pools that outlives their scheduler: what workspaces were given, and the speeds of
+//! What schedulers tell each other of their pools: what workspaces were given, and the speeds of
 //! servers.
 //!
-//! A scheduler sends it to the other schedulers with its digests. Each of them adopts the state of
-//! the pools that it does not place requests for, so that it is there when the scheduler ends: the
-//! daemons submit to the next one before that one has noticed.
+//! A scheduler adopts what workspaces were given of a pool that it doesn't place requests for, and
+//! merges all speeds, so that both are known when another scheduler ends: the daemons submit to the
+//! next one before that one has noticed.
 
 use super::frame::{Account, MAX_ACCOUNTS, MAX_NAME_BYTES, MAX_SPEEDS, MAX_USAGES};
 use super::{Incarnation, Node};
--- a/src/fleet/admission.rs
+++ b/src/fleet/admission.rs
@@ -6,6 +6,9 @@
 //! would delay others that can still be answered in time. It is refused while its caller can still
 //! retry, with a retry-after time computed from the queue ahead of it. Retries go before new
 //! requests of the same priority, whichever daemon refused them.
+//!
+//! Where the room of pools is divided ([`super::claim`]), a request waits while it can be answered in
+//! time ([`super::patience`]), and retries go before new requests of their own workspace alone.
 
 use super::claim::Stake;
 use super::drain::Throughput;
@@ -168,8 +171,9 @@
         }
     }
 
-    /// Whether a new request may be sent before those that wait: not if its workspace is further
-    /// ahead of its share than theirs.
+    /// Whether a new request may be tried before those that wait: not if it is late and others are
+    /// not, nor if its workspace is further ahead of its share than that of the first one of the
+    /// same priority. A request that was sent before may always be tried.
     fn is_its_turn(&self, key: Key) -> bool {
         let Some(request) = self.requests.get(&key) else { return false };
         let Some(stake) = request.stake.as_ref().filter(|_| request.sends == 0) else {
@@ -193,7 +197,8 @@
         if self.concurrency(now, &request.pool) == 0 {
             return Some(Shortage::NoServer);
         }
-        Some(if self.is_its_turn(key) { Shortage::NoRoom } else { Shortage::OverShare })
+        let is_over_share = !request.is_late && !self.is_its_turn(key);
+        Some(if is_over_share { Shortage::OverShare } else { Shortage::NoRoom })
     }
 
     fn queue(&mut self, now: Time, key: Key, is_late: bool) {
@@ -395,17 +400,14 @@
         self.waiting.insert(key, request);
     }
 
-    /// Whether the throughput of the queue, or the limits of all servers or the rest that they want, predict that a request
-    /// would be refused after its wait.
-    /// It is then refused at once, and its caller retries sooner. Only rest counts for a request
-    /// that was sent before, or to a returning caller of a pool where servers have just crashed:
-    /// its tries are limited, and the throughput does not show that replacements start.
+    /// Whether a request would probably be refused after its wait, by the rest that the pool's
+    /// servers want, their request limits, or the throughput of the queue. It is then refused at
+    /// once, so that its caller retries sooner. Only the rest counts for a request that was sent
+    /// before or must run alone, and for a returning caller of a pool where servers have just
+    /// crashed: its tries are limited, and the throughput does not show that replacements start.
     fn would_time_out(&self, now: Time, key: Key) -> bool {
         let Some(request) = self.requests.get(&key) else { return false };
-        let max_wait = match self.divides_room() {
-            true => self.times_from(now, request).in_time_until().saturating_sub(now),
-            false => Self::max_wait(request),
-        };
+        let max_wait = Self::max_wait(request);
         if let Some(rest) = self.rest_of_pool(now, request) {
             return rest > max_wait;
         }
@@ -485,7 +487,7 @@
     fn next_batch(&mut self) -> Vec<Position> {
         let mut batch: Vec<Position> = self.waiting.iter().take(DISPATCH_BATCH).copied().collect();
         let Some(last) = batch.last().copied() else { return batch };
-        let from = self.queue_cursor.filter(|pumped| *pumped > last).unwrap_or(last);
+        let from = self.queue_cursor.filter(|cursor| *cursor > last).unwrap_or(last);
         batch.extend(self.waiting.after(from).take(DISPATCH_BATCH));
         self.queue_cursor = batch.last().copied().filter(|_| batch.len() == 2 * DISPATCH_BATCH);
         batch
--- a/src/fleet/homes/mod.rs
+++ b/src/fleet/homes/mod.rs
@@ -5,6 +5,9 @@
 //! proportion to their [`Weight`]s, whatever their model's weights and load. The choice must not
 //! depend on anything that differs between daemons or changes by the second: a part is read again
 //! on each server that it moves to.
+//!
+//! Where speeds are learnt, a daemon's own estimates weight the servers ([`weight`]), so daemons may
+//! differ for a few parts; weights have few steps and change slowly for that reason.
 
 pub(super) mod weight;
 
--- a/src/fleet/load.rs
+++ b/src/fleet/load.rs
@@ -87,7 +87,8 @@
     }
 
     /// Whether a server has room for this request: a slot, and no more requests at once than serve
-    /// callers best. A request whose wait would end in a refusal may use all slots.
+    /// callers best. A request that would be refused, or has waited for half of its
+    /// maximum wait, may use all slots.
     pub(super) fn has_room_for(
         &self,
         now: Time,
--- a/src/fleet/residency/choice.rs
+++ b/src/fleet/residency/choice.rs
@@ -21,8 +21,8 @@
     table.kv_stores().take(if uses_all { usize::MAX } else { 1 })
 }
 
-/// Score of a store for a part; the highest is chosen. Stores keep parts in proportion to their
-/// capacity.
+/// Score of a store for a part; the highest is chosen. Stores that state their capacity keep parts in
+/// proportion to it.
 fn score(name: &str, store: &KvStore, part: u64) -> f64 {
     let hash = xxh3_64_with_seed(name.as_bytes(), part);
     rendezvous::score(hash, store.capacity_tokens.max(1) as f64)
