--- a/src/capacity/speed.rs
+++ b/src/capacity/speed.rs
@@ -7,7 +7,7 @@
 const HALF_LIFE: Duration = Duration::from_secs(2);
 /// Maximum weight of earlier samples against a new one: a slow server is left after a few answers.
 const MAX_SAMPLES: f64 = 6.0;
-/// Samples of a server that count as much as what is known of its pool.
+/// Weight of the pool's factor in the estimate of one server, in samples.
 const PRIOR_SAMPLES: f64 = 1.0;
 /// Maximum distance of a sample from the estimate that counts: one outlier stays within
 /// [`Ratio::CLOSE`].
@@ -152,7 +152,7 @@
         self.samples = (samples / lost.max(f64::MIN_POSITIVE)).min(MAX_SAMPLES);
     }
 
-    /// What this daemon tells its peers; `None` without samples.
+    /// Returns the report for peers; `None` without samples.
     pub fn report(&self, now: Time) -> Option<Report> {
         let age = now.saturating_sub(self.newest?);
         let (factor, samples) = (self.mean.factor() as f32, self.weight(now) as f32);
@@ -184,7 +184,7 @@
         }
     }
 
-    /// How far the server is from its pool, as a difference of logarithms, by what is known of it.
+    /// Returns the logarithm of the server's factor over that of its pool.
     fn difference(&self, now: Time, pool: &Pool) -> f64 {
         if self.newest.is_none() {
             return 0.0;
@@ -218,7 +218,7 @@
         self.differs = self.samples >= MIN_POOL_SAMPLES && distance > limit;
     }
 
-    /// The typical factor; 1 while what was measured does not differ clearly from the assumption.
+    /// Returns the median factor of its servers; 1 while that is close to 1.
     pub fn factor(&self) -> f64 {
         if self.differs { self.median.factor() } else { 1.0 }
     }
--- a/src/fairness/account.rs
+++ b/src/fairness/account.rs
@@ -55,7 +55,8 @@
         start
     }
 
-    /// Gives back what was charged. Nothing is saved up: the clocks stay at the virtual time.
+    /// Gives back what was charged. The clocks never fall behind the virtual time, so that a
+    /// workspace gains no credit by refunds.
     pub(super) fn refund(&mut self, level: &Level, returns: bool, virtual_us: u64) {
         let refunded = |clock: u64| clock.saturating_sub(virtual_us).max(level.virtual_us);
         self.finish_us = refunded(self.finish_us);
@@ -208,7 +209,7 @@
         self.given_ms * (-age.div_duration_f64(GIVEN_HALF_LIFE)).exp2()
     }
 
-    /// What it was given lately, and has waiting.
+    /// Returns what it was given lately, and the cost of its waiting requests.
     pub(super) fn usage(&self, now: Time) -> Usage {
         let waiting_us: u64 = self.flows.iter().map(|flow| flow.waiting_us).sum();
         let rate_factor = std::f64::consts::LN_2 / GIVEN_HALF_LIFE.as_secs_f64();
--- a/src/fairness/ledger.rs
+++ b/src/fairness/ledger.rs
@@ -21,8 +21,8 @@
 /// and the most that another daemon's word is taken for: all the time of 100,000 servers.
 const MIN_GIVEN_MS_PER_S: f64 = 1.0;
 const MAX_GIVEN_MS_PER_S: f64 = 1e8;
-/// Time without a sent request after which another daemon schedules the pool, or none is needed.
-const REST: Duration = Duration::from_secs(1);
+/// Time after the last sent request for which this daemon counts as placing requests of the pool.
+const ACTIVE_LIFETIME: Duration = Duration::from_secs(1);
 /// Time by which a workspace with more than its share starts behind all others on a change of the
 /// scheduler, if these ask for all the room: about the age of what is known of its use.
 const ADOPTED_TIME: Duration = Duration::from_millis(500);
@@ -281,7 +281,7 @@
     /// Whether requests were sent, or wait, so that this daemon places requests of the pool.
     pub fn is_active(&self, now: Time) -> bool {
         let has_waiting = self.levels.values().any(|level| level.waiting_us > 0);
-        has_waiting || self.idle_time(now).is_some_and(|idle| idle < REST)
+        has_waiting || self.idle_time(now).is_some_and(|idle| idle < ACTIVE_LIFETIME)
     }
 
     /// Time since a request was last sent; `None` if none was.
