Keys stay needed once none is left

What callers saw: once the operators had revoked the last key, every daemon passed on requests with a revoked key, with a key that never was, and with none, and servers ran them without a workspace.

Cause: Table::find let requests pass without a key where the index of keys was empty, which stood for "the configuration has no workspaces". It is also empty when no workspace has a key, when no entry of the section can be read, and when the section is an empty list.

The log line 410 of such a request has outcome=answered, table=2, the newest configuration, and an empty workspace, so the configuration was in force and the look-up passed it; this rules out a late configuration.

Why this works: whether a key is needed follows from the section, which Table::new now gets (None where the configuration has none), not from the index. A section that is no list is unreadable, as before.

The own interface refuses what no workspace owns; a test holds that now (it passed before; authenticate's second half is a function for it). A later configuration without the section opens its routes, as the users' page has it.

Table's five callers in tests name None or Some.

--- a/benches/fleet.rs
+++ b/benches/fleet.rs
@@ -65,7 +65,7 @@
     };
     let pool = Pool { kind: Kind::Engine(engine), max_connections: 1_000 };
     let pools = BTreeMap::from([("engines".into(), pool)]);
-    Table::new(1, Vec::new(), pools, Vec::new(), Limits::default()).expect("the table is valid")
+    Table::new(1, Vec::new(), pools, None, Limits::default()).expect("the table is valid")
 }
 
 fn policy() -> Policy {
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -156,19 +156,22 @@
     /// Finds the workspace that owns the request's bearer key.
     fn authenticate(&self, request: &Request) -> Result<(String, Arc<Revision>)> {
         let force = self.control.manifest_in_force().ok_or(Code::NoManifest)?;
-        let value = header::single(request.as_ref(), "authorization")?.ok_or(Code::MissingKey)?;
-        let key = match value.split_once(' ') {
-            Some((scheme, key)) if scheme.eq_ignore_ascii_case("bearer") => key.trim(),
-            _ => return Err(Code::MissingKey.into()),
-        };
-        let workspace = force
-            .workspace_of_key(&crate::manifest::sha256_hex(key.as_bytes()))
-            .ok_or(Code::WrongKey)?
-            .to_owned();
+        let workspace = workspace_of(request, &force)?;
         Ok((workspace, force))
     }
 }
 
+/// Returns the workspace that owns the request's bearer key.
+fn workspace_of(request: &Request, force: &Revision) -> Result<String> {
+    let value = header::single(request.as_ref(), "authorization")?.ok_or(Code::MissingKey)?;
+    let key = match value.split_once(' ') {
+        Some((scheme, key)) if scheme.eq_ignore_ascii_case("bearer") => key.trim(),
+        _ => return Err(Code::MissingKey.into()),
+    };
+    let owner = force.workspace_of_key(&crate::manifest::sha256_hex(key.as_bytes()));
+    owner.map(str::to_owned).ok_or(Code::WrongKey.into())
+}
+
 /// Refuses a connection over the limit, whatever it requests.
 async fn refuse_connection(mut socket: Socket) {
     let row = Code::TooManyConnections.row();
--- a/src/entry/tests.rs
+++ b/src/entry/tests.rs
@@ -109,6 +109,25 @@
     assert!(listener.accept().is_err(), "a late call must not open a connection");
 }
 
+/// With a manifest whose workspaces have no key, requests with any key are to be refused.
+#[test]
+fn authenticate_without_any_key_is_refused() {
+    let workspace = json!({
+        "keys_sha256": [], "share": 1, "models": [], "services": [],
+        "default_priority": "normal", "highest_priority": "urgent",
+    });
+    for workspaces in [json!({}), json!({ "lab": workspace })] {
+        let manifest = json!({ "format": 1, "pools": {}, "workspaces": workspaces }).to_string();
+        let manifest = manifest::parse(manifest.as_bytes()).expect("the manifest is valid");
+        let force = Arc::new(Revision::new(1, String::new(), manifest));
+        let mut request = Request::new(Method::Post, "http://localhost/v1/models");
+        let workspace = |request: &Request| super::workspace_of(request, &force);
+        assert_eq!(workspace(&request).map_err(|error| error.code), Err(Code::MissingKey));
+        request.insert_header("authorization", "Bearer key-of-lab");
+        assert_eq!(workspace(&request).map_err(|error| error.code), Err(Code::WrongKey));
+    }
+}
+
 quickcheck! {
     fn parse_any_bytes(bytes: Vec<u8>) -> bool {
         Completion::parse(Kind::Chat, &bytes).is_err()
--- a/src/fleet/tests/accounts.rs
+++ b/src/fleet/tests/accounts.rs
@@ -172,7 +172,7 @@
             version,
             Vec::new(),
             BTreeMap::new(),
-            workspaces.collect(),
+            Some(workspaces.collect()),
             Limits::default(),
         );
         Arc::new(table.expect("the table is valid"))
--- a/src/fleet/tests/world.rs
+++ b/src/fleet/tests/world.rs
@@ -176,8 +176,7 @@
     let stores =
         stores.iter().map(|last| (format!("kept-{last}"), pool(Kind::KvStore(store(*last)))));
     pools.extend(stores);
-    Table::new(version, Vec::new(), pools, Vec::new(), Limits::default())
-        .expect("the table is valid")
+    Table::new(version, Vec::new(), pools, None, Limits::default()).expect("the table is valid")
 }
 
 /// A node under test.
--- a/src/relay/tests/delivery.rs
+++ b/src/relay/tests/delivery.rs
@@ -91,7 +91,7 @@
         max_attempts: 2,
         is_public: true,
     };
-    let table = Table::new(1, vec![route], BTreeMap::new(), Vec::new(), Limits::default());
+    let table = Table::new(1, vec![route], BTreeMap::new(), None, Limits::default());
     Arc::new(table.expect("the table is valid"))
 }
 
--- a/src/route/table.rs
+++ b/src/route/table.rs
@@ -20,6 +20,8 @@
     workspaces_by_key: BTreeMap<String, Arc<Workspace>>,
     /// The names of all workspaces.
     names: BTreeSet<String>,
+    /// Whether routes that are not public need a workspace's key, even if no workspace has one.
+    requires_key: bool,
     /// Quotas by workspace; workspaces without a quota are left out.
     quotas: BTreeMap<String, Quota>,
     /// Workspaces whose quotas can't be read.
@@ -41,18 +43,20 @@
 }
 
 impl Table {
-    /// Indexes a configuration. Fails if a route has no pool with a positive weight.
+    /// Indexes a configuration. Workspaces come with their keys; `None` stands for a configuration
+    /// without a section of workspaces, whose routes need no key. Fails if a route has no pool with a
+    /// positive weight.
     ///
     /// ```
     /// use cardamomvalve::route::{Limits, Table};
-    /// let table = Table::new(3, Vec::new(), Default::default(), Vec::new(), Limits::default());
+    /// let table = Table::new(3, Vec::new(), Default::default(), None, Limits::default());
     /// assert_eq!(table.expect("a configuration without routes is valid").version(), 3);
     /// ```
     pub fn new(
         version: u64,
         routes: Vec<Route>,
         pools: BTreeMap<String, Pool>,
-        workspaces: Vec<(Workspace, Vec<String>)>,
+        workspaces: Option<Vec<(Workspace, Vec<String>)>>,
         limits: Limits,
     ) -> Result<Self, Error> {
         let mut routes_by_host: BTreeMap<String, Vec<Arc<Route>>> = BTreeMap::new();
@@ -65,10 +69,11 @@
         for routes in routes_by_host.values_mut() {
             routes.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
         }
+        let requires_key = workspaces.is_some();
         let mut workspaces_by_key = BTreeMap::new();
         let mut quotas = BTreeMap::new();
         let mut names = BTreeSet::new();
-        for (workspace, owned_keys) in workspaces {
+        for (workspace, owned_keys) in workspaces.unwrap_or_default() {
             names.insert(workspace.name.clone());
             quotas.extend(workspace.quota.map(|quota| (workspace.name.clone(), quota)));
             let workspace = Arc::new(workspace);
@@ -83,6 +88,7 @@
             pools,
             workspaces_by_key,
             names,
+            requires_key,
             quotas,
             unreadable_quotas,
             weights,
@@ -198,7 +204,7 @@
             return Lookup::NoRoute;
         };
         let workspace = key.and_then(|key| self.workspaces_by_key.get(key)).cloned();
-        if workspace.is_none() && !route.is_public && !self.workspaces_by_key.is_empty() {
+        if workspace.is_none() && !route.is_public && self.requires_key {
             return Lookup::NoWorkspace;
         }
         Lookup::Route(Arc::clone(route), workspace)
--- a/src/route/tests.rs
+++ b/src/route/tests.rs
@@ -21,7 +21,7 @@
 }
 
 fn table(routes: Vec<Route>, workspaces: Vec<(Workspace, Vec<String>)>) -> Table {
-    Table::new(1, routes, BTreeMap::new(), workspaces, Limits::default())
+    Table::new(1, routes, BTreeMap::new(), Some(workspaces), Limits::default())
         .expect("every route has a pool")
 }
 
@@ -66,11 +66,29 @@
     assert!(matches!(table.find("a.example", "/o/", None), Lookup::Route(_, None)));
 }
 
+/// Once no workspace had a key, requests with any key were served.
+#[test]
+fn find_no_key_left() {
+    let routes =
+        || vec![route("open", "a.example", "/o/", true), route("kept", "a.example", "/k/", false)];
+    let (workspace, _) = lab();
+    for workspaces in [vec![(workspace, Vec::new())], Vec::new()] {
+        let table = table(routes(), workspaces);
+        for key in [None, Some("key-1"), Some("")] {
+            assert_eq!(table.find("a.example", "/k/", key), Lookup::NoWorkspace, "{key:?}");
+            assert!(matches!(table.find("a.example", "/o/", key), Lookup::Route(_, None)));
+        }
+    }
+    let without_workspaces = Table::new(1, routes(), BTreeMap::new(), None, Limits::default());
+    let table = without_workspaces.expect("every route has a pool");
+    assert!(matches!(table.find("a.example", "/k/", None), Lookup::Route(_, None)));
+}
+
 #[test]
 fn new_route_without_pool_refused() {
     let mut no_pool = route("bare", "a.example", "/", true);
     no_pool.splits.clear();
-    let result = Table::new(1, vec![no_pool], BTreeMap::new(), Vec::new(), Limits::default());
+    let result = Table::new(1, vec![no_pool], BTreeMap::new(), None, Limits::default());
     assert!(result.is_err());
 }
 
