One limit for the age of streams that callers take up

What callers saw: all daemons were killed and started again while the servers of the streams' version left. Takeups were refused until twice the route's timeout after the start, then answered 200 and run to the end at the new version (ORDER).

Cause: the proof that one version alone has served since before any stream that can be taken up went by twice the route's timeout, where bindings and the history of versions go by 30 s.

Why this works: one limit, MAX_STREAM_AGE, for the proof at this daemon and at those that are asked. So that this refuses no more than it must, a daemon whose own watch is shorter replicates its bindings, as while several versions serve; in a simulation of 40 daemons takeups of streams begun since the start were refused before. Lookups still carry the limit for daemons of the release before. A takeup of an unknown version is refused as such also while its pool has no servers (refused before, too, in the test).

--- a/src/fleet/streams/binding.rs
+++ b/src/fleet/streams/binding.rs
@@ -37,10 +37,11 @@
         let binding = Binding { stream, software, time_left };
         let pool = self.pools.get(&request.pool);
         let has_several = pool.is_some_and(|pool| pool.versions.count(now) > 1);
-        if is_own || has_several {
+        let is_replicated = has_several || !self.has_watched(now);
+        if is_own || is_replicated {
             self.streams.insert(now, binding, is_own);
         }
-        if is_own && has_several {
+        if is_own && is_replicated {
             self.replicate(now, vec![binding]);
         }
     }
@@ -60,7 +61,7 @@
 
     /// Replicates bindings of this daemon's streams to a daemon that has lost its replicas in a restart.
     pub(in crate::fleet) fn restore_replicas(&mut self, now: Time, id: &str) {
-        let Some(address) = self.peer_address(id).filter(|_| self.has_several_versions(now)) else {
+        let Some(address) = self.peer_address(id).filter(|_| self.replicates(now)) else {
             return;
         };
         let mut bindings = self.streams.list(now, true);
@@ -73,15 +74,15 @@
 
     /// Replicates all bindings that this daemon has because it is stopping.
     pub(in crate::fleet) fn replicate_all_streams(&mut self, now: Time) {
-        if self.has_several_versions(now) {
+        if self.replicates(now) {
             let bindings = self.streams.list(now, false);
             self.replicate(now, bindings);
         }
     }
 
-    /// Whether servers of a pool have had several versions recently.
-    fn has_several_versions(&self, now: Time) -> bool {
-        self.pools.values().any(|pool| pool.versions.count(now) > 1)
+    /// Whether servers of a pool have had several versions recently, as far as this daemon can know.
+    fn replicates(&self, now: Time) -> bool {
+        !self.has_watched(now) || self.pools.values().any(|pool| pool.versions.count(now) > 1)
     }
 
     /// Stores replicas of another daemon's bindings.
--- a/src/fleet/streams/lookup.rs
+++ b/src/fleet/streams/lookup.rs
@@ -1,6 +1,5 @@
 //! Finds the software version of a stream that a caller takes up.
 
-use super::software::MAX_STREAM_AGE;
 use super::{Lookup, Message, Software, StreamId};
 use crate::fleet::request::{Phase, Request};
 use crate::fleet::{Effect, Frame, Key, Node, Start};
@@ -9,11 +8,6 @@
 /// Time limit for the replies of other daemons: many round trips within a region, and short relative to the pauses
 /// that callers accept.
 const LOOKUP_TIMEOUT: Duration = Duration::from_millis(150);
-/// The same while this daemon knows a single version, and only lacks proof that no other has served recently.
-const PROOF_TIMEOUT: Duration = Duration::from_millis(40);
-/// Multiple of its route's timeout within which a stream has begun: an answer is cut at the timeout, and callers go on
-/// for a last time after that.
-const MAX_AGE_IN_TIMEOUTS: u32 = 2;
 
 impl Node {
     /// Finds the version of the stream that a request takes up, if it does. Returns whether the request waits for
@@ -28,7 +22,7 @@
             return self.resume_at(now, key, software);
         }
         let Some(stream) = request.stream() else { return self.resume_unknown(now, key) };
-        let (pool, max_age) = (request.pool.clone(), max_age(request));
+        let pool = request.pool.clone();
         let asked = self.daemons_to_ask(now, stream);
         if asked.is_empty() {
             return self.resume_unknown(now, key);
@@ -38,7 +32,7 @@
         }
         self.streams.lookups.insert(key);
         let daemon = self.identity.id.clone();
-        let lookup = Lookup { daemon, request: key, stream, pool, max_age };
+        let lookup = Lookup { daemon, request: key, stream, pool };
         let frame = Frame::Streams(Message::Lookup(lookup));
         self.effects.push(Effect::Send(asked.into_iter().collect(), frame));
         true
@@ -47,7 +41,7 @@
     /// The version of the stream that a request takes up, from this daemon's own state.
     fn known_software(&self, now: Time, request: &Request) -> Option<Software> {
         let bound = request.stream().and_then(|stream| self.streams.software(now, stream));
-        bound.or_else(|| self.proven_software(now, &request.pool, max_age(request)))
+        bound.or_else(|| self.proven_software(now, &request.pool))
     }
 
     /// Handles a message about versions of streams.
@@ -64,7 +58,7 @@
     fn answer_lookup(&mut self, now: Time, lookup: &Lookup) {
         let Some(address) = self.peer_address(&lookup.daemon) else { return };
         let bound = self.streams.software(now, lookup.stream);
-        let software = bound.or_else(|| self.proven_software(now, &lookup.pool, lookup.max_age));
+        let software = bound.or_else(|| self.proven_software(now, &lookup.pool));
         let frame = Frame::Streams(Message::Found(lookup.request, lookup.stream, software));
         self.effects.push(Effect::Send(vec![address], frame));
     }
@@ -94,12 +88,7 @@
     fn is_overdue(&self, now: Time, key: Key) -> bool {
         let Some(request) = self.requests.get(&key) else { return true };
         let Phase::LookingUp { since, .. } = request.phase else { return true };
-        let pool = self.pools.get(&request.pool);
-        let limit = match pool.is_some_and(|pool| pool.versions.count(now) > 1) {
-            true => LOOKUP_TIMEOUT,
-            false => PROOF_TIMEOUT,
-        };
-        now >= since + limit
+        now >= since + LOOKUP_TIMEOUT
     }
 
     fn end_lookup(&mut self, now: Time, key: Key, software: Option<Software>) {
@@ -137,14 +126,9 @@
         self.refuse_if_version_gone(now, key)
     }
 
-    /// Refuses a request whose stream has an unknown version. Returns false if the pool has no servers, which placement
-    /// handles.
+    /// Refuses a request whose stream has an unknown version, also if the pool has no servers: the next one to start may
+    /// have another version. Returns true.
     fn resume_unknown(&mut self, now: Time, key: Key) -> bool {
-        let Some(request) = self.requests.get(&key) else { return true };
-        let versions = self.pools.get(&request.pool).map(|pool| &pool.versions);
-        if versions.is_none_or(|versions| versions.count(now) == 0) {
-            return false;
-        }
         self.log_taken_up(key, "unknown");
         self.refuse(now, key, Code::StreamVersionUnknown);
         true
@@ -170,8 +154,3 @@
         !servers.any(|(key, _)| stays(*key))
     }
 }
-
-/// The longest time since a stream that a request takes up has begun.
-fn max_age(request: &Request) -> Duration {
-    (request.arrival.route.timeout * MAX_AGE_IN_TIMEOUTS).min(MAX_STREAM_AGE)
-}
--- a/src/fleet/streams/message.rs
+++ b/src/fleet/streams/message.rs
@@ -26,8 +26,6 @@
     pub stream: StreamId,
     /// The pool of the request.
     pub pool: String,
-    /// The longest time since the stream has begun.
-    pub max_age: Duration,
 }
 
 /// A message about software versions of streams.
--- a/src/fleet/streams/software.rs
+++ b/src/fleet/streams/software.rs
@@ -79,11 +79,10 @@
         self.versions.values().filter(|members| members.has_served_recently(now)).count()
     }
 
-    /// The version, if no other has served for `max_age`, which is at most the maximum age of a stream.
-    pub(in crate::fleet) fn only(&self, now: Time, max_age: Duration) -> Option<Software> {
-        let has_served =
-            |members: &Members| members.left_at.is_none_or(|left_at| now < left_at + max_age);
-        let mut recent = self.versions.iter().filter(|(_, members)| has_served(members));
+    /// The version, if no other has served recently.
+    pub(in crate::fleet) fn only(&self, now: Time) -> Option<Software> {
+        let mut recent =
+            self.versions.iter().filter(|(_, members)| members.has_served_recently(now));
         let (version, _) = recent.next()?;
         recent.next().is_none().then_some(*version)
     }
--- a/src/fleet/streams/watch.rs
+++ b/src/fleet/streams/watch.rs
@@ -1,6 +1,7 @@
 //! Proves that one software version alone has served a pool, from an unbroken watch of the servers.
 
 use super::Software;
+use super::software::MAX_STREAM_AGE;
 use crate::fleet::{Node, Topic};
 use crate::prelude::*;
 
@@ -13,16 +14,15 @@
 const MIN_FRESH_PEERS: usize = 8;
 
 impl Node {
-    /// The version of a pool's servers, if it is proven that no other has served for `max_age`.
-    pub(super) fn proven_software(
-        &self,
-        now: Time,
-        pool: &str,
-        max_age: Duration,
-    ) -> Option<Software> {
-        let since = self.streams.watched_since?;
-        let has_watched = now >= since + max_age && !self.was_frozen(now) && self.sees_servers(now);
-        self.pools.get(pool).filter(|_| has_watched)?.versions.only(now, max_age)
+    /// The version of a pool's servers, if it is proven that no other began a stream that can still be taken up.
+    pub(super) fn proven_software(&self, now: Time, pool: &str) -> Option<Software> {
+        self.pools.get(pool).filter(|_| self.has_watched(now))?.versions.only(now)
+    }
+
+    /// Whether this daemon has known all servers since before any stream that can still be taken up.
+    pub(super) fn has_watched(&self, now: Time) -> bool {
+        let is_long = self.watched_time(now) >= MAX_STREAM_AGE;
+        is_long && !self.was_frozen(now) && self.sees_servers(now)
     }
 
     /// Whether this daemon knows the servers that are registered now: by a recent read, its own or a peer's. While
--- a/src/fleet/streams/wire.rs
+++ b/src/fleet/streams/wire.rs
@@ -1,5 +1,6 @@
 //! Wire format of the messages about software versions of streams.
 
+use super::software::MAX_STREAM_AGE;
 use super::{Binding, Lookup, Software, StreamId};
 use crate::fleet::{Key, Malformed};
 use crate::prelude::*;
@@ -30,6 +31,7 @@
     stream: u64,
     #[prost(string, tag = "4")]
     pool: String,
+    /// Always the maximum age of a stream. Daemons of an earlier release go by it.
     #[prost(uint32, tag = "5")]
     max_age_ms: u32,
 }
@@ -93,7 +95,7 @@
                 request: lookup.request.0,
                 stream: lookup.stream.0,
                 pool: lookup.pool,
-                max_age_ms: millis(lookup.max_age),
+                max_age_ms: millis(MAX_STREAM_AGE),
             }),
             super::Message::Found(request, stream, software) => Body::Found(WireFound {
                 request: request.0,
@@ -118,7 +120,6 @@
                 request: Key(lookup.request),
                 stream: StreamId(lookup.stream),
                 pool: lookup.pool,
-                max_age: Duration::from_millis(u64::from(lookup.max_age_ms)),
             })),
             Some(Body::Found(found)) => Ok(Self::Found(
                 Key(found.request),
--- a/src/fleet/tests/frames.rs
+++ b/src/fleet/tests/frames.rs
@@ -122,7 +122,6 @@
             request: Key(4),
             stream: StreamId(u64::MAX),
             pool: "engines".into(),
-            max_age: Duration::from_secs(10),
         })),
         Frame::Streams(streams::Message::Found(Key(4), StreamId(0), None)),
         Frame::Streams(streams::Message::Found(Key(4), StreamId(1), Some(Software(0)))),
--- a/src/fleet/tests/software/mod.rs
+++ b/src/fleet/tests/software/mod.rs
@@ -12,8 +12,10 @@
 use crate::route::Repeat;
 
 const DAEMONS: u8 = 7;
-/// Time within which a stream of these routes has begun: twice their timeout.
-const MAX_AGE: Duration = Duration::from_secs(10);
+/// Maximum time from the first event of a stream to its last takeup.
+const MAX_AGE: Duration = Duration::from_secs(30);
+/// Twice the timeout of these routes, after which takeups were once taken for those of later streams.
+const TWO_TIMEOUTS: Duration = Duration::from_secs(10);
 /// Maximum number of streams with events of two versions on a day, as the users state it.
 const MAX_MIXED: usize = 2;
 /// Number of takeups from which their share that goes on must be at least half of that of new streams.
@@ -47,7 +49,11 @@
 impl Release {
     /// Returns daemons before `first` engines of v1 alone.
     fn new(first: u8) -> Self {
-        let site = Site::new(DAEMONS, &borrowed(&engines("v1", first)));
+        Self::with_daemons(DAEMONS, first)
+    }
+
+    fn with_daemons(daemons: u8, first: u8) -> Self {
+        let site = Site::new(daemons, &borrowed(&engines("v1", first)));
         Self { site, next_subject: 0 }
     }
 
@@ -319,11 +325,46 @@
     }
     release.site.advance(ms(1_000));
     assert_eq!(version_of(&release.take_up(1, key, 0)), None);
+    for _ in 0..2 {
+        release.site.advance(TWO_TIMEOUTS);
+        assert_eq!(version_of(&release.take_up(1, key, 0)), None);
+    }
     // Once they have seen v2 alone for as long as a stream can last, all streams are of v2.
     release.site.advance(MAX_AGE);
     assert_eq!(version_of(&release.take_up(1, key, 0)), Some("v2"));
 }
 
+/// Daemons that all start at once knew nothing of a stream that one of them had begun since.
+#[test]
+fn stream_begun_since_all_daemons_started_is_taken_up() {
+    for count in [DAEMONS, 40] {
+        let mut release = Release::with_daemons(count, 3);
+        let daemons = usize::from(count);
+        for (begun_at, taken_up_at) in [(0, daemons - 1), (daemons - 1, 1)] {
+            let (key, _) = release.begin(begun_at);
+            release.site.down.insert(begun_at);
+            assert_eq!(version_of(&release.take_up(taken_up_at, key, begun_at)), Some("v1"));
+            release.site.down.remove(&begun_at);
+        }
+    }
+}
+
+/// A takeup must not wait for any server: the first to start may have another version.
+#[test]
+fn stream_of_an_unknown_version_is_refused_while_no_server_is_registered() {
+    let mut release = Release::new(3);
+    let (key, _) = release.begin(0);
+    for daemon in 0..usize::from(DAEMONS) {
+        release.site.restart(daemon, &[]);
+    }
+    release.site.apply(0, Message::Cancel(key));
+    let taken_up = release.arrive(1, Start::Resumed(Some(id_of(key, 0))));
+    release.register(&engines("v2", 9));
+    release.site.advance(ms(1_000));
+    let commands = release.site.commands(1, taken_up);
+    assert!(matches!(commands[..], [Command::Refuse(..)]), "{commands:?}");
+}
+
 #[test]
 fn stream_is_refused_by_a_daemon_that_was_frozen_while_a_version_appeared() {
     let mut release = Release::new(3);
