Answers cut in their head are tested at every byte

Other operators report servers that stop in the middle of an answer's head and close, and callers that get a 200 with an empty or short body, framed as whole. No code of the product changes.

Test changed: the cut answer of a peer begins at the first byte of its head (it began after the head).

--- a/src/http/tests.rs
+++ b/src/http/tests.rs
@@ -72,6 +72,23 @@
     assert!(exchange(long, LIMITS).expect_err("the answer is too large").too_large);
 }
 
+/// A cut head that passed for a whole one would be an answer without a body, or with a part of it.
+#[test]
+fn send_answer_cut_at_any_byte_is_sent_failure() {
+    let wholes = [
+        "HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\ncontent-length: 5\r\n\r\nhello",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n",
+    ];
+    for whole in wholes {
+        let last = whole.len() - if whole.ends_with("0\r\n") { 2 } else { 0 };
+        for cut in 0..last {
+            let part = &whole[..cut];
+            let failure = exchange(server(part), LIMITS).expect_err(part);
+            assert_eq!(failure.stage, Stage::Sent, "{part:?}: {}", failure.reason);
+        }
+    }
+}
+
 #[test]
 fn send_refused_connection_is_unsent() {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port is available");
--- a/src/relay/tests/delivery.rs
+++ b/src/relay/tests/delivery.rs
@@ -1,6 +1,7 @@
 //! Tests of a caller's connection; each test acts as the control thread.
 
 mod ending;
+mod head;
 
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
--- a/src/relay/tests/handover.rs
+++ b/src/relay/tests/handover.rs
@@ -385,12 +385,12 @@
 fn hand_over_stream_cut_at_any_byte_is_truncated_after_a_whole_event() {
     let chunks: String =
         EVENTS.iter().map(|event| format!("{:x}\r\n{event}\r\n", event.len())).collect();
-    let whole = format!("{chunks}0\r\n\r\n");
+    let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    let whole = format!("{head}{chunks}0\r\n\r\n");
     let bounds: Vec<String> = (0..=EVENTS.len()).map(|count| EVENTS[..count].concat()).collect();
     for cut in 0..whole.len() {
         let first = Daemon::start(true);
-        let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
-        let part = format!("{head}{}", &whole[..cut]);
+        let part = whole[..cut].to_owned();
         let peer = listen(move |mut stream| {
             read_request(&mut stream).expect("a request arrives");
             // Pieces that the daemon reads one by one.
