Only events follow in a stream that has begun

What callers saw: after the last event of a stream whose first server had broken off, the head of another answer (204) stood in the chunked body, and the connection was kept as if the answer were complete.

Cause: an answer on a streaming route with another status than 200 was written whole, whether or not the caller had a head.

Why this works: once the answer has begun, only status 200 with the stream's media type goes on with it; any other answer is discarded, logged and reported as failed, also from a peer, and the next attempt may go on. An outcome that is an error of the router or of a server becomes a cut in one place.

Sibling: 200 with another media type was written as events; it is in the tests. The own interface fails such attempts (by reading).

--- a/src/relay/delivery.rs
+++ b/src/relay/delivery.rs
@@ -52,13 +52,15 @@
     /// Whether a byte may have reached a server that has not refused the request.
     pub(super) sent: AtomicBool,
     /// Whether writing the answer to the caller has started.
-    pub(super) answer_started: AtomicBool,
+    answer_started: AtomicBool,
     /// Whether the current attempt has started to write to the caller.
     attempt_writing: AtomicBool,
     /// The time at which the first byte of the answer was written.
     first_byte: OnceLock<Time>,
     /// The software version of the server that brought the first event of a stream.
     software: OnceLock<Software>,
+    /// The media type of the stream whose head was written.
+    pub(super) media_type: OnceLock<String>,
 }
 
 impl Progress {
@@ -69,6 +71,11 @@
         self.attempt_writing.store(true, Ordering::Release);
     }
 
+    /// Whether writing the answer to the caller has started.
+    pub(super) fn has_started(&self) -> bool {
+        self.answer_started.load(Ordering::Acquire)
+    }
+
     /// Returns the time at which the first byte of the answer was written.
     pub(super) fn first_byte(&self) -> Option<Time> {
         self.first_byte.get().copied()
@@ -99,7 +106,7 @@
 impl Delivery<'_> {
     /// Returns the outcome of a request that reaches its time limit.
     pub(super) fn on_timeout(&self) -> Outcome {
-        if self.progress.answer_started.load(Ordering::Acquire) {
+        if self.progress.has_started() {
             return Outcome::Truncated;
         }
         match self.progress.sent.load(Ordering::Acquire) {
@@ -109,6 +116,11 @@
     }
 
     pub(super) async fn run(&self, writer: &Async<TcpStream>) -> Outcome {
+        let outcome = self.carry_out_commands(writer).await;
+        if self.progress.has_started() { outcome.after_start() } else { outcome }
+    }
+
+    async fn carry_out_commands(&self, writer: &Async<TcpStream>) -> Outcome {
         let commands = self.frontend.control.open(Arrival {
             request: self.key,
             id: self.metadata.id.clone(),
@@ -203,7 +215,7 @@
     }
 
     fn failed_outcome(&self, failure: Option<Box<(Response, Vec<u8>)>>) -> Outcome {
-        if self.progress.answer_started.load(Ordering::Acquire) {
+        if self.progress.has_started() {
             return Outcome::Truncated;
         }
         match failure {
@@ -279,6 +291,9 @@
             Classification::Refused(refusal) => {
                 self.finish_refused(dispatch, answer, refusal).await
             }
+            Classification::Answer(_) if !self.continues_answer(&answer.response) => {
+                self.discard_other_answer(dispatch, answer).await
+            }
             Classification::Answer(weights)
                 if self.route.is_streaming && answer.response.status == 200 && !answers_head =>
             {
@@ -370,7 +385,7 @@
     }
 
     /// Describes how an answer was framed and, for a stream, where in its events it ended.
-    fn ending_detail(
+    pub(super) fn ending_detail(
         &self,
         dispatch: &Dispatch,
         answer: &Answer,
@@ -425,11 +440,10 @@
             }
             let complete = !more || answer.decoder.is_complete();
             let mut out = Vec::with_capacity(whole.len() + 512);
-            if (complete || !whole.is_empty())
-                && !self.progress.answer_started.load(Ordering::Acquire)
-            {
+            if (complete || !whole.is_empty()) && !self.progress.has_started() {
                 let close = self.frontend.control.is_draining();
                 out.extend_from_slice(encode_stream_head(&answer.response, close).as_bytes());
+                self.progress.record_stream_head(&answer.response);
             }
             push_chunk(&mut out, &whole);
             if complete {
@@ -475,7 +489,7 @@
 }
 
 /// Outcome of one attempt.
-enum Attempt {
+pub(super) enum Attempt {
     /// The request ended with this outcome.
     Ended(Outcome),
     /// Writing to the caller failed.
--- a/src/relay/handover.rs
+++ b/src/relay/handover.rs
@@ -152,6 +152,9 @@
         if answer.response.framing == Framing::UntilClose {
             return Ending::Lost;
         }
+        if !self.continues_answer(&answer.response) {
+            return Ending::Lost;
+        }
         let is_from_server = matches!(class, Classification::Answer(_));
         let is_stream = self.route.is_streaming && !self.request.is_head();
         if is_from_server && is_stream && answer.response.status == 200 {
@@ -231,10 +234,11 @@
     /// Encodes events for the caller, after the head if they are the first and before the end if they are the last.
     fn encode_events(&self, response: &Response, events: &[u8], is_complete: bool) -> Vec<u8> {
         let mut out = Vec::with_capacity(events.len() + 512);
-        let has_started = self.progress.answer_started.load(Ordering::Acquire);
+        let has_started = self.progress.has_started();
         if !has_started && (is_complete || !events.is_empty()) {
             let close = self.frontend.control.is_draining();
             out.extend_from_slice(encode_stream_head(response, close).as_bytes());
+            self.progress.record_stream_head(response);
         }
         push_chunk(&mut out, events);
         if is_complete {
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -8,6 +8,7 @@
 mod body;
 mod caller;
 mod conn;
+mod continuation;
 mod delivery;
 mod dialect;
 mod drain;
--- a/src/relay/tests/delivery.rs
+++ b/src/relay/tests/delivery.rs
@@ -1,5 +1,6 @@
 //! Tests of a caller's connection; each test acts as the control thread.
 
+mod continuation;
 mod ending;
 mod head;
 
@@ -229,6 +230,14 @@
         assert_eq!(self.caller.peek(&mut byte).expect("the connection is open"), 1);
     }
 
+    /// Reads all that the caller gets, until the connection ends.
+    fn read_to_end(&mut self) -> String {
+        self.caller.shutdown(Shutdown::Write).ok();
+        let mut received = Vec::new();
+        self.caller.read_to_end(&mut received).ok();
+        String::from_utf8_lossy(&received).into_owned()
+    }
+
     /// Reads the answer's complete body.
     fn body(&mut self) -> Vec<u8> {
         let mut conn = Conn::new(Async::new(self.caller.try_clone().expect("open")).expect("open"));
--- a/src/relay/tests/delivery/head.rs
+++ b/src/relay/tests/delivery/head.rs
@@ -20,14 +20,6 @@
     serve_and_end(move |_| part.to_vec(), end)
 }
 
-/// Reads all that the caller gets.
-fn read_to_end(fixture: &mut Fixture) -> String {
-    fixture.caller.shutdown(Shutdown::Write).ok();
-    let mut received = Vec::new();
-    fixture.caller.read_to_end(&mut received).ok();
-    String::from_utf8_lossy(&received).into_owned()
-}
-
 /// A cut head that passed for a whole one would be a 200 without a body, or with a part of it.
 #[test]
 fn relay_head_cut_at_any_byte_is_no_answer() {
@@ -64,7 +56,7 @@
         let part = String::from_utf8_lossy(part);
         assert_eq!(fixture.receive_report(), (2, Report::Lost(Loss::Connection)), "{part:?}");
         commands.try_send(Command::GiveUp).expect("the delivery awaits a command");
-        let received = read_to_end(&mut fixture);
+        let received = fixture.read_to_end();
         let is_cut = received.contains(EVENTS[0]) && !received.ends_with("0\r\n\r\n");
         assert!(is_cut, "{part:?}: {received}");
     }
