--- a/src/fleet/replication/pace.rs
+++ b/src/fleet/replication/pace.rs
@@ -40,7 +40,7 @@
 /// Maximum wait of a read of the daemons' registrations and blocks. Nothing is due in a limited time
 /// by them: digests bring daemons and blocks sooner.
 const ROUTERS_WAIT: Duration = Duration::from_secs(20);
-/// The same for a scheduler's reads that other daemons rely on: a read that has returned shows that
+/// Maximum wait of a scheduler's reads that other daemons rely on: a read that has returned shows that
 /// the store is reachable, a pending one does not.
 const SCHEDULER_WAIT: Duration = Duration::from_millis(400);
 /// Delay from a failed read to the next, for daemons that read for all.
--- a/src/fleet/streams/lookup.rs
+++ b/src/fleet/streams/lookup.rs
@@ -21,11 +21,15 @@
             self.log_taken_up(key, "known");
             return self.resume_at(now, key, software);
         }
-        let Some(stream) = request.stream() else { return self.resume_unknown(now, key) };
+        let Some(stream) = request.stream() else {
+            self.refuse_unknown(now, key);
+            return true;
+        };
         let pool = request.pool.clone();
         let asked = self.daemons_to_ask(now, stream);
         if asked.is_empty() {
-            return self.resume_unknown(now, key);
+            self.refuse_unknown(now, key);
+            return true;
         }
         if let Some(request) = self.requests.get_mut(&key) {
             request.phase = Phase::LookingUp { since: now, unanswered: asked.len() };
@@ -101,7 +105,10 @@
                 self.log_taken_up(key, "from another daemon");
                 self.resume_at(now, key, software)
             }
-            None => self.resume_unknown(now, key),
+            None => {
+                self.refuse_unknown(now, key);
+                true
+            }
         };
         if !is_refused && !self.leave_if_cut_off(now, key) {
             self.begin_placement(now, key);
@@ -127,11 +134,10 @@
     }
 
     /// Refuses a request whose stream has an unknown version, also if the pool has no servers: the next one to start may
-    /// have another version. Returns true.
-    fn resume_unknown(&mut self, now: Time, key: Key) -> bool {
+    /// have another version.
+    fn refuse_unknown(&mut self, now: Time, key: Key) {
         self.log_taken_up(key, "unknown");
         self.refuse(now, key, Code::StreamVersionUnknown);
-        true
     }
 
     /// Refuses a request, or ends its answer as broken, if no server of the version that began its stream is left.
--- a/src/relay/continuation.rs
+++ b/src/relay/continuation.rs
@@ -4,7 +4,7 @@
 //! error. The caller has a head already, and would read another one as a part of the body.
 
 use super::Response;
-use super::delivery::{Attempt, Delivery, MAX_ANSWER_BYTES, Outcome, Progress};
+use super::delivery::{Attempt, Delivery, Outcome, Progress};
 use super::exchange::Answer;
 use crate::fleet::{Dispatch, Report};
 use crate::prelude::*;
@@ -34,19 +34,12 @@
         !self.progress.has_started() || self.progress.media_type.get().is_some_and(is_same)
     }
 
-    /// Discards an answer that does not go on with the stream. Another server may.
-    pub(super) async fn discard_other_answer(
-        &self,
-        dispatch: &Dispatch,
-        mut answer: Answer,
-    ) -> Attempt {
+    /// Discards an answer that does not go on with the stream. Its body, if any, is not awaited.
+    pub(super) fn discard_other_answer(&self, dispatch: &Dispatch, answer: Answer) -> Attempt {
         let reason = format!("status {} where events are due", answer.response.status);
         let detail = self.ending_detail(dispatch, &answer, None).and("cut", reason);
         emit(Event::AnswerCut, detail);
-        let mut holding = self.frontend.held.begin();
-        if answer.read_whole_held(MAX_ANSWER_BYTES, &mut holding).await.is_ok() {
-            answer.release(&self.frontend.pool, dispatch.max_idle);
-        }
+        answer.release(&self.frontend.pool, dispatch.max_idle);
         Attempt::Unanswered(Report::Failed)
     }
 }
--- a/src/relay/delivery.rs
+++ b/src/relay/delivery.rs
@@ -292,7 +292,7 @@
                 self.finish_refused(dispatch, answer, refusal).await
             }
             Classification::Answer(_) if !self.continues_answer(&answer.response) => {
-                self.discard_other_answer(dispatch, answer).await
+                self.discard_other_answer(dispatch, answer)
             }
             Classification::Answer(weights)
                 if self.route.is_streaming && answer.response.status == 200 && !answers_head =>
