Schedulers record the bindings of streams in place of replicas without proof

So it is not the reads of the store, whose number does not grow with the load, but the replicas that each daemon sent for its first 30 s.

The scheduler that placed a stream now records its binding for as long as it has no proof that one version alone served, without a message. It is asked for each stream anyway.

--- a/src/fleet/streams/binding.rs
+++ b/src/fleet/streams/binding.rs
@@ -37,11 +37,11 @@
         let binding = Binding { stream, software, time_left };
         let pool = self.pools.get(&request.pool);
         let has_several = pool.is_some_and(|pool| pool.versions.count(now) > 1);
-        let may_have_several = has_several || !self.has_watched(now);
-        if is_own || may_have_several {
+        // Its scheduler is asked for a stream, too, and lookups rely on it while nobody has proof.
+        if is_own || has_several || !self.has_watched(now) {
             self.streams.insert(now, binding, is_own);
         }
-        if is_own && may_have_several {
+        if is_own && has_several {
             self.replicate(now, vec![binding]);
         }
     }
@@ -61,10 +61,9 @@
 
     /// Replicates bindings of this daemon's streams to a daemon that has lost its replicas in a restart.
     pub(in crate::fleet) fn restore_replicas(&mut self, now: Time, id: &str) {
-        let Some(address) = self.peer_address(id) else { return };
-        if !self.may_have_several_versions(now) {
+        let Some(address) = self.peer_address(id).filter(|_| self.has_several_versions(now)) else {
             return;
-        }
+        };
         let mut bindings = self.streams.list(now, true);
         bindings.retain(|binding| self.replicas(now, binding.stream).iter().any(|it| it == id));
         if !bindings.is_empty() {
@@ -75,15 +74,15 @@
 
     /// Replicates all bindings that this daemon has because it is stopping.
     pub(in crate::fleet) fn replicate_all_streams(&mut self, now: Time) {
-        if self.may_have_several_versions(now) {
+        if self.has_several_versions(now) {
             let bindings = self.streams.list(now, false);
             self.replicate(now, bindings);
         }
     }
 
-    /// Whether servers of a pool have had several versions recently, or this daemon can't rule that out.
-    fn may_have_several_versions(&self, now: Time) -> bool {
-        !self.has_watched(now) || self.pools.values().any(|pool| pool.versions.count(now) > 1)
+    /// Whether servers of a pool have had several versions recently.
+    fn has_several_versions(&self, now: Time) -> bool {
+        self.pools.values().any(|pool| pool.versions.count(now) > 1)
     }
 
     /// Stores replicas of another daemon's bindings.
