--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -161,7 +161,7 @@
     }
 }
 
-/// Returns the workspace that owns the request's bearer key.
+/// Returns the workspace of the request's bearer key.
 fn workspace_of(request: &Request, force: &Revision) -> Result<String> {
     let value = header::single(request.as_ref(), "authorization")?.ok_or(Code::MissingKey)?;
     let key = match value.split_once(' ') {
--- a/src/fleet/streams/binding.rs
+++ b/src/fleet/streams/binding.rs
@@ -37,7 +37,7 @@
         let binding = Binding { stream, software, time_left };
         let pool = self.pools.get(&request.pool);
         let has_several = pool.is_some_and(|pool| pool.versions.count(now) > 1);
-        // Its scheduler is asked for a stream, too, and lookups rely on it while nobody has proof.
+        // Lookups go to the schedulers, too. Without proof of one version, they need the binding.
         if is_own || has_several || !self.has_watched(now) {
             self.streams.insert(now, binding, is_own);
         }
