Streams taken up at daemons out of step: tests that fail

Seven daemons have seen one version for 30 s; one of them, or a group of three or four, is cut off from the store and from the others as servers of v2 join. Streams that the others begin at v2 go on at v1 at a daemon that is cut off: 'v2, then Some(v1)'. Frozen for 0.2 to 5 s, or cut off from the store alone, none does.

--- a/src/fleet/tests/software/mod.rs
+++ b/src/fleet/tests/software/mod.rs
@@ -1,5 +1,6 @@
 //! Streams while servers of several software versions serve: each goes on at the version that began it.
 
+mod out_of_step;
 mod simulation;
 
 use simulation::{Day, Fault, Outcome};
