Streams begin at a new software version once no daemon can take a former one for the only one

Cause: a daemon proves 'one version alone has served' from its view of the registrations, and the other daemons send requests to a version the moment they read of it. Between the two lies a time in which a stream can begin at a version that a proof does not include: up to 1.5 s for a read (its arrival counted, not the time for which it speaks), and any time for a daemon that hears half of its peers, since these stood for the store. A bound on the view alone cannot close that gap; it needs one at the beginning.

The change, both sides of one bound: - A version begins streams once every registered peer's digest shows that it has the registration, or 4 s after this daemon knows all registrations up to it. Plain requests, streams that go on, and pools with one version are not held back. - A proof needs a view that is less than 3 s old: the time for which the newest read speaks, a peer's digest with the age of such a read if this daemon has all that the peer has, or recent digests of all peers, none of which has more. Half of the peers no longer do. A gap in the view of 3 s or more begins the watch anew. - While the view is not current, bindings are replicated, since no proof stands in for them. - A lookup goes to the other daemons even with a proof. A binding goes before any proof, and a daemon that knows of several versions speaks against it. With a proof in hand the wait is 30 ms at most. - Observability: 419 says how the version was found (bound here, bound elsewhere, proven here, proven), for how long the servers were watched and the age of the view; 317 says that a version begins streams.

Ruled out: only shortening the 1.5 s (a takeup right after the registration still fails), only asking first (a daemon that is cut off gets no reply and has nothing but its proof).

--- a/src/fleet/explain.rs
+++ b/src/fleet/explain.rs
@@ -116,10 +116,14 @@
         self.event(Event::AnswerBegun, detail);
     }
 
-    /// Logs that a request takes a stream up, and whether the version that began the stream is known.
-    pub(super) fn log_taken_up(&mut self, key: Key, version: &'static str) {
+    /// Logs that a request takes a stream up, how the version that began the stream was found, and what this daemon knows
+    /// of the versions itself.
+    pub(super) fn log_taken_up(&mut self, now: Time, key: Key, version: &'static str) {
         let Some(request) = self.requests.get(&key) else { return };
-        let detail = with_start(Self::request_detail(request), request).and("version", version);
+        let detail = with_start(Self::request_detail(request), request)
+            .and("version", version)
+            .and("watched_ms", self.watched_time(now))
+            .and_some("view_age_ms", self.view_age(now));
         self.event(Event::StreamTakenUp, detail);
     }
 
@@ -158,7 +162,7 @@
         let Some(request) = self.requests.get(&key) else { return };
         let waited = match request.phase {
             Phase::Waiting(since) => now.saturating_sub(since),
-            Phase::LookingUp { since, .. } => now.saturating_sub(since),
+            Phase::LookingUp(search) => now.saturating_sub(search.since),
             Phase::Submitted(_) | Phase::Sent { .. } | Phase::HandedOver => Duration::ZERO,
         };
         let detail = Self::request_detail(request)
--- a/src/fleet/frame/digest.rs
+++ b/src/fleet/frame/digest.rs
@@ -72,6 +72,8 @@
     pub named: Vec<Naming>,
     /// Time since the daemon last had everything that operators published.
     pub caught_up_age: Option<Duration>,
+    /// Time since the daemon last had all registrations of servers.
+    pub registrations_age: Option<Duration>,
     /// The daemon that it regards as the quota keeper and lends its share to; empty if it knows none.
     pub quota_keeper: String,
     /// Its recent use of workspaces' quotas.
@@ -243,6 +245,7 @@
             sent_at_ms: u64::try_from(digest.sent_at.as_millis()).unwrap_or(u64::MAX),
             named: digest.named.into_iter().map(wire::Naming::from).collect(),
             caught_up_age_ms: encode_age(digest.caught_up_age),
+            registrations_age_ms: encode_age(digest.registrations_age),
             quota_keeper: digest.quota_keeper,
             quota_workspaces: digest.quota_use.iter().map(|used| used.workspace.clone()).collect(),
             quota_units: digest.quota_use.iter().map(|used| used.units).collect(),
@@ -312,6 +315,7 @@
             sent_at: Duration::from_millis(digest.sent_at_ms),
             named: digest.named.into_iter().map(Naming::from).collect(),
             caught_up_age: decode_age(digest.caught_up_age_ms),
+            registrations_age: decode_age(digest.registrations_age_ms),
             quota_keeper: digest.quota_keeper,
             quota_use: digest
                 .quota_workspaces
--- a/src/fleet/frame/wire.rs
+++ b/src/fleet/frame/wire.rs
@@ -102,6 +102,9 @@
     pub(super) speeds: Vec<Speed>,
     #[prost(message, repeated, tag = "31")]
     pub(super) link_bytes_by_store: Vec<StoreTransfer>,
+    /// Milliseconds plus one; 0 if unknown.
+    #[prost(uint32, tag = "32")]
+    pub(super) registrations_age_ms: u32,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
--- a/src/fleet/gossip.rs
+++ b/src/fleet/gossip.rs
@@ -254,6 +254,7 @@
             blocked: self.poison.unstored_blocks(now),
             sent_at: now,
             named: self.rollout.own_namings.recent(now, self.policy.weights_limit),
+            registrations_age: self.registrations_age(now),
             caught_up_age: self.rollout.complete_until.map(|at| now.saturating_sub(at)),
             quota_keeper: self.quota_leadership.keeper_id().to_owned(),
             quota_use: self.quota.recent_usage(now),
@@ -337,6 +338,7 @@
                 (digest.end_offsets.get(Topic::Operator as usize).copied(), digest.caught_up_age);
             self.note_peer_reads(now, &digest, read_delay);
             self.note_peer_ahead(&digest);
+            self.note_peer_registrations(now, &digest, delay);
             if let Some(peer) = self.peers.get_mut(&digest.daemon) {
                 peer.digest = Some(digest);
             }
--- a/src/fleet/handover.rs
+++ b/src/fleet/handover.rs
@@ -70,7 +70,7 @@
     /// Hands over the requests that wait for a server, as this daemon reaches none.
     pub(super) fn leave_servers(&mut self, now: Time) {
         let waits = |request: &Request| match request.phase {
-            Phase::Waiting(_) | Phase::LookingUp { .. } => true,
+            Phase::Waiting(_) | Phase::LookingUp(_) => true,
             Phase::Submitted(Stage::AwaitingVerdict(_) | Stage::Queued) => true,
             Phase::Submitted(Stage::Placed(_)) | Phase::Sent { .. } | Phase::HandedOver => false,
         };
--- a/src/fleet/place.rs
+++ b/src/fleet/place.rs
@@ -123,6 +123,7 @@
     fn may_place(&self, now: Time, request: &Request, key: server::Key, server: &Server) -> bool {
         let goes_on = request.software.is_none_or(|software| software == server.software);
         goes_on
+            && !self.is_held_back(now, request, server)
             && self.has_room_for(now, request, key, server)
             && !self.avoids(now, request, key)
             && !self.rests_from(now, request, server)
--- a/src/fleet/poison.rs
+++ b/src/fleet/poison.rs
@@ -353,10 +353,9 @@
     pub(super) fn running_requests(&self) -> impl Iterator<Item = (Fingerprint, server::Key)> {
         self.requests.values().filter_map(|request| match request.phase {
             Phase::Sent { server, .. } => Some((request.arrival.fingerprint, server)),
-            Phase::Waiting(_)
-            | Phase::LookingUp { .. }
-            | Phase::Submitted(_)
-            | Phase::HandedOver => None,
+            Phase::Waiting(_) | Phase::LookingUp(_) | Phase::Submitted(_) | Phase::HandedOver => {
+                None
+            }
         })
     }
 
--- a/src/fleet/replication/records.rs
+++ b/src/fleet/replication/records.rs
@@ -18,7 +18,7 @@
 impl Node {
     pub(in crate::fleet) fn handle_read(&mut self, now: Time, read: Read) {
         let Read { batch, is_snapshot: whole, current_at: asked } = read;
-        let topic = batch.topic;
+        let (topic, to) = (batch.topic, batch.to);
         self.mark_readable(now, Dependency::Topic(topic));
         self.read_at.insert(topic, now);
         self.note_own_read(topic);
@@ -27,8 +27,10 @@
         } else {
             self.apply_batch(now, batch, true);
         }
-        if topic == Topic::Operator && self.has_all_operator_records() {
-            self.note_complete_until(asked);
+        match topic {
+            Topic::Operator if self.has_all_operator_records() => self.note_complete_until(asked),
+            Topic::Servers => self.note_registrations_read(asked, to),
+            Topic::Operator | Topic::Routers => {}
         }
     }
 
@@ -59,7 +61,7 @@
         match topic {
             Topic::Routers => self.refresh_ranking(now),
             Topic::Servers => {
-                self.streams.watched_since.get_or_insert(now);
+                self.streams.view.begin(now);
             }
             Topic::Operator => {}
         }
@@ -207,6 +209,7 @@
     }
 
     fn update_server(&mut self, now: Time, key: server::Key, entry: Entry) {
+        let is_first_copy = !self.known_topics.contains(&Topic::Servers);
         let Some(server) = self.servers.get_mut(key) else { return };
         let was_leaving = server.entry.draining;
         let former = server.software;
@@ -216,7 +219,7 @@
             && server.software != former
         {
             pool.versions.remove(now, former, key);
-            pool.versions.add(server.software, key, &id);
+            pool.versions.add(server.software, key, &id, is_first_copy);
         }
         if server.entry.draining && !was_leaving {
             self.event(Event::ServerLeaving, Detail::of("server", id));
@@ -233,6 +236,7 @@
                 .and("address", entry.address)
                 .and("born", entry.incarnation.started_ms),
         );
+        let is_first_copy = !self.known_topics.contains(&Topic::Servers);
         let (incarnation, pool) = (entry.incarnation.clone(), entry.pool.clone());
         let draining = entry.draining || self.departures.contains(&incarnation);
         let server = Server::new(Entry { draining, ..entry });
@@ -242,7 +246,7 @@
         let pool = self.pools.entry(pool).or_default();
         pool.add(key, &incarnation.id);
         let had_several = pool.versions.count(now) > 1;
-        pool.versions.add(software, key, &incarnation.id);
+        pool.versions.add(software, key, &incarnation.id, is_first_copy);
         if !had_several && pool.versions.count(now) > 1 {
             self.replicate_own_streams(now);
         }
--- a/src/fleet/request.rs
+++ b/src/fleet/request.rs
@@ -5,6 +5,7 @@
 use super::retry::Charge;
 use super::scheduling::{Origin, Stage};
 use super::speed::Prediction;
+use super::streams::Search;
 use super::{Arrival, Software, Start, StreamId, server};
 use crate::fairness;
 use crate::prelude::*;
@@ -17,8 +18,8 @@
     Waiting(Time),
     /// A scheduler places the request.
     Submitted(Stage),
-    /// The version that began its stream is looked up since this time; this number of daemons has not answered.
-    LookingUp { since: Time, unanswered: usize },
+    /// The version that began its stream is looked up.
+    LookingUp(Search),
     /// The request was sent to a server.
     Sent { server: server::Key, prefill_tokens: u32, begun: bool, sent_at: Time },
     /// A peer serves the request.
@@ -152,7 +153,7 @@
 
     /// Returns whether it waits for the version that began its stream.
     pub(super) fn is_looking_up(&self) -> bool {
-        matches!(self.phase, Phase::LookingUp { .. })
+        matches!(self.phase, Phase::LookingUp(_))
     }
 
     /// Returns whether it was sent and its answer has not begun.
@@ -171,7 +172,7 @@
             Phase::Submitted(Stage::Placed(placed)) => placed.has_begun(),
             Phase::Submitted(Stage::AwaitingVerdict(_) | Stage::Queued)
             | Phase::Waiting(_)
-            | Phase::LookingUp { .. }
+            | Phase::LookingUp(_)
             | Phase::HandedOver => false,
         }
     }
--- a/src/fleet/scheduling/submitting.rs
+++ b/src/fleet/scheduling/submitting.rs
@@ -309,10 +309,9 @@
                 unanswered.contains(&request.scheduler) || gone(&request.scheduler)
             }
             Phase::Submitted(Stage::Placed(_)) => gone(&request.scheduler),
-            Phase::Waiting(_)
-            | Phase::LookingUp { .. }
-            | Phase::Sent { .. }
-            | Phase::HandedOver => false,
+            Phase::Waiting(_) | Phase::LookingUp(_) | Phase::Sent { .. } | Phase::HandedOver => {
+                false
+            }
         });
         let orphaned: Vec<Key> = orphaned.map(|(key, _)| *key).collect();
         for key in orphaned {
--- a/src/fleet/streams/binding.rs
+++ b/src/fleet/streams/binding.rs
@@ -5,6 +5,7 @@
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use super::watch::MAX_PEERS_WITH_ALL_DIGESTS;
 use super::{Binding, Message, StreamId};
 use crate::fleet::scheduling::Rank;
 use crate::fleet::{Effect, Frame, Key, Node};
@@ -18,8 +19,6 @@
 const MAX_CANDIDATES: usize = 32;
 /// Interval at which these are listed again.
 const LIST_INTERVAL: Duration = Duration::from_millis(500);
-/// Number of peers up to which each daemon gets digests from all of them, and notices which are silent.
-const MAX_PEERS_FOR_SILENCE: usize = 8;
 
 impl Node {
     /// Binds a stream to the version of the server whose answer has begun.
@@ -41,7 +40,7 @@
         if is_own || has_several || !self.has_watched(now) {
             self.streams.insert(now, binding, is_own);
         }
-        if is_own && has_several {
+        if is_own && (has_several || !self.has_current_view(now)) {
             self.replicate(now, vec![binding]);
         }
     }
@@ -53,7 +52,8 @@
         }
     }
 
-    /// Replicates the bindings of this daemon's streams because a second version has appeared.
+    /// Replicates the bindings of this daemon's streams, because a second version has appeared or other daemons may no
+    /// longer be able to prove that there is none.
     pub(in crate::fleet) fn replicate_own_streams(&mut self, now: Time) {
         let bindings = self.streams.list(now, true);
         self.replicate(now, bindings);
@@ -61,7 +61,7 @@
 
     /// Replicates bindings of this daemon's streams to a daemon that has lost its replicas in a restart.
     pub(in crate::fleet) fn restore_replicas(&mut self, now: Time, id: &str) {
-        let Some(address) = self.peer_address(id).filter(|_| self.has_several_versions(now)) else {
+        let Some(address) = self.peer_address(id).filter(|_| self.needs_replicas(now)) else {
             return;
         };
         let mut bindings = self.streams.list(now, true);
@@ -74,15 +74,15 @@
 
     /// Replicates all bindings that this daemon has because it is stopping.
     pub(in crate::fleet) fn replicate_all_streams(&mut self, now: Time) {
-        if self.has_several_versions(now) {
+        if self.needs_replicas(now) {
             let bindings = self.streams.list(now, false);
             self.replicate(now, bindings);
         }
     }
 
-    /// Whether servers of a pool have had several versions recently.
-    fn has_several_versions(&self, now: Time) -> bool {
-        self.pools.values().any(|pool| pool.versions.count(now) > 1)
+    /// Whether servers of a pool have had several versions recently, or may have had.
+    fn needs_replicas(&self, now: Time) -> bool {
+        !self.has_current_view(now) || self.pools.values().any(|pool| pool.versions.count(now) > 1)
     }
 
     /// Stores replicas of another daemon's bindings.
@@ -118,7 +118,8 @@
     /// others, and one that has just started has got none.
     fn may_be_replica(&self, now: Time, id: &str) -> bool {
         let Some(peer) = self.peers.get(id) else { return false };
-        let shows_silence = self.peers.len() <= MAX_PEERS_FOR_SILENCE && peer.heard_at.is_some();
+        let shows_silence =
+            self.peers.len() <= MAX_PEERS_WITH_ALL_DIGESTS && peer.heard_at.is_some();
         !peer.is_draining() && (!shows_silence || peer.is_fresh(now))
     }
 
--- a/src/fleet/streams/message.rs
+++ b/src/fleet/streams/message.rs
@@ -28,6 +28,19 @@
     pub pool: String,
 }
 
+/// What a daemon knows of the version that began a stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Finding {
+    /// The stream is bound to this version.
+    Bound(Software),
+    /// No other version has served for as long as a stream can be taken up.
+    Proven(Software),
+    /// The daemon has no binding, and several versions have served.
+    Ambiguous,
+    /// The daemon has no binding, and may not know all versions.
+    Unknown,
+}
+
 /// A message about software versions of streams.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Message {
@@ -35,6 +48,6 @@
     Replicate(Vec<Binding>),
     /// A query.
     Lookup(Lookup),
-    /// The reply: the request and the stream of the query, and the version if the daemon has it.
-    Found(Key, StreamId, Option<Software>),
+    /// The reply: the request and the stream of the query, and what the daemon knows.
+    Found(Key, StreamId, Finding),
 }
--- a/src/fleet/streams/mod.rs
+++ b/src/fleet/streams/mod.rs
@@ -10,8 +10,11 @@
 //! * A binding expires at the caller's deadline. While one version alone has served, nothing is replicated; the scheduler
 //!   that placed a stream records its binding, too, until it has seen that version alone for as long as a stream can be
 //!   taken up.
-//! * A daemon without a binding for a stream asks the replicas and the schedulers. If none has one, and none has seen one
-//!   version alone for that long, the request is refused: it has not run.
+//! * A daemon without a binding for a stream asks the replicas and the schedulers, and a binding goes before all else. If
+//!   none has one, it goes by a proof: a daemon, this one or one of those, has seen one version alone for that long, and
+//!   none has seen another. Without a proof the request is refused: it has not run.
+//! * The proof of a daemon that has missed the newest registrations holds nevertheless, because no stream begins at a
+//!   version before all daemons know it, or lack a view that is recent enough to prove anything.
 
 mod binding;
 mod lookup;
@@ -21,7 +24,8 @@
 mod watch;
 mod wire;
 
-pub use message::{Binding, Lookup, Message};
+pub(super) use lookup::Search;
+pub use message::{Binding, Finding, Lookup, Message};
 pub use registry::StreamId;
 pub(super) use registry::Streams;
 pub(super) use software::History;
--- a/src/fleet/streams/registry.rs
+++ b/src/fleet/streams/registry.rs
@@ -3,6 +3,7 @@
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use super::software::MAX_STREAM_AGE;
+use super::watch::View;
 use super::{Binding, Software};
 use crate::fleet::Key;
 use crate::prelude::*;
@@ -43,9 +44,7 @@
     by_expiry: BTreeSet<(Time, StreamId)>,
     /// Requests that wait for replies to lookups.
     pub(in crate::fleet) lookups: BTreeSet<Key>,
-    /// Since when this daemon has known all registered servers without interruption.
-    pub(in crate::fleet) watched_since: Option<Time>,
-    pub(super) last_tick_at: Option<Time>,
+    pub(in crate::fleet) view: View,
     /// The daemons among which replicas are chosen.
     pub(super) candidates: Vec<String>,
     pub(super) candidates_listed_at: Option<Time>,
--- a/src/fleet/streams/watch.rs
+++ b/src/fleet/streams/watch.rs
@@ -1,17 +1,63 @@
-//! Proves that one software version alone has served a pool, from an unbroken watch of the servers.
+//! Proves that one software version alone has served a pool, from an unbroken view of the servers' registrations.
+//!
+//! A view that is a little old can lack a version that has just appeared. Daemons therefore begin no stream at such a
+//! version before every daemon knows it, or can no longer prove anything from a view without it.
 
 use super::Software;
-use super::software::MAX_STREAM_AGE;
-use crate::fleet::{Node, Topic};
+use super::software::{MAX_STREAM_AGE, Spread};
+use crate::fleet::peer::Peer;
+use crate::fleet::{Digest, Node, Topic};
 use crate::prelude::*;
 
-/// Age of the last known read of the servers from which this daemon may have missed a new version. A daemon that knows of
-/// no recent read makes one sooner than that.
-const MAX_VIEW_AGE: Duration = Duration::from_millis(1_500);
-/// Time without a tick after which this daemon was frozen, and its peers' digests may arrive before what it has missed.
+/// Maximum age of a view from which anything is proven. Reads that wait for records, one after another, keep it younger.
+pub(super) const MAX_VIEW_AGE: Duration = Duration::from_secs(3);
+/// Time without a tick after which this daemon was frozen.
 const MAX_TICK_GAP: Duration = Duration::from_millis(500);
-/// Number of peers whose digests a daemon of a large fleet gets at least, unless it is partitioned.
-const MIN_FRESH_PEERS: usize = 8;
+/// Number of peers up to which each daemon gets digests from all of them.
+pub(super) const MAX_PEERS_WITH_ALL_DIGESTS: usize = 8;
+
+/// What this daemon knows of the servers' registrations.
+#[derive(Debug, Default)]
+pub(in crate::fleet) struct View {
+    /// Since when it has known all registrations without interruption.
+    watched_since: Option<Time>,
+    /// Time up to which it has all registrations, by reads of its own or of peers.
+    complete_until: Option<Time>,
+    /// Time up to which it has all registrations that any peer has.
+    agreed_until: Option<Time>,
+    last_tick_at: Option<Time>,
+    /// Whether it was up to date at the last tick.
+    was_current: bool,
+}
+
+impl View {
+    /// Time up to which it includes every version that can have begun a stream.
+    fn time(&self) -> Option<Time> {
+        self.complete_until.max(self.agreed_until)
+    }
+
+    fn is_current(&self, now: Time) -> bool {
+        self.time().is_some_and(|at| now < at + MAX_VIEW_AGE)
+    }
+
+    /// Whether this daemon has not run for a moment, and no tick has come since.
+    fn was_frozen(&self, now: Time) -> bool {
+        self.last_tick_at.is_none_or(|at| now >= at + MAX_TICK_GAP)
+    }
+
+    /// Registrations are known for the first time.
+    pub(in crate::fleet) fn begin(&mut self, now: Time) {
+        self.watched_since.get_or_insert(now);
+    }
+
+    /// The view includes everything up to `at`. Versions may have come and gone in a long gap before.
+    fn extend(&mut self, at: Time) {
+        let has_gap = self.time().is_none_or(|known| at >= known + MAX_VIEW_AGE);
+        if let Some(since) = self.watched_since.as_mut().filter(|_| has_gap) {
+            *since = at.max(*since);
+        }
+    }
+}
 
 impl Node {
     /// The version of a pool's servers, if it is proven that no other began a stream that can still be taken up.
@@ -22,33 +68,132 @@
     /// Whether this daemon has known all servers since before any stream that can still be taken up.
     pub(super) fn has_watched(&self, now: Time) -> bool {
         let is_long = self.watched_time(now) >= MAX_STREAM_AGE;
-        is_long && !self.was_frozen(now) && self.sees_servers(now)
+        is_long && !self.streams.view.was_frozen(now) && self.has_current_view(now)
     }
 
-    /// Whether this daemon knows the servers that are registered now: by a recent read, its own or a peer's. While
-    /// the store is down for all, no server is added. A daemon with few fresh peers may be partitioned instead.
-    fn sees_servers(&self, now: Time) -> bool {
-        let read_at = self.read_at.get(&Topic::Servers);
-        let needed = self.peers.len().div_ceil(2).min(MIN_FRESH_PEERS);
-        read_at.is_some_and(|at| now < *at + MAX_VIEW_AGE) || self.fresh_peer_count(now) >= needed
+    /// Whether this daemon knows the servers that are registered now, but for those that joined in the last moments.
+    pub(super) fn has_current_view(&self, now: Time) -> bool {
+        self.streams.view.is_current(now)
     }
 
     /// Time for which this daemon has known all registered servers without interruption.
     pub(in crate::fleet) fn watched_time(&self, now: Time) -> Duration {
-        self.streams.watched_since.map_or(Duration::ZERO, |since| now.saturating_sub(since))
+        self.streams.view.watched_since.map_or(Duration::ZERO, |since| now.saturating_sub(since))
     }
 
-    /// Whether this daemon has not run for a moment, and no tick has come since.
-    fn was_frozen(&self, now: Time) -> bool {
-        self.streams.last_tick_at.is_none_or(|at| now >= at + MAX_TICK_GAP)
+    /// Age of this daemon's view of the servers.
+    pub(in crate::fleet) fn view_age(&self, now: Time) -> Option<Duration> {
+        self.streams.view.time().map(|at| now.saturating_sub(at))
+    }
+
+    /// Time since this daemon last had all registrations, for its digests.
+    pub(in crate::fleet) fn registrations_age(&self, now: Time) -> Option<Duration> {
+        self.streams.view.complete_until.map(|at| now.saturating_sub(at))
+    }
+
+    /// This daemon has read all registrations up to the time `at`, which end at offset `to`.
+    pub(in crate::fleet) fn note_registrations_read(&mut self, at: Time, to: u64) {
+        if self.catalog.end(Topic::Servers) >= to {
+            self.note_registrations(at);
+        }
+    }
+
+    /// A peer has all registrations up to some time, and this daemon has all that the peer has.
+    pub(in crate::fleet) fn note_peer_registrations(
+        &mut self,
+        now: Time,
+        digest: &Digest,
+        delay: Option<Duration>,
+    ) {
+        let end = digest.end_offsets.get(Topic::Servers as usize).copied();
+        let has_all = end.is_some_and(|end| end <= self.catalog.end(Topic::Servers));
+        let age = digest.registrations_age.zip(delay).filter(|_| has_all);
+        if let Some(at) = age.and_then(|(age, delay)| now.checked_sub(age.saturating_add(delay))) {
+            self.note_registrations(at);
+        }
+    }
+
+    fn note_registrations(&mut self, at: Time) {
+        let view = &mut self.streams.view;
+        view.extend(at);
+        view.complete_until = view.complete_until.max(Some(at));
     }
 
-    /// Restarts the time for which the servers have been known if there was an interruption.
+    /// Updates the view of the servers. If it is interrupted, peers get the bindings that this daemon alone has.
     pub(in crate::fleet) fn watch_servers(&mut self, now: Time) {
-        let is_interrupted = self.was_frozen(now) || !self.sees_servers(now);
-        if is_interrupted && self.streams.watched_since.is_some() {
-            self.streams.watched_since = Some(now);
+        if let Some(at) = self.agreed_until(now) {
+            self.streams.view.extend(at);
+            self.streams.view.agreed_until = self.streams.view.agreed_until.max(Some(at));
+        }
+        let view = &mut self.streams.view;
+        let is_current = view.is_current(now);
+        if let Some(since) = view.watched_since.as_mut().filter(|_| !is_current) {
+            *since = now;
+        }
+        if let Some(since) = view.watched_since.as_mut()
+            && view.last_tick_at.is_none_or(|at| now >= at + MAX_TICK_GAP)
+        {
+            *since = now;
+        }
+        view.last_tick_at = Some(now);
+        let is_interrupted = std::mem::replace(&mut view.was_current, is_current) && !is_current;
+        if is_interrupted {
+            self.replicate_own_streams(now);
+        }
+        self.settle_versions(now);
+    }
+
+    /// Time up to which this daemon has all registrations that any peer has, if it gets digests from all of them. While
+    /// the store is down for all, no daemon knows more.
+    fn agreed_until(&self, now: Time) -> Option<Time> {
+        let topic = Topic::Servers;
+        let end = self.catalog.end(topic);
+        if self.peers.len() > MAX_PEERS_WITH_ALL_DIGESTS || !self.catalog.is_contiguous(topic) {
+            return None;
+        }
+        let heard_at = |peer: &Peer| {
+            let at = peer.heard_at.filter(|_| peer.end_offset(topic) <= end)?;
+            at.checked_sub(peer.known_digest_delay()?)
+        };
+        let heard: Option<Vec<Time>> = self.registered_peers().map(heard_at).collect();
+        heard?.into_iter().min().filter(|at| now < *at + MAX_VIEW_AGE)
+    }
+
+    /// Peers with an id. Addresses of the settings may be those of no daemon.
+    fn registered_peers(&self) -> impl Iterator<Item = &Peer> {
+        self.peers
+            .iter()
+            .filter(|(id, peer)| **id != peer.address.to_string())
+            .map(|(_, peer)| peer)
+    }
+
+    /// Settles software versions. Few ticks have any to settle.
+    fn settle_versions(&mut self, now: Time) {
+        if !self.pools.values().any(|pool| pool.versions.has_unsettled()) {
+            return;
+        }
+        let spread = self.spread();
+        let mut settled = Vec::new();
+        for (name, pool) in &mut self.pools {
+            let versions = pool.versions.settle(now, spread);
+            settled.extend(versions.into_iter().map(|_| name.clone()));
+        }
+        for pool in settled {
+            self.event(Event::SoftwareSettled, Detail::of("pool", pool));
+        }
+    }
+
+    fn spread(&self) -> Spread {
+        let topic = Topic::Servers;
+        let end = self.catalog.end(topic);
+        let knows_peers = self.known_topics.contains(&Topic::Routers);
+        let peer_ends = self.registered_peers().map(|peer| peer.end_offset(topic));
+        let (lowest, highest) = peer_ends
+            .fold((end, 0), |(lowest, highest), peer| (peer.min(lowest), peer.max(highest)));
+        Spread {
+            own_end: Some(end).filter(|_| self.catalog.is_contiguous(topic)),
+            peers_end: Some(lowest).filter(|_| knows_peers && highest <= end),
+            complete_until: self.streams.view.complete_until,
         }
-        self.streams.last_tick_at = Some(now);
     }
 }
--- a/src/fleet/streams/wire.rs
+++ b/src/fleet/streams/wire.rs
@@ -1,7 +1,7 @@
 //! Wire format of the messages about software versions of streams.
 
 use super::software::MAX_STREAM_AGE;
-use super::{Binding, Lookup, Software, StreamId};
+use super::{Binding, Finding, Lookup, Software, StreamId};
 use crate::fleet::{Key, Malformed};
 use crate::prelude::*;
 
@@ -42,8 +42,15 @@
     request: u64,
     #[prost(fixed64, tag = "2")]
     stream: u64,
+    /// The version, if the stream is bound to it or it is proven.
     #[prost(fixed64, optional, tag = "3")]
     software: Option<u64>,
+    /// Whether the stream is bound to it. Daemons of an earlier release state neither this nor the next.
+    #[prost(bool, tag = "4")]
+    is_bound: bool,
+    /// Whether several versions have served.
+    #[prost(bool, tag = "5")]
+    is_ambiguous: bool,
 }
 
 #[derive(Clone, PartialEq, prost::Oneof)]
@@ -66,6 +73,31 @@
     u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
 }
 
+impl WireFound {
+    fn new(request: Key, stream: StreamId, finding: Finding) -> Self {
+        let software = match finding {
+            Finding::Bound(software) | Finding::Proven(software) => Some(software.0),
+            Finding::Ambiguous | Finding::Unknown => None,
+        };
+        Self {
+            request: request.0,
+            stream: stream.0,
+            software,
+            is_bound: matches!(finding, Finding::Bound(_)),
+            is_ambiguous: finding == Finding::Ambiguous,
+        }
+    }
+
+    fn finding(&self) -> Finding {
+        match self.software.map(Software) {
+            Some(software) if self.is_bound => Finding::Bound(software),
+            Some(software) => Finding::Proven(software),
+            None if self.is_ambiguous => Finding::Ambiguous,
+            None => Finding::Unknown,
+        }
+    }
+}
+
 impl From<Binding> for WireBinding {
     fn from(binding: Binding) -> Self {
         let time_left_ms = millis(binding.time_left);
@@ -97,11 +129,9 @@
                 pool: lookup.pool,
                 max_age_ms: millis(MAX_STREAM_AGE),
             }),
-            super::Message::Found(request, stream, software) => Body::Found(WireFound {
-                request: request.0,
-                stream: stream.0,
-                software: software.map(|software| software.0),
-            }),
+            super::Message::Found(request, stream, finding) => {
+                Body::Found(WireFound::new(request, stream, finding))
+            }
         };
         Self { body: Some(body) }
     }
@@ -121,11 +151,9 @@
                 stream: StreamId(lookup.stream),
                 pool: lookup.pool,
             })),
-            Some(Body::Found(found)) => Ok(Self::Found(
-                Key(found.request),
-                StreamId(found.stream),
-                found.software.map(Software),
-            )),
+            Some(Body::Found(found)) => {
+                Ok(Self::Found(Key(found.request), StreamId(found.stream), found.finding()))
+            }
             None => Err(Malformed("the message about streams is empty".into())),
         }
     }
--- a/src/fleet/tests/frames.rs
+++ b/src/fleet/tests/frames.rs
@@ -39,6 +39,7 @@
         }],
         sent_at: Duration::from_millis(1 << 33),
         caught_up_age: Some(Duration::ZERO),
+        registrations_age: Some(Duration::from_millis(140)),
         quota_keeper: "router-2".into(),
         quota_use: vec![Usage { workspace: "lab".into(), units: 1 << 40 }],
         reject_limits: vec![RejectLimit {
@@ -83,6 +84,10 @@
     (incarnation, capacity::Report { factor: 1.75, samples: 20.5, age })
 }
 
+fn found(finding: streams::Finding) -> Frame {
+    Frame::Streams(streams::Message::Found(Key(4), StreamId(1), finding))
+}
+
 #[test]
 fn decode_encoded() {
     let records = vec![
@@ -123,8 +128,10 @@
             stream: StreamId(u64::MAX),
             pool: "engines".into(),
         })),
-        Frame::Streams(streams::Message::Found(Key(4), StreamId(0), None)),
-        Frame::Streams(streams::Message::Found(Key(4), StreamId(1), Some(Software(0)))),
+        found(streams::Finding::Unknown),
+        found(streams::Finding::Ambiguous),
+        found(streams::Finding::Proven(Software(0))),
+        found(streams::Finding::Bound(Software(u64::MAX))),
         Frame::Poison(poison::Message::Interruptions(vec![poison::Interruption {
             fingerprint: Fingerprint(u64::MAX),
             parts: vec![Fingerprint::of_part(1), Fingerprint::of_part(2)],
--- a/src/fleet/tests/software/mod.rs
+++ b/src/fleet/tests/software/mod.rs
@@ -418,3 +418,20 @@
         play(seed, 16, &Fault::ALL);
     }
 }
+
+/// Daemons are out of step as the first release after a long time begins. Takeups in that moment have a proof of one
+/// version; none may hold two.
+#[test]
+fn streams_hold_one_version_as_a_release_begins_and_daemons_are_out_of_step() {
+    let first = std::env::var("STREAMS_SEED").ok().and_then(|seed| seed.parse().ok()).unwrap_or(0);
+    let count = std::env::var("STREAMS_DAYS").ok().and_then(|days| days.parse().ok()).unwrap_or(8);
+    for seed in first..first + count {
+        for (daemons, faults) in [(DAEMONS, Fault::OUT_OF_STEP.as_slice()), (DAEMONS, &Fault::ALL)]
+        {
+            let mut day = Day::new(seed, daemons);
+            day.play_first_release(faults);
+            println!("seed {seed}, {daemons} daemons: {:?}, {:?}", day.outcome, day.refusals);
+            assert_eq!(day.outcome.mixed, 0, "seed {seed}, {faults:?}");
+        }
+    }
+}
--- a/src/fleet/tests/software/simulation/faults.rs
+++ b/src/fleet/tests/software/simulation/faults.rs
@@ -27,17 +27,20 @@
                 }
             }
             Fault::Partition if self.partitioned.is_empty() => {
-                self.partitioned = daemons.iter().copied().take(3).collect();
-                self.heals_at = now + ms(6_000);
-                for one in 0..count {
-                    for other in 0..count {
-                        if self.partitioned.contains(&one) != self.partitioned.contains(&other) {
-                            self.site.cut_links.insert((one, other));
-                        }
-                    }
+                self.partition(daemons.iter().copied().take(3).collect(), ms(6_000));
+            }
+            Fault::BriefPartition if self.partitioned.is_empty() => {
+                let size = self.rng.usize(1..count);
+                let span = ms(self.rng.u64(200..4_000));
+                self.partition(daemons.iter().copied().take(size).collect(), span);
+            }
+            Fault::Partition | Fault::BriefPartition => {}
+            Fault::Pause => {
+                for daemon in daemons.iter().take(self.rng.usize(1..3)) {
+                    let span = ms(self.rng.u64(100..1_000));
+                    self.take_down(*daemon, now + span, true);
                 }
             }
-            Fault::Partition => {}
             Fault::Reset => {
                 let open: Vec<(usize, Key)> = self.calls.keys().copied().collect();
                 for (daemon, key) in open {
@@ -59,6 +62,20 @@
         }
     }
 
+    /// Cuts a group of daemons off from the others and from the store.
+    fn partition(&mut self, group: BTreeSet<usize>, span: Duration) {
+        let count = self.site.daemons.len();
+        self.heals_at = self.site.now + span;
+        for one in 0..count {
+            for other in 0..count {
+                if group.contains(&one) != group.contains(&other) {
+                    self.site.cut_links.insert((one, other));
+                }
+            }
+        }
+        self.partitioned = group;
+    }
+
     pub(super) fn kill(&mut self, daemons: &[usize]) {
         let until = self.site.now + RESTART;
         for daemon in daemons {
--- a/src/fleet/tests/software/simulation/mod.rs
+++ b/src/fleet/tests/software/simulation/mod.rs
@@ -5,6 +5,7 @@
 
 use servers::engine;
 
+use super::MAX_AGE;
 use crate::fleet::tests::site::Site;
 use crate::fleet::tests::world::*;
 use crate::fleet::*;
@@ -40,6 +41,10 @@
     Freeze,
     /// Three daemons are partitioned from the others and from the store.
     Partition,
+    /// Some daemons, up to all but one, are partitioned from the others and from the store for a moment.
+    BriefPartition,
+    /// Some daemons stand still for less than a second.
+    Pause,
     /// Half of the callers' connections are reset.
     Reset,
     /// A quarter of the servers end without notice; others of the same versions start.
@@ -56,6 +61,16 @@
         Self::Reset,
         Self::Crash,
     ];
+
+    /// The faults by which daemons are out of step for a while, without a restart of theirs.
+    pub const OUT_OF_STEP: [Self; 6] = [
+        Self::Freeze,
+        Self::Partition,
+        Self::BriefPartition,
+        Self::Pause,
+        Self::Reset,
+        Self::Crash,
+    ];
 }
 
 /// A stream of a caller.
@@ -174,7 +189,30 @@
     /// Plays releases, one server each 400 ms with pauses, and a fault each 2 s, for `span`.
     pub fn play(&mut self, span: Duration, faults: &[Fault]) {
         let start = self.site.now;
-        let (mut next_fault, mut next_server) = (start + ms(3_000), start + ms(2_000));
+        self.run(span, faults, start + ms(3_000), start + ms(2_000));
+    }
+
+    /// Lets all daemons prove that one version serves alone, and then plays a release with faults around its beginning.
+    pub fn play_first_release(&mut self, faults: &[Fault]) {
+        let watched = self.site.now + MAX_AGE;
+        while self.site.now < watched {
+            self.read_store();
+            self.site.advance(STEP);
+        }
+        self.release = 1;
+        let (fault, server) = (self.rng.u64(..2_000), self.rng.u64(..2_500));
+        let now = self.site.now;
+        self.run(ms(8_000), faults, now + ms(fault), now + ms(server));
+    }
+
+    fn run(
+        &mut self,
+        span: Duration,
+        faults: &[Fault],
+        mut next_fault: Time,
+        mut next_server: Time,
+    ) {
+        let start = self.site.now;
         while self.site.now < start + span {
             if self.site.now >= next_fault {
                 next_fault = self.site.now + ms(self.rng.u64(1_500..3_000));
--- a/src/telemetry/event.rs
+++ b/src/telemetry/event.rs
@@ -75,6 +75,7 @@
     RequestLimitEnded = 314, Info, "A backend server states no request limit any more.";
     LeavingStated = 315, Info, "A backend server states in an answer that it is leaving.";
     RestStated = 316, Info, "A backend server turned a request of this daemon away and wants none of it for a while.";
+    SoftwareSettled = 317, Info, "Streams may begin at the servers of a software version that joined a pool: no daemon takes a former one for the only one.";
     ServerSlow = 320, Warn, "A backend server takes clearly longer than its pool; less work is sent there.";
     ServerWell = 321, Info, "A backend server that was slow is about as fast as its pool again.";
     AttemptFailed = 400, Info, "An attempt at a backend server failed.";
