A line without a size where a chunk's is due ends no body

What callers saw: a stream with chunks whose server's framing went wrong ended as complete before its last event, with the router's last chunk; also the second answer of a resumed stream.

Cause: httparse::parse_chunk_size takes a line without digits ("\r\n", ";x=y\r\n") for the size 0. The decoder went to the trailer, and the next empty line completed the body. Requests are read by the same decoder (by reading: the rest of the body was cut off, and what followed stood where the next request is due).

Why it works: the size must begin with a hexadecimal digit before the line is parsed. Anything else is a malformed body: the attempt is lost, a resumable stream goes on elsewhere, another ends as cut.

Ruled out: the events of the stream (Events) and the resumption; of one of the streams the second answer was the one that ended early, of two the first and only one.

Their servers may send bytes that are no part of an answer; a clean run leaves no logs to look them up in.

--- a/src/relay/body.rs
+++ b/src/relay/body.rs
@@ -176,10 +176,9 @@
             }
         }
         self.state = match self.state {
-            State::ChunkSize => match httparse::parse_chunk_size(&input[..end + 2]) {
-                Ok(httparse::Status::Complete((_, 0))) => State::Trailer,
-                Ok(httparse::Status::Complete((_, size))) => State::ChunkData(size),
-                _ => return Err(Malformed("a chunk's size is not well-formed".into())),
+            State::ChunkSize => match parse_chunk_size(&input[..end + 2])? {
+                0 => State::Trailer,
+                size => State::ChunkData(size),
             },
             State::ChunkEnd if end == 0 => State::ChunkSize,
             State::ChunkEnd => return Err(Malformed("a chunk is longer than its size".into())),
@@ -189,3 +188,12 @@
         Ok(end + 2)
     }
 }
+
+/// Parses a line with a chunk's size. `httparse` takes a line without digits for the size 0, which would end the body.
+fn parse_chunk_size(line: &[u8]) -> Result<u64, Malformed> {
+    let has_size = line.first().is_some_and(u8::is_ascii_hexdigit);
+    match httparse::parse_chunk_size(line) {
+        Ok(httparse::Status::Complete((_, size))) if has_size => Ok(size),
+        _ => Err(Malformed("a chunk's size is not well-formed".into())),
+    }
+}
--- a/src/relay/tests.rs
+++ b/src/relay/tests.rs
@@ -95,7 +95,19 @@
 
 #[test]
 fn decode_malformed_chunks() {
-    for body in ["x\r\n", "3\r\nabcd\r\n", "-1\r\n", "ffffffffffffffffff\r\n"] {
+    let malformed = [
+        "x\r\n",
+        "3\r\nabcd\r\n",
+        "-1\r\n",
+        "ffffffffffffffffff\r\n",
+        // A line without a size is not the last chunk.
+        "\r\n",
+        "\r\n\r\n",
+        "1\r\na\r\n\r\n\r\n",
+        ";x=y\r\n",
+        " 0\r\n",
+    ];
+    for body in malformed {
         let mut decoder = Decoder::new(Framing::Chunked);
         assert!(decoder.decode(body.as_bytes(), &mut Vec::new()).is_err(), "{body:?}");
     }
