A server's Keep-Alive field ended daemons

Callers saw: the daemon's process ended while it answered (status 101, connections closed), again and again for as long as the server stated that; every daemon that had an answer from the server was concerned.

Cause: the timeout of a Keep-Alive field was any u64 of seconds and was added to an instant, which panics from about 2^63 s on. The panic is in the main thread, which executes all callers' connections.

At most one hour of what is stated counts now, which is longer than any connection is kept. Other uses of header fields of servers (Retry-After, Server-Limit, Server-Brittle, X-Weight-Versions) held with the same values.

--- a/src/relay/pool.rs
+++ b/src/relay/pool.rs
@@ -9,6 +9,8 @@
 
 /// Time to keep an idle connection if the server states none.
 const DEFAULT_KEEP_ALIVE: Duration = Duration::from_secs(2);
+/// Longest time to keep an idle connection, whatever the server states.
+const MAX_KEEP_ALIVE: Duration = Duration::from_secs(3_600);
 /// Maximum number of requests that a connection carries, which bounds the ids that it remembers.
 pub(super) const MAX_REQUESTS_PER_CONNECTION: usize = 256;
 /// Safety margin subtracted from the server's stated timeout: a request must not race with the
@@ -76,11 +78,11 @@
     }
 }
 
-/// Parses the timeout of a `Keep-Alive` field.
+/// Parses the timeout of a `Keep-Alive` field, of which at most [`MAX_KEEP_ALIVE`] counts.
 fn stated_keep_alive(fields: &Fields) -> Option<Duration> {
     let value = fields.get("keep-alive")?;
     let parameters = value.split(',').filter_map(|parameter| parameter.trim().split_once('='));
     let mut timeouts = parameters.filter(|(name, _)| name.trim().eq_ignore_ascii_case("timeout"));
     let seconds = timeouts.next()?.1.trim().parse().ok()?;
-    Some(Duration::from_secs(seconds))
+    Some(Duration::from_secs(seconds).min(MAX_KEEP_ALIVE))
 }
