--- a/src/fleet/tests/software/mod.rs
+++ b/src/fleet/tests/software/mod.rs
@@ -423,7 +423,7 @@
 /// version; none may hold two.
 #[test]
 fn streams_hold_one_version_as_a_release_begins_and_daemons_are_out_of_step() {
-    let first = std::env::var("STREAMS_SEED").ok().and_then(|seed| seed.parse().ok()).unwrap_or(0);
+    let first = std::env::var("STREAMS_SEED").ok().and_then(|seed| seed.parse().ok()).unwrap_or(20);
     let count = std::env::var("STREAMS_DAYS").ok().and_then(|days| days.parse().ok()).unwrap_or(8);
     for seed in first..first + count {
         for (daemons, faults) in [(DAEMONS, Fault::OUT_OF_STEP.as_slice()), (DAEMONS, &Fault::ALL)]
--- a/src/fleet/tests/software/simulation/mod.rs
+++ b/src/fleet/tests/software/simulation/mod.rs
@@ -189,10 +189,24 @@
     /// Plays releases, one server each 400 ms with pauses, and a fault each 2 s, for `span`.
     pub fn play(&mut self, span: Duration, faults: &[Fault]) {
         let start = self.site.now;
-        self.run(span, faults, start + ms(3_000), start + ms(2_000));
+        let (mut next_fault, mut next_server) = (start + ms(3_000), start + ms(2_000));
+        while self.site.now < start + span {
+            if self.site.now >= next_fault {
+                next_fault = self.site.now + ms(self.rng.u64(1_500..3_000));
+                let fault = faults[self.rng.usize(..faults.len())];
+                self.strike(fault);
+            }
+            if self.site.now >= next_server {
+                let replaced = self.replace_server();
+                let pause = if replaced { 400 } else { self.rng.u64(1_000..5_000) };
+                next_server = self.site.now + ms(pause);
+            }
+            self.step();
+        }
     }
 
-    /// Lets all daemons prove that one version serves alone, and then plays a release with faults around its beginning.
+    /// Lets all daemons prove that one version serves alone, and then plays how the next one joins: a fault a moment
+    /// before or after, and streams that break soon.
     pub fn play_first_release(&mut self, faults: &[Fault]) {
         let watched = self.site.now + MAX_AGE;
         while self.site.now < watched {
@@ -200,29 +214,26 @@
             self.site.advance(STEP);
         }
         self.release = 1;
-        let (fault, server) = (self.rng.u64(..2_000), self.rng.u64(..2_500));
-        let now = self.site.now;
-        self.run(ms(8_000), faults, now + ms(fault), now + ms(server));
-    }
-
-    fn run(
-        &mut self,
-        span: Duration,
-        faults: &[Fault],
-        mut next_fault: Time,
-        mut next_server: Time,
-    ) {
         let start = self.site.now;
-        while self.site.now < start + span {
+        let mut next_fault = start + ms(self.rng.u64(..1_500));
+        let joins_at = start + ms(self.rng.u64(..1_500));
+        let mut next_server = joins_at;
+        let mut next_reset = joins_at + ms(self.rng.u64(100..600));
+        while self.site.now < start + ms(8_000) {
             if self.site.now >= next_fault {
                 next_fault = self.site.now + ms(self.rng.u64(1_500..3_000));
                 let fault = faults[self.rng.usize(..faults.len())];
                 self.strike(fault);
             }
             if self.site.now >= next_server {
-                let replaced = self.replace_server();
-                let pause = if replaced { 400 } else { self.rng.u64(1_000..5_000) };
-                next_server = self.site.now + ms(pause);
+                next_server = self.site.now + ms(self.rng.u64(1_000..4_000));
+                for _ in 0..self.rng.usize(1..5) {
+                    self.replace_server();
+                }
+            }
+            if self.site.now >= next_reset {
+                next_reset = self.site.now + ms(self.rng.u64(200..800));
+                self.strike(Fault::Reset);
             }
             self.step();
         }
