A record of the lease counts if it lies where its writer expected it

Cause: a record named the last accepted one before it, so whether it counted depended on what a reader still knew. A daemon that starts after all records are gone knows none, names none, and accepts its own take; the others refuse it and accept another.

The change: a record names the offset after all that its writer has read, and counts if it lies there. That follows from the record and its offset alone, so all daemons agree whatever they have forgotten, and of two takes written at once the first counts. A record that its writer's unread one precedes does not count, as before. Records without the new field (an earlier release's, during a rolling release) go by the former rule, and new ones still name the last accepted record for it.

--- a/src/lease/mod.rs
+++ b/src/lease/mod.rs
@@ -1,8 +1,8 @@
 //! Lease on the log. It selects the daemon that may send orders to engines, and its fence.
 //!
-//! Each record names the last accepted record that its writer has read, and is accepted if and only
-//! if no other was accepted since. A daemon that has not read a renewal thus can't take the lease.
-//! The fence is the offset of the record that took the lease. The holder stops early by its own
+//! Each record names the offset up to which its writer has read the log, and is accepted if and only if it lies there.
+//! A daemon that has not read a renewal thus can't take the lease. Whether a record is accepted follows from the record
+//! alone, so that all daemons agree also once the log has dropped all earlier ones. The fence is the offset of the record that took the lease. The holder stops early by its own
 //! clock. Others take the lease only [`Terms::ttl`] plus [`Terms::margin`] after they read the last
 //! accepted record.
 
--- a/src/lease/record.rs
+++ b/src/lease/record.rs
@@ -16,8 +16,12 @@
     pub incarnation: u64,
     /// Sequence number of the daemon's lease records.
     pub sequence: u64,
-    /// Offset of the last accepted record that the daemon has read. `None` if there is none.
+    /// Offset of the last accepted record that the daemon has read. `None` if there is none. Daemons of an earlier
+    /// release go by it.
     pub after: Option<u64>,
+    /// Offset after the last record that the daemon has read. Records of an earlier release lack it.
+    #[serde(default)]
+    pub next: Option<u64>,
     /// The requested change.
     #[serde(flatten)]
     pub body: Body,
@@ -43,9 +47,10 @@
         incarnation: u64,
         sequence: u64,
         after: Option<u64>,
+        next: Option<u64>,
         body: Body,
     ) -> Self {
-        Self { format: FORMAT, daemon: daemon.to_owned(), incarnation, sequence, after, body }
+        Self { format: FORMAT, daemon: daemon.to_owned(), incarnation, sequence, after, next, body }
     }
 
     /// Encodes the record as JSON text.
--- a/src/lease/state.rs
+++ b/src/lease/state.rs
@@ -90,10 +90,10 @@
         }
         self.next = offset + 1;
         let record = Record::decode(text)?;
-        if !self.is_next(&record) {
+        if !self.accepts(&record, offset) {
             return Some(());
         }
-        self.is_base_known |= record.after == self.last;
+        self.is_base_known |= record.next.is_some() || record.after == self.last;
         self.last = Some(offset);
         let fence = match record.body {
             Body::Take => offset,
@@ -113,10 +113,18 @@
         Some(())
     }
 
-    /// Whether the record follows the last accepted one. Until a record names one that this daemon has
-    /// read, records that name a dropped one are accepted too. Only a daemon that had accepted the
-    /// dropped record would name it.
-    fn is_next(&self, record: &Record) -> bool {
+    /// Whether the record at `offset` counts: its writer had read all records before it.
+    fn accepts(&self, record: &Record, offset: u64) -> bool {
+        match record.next {
+            Some(next) => next == offset,
+            None => self.follows(record),
+        }
+    }
+
+    /// Whether a record of an earlier release follows the last accepted one. Until a record names one that this daemon
+    /// has read, records that name a dropped one are accepted too. Only a daemon that had accepted the dropped record
+    /// would name it.
+    fn follows(&self, record: &Record) -> bool {
         let forgotten = record.after.is_some_and(|after| after < self.first);
         record.after == self.last || (!self.is_base_known && forgotten)
     }
@@ -160,6 +168,7 @@
             self.sent.pop_first();
         }
         self.last_sent = Some(now);
-        Some(Record::new(&self.daemon, self.incarnation, self.sequence, self.last, body))
+        let (sequence, last, next) = (self.sequence, self.last, Some(self.next));
+        Some(Record::new(&self.daemon, self.incarnation, sequence, last, next, body))
     }
 }
--- a/src/lease/tests.rs
+++ b/src/lease/tests.rs
@@ -69,6 +69,162 @@
     }
 }
 
+/// Records are kept for this time.
+const RETENTION: Duration = Duration::from_secs(20);
+
+/// A log that drops old records, and daemons that pause, start again, and do not always need the lease.
+struct Site {
+    rng: fastrand::Rng,
+    now: Time,
+    states: Vec<State>,
+    /// Records and when they were appended; the first ones are dropped.
+    log: Vec<(Time, String)>,
+    dropped: usize,
+    /// Records that are appended later.
+    delayed: Vec<String>,
+    paused_until: Vec<Time>,
+    started: u64,
+    max_fence: Option<u64>,
+    held: usize,
+}
+
+impl Site {
+    fn new(seed: u64, daemons: usize) -> Self {
+        let mut site = Self {
+            rng: fastrand::Rng::with_seed(seed),
+            now: Time::ZERO,
+            states: Vec::new(),
+            log: Vec::new(),
+            dropped: 0,
+            delayed: Vec::new(),
+            paused_until: vec![Time::ZERO; daemons],
+            started: 0,
+            max_fence: None,
+            held: 0,
+        };
+        for index in 0..daemons {
+            let state = site.start(index);
+            site.states.push(state);
+        }
+        site
+    }
+
+    fn start(&mut self, index: usize) -> State {
+        self.started += 1;
+        State::new(format!("router-{index}"), self.started, Terms::DEFAULT)
+    }
+
+    /// One daemon reads or writes, pauses or starts again.
+    fn step(&mut self, is_needed: bool) {
+        self.now += Duration::from_millis(self.rng.u64(0..100));
+        while self.log.get(self.dropped).is_some_and(|(at, _)| self.now >= *at + RETENTION) {
+            self.dropped += 1;
+        }
+        let index = self.rng.usize(..self.states.len());
+        match self.rng.u32(0..400) {
+            0 => {
+                self.paused_until[index] = self.now + Duration::from_millis(self.rng.u64(..30_000))
+            }
+            1 => self.states[index] = self.start(index),
+            2..20 if !self.delayed.is_empty() => {
+                let record = self.delayed.swap_remove(self.rng.usize(..self.delayed.len()));
+                self.log.push((self.now, record));
+            }
+            _ => {}
+        }
+        if self.now < self.paused_until[index] {
+            return;
+        }
+        self.check_holders();
+        if self.rng.u32(0..3) == 0 {
+            self.write(index, is_needed);
+        } else {
+            self.read(index);
+        }
+    }
+
+    fn check_holders(&mut self) {
+        let fences = self.states.iter().filter_map(|state| state.fence(self.now));
+        let fences: Vec<u64> = fences.collect();
+        assert!(fences.len() <= 1, "{fences:?} hold the lease at the same time");
+        if let Some(fence) = fences.first() {
+            self.held += 1;
+            assert!(Some(*fence) >= self.max_fence, "fence {fence} after {:?}", self.max_fence);
+            self.max_fence = Some(*fence);
+        }
+    }
+
+    fn write(&mut self, index: usize, is_needed: bool) {
+        let is_candidate = is_needed && self.rng.bool();
+        // A daemon writes nothing before its first read.
+        let has_read = self.states[index].next() >= self.dropped as u64;
+        if !has_read || !is_needed {
+            return;
+        }
+        let Some(record) = self.states[index].due_record(self.now, is_candidate) else { return };
+        match self.rng.u32(0..10) {
+            0 => {}
+            1 => self.delayed.push(record.encode()),
+            _ => self.log.push((self.now, record.encode())),
+        }
+    }
+
+    fn read(&mut self, index: usize) {
+        let state = &mut self.states[index];
+        state.skip_to(self.dropped as u64);
+        let next = state.next() as usize;
+        let count = self.rng.usize(0..8);
+        for (offset, (_, text)) in self.log.iter().enumerate().skip(next).take(count) {
+            state.fold(self.now, offset as u64, text).expect("the record is valid");
+        }
+    }
+}
+
+/// A daemon that started after all records had been dropped, and one that knew the last of them, accepted different takes
+/// from then on.
+#[test]
+fn history_whose_records_are_dropped_has_one_holder() {
+    for daemons in [2, 3, 7] {
+        for seed in 0..50 {
+            let mut site = Site::new(seed, daemons);
+            for step in 0..6_000 {
+                // For 60 s at a time nothing is ordered, and all records are dropped.
+                site.step(step / 1_200 % 2 == 0);
+            }
+            assert!(site.held > 100, "{daemons} daemons, seed {seed}: held at {} steps", site.held);
+        }
+    }
+}
+
+/// Two daemons: the last record is dropped, and one of them starts again.
+#[test]
+fn holder_that_starts_after_its_records_were_dropped_is_the_only_one() {
+    let mut states = [
+        State::new("router-0".into(), 1, Terms::DEFAULT),
+        State::new("router-1".into(), 2, Terms::DEFAULT),
+    ];
+    let now = Duration::from_secs(10);
+    let take = states[0].due_record(now, true).expect("the lease is free").encode();
+    for state in &mut states {
+        state.fold(now, 0, &take);
+    }
+    let later = now + RETENTION + Duration::from_secs(10);
+    states[0] = State::new("router-0".into(), 3, Terms::DEFAULT);
+    let mut log = Vec::new();
+    for (index, state) in states.iter_mut().enumerate() {
+        state.skip_to(1);
+        let take = state.due_record(later, true);
+        log.push(take.unwrap_or_else(|| panic!("the lease is free for {index}")).encode());
+    }
+    for (offset, text) in (1..).zip(&log) {
+        for state in &mut states {
+            state.fold(later, offset, text);
+        }
+    }
+    let fences = states.iter().filter_map(|state| state.fence(later));
+    assert_eq!(fences.collect::<Vec<u64>>(), [1]);
+}
+
 #[test]
 fn fence_of_paused_holder_expires_by_its_own_clock() {
     let mut state = State::new("router-0".into(), 1, Terms::DEFAULT);
@@ -104,7 +260,7 @@
 
 #[test]
 fn fold_after_retention_recovers_holder() {
-    let record = |daemon: &str, after, body| Record::new(daemon, 1, 1, after, body).encode();
+    let record = |daemon: &str, after, body| Record::new(daemon, 1, 1, after, None, body).encode();
     let mut state = State::new("router-9".into(), 1, Terms::DEFAULT);
     state.skip_to(10);
     // Daemons that know the dropped records rejected the first remaining record, since it names a
