A stream that has no position to go on from is not resumed

What callers saw: a server sends an event with data and without an id, or with one that is no number, and breaks off. The next server began after the last number, or from the start, and the caller had that event twice.

Cause: the relay resumes after the last numbered event, whatever was passed on since.

Evidence: run_stream_without_a_position_is_not_resumed, four streams (no id; no id in wide line breaks; an id that is no number; a byte order mark before the first id); before, the second attempt begins (Begun where the request is due to end).

Why it works: an event with data and without a number marks the stream until a numbered one follows. A second attempt within the answer then ends it as broken, as one at another software version does. Comments and other fields mark nothing, and an unnumbered event before a numbered one does not either: the next server goes on after that (a test holds both).

Not covered: a takeup by a caller names its own position, which it alone knows.

--- a/src/relay/delivery.rs
+++ b/src/relay/delivery.rs
@@ -163,8 +163,7 @@
                 Command::Refuse(code, after) => return Outcome::Code(code, Some(after)),
                 Command::GiveUp => return self.failed_outcome(failure),
             };
-            // The attempt was chosen before the one that it was to replace began the stream.
-            if self.progress.software.get().is_some_and(|began| *began != dispatch.software) {
+            if !self.may_go_on(&dispatch, &events) {
                 return Outcome::Truncated;
             }
             let superseded = self.superseded(&commands, &mut next);
@@ -190,6 +189,13 @@
         }
     }
 
+    /// Whether an answer that may have begun can go on at this attempt. It may have been chosen before the one that it was
+    /// to replace began the stream.
+    fn may_go_on(&self, dispatch: &Dispatch, events: &Events) -> bool {
+        let is_other = |began: &Software| *began != dispatch.software;
+        !events.lacks_position() && !self.progress.software.get().is_some_and(is_other)
+    }
+
     /// Waits for a command that supersedes the current attempt and stores it in `next`. An attempt
     /// that has started to write to the caller is not interrupted, since the next attempt's output
     /// would follow a partial write. In that case the command applies only if the attempt fails.
--- a/src/relay/events.rs
+++ b/src/relay/events.rs
@@ -11,6 +11,8 @@
     has_answer: bool,
     /// Whether the caller has events of an answer that was broken off, and no new one has arrived since.
     owes_event: bool,
+    /// Whether an event with data and without an id was passed on after the last one with an id.
+    lacks_position: bool,
 }
 
 impl Events {
@@ -41,6 +43,7 @@
                 whole.extend_from_slice(event);
                 self.last_id = id.or(self.last_id);
                 self.owes_event &= id.is_none();
+                self.lacks_position = id.is_none() && (self.lacks_position || has_data(event));
             }
             start = end;
             from = end;
@@ -79,6 +82,12 @@
         self.last_id
     }
 
+    /// Returns whether the caller has an event that no position covers. A stream that went on after the last id would bring
+    /// it again.
+    pub fn lacks_position(&self) -> bool {
+        self.lacks_position
+    }
+
     /// Begins an answer. If it is not the first, the one before was broken off: its incomplete event
     /// is sent again from its start, and at least one event is to come.
     pub fn begin_answer(&mut self) {
@@ -108,6 +117,10 @@
     None
 }
 
+fn has_data(event: &[u8]) -> bool {
+    event.split(|byte| *byte == b'\n').any(|line| line.starts_with(b"data"))
+}
+
 fn event_id(event: &[u8]) -> Option<u64> {
     let lines = event.split(|byte| *byte == b'\n');
     let value = lines.filter_map(|line| line.strip_prefix(b"id:")).next_back()?;
