A caller's prompt of many stated tokens overflowed a sum

Callers saw: with overflow checks, one request whose X-Prompt-Prefix has three parts of tokens ended the node's thread, after which the daemon answered nobody; without them the sum wrapped, so that a huge prompt passed for a small one when it was placed.

Cause: the tokens of a prompt's shared parts were added in 32 bits. Each number is checked where the header is parsed, their sum was not, and a shared sum needs three parts (the last one belongs to the request).

The sums saturate; they are cut to the stated prompt in any case. Ruled out: to refuse such requests, which is a change of the interface that nothing needs.

--- a/src/fleet/prompt.rs
+++ b/src/fleet/prompt.rs
@@ -15,7 +15,7 @@
     pub tokens: u32,
 }
 
-/// The prompt of a request to an engine.
+/// The prompt of a request to an engine. Its numbers are what the caller states; sums of them saturate.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Prompt {
     /// The model.
@@ -35,8 +35,8 @@
 
 /// Tokens of a prompt that other requests may share.
 pub(super) fn shared_tokens(prompt: &Prompt) -> u32 {
-    let sum: u32 = shared_parts(&prompt.parts).iter().map(|part| part.tokens).sum();
-    sum.min(prompt.input)
+    let tokens = shared_parts(&prompt.parts).iter().map(|part| part.tokens);
+    tokens.fold(0, u32::saturating_add).min(prompt.input)
 }
 
 /// Salt of cached prompts in an engine: the version of the weights, and the workspace if it shares
@@ -56,10 +56,10 @@
 /// Tokens of the longest held prefix of a prompt's shared parts. `tokens` returns how many tokens
 /// of a part are held, by its key and its length.
 pub(super) fn held_tokens(prompt: &Prompt, salt: &str, tokens: impl Fn(u64, u32) -> u32) -> u32 {
-    let mut sum = 0;
+    let mut sum = 0_u32;
     for part in shared_parts(&prompt.parts) {
         let tokens = tokens(salted_key(salt, part.id), part.tokens);
-        sum += tokens;
+        sum = sum.saturating_add(tokens);
         if tokens < part.tokens {
             break;
         }
