A daemon that starts begins streams at the versions that other daemons have settled

Cause: the versions of the first copy of the registrations counted as settled, as their age is not known.

The change: digests state the versions that are settled; a daemon that starts adopts these. Until then, or for 0.5 s, a pool with several versions gets no new streams from it; after that, if no peer has stated any, the version with the most servers counts as the oldest, since all daemons may have started at once.

--- a/src/fleet/frame/digest.rs
+++ b/src/fleet/frame/digest.rs
@@ -5,7 +5,7 @@
 use super::account::{Account, decode_accounts, decode_speeds};
 use super::{Malformed, millis, wire};
 use crate::capacity;
-use crate::fleet::{Incarnation, LimitStatement, Naming, RejectLimit};
+use crate::fleet::{Incarnation, LimitStatement, Naming, RejectLimit, Software};
 use crate::poison::{self, Blocked, Fingerprint};
 use crate::prelude::*;
 use crate::quota::Usage;
@@ -74,6 +74,8 @@
     pub caught_up_age: Option<Duration>,
     /// Time since the daemon last had all registrations of servers.
     pub registrations_age: Option<Duration>,
+    /// Software versions at which streams begin.
+    pub settled_versions: Vec<Software>,
     /// The daemon that it regards as the quota keeper and lends its share to; empty if it knows none.
     pub quota_keeper: String,
     /// Its recent use of workspaces' quotas.
@@ -246,6 +248,7 @@
             named: digest.named.into_iter().map(wire::Naming::from).collect(),
             caught_up_age_ms: encode_age(digest.caught_up_age),
             registrations_age_ms: encode_age(digest.registrations_age),
+            settled_versions: digest.settled_versions.iter().map(|version| version.0).collect(),
             quota_keeper: digest.quota_keeper,
             quota_workspaces: digest.quota_use.iter().map(|used| used.workspace.clone()).collect(),
             quota_units: digest.quota_use.iter().map(|used| used.units).collect(),
@@ -316,6 +319,7 @@
             named: digest.named.into_iter().map(Naming::from).collect(),
             caught_up_age: decode_age(digest.caught_up_age_ms),
             registrations_age: decode_age(digest.registrations_age_ms),
+            settled_versions: digest.settled_versions.into_iter().map(Software).collect(),
             quota_keeper: digest.quota_keeper,
             quota_use: digest
                 .quota_workspaces
--- a/src/fleet/frame/wire.rs
+++ b/src/fleet/frame/wire.rs
@@ -105,6 +105,8 @@
     /// Milliseconds plus one; 0 if unknown.
     #[prost(uint32, tag = "32")]
     pub(super) registrations_age_ms: u32,
+    #[prost(fixed64, repeated, tag = "33")]
+    pub(super) settled_versions: Vec<u64>,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
--- a/src/fleet/gossip.rs
+++ b/src/fleet/gossip.rs
@@ -255,6 +255,7 @@
             sent_at: now,
             named: self.rollout.own_namings.recent(now, self.policy.weights_limit),
             registrations_age: self.registrations_age(now),
+            settled_versions: self.settled_versions(),
             caught_up_age: self.rollout.complete_until.map(|at| now.saturating_sub(at)),
             quota_keeper: self.quota_leadership.keeper_id().to_owned(),
             quota_use: self.quota.recent_usage(now),
@@ -339,6 +340,7 @@
             self.note_peer_reads(now, &digest, read_delay);
             self.note_peer_ahead(&digest);
             self.note_peer_registrations(now, &digest, delay);
+            self.adopt_settled_versions(&digest.settled_versions);
             if let Some(peer) = self.peers.get_mut(&digest.daemon) {
                 peer.digest = Some(digest);
             }
--- a/src/fleet/replication/records.rs
+++ b/src/fleet/replication/records.rs
@@ -61,7 +61,7 @@
         match topic {
             Topic::Routers => self.refresh_ranking(now),
             Topic::Servers => {
-                self.streams.view.begin(now);
+                self.begin_watch(now);
             }
             Topic::Operator => {}
         }
--- a/src/fleet/streams/binding.rs
+++ b/src/fleet/streams/binding.rs
@@ -7,6 +7,7 @@
 
 use super::watch::MAX_PEERS_WITH_ALL_DIGESTS;
 use super::{Binding, Message, StreamId};
+use crate::fleet::request::Phase;
 use crate::fleet::scheduling::Rank;
 use crate::fleet::{Effect, Frame, Key, Node};
 use crate::prelude::*;
@@ -30,6 +31,7 @@
         }
         let is_first = request.software.replace(software).is_none();
         let is_own = request.origin.is_none();
+        let is_placed_here = matches!(request.phase, Phase::Sent { .. });
         // A scheduler does not know which stream a request takes up.
         let Some(stream) = request.stream().filter(|_| is_own || is_first) else { return };
         let time_left = request.arrival.deadline.saturating_sub(now);
@@ -40,7 +42,9 @@
         if is_own || has_several || !self.has_watched(now) {
             self.streams.insert(now, binding, is_own);
         }
-        if is_own && (has_several || !self.has_current_view(now)) {
+        // A daemon that placed the stream itself may be the only one with its binding.
+        let is_only_record = is_placed_here && !self.has_watched(now);
+        if is_own && (has_several || is_only_record || !self.has_current_view(now)) {
             self.replicate(now, vec![binding]);
         }
     }
--- a/src/fleet/streams/lookup.rs
+++ b/src/fleet/streams/lookup.rs
@@ -223,10 +223,9 @@
         request: &Request,
         server: &Server,
     ) -> bool {
-        let route = &request.arrival.route;
-        let begins = request.software.is_none() && route.is_streaming;
-        let may_be_taken_up = begins && route.repeat == Repeat::Resumable;
-        let pool = self.pools.get(&request.pool).filter(|_| may_be_taken_up);
-        pool.is_some_and(|pool| pool.versions.is_held_back(now, server.software))
+        // A scheduler does not know whether the route streams.
+        let may_be_taken_up = request.arrival.route.repeat == Repeat::Resumable;
+        let begins = may_be_taken_up && request.software.is_none();
+        begins && self.is_version_held_back(now, &request.pool, server.software)
     }
 }
--- a/src/fleet/streams/software.rs
+++ b/src/fleet/streams/software.rs
@@ -1,11 +1,15 @@
 //! The software versions of a pool's servers, now and recently.
 
+use slotmap::SlotMap;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use super::watch::MAX_VIEW_AGE;
-use crate::fleet::server;
+use crate::fleet::{Server, server};
 use crate::prelude::*;
 
+/// The servers of all pools.
+type Servers = SlotMap<server::Key, Server>;
+
 /// Maximum time from the first event of a stream to its last takeup: twice the longest deadlines of callers.
 pub(in crate::fleet) const MAX_STREAM_AGE: Duration = Duration::from_secs(30);
 
@@ -50,22 +54,49 @@
     /// When the last one left, if none is registered.
     left_at: Option<Time>,
     standing: Standing,
+    /// Whether it was in the first copy of the registrations, which does not tell its age.
+    is_from_first_copy: bool,
     /// Position among the versions by their first registrations.
     rank: u64,
 }
 
 impl Members {
+    fn is_settled(&self) -> bool {
+        self.standing == Standing::Settled
+    }
+
+    fn count(&self, servers: &Servers) -> Count {
+        let keys = self.servers.iter().filter_map(|(key, _)| servers.get(*key));
+        let mut count = Count::default();
+        for server in keys {
+            count.staying += usize::from(!server.entry.draining);
+            count.confirmed += usize::from(server.unconfirmed_removal_at.is_none());
+        }
+        count
+    }
+
     fn has_served_recently(&self, now: Time) -> bool {
         self.left_at.is_none_or(|at| now < at + MAX_STREAM_AGE)
     }
 }
 
+/// Registered servers of a version.
+#[derive(Debug, Clone, Copy, Default)]
+struct Count {
+    /// Number of those that take new work.
+    staying: usize,
+    /// Number of those whose registrations have not lapsed.
+    confirmed: usize,
+}
+
 /// The versions that streams of a pool can have.
 #[derive(Debug, Default)]
 pub(in crate::fleet) struct History {
     versions: BTreeMap<Software, Members>,
     /// Number of versions so far.
     added: u64,
+    /// The version with the most servers among those of the first copy, which is taken for the oldest of them.
+    largest: Option<Software>,
 }
 
 /// What is known of the other daemons' copies of the registrations.
@@ -87,7 +118,7 @@
 }
 
 impl History {
-    /// Adds a server. Versions of the first copy of the registrations count as settled, as their age is not known.
+    /// Adds a server.
     pub(in crate::fleet) fn add(
         &mut self,
         version: Software,
@@ -97,9 +128,14 @@
     ) {
         // Others may have forgotten a version that had left.
         if self.versions.get(&version).is_none_or(|members| members.servers.is_empty()) {
-            let standing = if is_first_copy { Standing::Settled } else { Standing::New };
-            let (servers, rank) = (Vec::new(), self.added);
-            self.versions.insert(version, Members { servers, left_at: None, standing, rank });
+            let members = Members {
+                servers: Vec::new(),
+                left_at: None,
+                standing: Standing::New,
+                is_from_first_copy: is_first_copy,
+                rank: self.added,
+            };
+            self.versions.insert(version, members);
             self.added += 1;
         }
         if let Some(members) = self.versions.get_mut(&version) {
@@ -128,31 +164,70 @@
     }
 
     /// Whether no stream may begin at a version yet, because a daemon may still take a former one for the only one.
-    pub(in crate::fleet) fn is_held_back(&self, now: Time, version: Software) -> bool {
+    /// `may_guess` is whether this daemon may go by the number of servers among versions whose age it does not know.
+    pub(super) fn is_held_back(&self, now: Time, version: Software, may_guess: bool) -> bool {
         let Some(members) = self.versions.get(&version) else { return false };
-        if members.standing == Standing::Settled {
+        if members.is_settled() {
             return false;
         }
-        let is_former = |other: &Members| {
-            other.has_served_recently(now)
-                && (other.standing == Standing::Settled || other.rank < members.rank)
-        };
-        self.versions.iter().any(|(software, other)| *software != version && is_former(other))
+        let others = self.versions.iter().filter(|(software, _)| **software != version);
+        let others: Vec<&Members> =
+            others.map(|(_, other)| other).filter(|other| other.has_served_recently(now)).collect();
+        if others.iter().any(|other| other.is_settled()) {
+            return true;
+        }
+        if members.is_from_first_copy {
+            let is_guessed = may_guess && self.largest == Some(version);
+            return !others.is_empty() && !is_guessed;
+        }
+        others.iter().any(|other| other.rank < members.rank)
+    }
+
+    /// The settled versions, for other daemons that do not know their age.
+    pub(super) fn settled(&self) -> impl Iterator<Item = Software> {
+        let settled = self.versions.iter().filter(|(_, members)| members.is_settled());
+        settled.map(|(software, _)| *software)
+    }
+
+    /// Settles a version that is settled at another daemon.
+    pub(super) fn adopt(&mut self, version: Software) {
+        if let Some(members) = self.versions.get_mut(&version) {
+            members.standing = Standing::Settled;
+        }
     }
 
     /// Whether a version is not settled.
     pub(super) fn has_unsettled(&self) -> bool {
-        self.versions.values().any(|members| members.standing != Standing::Settled)
+        self.versions.values().any(|members| !members.is_settled())
     }
 
     /// Settles the versions that every peer knows, or that have been known for longer than any view of the servers from
     /// which a daemon proves a version. Returns those.
-    pub(super) fn settle(&mut self, now: Time, spread: Spread) -> Vec<Software> {
+    pub(super) fn settle(&mut self, now: Time, spread: Spread, servers: &Servers) -> Vec<Software> {
+        if let (1, Some(members)) = (self.versions.len(), self.versions.values_mut().next()) {
+            members.standing = Standing::Settled;
+            return Vec::new();
+        }
+        let counts: BTreeMap<Software, Count> = self
+            .versions
+            .iter()
+            .map(|(software, members)| (*software, members.count(servers)))
+            .collect();
+        let copied = self.versions.iter().filter(|(_, members)| members.is_from_first_copy);
+        let largest = copied.max_by_key(|(software, _)| (counts[*software].staying, **software));
+        self.largest = largest.map(|(software, _)| *software);
         let mut settled = Vec::new();
         for (software, members) in &mut self.versions {
+            let is_only = counts.iter().all(|(other, it)| other == software || it.staying == 0);
             members.standing = match (members.standing, spread.own_end) {
+                (Standing::Settled, _) => Standing::Settled,
+                // Peers that get the newest records alone may not learn of a version whose registrations have lapsed.
+                _ if counts[software].confirmed == 0 => Standing::New,
                 (Standing::New, Some(end)) => Standing::Seen(now, end),
-                (Standing::Seen(at, end), Some(_)) if spread.includes(at, end) => {
+                // Without any other server, reads need not confirm the time that has passed.
+                (Standing::Seen(at, end), Some(_))
+                    if spread.includes(at, end) || is_only && now >= at + SETTLING_TIME =>
+                {
                     settled.push(*software);
                     Standing::Settled
                 }
--- a/src/fleet/streams/watch.rs
+++ b/src/fleet/streams/watch.rs
@@ -13,15 +13,21 @@
 pub(super) const MAX_VIEW_AGE: Duration = Duration::from_secs(3);
 /// Time without a tick after which this daemon was frozen.
 const MAX_TICK_GAP: Duration = Duration::from_millis(500);
+/// Longest wait of a daemon that has started for a peer's digest, which states the settled versions.
+const FIRST_DIGEST_TIMEOUT: Duration = Duration::from_millis(500);
 /// Number of peers up to which each daemon gets digests from all of them.
 pub(super) const MAX_PEERS_WITH_ALL_DIGESTS: usize = 8;
 
 /// What this daemon knows of the servers' registrations.
 #[derive(Debug, Default)]
 pub(in crate::fleet) struct View {
+    /// When it first had all registrations.
+    copied_at: Option<Time>,
     /// Since when it has known all registrations without interruption.
     watched_since: Option<Time>,
-    /// Time up to which it has all registrations, by reads of its own or of peers.
+    /// Time up to which it has all registrations, by reads of its own.
+    read_until: Option<Time>,
+    /// The same by reads of its own or of peers.
     complete_until: Option<Time>,
     /// Time up to which it has all registrations that any peer has.
     agreed_until: Option<Time>,
@@ -45,8 +51,8 @@
         self.last_tick_at.is_none_or(|at| now >= at + MAX_TICK_GAP)
     }
 
-    /// Registrations are known for the first time.
-    pub(in crate::fleet) fn begin(&mut self, now: Time) {
+    fn begin(&mut self, now: Time) {
+        self.copied_at.get_or_insert(now);
         self.watched_since.get_or_insert(now);
     }
 
@@ -86,14 +92,27 @@
         self.streams.view.time().map(|at| now.saturating_sub(at))
     }
 
-    /// Time since this daemon last had all registrations, for its digests.
+    /// Begins to watch the servers: this daemon has a first copy of all registrations.
+    pub(in crate::fleet) fn begin_watch(&mut self, now: Time) {
+        self.streams.view.begin(now);
+        let digests = self.peers.values().filter_map(|peer| peer.digest.as_ref());
+        let settled: Vec<Software> =
+            digests.flat_map(|digest| digest.settled_versions.iter().copied()).collect();
+        self.adopt_settled_versions(&settled);
+        self.settle_versions(now);
+    }
+
+    /// Time since this daemon last had all registrations by a read of its own, for its digests. Ages that peers have
+    /// stated are not passed on, as each daemon on the way would make them a little lower.
     pub(in crate::fleet) fn registrations_age(&self, now: Time) -> Option<Duration> {
-        self.streams.view.complete_until.map(|at| now.saturating_sub(at))
+        self.streams.view.read_until.map(|at| now.saturating_sub(at))
     }
 
     /// This daemon has read all registrations up to the time `at`, which end at offset `to`.
     pub(in crate::fleet) fn note_registrations_read(&mut self, at: Time, to: u64) {
         if self.catalog.end(Topic::Servers) >= to {
+            let read_until = &mut self.streams.view.read_until;
+            *read_until = (*read_until).max(Some(at));
             self.note_registrations(at);
         }
     }
@@ -167,6 +186,31 @@
             .map(|(_, peer)| peer)
     }
 
+    /// Whether no stream may begin at a version yet.
+    pub(super) fn is_version_held_back(&self, now: Time, pool: &str, version: Software) -> bool {
+        let Some(pool) = self.pools.get(pool).filter(|pool| pool.versions.has_unsettled()) else {
+            return false;
+        };
+        let copied_at = self.streams.view.copied_at;
+        let may_guess = copied_at.is_some_and(|at| now >= at + FIRST_DIGEST_TIMEOUT);
+        pool.versions.is_held_back(now, version, may_guess)
+    }
+
+    /// Settled software versions, for this daemon's digests.
+    pub(in crate::fleet) fn settled_versions(&self) -> Vec<Software> {
+        self.pools.values().flat_map(|pool| pool.versions.settled()).collect()
+    }
+
+    /// Settles the software versions that a peer states as settled.
+    pub(in crate::fleet) fn adopt_settled_versions(&mut self, versions: &[Software]) {
+        if !self.pools.values().any(|pool| pool.versions.has_unsettled()) {
+            return;
+        }
+        for version in versions {
+            self.pools.values_mut().for_each(|pool| pool.versions.adopt(*version));
+        }
+    }
+
     /// Settles software versions. Few ticks have any to settle.
     fn settle_versions(&mut self, now: Time) {
         if !self.pools.values().any(|pool| pool.versions.has_unsettled()) {
@@ -175,11 +219,16 @@
         let spread = self.spread();
         let mut settled = Vec::new();
         for (name, pool) in &mut self.pools {
-            let versions = pool.versions.settle(now, spread);
-            settled.extend(versions.into_iter().map(|_| name.clone()));
+            for version in pool.versions.settle(now, spread, &self.servers) {
+                let server = pool.versions.servers_of(version).first();
+                let server = server.and_then(|(key, _)| self.servers.get(*key));
+                let software = server.map(|server| server.entry.software.clone());
+                let detail = Detail::of("pool", name.as_str()).and_some("software", software);
+                settled.push(detail);
+            }
         }
-        for pool in settled {
-            self.event(Event::SoftwareSettled, Detail::of("pool", pool));
+        for detail in settled {
+            self.event(Event::SoftwareSettled, detail);
         }
     }
 
--- a/src/fleet/tests/frames.rs
+++ b/src/fleet/tests/frames.rs
@@ -40,6 +40,7 @@
         sent_at: Duration::from_millis(1 << 33),
         caught_up_age: Some(Duration::ZERO),
         registrations_age: Some(Duration::from_millis(140)),
+        settled_versions: vec![Software(0), Software(u64::MAX)],
         quota_keeper: "router-2".into(),
         quota_use: vec![Usage { workspace: "lab".into(), units: 1 << 40 }],
         reject_limits: vec![RejectLimit {
--- a/src/fleet/tests/software/out_of_step.rs
+++ b/src/fleet/tests/software/out_of_step.rs
@@ -204,6 +204,24 @@
     stage.check_takeups(OUT_OF_STEP, &others(&[OUT_OF_STEP]), ms(4_000));
 }
 
+/// A daemon that starts does not know for how long the versions of its first copy have served.
+#[test]
+fn stream_begun_by_a_daemon_that_starts_is_not_joined_of_two_versions() {
+    for started in [0, 3, 6] {
+        let mut stage = Stage::new();
+        stage.begin_trouble(Trouble::CutOff);
+        stage.advance(ms(200));
+        stage.write(&engines("v2", 2));
+        let servers = [engines("v1", 3), engines("v2", 2)].concat();
+        stage.release.site.restart(started, &borrowed(&servers));
+        stage.read[started] = stage.log.len();
+        stage.check_takeups(OUT_OF_STEP, &[started], ms(4_000));
+        stage.end_trouble();
+        let (_, newer) = stage.check_takeups(OUT_OF_STEP, &[started], ms(6_000));
+        assert!(newer > 0, "no stream began at v2");
+    }
+}
+
 /// While all daemons know a new version, its servers get streams, and these go on anywhere.
 #[test]
 fn new_version_gets_streams_soon_while_all_daemons_are_in_step() {
