--- a/src/fleet/streams/binding.rs
+++ b/src/fleet/streams/binding.rs
@@ -31,6 +31,7 @@
         }
         let is_first = request.software.replace(software).is_none();
         let is_own = request.origin.is_none();
+        let is_split = request.arrival.route.is_split();
         let is_placed_here = matches!(request.phase, Phase::Sent { .. });
         // A scheduler does not know which stream a request takes up.
         let Some(stream) = request.stream().filter(|_| is_own || is_first) else { return };
@@ -44,7 +45,7 @@
         }
         // A daemon that placed the stream itself may be the only one with its binding.
         let is_only_record = is_placed_here && !self.has_watched(now);
-        if is_own && (has_several || is_only_record || !self.has_current_view(now)) {
+        if is_own && (has_several || is_split || is_only_record || !self.has_current_view(now)) {
             self.replicate(now, vec![binding]);
         }
     }
--- a/src/fleet/streams/lookup.rs
+++ b/src/fleet/streams/lookup.rs
@@ -21,6 +21,8 @@
     pub(in crate::fleet) since: Time,
     /// Number of those that have not replied.
     unanswered: usize,
+    /// Whether a proof counts: the stream can have begun in one pool alone.
+    allows_proof: bool,
     /// The version that is proven.
     proven: Option<Software>,
     /// Whether the proofs differ, or a daemon knows of several versions.
@@ -29,6 +31,9 @@
 
 impl Search {
     fn add_proof(&mut self, software: Software) {
+        if !self.allows_proof {
+            return;
+        }
         let former = *self.proven.get_or_insert(software);
         self.is_disputed |= former != software;
     }
@@ -58,9 +63,16 @@
             self.log_taken_up(now, key, "bound here");
             return self.resume_at(now, key, software);
         }
-        let proven = self.proven_software(now, &pool);
+        let allows_proof = !request.arrival.route.is_split();
+        let proven = self.proven_software(now, &pool).filter(|_| allows_proof);
         let asked = stream.map(|stream| self.daemons_to_ask(now, stream)).unwrap_or_default();
-        let search = Search { since: now, unanswered: asked.len(), proven, is_disputed: false };
+        let search = Search {
+            since: now,
+            unanswered: asked.len(),
+            allows_proof,
+            proven,
+            is_disputed: false,
+        };
         if let Some(request) = self.requests.get_mut(&key) {
             request.phase = Phase::LookingUp(search);
         }
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -61,6 +61,16 @@
     pub is_public: bool,
 }
 
+impl Route {
+    /// Whether several pools share the traffic.
+    pub(crate) fn is_split(&self) -> bool {
+        let used = self.splits.iter().filter(|split| split.weight > 0);
+        let mut pools = used.map(|split| split.pool.as_str());
+        let first = pools.next();
+        pools.any(|pool| Some(pool) != first)
+    }
+}
+
 /// Properties that all engines of a pool share.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Engine {
