Logs name the events of a stream that each request and answer passed on

Why: reports that a stream was out of order came without a log, and the lines could not have told the ways apart: which position a caller took a stream up from, what each answer brought, and whether a server began elsewhere than it was asked to.

What: 410 states for streams after (the caller's position), first_event, last_event and answers (the number that brought events), however the request ended; 416 and 417 state the first event of the answer beside the last; 422 is new, a server that takes a stream up begins at another event than the next one (what it repeats is dropped, what it leaves out is missing). No line more for a usual stream; some numbers are kept for each read.

Not done: 419 still says "known" for a binding of this daemon, one replicated to it and a proof alike.

--- a/src/relay/caller.rs
+++ b/src/relay/caller.rs
@@ -10,6 +10,7 @@
 use super::answer::{encode_answer, encode_error, strip_body};
 use super::delivery::{Delivery, Outcome, Progress};
 use super::held::HeldBytes;
+use super::span::Span;
 use super::takeover::Origin;
 use super::{Conn, Cut, Dialect, Fields, Metadata, Pool, Request};
 use crate::fleet::Control;
@@ -236,7 +237,7 @@
     summary.workspace = workspace.as_ref().map_or_else(String::new, |owner| owner.name.clone());
     let limit = metadata.timeout.map_or(route.timeout, |timeout| timeout.min(route.timeout));
     summary.limit = limit;
-    let delivery = Delivery {
+    let mut delivery = Delivery {
         frontend,
         request,
         body,
@@ -263,6 +264,8 @@
         let priority = delivery.route.priority.to_string();
         frontend.metrics.record_first_token(&summary.route, priority, waited);
     }
+    summary.after = delivery.metadata.last_event_id;
+    summary.span = std::mem::take(&mut delivery.progress.span);
     drop(delivery);
     summary.record(&outcome);
     match outcome {
@@ -291,6 +294,10 @@
     workspace: String,
     /// The request's time limit; zero if it has no route.
     limit: Duration,
+    /// The event after which the caller takes a stream up.
+    after: Option<u64>,
+    /// The events that were passed on.
+    span: Span,
 }
 
 impl<'a> Summary<'a> {
@@ -299,7 +306,9 @@
         let started = frontend.control.clock.now();
         let id = metadata.id.clone();
         let limit = Duration::ZERO;
-        Self { frontend, id, origin, started, table_version: 0, route, workspace, limit }
+        let (after, span) = (None, Span::default());
+        let table_version = 0;
+        Self { frontend, id, origin, started, table_version, route, workspace, limit, after, span }
     }
 
     fn record(&self, outcome: &Outcome) {
@@ -323,8 +332,9 @@
             .and_some("retry_after_ms", retry_after)
             .and("total_ms", self.frontend.control.clock.now().saturating_sub(self.started))
             .and("limit_ms", self.limit)
-            .and("table", self.table_version);
-        emit(Event::RequestEnded, detail);
+            .and("table", self.table_version)
+            .and_some("after", self.after);
+        emit(Event::RequestEnded, self.span.describe(detail));
     }
 }
 
--- a/src/relay/continuation.rs
+++ b/src/relay/continuation.rs
@@ -3,9 +3,9 @@
 //! A server that takes a stream up may answer with another status or media type, and the request may then end with an
 //! error. The caller has a head already, and would read another one as a part of the body.
 
-use super::Response;
 use super::delivery::{Attempt, Delivery, Outcome, Progress};
 use super::exchange::Answer;
+use super::{Events, Response};
 use crate::fleet::{Dispatch, Report};
 use crate::prelude::*;
 use crate::telemetry::emit;
@@ -34,6 +34,17 @@
         !self.progress.has_started() || self.progress.media_type.get().is_some_and(is_same)
     }
 
+    /// Logs that the answer does not begin at the event that is due, `first` being its first one.
+    pub(super) fn log_misses(&self, dispatch: &Dispatch, events: &Events, first: u64) {
+        let Some(after) = events.missed_position() else { return };
+        let detail = Detail::of("request", self.metadata.id.as_str())
+            .and("attempt", dispatch.attempt)
+            .and("server", dispatch.server.as_str())
+            .and("after", after)
+            .and("first_event", first);
+        emit(Event::StreamMisses, detail);
+    }
+
     /// Discards an answer that does not go on with the stream. Its body, if any, is not awaited.
     pub(super) fn discard_other_answer(&self, dispatch: &Dispatch, answer: Answer) -> Attempt {
         let reason = format!("status {} where events are due", answer.response.status);
--- a/src/relay/delivery.rs
+++ b/src/relay/delivery.rs
@@ -11,6 +11,7 @@
 use super::answer::{encode_answer, encode_stream_head, push_chunk};
 use super::exchange::{self, Answer, Failure, Question};
 use super::matching::Responder;
+use super::span::Span;
 use super::takeover::Origin;
 use super::{Classification, Cut, Events, Framing, Frontend, Metadata, Request, Response, head};
 use crate::fleet::{
@@ -61,6 +62,8 @@
     software: OnceLock<Software>,
     /// The media type of the stream whose head was written.
     pub(super) media_type: OnceLock<String>,
+    /// The events that were passed on.
+    pub(super) span: Span,
 }
 
 impl Progress {
@@ -401,6 +404,7 @@
             .and("attempt", dispatch.attempt)
             .and("server", dispatch.server.as_str())
             .and("framing", answer.response.framing.name())
+            .and_some("first_event", events.and_then(Events::first_id))
             .and_some("last_event", events.and_then(Events::last_id))
             .and_some("partial_bytes", events.map(Events::partial_bytes))
     }
@@ -415,7 +419,7 @@
         events: &mut Events,
     ) -> Attempt {
         events.begin_answer();
-        let (mut started, mut is_slow_reader) = (false, false);
+        let (mut started, mut is_judged, mut is_slow_reader) = (false, false, false);
         let mut holding = self.frontend.held.begin();
         let mut bytes = Vec::new();
         loop {
@@ -442,8 +446,14 @@
             if !started && !whole.is_empty() {
                 started = true;
                 self.progress.software.set(dispatch.software).ok();
+                self.progress.span.begin_answer();
                 self.send_report(dispatch, Report::Begun(weights));
             }
+            if !is_judged && let Some(first) = events.first_id() {
+                is_judged = true;
+                self.log_misses(dispatch, events, first);
+            }
+            self.progress.span.record(events);
             let complete = !more || answer.decoder.is_complete();
             let mut out = Vec::with_capacity(whole.len() + 512);
             if (complete || !whole.is_empty()) && !self.progress.has_started() {
--- a/src/relay/events.rs
+++ b/src/relay/events.rs
@@ -7,6 +7,12 @@
     partial: Vec<u8>,
     /// The id of the last complete event.
     last_id: Option<u64>,
+    /// The id after which the current answer is to go on.
+    due_after: Option<u64>,
+    /// The id of the first event of the current answer, repeated or not.
+    first_id: Option<u64>,
+    /// The id of the first event that was not dropped.
+    first_new_id: Option<u64>,
     /// Whether an answer has begun.
     has_answer: bool,
     /// Whether the caller has events of an answer that was broken off, and no new one has arrived since.
@@ -38,10 +44,12 @@
         while let Some(end) = event_end(&self.partial, from) {
             let event = &self.partial[start..end];
             let id = event_id(event);
+            self.first_id = self.first_id.or(id);
             let repeated = id.is_some_and(|id| self.last_id.is_some_and(|last| id <= last));
             if !repeated {
                 whole.extend_from_slice(event);
                 self.last_id = id.or(self.last_id);
+                self.first_new_id = self.first_new_id.or(id);
                 self.owes_event &= id.is_none();
                 self.lacks_position = id.is_none() && (self.lacks_position || has_data(event));
             }
@@ -88,11 +96,36 @@
         self.lacks_position
     }
 
+    /// Returns the id of the first event of the current answer.
+    pub fn first_id(&self) -> Option<u64> {
+        self.first_id
+    }
+
+    /// Returns the id of the first event that was not dropped.
+    pub fn first_new_id(&self) -> Option<u64> {
+        self.first_new_id
+    }
+
+    /// Returns the id after which the current answer is to go on, if its first event is not the next one.
+    ///
+    /// ```
+    /// let mut events = cardamomvalve::relay::Events::after(Some(4));
+    /// events.begin_answer();
+    /// events.feed(b"id: 7\n\n");
+    /// assert_eq!(events.missed_position(), Some(4));
+    /// ```
+    pub fn missed_position(&self) -> Option<u64> {
+        let (after, first) = (self.due_after?, self.first_id?);
+        (first != after.saturating_add(1)).then_some(after)
+    }
+
     /// Begins an answer. If it is not the first, the one before was broken off: its incomplete event
     /// is sent again from its start, and at least one event is to come.
     pub fn begin_answer(&mut self) {
         self.owes_event |= self.has_answer;
         self.has_answer = true;
+        self.due_after = self.last_id;
+        self.first_id = None;
         self.partial.clear();
     }
 
--- a/src/relay/handover.rs
+++ b/src/relay/handover.rs
@@ -211,6 +211,7 @@
             if !is_held || events.partial_bytes() > MAX_ANSWER_BYTES {
                 return Ending::Lost;
             }
+            self.progress.span.record(&events);
             if is_complete {
                 whole.extend_from_slice(&events.take_partial());
             }
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -19,6 +19,7 @@
 mod held;
 mod matching;
 mod pool;
+mod span;
 mod takeover;
 #[cfg(test)]
 mod tests;
