The relay hands no stream over that has begun

A peer is told the position of the caller alone and would begin the stream again. Control hands over only requests without a possible run (leave_if_cut_off, by reading), so callers saw nothing; the relay obeyed any such command (run_stream_that_has_begun_is_not_handed_over fails before: the handover is tried). It now ends the answer as broken.

--- a/src/relay/delivery.rs
+++ b/src/relay/delivery.rs
@@ -153,6 +153,8 @@
             self.progress.attempt_writing.store(false, Ordering::Release);
             let dispatch = match command {
                 Command::Dispatch(dispatch) => dispatch,
+                // A peer is told the caller's position alone, and would begin the stream again.
+                Command::HandOver(_) if self.progress.has_started() => return Outcome::Truncated,
                 Command::HandOver(peer) => {
                     let superseded = async {
                         self.superseded(&commands, &mut next).await;
--- a/src/relay/tests/delivery/continuation.rs
+++ b/src/relay/tests/delivery/continuation.rs
@@ -1,6 +1,7 @@
 //! Answers of servers that take a stream up, where only more of its events can follow.
 
 use super::*;
+use crate::fleet::Handover;
 
 const STREAM_HEAD: &str = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n";
 
@@ -61,6 +62,23 @@
     }
 }
 
+// A peer is told the caller's position alone, and would begin the stream again.
+#[test]
+fn run_stream_that_has_begun_is_not_handed_over() {
+    let (mut fixture, commands) = begin_stream();
+    let peer = TcpListener::bind("127.0.0.1:0").expect("a loopback port is available");
+    peer.set_nonblocking(true).expect("the listener can be polled");
+    let address = peer.local_addr().expect("the listener is bound");
+    let handover = Handover { attempt: 2, daemon: "peer-2".into(), address };
+    commands.try_send(Command::HandOver(handover)).expect("the delivery awaits a command");
+    let ended = fixture.inputs.recv_blocking().expect("the control thread is told");
+    let is_end =
+        matches!(&ended, Input::Message(message) if matches!(**message, Message::Cancel(_)));
+    assert!(is_end, "{ended:?}");
+    assert!(peer.accept().is_err(), "the request was offered to the peer");
+    assert!(!fixture.read_to_end().ends_with("0\r\n\r\n"));
+}
+
 /// An error of the router would stand inside the body, too.
 #[test]
 fn relay_stream_refused_after_its_start_is_cut() {
