Sums of what peers, the store and operators say overflowed

Callers saw (debug build): nothing more from a daemon that a frame with a load of 2^32 - 1 requests at a server reached from two peers, a record at offset 2^64 - 1, or a route with two splits of the largest weight; without overflow checks the sums wrapped: a full server looked empty, and one split got all requests. A digest could state an interval of 49 days, for twice which a daemon that has ended counts as running, with its load.

Cause: loads of peers, weights of splits, free slots and offsets were added in the width of their type.

These sums saturate (load.rs, speed.rs, isolation.rs, requests.rs, catalog.rs, lease/state.rs), which draws the same numbers as before where nothing overflows; a digest's interval is at most a minute (the longest in use is a second).

Nothing in placement, scheduling or stream messages overflowed.

--- a/src/fleet/frame/digest.rs
+++ b/src/fleet/frame/digest.rs
@@ -89,6 +89,10 @@
     pub speeds: Vec<(Incarnation, capacity::Report)>,
 }
 
+/// Longest time to a daemon's next digest, in milliseconds: a daemon that has ended counts as running for
+/// twice this time.
+const MAX_INTERVAL_MS: u32 = 60_000;
+
 fn encode_age(age: Option<Duration>) -> u32 {
     age.map_or(0, |age| millis(age).saturating_add(1))
 }
@@ -279,6 +283,12 @@
         if !digest.cores.is_finite() {
             return Err(Malformed("the digest's number of cores is not finite".into()));
         }
+        if digest.interval_ms > MAX_INTERVAL_MS {
+            return Err(Malformed(format!(
+                "the digest's interval of {} ms is longer than {MAX_INTERVAL_MS} ms",
+                digest.interval_ms
+            )));
+        }
         let workloads = digest.workloads.into_iter().map(<(Incarnation, Workload)>::from);
         Ok(Self {
             daemon: digest.daemon,
--- a/src/fleet/isolation.rs
+++ b/src/fleet/isolation.rs
@@ -182,7 +182,7 @@
         let (least, others) = available.split_first()?;
         let free = others.iter().map(|(running, slots, _)| slots.saturating_sub(*running));
         let (_, slots, key) = *least;
-        (free.sum::<u32>() >= slots).then_some(key)
+        (free.fold(0, u32::saturating_add) >= slots).then_some(key)
     }
 
     /// Records that a request is sent to a server, where it runs alone if it must.
--- a/src/fleet/load.rs
+++ b/src/fleet/load.rs
@@ -28,7 +28,7 @@
         let before = |ms: Option<u32>| {
             ms.map(|ms| reported.saturating_sub(Duration::from_millis(u64::from(ms))))
         };
-        self.running += busy.running;
+        self.running = self.running.saturating_add(busy.running);
         self.pending_tokens = self.pending_tokens.saturating_add(busy.pending_tokens);
         self.loading |= busy.loading_weights;
         self.reported_at = earlier(self.reported_at, Some(reported));
@@ -55,7 +55,7 @@
     pub(super) fn load(&self, key: server::Key, server: &Server) -> Load {
         let others = self.peer_loads.get(&key).copied().unwrap_or_default();
         Load {
-            running: others.running + server.running,
+            running: others.running.saturating_add(server.running),
             pending_tokens: others.pending_tokens.saturating_add(server.pending_tokens),
             loading: others.loading,
             heard_at: others.heard_at.max(server.last_answer_at),
--- a/src/fleet/replication/catalog.rs
+++ b/src/fleet/replication/catalog.rs
@@ -103,7 +103,7 @@
         if !is_new {
             return false;
         }
-        state.newest = state.newest.max(record.offset + 1);
+        state.newest = state.newest.max(record.offset.saturating_add(1));
         let former =
             state.records.insert(record.key.clone(), (record.offset, record.value.clone()));
         let was_tombstone = former.is_some_and(|(_, value)| value.is_none());
--- a/src/fleet/requests.rs
+++ b/src/fleet/requests.rs
@@ -126,7 +126,7 @@
     /// Draws the pool for a request by the weights of its route's splits.
     pub(super) fn choose_pool(&mut self, arrival: &Arrival) -> String {
         let splits = &arrival.route.splits;
-        let total: u32 = splits.iter().map(|split| split.weight).sum();
+        let total = splits.iter().map(|split| split.weight).fold(0, u32::saturating_add);
         let mut drawn = self.rng.u32(0..total.max(1));
         for split in splits {
             if drawn < split.weight {
--- a/src/fleet/speed.rs
+++ b/src/fleet/speed.rs
@@ -97,7 +97,7 @@
             attempt: request.sends + 1,
             assumed_ms,
             learnt_ms,
-            running: load.running + 1,
+            running: load.running.saturating_add(1),
             weights: choice.weights,
             fetches: choice.fetch_from.is_some(),
             took_ms: None,
--- a/src/fleet/tests/mod.rs
+++ b/src/fleet/tests/mod.rs
@@ -12,6 +12,7 @@
 mod culprits;
 mod day;
 mod deadly;
+mod extreme;
 mod frames;
 mod homes;
 mod isolation;
--- a/src/lease/state.rs
+++ b/src/lease/state.rs
@@ -88,7 +88,7 @@
         if offset < self.next {
             return Some(());
         }
-        self.next = offset + 1;
+        self.next = offset.saturating_add(1);
         let record = Record::decode(text)?;
         if !self.is_next(&record) {
             return Some(());
