Offsets at the end of their type, and a fence that no record can have

Callers saw nothing of this; found by a search for the same cause. With overflow checks a record at offset 2^64 - 1 of the log for manifests, the ledger or blocks ended the daemon's control thread, and so did an order under a lease whose renewal names the fence 2^64 - 1.

Cause: the offset after a record was added without a check, and a renewal's fence was taken as it is. A fence is the offset of the record that took the lease, so it is never past the record that names it: all daemons now pass over such a renewal, as they do over one that is not JSON. Renewals that daemons write have smaller fences by construction.

Reports and frames of the own interface overflowed nothing. Settings in milliseconds fit their durations at any value.

--- a/src/control/poison.rs
+++ b/src/control/poison.rs
@@ -317,7 +317,7 @@
         if record.offset < self.blocks.next {
             return Some(());
         }
-        self.blocks.next = record.offset + 1;
+        self.blocks.next = record.offset.saturating_add(1);
         let (blocked, lifted) = Record::decode(&record.text)?;
         for Blocked { fingerprint, age } in blocked {
             let since_ms = record.time_ms.saturating_sub(age.as_millis() as u64);
--- a/src/control/tests/mod.rs
+++ b/src/control/tests/mod.rs
@@ -5,6 +5,7 @@
 mod blocks;
 mod checkpoints;
 mod crashing_level;
+mod extreme;
 mod fixture;
 mod manifests;
 mod orders;
--- a/src/lease/state.rs
+++ b/src/lease/state.rs
@@ -90,6 +90,10 @@
         }
         self.next = offset.saturating_add(1);
         let record = Record::decode(text)?;
+        // A fence is the offset of the record that took the lease, so it is never past this one.
+        if matches!(record.body, Body::Renew { fence } if fence > offset) {
+            return None;
+        }
         if !self.is_next(&record) {
             return Some(());
         }
--- a/src/ledger/state.rs
+++ b/src/ledger/state.rs
@@ -88,7 +88,7 @@
         if offset < self.next {
             return Some(());
         }
-        self.next = offset + 1;
+        self.next = offset.saturating_add(1);
         self.time_ms = self.time_ms.max(time_ms);
         self.expire();
         let batch = Batch::decode(text)?;
--- a/src/manifest/state.rs
+++ b/src/manifest/state.rs
@@ -95,7 +95,7 @@
         if offset < self.next {
             return Verdict::Ignored;
         }
-        self.next = offset + 1;
+        self.next = offset.saturating_add(1);
         let Some(record) = Record::decode(text) else {
             return Verdict::Unreadable;
         };
