Postmortem of numbers that no field can have, and mutated frames

The postmortem corrects: the panic by a server's Keep-Alive field did not end the process. It ended the task of one caller's connection, whose answer was lost, while it held the lock of the pool of idle connections.

--- a/src/fleet/tests/extreme.rs
+++ b/src/fleet/tests/extreme.rs
@@ -364,3 +364,21 @@
         }
     }
 }
+
+quickcheck::quickcheck! {
+    /// Frames of extreme numbers, each with a byte changed.
+    fn mutated_frames_overflow_nothing(number: u64, at: usize, byte: u8) -> bool {
+        let mut daemon = Daemon::with_servers(1, &SERVERS);
+        let number = NUMBERS[number as usize % NUMBERS.len()];
+        for (step, frame) in (1..).zip(frames("router-2", number)) {
+            let mut bytes = frame.encode();
+            let at = at % bytes.len();
+            bytes[at] = byte;
+            let Ok(frame) = Frame::decode(&bytes) else { continue };
+            daemon.node.apply(ms(step * 20), Message::Frame(frame));
+            daemon.tick(ms(step * 20 + 10));
+        }
+        daemon.tick(ms(5_000));
+        true
+    }
+}
