--- a/src/fleet/replication/catalog.rs
+++ b/src/fleet/replication/catalog.rs
@@ -103,7 +103,7 @@
         if !is_new {
             return false;
         }
-        state.newest = state.newest.max(record.offset + 1);
+        state.newest = state.newest.max(record.offset.saturating_add(1));
         let former =
             state.records.insert(record.key.clone(), (record.offset, record.value.clone()));
         let was_tombstone = former.is_some_and(|(_, value)| value.is_none());
@@ -166,6 +166,11 @@
         self.topics.get(&topic).is_none_or(|state| state.newest <= state.end)
     }
 
+    /// The offset of the newest record of a key.
+    pub(in crate::fleet) fn offset(&self, topic: Topic, key: &str) -> Option<u64> {
+        self.topics.get(&topic)?.records.get(key).map(|(offset, _)| *offset)
+    }
+
     /// The offset before which no record is missing.
     pub fn end(&self, topic: Topic) -> u64 {
         self.topics.get(&topic).map_or(0, |state| state.end)
--- a/src/fleet/streams/software.rs
+++ b/src/fleet/streams/software.rs
@@ -4,7 +4,7 @@
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use super::watch::MAX_VIEW_AGE;
-use crate::fleet::{Server, server};
+use crate::fleet::{Catalog, Server, Topic, server};
 use crate::prelude::*;
 
 /// The servers of all pools.
@@ -65,11 +65,15 @@
         self.standing == Standing::Settled
     }
 
-    fn count(&self, servers: &Servers) -> Count {
+    fn count(&self, servers: &Servers, catalog: &Catalog) -> Count {
         let keys = self.servers.iter().filter_map(|(key, _)| servers.get(*key));
         let mut count = Count::default();
         for server in keys {
-            count.staying += usize::from(!server.entry.draining);
+            let offset = catalog.offset(Topic::Servers, &server.entry.incarnation.id);
+            if !server.entry.draining {
+                count.staying += 1;
+                count.oldest = count.oldest.into_iter().chain(offset).min();
+            }
             count.confirmed += usize::from(server.unconfirmed_removal_at.is_none());
         }
         count
@@ -85,6 +89,8 @@
 struct Count {
     /// Number of those that take new work.
     staying: usize,
+    /// Lowest offset of their registrations.
+    oldest: Option<u64>,
     /// Number of those whose registrations have not lapsed.
     confirmed: usize,
 }
@@ -95,8 +101,8 @@
     versions: BTreeMap<Software, Members>,
     /// Number of versions so far.
     added: u64,
-    /// The version with the most servers among those of the first copy, which is taken for the oldest of them.
-    largest: Option<Software>,
+    /// The version of the first copy whose servers have the oldest registration.
+    oldest: Option<Software>,
 }
 
 /// What is known of the other daemons' copies of the registrations.
@@ -104,9 +110,10 @@
 pub(super) struct Spread {
     /// Offset before which this daemon lacks no registration; `None` if it may lack some that it has heard of.
     pub(super) own_end: Option<u64>,
-    /// Lowest offset that a peer has reached. `None` if a peer is silent, or has reached more than this daemon.
+    /// Lowest offset that a peer is known to have reached. `None` if a peer has reached more than this daemon.
     pub(super) peers_end: Option<u64>,
-    /// Time up to which this daemon has all registrations, by reads of the store.
+    /// Time up to which this daemon has all registrations, by reads of the store; `None` if it hears no peer, and its
+    /// peers may not know of it.
     pub(super) complete_until: Option<Time>,
 }
 
@@ -164,7 +171,7 @@
     }
 
     /// Whether no stream may begin at a version yet, because a daemon may still take a former one for the only one.
-    /// `may_guess` is whether this daemon may go by the number of servers among versions whose age it does not know.
+    /// `may_guess` is whether this daemon may go by the oldest registrations among versions whose age it does not know.
     pub(super) fn is_held_back(&self, now: Time, version: Software, may_guess: bool) -> bool {
         let Some(members) = self.versions.get(&version) else { return false };
         if members.is_settled() {
@@ -177,7 +184,7 @@
             return true;
         }
         if members.is_from_first_copy {
-            let is_guessed = may_guess && self.largest == Some(version);
+            let is_guessed = may_guess && self.oldest == Some(version);
             return !others.is_empty() && !is_guessed;
         }
         others.iter().any(|other| other.rank < members.rank)
@@ -203,7 +210,13 @@
 
     /// Settles the versions that every peer knows, or that have been known for longer than any view of the servers from
     /// which a daemon proves a version. Returns those.
-    pub(super) fn settle(&mut self, now: Time, spread: Spread, servers: &Servers) -> Vec<Software> {
+    pub(super) fn settle(
+        &mut self,
+        now: Time,
+        spread: Spread,
+        servers: &Servers,
+        catalog: &Catalog,
+    ) -> Vec<Software> {
         if let (1, Some(members)) = (self.versions.len(), self.versions.values_mut().next()) {
             members.standing = Standing::Settled;
             return Vec::new();
@@ -211,11 +224,11 @@
         let counts: BTreeMap<Software, Count> = self
             .versions
             .iter()
-            .map(|(software, members)| (*software, members.count(servers)))
+            .map(|(software, members)| (*software, members.count(servers, catalog)))
             .collect();
         let copied = self.versions.iter().filter(|(_, members)| members.is_from_first_copy);
-        let largest = copied.max_by_key(|(software, _)| (counts[*software].staying, **software));
-        self.largest = largest.map(|(software, _)| *software);
+        let copied = copied.filter_map(|(software, _)| Some((counts[software].oldest?, *software)));
+        self.oldest = copied.min().map(|(_, software)| software);
         let mut settled = Vec::new();
         for (software, members) in &mut self.versions {
             let is_only = counts.iter().all(|(other, it)| other == software || it.staying == 0);
--- a/src/fleet/streams/watch.rs
+++ b/src/fleet/streams/watch.rs
@@ -216,10 +216,10 @@
         if !self.pools.values().any(|pool| pool.versions.has_unsettled()) {
             return;
         }
-        let spread = self.spread();
+        let spread = self.spread(now);
         let mut settled = Vec::new();
         for (name, pool) in &mut self.pools {
-            for version in pool.versions.settle(now, spread, &self.servers) {
+            for version in pool.versions.settle(now, spread, &self.servers, &self.catalog) {
                 let server = pool.versions.servers_of(version).first();
                 let server = server.and_then(|(key, _)| self.servers.get(*key));
                 let software = server.map(|server| server.entry.software.clone());
@@ -232,9 +232,11 @@
         }
     }
 
-    fn spread(&self) -> Spread {
+    fn spread(&self, now: Time) -> Spread {
         let topic = Topic::Servers;
         let end = self.catalog.end(topic);
+        let mut peers = self.registered_peers().peekable();
+        let hears_any = peers.peek().is_none() || peers.any(|peer| peer.is_fresh(now));
         let knows_peers = self.known_topics.contains(&Topic::Routers);
         let peer_ends = self.registered_peers().map(|peer| peer.end_offset(topic));
         let (lowest, highest) = peer_ends
@@ -242,7 +244,7 @@
         Spread {
             own_end: Some(end).filter(|_| self.catalog.is_contiguous(topic)),
             peers_end: Some(lowest).filter(|_| knows_peers && highest <= end),
-            complete_until: self.streams.view.complete_until,
+            complete_until: self.streams.view.complete_until.filter(|_| hears_any),
         }
     }
 }
--- a/src/lease/state.rs
+++ b/src/lease/state.rs
@@ -88,8 +88,12 @@
         if offset < self.next {
             return Some(());
         }
-        self.next = offset + 1;
+        self.next = offset.saturating_add(1);
         let record = Record::decode(text)?;
+        // A fence is the offset of the record that took the lease, so it is never past this one.
+        if matches!(record.body, Body::Renew { fence } if fence > offset) {
+            return None;
+        }
         if !self.accepts(&record, offset) {
             return Some(());
         }
