Test of loads that peers state, which overflow when added

This test panics at load.rs:31 with the former file and passes with the present one (8 of 8 of fleet::tests::extreme). The sums in isolation.rs and speed.rs, which lets saturate as well, are not shown to overflow by any test: with the former files all 7 others pass.

--- a/src/fleet/tests/extreme.rs
+++ b/src/fleet/tests/extreme.rs
@@ -382,3 +382,19 @@
         true
     }
 }
+
+/// Two peers state as many requests at each server as they can, beside a request of this daemon.
+#[test]
+fn loads_of_peers_are_added_without_overflow() {
+    let mut daemon = Daemon::with_servers(1, &SERVERS);
+    let (_, effects) = daemon.arrive(ms(10), &route("plain", Repeat::AtMostOnce, 1), None);
+    assert!(matches!(commands(&effects).as_slice(), [Command::Dispatch(_)]));
+    for peer in ["router-8", "router-9"] {
+        let digest = Digest { incarnation: 1, ..digest(peer, u32::MAX.into()) };
+        daemon.node.apply(ms(20), Message::Frame(Frame::Digest(Box::new(digest))));
+    }
+    for step in 0..20 {
+        daemon.tick(ms(30 + step * 10));
+        daemon.node.metrics(ms(35 + step * 10));
+    }
+}
