--- a/src/fleet/streams/watch.rs
+++ b/src/fleet/streams/watch.rs
@@ -56,6 +56,17 @@
         self.watched_since.get_or_insert(now);
     }
 
+    /// Begins the watch anew if this daemon was frozen or its view is not current. Returns whether the latter is new.
+    fn tick(&mut self, now: Time) -> bool {
+        let is_current = self.is_current(now);
+        let is_interrupted = !is_current || self.was_frozen(now);
+        if let Some(since) = self.watched_since.as_mut().filter(|_| is_interrupted) {
+            *since = now;
+        }
+        self.last_tick_at = Some(now);
+        std::mem::replace(&mut self.was_current, is_current) && !is_current
+    }
+
     /// The view includes everything up to `at`. Versions may have come and gone in a long gap before.
     fn extend(&mut self, at: Time) {
         let has_gap = self.time().is_none_or(|known| at >= known + MAX_VIEW_AGE);
@@ -144,19 +155,7 @@
             self.streams.view.extend(at);
             self.streams.view.agreed_until = self.streams.view.agreed_until.max(Some(at));
         }
-        let view = &mut self.streams.view;
-        let is_current = view.is_current(now);
-        if let Some(since) = view.watched_since.as_mut().filter(|_| !is_current) {
-            *since = now;
-        }
-        if let Some(since) = view.watched_since.as_mut()
-            && view.last_tick_at.is_none_or(|at| now >= at + MAX_TICK_GAP)
-        {
-            *since = now;
-        }
-        view.last_tick_at = Some(now);
-        let is_interrupted = std::mem::replace(&mut view.was_current, is_current) && !is_current;
-        if is_interrupted {
+        if self.streams.view.tick(now) {
             self.replicate_own_streams(now);
         }
         self.settle_versions(now);
@@ -232,6 +231,8 @@
         }
     }
 
+    /// What this daemon knows of the others' copies of the registrations. A walk over all peers, while a version is not
+    /// settled.
     fn spread(&self, now: Time) -> Spread {
         let topic = Topic::Servers;
         let end = self.catalog.end(topic);
