--- a/src/fleet/tests/software/out_of_step.rs
+++ b/src/fleet/tests/software/out_of_step.rs
@@ -1,5 +1,7 @@
 //! Streams that are taken up at daemons which have missed that servers of another version joined.
 
+mod review;
+
 use super::*;
 
 /// Interval between the reads of a daemon that reaches the store.
