--- a/src/fleet/tests/software/out_of_step/review.rs
+++ b/src/fleet/tests/software/out_of_step/review.rs
@@ -24,6 +24,44 @@
     println!("{newer} streams began at v2");
 }
 
+/// The same where as many or more servers of v2 have joined, or those of v1 are about to stop.
+#[test]
+fn stream_is_not_joined_of_two_versions_by_a_daemon_that_starts_late_in_a_release() {
+    let mut joined = Vec::new();
+    for (name, count, leaving) in
+        [("fewer", 2, 0), ("as many", 3, 0), ("more", 4, 0), ("fewer, v1 leaves", 2, 3)]
+    {
+        let mut stage = Stage::new();
+        let starting = stage.release.site.scheduler("engines");
+        let cut_off = (starting + 1) % usize::from(DAEMONS);
+        stage.cut_off(&[cut_off]);
+        stage.advance(ms(40));
+        let mut servers = engines("v1", 3);
+        for (_, record) in servers.iter_mut().take(leaving) {
+            *record = record.replace("ready", "draining");
+        }
+        stage.write(&[servers.clone(), engines("v2", count)].concat());
+        stage.advance(ms(40));
+        let copy = [engines("v1", 3), servers, engines("v2", count)].concat();
+        stage.release.site.restart(starting, &borrowed(&copy));
+        stage.read[starting] = stage.log.len();
+        stage.advance(ms(100));
+        for _ in 0..6 {
+            let key = stage.release.arrive(starting, Start::New);
+            let commands = stage.release.site.commands(starting, key);
+            let [Command::Dispatch(begun)] = commands.as_slice() else { continue };
+            stage.release.site.report(starting, key, begun.attempt, Report::Begun(Some(1)));
+            let taken_up = stage.release.take_up(cut_off, key, starting);
+            let went_on = version_of(&taken_up).map(str::to_owned);
+            let began = version(&begun.server).to_owned();
+            if went_on.as_ref().is_some_and(|it| *it != began) {
+                joined.push((name, began, went_on));
+            }
+        }
+    }
+    assert!(joined.is_empty(), "{joined:?}");
+}
+
 /// A route of streams without a prompt: the scheduler takes it for one without streams.
 #[test]
 fn stream_without_a_prompt_is_not_begun_at_a_version_that_others_may_not_know() {
