--- a/src/error.rs
+++ b/src/error.rs
@@ -119,6 +119,7 @@
     HandoverRefused = 2013, "handover-refused", 503, NotRun, 1, 0, "This router takes no request over from another now; try a third.";
     StreamVersionGone = 2014, "stream-version-gone", 503, NotRun, 2, 0, "No backend server runs the software version that began this stream; begin the request anew, or come back after the time given.";
     StreamVersionUnknown = 2015, "stream-version-unknown", 503, NotRun, 1, 0, "The software version of the backend server that began this stream is not known; begin the request anew, or come back after the time given.";
+    MemoryFull = 2016, "memory-full", 503, NotRun, 1, 0, "The router holds as many bytes as its memory allows, or the request came too slowly beside others; come back after the time given.";
 
     OutcomeUnknown = 3001, "outcome-unknown", 502, Unknown, 0, 0, "The backend server may have run the request, but no whole answer arrived; check before you repeat it.";
     KeyInProgress = 3002, "idempotency-key-in-progress", 409, Unknown, 1, 0, "A request with this Idempotency-Key is in progress; ask again with the same key for its outcome.";
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod ledger;
 pub mod manifest;
 pub mod membership;
+pub mod memory;
 pub mod ops;
 pub mod order;
 pub mod peer;
--- a/src/relay/answer.rs
+++ b/src/relay/answer.rs
@@ -1,8 +1,39 @@
 //! Encoding of answers to callers.
 
+use std::io;
+use std::net::TcpStream;
+
+use async_io::Async;
+use futures_lite::AsyncWriteExt;
+
 use super::{Fields, Framing, Response, head};
 use crate::prelude::*;
 
+/// Size up to which a body is copied behind its head, so that both are sent at once. A larger one is not held twice.
+const MAX_COPIED_BYTES: usize = 16 << 10;
+
+/// Returns the pieces in which a message is written: the head and the body, in one if the body is small.
+pub(super) fn pieces(head: String, body: &[u8]) -> (Vec<u8>, &[u8]) {
+    let mut first = head.into_bytes();
+    if body.len() > MAX_COPIED_BYTES {
+        return (first, body);
+    }
+    first.extend_from_slice(body);
+    (first, &[])
+}
+
+/// Writes an answer that is held completely.
+pub(super) async fn write_answer(
+    mut writer: &Async<TcpStream>,
+    response: &Response,
+    body: &[u8],
+    close: bool,
+) -> io::Result<()> {
+    let (first, rest) = pieces(encode_answer_head(response, body.len() as u64, close), body);
+    writer.write_all(&first).await?;
+    writer.write_all(rest).await
+}
+
 pub(super) fn push_chunk(out: &mut Vec<u8>, data: &[u8]) {
     if data.is_empty() {
         return;
@@ -23,20 +54,18 @@
     head::encode(&status_line(response), fields)
 }
 
-pub(super) fn encode_answer(response: &Response, body: &[u8], close: bool) -> Vec<u8> {
+pub(super) fn encode_answer_head(response: &Response, body_bytes: u64, close: bool) -> String {
     let length = match response.framing {
         // The length in an answer to HEAD is not that of its own body.
         Framing::Length(0) => response.fields.get("content-length").map(str::to_owned),
-        _ => Some(body.len().to_string()),
+        _ => Some(body_bytes.to_string()),
     };
     let bodiless = matches!(response.status, 204 | 304);
     let length = length.filter(|_| !bodiless);
     let framing = length.as_deref().map(|length| ("Content-Length", length));
     let closing = close.then_some(("Connection", "close"));
     let fields = response.fields.end_to_end().chain(framing).chain(closing);
-    let mut answer = head::encode(&status_line(response), fields).into_bytes();
-    answer.extend_from_slice(body);
-    answer
+    head::encode(&status_line(response), fields)
 }
 
 /// Removes the body of an encoded answer, for an answer to HEAD.
--- a/src/relay/body.rs
+++ b/src/relay/body.rs
@@ -103,6 +103,15 @@
         Self { state, trailer_bytes: 0 }
     }
 
+    /// Returns the number of bytes that a body with a declared length still has.
+    pub(super) fn bytes_left(&self) -> Option<u64> {
+        match self.state {
+            State::Length(left) => Some(left),
+            State::Complete => Some(0),
+            _ => None,
+        }
+    }
+
     /// Returns whether the body is complete.
     pub fn is_complete(&self) -> bool {
         self.state == State::Complete
--- a/src/relay/caller.rs
+++ b/src/relay/caller.rs
@@ -7,20 +7,18 @@
 use async_io::{Async, Timer};
 use futures_lite::FutureExt;
 
-use super::answer::{encode_answer, encode_error, strip_body};
+use super::answer::{encode_error, strip_body, write_answer};
 use super::delivery::{Delivery, Outcome, Progress};
-use super::held::HeldBytes;
-use super::span::Span;
+use super::intake::{self, Received};
+use super::summary::Summary;
 use super::takeover::Origin;
-use super::{Conn, Cut, Dialect, Fields, Metadata, Pool, Request};
+use super::{Conn, Dialect, Fields, Pool, Request};
 use crate::fleet::Control;
+use crate::memory::{Account, Holding};
 use crate::prelude::*;
 use crate::route::{Limits, Lookup};
-use crate::telemetry::emit;
 use crate::telemetry::metrics::Metrics;
 
-/// Timeout for the body of a request after its head has arrived.
-const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// Retry-after time for a caller while this daemon has no manifest.
 const NO_MANIFEST_RETRY_AFTER: Duration = Duration::from_millis(500);
 
@@ -31,13 +29,11 @@
     pub(super) pool: Arc<Pool>,
     pub(super) metrics: Arc<Metrics>,
     /// Closed as the signal to close idle connections.
-    shutdown: Receiver<()>,
+    pub(super) shutdown: Receiver<()>,
     /// Number of requests of which a byte was read and that have no complete answer yet.
     unanswered: AtomicUsize,
-    /// Number of open connections of peers.
-    pub(super) peer_connections: AtomicUsize,
-    /// The memory of unfinished answers.
-    pub(super) held: HeldBytes,
+    /// The memory of requests and answers.
+    pub(super) account: Arc<Account>,
 }
 
 impl Frontend {
@@ -47,19 +43,11 @@
         control: Control,
         pool: Arc<Pool>,
         metrics: Arc<Metrics>,
+        account: Arc<Account>,
         shutdown: Receiver<()>,
     ) -> Self {
-        let (unanswered, peer_connections) = (AtomicUsize::new(0), AtomicUsize::new(0));
-        Self {
-            dialect,
-            control,
-            pool,
-            metrics,
-            shutdown,
-            unanswered,
-            peer_connections,
-            held: HeldBytes::default(),
-        }
+        let unanswered = AtomicUsize::new(0);
+        Self { dialect, control, pool, metrics, shutdown, unanswered, account }
     }
 
     /// Returns the number of requests of which a byte was read and whose answer was not sent. Only
@@ -90,111 +78,84 @@
     }
 }
 
+/// How a connection ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum End {
+    /// Nothing is due on it.
+    Closed,
+    /// Its last answer was written while the peer may still send, or before all that it sent was read.
+    Unread,
+}
+
 /// Serves one caller's connection until it closes.
-pub async fn serve(frontend: Arc<Frontend>, stream: Async<TcpStream>) {
-    serve_requests(&frontend, &mut Conn::new(stream), Origin::Caller).await;
+pub async fn serve(frontend: Arc<Frontend>, stream: Async<TcpStream>, holding: Holding) {
+    serve_connection(&frontend, Conn::of_caller(stream, holding), Origin::Caller).await;
+}
+
+/// Serves one connection of a peer until it closes.
+pub async fn serve_peer(frontend: Arc<Frontend>, stream: Async<TcpStream>, holding: Holding) {
+    serve_connection(&frontend, Conn::of_caller(stream, holding), Origin::Peer).await;
+}
+
+/// Refuses a connection beyond the limit, whatever it asks for.
+pub async fn refuse(stream: Async<TcpStream>, holding: Holding) {
+    let mut conn = Conn::of_caller(stream, holding);
+    let fields = Fields::default();
+    refuse_unread(&conn, intake::Refusal { code: Some(Code::TooManyConnections), fields }).await;
+    conn.linger().await;
+}
+
+async fn serve_connection(frontend: &Frontend, mut conn: Conn, origin: Origin) {
+    if serve_requests(frontend, &mut conn, origin).await == End::Unread {
+        conn.linger().await;
+    }
 }
 
 /// Serves the requests on a connection, one after another.
-pub(super) async fn serve_requests(frontend: &Frontend, conn: &mut Conn, origin: Origin) {
+async fn serve_requests(frontend: &Frontend, conn: &mut Conn, origin: Origin) -> End {
     loop {
         let limits = origin.adapt(frontend.limits());
-        if !wait_for_request(frontend, conn, limits).await {
-            return;
+        if !conn.record_progress() || !intake::wait_for_request(frontend, conn, limits).await {
+            return End::Closed;
         }
         let _unanswered = Counted::new(&frontend.unanswered);
-        let request = match read_head(conn, limits).await {
-            Ok(request) => request,
-            Err(code) => return refuse_unread(conn, code, Fields::default()).await,
-        };
-        let body = match read_body(conn, &request, limits).await {
-            Ok(body) => body,
-            Err(code) => {
-                let metadata = frontend.dialect.metadata(&request);
-                let fields = metadata.map(|metadata| frontend.dialect.error_fields(&metadata));
-                return refuse_unread(conn, code, fields.unwrap_or_default()).await;
-            }
+        let received = match intake::read_request(frontend, conn, limits).await {
+            Ok(received) => received,
+            Err(refusal) => return refuse_unread(conn, refusal).await,
         };
-        let keep_alive = request.keep_alive;
-        let reusable = forward_request(frontend, conn, &request, &body, origin).await;
+        // A connection that waits for its next request does not keep the memory of a delivery.
+        let (keep_alive, is_unread) = (received.request.keep_alive, received.is_unread);
+        let reusable = Box::pin(forward_request(frontend, conn, received, origin)).await;
+        if conn.has_discarded() || is_unread {
+            return End::Unread;
+        }
         if !reusable || !keep_alive {
-            return;
+            return End::Closed;
         }
+        conn.keep_body(0);
     }
 }
 
-/// Waits for the first byte of a request. Returns false if the connection should be closed.
-async fn wait_for_request(frontend: &Frontend, conn: &mut Conn, limits: Limits) -> bool {
-    let idle = async {
-        Timer::after(limits.idle_timeout).await;
-        false
-    };
-    let shutdown = async {
-        frontend.shutdown.recv().await.ok();
-        false
-    };
-    conn.wait_for_data().or(idle).or(shutdown).await
-}
-
-/// Answers a request that was not read to its end, if `code` says with what. The connection is then closed.
-async fn refuse_unread(conn: &Conn, code: Option<Code>, fields: Fields) {
-    if let Some(code) = code {
-        conn.write(&encode_error(&Error::from(code), None, fields, false)).await.ok();
-    }
-}
-
-/// Reads the head of a request. On failure, returns the code to answer with, if an answer is possible.
-async fn read_head(conn: &mut Conn, limits: Limits) -> Result<Request, Option<Code>> {
-    let expire = async {
-        Timer::after(limits.head_timeout).await;
-        Err(Some(Code::HeadTimeout))
-    };
-    let read = async {
-        conn.read_request(limits.max_head_bytes)
-            .await
-            .map_err(|cut| code_for(&cut, Code::HeadTooLarge))
-    };
-    read.or(expire).await
-}
-
-/// Reads the body of a request, after asking for it if the sender waits for that.
-async fn read_body(
-    conn: &mut Conn,
-    request: &Request,
-    limits: Limits,
-) -> Result<Vec<u8>, Option<Code>> {
-    if request.fields.get("expect").is_some_and(|expect| expect.starts_with("100-")) {
-        conn.write(b"HTTP/1.1 100 Continue\r\n\r\n").await.ok();
-    }
-    let expire = async {
-        Timer::after(BODY_TIMEOUT).await;
-        Err(Some(Code::HeadTimeout))
-    };
-    let framing = request.framing;
-    let read = async {
-        let body = conn.read_whole(framing, limits.max_body_bytes).await;
-        body.map_err(|cut| code_for(&cut, Code::BodyTooLarge))
-    };
-    read.or(expire).await
-}
-
-fn code_for(cut: &Cut, too_large: Code) -> Option<Code> {
-    match cut {
-        Cut::Closed | Cut::Broken(_) => None,
-        Cut::Malformed(_) => Some(Code::MalformedRequest),
-        Cut::TooLarge => Some(too_large),
-    }
+/// Answers a request that was not read to its end, if there is something to answer.
+async fn refuse_unread(conn: &Conn, refusal: intake::Refusal) -> End {
+    let Some(code) = refusal.code else { return End::Closed };
+    let retry_after_s = Some(code.row().retry_after_s).filter(|seconds| *seconds > 0);
+    let retry_after = retry_after_s.map(|seconds| Duration::from_secs(seconds.into()));
+    let answer = encode_error(&Error::from(code), retry_after, refusal.fields, false);
+    conn.write(&answer).await.ok();
+    End::Unread
 }
 
 /// Forwards a request and answers it. Returns whether the connection can be reused.
 async fn forward_request(
     frontend: &Frontend,
     conn: &mut Conn,
-    request: &Request,
-    body: &[u8],
+    received: Received,
     origin: Origin,
 ) -> bool {
-    let metadata = match frontend.dialect.metadata(request) {
+    let Received { request, metadata, body, is_unread: _ } = received;
+    let request = &request;
+    let metadata = match metadata {
         Ok(metadata) => metadata,
         Err(malformed) => {
             let error = Error::new(Code::MalformedRequest, malformed.0);
@@ -211,18 +172,7 @@
             let host = request.fields.get("host").unwrap_or_default();
             table.find(host, request.path(), metadata.workspace_key.as_deref())
         }
-        None => {
-            summary.record(&Outcome::Code(Code::NoManifest, Some(NO_MANIFEST_RETRY_AFTER)));
-            return answer_error(
-                frontend,
-                conn,
-                request,
-                Code::NoManifest,
-                Some(NO_MANIFEST_RETRY_AFTER),
-                error_fields,
-            )
-            .await;
-        }
+        None => return answer_no_manifest(frontend, conn, request, &summary, error_fields).await,
     };
     let (route, workspace) = match found {
         Lookup::Route(route, workspace) => (route, workspace),
@@ -233,6 +183,10 @@
             return answer_error(frontend, conn, request, code, None, error_fields).await;
         }
     };
+    let Some(body) = &body else {
+        // A configuration that allows the request has come since its body was dropped.
+        return answer_no_manifest(frontend, conn, request, &summary, error_fields).await;
+    };
     summary.route = route.name.clone();
     summary.workspace = workspace.as_ref().map_or_else(String::new, |owner| owner.name.clone());
     let limit = metadata.timeout.map_or(route.timeout, |timeout| timeout.min(route.timeout));
@@ -275,67 +229,23 @@
             answer_error(frontend, conn, request, code, retry_after, error_fields).await
         }
         Outcome::ServerFailure(answer) => {
-            let (response, body) = *answer;
             let close = frontend.control.is_draining();
-            conn.write(&encode_answer(&response, &body, close)).await.is_ok() && !close
+            write_answer(&conn.writer(), &answer.response, &answer.body, close).await.is_ok()
+                && !close
         }
     }
 }
 
-/// Summary of a finished request for the log and the metrics.
-struct Summary<'a> {
-    frontend: &'a Frontend,
-    id: String,
-    origin: Origin,
-    started: Time,
-    /// The routing table's version; 0 if there is none.
-    table_version: u64,
-    route: String,
-    workspace: String,
-    /// The request's time limit; zero if it has no route.
-    limit: Duration,
-    /// The event after which the caller takes a stream up.
-    after: Option<u64>,
-    /// The events that were passed on.
-    span: Span,
-}
-
-impl<'a> Summary<'a> {
-    fn new(frontend: &'a Frontend, metadata: &Metadata, origin: Origin) -> Self {
-        let (route, workspace) = (String::new(), String::new());
-        let started = frontend.control.clock.now();
-        let id = metadata.id.clone();
-        let limit = Duration::ZERO;
-        let (after, span) = (None, Span::default());
-        let table_version = 0;
-        Self { frontend, id, origin, started, table_version, route, workspace, limit, after, span }
-    }
-
-    fn record(&self, outcome: &Outcome) {
-        let (name, code, retry_after) = match outcome {
-            Outcome::Answered => ("answered", None, None),
-            Outcome::HandedOver(code) => ("handed-over", *code, None),
-            Outcome::Truncated => ("cut", None, None),
-            Outcome::Disconnected => ("caller-left", None, None),
-            Outcome::ServerFailure(_) => ("server-failure", None, None),
-            Outcome::Code(code, retry_after) => (code.row().name, Some(*code), *retry_after),
-        };
-        let number = code.map_or(0, |code| code.row().number);
-        self.frontend.metrics.count_answer(&self.workspace, &self.route, number);
-        let detail = Detail::of("request", self.id.as_str())
-            .and("route", self.route.as_str())
-            .and("workspace", self.workspace.as_str())
-            .and("outcome", name)
-            .and_some("origin", (self.origin == Origin::Peer).then_some("peer"))
-            .and_some("code", code.map(|code| u32::from(code.row().number)))
-            .and_some("execution", code.map(|code| code.row().execution.as_str()))
-            .and_some("retry_after_ms", retry_after)
-            .and("total_ms", self.frontend.control.clock.now().saturating_sub(self.started))
-            .and("limit_ms", self.limit)
-            .and("table", self.table_version)
-            .and_some("after", self.after);
-        emit(Event::RequestEnded, self.span.describe(detail));
-    }
+async fn answer_no_manifest(
+    frontend: &Frontend,
+    conn: &Conn,
+    request: &Request,
+    summary: &Summary<'_>,
+    error_fields: Fields,
+) -> bool {
+    let (code, after) = (Code::NoManifest, Some(NO_MANIFEST_RETRY_AFTER));
+    summary.record(&Outcome::Code(code, after));
+    answer_error(frontend, conn, request, code, after, error_fields).await
 }
 
 async fn answer_error(
--- a/src/relay/conn.rs
+++ b/src/relay/conn.rs
@@ -1,18 +1,20 @@
 //! A TCP connection with a read-ahead buffer.
 
 use std::fmt;
+use std::future::Future;
 use std::hash::{DefaultHasher, Hash, Hasher};
-use std::io;
-use std::net::{SocketAddr, TcpStream};
+use std::io::{self, Read};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use async_io::{Async, Timer};
-use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt, future};
+use futures_lite::{AsyncWriteExt, FutureExt, future};
 use rustix::net::sockopt;
 
 use super::{Decoder, Framing, Malformed, Request, Response};
+use crate::memory::{Full, Holding};
 
 /// Maximum number of bytes per read.
 const READ_CHUNK_BYTES: usize = 16 << 10;
@@ -24,6 +26,12 @@
 const HEAD_START: &[u8] = b"HTTP/1.";
 /// Maximum number of bytes buffered from a caller that waits for its answer.
 const MAX_READ_AHEAD_BYTES: usize = 64 << 10;
+/// Size of the kernel's receive buffer of a caller's connection, which it may double. What waits there unread counts as
+/// memory of the process on some platforms. A caller's link a millisecond away brings 32 MB/s with it.
+const RECEIVE_BUFFER_BYTES: usize = 32 << 10;
+/// Time for which bytes are discarded before a connection is closed beside them, so that the peer can read the last answer:
+/// closing a connection with unread bytes resets it.
+const LINGER_TIME: Duration = Duration::from_secs(3);
 /// Idle time before the first TCP keep-alive probe and interval between probes, in whole seconds.
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
 /// Number of unanswered keep-alive probes after which a connection fails.
@@ -32,6 +40,11 @@
 /// is well below the time that a caller waits.
 const USER_TIMEOUT_MS: u32 = 2_000;
 
+/// Bounds what the connections that `listener` accepts may leave unread.
+pub fn bound_unread_bytes(listener: &TcpListener) {
+    sockopt::set_socket_recv_buffer_size(listener, RECEIVE_BUFFER_BYTES).ok();
+}
+
 /// Error in reading a message.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Cut {
@@ -43,6 +56,8 @@
     Malformed(String),
     /// The message is larger than the limit.
     TooLarge,
+    /// The daemon holds as many bytes as it may.
+    Full,
 }
 
 impl fmt::Display for Cut {
@@ -51,6 +66,7 @@
             Self::Closed => f.write_str("the connection ended before a message"),
             Self::Broken(reason) | Self::Malformed(reason) => f.write_str(reason),
             Self::TooLarge => f.write_str("the message is too large"),
+            Self::Full => Full.fmt(f),
         }
     }
 }
@@ -61,6 +77,12 @@
     }
 }
 
+impl From<Full> for Cut {
+    fn from(_: Full) -> Self {
+        Self::Full
+    }
+}
+
 impl From<io::Error> for Cut {
     fn from(error: io::Error) -> Self {
         Self::Broken(error.to_string())
@@ -77,6 +99,12 @@
     carried: Vec<u64>,
     /// Bytes that were read and not yet consumed.
     read_ahead: Vec<u8>,
+    /// What a caller's connection holds of the daemon's memory.
+    holding: Option<Holding>,
+    /// Size of the body buffer of the current request, which is part of what is held.
+    body_bytes: usize,
+    /// Whether bytes that the caller sent ahead of its turn were discarded, so that no further request can be read.
+    has_discarded: bool,
     /// Number of bytes read since other tasks could last run.
     unyielded: usize,
     /// Whether a write has failed. The failure took the socket's error, so that a read then sees an orderly end.
@@ -99,11 +127,19 @@
             stream: Arc::new(stream),
             carried: Vec::new(),
             read_ahead: Vec::new(),
+            holding: None,
+            body_bytes: 0,
+            has_discarded: false,
             unyielded: 0,
             write_failed: false,
         }
     }
 
+    /// Wraps the connection of a caller, whose buffers are counted in `holding`.
+    pub fn of_caller(stream: Async<TcpStream>, holding: Holding) -> Self {
+        Self { holding: Some(holding), ..Self::new(stream) }
+    }
+
     /// Returns the number of the connection in this process.
     pub(super) fn number(&self) -> u64 {
         self.number
@@ -169,40 +205,125 @@
     }
 
     /// Reads more bytes into the buffer. Returns their number, or 0 at the end of the connection.
-    async fn fill(&mut self) -> io::Result<usize> {
+    async fn fill(&mut self) -> Result<usize, Cut> {
         if self.unyielded >= MAX_BYTES_WITHOUT_YIELD {
             self.unyielded = 0;
             future::yield_now().await;
         }
-        let start = self.read_ahead.len();
-        self.read_ahead.resize(start + READ_CHUNK_BYTES, 0);
-        let read = (&mut &*self.stream).read(&mut self.read_ahead[start..]).await;
-        let count = read.as_ref().copied().unwrap_or(0);
-        self.read_ahead.truncate(start + count);
+        let Self { stream, read_ahead, .. } = self;
+        // A connection that waits has no buffer.
+        let read = stream.read_with(|mut stream| {
+            let mut chunk = [0; READ_CHUNK_BYTES];
+            let count = stream.read(&mut chunk)?;
+            read_ahead.extend_from_slice(&chunk[..count]);
+            Ok(count)
+        });
+        let count = read.await?;
         self.unyielded += count;
-        read
+        self.count_buffers().await?;
+        Ok(count)
+    }
+
+    /// Counts the buffers in the holding of a caller's connection.
+    async fn count_buffers(&mut self) -> Result<(), Full> {
+        match &self.holding {
+            Some(holding) => holding.grow_to(self.read_ahead.capacity() + self.body_bytes).await,
+            None => Ok(()),
+        }
+    }
+
+    /// Counts the buffers again after some were dropped.
+    fn recount_buffers(&mut self) {
+        let bytes = self.read_ahead.capacity() + self.body_bytes;
+        if let Some(holding) = &self.holding {
+            holding.set(bytes).ok();
+        }
+    }
+
+    /// Records the size of the body buffer that is kept, and drops the other one if it is empty.
+    pub(super) fn keep_body(&mut self, body_bytes: usize) {
+        if self.read_ahead.is_empty() {
+            self.read_ahead = Vec::new();
+        }
+        self.body_bytes = body_bytes;
+        self.recount_buffers();
+    }
+
+    /// Records that the caller's connection begins to wait for bytes, or has got enough of them. Returns false if it was
+    /// revoked.
+    pub(super) fn record_progress(&self) -> bool {
+        self.holding.as_ref().is_none_or(Holding::record_progress)
+    }
+
+    /// Records that a request has come whole. Returns false if the connection was revoked.
+    pub(super) fn begin_serving(&self) -> bool {
+        self.holding.as_ref().is_none_or(Holding::begin_serving)
+    }
+
+    /// Waits until the connection is revoked, since its bytes or its place are needed.
+    pub(super) fn revocation(&self) -> impl Future<Output = ()> + Send + use<> {
+        let revocation = self.holding.as_ref().map(Holding::revocation);
+        async move {
+            match revocation {
+                Some(revocation) => revocation.await,
+                None => future::pending().await,
+            }
+        }
+    }
+
+    /// Returns whether bytes were discarded, so that the next request can't be read.
+    pub(super) fn has_discarded(&self) -> bool {
+        self.has_discarded
     }
 
     /// Waits for the first byte. Returns false if the connection ended instead.
     pub async fn wait_for_data(&mut self) -> bool {
-        !self.read_ahead.is_empty() || matches!(self.fill().await, Ok(1..))
+        !self.read_ahead.is_empty() || matches!(self.fill().await, Ok(1..) | Err(Cut::Full))
     }
 
-    /// Waits until the peer disconnects and buffers what it sends meanwhile. Never returns once the
-    /// buffer exceeds its limit.
+    /// Waits until the peer disconnects and buffers what it sends meanwhile. Bytes beyond the limit are discarded; no
+    /// further request can be read then.
     pub async fn wait_for_disconnect(&mut self) {
-        let mut chunk = vec![0; 4_096];
         loop {
-            if self.read_ahead.len() > MAX_READ_AHEAD_BYTES {
-                std::future::pending::<()>().await;
-            }
-            match (&mut &*self.stream).read(&mut chunk).await {
-                Ok(0) | Err(_) => return,
-                Ok(count) => self.read_ahead.extend_from_slice(&chunk[..count]),
+            match self.fill().await {
+                Ok(0) | Err(Cut::Closed | Cut::Broken(_)) => return,
+                Ok(_) if self.has_discarded || self.read_ahead.len() > MAX_READ_AHEAD_BYTES => {
+                    self.discard_read_ahead();
+                }
+                Ok(_) => {}
+                Err(Cut::Full | Cut::Malformed(_) | Cut::TooLarge) => self.discard_read_ahead(),
             }
         }
     }
 
+    fn discard_read_ahead(&mut self) {
+        self.has_discarded = true;
+        self.read_ahead = Vec::new();
+        self.recount_buffers();
+    }
+
+    /// Ends the sending direction and discards what still comes, until the peer closes the connection, time is over or the
+    /// connection is revoked.
+    pub(super) async fn linger(&mut self) {
+        self.keep_body(0);
+        let revocation = self.revocation();
+        if !self.record_progress() || self.stream.get_ref().shutdown(Shutdown::Write).is_err() {
+            return;
+        }
+        let expire = async {
+            Timer::after(LINGER_TIME).await;
+        };
+        self.discard_rest().or(expire).or(revocation).await;
+    }
+
+    /// Discards what the peer sends until it closes the connection.
+    async fn discard_rest(&mut self) {
+        self.discard_read_ahead();
+        while matches!(self.fill().await, Ok(1..) | Err(Cut::Full)) {
+            self.discard_read_ahead();
+        }
+    }
+
     /// Reads a request head of at most `limit` bytes.
     pub async fn read_request(&mut self, limit: usize) -> Result<Request, Cut> {
         loop {
@@ -313,6 +434,65 @@
         }
     }
 
+    /// Reads on until the body is complete or has `more` bytes more. A buffer grows only once it is counted.
+    ///
+    /// Fails if the body has more than `limit` bytes. Returns whether it is incomplete.
+    pub(super) async fn read_part(
+        &mut self,
+        decoder: &mut Decoder,
+        body: &mut Vec<u8>,
+        more: usize,
+        limit: usize,
+    ) -> Result<bool, Cut> {
+        let end = body.len().saturating_add(more);
+        while body.len() < end {
+            self.make_room(body, decoder.bytes_left(), limit).await?;
+            if !self.read_body(decoder, body).await? {
+                return Ok(false);
+            }
+            if body.len() > limit {
+                return Err(Cut::TooLarge);
+            }
+        }
+        Ok(!decoder.is_complete())
+    }
+
+    /// Makes room in `body` for what was read ahead and one read more, of the `left` bytes that the body still has if that is
+    /// known. A buffer that grows gets twice its size.
+    async fn make_room(
+        &mut self,
+        body: &mut Vec<u8>,
+        left: Option<u64>,
+        limit: usize,
+    ) -> Result<(), Full> {
+        let left = left.map_or(usize::MAX, |left| usize::try_from(left).unwrap_or(usize::MAX));
+        let needed = body.len() + left.min(self.read_ahead.len() + READ_CHUNK_BYTES);
+        if needed <= body.capacity() {
+            return Ok(());
+        }
+        let capacity = (2 * body.capacity()).min(limit + READ_CHUNK_BYTES).max(needed);
+        self.body_bytes = capacity;
+        self.count_buffers().await?;
+        body.reserve_exact(capacity - body.len());
+        Ok(())
+    }
+
+    /// Reads a body of at most `limit` bytes to its end and drops it.
+    pub(super) async fn discard_body(&mut self, framing: Framing, limit: usize) -> Result<(), Cut> {
+        if matches!(framing, Framing::Length(length) if length > limit as u64) {
+            return Err(Cut::TooLarge);
+        }
+        let (mut decoder, mut part, mut length) = (Decoder::new(framing), Vec::new(), 0);
+        while self.read_body(&mut decoder, &mut part).await? {
+            length += part.len();
+            part.clear();
+            if length > limit {
+                return Err(Cut::TooLarge);
+            }
+        }
+        Ok(())
+    }
+
     /// Reads a complete body of at most `limit` bytes.
     pub async fn read_whole(&mut self, framing: Framing, limit: usize) -> Result<Vec<u8>, Cut> {
         if matches!(framing, Framing::Length(length) if length > limit as u64) {
@@ -320,11 +500,7 @@
         }
         let mut decoder = Decoder::new(framing);
         let mut body = Vec::new();
-        while self.read_body(&mut decoder, &mut body).await? {
-            if body.len() > limit {
-                return Err(Cut::TooLarge);
-            }
-        }
+        self.read_part(&mut decoder, &mut body, usize::MAX, limit).await?;
         Ok(body)
     }
 }
--- a/src/relay/delivery.rs
+++ b/src/relay/delivery.rs
@@ -8,9 +8,10 @@
 use async_io::Async;
 use futures_lite::{AsyncWriteExt, FutureExt};
 
-use super::answer::{encode_answer, encode_stream_head, push_chunk};
-use super::exchange::{self, Answer, Failure, Question};
+use super::answer::{encode_stream_head, pieces, push_chunk, write_answer};
+use super::exchange::{self, Answer, Exchange, Failure, Question};
 use super::matching::Responder;
+use super::passing::Held;
 use super::span::Span;
 use super::takeover::Origin;
 use super::{Classification, Cut, Events, Framing, Frontend, Metadata, Request, Response, head};
@@ -44,7 +45,7 @@
     /// A complete answer of a peer was passed on, with this code if it was the peer's own; the connection can be reused.
     HandedOver(Option<Code>),
     /// The backend server's own error answer is forwarded.
-    ServerFailure(Box<(Response, Vec<u8>)>),
+    ServerFailure(Box<Held>),
 }
 
 /// Progress of a request, shared with the code that runs concurrently with its attempt.
@@ -225,7 +226,7 @@
         Fingerprint::of(workspace, &self.request.method, &self.request.target, self.body)
     }
 
-    fn failed_outcome(&self, failure: Option<Box<(Response, Vec<u8>)>>) -> Outcome {
+    fn failed_outcome(&self, failure: Option<Box<Held>>) -> Outcome {
         if self.progress.has_started() {
             return Outcome::Truncated;
         }
@@ -252,8 +253,8 @@
         self.metadata.timeout.map(|_| self.deadline.saturating_sub(now))
     }
 
-    /// Encodes the complete message for a backend server.
-    fn encode_request(&self, dispatch: &Dispatch, events: &Events) -> Vec<u8> {
+    /// Encodes the head of the message for a backend server.
+    fn encode_head(&self, dispatch: &Dispatch, events: &Events) -> String {
         let workspace = self.workspace.as_deref();
         let fields = self.frontend.dialect.forwarded_fields(
             self.request,
@@ -267,9 +268,19 @@
         let has_body = !self.body.is_empty() || self.request.method != "GET";
         let framing = has_body.then_some(("Content-Length", length.as_str()));
         let first_line = format!("{} {} HTTP/1.1", self.request.method, self.request.target);
-        let mut message = head::encode(&first_line, fields.iter().chain(framing)).into_bytes();
-        message.extend_from_slice(self.body);
-        message
+        head::encode(&first_line, fields.iter().chain(framing))
+    }
+
+    async fn send(&self, dispatch: &Dispatch, events: &Events) -> Result<Exchange, Failure> {
+        let (message, body) = pieces(self.encode_head(dispatch, events), self.body);
+        let question = Question {
+            id: Some(&self.metadata.id),
+            message: &message,
+            body,
+            answers_head: self.request.is_head(),
+        };
+        let on_send = || self.progress.sent.store(true, Ordering::Release);
+        exchange::send(&self.frontend.pool, dispatch.address, question, on_send).await
     }
 
     async fn attempt(
@@ -278,12 +289,8 @@
         dispatch: &Dispatch,
         events: &mut Events,
     ) -> Attempt {
-        let message = self.encode_request(dispatch, events);
         let answers_head = self.request.is_head();
-        let question = Question { id: Some(&self.metadata.id), message: &message, answers_head };
-        let on_send = || self.progress.sent.store(true, Ordering::Release);
-        let pool = &self.frontend.pool;
-        let sent = exchange::send(pool, dispatch.address, question, on_send).await;
+        let sent = self.send(dispatch, events).await;
         let responder = Responder { attempt: dispatch.attempt, name: &dispatch.server };
         let matched = match sent {
             Ok(exchange) => self.match_answer(exchange, responder).await.map_err(Failure::Lost),
@@ -343,8 +350,9 @@
         mut answer: Answer,
         refusal: Refusal,
     ) -> Attempt {
-        let mut holding = self.frontend.held.begin();
-        if answer.read_whole_held(MAX_ANSWER_BYTES, &mut holding).await.is_ok() {
+        let holding = self.frontend.account.begin();
+        let reading = Held::read(&mut answer, &holding).await;
+        if reading.is_ok() {
             answer.release(&self.frontend.pool, dispatch.max_idle);
         }
         Attempt::Unanswered(Report::Refused(refusal))
@@ -362,21 +370,20 @@
         if !self.route.is_streaming {
             self.send_report(dispatch, Report::Begun(weights));
         }
-        let mut holding = self.frontend.held.begin();
-        let body = match answer.read_whole_held(MAX_ANSWER_BYTES, &mut holding).await {
+        let holding = self.frontend.account.begin();
+        let is_failure = answer.response.status >= 500;
+        let body = match Held::read(&mut answer, &holding).await {
             Ok(body) => body,
             Err(cut) => return self.answer_cut(dispatch, &answer, None, &cut),
         };
-        drop(holding);
         let response = answer.response.clone();
         answer.release(&self.frontend.pool, dispatch.max_idle);
-        if response.status >= 500 {
-            return Attempt::Failed(Box::new((response, body)));
+        if is_failure {
+            return Attempt::Failed(Box::new(Held { response, body, _holding: holding }));
         }
         let close = self.frontend.control.is_draining();
         self.progress.record_write(self.frontend.control.clock.now());
-        let mut writer = writer;
-        match writer.write_all(&encode_answer(&response, &body, close)).await {
+        match write_answer(writer, &response, &body, close).await {
             Ok(()) => Attempt::Ended(Outcome::Answered),
             Err(_) => Attempt::CallerDisconnected,
         }
@@ -422,7 +429,7 @@
     ) -> Attempt {
         events.begin_answer();
         let (mut started, mut is_judged, mut is_slow_reader) = (false, false, false);
-        let mut holding = self.frontend.held.begin();
+        let holding = self.frontend.account.begin();
         let mut bytes = Vec::new();
         loop {
             bytes.clear();
@@ -434,7 +441,7 @@
                 Err(cut) => return self.answer_cut(dispatch, &answer, Some(events), &cut),
             };
             let mut whole = events.feed(&bytes);
-            let is_held = holding.set(events.partial_bytes()).is_ok();
+            let is_held = holding.set(events.partial_bytes() + 2 * whole.len()).is_ok();
             if !is_held || events.partial_bytes() > MAX_ANSWER_BYTES {
                 return self.answer_cut(dispatch, &answer, Some(events), &Cut::TooLarge);
             }
@@ -464,6 +471,7 @@
                 self.progress.record_stream_head(&answer.response);
             }
             push_chunk(&mut out, &whole);
+            drop(whole);
             if complete {
                 out.extend_from_slice(b"0\r\n\r\n");
             }
@@ -502,7 +510,7 @@
 fn loss(cut: &Cut) -> Loss {
     match cut {
         Cut::Closed | Cut::Broken(_) => Loss::Connection,
-        Cut::Malformed(_) | Cut::TooLarge => Loss::InvalidAnswer,
+        Cut::Malformed(_) | Cut::TooLarge | Cut::Full => Loss::InvalidAnswer,
     }
 }
 
@@ -517,7 +525,7 @@
     /// A command from the control thread superseded the attempt.
     Superseded,
     /// The server answered with an error.
-    Failed(Box<(Response, Vec<u8>)>),
+    Failed(Box<Held>),
     /// The attempt ended without an answer to forward.
     Unanswered(Report),
 }
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -7,7 +7,6 @@
 use async_io::Timer;
 use futures_lite::{AsyncWriteExt, FutureExt};
 
-use super::held::Holding;
 use super::pool::MAX_REQUESTS_PER_CONNECTION;
 use super::{Conn, Cut, Decoder, Fields, Pool, Response, head};
 use crate::fleet::Connect;
@@ -134,22 +133,6 @@
         Ok(body)
     }
 
-    /// Reads the rest of the body, at most `limit` bytes, and counts it among the held bytes.
-    pub(super) async fn read_whole_held(
-        &mut self,
-        limit: usize,
-        holding: &mut Holding<'_>,
-    ) -> Result<Vec<u8>, Cut> {
-        let mut body = Vec::new();
-        while self.read(&mut body).await? {
-            holding.set(body.len())?;
-            if body.len() > limit {
-                return Err(Cut::TooLarge);
-            }
-        }
-        Ok(body)
-    }
-
     /// Returns a reusable connection to `pool`, which keeps at most `max_idle` per server.
     pub fn release(self, pool: &Pool, max_idle: usize) {
         let is_reusable = self.response.keep_alive
@@ -187,8 +170,10 @@
 pub struct Question<'a> {
     /// The request's id, which the answer names; a call of this router has none.
     pub id: Option<&'a str>,
-    /// The bytes to send.
+    /// The bytes to send: the head, with the body if it is small.
     pub message: &'a [u8],
+    /// The body that follows.
+    pub body: &'a [u8],
     /// Whether the answer has no body, whatever its head declares.
     pub answers_head: bool,
 }
@@ -219,21 +204,27 @@
     question: Question<'_>,
 ) -> Result<Exchange, Failure> {
     conn.record_request(question.id);
-    write(&mut conn, question.message).await?;
+    write(&mut conn, &[question.message, question.body]).await?;
     Ok(Exchange::new(conn, address, question.answers_head))
 }
 
-pub(super) async fn write(conn: &mut Conn, request: &[u8]) -> Result<(), Failure> {
+/// Writes the pieces of a message one after the other.
+pub(super) async fn write(conn: &mut Conn, pieces: &[&[u8]]) -> Result<(), Failure> {
     let stream = conn.writer();
-    let mut sent = 0;
-    while sent < request.len() {
-        match (&mut &*stream).write(&request[sent..]).await {
-            Ok(count) if count > 0 => sent += count,
-            _ if sent == 0 => return Err(Failure::Unsent("the connection was closed".into())),
-            // The server may have answered before it read all of a long body, so read the answer.
-            _ => {
-                conn.record_write_failure();
-                return Ok(());
+    let mut has_sent = false;
+    for piece in pieces {
+        let mut rest = *piece;
+        while !rest.is_empty() {
+            match (&mut &*stream).write(rest).await {
+                Ok(count) if count > 0 => (has_sent, rest) = (true, &rest[count..]),
+                _ if !has_sent => {
+                    return Err(Failure::Unsent("the connection was closed".into()));
+                }
+                // The server may have answered before it read all of a long body, so read the answer.
+                _ => {
+                    conn.record_write_failure();
+                    return Ok(());
+                }
             }
         }
     }
@@ -317,7 +308,7 @@
     max_body_bytes: usize,
 ) -> Result<(u16, Vec<u8>), Failure> {
     let message = call.encode(address);
-    let question = Question { id: None, message: &message, answers_head: false };
+    let question = Question { id: None, message: &message, body: &[], answers_head: false };
     let exchange = async {
         let mut sent = match call.correlation {
             Correlation::Connection => {
--- a/src/relay/handover.rs
+++ b/src/relay/handover.rs
@@ -6,10 +6,11 @@
 use async_io::{Async, Timer};
 use futures_lite::{AsyncWriteExt, FutureExt};
 
-use super::answer::{encode_answer, encode_stream_head, push_chunk};
+use super::answer::{encode_stream_head, pieces, push_chunk, write_answer};
 use super::delivery::{Delivery, MAX_ANSWER_BYTES, Outcome, SLOW_READER_DELAY};
 use super::exchange::{self, Answer, Exchange, Failure};
 use super::matching::Responder;
+use super::passing::Held;
 use super::takeover::Origin;
 use super::{Classification, Conn, Cut, Events, Framing, Response, head};
 use crate::error::Execution;
@@ -25,6 +26,11 @@
 /// Maximum number of idle connections per peer.
 const MAX_IDLE_CONNECTIONS: usize = 16;
 
+/// The end of a chunked body after its last chunk.
+const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
+/// The same after the data of a chunk.
+const CHUNK_END_AND_LAST_CHUNK: &[u8] = b"\r\n0\r\n\r\n";
+
 /// The end of a handover.
 enum Ending {
     /// The caller has a complete answer: a backend server's, or the peer's own with this code.
@@ -100,7 +106,10 @@
         };
         let mut conn = self.offer(address).or(expire).await?;
         self.progress.sent.store(true, Ordering::Release);
-        exchange::write(&mut conn, &self.encode_hop_body()).await?;
+        // In chunks, so that an empty body has an end, too.
+        let (first, rest) = pieces(chunk_head(self.body), self.body);
+        let end = if self.body.is_empty() { LAST_CHUNK } else { CHUNK_END_AND_LAST_CHUNK };
+        exchange::write(&mut conn, &[&first, rest, end]).await?;
         Ok(Exchange::new(conn, address, self.request.is_head()))
     }
 
@@ -134,14 +143,6 @@
         head::encode(&first_line, fields.iter().chain(framing)).into_bytes()
     }
 
-    /// Encodes the body in chunks, so that an empty one has an end, too.
-    fn encode_hop_body(&self) -> Vec<u8> {
-        let mut body = Vec::with_capacity(self.body.len() + 32);
-        push_chunk(&mut body, self.body);
-        body.extend_from_slice(b"0\r\n\r\n");
-        body
-    }
-
     async fn relay_hop(
         &self,
         writer: &Async<TcpStream>,
@@ -166,14 +167,13 @@
     /// Buffers an answer and forwards it once it is complete, unless another peer may take the request.
     async fn relay_hop_whole(
         &self,
-        mut writer: &Async<TcpStream>,
+        writer: &Async<TcpStream>,
         mut answer: Answer,
         is_from_server: bool,
     ) -> Ending {
-        let mut holding = self.frontend.held.begin();
-        let reading = answer.read_whole_held(MAX_ANSWER_BYTES, &mut holding).await;
+        let holding = self.frontend.account.begin();
+        let reading = Held::read(&mut answer, &holding).await;
         let Ok(body) = reading else { return Ending::Lost };
-        drop(holding);
         let response = answer.response.clone();
         answer.release(&self.frontend.pool, MAX_IDLE_CONNECTIONS);
         let code = match is_from_server {
@@ -186,7 +186,7 @@
         };
         let close = self.frontend.control.is_draining();
         self.progress.record_write(self.frontend.control.clock.now());
-        match writer.write_all(&encode_answer(&response, &body, close)).await {
+        match write_answer(writer, &response, &body, close).await {
             Ok(()) => Ending::Answered(code),
             Err(_) => Ending::CallerDisconnected,
         }
@@ -196,7 +196,7 @@
     async fn relay_hop_stream(&self, mut writer: &Async<TcpStream>, mut answer: Answer) -> Ending {
         let mut events = Events::after(self.metadata.last_event_id);
         let mut is_slow_reader = false;
-        let mut holding = self.frontend.held.begin();
+        let holding = self.frontend.account.begin();
         let mut bytes = Vec::new();
         loop {
             bytes.clear();
@@ -207,7 +207,7 @@
             }
             let is_complete = answer.decoder.is_complete();
             let mut whole = events.feed(&bytes);
-            let is_held = holding.set(events.partial_bytes()).is_ok();
+            let is_held = holding.set(events.partial_bytes() + 2 * whole.len()).is_ok();
             if !is_held || events.partial_bytes() > MAX_ANSWER_BYTES {
                 return Ending::Lost;
             }
@@ -249,6 +249,11 @@
     }
 }
 
+/// The line before the data of a chunk; empty if there are none.
+fn chunk_head(data: &[u8]) -> String {
+    if data.is_empty() { String::new() } else { format!("{:x}\r\n", data.len()) }
+}
+
 fn unsent(cut: Cut) -> Failure {
     Failure::Unsent(cut.to_string())
 }
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -16,21 +16,22 @@
 mod exchange;
 mod handover;
 mod head;
-mod held;
+mod intake;
 mod matching;
+mod passing;
 mod pool;
 mod span;
+mod summary;
 mod takeover;
 #[cfg(test)]
 mod tests;
 
 pub use body::{Decoder, Framing};
-pub use caller::{Frontend, serve};
-pub use conn::{Conn, Cut};
+pub use caller::{Frontend, refuse, serve, serve_peer};
+pub use conn::{Conn, Cut, bound_unread_bytes};
 pub use dialect::{Classification, Dialect, Metadata};
 pub use drain::drain;
 pub use events::Events;
 pub use exchange::{Answer, Call, Correlation, Failure, fetch, probe, probe_path};
 pub use head::{Fields, Malformed, Request, Response};
 pub use pool::Pool;
-pub use takeover::serve_peer;
--- a/src/relay/takeover.rs
+++ b/src/relay/takeover.rs
@@ -1,17 +1,8 @@
-//! Connections on which peers that reach no backend server hand requests over.
+//! Requests that peers that reach no backend server hand over.
 
-use std::net::TcpStream;
-use std::sync::atomic::Ordering;
-
-use async_io::Async;
-
-use super::caller::{Counted, serve_requests};
-use super::{Conn, Frontend};
 use crate::prelude::*;
 use crate::route::Limits;
 
-/// Maximum number of connections of peers. Each needs up to two descriptors, and memory for a request.
-const MAX_CONNECTIONS: usize = 512;
 /// Idle timeout of a peer's connection. A pool keeps an idle connection for a shorter time, so a request rarely crosses
 /// the close.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
@@ -40,12 +31,3 @@
         }
     }
 }
-
-/// Serves one connection of a peer until it closes. Connections beyond the maximum are closed at once.
-pub async fn serve_peer(frontend: Arc<Frontend>, stream: Async<TcpStream>) {
-    let connections = &frontend.peer_connections;
-    let _connection = Counted::new(connections);
-    if connections.load(Ordering::Acquire) <= MAX_CONNECTIONS {
-        serve_requests(&frontend, &mut Conn::new(stream), Origin::Peer).await;
-    }
-}
--- a/src/relay/tests.rs
+++ b/src/relay/tests.rs
@@ -3,7 +3,7 @@
 mod delivery;
 mod fixture;
 mod handover;
-mod held;
+mod intake;
 mod matching;
 mod takeover;
 
--- a/src/relay/tests/delivery.rs
+++ b/src/relay/tests/delivery.rs
@@ -16,6 +16,7 @@
 use crate::fleet::{
     Arrival, Command, Control, Dispatch, Input, Loss, Message, Report, Software, Statement,
 };
+use crate::memory::{Account, Port};
 use crate::prelude::*;
 use crate::relay::*;
 use crate::route::{Limits, Repeat, Route, Split, Table, Workspace};
@@ -196,13 +197,16 @@
         let (stream, _) = listener.accept().expect("the caller has connected");
         let (shutdown_sender, shutdown) = async_channel::bounded(1);
         let metrics = Arc::new(Metrics::new().expect("instruments can be created"));
+        let account = Arc::new(Account::default());
+        let holding = block_on(account.open(Port::Entry)).expect("there is room");
+        let pool = Arc::default();
         let frontend =
-            Frontend::new(Arc::new(PlainDialect), control, Arc::default(), metrics, shutdown);
+            Frontend::new(Arc::new(PlainDialect), control, pool, metrics, account, shutdown);
         let frontend = Arc::new(frontend);
         let serving = Arc::clone(&frontend);
         thread::spawn(move || {
             let stream = Async::new(stream).expect("the stream can be polled");
-            block_on(serve(serving, stream));
+            block_on(serve(serving, stream, holding));
             drop(shutdown_sender);
         });
         caller.write_all(request).expect("the connection is open");
--- a/src/relay/tests/fixture.rs
+++ b/src/relay/tests/fixture.rs
@@ -12,6 +12,7 @@
     Arrival, Command, Control, Dispatch, Handover, HandoverEnd, Input, Message, Statement,
 };
 use crate::http::header;
+use crate::memory::{Account, Holding, Port};
 use crate::prelude::*;
 use crate::relay::*;
 use crate::route::Workspace;
@@ -107,17 +108,22 @@
         let (stop, stopping) = async_channel::bounded(1);
         let metrics = Arc::new(Metrics::new().expect("instruments can be created"));
         let dialect = Arc::new(TestDialect);
-        let frontend = Arc::new(Frontend::new(dialect, control, Arc::default(), metrics, stopping));
-        let for_callers = Arc::clone(&frontend);
-        let entry = listen(move |stream| {
-            let stream = Async::new(stream).expect("the stream can be polled");
-            block_on(serve(Arc::clone(&for_callers), stream));
-        });
-        let for_peers = Arc::clone(&frontend);
-        let handover = listen(move |stream| {
-            let stream = Async::new(stream).expect("the stream can be polled");
-            block_on(serve_peer(Arc::clone(&for_peers), stream));
+        let account = Arc::new(Account::default());
+        let frontend = Arc::new(Frontend::new(
+            dialect,
+            control,
+            Arc::default(),
+            metrics,
+            Arc::clone(&account),
+            stopping,
+        ));
+        let entry = listen_at(Port::Entry, &account, &frontend, |frontend, stream, holding| {
+            block_on(serve(frontend, stream, holding));
         });
+        let handover =
+            listen_at(Port::Handover, &account, &frontend, |frontend, stream, holding| {
+                block_on(serve_peer(frontend, stream, holding));
+            });
         Self { frontend, entry, handover, inputs, stop }
     }
 
@@ -151,6 +157,34 @@
     }
 }
 
+/// Starts a listener of a daemon, which refuses the connections beyond its limit.
+fn listen_at(
+    port: Port,
+    account: &Arc<Account>,
+    frontend: &Arc<Frontend>,
+    serve: fn(Arc<Frontend>, Async<TcpStream>, Holding),
+) -> SocketAddr {
+    let (account, frontend) = (Arc::clone(account), Arc::clone(frontend));
+    listen(move |stream| {
+        let stream = Async::new(stream).expect("the stream can be polled");
+        if let Some(holding) = block_on(account.open(port)) {
+            return serve(Arc::clone(&frontend), stream, holding);
+        }
+        let holding = block_on(account.open(Port::Refused)).expect("few are refused");
+        block_on(refuse(stream, holding));
+    })
+}
+
+/// Takes all connections that may be open at `port`.
+pub(super) fn take_all(account: &Arc<Account>, port: Port) -> Vec<Holding> {
+    let mut taken = Vec::new();
+    while let Some(holding) = block_on(account.open(port)) {
+        assert!(holding.begin_serving());
+        taken.push(holding);
+    }
+    taken
+}
+
 /// Starts a server that handles each connection in a thread of its own.
 pub(super) fn listen(handle: impl Fn(TcpStream) + Send + Sync + 'static) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port is available");
--- a/src/relay/tests/handover.rs
+++ b/src/relay/tests/handover.rs
@@ -2,7 +2,6 @@
 
 use std::io::{Read, Write};
 use std::net::{Shutdown, TcpListener, TcpStream};
-use std::sync::atomic::Ordering;
 use std::thread;
 
 use rustix::net::sockopt;
@@ -10,9 +9,10 @@
 use super::delivery::{dispatch, serve_until_unread};
 use super::fixture::{
     CONTINUE, Caller, Daemon, REQUEST_ID, answer_each, give, hand_over, listen, read_request,
-    receive_end, send_through,
+    receive_end, send_through, take_all,
 };
 use crate::fleet::{Command, HandoverEnd, Message, Report};
+use crate::memory::Port;
 use crate::prelude::*;
 use crate::relay::*;
 
@@ -317,7 +317,7 @@
     assert_eq!(receive_end(&second), (1, HandoverEnd::NotTaken));
     give(&commands, Command::Refuse(Code::NoServer, Duration::ZERO));
     assert_eq!(caller.read_head().status, 503);
-    assert_eq!(third.frontend.peer_connections.load(Ordering::Acquire), 0);
+    assert_eq!(third.frontend.account.connections(Port::Handover), 0);
 }
 
 #[test]
@@ -471,7 +471,7 @@
 fn hand_over_reuses_connections() {
     let (first, second) = (Daemon::start(false), Daemon::start(false));
     let (server, _) = answer_each(ANSWER);
-    let accepted = || second.frontend.peer_connections.load(Ordering::Acquire);
+    let accepted = || second.frontend.account.connections(Port::Handover);
     // A connection carries a request once only: a copy of the earlier answer would name it, too.
     for (id, connections) in [("r-1", 1), ("r-2", 1), ("r-3", 1), ("r-2", 2)] {
         let request = GET.replace("\r\n\r\n", &format!("\r\n{REQUEST_ID}: {id}\r\n\r\n"));
@@ -488,7 +488,7 @@
 #[test]
 fn hand_over_beyond_peers_maximum_is_not_taken() {
     let (first, second) = (Daemon::start(false), Daemon::start(false));
-    second.frontend.peer_connections.store(512, Ordering::Release);
+    let _taken = take_all(&second.frontend.account, Port::Handover);
     for _ in 0..20 {
         let (caller, _commands) = send_through(&first, second.handover, GET);
         assert_eq!(receive_end(&first), (1, HandoverEnd::NotTaken));
--- a/src/relay/tests/takeover.rs
+++ b/src/relay/tests/takeover.rs
@@ -2,10 +2,11 @@
 
 use std::io::{Read, Write};
 use std::net::TcpStream;
-use std::sync::atomic::Ordering;
 
-use super::fixture::{Caller, Daemon, READ_TIMEOUT};
+use super::fixture::{Caller, Daemon, READ_TIMEOUT, take_all};
 use crate::fleet::Command;
+use crate::http::header;
+use crate::memory::Port;
 use crate::prelude::*;
 
 #[test]
@@ -32,12 +33,20 @@
 }
 
 #[test]
-fn serve_peer_beyond_maximum_reads_nothing() {
+fn serve_peer_beyond_maximum_is_refused_and_takes_nothing() {
     let daemon = Daemon::start(false);
-    daemon.frontend.peer_connections.store(512, Ordering::Release);
-    let mut peer = TcpStream::connect(daemon.handover).expect("the daemon listens");
-    peer.set_read_timeout(Some(READ_TIMEOUT)).expect("the time is not zero");
-    assert_eq!(peer.read(&mut [0]).expect("no reset"), 0);
+    let taken = take_all(&daemon.frontend.account, Port::Handover);
+    let mut peer = Caller::connect(daemon.handover);
+    peer.send("GET / HTTP/1.1\r\nHost: a.example\r\n\r\n");
+    let answer = peer.read_head();
+    assert_eq!((answer.status, answer.keep_alive), (503, false));
+    assert_eq!(answer.fields.get(header::EXECUTION), Some("not-run"));
+    assert_eq!(daemon.frontend.account.connections(Port::Handover), taken.len());
+    drop(taken);
+    let other = Caller::connect(daemon.handover);
+    other.send("GET /other HTTP/1.1\r\nHost: a.example\r\nX-Id: r-2\r\n\r\n");
+    let (arrival, _commands) = daemon.receive_arrival();
+    assert_eq!(arrival.id, "r-2", "the refused one was not taken");
 }
 
 #[test]
