Answers for which there is no memory are passed on as they come

An answer that found no memory was an answer lost, and its request failed.

When the account is used up, what was read of it is written, and the rest follows a piece at a time, at the pace of the caller's reading. Its length or its last chunk shows whether it is whole, so one that the server cuts does not look complete, and no other attempt follows it. An error of a server is never begun in this way. The same where a peer's answer is forwarded.

Ruled out: to wait for memory before reading on, since answers that are all held in part would wait for one another.

--- a/src/relay/delivery.rs
+++ b/src/relay/delivery.rs
@@ -11,7 +11,7 @@
 use super::answer::{encode_stream_head, pieces, push_chunk, write_answer};
 use super::exchange::{self, Answer, Exchange, Failure, Question};
 use super::matching::Responder;
-use super::passing::Held;
+use super::passing::{Body, Held, Passed};
 use super::span::Span;
 use super::takeover::Origin;
 use super::{Classification, Cut, Events, Framing, Frontend, Metadata, Request, Response, head};
@@ -352,13 +352,14 @@
     ) -> Attempt {
         let holding = self.frontend.account.begin();
         let reading = Held::read(&mut answer, &holding).await;
-        if reading.is_ok() {
+        if matches!(reading, Ok(Body::Whole(_))) {
             answer.release(&self.frontend.pool, dispatch.max_idle);
         }
         Attempt::Unanswered(Report::Refused(refusal))
     }
 
-    /// Buffers an answer and forwards it once it is complete; a truncated one is not forwarded.
+    /// Buffers an answer and forwards it once it is complete; a truncated one is not forwarded. One for which there is no
+    /// memory is forwarded as it comes.
     async fn relay_whole(
         &self,
         writer: &Async<TcpStream>,
@@ -373,7 +374,18 @@
         let holding = self.frontend.account.begin();
         let is_failure = answer.response.status >= 500;
         let body = match Held::read(&mut answer, &holding).await {
-            Ok(body) => body,
+            Ok(Body::Whole(body)) => body,
+            Ok(Body::Part(part)) if !is_failure => {
+                return match self.pass_on(writer, &mut answer, part).await {
+                    Passed::Whole => {
+                        answer.release(&self.frontend.pool, dispatch.max_idle);
+                        Attempt::Ended(Outcome::Answered)
+                    }
+                    Passed::Cut => Attempt::Ended(Outcome::Truncated),
+                    Passed::CallerDisconnected => Attempt::CallerDisconnected,
+                };
+            }
+            Ok(Body::Part(_)) => return self.answer_cut(dispatch, &answer, None, &Cut::Full),
             Err(cut) => return self.answer_cut(dispatch, &answer, None, &cut),
         };
         let response = answer.response.clone();
--- a/src/relay/handover.rs
+++ b/src/relay/handover.rs
@@ -10,7 +10,7 @@
 use super::delivery::{Delivery, MAX_ANSWER_BYTES, Outcome, SLOW_READER_DELAY};
 use super::exchange::{self, Answer, Exchange, Failure};
 use super::matching::Responder;
-use super::passing::Held;
+use super::passing::{Body, Held, Passed};
 use super::takeover::Origin;
 use super::{Classification, Conn, Cut, Events, Framing, Response, head};
 use crate::error::Execution;
@@ -172,8 +172,20 @@
         is_from_server: bool,
     ) -> Ending {
         let holding = self.frontend.account.begin();
-        let reading = Held::read(&mut answer, &holding).await;
-        let Ok(body) = reading else { return Ending::Lost };
+        let body = match Held::read(&mut answer, &holding).await {
+            Ok(Body::Whole(body)) => body,
+            Ok(Body::Part(part)) if is_from_server => {
+                return match self.pass_on(writer, &mut answer, part).await {
+                    Passed::Whole => {
+                        answer.release(&self.frontend.pool, MAX_IDLE_CONNECTIONS);
+                        Ending::Answered(None)
+                    }
+                    Passed::Cut => Ending::CallerTooSlow,
+                    Passed::CallerDisconnected => Ending::CallerDisconnected,
+                };
+            }
+            Ok(Body::Part(_)) | Err(_) => return Ending::Lost,
+        };
         let response = answer.response.clone();
         answer.release(&self.frontend.pool, MAX_IDLE_CONNECTIONS);
         let code = match is_from_server {
--- a/src/relay/tests/intake.rs
+++ b/src/relay/tests/intake.rs
@@ -139,3 +139,57 @@
     assert!(caller.read_body(&refusal).1);
     assert_ended(&mut caller);
 }
+
+#[test]
+fn relay_answer_without_memory_is_passed_on_whole() {
+    let framings = [
+        format!("Content-Length: {BODY_BYTES}\r\n\r\n{}", "b".repeat(BODY_BYTES)),
+        format!(
+            "Transfer-Encoding: chunked\r\n\r\n{BODY_BYTES:x}\r\n{}\r\n0\r\n\r\n",
+            "b".repeat(BODY_BYTES)
+        ),
+    ];
+    for framing in framings {
+        let daemon = Daemon::start(false);
+        let _taken = take_memory(&daemon);
+        let (server, _) = answer_each(format!("HTTP/1.1 200 OK\r\n{framing}"));
+        let mut caller = Caller::connect(daemon.entry);
+        caller.send(GET);
+        daemon.send_to(server);
+        let answer = caller.read_head();
+        let (body, is_complete) = caller.read_body(&answer);
+        assert!(is_complete && body == "b".repeat(BODY_BYTES), "{}", body.len());
+        caller.send(GET);
+        daemon.wait_for_end();
+        let (again, _) = answer_each(ANSWER);
+        daemon.send_to(again);
+        assert_eq!(caller.read_head().status, 200, "the connection is kept");
+    }
+}
+
+#[test]
+fn relay_answer_without_memory_that_is_cut_does_not_look_complete() {
+    let framings = [
+        format!("Content-Length: {}\r\n\r\n{}", 2 * BODY_BYTES, "b".repeat(BODY_BYTES)),
+        format!(
+            "Transfer-Encoding: chunked\r\n\r\n{BODY_BYTES:x}\r\n{}\r\n",
+            "b".repeat(BODY_BYTES)
+        ),
+    ];
+    for framing in framings {
+        let daemon = Daemon::start(false);
+        let _taken = take_memory(&daemon);
+        let server = super::fixture::listen(move |mut stream| {
+            super::fixture::read_request(&mut stream).expect("a request arrives");
+            stream.write_all(format!("HTTP/1.1 200 OK\r\n{framing}").as_bytes()).ok();
+        });
+        let mut caller = Caller::connect(daemon.entry);
+        caller.send(GET);
+        daemon.send_to(server);
+        let answer = caller.read_head();
+        assert!(!caller.read_body(&answer).1);
+        assert_ended(&mut caller);
+        // No other attempt follows what the caller has of this one.
+        daemon.wait_for_end();
+    }
+}
