What peers' connections bring counts in the daemon's account

What callers saw: a crowd at the port of frames, each with a frame of 1 MiB but for its last byte, took 183 MB where 64 are allowed; the limit of one frame is 64 MiB, and neither the connections nor the sum of what had come had a limit.

What has come of a frame counts in the account, and a connection that sends nothing for longest is closed for a new one when a quarter of the descriptors is in use, or when its bytes are needed; the daemon at its other end connects again and its digests repeat.

--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -224,7 +224,7 @@
         control.tell(Message::Frame(frame));
         Ok(())
     };
-    executor.spawn(peer::listen(listener, Arc::clone(executor), handle)).detach();
+    executor.spawn(peer::listen(listener, Arc::clone(executor), Arc::default(), handle)).detach();
 }
 
 /// Stops as planned: first reports not ready, then accepts no more connections, then waits until
--- a/src/peer/link.rs
+++ b/src/peer/link.rs
@@ -6,13 +6,15 @@
 use async_channel::{Receiver, Sender, TrySendError};
 use async_executor::Executor;
 use async_io::Async;
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
+use futures_lite::FutureExt;
 use futures_util::{SinkExt, StreamExt};
-use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
+use tokio_util::codec::{Decoder, FramedRead, FramedWrite, LengthDelimitedCodec};
 use tokio_util::compat::{FuturesAsyncReadCompatExt, FuturesAsyncWriteCompatExt};
 
 use super::MAX_FRAME_BYTES;
 use crate::http::{Socket, accept};
+use crate::memory::{Account, Holding, Port};
 use crate::prelude::*;
 use crate::telemetry::emit;
 
@@ -70,35 +72,67 @@
     }
 }
 
+/// Splits what a peer sends into frames, and counts what has come of the next one.
+struct Counted {
+    codec: LengthDelimitedCodec,
+    holding: Holding,
+}
+
+impl Decoder for Counted {
+    type Item = BytesMut;
+    type Error = std::io::Error;
+
+    fn decode(&mut self, buffer: &mut BytesMut) -> Result<Option<BytesMut>, Self::Error> {
+        let frame = self.codec.decode(buffer)?;
+        if frame.is_some() {
+            self.holding.record_progress();
+        }
+        self.holding.set(buffer.len()).map_err(|full| std::io::Error::other(full.to_string()))?;
+        Ok(frame)
+    }
+}
+
 /// Accepts connections of peers and passes each frame to `handle_frame`. Closes a connection at the
-/// first frame that `handle_frame` rejects as malformed.
+/// first frame that `handle_frame` rejects as malformed, or for which `account` has no memory.
 pub async fn listen<F>(
     listener: Async<TcpListener>,
     executor: Arc<Executor<'static>>,
+    account: Arc<Account>,
     handle_frame: F,
 ) where
     F: Fn(&[u8]) -> Result<(), String> + Clone + Send + 'static,
 {
     loop {
         let socket = Socket::new(accept(&listener).await, IDLE_TIMEOUT);
+        // A peer that is turned away connects again.
+        let Some(holding) = account.open(Port::Peers).await else { continue };
         let handle_frame = handle_frame.clone();
         let receiving = async move {
             emit(Event::PeerUp, Detail::none());
-            let reason = receive(socket, handle_frame).await.err().unwrap_or_default();
+            let reason = receive(socket, holding, handle_frame).await.err().unwrap_or_default();
             emit(Event::PeerDown, Detail::of("reason", reason));
         };
         executor.spawn(receiving).detach();
     }
 }
 
-/// Reads frames from one peer's connection until it ends or a frame is malformed.
+/// Reads frames from one peer's connection until it ends, a frame is malformed or the connection is revoked.
 async fn receive(
     socket: Socket,
-    handle_frame: impl Fn(&[u8]) -> Result<(), String>,
+    holding: Holding,
+    handle_frame: impl Fn(&[u8]) -> Result<(), String> + Send,
 ) -> Result<(), String> {
-    let mut reader = FramedRead::new(socket.compat(), codec());
-    while let Some(bytes) = reader.next().await {
-        handle_frame(&bytes.map_err(|error| error.to_string())?)?;
-    }
-    Ok(())
+    let revocation = holding.revocation();
+    let revoked = async {
+        revocation.await;
+        Err("it sent nothing for longest, and its place is needed".to_owned())
+    };
+    let mut reader = FramedRead::new(socket.compat(), Counted { codec: codec(), holding });
+    let frames = async move {
+        while let Some(bytes) = reader.next().await {
+            handle_frame(&bytes.map_err(|error| error.to_string())?)?;
+        }
+        Ok(())
+    };
+    frames.or(revoked).await
 }
