The own interface: bodies, frames and connections of callers in one account

What callers saw, or could: 48 callers with bodies of 8 MiB (the default limit), most stopping one byte short, made a daemon take 535 MB at once, 457 MB in chunks and 441 MB with an unknown key, where its budget is 256 MB (CAPACITY). Cause as on the platform: each body had a bound, their sum had none; the key was looked at after the body. At the limit of connections newcomers were refused for as long as idle ones stayed, up to a minute.

Bodies and what has come of peers' frames count in a `memory::Account` (`limits.held_bytes`, 64 MiB by default: eight bodies at the limit). At the limit of connections, and where bytes are needed, the connection that has stalled for longest is closed. The key is checked, after the head, before the body is read. `Connections` has no limit of its own any more.

The platform's daemon says what it holds (`held_bytes`, `connections`), and event 423 that a request was refused before it had come whole.

Not bounded: answers of backend servers in the own interface, and operators' connections.

--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -15,6 +15,7 @@
 use crate::control::{Identity, Message, Node, Policy, Stream};
 use crate::entry::{Connections, Entry};
 use crate::http::accept;
+use crate::memory::Account;
 use crate::ops::Endpoint;
 use crate::peer::{self, Frame, Links};
 use crate::prelude::*;
@@ -106,13 +107,21 @@
     let mut signals = Signals::new([Signal::Term, Signal::Int])
         .map_err(|error| Error::new(Code::AddressUnusable, error.to_string()))?;
     announce(&settings, &listeners);
-    let connections = Arc::new(Connections::new(settings.limits.connections));
-    let entry = Arc::new(Entry::new(&settings, control.clone(), Arc::clone(&metrics), executor));
+    let connections = Arc::<Connections>::default();
+    let account = Arc::new(Account::new(settings.limits.held()));
+    let entry = Entry::new(
+        &settings,
+        control.clone(),
+        Arc::clone(&metrics),
+        executor,
+        Arc::clone(&account),
+    );
+    let entry = Arc::new(entry);
     watch_log(executor, &control, settings.log_service);
     watch_vms(executor, &control, &settings);
     let operators = Arc::new(Endpoint::new(Arc::clone(&entry), control.clone(), metrics));
     accept_operators(executor, listeners.operators, operators);
-    accept_peers(executor, listeners.peer, control.clone());
+    accept_peers(executor, listeners.peer, account, control.clone());
     let accept_task =
         executor.spawn(accept_callers(listeners.entry, entry, Arc::clone(&connections)));
     signals.next().await;
@@ -199,7 +208,7 @@
 ) {
     loop {
         let stream = accept(&listener).await;
-        entry.serve_connection(stream, &connections);
+        entry.serve_connection(stream, &connections).await;
     }
 }
 
@@ -218,13 +227,18 @@
     executor.spawn(accepting).detach();
 }
 
-fn accept_peers(executor: &Arc<Executor<'static>>, listener: Async<TcpListener>, control: Control) {
+fn accept_peers(
+    executor: &Arc<Executor<'static>>,
+    listener: Async<TcpListener>,
+    account: Arc<Account>,
+    control: Control,
+) {
     let handle = move |bytes: &[u8]| {
         let frame = Frame::decode(bytes).map_err(|malformed| malformed.0)?;
         control.tell(Message::Frame(frame));
         Ok(())
     };
-    executor.spawn(peer::listen(listener, Arc::clone(executor), Arc::default(), handle)).detach();
+    executor.spawn(peer::listen(listener, Arc::clone(executor), account, handle)).detach();
 }
 
 /// Stops as planned: first reports not ready, then accepts no more connections, then waits until
--- a/src/entry/connections.rs
+++ b/src/entry/connections.rs
@@ -1,4 +1,4 @@
-//! Tracks callers' open connections, for the connection limit and for draining.
+//! Tracks callers' open connections, for draining.
 
 use std::sync::Mutex;
 
@@ -12,42 +12,36 @@
 }
 
 /// Table of callers' open connections.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct Connections {
-    limit: usize,
     table: Mutex<Table>,
 }
 
 /// Registration of a connection; dropping it removes the connection from the table.
 pub struct Guard {
     connections: Arc<Connections>,
-    number: u64,
+    /// `None` if the table can't be used.
+    number: Option<u64>,
 }
 
 impl Drop for Guard {
     fn drop(&mut self) {
-        if let Ok(mut table) = self.connections.table.lock() {
-            table.open.remove(&self.number);
+        if let (Some(number), Ok(mut table)) = (self.number, self.connections.table.lock()) {
+            table.open.remove(&number);
         }
     }
 }
 
 impl Connections {
-    /// Creates an empty table for up to `limit` connections.
-    pub fn new(limit: u32) -> Self {
-        Self { limit: limit as usize, table: Mutex::default() }
-    }
-
-    /// Adds a connection, or returns `None` when the table is full.
-    pub fn add(self: &Arc<Self>, socket: Socket) -> Option<Guard> {
-        let mut table = self.table.lock().ok()?;
-        if table.open.len() >= self.limit {
-            return None;
-        }
-        let number = table.next_number;
-        table.next_number += 1;
-        table.open.insert(number, socket);
-        Some(Guard { connections: Arc::clone(self), number })
+    /// Adds a connection.
+    pub fn add(self: &Arc<Self>, socket: Socket) -> Guard {
+        let number = self.table.lock().ok().map(|mut table| {
+            let number = table.next_number;
+            table.next_number += 1;
+            table.open.insert(number, socket);
+            number
+        });
+        Guard { connections: Arc::clone(self), number }
     }
 
     /// Returns whether any connection has a request that is not fully answered.
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -24,6 +24,7 @@
 use crate::http::server::{self, Received};
 use crate::http::{Socket, client, header};
 use crate::manifest::Revision;
+use crate::memory::{Account, Port};
 use crate::prelude::*;
 use crate::settings::{Limits, Settings};
 use crate::telemetry::metrics::Metrics;
@@ -41,6 +42,8 @@
     control: Control,
     metrics: Arc<Metrics>,
     executor: Arc<Executor<'static>>,
+    /// The memory of requests, and callers' connections.
+    account: Arc<Account>,
     incarnation: u64,
 }
 
@@ -69,6 +72,7 @@
         control: Control,
         metrics: Arc<Metrics>,
         executor: &Arc<Executor<'static>>,
+        account: Arc<Account>,
     ) -> Self {
         Self {
             id: settings.id.clone(),
@@ -77,21 +81,30 @@
             control,
             metrics,
             executor: Arc::clone(executor),
+            account,
             incarnation: fastrand::u64(..),
         }
     }
 
-    /// Serves a new connection, or refuses it when the connection limit is reached.
-    pub fn serve_connection(
+    /// Serves a new connection. When the connection limit is reached, the one that has been silent for longest makes
+    /// room; if none has, the new one is refused.
+    pub async fn serve_connection(
         self: &Arc<Self>,
         stream: Async<TcpStream>,
         connections: &Arc<Connections>,
     ) {
-        let socket = Socket::new(stream, Duration::from_millis(self.limits.idle_ms));
+        let idle_timeout = Duration::from_millis(self.limits.idle_ms);
         let entry = Arc::clone(self);
-        let Some(guard) = connections.add(socket.clone()) else {
-            return self.executor.spawn(refuse_connection(socket)).detach();
+        let Some(holding) = self.account.open(Port::Entry).await else {
+            if let Some(holding) = self.account.open(Port::Refused).await {
+                let socket = Socket::of_caller(stream, idle_timeout, holding);
+                self.executor.spawn(refuse_connection(socket)).detach();
+            }
+            return;
         };
+        let revocation = holding.revocation();
+        let socket = Socket::of_caller(stream, idle_timeout, holding);
+        let guard = connections.add(socket.clone());
         let serving = async move {
             let endpoint = |request, socket| entry.clone().handle_request(request, socket);
             if let Err(error) = server::serve(socket, endpoint).await {
@@ -102,7 +115,7 @@
             }
             drop(guard);
         };
-        self.executor.spawn(serving).detach();
+        self.executor.spawn(serving.or(revocation)).detach();
     }
 
     async fn handle_request(
@@ -111,7 +124,13 @@
         socket: Socket,
     ) -> http_types::Result<Response> {
         let mut close = true;
-        let mut answer = match server::read(request, &socket, self.limits.body_bytes).await {
+        // The body of a request with an unknown key is not kept.
+        let checked = server::check_head(&request).and_then(|()| self.authenticate(&request));
+        let read = match checked {
+            Ok(_) => server::read(request, &socket, self.limits.body_bytes).await,
+            Err(error) => Err(error),
+        };
+        let mut answer = match read {
             Ok(received) => {
                 close = received.close;
                 self.route(received).await
--- a/src/entry/tests.rs
+++ b/src/entry/tests.rs
@@ -70,7 +70,7 @@
     let settings =
         Settings::parse(settings.to_string().as_bytes()).expect("the settings are valid");
     let metrics = Arc::new(Metrics::new().expect("instruments can be created"));
-    Entry::new(&settings, Control::new().0, metrics, &Arc::default())
+    Entry::new(&settings, Control::new().0, metrics, &Arc::default(), Arc::default())
 }
 
 #[test]
--- a/src/http/body.rs
+++ b/src/http/body.rs
@@ -3,8 +3,14 @@
 use futures_lite::{AsyncRead, AsyncReadExt};
 use http_types::headers::{CONTENT_LENGTH, Headers, TRANSFER_ENCODING};
 
+use crate::memory::Holding;
 use crate::prelude::*;
 
+/// Number of bytes per read.
+const READ_CHUNK_BYTES: usize = 16 << 10;
+/// Number of bytes of a body that count as progress.
+const PROGRESS_BYTES: usize = 64 << 10;
+
 /// Framing of a message's body.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Framing {
@@ -68,25 +74,40 @@
     TooLarge,
     /// The body ended early or its connection failed.
     Truncated(String),
+    /// The daemon has no memory for the body.
+    Full,
 }
 
-/// Reads a complete body of at most `limit` bytes and checks its length against `framing`.
+/// Reads a complete body of at most `limit` bytes and checks its length against `framing`. Its buffer is counted in
+/// `holding`, if there is one, before it grows.
 pub async fn read<R: AsyncRead + Unpin>(
     reader: R,
     framing: Framing,
     limit: u64,
+    holding: Option<&Holding>,
 ) -> Result<Vec<u8>, ReadError> {
     if let Framing::Length(length) = framing
         && length > limit
     {
         return Err(ReadError::TooLarge);
     }
-    let mut body = Vec::new();
+    let (mut body, mut chunk) = (Vec::new(), vec![0; READ_CHUNK_BYTES]);
     let mut bounded = reader.take(limit + 1);
-    bounded
-        .read_to_end(&mut body)
-        .await
-        .map_err(|error| ReadError::Truncated(error.to_string()))?;
+    let mut progress = 0;
+    loop {
+        let read = bounded.read(&mut chunk).await;
+        let read = read.map_err(|error| ReadError::Truncated(error.to_string()))?;
+        if read == 0 {
+            break;
+        }
+        make_room(&mut body, read, holding).await?;
+        body.extend_from_slice(&chunk[..read]);
+        progress += read;
+        if progress >= PROGRESS_BYTES {
+            progress = 0;
+            holding.map(Holding::record_progress);
+        }
+    }
     let count = body.len() as u64;
     if count > limit {
         return Err(ReadError::TooLarge);
@@ -98,3 +119,21 @@
         _ => Ok(body),
     }
 }
+
+/// Makes room for `more` bytes. A buffer that grows gets twice its size.
+async fn make_room(
+    body: &mut Vec<u8>,
+    more: usize,
+    holding: Option<&Holding>,
+) -> Result<(), ReadError> {
+    let needed = body.len() + more;
+    if needed <= body.capacity() {
+        return Ok(());
+    }
+    let capacity = needed.max(2 * body.capacity());
+    if let Some(holding) = holding {
+        holding.grow_to(capacity).await.map_err(|_| ReadError::Full)?;
+    }
+    body.reserve_exact(capacity - body.len());
+    Ok(())
+}
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -67,7 +67,7 @@
     /// Reads the complete body.
     pub async fn read_whole(mut self) -> Result<(Response, Vec<u8>), Failure> {
         let body = self.response.take_body();
-        match body::read(body, self.framing, self.limit).await {
+        match body::read(body, self.framing, self.limit, None).await {
             Ok(bytes) => Ok((self.response, bytes)),
             Err(ReadError::TooLarge) => Err(Failure {
                 stage: Stage::Sent,
@@ -75,6 +75,7 @@
                 too_large: true,
             }),
             Err(ReadError::Truncated(reason)) => Err(Failure::new(Stage::Sent, reason)),
+            Err(ReadError::Full) => Err(Failure::new(Stage::Sent, "no memory for the answer")),
         }
     }
 }
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -9,6 +9,7 @@
 
 use super::Socket;
 use super::body::{self, Framing, ReadError};
+use crate::memory::Holding;
 use crate::prelude::*;
 
 /// Maximum number of request headers.
@@ -76,14 +77,19 @@
     let body = match framing {
         Framing::Absent => Vec::new(),
         _ => {
-            body::read(request.take_body(), framing, limit).await.map_err(|error| match error {
+            let reading = body::read(request.take_body(), framing, limit, socket.holding());
+            reading.await.map_err(|error| match error {
                 ReadError::TooLarge => {
                     Error::new(Code::BodyTooLarge, format!("the limit is {limit} bytes"))
                 }
                 ReadError::Truncated(reason) => Error::new(Code::BodyTruncated, reason),
+                ReadError::Full => Code::MemoryFull.into(),
             })?
         }
     };
+    if !socket.holding().is_none_or(Holding::begin_serving) {
+        return Err(Code::MemoryFull.into());
+    }
     let close = is_pipelined(socket, framing);
     Ok(Received { request, body, close })
 }
@@ -98,7 +104,8 @@
     }
 }
 
-fn check_head(request: &Request) -> Result<()> {
+/// Validates the head of a request.
+pub fn check_head(request: &Request) -> Result<()> {
     let count: usize = request.iter().map(|(_, values)| values.iter().count()).sum();
     if count > MAX_HEADERS {
         return Err(Error::new(Code::HeaderInvalid, format!("more than {MAX_HEADERS} headers")));
--- a/src/http/socket.rs
+++ b/src/http/socket.rs
@@ -10,6 +10,7 @@
 use async_io::{Async, Timer};
 use futures_lite::{AsyncRead, AsyncWrite, FutureExt};
 
+use crate::memory::Holding;
 use crate::prelude::*;
 
 /// Delay after a failed accept, so that file descriptors can become available again.
@@ -50,6 +51,8 @@
     stream: Async<TcpStream>,
     bytes_written: AtomicU64,
     scanner: Mutex<Scanner>,
+    /// What a caller's connection holds of the daemon's memory.
+    holding: Option<Holding>,
 }
 
 /// A connection. Clones share it, but each has its own idle timers.
@@ -64,11 +67,25 @@
 impl Socket {
     /// Wraps `stream`. A read or write that waits longer than `idle_timeout` fails.
     pub fn new(stream: Async<TcpStream>, idle_timeout: Duration) -> Self {
+        Self::with_holding(stream, idle_timeout, None)
+    }
+
+    /// Wraps the connection of a caller, whose requests are counted in `holding`.
+    pub fn of_caller(stream: Async<TcpStream>, idle_timeout: Duration, holding: Holding) -> Self {
+        Self::with_holding(stream, idle_timeout, Some(holding))
+    }
+
+    fn with_holding(
+        stream: Async<TcpStream>,
+        idle_timeout: Duration,
+        holding: Option<Holding>,
+    ) -> Self {
         stream.get_ref().set_nodelay(true).ok();
         let shared = Shared {
             stream,
             bytes_written: AtomicU64::new(0),
             scanner: Mutex::new(Scanner::default()),
+            holding,
         };
         Self { shared: Arc::new(shared), idle_timeout, read_timer: None, write_timer: None }
     }
@@ -92,8 +109,17 @@
         self.shared.bytes_written.load(Ordering::Acquire)
     }
 
+    /// Returns what a caller's connection holds of the daemon's memory.
+    pub fn holding(&self) -> Option<&Holding> {
+        self.shared.holding.as_ref()
+    }
+
     /// Starts a new exchange and resets the counters.
     pub fn begin_exchange(&self) {
+        if let Some(holding) = self.holding() {
+            holding.set(0).ok();
+            holding.record_progress();
+        }
         self.shared.bytes_written.store(0, Ordering::Release);
         if let Ok(mut scanner) = self.shared.scanner.lock() {
             *scanner = Scanner::default();
--- a/src/memory/account.rs
+++ b/src/memory/account.rs
@@ -9,6 +9,7 @@
 use super::holding::{Full, Holding, SMALL_BYTES};
 use super::{Limits, Port};
 use crate::prelude::*;
+use crate::telemetry::metrics::Gauge;
 
 /// Time without progress after which a connection that waits for bytes may be revoked: many times the latency of a
 /// caller's link, so that a request that arrives at an ordinary pace is not.
@@ -160,6 +161,17 @@
         self.lock().connections.get(&port).copied().unwrap_or(0)
     }
 
+    /// Returns what is held, for the metrics.
+    pub fn gauges(&self) -> Vec<Gauge> {
+        let bytes = Gauge::new("held_bytes", self.held_bytes() as u64);
+        let max_bytes = Gauge::new("held_bytes_max", self.limits.bytes as u64);
+        let connections = Port::ALL.map(|port| {
+            let open = self.connections(port) as u64;
+            Gauge::labeled("connections", "port", port.name(), open)
+        });
+        [bytes, max_bytes].into_iter().chain(connections).collect()
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/src/memory/limits.rs
+++ b/src/memory/limits.rs
@@ -31,15 +31,33 @@
     Refused,
 }
 
+impl Port {
+    /// All ports.
+    pub const ALL: [Self; 6] =
+        [Self::Entry, Self::Handover, Self::Peers, Self::Readiness, Self::Metrics, Self::Refused];
+
+    /// Returns the name of the port, for metrics.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Entry => "entry",
+            Self::Handover => "handover",
+            Self::Peers => "peers",
+            Self::Readiness => "readiness",
+            Self::Metrics => "metrics",
+            Self::Refused => "refused",
+        }
+    }
+}
+
 /// The most that a daemon holds at a time.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Limits {
     /// Bytes of all buffers.
     pub(super) bytes: usize,
-    /// Descriptors for connections.
+    /// Callers' connections.
+    entry: usize,
+    /// Descriptors for connections of all kinds.
     sockets: usize,
-    /// Connections that the memory allows.
-    connections: usize,
 }
 
 impl Limits {
@@ -52,17 +70,25 @@
     /// assert_eq!(small.connections(Port::Metrics), 64);
     /// ```
     pub fn of_vm(memory_bytes: usize, max_fds: usize) -> Self {
-        Self {
-            bytes: memory_bytes / BUFFER_PART,
-            sockets: max_fds.saturating_sub(FILE_FDS),
-            connections: memory_bytes / CONNECTION_PART / CONNECTION_BYTES,
-        }
+        let sockets = max_fds.saturating_sub(FILE_FDS);
+        let entry = (sockets / 2).min(memory_bytes / CONNECTION_PART / CONNECTION_BYTES);
+        Self { bytes: memory_bytes / BUFFER_PART, entry, sockets }
+    }
+
+    /// Returns limits of this number of bytes in all buffers, and of callers' connections.
+    ///
+    /// ```
+    /// use cardamomvalve::memory::{Limits, Port};
+    /// assert_eq!(Limits::of_entry(64 << 20, 4_096).connections(Port::Entry), 4_096);
+    /// ```
+    pub fn of_entry(bytes: usize, connections: usize) -> Self {
+        Self { bytes, entry: connections, sockets: 2 * connections }
     }
 
     /// Returns the maximum number of connections at `port`. What they leave is for connections to servers.
     pub fn connections(&self, port: Port) -> usize {
         match port {
-            Port::Entry => (self.sockets / 2).min(self.connections),
+            Port::Entry => self.entry,
             Port::Peers => self.sockets / 4,
             Port::Handover => self.sockets / 16,
             Port::Readiness | Port::Metrics => (self.sockets / 32).min(MAX_PLATFORM_CONNECTIONS),
--- a/src/relay/caller.rs
+++ b/src/relay/caller.rs
@@ -17,6 +17,7 @@
 use crate::memory::{Account, Holding};
 use crate::prelude::*;
 use crate::route::{Limits, Lookup};
+use crate::telemetry::emit;
 use crate::telemetry::metrics::Metrics;
 
 /// Retry-after time for a caller while this daemon has no manifest.
@@ -139,6 +140,10 @@
 /// Answers a request that was not read to its end, if there is something to answer.
 async fn refuse_unread(conn: &Conn, refusal: intake::Refusal) -> End {
     let Some(code) = refusal.code else { return End::Closed };
+    let detail = Detail::of("connection", conn.number())
+        .and("code", u32::from(code.row().number))
+        .and("outcome", code.row().name);
+    emit(Event::RequestUnread, detail);
     let retry_after_s = Some(code.row().retry_after_s).filter(|seconds| *seconds > 0);
     let retry_after = retry_after_s.map(|seconds| Duration::from_secs(seconds.into()));
     let answer = encode_error(&Error::from(code), retry_after, refusal.fields, false);
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -9,6 +9,7 @@
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
+use crate::memory;
 use crate::prelude::*;
 
 /// Log lines a second of one event: ten times a daemon's request rate at the design load.
@@ -64,6 +65,8 @@
     pub body_bytes: u64,
     /// Bytes of an answer's body that is passed on whole.
     pub answer_bytes: u64,
+    /// Bytes of requests' bodies and peers' frames that are held at a time.
+    pub held_bytes: u64,
     /// Callers' connections at a time.
     pub connections: u32,
     /// Milliseconds that a read or write may wait.
@@ -86,6 +89,7 @@
         Self {
             body_bytes: 8 << 20,
             answer_bytes: 16 << 20,
+            held_bytes: 64 << 20,
             connections: 4_096,
             idle_ms: 30_000,
             connect_ms: 1_000,
@@ -201,6 +205,7 @@
         let bounds = [
             ("limits.body_bytes", limits.body_bytes, 1 << 30),
             ("limits.answer_bytes", limits.answer_bytes, 1 << 30),
+            ("limits.held_bytes", limits.held_bytes, 1 << 40),
             ("limits.connections", u64::from(limits.connections), 1 << 20),
             ("limits.idle_ms", limits.idle_ms, 3_600_000),
             ("limits.connect_ms", limits.connect_ms, 60_000),
@@ -226,6 +231,11 @@
 }
 
 impl Limits {
+    /// Limits of what the daemon holds for others.
+    pub fn held(&self) -> memory::Limits {
+        memory::Limits::of_entry(self.held_bytes as usize, self.connections as usize)
+    }
+
     /// Limits of an exchange with a backend server.
     pub fn exchange(&self) -> crate::http::client::Limits {
         crate::http::client::Limits {
--- a/src/telemetry/event.rs
+++ b/src/telemetry/event.rs
@@ -101,6 +101,7 @@
     AnswerJudged = 420, Info, "A backend server's answer refuses a request, or is no valid answer to it; the line names the connection that brought it.";
     WorkspaceHeldBack = 421, Info, "Requests of a workspace begin to wait since it was given more than its share of a pool, and others wait, too.";
     StreamMisses = 422, Warn, "A backend server that takes a stream up begins at another event than the next one: it repeats some, which are dropped, or leaves some out.";
+    RequestUnread = 423, Info, "A request was refused before it had come whole, or a connection before it was read; the line names the code.";
     ClaimAbandoned = 500, Warn, "A claim was given up on; it is released when it shows up on the log.";
     ClaimReleased = 501, Info, "A claim that was never dispatched was released.";
     OutcomeAppendFailed = 502, Warn, "An outcome could not be appended yet; it is tried again.";
--- a/standin/tests/common/mod.rs
+++ b/standin/tests/common/mod.rs
@@ -65,6 +65,11 @@
         Self { child, ready }
     }
 
+    /// The process's id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     pub fn address(&self) -> SocketAddr {
         self.ready["address"]
     }
