--- a/src/relay/conn.rs
+++ b/src/relay/conn.rs
@@ -1,10 +1,13 @@
 //! A TCP connection with a read-ahead buffer.
 
+mod linger;
+mod whole;
+
 use std::fmt;
 use std::future::Future;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::io::{self, Read};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
@@ -13,7 +16,7 @@
 use futures_lite::{AsyncWriteExt, FutureExt, future};
 use rustix::net::sockopt;
 
-use super::{Decoder, Framing, Malformed, Request, Response};
+use super::{Decoder, Malformed, Request, Response};
 use crate::memory::{Full, Holding};
 
 /// Maximum number of bytes per read.
@@ -29,9 +32,6 @@
 /// Size of the kernel's receive buffer of a caller's connection, which it may double. What waits there unread counts as
 /// memory of the process on some platforms. A caller's link a millisecond away brings 32 MB/s with it.
 const RECEIVE_BUFFER_BYTES: usize = 32 << 10;
-/// Time for which bytes are discarded before a connection is closed beside them, so that the peer can read the last answer:
-/// closing a connection with unread bytes resets it.
-const LINGER_TIME: Duration = Duration::from_secs(3);
 /// Idle time before the first TCP keep-alive probe and interval between probes, in whole seconds.
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
 /// Number of unanswered keep-alive probes after which a connection fails.
@@ -302,28 +302,6 @@
         self.recount_buffers();
     }
 
-    /// Ends the sending direction and discards what still comes, until the peer closes the connection, time is over or the
-    /// connection is revoked.
-    pub(super) async fn linger(&mut self) {
-        self.keep_body(0);
-        let revocation = self.revocation();
-        if !self.record_progress() || self.stream.get_ref().shutdown(Shutdown::Write).is_err() {
-            return;
-        }
-        let expire = async {
-            Timer::after(LINGER_TIME).await;
-        };
-        self.discard_rest().or(expire).or(revocation).await;
-    }
-
-    /// Discards what the peer sends until it closes the connection.
-    async fn discard_rest(&mut self) {
-        self.discard_read_ahead();
-        while matches!(self.fill().await, Ok(1..) | Err(Cut::Full)) {
-            self.discard_read_ahead();
-        }
-    }
-
     /// Reads a request head of at most `limit` bytes.
     pub async fn read_request(&mut self, limit: usize) -> Result<Request, Cut> {
         loop {
@@ -433,76 +411,6 @@
             }
         }
     }
-
-    /// Reads on until the body is complete or has `more` bytes more. A buffer grows only once it is counted.
-    ///
-    /// Fails if the body has more than `limit` bytes. Returns whether it is incomplete.
-    pub(super) async fn read_part(
-        &mut self,
-        decoder: &mut Decoder,
-        body: &mut Vec<u8>,
-        more: usize,
-        limit: usize,
-    ) -> Result<bool, Cut> {
-        let end = body.len().saturating_add(more);
-        while body.len() < end {
-            self.make_room(body, decoder.bytes_left(), limit).await?;
-            if !self.read_body(decoder, body).await? {
-                return Ok(false);
-            }
-            if body.len() > limit {
-                return Err(Cut::TooLarge);
-            }
-        }
-        Ok(!decoder.is_complete())
-    }
-
-    /// Makes room in `body` for what was read ahead and one read more, of the `left` bytes that the body still has if that is
-    /// known. A buffer that grows gets twice its size.
-    async fn make_room(
-        &mut self,
-        body: &mut Vec<u8>,
-        left: Option<u64>,
-        limit: usize,
-    ) -> Result<(), Full> {
-        let left = left.map_or(usize::MAX, |left| usize::try_from(left).unwrap_or(usize::MAX));
-        let needed = body.len() + left.min(self.read_ahead.len() + READ_CHUNK_BYTES);
-        if needed <= body.capacity() {
-            return Ok(());
-        }
-        let capacity = (2 * body.capacity()).min(limit + READ_CHUNK_BYTES).max(needed);
-        self.body_bytes = capacity;
-        self.count_buffers().await?;
-        body.reserve_exact(capacity - body.len());
-        Ok(())
-    }
-
-    /// Reads a body of at most `limit` bytes to its end and drops it.
-    pub(super) async fn discard_body(&mut self, framing: Framing, limit: usize) -> Result<(), Cut> {
-        if matches!(framing, Framing::Length(length) if length > limit as u64) {
-            return Err(Cut::TooLarge);
-        }
-        let (mut decoder, mut part, mut length) = (Decoder::new(framing), Vec::new(), 0);
-        while self.read_body(&mut decoder, &mut part).await? {
-            length += part.len();
-            part.clear();
-            if length > limit {
-                return Err(Cut::TooLarge);
-            }
-        }
-        Ok(())
-    }
-
-    /// Reads a complete body of at most `limit` bytes.
-    pub async fn read_whole(&mut self, framing: Framing, limit: usize) -> Result<Vec<u8>, Cut> {
-        if matches!(framing, Framing::Length(length) if length > limit as u64) {
-            return Err(Cut::TooLarge);
-        }
-        let mut decoder = Decoder::new(framing);
-        let mut body = Vec::new();
-        self.read_part(&mut decoder, &mut body, usize::MAX, limit).await?;
-        Ok(body)
-    }
 }
 
 fn hash(id: &str) -> u64 {
--- a/src/relay/delivery.rs
+++ b/src/relay/delivery.rs
@@ -8,10 +8,10 @@
 use async_io::Async;
 use futures_lite::{AsyncWriteExt, FutureExt};
 
-use super::answer::{encode_stream_head, pieces, push_chunk, write_answer};
+use super::answer::{encode_stream_head, pieces, push_chunk};
 use super::exchange::{self, Answer, Exchange, Failure, Question};
 use super::matching::Responder;
-use super::passing::{Body, Held, Passed};
+use super::passing::{Body, Held};
 use super::span::Span;
 use super::takeover::Origin;
 use super::{Classification, Cut, Events, Framing, Frontend, Metadata, Request, Response, head};
@@ -236,7 +236,7 @@
         }
     }
 
-    fn send_report(&self, dispatch: &Dispatch, report: Report) {
+    pub(super) fn send_report(&self, dispatch: &Dispatch, report: Report) {
         let (request, attempt) = (self.key, dispatch.attempt);
         self.frontend.control.tell(Message::Report { request, attempt, report });
     }
@@ -358,51 +358,8 @@
         Attempt::Unanswered(Report::Refused(refusal))
     }
 
-    /// Buffers an answer and forwards it once it is complete; a truncated one is not forwarded. One for which there is no
-    /// memory is forwarded as it comes.
-    async fn relay_whole(
-        &self,
-        writer: &Async<TcpStream>,
-        dispatch: &Dispatch,
-        mut answer: Answer,
-        weights: Option<u64>,
-    ) -> Attempt {
-        // A stream has begun once its caller has an event; an error brings none.
-        if !self.route.is_streaming {
-            self.send_report(dispatch, Report::Begun(weights));
-        }
-        let holding = self.frontend.account.begin();
-        let is_failure = answer.response.status >= 500;
-        let body = match Held::read(&mut answer, &holding).await {
-            Ok(Body::Whole(body)) => body,
-            Ok(Body::Part(part)) if !is_failure => {
-                return match self.pass_on(writer, &mut answer, part).await {
-                    Passed::Whole => {
-                        answer.release(&self.frontend.pool, dispatch.max_idle);
-                        Attempt::Ended(Outcome::Answered)
-                    }
-                    Passed::Cut => Attempt::Ended(Outcome::Truncated),
-                    Passed::CallerDisconnected => Attempt::CallerDisconnected,
-                };
-            }
-            Ok(Body::Part(_)) => return self.answer_cut(dispatch, &answer, None, &Cut::Full),
-            Err(cut) => return self.answer_cut(dispatch, &answer, None, &cut),
-        };
-        let response = answer.response.clone();
-        answer.release(&self.frontend.pool, dispatch.max_idle);
-        if is_failure {
-            return Attempt::Failed(Box::new(Held { response, body, _holding: holding }));
-        }
-        let close = self.frontend.control.is_draining();
-        self.progress.record_write(self.frontend.control.clock.now());
-        match write_answer(writer, &response, &body, close).await {
-            Ok(()) => Attempt::Ended(Outcome::Answered),
-            Err(_) => Attempt::CallerDisconnected,
-        }
-    }
-
     /// Logs that an answer was cut within its body. The attempt has failed.
-    fn answer_cut(
+    pub(super) fn answer_cut(
         &self,
         dispatch: &Dispatch,
         answer: &Answer,
--- a/src/relay/passing.rs
+++ b/src/relay/passing.rs
@@ -5,9 +5,10 @@
 use async_io::Async;
 use futures_lite::AsyncWriteExt;
 
-use super::answer::{encode_answer_head, encode_stream_head};
-use super::delivery::{Delivery, MAX_ANSWER_BYTES};
+use super::answer::{encode_answer_head, encode_stream_head, write_answer};
+use super::delivery::{Attempt, Delivery, MAX_ANSWER_BYTES, Outcome};
 use super::{Answer, Cut, Framing, Response};
+use crate::fleet::{Dispatch, Report};
 use crate::memory::Holding;
 
 /// A complete answer that is held.
@@ -53,6 +54,49 @@
 }
 
 impl Delivery<'_> {
+    /// Buffers an answer and forwards it once it is complete; a truncated one is not forwarded. One for which there is no
+    /// memory is forwarded as it comes.
+    pub(super) async fn relay_whole(
+        &self,
+        writer: &Async<TcpStream>,
+        dispatch: &Dispatch,
+        mut answer: Answer,
+        weights: Option<u64>,
+    ) -> Attempt {
+        // A stream has begun once its caller has an event; an error brings none.
+        if !self.route.is_streaming {
+            self.send_report(dispatch, Report::Begun(weights));
+        }
+        let holding = self.frontend.account.begin();
+        let is_failure = answer.response.status >= 500;
+        let body = match Held::read(&mut answer, &holding).await {
+            Ok(Body::Whole(body)) => body,
+            Ok(Body::Part(part)) if !is_failure => {
+                return match self.pass_on(writer, &mut answer, part).await {
+                    Passed::Whole => {
+                        answer.release(&self.frontend.pool, dispatch.max_idle);
+                        Attempt::Ended(Outcome::Answered)
+                    }
+                    Passed::Cut => Attempt::Ended(Outcome::Truncated),
+                    Passed::CallerDisconnected => Attempt::CallerDisconnected,
+                };
+            }
+            Ok(Body::Part(_)) => return self.answer_cut(dispatch, &answer, None, &Cut::Full),
+            Err(cut) => return self.answer_cut(dispatch, &answer, None, &cut),
+        };
+        let response = answer.response.clone();
+        answer.release(&self.frontend.pool, dispatch.max_idle);
+        if is_failure {
+            return Attempt::Failed(Box::new(Held { response, body, _holding: holding }));
+        }
+        let close = self.frontend.control.is_draining();
+        self.progress.record_write(self.frontend.control.clock.now());
+        match write_answer(writer, &response, &body, close).await {
+            Ok(()) => Attempt::Ended(Outcome::Answered),
+            Err(_) => Attempt::CallerDisconnected,
+        }
+    }
+
     /// Passes on an answer of which `part` was read, a piece at a time. One that is cut is not made to look complete: it
     /// lacks bytes of its length, or its last chunk.
     pub(super) async fn pass_on(
