--- a/src/memory/account.rs
+++ b/src/memory/account.rs
@@ -14,7 +14,7 @@
 /// Time without progress after which a connection that waits for bytes may be revoked: many times the latency of a
 /// caller's link, so that a request that arrives at an ordinary pace is not.
 const STALL_TIME: Duration = Duration::from_millis(250);
-/// Maximum number of times that other tasks run before what was revoked counts as stuck.
+/// Maximum number of yields to other tasks, so that revoked holdings end, before the request for more is refused.
 const MAX_YIELDS: u32 = 1_000;
 
 /// What the owner of a holding does.
@@ -121,8 +121,8 @@
         Self { limits, state: Mutex::default() }
     }
 
-    /// Admits a connection at `port`. Where there are as many as may be, the one that has waited in vain for longest is
-    /// revoked; `None` if there is none to revoke.
+    /// Opens a connection at `port`. At the limit, the connection that has stalled for longest is revoked; returns `None` if
+    /// none has.
     pub async fn open(self: &Arc<Self>, port: Port) -> Option<Holding> {
         for _ in 0..MAX_YIELDS {
             match self.try_open(port) {
@@ -161,7 +161,7 @@
         self.lock().connections.get(&port).copied().unwrap_or(0)
     }
 
-    /// Returns what is held, for the metrics.
+    /// Returns the number of buffered bytes and open connections, for the metrics.
     pub fn gauges(&self) -> Vec<Gauge> {
         let bytes = Gauge::new("held_bytes", self.held_bytes() as u64);
         let max_bytes = Gauge::new("held_bytes_max", self.limits.bytes as u64);
--- a/src/memory/tests.rs
+++ b/src/memory/tests.rs
@@ -11,7 +11,7 @@
 use crate::prelude::*;
 
 const MEBIBYTE: usize = 1 << 20;
-/// Longer than a connection may wait in vain where its bytes are needed.
+/// Time after which a connection without progress counts as stalled, and some.
 const STALL: Duration = Duration::from_millis(300);
 
 /// An account for 16 MiB, of which large holdings may have 12, and 200 connections of callers.
--- a/src/relay/conn.rs
+++ b/src/relay/conn.rs
@@ -101,7 +101,7 @@
     read_ahead: Vec<u8>,
     /// What a caller's connection holds of the daemon's memory.
     holding: Option<Holding>,
-    /// Size of the body buffer of the current request, which is part of what is held.
+    /// Size of the body buffer of the current request, which is counted in `holding`.
     body_bytes: usize,
     /// Whether bytes that the caller sent ahead of its turn were discarded, so that no further request can be read.
     has_discarded: bool,
--- a/src/relay/conn/whole.rs
+++ b/src/relay/conn/whole.rs
@@ -28,8 +28,8 @@
         Ok(!decoder.is_complete())
     }
 
-    /// Makes room in `body` for what was read ahead and one read more, of the `left` bytes that the body still has if that is
-    /// known. A buffer that grows gets twice its size.
+    /// Makes room in `body` for the bytes that were read ahead and those of one more read. `left` is the number of bytes that
+    /// the body still has, if that is known. A buffer that grows gets twice its size.
     async fn make_room(
         &mut self,
         body: &mut Vec<u8>,
