The own interface: operators' bodies and connections count, too

48 callers with bodies of 8 MiB at the operators' address took 426 MB, where a daemon's budget is 256 MB, and connections there had no limit: the sibling of what callers could do.

--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -119,7 +119,9 @@
     let entry = Arc::new(entry);
     watch_log(executor, &control, settings.log_service);
     watch_vms(executor, &control, &settings);
-    let operators = Arc::new(Endpoint::new(Arc::clone(&entry), control.clone(), metrics));
+    let operators =
+        Endpoint::new(Arc::clone(&entry), control.clone(), metrics, Arc::clone(&account));
+    let operators = Arc::new(operators);
     accept_operators(executor, listeners.operators, operators);
     accept_peers(executor, listeners.peer, account, control.clone());
     let accept_task =
--- a/src/memory/limits.rs
+++ b/src/memory/limits.rs
@@ -23,7 +23,7 @@
     Handover,
     /// Frames of peers.
     Peers,
-    /// Readiness checks.
+    /// Readiness checks, and what operators ask.
     Readiness,
     /// Metrics.
     Metrics,
--- a/src/ops/mod.rs
+++ b/src/ops/mod.rs
@@ -4,12 +4,14 @@
 use std::net::TcpStream;
 
 use async_io::Async;
+use futures_lite::FutureExt;
 use http_types::{Method, Request, Response};
 use serde_json::json;
 
 use crate::daemon::Control;
 use crate::entry::Entry;
 use crate::http::{Socket, server};
+use crate::memory::{Account, Port};
 use crate::prelude::*;
 use crate::telemetry::metrics::Metrics;
 
@@ -24,22 +26,34 @@
     entry: Arc<Entry>,
     control: Control,
     metrics: Arc<Metrics>,
+    /// The memory of requests, and operators' connections.
+    account: Arc<Account>,
 }
 
 impl Endpoint {
     /// Creates an endpoint that reports the state of `control` and `metrics`.
-    pub fn new(entry: Arc<Entry>, control: Control, metrics: Arc<Metrics>) -> Self {
-        Self { entry, control, metrics }
+    pub fn new(
+        entry: Arc<Entry>,
+        control: Control,
+        metrics: Arc<Metrics>,
+        account: Arc<Account>,
+    ) -> Self {
+        Self { entry, control, metrics, account }
     }
 
-    /// Serves one connection.
+    /// Serves one connection until it ends. At the limit of connections, the one that has been silent for longest ends.
     pub async fn serve(self: Arc<Self>, stream: Async<TcpStream>) {
-        let socket = Socket::new(stream, IDLE_TIMEOUT);
+        let Some(holding) = self.account.open(Port::Readiness).await else { return };
+        let revocation = holding.revocation();
+        let socket = Socket::of_caller(stream, IDLE_TIMEOUT, holding);
         let handler = |request, socket| {
             let endpoint = Arc::clone(&self);
             async move { Ok(endpoint.answer(request, socket).await) }
         };
-        server::serve(socket, handler).await.ok();
+        let serving = async {
+            server::serve(socket, handler).await.ok();
+        };
+        serving.or(revocation).await;
     }
 
     async fn answer(&self, request: Request, socket: Socket) -> Response {
--- a/standin/tests/misbehaving.rs
+++ b/standin/tests/misbehaving.rs
@@ -191,6 +191,41 @@
     drop(crowd);
 }
 
+#[test]
+fn crowd_that_reads_no_answers_takes_bounded_memory() {
+    let _alone = alone();
+    let mut fleet = start();
+    let framing = format!("content-length: {MAX_BODY_BYTES}");
+    // The service answers with the body that it was sent.
+    let crowd = send_all(fleet.entry(0), BODY_CROWD, |_, stream| {
+        stream.write_all(&head(&framing, LAB))?;
+        stream.write_all(&vec![b'b'; MAX_BODY_BYTES])
+    });
+    check(&mut fleet, "no reading");
+    drop(crowd);
+}
+
+#[test]
+fn crowd_at_the_operators_port_takes_bounded_memory_and_connections() {
+    let _alone = alone();
+    let mut fleet = start();
+    let operators = fleet.daemons[0].ready["operators"];
+    let framing = format!("content-length: {MAX_BODY_BYTES}");
+    let crowd = send_all(operators, BODY_CROWD, |number, stream| {
+        stream.write_all(&head(&framing, LAB))?;
+        stream.write_all(&vec![b'b'; body_bytes(number)])
+    });
+    check(&mut fleet, "operators");
+    drop(crowd);
+    let crowd = send_all(operators, IDLE_CROWD, |_, _| Ok(()));
+    check(&mut fleet, "idle operators");
+    until("readiness", || fleet.is_ready(0));
+    let descriptors = std::fs::read_dir(format!("/proc/{}/fd", fleet.daemons[0].id()));
+    let descriptors = descriptors.expect("the daemon is running").count();
+    assert!(descriptors <= 2 * MAX_CONNECTIONS, "{descriptors} descriptors");
+    drop(crowd);
+}
+
 #[test]
 fn caller_whose_body_is_over_the_limit_reads_the_refusal() {
     let _alone = alone();
