The limits of other ports do not follow from the limit of callers' connections

They are as with 4,096 descriptors now, whatever callers may have; the example of Limits::of_entry holds 2 and 64.

--- a/src/memory/limits.rs
+++ b/src/memory/limits.rs
@@ -9,6 +9,8 @@
 const CONNECTION_BYTES: usize = 8 << 10;
 /// Descriptors that the platform reserves for files.
 const FILE_FDS: usize = 200;
+/// Descriptors for connections where none are named.
+const USUAL_SOCKETS: usize = 4_096 - FILE_FDS;
 /// Maximum number of connections at a port that only the platform asks.
 const MAX_PLATFORM_CONNECTIONS: usize = 64;
 /// Maximum number of connections that are refused at a time.
@@ -75,14 +77,16 @@
         Self { bytes: memory_bytes / BUFFER_PART, entry, sockets }
     }
 
-    /// Returns limits of this number of bytes in all buffers, and of callers' connections.
+    /// Returns limits of this number of bytes in all buffers, and of callers' connections. Those of other ports are as with
+    /// 4,096 descriptors.
     ///
     /// ```
     /// use cardamomvalve::memory::{Limits, Port};
-    /// assert_eq!(Limits::of_entry(64 << 20, 4_096).connections(Port::Entry), 4_096);
+    /// let limits = Limits::of_entry(64 << 20, 2);
+    /// assert_eq!((limits.connections(Port::Entry), limits.connections(Port::Readiness)), (2, 64));
     /// ```
     pub fn of_entry(bytes: usize, connections: usize) -> Self {
-        Self { bytes, entry: connections, sockets: 2 * connections }
+        Self { bytes, entry: connections, sockets: USUAL_SOCKETS }
     }
 
     /// Returns the maximum number of connections at `port`. What they leave is for connections to servers.
