--- a/src/memory/account.rs
+++ b/src/memory/account.rs
@@ -20,8 +20,7 @@
 /// What the owner of a holding does.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Phase {
-    /// It waits for bytes since a time, or since the last one at which enough of them came. It may be revoked: no request
-    /// of it has run.
+    /// It waits for bytes, and made its last progress at this time. It may be revoked, since its request has not run.
     Waiting(Instant),
     /// It works on a request or an answer.
     Serving,
