--- a/review/stand-in-2/cases/outage.rs
+++ b/review/stand-in-2/cases/outage.rs
@@ -1,4 +1,4 @@
-//! Three servers of ten crash at once, while clients ask for one document; then comes the final fault.
+//! Three servers of ten crash at once, three times, while clients ask for one document; then comes the final fault.
 
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Write};
@@ -34,10 +34,14 @@
 /// The client's deadline.
 const DEADLINE: Duration = Duration::from_millis(4_000);
 
-/// From the start of traffic: the servers crash, are back, the daemons are killed, and the end.
-const CRASH_AT: Duration = Duration::from_secs(8);
-const BACK_AT: Duration = Duration::from_secs(10);
-const FINAL_FAULT_AT: Duration = Duration::from_secs(13);
+/// From the start of traffic: when servers crash, and when the daemons are killed.
+const CRASHES_AT: [Duration; 3] =
+    [Duration::from_millis(6_000), Duration::from_millis(9_500), Duration::from_millis(13_000)];
+const FINAL_FAULT_AT: Duration = Duration::from_secs(18);
+/// For how long servers are down.
+const SERVERS_DOWN: Duration = Duration::from_secs(1);
+/// Three heartbeats, after which the store drops the entry of a silent server.
+const SILENCE: Duration = Duration::from_millis(3_600);
 /// For how long the daemons are down, and `recovery_s`.
 const DOWN: Duration = Duration::from_secs(1);
 const RECOVERY: Duration = Duration::from_secs(12);
@@ -131,6 +135,14 @@
     Asked { at, is_served: false, statuses }
 }
 
+/// The store drops the entries of servers that have been silent for long.
+fn drop_entries(rig: &Rig, silent: Vec<(Instant, String)>) {
+    for (_, id) in silent {
+        rig.store.put("keyed.servers", &id, "");
+        rig.record.line(&format!("the store drops the entry of server {id}"));
+    }
+}
+
 pub fn run(record: &Record, trouble: bool) -> Vec<String> {
     let mut rig = Rig::start(record);
     rig.store.put("keyed.op", "config", CONFIG);
@@ -163,25 +175,29 @@
     let clients: Vec<_> = clients.collect();
     let until = |at: Duration| thread::sleep(at.saturating_sub(started.elapsed()));
 
-    until(CRASH_AT);
-    if trouble {
-        let ended: Vec<String> = servers.iter().take(KILLED).map(|server| server.id.clone()).collect();
-        for server in servers.iter_mut().take(KILLED) {
+    let mut silent: Vec<(Instant, String)> = Vec::new();
+    let mut number = SERVERS;
+    for crash_at in CRASHES_AT.into_iter().filter(|_| trouble) {
+        until(crash_at);
+        let mut crashed: Vec<Server> = servers.drain(..KILLED).collect();
+        for server in &mut crashed {
             server.process.kill().ok();
         }
-        servers.drain(..KILLED);
-        record.line(&format!("{KILLED} of {SERVERS} servers are killed: {}", ended.join(", ")));
-        until(BACK_AT);
-        for number in 0..KILLED {
-            servers.push(start_server(&mut rig, &format!("i-e{number}")));
-        }
-        // Three heartbeats without a word.
-        until(CRASH_AT + Duration::from_millis(3_600));
-        for id in ended {
-            rig.store.put("keyed.servers", &id, "");
-            record.line(&format!("the store drops the entry of server {id}"));
+        let ids: Vec<String> = crashed.iter().map(|server| server.id.clone()).collect();
+        record.line(&format!("{KILLED} of {SERVERS} servers are killed: {}", ids.join(", ")));
+        silent.extend(ids.into_iter().map(|id| (Instant::now(), id)));
+        drop(crashed);
+        until(crash_at + SERVERS_DOWN);
+        for _ in 0..KILLED {
+            servers.push(start_server(&mut rig, &format!("i-d{number}")));
+            number += 1;
         }
+        let (gone, left) = silent.into_iter().partition(|(at, _)| at.elapsed() >= SILENCE);
+        silent = left;
+        drop_entries(&rig, gone);
     }
+    thread::sleep(SILENCE.saturating_sub(SERVERS_DOWN));
+    drop_entries(&rig, silent);
     until(FINAL_FAULT_AT);
     let fault_at = Instant::now();
     for index in 0..usize::from(DAEMONS) {
