A status of a server that promises "not run" reaches no caller of a request that runs once

What callers saw: 503, 429 or 408 with a server's signature for a payment that had run.

Cause: `classify` knew signed answers as refused (X-Not-Executed, 421) or ordinary, and ordinary ones were passed on with their status.

Why it works: such an answer is a kind of its own (`Unconfirmed`), so that each `match` has to decide on it. For requests that may run once it is read, dropped and counted as a failure of the server; the caller gets 502, unknown. Others get it unchanged.

Ruled out: answers passed on for lack of memory (decided before their body), peers of this release (their 502 is passed on), the own interface (it marks a service's answer as done; the new test of that held before).

--- a/src/relay/delivery.rs
+++ b/src/relay/delivery.rs
@@ -20,7 +20,7 @@
 };
 use crate::poison::Fingerprint;
 use crate::prelude::*;
-use crate::route::{Route, Workspace};
+use crate::route::{Repeat, Route, Workspace};
 use crate::telemetry::emit;
 
 /// Maximum size of an answer, or of an event of a stream, that is buffered completely before it is forwarded.
@@ -302,25 +302,33 @@
             Err(Failure::Lost(cut)) => return Attempt::Unanswered(Report::Lost(loss(&cut))),
         };
         self.report_statement(dispatch, class, &answer.response);
-        match class {
+        let weights = match class {
             Classification::Invalid | Classification::Foreign => {
-                Attempt::Unanswered(Report::Lost(Loss::InvalidAnswer))
+                return Attempt::Unanswered(Report::Lost(Loss::InvalidAnswer));
             }
             Classification::Refused(refusal) => {
-                self.finish_refused(dispatch, answer, refusal).await
+                self.read_unforwarded(dispatch, answer).await;
+                return Attempt::Unanswered(Report::Refused(refusal));
             }
-            Classification::Answer(_) if !self.continues_answer(&answer.response) => {
-                self.discard_other_answer(dispatch, answer)
-            }
-            Classification::Answer(weights)
-                if self.route.is_streaming && answer.response.status == 200 && !answers_head =>
-            {
-                self.relay_stream(writer, dispatch, answer, weights, events).await
-            }
-            Classification::Answer(weights) => {
-                self.relay_whole(writer, dispatch, answer, weights).await
+            Classification::Unconfirmed(_) if self.runs_at_most_once() => {
+                self.read_unforwarded(dispatch, answer).await;
+                return Attempt::Unanswered(Report::Failed);
             }
+            Classification::Answer(weights) | Classification::Unconfirmed(weights) => weights,
+        };
+        if !self.continues_answer(&answer.response) {
+            return self.discard_other_answer(dispatch, answer);
         }
+        let is_stream = self.route.is_streaming && answer.response.status == 200 && !answers_head;
+        match is_stream {
+            true => self.relay_stream(writer, dispatch, answer, weights, events).await,
+            false => self.relay_whole(writer, dispatch, answer, weights).await,
+        }
+    }
+
+    /// Whether the caller may not send the request again unless it is told that it has not run.
+    pub(super) fn runs_at_most_once(&self) -> bool {
+        self.route.repeat == Repeat::AtMostOnce
     }
 
     /// Reports what the server states. An answer that states no request limit ends one; a refusal without it says
@@ -330,11 +338,11 @@
             Classification::Invalid
             | Classification::Foreign
             | Classification::Refused(Refusal::Replaced) => return,
-            Classification::Answer(_) | Classification::Refused(_) => {
-                self.frontend.dialect.statement(response)
-            }
+            Classification::Answer(_)
+            | Classification::Unconfirmed(_)
+            | Classification::Refused(_) => self.frontend.dialect.statement(response),
         };
-        let is_answer = matches!(class, Classification::Answer(_));
+        let is_answer = !matches!(class, Classification::Refused(_));
         if statement.request_limit == RequestLimit::Unstated && is_answer && dispatch.has_limit {
             statement.request_limit = RequestLimit::Ended;
         }
@@ -344,18 +352,13 @@
         }
     }
 
-    async fn finish_refused(
-        &self,
-        dispatch: &Dispatch,
-        mut answer: Answer,
-        refusal: Refusal,
-    ) -> Attempt {
+    /// Reads an answer that is not passed on, so that its connection can be reused.
+    async fn read_unforwarded(&self, dispatch: &Dispatch, mut answer: Answer) {
         let holding = self.frontend.account.begin();
         let reading = Held::read(&mut answer, &holding).await;
         if matches!(reading, Ok(Body::Whole(_))) {
             answer.release(&self.frontend.pool, dispatch.max_idle);
         }
-        Attempt::Unanswered(Report::Refused(refusal))
     }
 
     /// Logs that an answer was cut within its body. The attempt has failed.
--- a/src/relay/dialect.rs
+++ b/src/relay/dialect.rs
@@ -38,6 +38,8 @@
 pub enum Classification {
     /// An answer to this request, from this version of the weights.
     Answer(Option<u64>),
+    /// An answer like these, but of a status that tells callers that the request did not run, and the server does not say so.
+    Unconfirmed(Option<u64>),
     /// The server refused the request and did not run it.
     Refused(Refusal),
     /// An answer that does not name this request: a late or repeated one, or one to a call of this router.
--- a/src/relay/handover.rs
+++ b/src/relay/handover.rs
@@ -156,7 +156,12 @@
         if !self.continues_answer(&answer.response) {
             return Ending::Lost;
         }
-        let is_from_server = matches!(class, Classification::Answer(_));
+        let is_from_server =
+            matches!(class, Classification::Answer(_) | Classification::Unconfirmed(_));
+        // A peer of an older release passes such an answer on.
+        if matches!(class, Classification::Unconfirmed(_)) && self.runs_at_most_once() {
+            return Ending::Lost;
+        }
         let is_stream = self.route.is_streaming && !self.request.is_head();
         if is_from_server && is_stream && answer.response.status == 200 {
             return self.relay_hop_stream(writer, answer).await;
--- a/src/relay/matching.rs
+++ b/src/relay/matching.rs
@@ -83,6 +83,7 @@
         let class = self.frontend.dialect.classify(&self.metadata, &response);
         let judgement = match class {
             Classification::Answer(_) => return Ok(Received::Own(response, class)),
+            Classification::Unconfirmed(_) => "unconfirmed",
             Classification::Refused(_) => "refused",
             Classification::Foreign => "foreign",
             Classification::Invalid => "invalid",
--- a/src/relay/tests/delivery.rs
+++ b/src/relay/tests/delivery.rs
@@ -82,12 +82,12 @@
     }
 }
 
-pub(super) fn table(streams: bool) -> Arc<Table> {
+pub(super) fn table(repeat: Repeat, streams: bool) -> Arc<Table> {
     let route = Route {
         name: "only".into(),
         host: "a.example".into(),
         path_prefix: "/".into(),
-        repeat: Repeat::Resumable,
+        repeat,
         is_streaming: streams,
         timeout: Duration::from_secs(20),
         target_latency: Duration::from_secs(1),
@@ -190,7 +190,7 @@
 
     fn start_request(request: &[u8], streams: bool) -> Self {
         let (control, inputs) = Control::new();
-        control.set_table(table(streams));
+        control.set_table(table(Repeat::Resumable, streams));
         let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port is available");
         let caller = TcpStream::connect(listener.local_addr().expect("the listener is bound"));
         let mut caller = caller.expect("the listener accepts connections");
--- a/src/relay/tests/fixture.rs
+++ b/src/relay/tests/fixture.rs
@@ -15,7 +15,7 @@
 use crate::memory::{Account, Holding, Port};
 use crate::prelude::*;
 use crate::relay::*;
-use crate::route::Workspace;
+use crate::route::{Repeat, Workspace};
 use crate::telemetry::metrics::Metrics;
 
 /// The request's id, if it is not `r-1`.
@@ -73,6 +73,7 @@
         }
         match is_own || response.fields.get("X-Unsigned").is_some() {
             true => Classification::Invalid,
+            false if response.status == 503 => Classification::Unconfirmed(None),
             false => Classification::Answer(None),
         }
     }
@@ -103,8 +104,13 @@
 
 impl Daemon {
     pub(super) fn start(streams: bool) -> Self {
+        Self::start_for(Repeat::Resumable, streams)
+    }
+
+    /// Starts a daemon for requests that may be repeated by this rule.
+    pub(super) fn start_for(repeat: Repeat, streams: bool) -> Self {
         let (control, inputs) = Control::new();
-        control.set_table(table(streams));
+        control.set_table(table(repeat, streams));
         let (stop, stopping) = async_channel::bounded(1);
         let metrics = Arc::new(Metrics::new().expect("instruments can be created"));
         let dialect = Arc::new(TestDialect);
--- a/src/relay/tests/handover.rs
+++ b/src/relay/tests/handover.rs
@@ -15,6 +15,7 @@
 use crate::memory::Port;
 use crate::prelude::*;
 use crate::relay::*;
+use crate::route::Repeat;
 
 const GET: &str = "GET / HTTP/1.1\r\nHost: a.example\r\n\r\n";
 const ANSWER: &str = "HTTP/1.1 200 OK\r\nX-Seal: s\r\nContent-Length: 5\r\n\r\nwhole";
@@ -104,6 +105,26 @@
     assert_eq!(receive_end(&first), (1, HandoverEnd::Answered));
 }
 
+// A peer of an older release passes on a server's answer that promises what the server does not say.
+#[test]
+fn hand_over_unconfirmed_refusal_of_a_request_that_runs_once_promises_nothing() {
+    let failure = "HTTP/1.1 503 Broken\r\nX-Seal: f\r\nContent-Length: 6\r\n\r\nfailed";
+    for (repeat, status) in [(Repeat::AtMostOnce, 502), (Repeat::Resumable, 503)] {
+        let daemon = Daemon::start_for(repeat, false);
+        let (peer, _) = answer_each(failure);
+        let (mut caller, commands) = send_through(&daemon, peer, GET);
+        let end = match repeat {
+            Repeat::AtMostOnce => HandoverEnd::Lost,
+            Repeat::Idempotent | Repeat::Resumable => HandoverEnd::Answered,
+        };
+        assert_eq!(receive_end(&daemon), (1, end));
+        if end == HandoverEnd::Lost {
+            give(&commands, Command::GiveUp);
+        }
+        assert_eq!(caller.read_head().status, status, "{repeat:?}");
+    }
+}
+
 // An answer to HEAD may give the length of a body that does not follow.
 #[test]
 fn hand_over_answer_to_head_ends_with_its_head() {
--- a/standin/src/service.rs
+++ b/standin/src/service.rs
@@ -39,6 +39,8 @@
     pub short: bool,
     /// Number of filler bytes in the answer.
     pub filler: usize,
+    /// Run the request and answer with this status in place of 200.
+    pub status: Option<u16>,
 }
 
 #[derive(Debug, Default)]
@@ -93,7 +95,7 @@
     let filler = "x".repeat(faults.filler);
     let trace = serve::header_value(&received.request, "traceparent").unwrap_or_default();
     let body = json!({ "receipt": receipt, "path": path, "request": body, "filler": filler, "trace": trace });
-    let mut response = server::json(200, &body);
+    let mut response = server::json(faults.status.unwrap_or(200), &body);
     if faults.short {
         let text = body.to_string();
         let reader = futures_lite::io::Cursor::new(text.clone().into_bytes());
--- a/standin/tests/calls.rs
+++ b/standin/tests/calls.rs
@@ -50,6 +50,27 @@
     }
 }
 
+// The status of a service's own failure may tell callers that the request did not run.
+#[test]
+fn failure_of_a_service_is_marked_as_run_whatever_its_status() {
+    let fleet = Fleet::start(Plan::default());
+    for status in [408, 429, 503] {
+        fault(&fleet, &json!({ "status": status }));
+        let (keyed, unkeyed) = (format!("keyed {status}"), format!("unkeyed {status}"));
+        let answer = fleet.pay(0, None, &unkeyed).expect("an answer");
+        assert_eq!((answer.status, answer.execution()), (status, "done"));
+        let key = format!("key-{status}");
+        let answer = fleet.pay(0, Some(&key), &keyed).expect("an answer");
+        assert_eq!((answer.status, answer.execution()), (status, "done"));
+        fault(&fleet, &json!({}));
+        for daemon in 0..2 {
+            let again = settled(&fleet, daemon, &key, &keyed);
+            assert_eq!((again.status, again.execution()), (status, "done"), "daemon {daemon}");
+        }
+        assert_eq!((fleet.runs_of(&keyed), fleet.runs_of(&unkeyed)), (1, 1), "{status}");
+    }
+}
+
 #[test]
 fn idempotent_call_is_repeated() {
     let fleet = Fleet::start(Plan { services: 2, ..Plan::default() });
