A workspace that becomes isolated leaves what it had cached where no other looks

Cause: the salt of all workspaces that share was the version of the weights alone. Isolation gave one workspace a salt of its own and left the others with the one under which its parts lay.

Why it works: the salt of those that share now names the isolated workspaces (route::Cohort), so what lies under it was made by none of them. The configuration alone decides, nothing is agreed on. A request that waited goes by the newer configuration; a submission carries its cohort to the scheduler, and a scheduler's older salt is not used (fleet/salt.rs). Without isolated workspaces the salt is what it was.

--- a/benches/fleet.rs
+++ b/benches/fleet.rs
@@ -13,7 +13,7 @@
 use cardamomvalve::lease;
 use cardamomvalve::poison::Fingerprint;
 use cardamomvalve::quota;
-use cardamomvalve::route::{Engine, Kind, Limits, Pool, Repeat, Route, Split, Table};
+use cardamomvalve::route::{Cohort, Engine, Kind, Limits, Pool, Repeat, Route, Split, Table};
 use divan::Bencher;
 
 const ENGINES: [usize; 4] = [10, 100, 1_000, 10_000];
@@ -155,6 +155,7 @@
         id: format!("request-{number}"),
         route: Arc::new(route),
         workspace: None,
+        cohort: Cohort::default(),
         deadline: now + Duration::from_secs(5),
         prompt: Some(Prompt {
             model: "m".into(),
--- a/src/fleet/message.rs
+++ b/src/fleet/message.rs
@@ -7,7 +7,7 @@
 };
 use crate::poison::{Answer, Blocked, Fingerprint, Incarnation};
 use crate::prelude::*;
-use crate::route::{Route, Table, Workspace};
+use crate::route::{Cohort, Route, Table, Workspace};
 
 /// Identifies a request at one daemon.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -24,6 +24,8 @@
     pub route: Arc<Route>,
     /// Its workspace, if any.
     pub workspace: Option<Arc<Workspace>>,
+    /// The workspaces that share cached prompts, by the configuration that its route is from.
+    pub cohort: Cohort,
     /// Its deadline.
     pub deadline: Time,
     /// Its prompt, if it goes to an engine.
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -45,6 +45,7 @@
 mod retry;
 mod rollout;
 mod run;
+mod salt;
 mod scheduling;
 mod server;
 mod share;
--- a/src/fleet/place.rs
+++ b/src/fleet/place.rs
@@ -6,7 +6,7 @@
 use super::load::Load;
 use super::notice::LARGE_TOKENS;
 use super::pool::Cell;
-use super::prompt::{PREFILL_TOKENS_PER_MS, cache_salt, held_tokens, shared_tokens};
+use super::prompt::{PREFILL_TOKENS_PER_MS, held_tokens, shared_tokens};
 use super::request::Request;
 use super::residency::{FetchPlan, Source, Sources};
 use super::{Key, Node, Prompt, Server, Topic, server};
@@ -76,8 +76,6 @@
 struct Requirement<'a> {
     request: &'a Request,
     prompt: &'a Prompt,
-    /// The workspace of the request if it shares no cache with others.
-    isolated: Option<&'a str>,
     homes: Homes,
     /// Maximum milliseconds that it may wait at an engine.
     max_wait_ms: f64,
@@ -199,7 +197,7 @@
         for (key, server) in usable {
             let Some(version) = server.weights_version(&prompt.model) else { continue };
             let (salt, sources) = by_version.entry(version).or_insert_with(|| {
-                let salt = cache_salt(version, requirement.isolated);
+                let salt = self.salt_of(&request.arrival, version);
                 let sources = self.sources(
                     now,
                     prompt,
@@ -230,9 +228,8 @@
         cell: Cell<'_>,
         usable: &[(server::Key, &Server)],
     ) -> Requirement<'a> {
-        let isolated = request.arrival.workspace.as_ref().filter(|owner| owner.isolated);
-        let isolated = isolated.map(|owner| owner.name.as_str());
-        let homes = self.homes(now, isolated.unwrap_or_default(), cell, prompt);
+        let owner = self.isolated_owner(&request.arrival).unwrap_or_default();
+        let homes = self.homes(now, owner, cell, prompt);
         let ratio = if prompt.input < LARGE_TOKENS {
             MAX_ENGINE_WAIT_RATIO_SMALL
         } else {
@@ -249,7 +246,7 @@
             homes.role(*key) == Role::Home && version.is_some_and(begins)
         });
         let waits_for_home = has_home && !self.has_waited_for_home(now, request);
-        Requirement { request, prompt, isolated, homes, max_wait_ms, waits_for_home }
+        Requirement { request, prompt, homes, max_wait_ms, waits_for_home }
     }
 
     /// Predicts the cost of a request on an engine and the source of the parts that the engine
--- a/src/fleet/prompt.rs
+++ b/src/fleet/prompt.rs
@@ -39,15 +39,6 @@
     tokens.fold(0, u32::saturating_add).min(prompt.input)
 }
 
-/// Salt of cached prompts in an engine: the version of the weights, and the workspace if it shares
-/// with no other.
-pub(super) fn cache_salt(version: u64, isolated: Option<&str>) -> String {
-    match isolated {
-        Some(owner) => format!("{version}.{owner}"),
-        None => version.to_string(),
-    }
-}
-
 /// Key of a part, or of another hash, under a salt.
 pub(super) fn salted_key(salt: &str, part: u64) -> u64 {
     xxh3_64_with_seed(salt.as_bytes(), part)
--- a/src/fleet/requests.rs
+++ b/src/fleet/requests.rs
@@ -100,8 +100,7 @@
         self.sum_peer_load(now);
         let arrival = &request.arrival;
         if let Some(prompt) = &arrival.prompt {
-            let isolated = arrival.workspace.as_ref().filter(|owner| owner.isolated);
-            let owner = isolated.map_or("", |owner| owner.name.as_str());
+            let owner = self.isolated_owner(arrival).unwrap_or_default();
             self.note_heat(now, owner, prompt);
         }
         let key = arrival.request;
--- a/src/fleet/scheduling/message.rs
+++ b/src/fleet/scheduling/message.rs
@@ -5,7 +5,7 @@
 use crate::fleet::{Incarnation, Key, Prompt, Report, Software, Statement};
 use crate::poison::Fingerprint;
 use crate::prelude::*;
-use crate::route::{Repeat, Workspace};
+use crate::route::{Cohort, Repeat, Workspace};
 
 /// A request submitted to a scheduler for placement on a server.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -32,6 +32,8 @@
     pub pool: String,
     /// Its workspace, if any.
     pub workspace: Option<Workspace>,
+    /// The workspaces that share cached prompts, by the newest configuration that the daemon knows.
+    pub cohort: Cohort,
     /// Time until its deadline.
     pub time_left: Duration,
     /// Its prompt, if it goes to an engine.
--- a/src/fleet/scheduling/serving.rs
+++ b/src/fleet/scheduling/serving.rs
@@ -244,6 +244,7 @@
         workspace: submission
             .workspace
             .map(|owner| Arc::new(Workspace { priority: None, ..owner })),
+        cohort: submission.cohort,
         deadline: now + submission.time_left,
         prompt: submission.prompt,
         fingerprint: submission.fingerprint,
--- a/src/fleet/scheduling/submitting.rs
+++ b/src/fleet/scheduling/submitting.rs
@@ -2,10 +2,9 @@
 
 use super::{Assignment, Decision, Progress, Step, Submission, Verdict};
 use crate::fleet::request::{Phase, Request};
-use crate::fleet::{
-    Command, Dispatch, Effect, Frame, Identity, Key, Loss, Node, Report, Statement, server,
-};
+use crate::fleet::{Command, Dispatch, Effect, Frame, Key, Loss, Node, Report, Statement, server};
 use crate::prelude::*;
+use crate::route::Workspace;
 
 /// Time limit for a scheduler's verdict: some ten round trips to another zone. After it the daemon
 /// decides on its own, which bounds the delay that a failed scheduler causes.
@@ -53,8 +52,9 @@
         };
         let Some(address) = self.peer_address(scheduler) else { return false };
         let scheduler = scheduler.to_owned();
-        let submission = submission(now, &self.identity, request);
+        let submission = self.submission(now, request);
         if let Some(request) = self.requests.get_mut(&key) {
+            request.arrival.cohort = submission.cohort;
             request.phase = Phase::Submitted(Stage::AwaitingVerdict(now));
             request.scheduler = scheduler;
             request.submissions += 1;
@@ -110,7 +110,9 @@
         let Some(server) = self.incarnations.server(&assignment.server) else {
             return self.withdraw_from_scheduler(now, key);
         };
-        if !self.may_be_sent(now, key, server, assignment.weights_version) {
+        if !self.may_be_sent(now, key, server, assignment.weights_version)
+            || !self.is_salt_current(key, &assignment)
+        {
             self.explain_withdrawal(now, key, server, assignment.attempt);
             return self.withdraw_from_scheduler(now, key);
         }
@@ -192,6 +194,18 @@
         stays && weights_allowed && (request.possible_runs == 0 || request.may_repeat())
     }
 
+    /// Whether a request may use what is cached under the salt that its scheduler chose. Other workspaces may have become
+    /// isolated since this daemon submitted it, and the scheduler may not know.
+    fn is_salt_current(&self, key: Key, assignment: &Assignment) -> bool {
+        let Some(Request { arrival, .. }) = self.requests.get(&key) else { return false };
+        let (Some(salt), Some(version)) = (&assignment.cache_salt, assignment.weights_version)
+        else {
+            return true;
+        };
+        self.cohort(arrival).without == arrival.cohort.without
+            || *salt == self.salt_of(arrival, version)
+    }
+
     /// Records the state change of an attempt assigned by a scheduler and forwards it to the scheduler.
     pub(in crate::fleet) fn report_placed(
         &mut self,
@@ -380,27 +394,32 @@
     }
 }
 
-fn submission(now: Time, own: &Identity, request: &Request) -> Submission {
-    let arrival = &request.arrival;
-    let workspace = arrival.workspace.as_deref();
-    let route = &arrival.route;
-    Submission {
-        daemon: own.id.clone(),
-        incarnation: own.incarnation,
-        request: arrival.request,
-        id: arrival.id.clone(),
-        route: route.name.clone(),
-        repeat: route.repeat,
-        target: route.target_latency,
-        priority: workspace.and_then(|owner| owner.priority).unwrap_or(route.priority),
-        max_attempts: route.max_attempts,
-        pool: request.pool.clone(),
-        workspace: workspace.cloned(),
-        time_left: arrival.deadline.saturating_sub(now),
-        prompt: arrival.prompt.clone(),
-        fingerprint: arrival.fingerprint,
-        is_counted: request.submissions > 0 || arrival.is_handed_over,
-        draws_on_retry_budget: request.draws_on_retry_budget,
-        software: request.software,
+impl Node {
+    /// Describes a request to its scheduler.
+    fn submission(&self, now: Time, request: &Request) -> Submission {
+        let (arrival, own) = (&request.arrival, &self.identity);
+        let workspace = arrival.workspace.as_deref();
+        let isolated = self.isolated_owner(arrival).is_some();
+        let route = &arrival.route;
+        Submission {
+            daemon: own.id.clone(),
+            incarnation: own.incarnation,
+            request: arrival.request,
+            id: arrival.id.clone(),
+            route: route.name.clone(),
+            repeat: route.repeat,
+            target: route.target_latency,
+            priority: workspace.and_then(|owner| owner.priority).unwrap_or(route.priority),
+            max_attempts: route.max_attempts,
+            pool: request.pool.clone(),
+            workspace: workspace.map(|owner| Workspace { isolated, ..owner.clone() }),
+            cohort: self.cohort(arrival),
+            time_left: arrival.deadline.saturating_sub(now),
+            prompt: arrival.prompt.clone(),
+            fingerprint: arrival.fingerprint,
+            is_counted: request.submissions > 0 || arrival.is_handed_over,
+            draws_on_retry_budget: request.draws_on_retry_budget,
+            software: request.software,
+        }
     }
 }
--- a/src/fleet/scheduling/wire.rs
+++ b/src/fleet/scheduling/wire.rs
@@ -9,7 +9,7 @@
 use crate::poison::Fingerprint;
 use crate::prelude::*;
 use crate::quota::{Quota, Unit};
-use crate::route::{Repeat, Workspace};
+use crate::route::{Cohort, Repeat, Workspace};
 
 #[derive(Clone, PartialEq, prost::Message)]
 pub(in crate::fleet) struct Submission {
@@ -53,6 +53,12 @@
     draws_on_retry_budget: bool,
     #[prost(fixed64, optional, tag = "19")]
     software: Option<u64>,
+    /// Version of the configuration that the next field is from.
+    #[prost(uint64, tag = "20")]
+    configuration: u64,
+    /// Hash of the names of the isolated workspaces, if there are any.
+    #[prost(fixed64, optional, tag = "21")]
+    isolated_names: Option<u64>,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -196,6 +202,8 @@
             is_counted: submission.is_counted,
             draws_on_retry_budget: submission.draws_on_retry_budget,
             software: submission.software.map(|software| software.0),
+            configuration: submission.cohort.version,
+            isolated_names: submission.cohort.without,
         }
     }
 }
@@ -229,6 +237,7 @@
             max_attempts: wire.attempts,
             pool: wire.pool,
             workspace,
+            cohort: Cohort { version: wire.configuration, without: wire.isolated_names },
             time_left: duration(wire.time_left_ms),
             prompt: wire.prompt.map(Prompt::try_from).transpose()?,
             fingerprint: Fingerprint(wire.fingerprint),
--- a/src/fleet/tests/budget/charges.rs
+++ b/src/fleet/tests/budget/charges.rs
@@ -5,7 +5,7 @@
 use crate::fleet::*;
 use crate::poison::Fingerprint;
 use crate::prelude::*;
-use crate::route::Repeat;
+use crate::route::{Cohort, Repeat};
 
 const SERVERS: [(&str, &str); 3] =
     [("s-1", "plain 101 ready"), ("s-2", "plain 102 ready"), ("s-3", "plain 103 ready")];
@@ -45,6 +45,7 @@
         deadline: site.clock(taker) + route.timeout,
         route,
         workspace: None,
+        cohort: Cohort::default(),
         prompt: None,
         fingerprint: Fingerprint(1),
         is_handed_over: true,
--- a/src/fleet/tests/day/mod.rs
+++ b/src/fleet/tests/day/mod.rs
@@ -17,7 +17,7 @@
 use crate::fleet::*;
 use crate::poison::Fingerprint;
 use crate::prelude::*;
-use crate::route::Repeat;
+use crate::route::{Cohort, Repeat};
 
 /// Time between two steps.
 pub const STEP: Duration = Duration::from_millis(20);
@@ -250,6 +250,7 @@
             deadline: now + route.timeout,
             route,
             workspace: None,
+            cohort: Cohort::default(),
             prompt: (self.setup.pool == "engines").then_some(prompt),
             fingerprint: Fingerprint(call as u64),
             is_handed_over: from.is_some(),
--- a/src/fleet/tests/extreme.rs
+++ b/src/fleet/tests/extreme.rs
@@ -9,7 +9,7 @@
 use crate::poison::{self, Fingerprint};
 use crate::prelude::*;
 use crate::quota::Usage;
-use crate::route::{Kind, Limits, Pool, Repeat, Route, Split, Table};
+use crate::route::{Cohort, Kind, Limits, Pool, Repeat, Route, Split, Table};
 
 const SERVERS: [(&str, &str); 6] = [
     ("s-1", "plain 21 ready"),
@@ -150,6 +150,7 @@
         max_attempts: narrow(number),
         pool: pool.into(),
         workspace: None,
+        cohort: Cohort { version: number, without: Some(number) },
         time_left: age,
         prompt: (pool == "engines").then(|| prompt_of(number)),
         fingerprint: Fingerprint(number),
--- a/src/fleet/tests/frames.rs
+++ b/src/fleet/tests/frames.rs
@@ -1,11 +1,13 @@
 //! Encoding and decoding of frames, also from arbitrary bytes.
 
+use super::world::prompt;
 use crate::capacity;
 use crate::fairness::{self, Weight};
 use crate::fleet::*;
 use crate::poison::{self, Fingerprint};
 use crate::prelude::*;
 use crate::quota::Usage;
+use crate::route::{Cohort, Repeat};
 
 fn digest() -> Digest {
     let busy = Workload {
@@ -253,3 +255,32 @@
         }
     }
 }
+
+// A scheduler that lost the isolated workspaces on the way would choose the salt of before.
+#[test]
+fn decode_encoded_submission_keeps_its_cohort() {
+    for without in [None, Some(0), Some(u64::MAX)] {
+        let submission = Submission {
+            daemon: "router-1".into(),
+            incarnation: 7,
+            request: Key(4),
+            id: "r-1".into(),
+            route: "to-engines".into(),
+            repeat: Repeat::Resumable,
+            target: Duration::from_millis(600),
+            priority: 1,
+            max_attempts: 2,
+            pool: "engines".into(),
+            workspace: None,
+            cohort: Cohort { version: 12, without },
+            time_left: Duration::from_secs(5),
+            prompt: Some(prompt(7, 3)),
+            fingerprint: Fingerprint(9),
+            is_counted: true,
+            draws_on_retry_budget: false,
+            software: None,
+        };
+        let frame = Frame::Submission(Box::new(submission));
+        assert_eq!(Frame::decode(&frame.encode()), Ok(frame));
+    }
+}
--- a/src/fleet/tests/mod.rs
+++ b/src/fleet/tests/mod.rs
@@ -31,6 +31,7 @@
 mod residency;
 mod review;
 mod rollout;
+mod salt;
 mod scheduling;
 mod servers;
 mod silence;
--- a/src/fleet/tests/partition/mod.rs
+++ b/src/fleet/tests/partition/mod.rs
@@ -8,7 +8,7 @@
 use crate::fleet::{Arrival, Command, Key, Message, Start};
 use crate::poison::Fingerprint;
 use crate::prelude::*;
-use crate::route::Repeat;
+use crate::route::{Cohort, Repeat};
 use traffic::Traffic;
 
 /// Number of daemons.
@@ -259,6 +259,7 @@
             deadline: site.now + route.timeout,
             route: Arc::clone(&route),
             workspace: None,
+            cohort: Cohort::default(),
             prompt: None,
             fingerprint: Fingerprint(key.0),
             is_handed_over: true,
--- a/src/fleet/tests/partition/traffic.rs
+++ b/src/fleet/tests/partition/traffic.rs
@@ -7,7 +7,7 @@
 use crate::fleet::*;
 use crate::poison::Fingerprint;
 use crate::prelude::*;
-use crate::route::Repeat;
+use crate::route::{Cohort, Repeat};
 
 /// Time between two steps of the simulation.
 const STEP: Duration = Duration::from_millis(20);
@@ -218,6 +218,7 @@
             deadline: now + (call.sent_at + route.timeout).saturating_sub(self.site.now),
             route,
             workspace: None,
+            cohort: Cohort::default(),
             prompt: (call.pool == "engines").then(|| prompt(7, subject)),
             fingerprint: Fingerprint(hop.call as u64),
             is_handed_over: hop.from.is_some(),
--- a/src/fleet/tests/software/simulation/mod.rs
+++ b/src/fleet/tests/software/simulation/mod.rs
@@ -11,7 +11,7 @@
 use crate::fleet::*;
 use crate::poison::Fingerprint;
 use crate::prelude::*;
-use crate::route::{Repeat, Route};
+use crate::route::{Cohort, Repeat, Route};
 
 /// Time between two steps.
 const STEP: Duration = Duration::from_millis(20);
@@ -315,6 +315,7 @@
             id: id.clone(),
             route: Arc::new(route),
             workspace: None,
+            cohort: Cohort::default(),
             deadline: self.site.clock(daemon) + stream.deadline.saturating_sub(now),
             prompt: Some(prompt(7, self.rng.u64(1..40))),
             fingerprint: Fingerprint(index as u64),
--- a/src/fleet/tests/world.rs
+++ b/src/fleet/tests/world.rs
@@ -8,7 +8,9 @@
 use crate::poison::{Blocked, Fingerprint};
 use crate::prelude::*;
 use crate::quota;
-use crate::route::{Engine, Kind, KvStore, Limits, Pool, Repeat, Route, Split, Table, Workspace};
+use crate::route::{
+    Cohort, Engine, Kind, KvStore, Limits, Pool, Repeat, Route, Split, Table, Workspace,
+};
 
 pub fn ms(milliseconds: u64) -> Time {
     Duration::from_millis(milliseconds)
@@ -79,6 +81,11 @@
             let table = Arc::new(table(parse_number(version)?, &[200]));
             Ok(Change::Table { table, left_out: Vec::new() })
         }
+        ["table", version, "isolates", names @ ..] => {
+            let names: Vec<&str> = names.iter().copied().filter(|name| !name.is_empty()).collect();
+            let table = Arc::new(table_with(parse_number(version)?, &[200], &names));
+            Ok(Change::Table { table, left_out: Vec::new() })
+        }
         ["table", version, "stores", stores @ ..] => {
             let stores = stores.iter().map(|last| Ok(parse_number(last)? as u8));
             let stores: Vec<u8> = stores.collect::<Result<_, String>>()?;
@@ -156,6 +163,11 @@
 
 /// A table with a KV store at each of the addresses `stores`, in zones 1 to 3 by turns.
 fn table(version: u64, stores: &[u8]) -> Table {
+    table_with(version, stores, &[])
+}
+
+/// The same with these isolated workspaces.
+fn table_with(version: u64, stores: &[u8], isolated: &[&str]) -> Table {
     let engine = Engine {
         slots: 48,
         kv_capacity_tokens: 100_000,
@@ -176,7 +188,16 @@
     let stores =
         stores.iter().map(|last| (format!("kept-{last}"), pool(Kind::KvStore(store(*last)))));
     pools.extend(stores);
-    Table::new(version, Vec::new(), pools, None, Limits::default()).expect("the table is valid")
+    let workspace = |name: &&str| Workspace {
+        name: (*name).into(),
+        priority: None,
+        isolated: true,
+        quota: None,
+    };
+    let workspaces: Vec<_> = isolated.iter().map(|name| (workspace(name), Vec::new())).collect();
+    let workspaces = Some(workspaces).filter(|workspaces| !workspaces.is_empty());
+    let table = Table::new(version, Vec::new(), pools, workspaces, Limits::default());
+    table.expect("the table is valid")
 }
 
 /// A node under test.
@@ -188,6 +209,8 @@
     pub fingerprint: Fingerprint,
     /// How the requests that arrive next start.
     pub start: Start,
+    /// The cohort with which the requests that arrive next come.
+    pub cohort: Cohort,
 }
 
 impl Daemon {
@@ -215,6 +238,7 @@
             next_request: 0,
             fingerprint: Fingerprint(0),
             start: Start::New,
+            cohort: Cohort::default(),
         }
     }
 
@@ -281,6 +305,7 @@
             id: format!("{}-request-{}", self.node.identity.id, self.next_request),
             route: Arc::clone(route),
             workspace: workspace.map(Arc::new),
+            cohort: self.cohort,
             deadline: now + route.timeout,
             prompt,
             fingerprint: self.fingerprint,
--- a/src/relay/caller.rs
+++ b/src/relay/caller.rs
@@ -171,14 +171,15 @@
     };
     let mut summary = Summary::new(frontend, &metadata, origin);
     let error_fields = frontend.dialect.error_fields(&metadata);
-    let found = match frontend.control.table() {
-        Some(table) => {
-            summary.table_version = table.version();
-            let host = request.fields.get("host").unwrap_or_default();
-            table.find(host, request.path(), metadata.workspace_key.as_deref())
-        }
-        None => return answer_no_manifest(frontend, conn, request, &summary, error_fields).await,
+    let Some(table) = frontend.control.table() else {
+        return answer_no_manifest(frontend, conn, request, &summary, error_fields).await;
     };
+    summary.table_version = table.version();
+    let host = request.fields.get("host").unwrap_or_default();
+    let found = table.find(host, request.path(), metadata.workspace_key.as_deref());
+    let cohort = table.cohort();
+    // A request may last for longer than its configuration.
+    drop(table);
     let (route, workspace) = match found {
         Lookup::Route(route, workspace) => (route, workspace),
         Lookup::NoRoute | Lookup::NoWorkspace => {
@@ -201,6 +202,7 @@
         request,
         body,
         workspace,
+        cohort,
         key: frontend.control.next_request_key(),
         origin,
         deadline: summary.started + metadata.timeout.unwrap_or(limit),
--- a/src/relay/delivery.rs
+++ b/src/relay/delivery.rs
@@ -20,7 +20,7 @@
 };
 use crate::poison::Fingerprint;
 use crate::prelude::*;
-use crate::route::{Repeat, Route, Workspace};
+use crate::route::{Cohort, Repeat, Route, Workspace};
 use crate::telemetry::emit;
 
 /// Maximum size of an answer, or of an event of a stream, that is buffered completely before it is forwarded.
@@ -94,6 +94,8 @@
     pub(super) metadata: Metadata,
     pub(super) route: Arc<Route>,
     pub(super) workspace: Option<Arc<Workspace>>,
+    /// The workspaces that share cached prompts, by the configuration that the route is from.
+    pub(super) cohort: Cohort,
     pub(super) key: Key,
     pub(super) origin: Origin,
     /// The time at which the caller stops waiting.
@@ -130,6 +132,7 @@
             id: self.metadata.id.clone(),
             route: Arc::clone(&self.route),
             workspace: self.workspace.clone(),
+            cohort: self.cohort,
             deadline: self.deadline,
             prompt: self.metadata.prompt.clone(),
             fingerprint: self.fingerprint(),
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -3,12 +3,14 @@
 //! A [`Table`] is one published configuration, validated and indexed. It is immutable; a newer
 //! version replaces it as a whole.
 
+mod cohort;
 mod table;
 #[cfg(test)]
 mod tests;
 
 use std::net::SocketAddr;
 
+pub use cohort::Cohort;
 pub use table::{Error, Lookup, Table};
 
 use crate::prelude::*;
--- a/src/route/table.rs
+++ b/src/route/table.rs
@@ -1,6 +1,6 @@
 //! Routing table: one configuration, indexed by host and by key.
 
-use super::{Engine, Kind, KvStore, Limits, Pool, Route, Workspace};
+use super::{Cohort, Engine, Kind, KvStore, Limits, Pool, Route, Workspace};
 use crate::fairness::Weight;
 use crate::prelude::*;
 use crate::quota::{Quota, Unit};
@@ -20,6 +20,9 @@
     workspaces_by_key: BTreeMap<String, Arc<Workspace>>,
     /// The names of all workspaces.
     names: BTreeSet<String>,
+    /// The names of the workspaces that share no cached prompts.
+    isolated: BTreeSet<String>,
+    cohort: Cohort,
     /// Whether routes that are not public need a workspace's key, even if no workspace has one.
     requires_key: bool,
     /// Quotas by workspace; workspaces without a quota are left out.
@@ -72,9 +75,10 @@
         let requires_key = workspaces.is_some();
         let mut workspaces_by_key = BTreeMap::new();
         let mut quotas = BTreeMap::new();
-        let mut names = BTreeSet::new();
+        let (mut names, mut isolated) = (BTreeSet::new(), BTreeSet::new());
         for (workspace, owned_keys) in workspaces.unwrap_or_default() {
             names.insert(workspace.name.clone());
+            isolated.extend(workspace.isolated.then(|| workspace.name.clone()));
             quotas.extend(workspace.quota.map(|quota| (workspace.name.clone(), quota)));
             let workspace = Arc::new(workspace);
             workspaces_by_key
@@ -88,6 +92,8 @@
             pools,
             workspaces_by_key,
             names,
+            cohort: Cohort::of(version, &isolated),
+            isolated,
             requires_key,
             quotas,
             unreadable_quotas,
@@ -133,6 +139,16 @@
         self.version
     }
 
+    /// Returns the workspaces that share cached prompts.
+    pub fn cohort(&self) -> Cohort {
+        self.cohort
+    }
+
+    /// Returns whether the workspace shares no cached prompts with others.
+    pub fn is_isolated(&self, workspace: &str) -> bool {
+        self.isolated.contains(workspace)
+    }
+
     /// Returns the limits on callers' requests and connections.
     pub fn limits(&self) -> Limits {
         self.limits
