The end of an answer without a length counts only if no reset follows

What callers would see: a part of an answer as the whole one, where a server closes a connection before it has got all of a request. Its kernel ends the connection in good order and resets it at the next bytes of the request that arrive.

Cause: `read_body` asked for the socket's error when it saw the end; the reset comes a round trip later.

Why it works: `Answer::confirm_end` decides on the end in one place for plain answers, held ones and those passed on as they come, streams, and this router's calls. Where the request has a body it waits for 30 ms, then asks for the error. Answers with a length or chunks, and those to requests without a body, wait for nothing. Peers frame their answers; the own interface takes none unframed.

Ruled out: asking the kernel what is unacknowledged (no safe call for it); never taking an unframed answer to a request with a body (sound servers send them). A server that ends its side and resets more than 30 ms later still looks whole.

Failed before (without the wait): relay_unframed_answer_reset_after_its_end_is_not_complete, "Ended" in place of "Lost".

--- a/src/relay/conn.rs
+++ b/src/relay/conn.rs
@@ -191,7 +191,7 @@
     }
 
     /// Returns whether the connection, which has ended, was reset or failed.
-    fn has_failed(&self) -> bool {
+    pub(super) fn has_failed(&self) -> bool {
         self.write_failed || matches!(self.stream.get_ref().take_error(), Ok(Some(_)))
     }
 
--- a/src/relay/delivery.rs
+++ b/src/relay/delivery.rs
@@ -280,6 +280,7 @@
             id: Some(&self.metadata.id),
             message: &message,
             body,
+            has_body: !self.body.is_empty(),
             answers_head: self.request.is_head(),
         };
         let on_send = || self.progress.sent.store(true, Ordering::Release);
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -20,7 +20,8 @@
 /// again after a second.
 const CALL_CONNECT_TIMEOUT: Duration = Duration::from_millis(1_200);
 
-/// Time in which a partition resets a connection that it has let through.
+/// Time in which a partition resets a connection that it has let through, or a server one on which it gets more after it has
+/// closed it: several round trips within a region.
 const RESET_DELAY: Duration = Duration::from_millis(30);
 
 /// Maximum number of answers to other requests that are discarded while an own one is awaited: each earlier answer of the
@@ -48,13 +49,15 @@
     conn: Conn,
     /// Whether the request is a HEAD request.
     answers_head: bool,
+    /// Whether the request has a body, of which the server may not have read all.
+    has_body: bool,
     discarded: Discarded,
 }
 
 impl Exchange {
     /// The exchange on `conn`, a connection to `address` on which a request was sent.
-    pub(super) fn new(conn: Conn, address: SocketAddr, answers_head: bool) -> Self {
-        Self { address, conn, answers_head, discarded: Discarded::default() }
+    pub(super) fn new(conn: Conn, address: SocketAddr, answers_head: bool, has_body: bool) -> Self {
+        Self { address, conn, answers_head, has_body, discarded: Discarded::default() }
     }
 
     /// Reads the head of the next answer.
@@ -97,9 +100,9 @@
 
     /// Returns the answer with this head, which was read last.
     pub(super) fn into_answer(self, response: Response) -> Answer {
-        let Self { address, conn, answers_head, discarded: _ } = self;
+        let Self { address, conn, answers_head, has_body, discarded: _ } = self;
         let decoder = Decoder::new(response.framing);
-        Answer { response, decoder, address, conn, answers_head }
+        Answer { response, decoder, address, conn, answers_head, has_body, is_ended: false }
     }
 }
 
@@ -114,12 +117,35 @@
     conn: Conn,
     /// Whether the answer is to a HEAD request.
     answers_head: bool,
+    /// Whether the request has a body.
+    has_body: bool,
+    /// Whether the end of the connection was seen and is the end of the body.
+    is_ended: bool,
 }
 
 impl Answer {
     /// Waits for body bytes and appends them to `output`. Returns false once the body is complete.
     pub async fn read(&mut self, output: &mut Vec<u8>) -> Result<bool, Cut> {
-        self.conn.read_body(&mut self.decoder, output).await
+        let more = self.conn.read_body(&mut self.decoder, output).await?;
+        if !more && self.decoder.completes_on_close() && !self.is_ended {
+            self.confirm_end().await?;
+            self.is_ended = true;
+        }
+        Ok(more)
+    }
+
+    /// Fails if the end of the connection is not that of the body, for an answer that states no end of its own.
+    ///
+    /// A server that closes a connection before it has got all of the request ends it in good order, and resets it at the next
+    /// bytes that arrive.
+    async fn confirm_end(&self) -> Result<(), Cut> {
+        if self.has_body {
+            Timer::after(RESET_DELAY).await;
+        }
+        match self.conn.has_failed() {
+            true => Err(Cut::Broken("the connection was reset after its end".into())),
+            false => Ok(()),
+        }
     }
 
     /// Reads the rest of the body, at most `limit` bytes.
@@ -174,6 +200,8 @@
     pub message: &'a [u8],
     /// The body that follows.
     pub body: &'a [u8],
+    /// Whether the request has a body, in `message` or behind it.
+    pub has_body: bool,
     /// Whether the answer has no body, whatever its head declares.
     pub answers_head: bool,
 }
@@ -205,7 +233,7 @@
 ) -> Result<Exchange, Failure> {
     conn.record_request(question.id);
     write(&mut conn, &[question.message, question.body]).await?;
-    Ok(Exchange::new(conn, address, question.answers_head))
+    Ok(Exchange::new(conn, address, question.answers_head, question.has_body))
 }
 
 /// Writes the pieces of a message one after the other.
@@ -308,7 +336,9 @@
     max_body_bytes: usize,
 ) -> Result<(u16, Vec<u8>), Failure> {
     let message = call.encode(address);
-    let question = Question { id: None, message: &message, body: &[], answers_head: false };
+    let has_body = !call.body.is_empty();
+    let question =
+        Question { id: None, message: &message, body: &[], has_body, answers_head: false };
     let exchange = async {
         let mut sent = match call.correlation {
             Correlation::Connection => {
--- a/src/relay/tests/delivery/ending.rs
+++ b/src/relay/tests/delivery/ending.rs
@@ -190,6 +190,38 @@
     }
 }
 
+/// Starts a server that reads only the start of a request, answers with `answer`, ends its sending side in good order, and
+/// resets the connection a little later.
+fn serve_and_reset_after_the_end(answer: String) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port is available");
+    let address = listener.local_addr().expect("the listener is bound");
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("the daemon connects");
+        stream.read_exact(&mut [0; 64]).expect("a request arrives");
+        stream.write_all(answer.as_bytes()).expect("the connection is open");
+        stream.shutdown(Shutdown::Write).expect("the connection is open");
+        thread::sleep(Duration::from_millis(10));
+    });
+    address
+}
+
+// The server closed its side before it had the request, whose next bytes it met with a reset. Its answer looked whole, since the
+// end had come first.
+#[test]
+fn relay_unframed_answer_reset_after_its_end_is_not_complete() {
+    let body = "b".repeat(60_000);
+    let head =
+        format!("POST / HTTP/1.1\r\nHost: a.example\r\nContent-Length: {}\r\n\r\n", body.len());
+    for (streams, part) in [(false, "half of an ans"), (true, EVENTS[0])] {
+        let fixture = Fixture::start_request(format!("{head}{body}").as_bytes(), streams);
+        let (_, commands) = fixture.receive_arrival();
+        let server = serve_and_reset_after_the_end(format!("HTTP/1.1 200 OK\r\n\r\n{part}"));
+        commands.try_send(dispatch(1, server)).expect("the delivery awaits a command");
+        let report = receive_last_report(&fixture, 1);
+        assert_eq!(report, Report::Lost(Loss::Connection), "{streams}");
+    }
+}
+
 // A daemon that was frozen meanwhile finds the end and the reset together.
 #[test]
 fn read_whole_unframed_body_reset_after_its_end_is_not_complete() {
