A number outside 100 to 599 is no status of an answer

What callers would see: the inside of a body as an answer. A head with status 000 was skipped as an informational one (any number below 200), and its body read as the next head; where it had none, the caller waited to its time limit. Numbers from 600 on were passed on.

Why it works: `Response::parse` refuses the number, so callers' attempts, own calls and peers' answers all do. The attempt is lost at once (invalid answer); on a kept connection the bytes are noise as before.

--- a/src/relay/head.rs
+++ b/src/relay/head.rs
@@ -6,6 +6,8 @@
 
 /// Maximum number of header fields in one head.
 const MAX_FIELDS: usize = 96;
+/// Statuses of answers, informational ones included (RFC 9110, section 15).
+const STATUSES: std::ops::RangeInclusive<u16> = 100..=599;
 /// Connection-specific fields (RFC 9110, section 7.6.1) and fields that declare the framing.
 const HOP_BY_HOP: [&str; 9] = [
     "connection",
@@ -166,6 +168,9 @@
             return Ok(None);
         };
         let status = parsed.code.unwrap_or_default();
+        if !STATUSES.contains(&status) {
+            return Err(Malformed(format!("{status:03} is no status of an answer")));
+        }
         let fields = Fields::parse(parsed.headers)?;
         let bodiless = answers_head || matches!(status, 100..=199 | 204 | 304);
         let framing = if bodiless { Framing::Length(0) } else { Framing::of_response(&fields)? };
--- a/src/relay/tests/delivery/head.rs
+++ b/src/relay/tests/delivery/head.rs
@@ -74,3 +74,26 @@
         assert!(matches!(answer, Err(Failure::Lost(_))), "{part:?}: {answer:?}");
     }
 }
+
+/// Numbers where a status is due that are none.
+const NO_STATUSES: [&str; 5] = ["000", "001", "099", "600", "999"];
+
+// A number below 100 passed for an informational answer, after which the body stood where the answer was due. One above 599
+// reached the caller as a status.
+#[test]
+fn relay_answer_with_an_impossible_status_is_no_answer() {
+    let inner = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno";
+    for (streams, status) in [true, false].into_iter().flat_map(|s| NO_STATUSES.map(|n| (s, n))) {
+        let mut fixture = Fixture::start(streams);
+        let (_, commands) = fixture.receive_arrival();
+        let head = format!("HTTP/1.1 {status} None\r\nContent-Length: {}\r\n\r\n", inner.len());
+        let server = serve_once(format!("{head}{inner}").into_bytes());
+        commands.try_send(dispatch(1, server)).expect("the delivery awaits a command");
+        let lost = (1, Report::Lost(Loss::InvalidAnswer));
+        assert_eq!(fixture.receive_report(), lost, "{status}");
+        commands.try_send(Command::GiveUp).expect("the delivery awaits a command");
+        let mut received = [0; 13];
+        fixture.caller.read_exact(&mut received).expect("an answer arrives");
+        assert_eq!(&received, b"HTTP/1.1 502 ", "{status}");
+    }
+}
