What comes whole late in a planned stop is refused, not passed on and cut

What callers saw: no answer, also to requests that run once and had run, if the last bytes of their body arrived in the last 0.4 s of the grace; 502 (unknown) if they arrived shortly before.

Cause: the deadline of a stop ends what is open at that moment; the node admitted what arrived after it.

Why it works: from the middle of the time between notice and end the node refuses arrivals at once as not run (2006), and has the other half to answer what it admitted. Idle and new connections are closed by then, so only requests that take long to come meet it.

Ruled out: refusing from the signal on (callers come for as long as the readiness checks need to see it); a time by route (how long a stream lasts isn't known).

--- a/src/fleet/message.rs
+++ b/src/fleet/message.rs
@@ -349,6 +349,8 @@
     Frame(Frame),
     /// A planned stop was requested.
     Stop,
+    /// Much of the time of a planned stop has passed: requests that arrive from now on might not be answered within it.
+    StopAdmission,
     /// The time limit of a planned stop is about to expire.
     StopDeadline,
     /// Time has passed.
--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -194,6 +194,8 @@
     /// Since when this daemon lacks records of a topic, or when it last requested them.
     pub(super) behind: BTreeMap<Topic, Time>,
     pub(super) draining: bool,
+    /// Whether a planned stop leaves no time for further requests.
+    pub(super) refuses_arrivals: bool,
     pub(super) counts: Counts,
     /// Refusals since the start, by code.
     pub(super) refusals: BTreeMap<Code, u64>,
@@ -269,6 +271,7 @@
             ahead: BTreeMap::new(),
             behind: BTreeMap::new(),
             draining: false,
+            refuses_arrivals: false,
             counts: Counts::default(),
             refusals: BTreeMap::new(),
             rng,
@@ -301,6 +304,7 @@
             Message::PathProbed(server, connect) => self.path_probed(now, server, connect),
             Message::Frame(frame) => self.handle_frame(now, frame),
             Message::Stop => self.stop(now),
+            Message::StopAdmission => self.refuses_arrivals = true,
             Message::StopDeadline => self.finish_stop(now),
             Message::Tick => self.tick(now),
         }
@@ -362,6 +366,7 @@
     /// Ends all requests without an answer while their callers can still be informed: waiting requests
     /// did not run, and the outcome of sent ones is unknown. Answers that have begun continue.
     fn finish_stop(&mut self, now: Time) {
+        self.refuses_arrivals = true;
         // Waiting requests end first: else they would be sent to the slots that sent ones free.
         let waiting = self.waiting.iter().map(|turn| turn.key);
         let at_schedulers =
--- a/src/fleet/requests.rs
+++ b/src/fleet/requests.rs
@@ -68,6 +68,9 @@
         let (key, is_handed_over) = (arrival.request, arrival.is_handed_over);
         let request = Request::new(now, arrival, pool, None);
         self.requests.insert(key, request);
+        if self.refuses_arrivals {
+            return self.refuse(now, key, Code::Draining);
+        }
         if self.is_blocked(key) {
             return self.refuse_blocked(now, key);
         }
--- a/src/fleet/tests/requests.rs
+++ b/src/fleet/tests/requests.rs
@@ -228,3 +228,19 @@
     };
     assert!(sent_commands.iter().any(refused), "{sent_commands:?}");
 }
+
+// What was read whole after the last requests had been ended was sent to a server, and cut when the process ended.
+#[test]
+fn arrival_late_in_a_planned_stop_is_refused_as_not_run() {
+    for message in [Message::StopAdmission, Message::StopDeadline] {
+        let mut daemon = Daemon::with_servers(1, &[("s-1", "plain 11 ready")]);
+        let route = route("plain", Repeat::AtMostOnce, 1);
+        daemon.node.apply(ms(50), Message::Stop);
+        let (_, early) = daemon.arrive(ms(55), &route, None);
+        assert!(matches!(commands(&early)[..], [Command::Dispatch(_)]), "{early:?}");
+        daemon.node.apply(ms(60), message.clone());
+        let (_, late) = daemon.arrive(ms(70), &route, None);
+        let late = commands(&late);
+        assert!(matches!(late[..], [Command::Refuse(Code::Draining, _)]), "{message:?} {late:?}");
+    }
+}
--- a/src/relay/tests/delivery.rs
+++ b/src/relay/tests/delivery.rs
@@ -464,10 +464,12 @@
     // The control thread has no open request, but the caller has no answer yet.
     assert_eq!(fixture.frontend.control.open_requests(), 0);
     assert_eq!(block_on(drain(&fixture.frontend, Duration::from_millis(50))), 1);
-    let Ok(Input::Message(message)) = fixture.inputs.recv_blocking() else {
-        panic!("expected a message")
-    };
-    assert_eq!(*message, Message::StopDeadline);
+    for expected in [Message::StopAdmission, Message::StopDeadline] {
+        let Ok(Input::Message(message)) = fixture.inputs.recv_blocking() else {
+            panic!("expected a message")
+        };
+        assert_eq!(*message, expected);
+    }
     commands
         .try_send(Command::Refuse(Code::NoServer, Duration::ZERO))
         .expect("the delivery awaits a command");
