The own interface keeps no bytes without end of a faulty server

What operators would see: a daemon that runs out of memory, since a server sends bytes that are no answer until it closes. Shown at the own interface: a line of a head without its end was kept (67 MB in the test, all that the server sent), an event of a stream up to 1 GiB.

Cause: the HTTP library checks a head's size once a line has ended; the library for events has no bound.

Why it works: reads of a connection fail once 16 KiB came without an empty line; a stream ends within an event of more than 1 MiB, as if it had been broken off; a text is kept up to 16 MiB; a connection yields after 64 KiB, as those of the other interface do.

Ruled out: trailers and chunk lines (bounded by the library), service answers (bounded by limits.answer_bytes).

--- a/src/entry/pump.rs
+++ b/src/entry/pump.rs
@@ -10,8 +10,7 @@
 use super::openai::{Completion, chunk_text};
 use crate::attempt::{self, Command, Dispatch, Outcome, Refusal, Report};
 use crate::control::Message;
-use crate::http::client;
-use crate::http::header;
+use crate::http::{client, events, header};
 use crate::prefix;
 use crate::prelude::*;
 use crate::telemetry::trace::Hop;
@@ -20,6 +19,8 @@
 pub(super) const END_OF_STREAM: &str = "[DONE]";
 /// Maximum bytes read from one engine stream.
 const MAX_STREAM_BYTES: u64 = 1 << 30;
+/// Maximum size of a completion's text, which is held to continue it at another engine: millions of tokens.
+const MAX_TEXT_BYTES: usize = 16 << 20;
 
 /// One part of an answer, sent in order from a pump to the caller's connection.
 #[derive(Debug)]
@@ -227,7 +228,7 @@
         cached_tokens: Option<u32>,
     ) -> Outcome {
         let body = answer.response.take_body().take(MAX_STREAM_BYTES);
-        let mut events = async_sse::decode(futures_lite::io::BufReader::new(body));
+        let mut events = events::decode(body);
         let mut begun = false;
         while let Some(event) = events.next().await {
             let message = match event {
@@ -246,6 +247,9 @@
                 self.report_begun(dispatch, cached_tokens).await;
             }
             self.text.push_str(chunk_text(self.completion.kind, &chunk));
+            if self.text.len() > MAX_TEXT_BYTES {
+                return Outcome::TooLarge;
+            }
             self.position += 1;
             if self.pieces.send(Piece::Chunk(data)).await.is_err() {
                 return Outcome::CallerGone;
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -98,7 +98,8 @@
     let head_only = request.method() == Method::Head;
     let socket = Socket::connect(address, limits.connect_timeout, limits.idle_timeout)
         .await
-        .map_err(|error| Failure::new(Stage::Unsent, error))?;
+        .map_err(|error| Failure::new(Stage::Unsent, error))?
+        .with_head_limit();
     let exchange = async {
         async_h1::connect(socket.clone(), request).await.map_err(|error| error.to_string())
     };
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod body;
 pub mod client;
+pub mod events;
 pub mod header;
 pub mod server;
 mod socket;
--- a/src/http/socket.rs
+++ b/src/http/socket.rs
@@ -16,6 +16,11 @@
 /// Delay after a failed accept, so that file descriptors can become available again.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 const HEAD_END: &[u8; 4] = b"\r\n\r\n";
+/// Maximum size of a head with what is read in one piece with its end. The HTTP library takes 8 KiB, but counts only once a line
+/// has ended.
+const MAX_HEAD_BYTES: u64 = 16 << 10;
+/// Number of bytes read from a connection after which other tasks run although more are there.
+const MAX_BYTES_WITHOUT_YIELD: usize = 64 << 10;
 
 /// Scanner that finds the end of the current exchange's head in the bytes read.
 #[derive(Debug, Default)]
@@ -23,12 +28,33 @@
     bytes_read: u64,
     matched_bytes: usize,
     head_length: Option<u64>,
+    /// Number of bytes of the current line, until the first empty one.
+    line_bytes: u64,
+    /// Whether a line was empty, whichever line breaks are used.
+    has_empty_line: bool,
 }
 
 impl Scanner {
+    fn scan_lines(&mut self, bytes: &[u8]) {
+        for byte in bytes {
+            match byte {
+                _ if self.has_empty_line => return,
+                b'\r' => {}
+                b'\n' => self.has_empty_line = std::mem::take(&mut self.line_bytes) == 0,
+                _ => self.line_bytes += 1,
+            }
+        }
+    }
+
+    /// Returns whether the head has more bytes than any that is taken.
+    fn is_head_too_large(&self) -> bool {
+        !self.has_empty_line && self.bytes_read > MAX_HEAD_BYTES
+    }
+
     fn scan(&mut self, bytes: &[u8]) {
         let before = self.bytes_read;
         self.bytes_read += bytes.len() as u64;
+        self.scan_lines(bytes);
         if self.head_length.is_some() {
             return;
         }
@@ -62,6 +88,10 @@
     idle_timeout: Duration,
     read_timer: Option<Timer>,
     write_timer: Option<Timer>,
+    /// Whether a read fails once the head is too large.
+    limits_head: bool,
+    /// Number of bytes read since other tasks could last run.
+    unyielded: usize,
 }
 
 impl Socket {
@@ -72,7 +102,12 @@
 
     /// Wraps the connection of a caller, whose requests are counted in `holding`.
     pub fn of_caller(stream: Async<TcpStream>, idle_timeout: Duration, holding: Holding) -> Self {
-        Self::with_holding(stream, idle_timeout, Some(holding))
+        Self::with_holding(stream, idle_timeout, Some(holding)).with_head_limit()
+    }
+
+    /// Has reads fail once a message's head is larger than any that is taken.
+    pub fn with_head_limit(self) -> Self {
+        Self { limits_head: true, ..self }
     }
 
     fn with_holding(
@@ -87,7 +122,12 @@
             scanner: Mutex::new(Scanner::default()),
             holding,
         };
-        Self { shared: Arc::new(shared), idle_timeout, read_timer: None, write_timer: None }
+        Self::over(Arc::new(shared), idle_timeout, false)
+    }
+
+    fn over(shared: Arc<Shared>, idle_timeout: Duration, limits_head: bool) -> Self {
+        let (read_timer, write_timer, unyielded) = (None, None, 0);
+        Self { shared, idle_timeout, read_timer, write_timer, limits_head, unyielded }
     }
 
     /// Connects to `address` within `timeout`.
@@ -147,12 +187,7 @@
 
 impl Clone for Socket {
     fn clone(&self) -> Self {
-        Self {
-            shared: Arc::clone(&self.shared),
-            idle_timeout: self.idle_timeout,
-            read_timer: None,
-            write_timer: None,
-        }
+        Self::over(Arc::clone(&self.shared), self.idle_timeout, self.limits_head)
     }
 }
 
@@ -176,15 +211,31 @@
         buf: &mut [u8],
     ) -> Poll<io::Result<usize>> {
         let this = &mut *self;
+        if this.unyielded >= MAX_BYTES_WITHOUT_YIELD {
+            this.unyielded = 0;
+            cx.waker().wake_by_ref();
+            return Poll::Pending;
+        }
         match Pin::new(&mut &this.shared.stream).poll_read(cx, buf) {
             Poll::Ready(result) => {
                 this.read_timer = None;
                 if let (Ok(count), Ok(mut scanner)) = (&result, this.shared.scanner.lock()) {
+                    this.unyielded += count;
                     scanner.scan(&buf[..*count]);
+                    if this.limits_head && scanner.is_head_too_large() {
+                        let reason = "the head is too large";
+                        return Poll::Ready(Err(io::Error::new(
+                            io::ErrorKind::InvalidData,
+                            reason,
+                        )));
+                    }
                 }
                 Poll::Ready(result)
             }
-            Poll::Pending => poll_idle_timeout(&mut this.read_timer, this.idle_timeout, cx),
+            Poll::Pending => {
+                this.unyielded = 0;
+                poll_idle_timeout(&mut this.read_timer, this.idle_timeout, cx)
+            }
         }
     }
 }
--- a/src/http/tests.rs
+++ b/src/http/tests.rs
@@ -1,12 +1,16 @@
 //! Tests of exchanges over real sockets with misbehaving peers.
 
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 
-use async_io::block_on;
+use async_io::{Async, block_on};
+use futures_lite::io::Cursor;
+use futures_lite::{AsyncReadExt, FutureExt, StreamExt};
 use http_types::Method;
+use rustix::net::sockopt;
 
 use super::client::{self, Limits, Stage};
+use super::{Socket, events};
 use crate::prelude::*;
 
 const LIMITS: Limits = Limits {
@@ -138,3 +142,104 @@
         assert_eq!(exchange(address, LIMITS), Ok(number.to_string()));
     }
 }
+
+/// Number of bytes that a server without end sends if nothing stops it, more than the buffers between two sockets hold.
+const FLOOD_BYTES: usize = 64 << 20;
+
+/// Starts a server that sends `begin` and then `text` again and again. Returns its address and the channel on which it tells how
+/// many bytes it could send.
+fn flood(
+    begin: &'static str,
+    text: &'static str,
+) -> (SocketAddr, std::sync::mpsc::Receiver<usize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port is available");
+    let address = listener.local_addr().expect("the listener is bound");
+    let (sender, sent) = std::sync::mpsc::channel();
+    std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a client connects");
+        assert!(stream.read(&mut [0; 1_000]).is_ok_and(|count| count > 0), "a request arrives");
+        let piece = text.repeat((64 << 10) / text.len());
+        let (mut count, mut open) = (0, stream.write_all(begin.as_bytes()).is_ok());
+        while open && count < FLOOD_BYTES {
+            open = stream.write_all(piece.as_bytes()).is_ok();
+            count += piece.len();
+        }
+        sender.send(count).ok();
+    });
+    (address, sent)
+}
+
+// The library looks at a head's size once a line has ended. A line without an end was kept until the memory was used up.
+#[test]
+fn send_head_without_end_is_not_kept() {
+    let heads = [
+        ("", "no answer "),
+        ("HTTP/1.1 200 OK\r\nx: ", "aaaa"),
+        ("HTTP/1.1 200 OK\r\n", "x: y\r\n"),
+    ];
+    for (begin, text) in heads {
+        let (address, sent) = flood(begin, text);
+        let failure = exchange(address, LIMITS).expect_err("it is no answer");
+        assert_eq!(failure.stage, Stage::Sent, "{}", failure.reason);
+        let sent = sent.recv().expect("the server runs");
+        assert!(sent < FLOOD_BYTES, "{begin:?} {text:?}: {sent} bytes were read");
+    }
+}
+
+// A read that always finds bytes let no other task of its thread run.
+#[test]
+fn read_of_many_bytes_lets_others_run() {
+    const COUNT: usize = 150_000;
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port is available");
+    sockopt::set_socket_recv_buffer_size(&listener, 4 * COUNT).expect("it is open");
+    let address = listener.local_addr().expect("the listener is bound");
+    let mut sender = TcpStream::connect(address).expect("the listener accepts connections");
+    let (stream, _) = listener.accept().expect("a connection arrives");
+    sender.write_all(&vec![0; COUNT]).expect("the connection is open");
+    // All bytes are there before the first read.
+    while stream.peek(&mut vec![0; COUNT]).expect("the connection is open") < COUNT {
+        std::thread::sleep(Duration::from_millis(1));
+    }
+    let stream = Async::new(stream).expect("the stream can be polled");
+    let mut socket = Socket::new(stream, LIMITS.idle_timeout);
+    let reading = async {
+        let mut piece = vec![0; 8 << 10];
+        let mut count = 0;
+        while count < COUNT {
+            count += socket.read(&mut piece).await.expect("the connection is open");
+        }
+    };
+    let turns = std::cell::Cell::new(0);
+    let beside = std::future::poll_fn(|_| {
+        turns.set(turns.get() + 1);
+        std::task::Poll::Pending
+    });
+    block_on(reading.or(beside));
+    assert!(turns.get() >= 2, "{} turns", turns.get());
+}
+
+/// Decodes `text` as events. Returns their number, and the number of bytes that were read.
+fn decode_events(text: Vec<u8>) -> (usize, u64) {
+    let mut text = Cursor::new(text);
+    let count = block_on(events::decode(&mut text).filter(Result::is_ok).count());
+    (count, text.position())
+}
+
+// An engine that sends an event without end made the daemon hold up to 1 GiB of it.
+#[test]
+fn decode_event_without_end_is_not_read_to_its_end() {
+    for line in ["data: and so on", "data: x\n", "data: x\r\n", "data: x\r", ": x\n"] {
+        let (_, read) = decode_events(line.repeat((3 << 20) / line.len()).into_bytes());
+        assert!(read < 3 << 19, "{line:?}: {read} bytes");
+    }
+}
+
+#[test]
+fn decode_many_events_with_any_line_break() {
+    for end in ["\n", "\r\n", "\r"] {
+        let event = format!("id: 1{end}data: {}{end}{end}", "x".repeat(10_000));
+        let text = event.repeat(300).into_bytes();
+        let whole = text.len() as u64;
+        assert_eq!(decode_events(text), (300, whole), "{end:?}");
+    }
+}
