An answer without a length whose server was killed is not whole

The connection of a killed process ends in good order, which counted as the end of the body.

Cause: the end of the connection was the only proof asked for. The server's port shows more: it refuses from that moment on.

Why it works: at the end of such an answer the daemon connects to the server again. Refused: the answer is cut. All paths of answers use `Answer::confirm_end`.

Failed before: relay_unframed_answer_of_a_server_that_was_killed_is_not_complete (Ended in place of Lost).

--- a/src/relay/conn.rs
+++ b/src/relay/conn.rs
@@ -52,6 +52,8 @@
     Closed,
     /// The connection ended or failed within a message.
     Broken(String),
+    /// The connection ended in good order with the server's process, so that the body may lack its rest.
+    Abandoned,
     /// The received bytes are not a valid message.
     Malformed(String),
     /// The message is larger than the limit.
@@ -65,6 +67,7 @@
         match self {
             Self::Closed => f.write_str("the connection ended before a message"),
             Self::Broken(reason) | Self::Malformed(reason) => f.write_str(reason),
+            Self::Abandoned => f.write_str("the server ended with its answer"),
             Self::TooLarge => f.write_str("the message is too large"),
             Self::Full => Full.fmt(f),
         }
@@ -291,7 +294,9 @@
                     self.discard_read_ahead();
                 }
                 Ok(_) => {}
-                Err(Cut::Full | Cut::Malformed(_) | Cut::TooLarge) => self.discard_read_ahead(),
+                Err(Cut::Full | Cut::Abandoned | Cut::Malformed(_) | Cut::TooLarge) => {
+                    self.discard_read_ahead()
+                }
             }
         }
     }
--- a/src/relay/delivery.rs
+++ b/src/relay/delivery.rs
@@ -280,7 +280,6 @@
             id: Some(&self.metadata.id),
             message: &message,
             body,
-            has_body: !self.body.is_empty(),
             answers_head: self.request.is_head(),
         };
         let on_send = || self.progress.sent.store(true, Ordering::Release);
@@ -487,6 +486,8 @@
     match cut {
         Cut::Closed | Cut::Broken(_) => Loss::Connection,
         Cut::Malformed(_) | Cut::TooLarge | Cut::Full => Loss::InvalidAnswer,
+        // The answer had begun: the end of its server is no sign against the request, as a cut connection would be.
+        Cut::Abandoned => Loss::InvalidAnswer,
     }
 }
 
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -49,15 +49,13 @@
     conn: Conn,
     /// Whether the request is a HEAD request.
     answers_head: bool,
-    /// Whether the request has a body, of which the server may not have read all.
-    has_body: bool,
     discarded: Discarded,
 }
 
 impl Exchange {
     /// The exchange on `conn`, a connection to `address` on which a request was sent.
-    pub(super) fn new(conn: Conn, address: SocketAddr, answers_head: bool, has_body: bool) -> Self {
-        Self { address, conn, answers_head, has_body, discarded: Discarded::default() }
+    pub(super) fn new(conn: Conn, address: SocketAddr, answers_head: bool) -> Self {
+        Self { address, conn, answers_head, discarded: Discarded::default() }
     }
 
     /// Reads the head of the next answer.
@@ -100,9 +98,10 @@
 
     /// Returns the answer with this head, which was read last.
     pub(super) fn into_answer(self, response: Response) -> Answer {
-        let Self { address, conn, answers_head, has_body, discarded: _ } = self;
+        let Self { address, conn, answers_head, discarded: _ } = self;
         let decoder = Decoder::new(response.framing);
-        Answer { response, decoder, address, conn, answers_head, has_body, is_ended: false }
+        let (is_ended, next_conn) = (false, None);
+        Answer { response, decoder, address, conn, answers_head, is_ended, next_conn }
     }
 }
 
@@ -117,10 +116,10 @@
     conn: Conn,
     /// Whether the answer is to a HEAD request.
     answers_head: bool,
-    /// Whether the request has a body.
-    has_body: bool,
     /// Whether the end of the connection was seen and is the end of the body.
     is_ended: bool,
+    /// The connection that showed that the server goes on, for its next request.
+    next_conn: Option<Conn>,
 }
 
 impl Answer {
@@ -137,15 +136,19 @@
     /// Fails if the end of the connection is not that of the body, for an answer that states no end of its own.
     ///
     /// A server that closes a connection before it has got all of the request ends it in good order, and resets it at the next
-    /// bytes that arrive.
-    async fn confirm_end(&self) -> Result<(), Cut> {
-        if self.has_body {
-            Timer::after(RESET_DELAY).await;
+    /// bytes that arrive. The kernel ends the connections of a process that was killed in good order, too, and refuses new ones from
+    /// then on. A server that can't be reached has ended the connection itself.
+    async fn confirm_end(&mut self) -> Result<(), Cut> {
+        let life = Life::of(self.address).await;
+        if self.conn.has_failed() {
+            return Err(Cut::Broken("the connection was reset after its end".into()));
         }
-        match self.conn.has_failed() {
-            true => Err(Cut::Broken("the connection was reset after its end".into())),
-            false => Ok(()),
+        match life {
+            Life::Over => return Err(Cut::Abandoned),
+            Life::Unknown => {}
+            Life::Shown(conn) => self.next_conn = Some(conn),
         }
+        Ok(())
     }
 
     /// Reads the rest of the body, at most `limit` bytes.
@@ -159,8 +162,12 @@
         Ok(body)
     }
 
-    /// Returns a reusable connection to `pool`, which keeps at most `max_idle` per server.
+    /// Returns a reusable connection to `pool`, which keeps at most `max_idle` per server: that of the answer, or the one that
+    /// was opened at its end.
     pub fn release(self, pool: &Pool, max_idle: usize) {
+        if let Some(conn) = self.next_conn {
+            return pool.put(self.address, conn, &self.response.fields, max_idle);
+        }
         let is_reusable = self.response.keep_alive
             && self.decoder.is_complete()
             && !self.conn.has_failed_write()
@@ -172,6 +179,41 @@
     }
 }
 
+/// Whether a server goes on after an answer.
+enum Life {
+    /// It has accepted this connection.
+    Shown(Conn),
+    /// Its port refuses connections.
+    Over,
+    Unknown,
+}
+
+impl Life {
+    /// Connects to the server at `address`. Takes [`RESET_DELAY`] and more, so that a reset that is on its way has arrived.
+    async fn of(address: SocketAddr) -> Self {
+        let conn = match Conn::connect(address, CONNECT_TIMEOUT).await {
+            Ok(conn) => conn,
+            Err(error) => return Self::of_failed_connect(&error),
+        };
+        Timer::after(RESET_DELAY).await;
+        if !conn.has_unexpected_input() {
+            return Self::Shown(conn);
+        }
+        // A server with too many connections resets further ones, one that ends those that it has not accepted.
+        match Conn::connect(address, CONNECT_TIMEOUT).await {
+            Ok(_) => Self::Unknown,
+            Err(error) => Self::of_failed_connect(&error),
+        }
+    }
+
+    fn of_failed_connect(error: &std::io::Error) -> Self {
+        match error.kind() {
+            ErrorKind::ConnectionRefused => Self::Over,
+            _ => Self::Unknown,
+        }
+    }
+}
+
 /// Counts of the answers to other requests that were discarded in one exchange.
 #[derive(Debug, Default)]
 pub(super) struct Discarded {
@@ -200,8 +242,6 @@
     pub message: &'a [u8],
     /// The body that follows.
     pub body: &'a [u8],
-    /// Whether the request has a body, in `message` or behind it.
-    pub has_body: bool,
     /// Whether the answer has no body, whatever its head declares.
     pub answers_head: bool,
 }
@@ -233,7 +273,7 @@
 ) -> Result<Exchange, Failure> {
     conn.record_request(question.id);
     write(&mut conn, &[question.message, question.body]).await?;
-    Ok(Exchange::new(conn, address, question.answers_head, question.has_body))
+    Ok(Exchange::new(conn, address, question.answers_head))
 }
 
 /// Writes the pieces of a message one after the other.
@@ -336,9 +376,7 @@
     max_body_bytes: usize,
 ) -> Result<(u16, Vec<u8>), Failure> {
     let message = call.encode(address);
-    let has_body = !call.body.is_empty();
-    let question =
-        Question { id: None, message: &message, body: &[], has_body, answers_head: false };
+    let question = Question { id: None, message: &message, body: &[], answers_head: false };
     let exchange = async {
         let mut sent = match call.correlation {
             Correlation::Connection => {
--- a/src/relay/handover.rs
+++ b/src/relay/handover.rs
@@ -110,7 +110,7 @@
         let (first, rest) = pieces(chunk_head(self.body), self.body);
         let end = if self.body.is_empty() { LAST_CHUNK } else { CHUNK_END_AND_LAST_CHUNK };
         exchange::write(&mut conn, &[&first, rest, end]).await?;
-        Ok(Exchange::new(conn, address, self.request.is_head(), !self.body.is_empty()))
+        Ok(Exchange::new(conn, address, self.request.is_head()))
     }
 
     /// Offers the request on an idle connection, or on a new one if there is none or the peer has closed it. Returns the
--- a/src/relay/intake.rs
+++ b/src/relay/intake.rs
@@ -170,7 +170,7 @@
 
 fn code_for(cut: &Cut, too_large: Code) -> Option<Code> {
     match cut {
-        Cut::Closed | Cut::Broken(_) => None,
+        Cut::Closed | Cut::Abandoned | Cut::Broken(_) => None,
         Cut::Malformed(_) => Some(Code::MalformedRequest),
         Cut::TooLarge => Some(too_large),
         Cut::Full => Some(Code::MemoryFull),
--- a/src/relay/tests/delivery/ending.rs
+++ b/src/relay/tests/delivery/ending.rs
@@ -222,6 +222,66 @@
     }
 }
 
+/// Starts a server that reads a request and begins to answer it with `answer`. Then its process is killed: its connections end
+/// in good order, and its port refuses new ones.
+fn serve_until_killed(answer: String, listens_on: Duration) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port is available");
+    let address = listener.local_addr().expect("the listener is bound");
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("the daemon connects");
+        assert!(stream.read(&mut [0; 4_096]).is_ok_and(|count| count > 0), "a request arrives");
+        stream.write_all(answer.as_bytes()).expect("the connection is open");
+        // The kernel closes what a process had open one after the other.
+        drop(stream);
+        thread::sleep(listens_on);
+        drop(listener);
+    });
+    address
+}
+
+// Half of a document looked whole, since the connection of a killed server ends as one that is closed.
+#[test]
+fn relay_unframed_answer_of_a_server_that_was_killed_is_not_complete() {
+    let parts = [(false, "half of an ans"), (true, EVENTS[0])];
+    let times = [0, 5].map(Duration::from_millis);
+    for ((streams, part), listens_on) in parts.iter().flat_map(|p| times.map(|time| (*p, time))) {
+        let fixture = Fixture::start(streams);
+        let (_, commands) = fixture.receive_arrival();
+        let server = serve_until_killed(format!("HTTP/1.1 200 OK\r\n\r\n{part}"), listens_on);
+        commands.try_send(dispatch(1, server)).expect("the delivery awaits a command");
+        let report = receive_last_report(&fixture, 1);
+        assert_eq!(report, Report::Lost(Loss::InvalidAnswer), "{streams}");
+    }
+}
+
+// To look whether a server lives costs it no connection: the next request takes it.
+#[test]
+fn fetch_unframed_answers_takes_one_connection_for_each() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port is available");
+    let address = listener.local_addr().expect("the listener is bound");
+    let accepted = Arc::new(std::sync::atomic::AtomicUsize::new(0));
+    let count = Arc::clone(&accepted);
+    thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            count.fetch_add(1, std::sync::atomic::Ordering::AcqRel);
+            thread::spawn(move || {
+                if stream.read(&mut [0; 4_096]).is_ok_and(|count| count == 0) {
+                    return;
+                }
+                stream.write_all(b"HTTP/1.1 200 OK\r\n\r\nwhole").ok();
+            });
+        }
+    });
+    let pool = Pool::default();
+    for _ in 0..5 {
+        let correlation = Correlation::Content;
+        let call = Call { method: "GET", target: "/".into(), correlation, ..Call::default() };
+        let answer = block_on(fetch(&pool, address, call, Duration::from_secs(5), LARGE_BYTES));
+        assert_eq!(answer, Ok((200, b"whole".to_vec())));
+    }
+    assert_eq!(accepted.load(std::sync::atomic::Ordering::Acquire), 6);
+}
+
 // A daemon that was frozen meanwhile finds the end and the reset together.
 #[test]
 fn read_whole_unframed_body_reset_after_its_end_is_not_complete() {
