Idle connections to servers that have left are closed

Cause: the pool dropped what had been idle for too long only when asked for the same address again.

Why it works: it looks at all addresses every 5 s, and keeps nothing idle for over 50 s. One wake-up in 5 s, no call of the kernel.

Ruled out: closing at the removal of a registration (requests under way put their connections back later).

Failed before: connections_to_servers_that_have_left_are_closed (timed out waiting for few descriptors).

--- a/src/relay/pool.rs
+++ b/src/relay/pool.rs
@@ -4,13 +4,17 @@
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
+use async_io::Timer;
+
 use super::{Conn, Fields};
 use crate::prelude::*;
 
 /// Time to keep an idle connection if the server states none.
 const DEFAULT_KEEP_ALIVE: Duration = Duration::from_secs(2);
-/// Longest time to keep an idle connection, whatever the server states.
-const MAX_KEEP_ALIVE: Duration = Duration::from_secs(3_600);
+/// Longest time to keep an idle connection, whatever the server states: it may have left meanwhile.
+const MAX_KEEP_ALIVE: Duration = Duration::from_secs(50);
+/// Interval at which connections that have been idle for too long are closed, also to servers that get no more requests.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(5);
 /// Maximum number of requests that a connection carries, which bounds the ids that it remembers.
 pub(super) const MAX_REQUESTS_PER_CONNECTION: usize = 256;
 /// Safety margin subtracted from the server's stated timeout: a request must not race with the
@@ -59,6 +63,22 @@
         }
     }
 
+    /// Closes connections that have been idle for too long, for as long as the future is polled.
+    pub async fn sweep(&self) {
+        loop {
+            Timer::after(SWEEP_INTERVAL).await;
+            self.close_expired(Instant::now());
+        }
+    }
+
+    fn close_expired(&self, now: Instant) {
+        let Ok(mut idle) = self.idle.lock() else { return };
+        idle.retain(|_, kept| {
+            kept.retain(|idle| idle.expires_at > now);
+            !kept.is_empty()
+        });
+    }
+
     /// Adds a connection whose exchange has ended and closes the oldest ones to its address beyond
     /// `max_idle`; `fields` are those of its last answer.
     pub fn put(&self, address: SocketAddr, conn: Conn, fields: &Fields, max_idle: usize) {
