--- a/src/relay/continuation.rs
+++ b/src/relay/continuation.rs
@@ -4,8 +4,7 @@
 //! error. The caller has a head already, and would read another one as a part of the body.
 
 use super::delivery::{Attempt, Delivery, Outcome, Progress};
-use super::exchange::Answer;
-use super::{Events, Response};
+use super::{Answer, Events, Response};
 use crate::fleet::{Dispatch, Report};
 use crate::prelude::*;
 use crate::telemetry::emit;
--- a/src/relay/delivery.rs
+++ b/src/relay/delivery.rs
@@ -9,12 +9,14 @@
 use futures_lite::{AsyncWriteExt, FutureExt};
 
 use super::answer::{encode_stream_head, pieces, push_chunk};
-use super::exchange::{self, Answer, Exchange, Failure, Question};
+use super::exchange::{self, Exchange, Failure, Question};
 use super::matching::Responder;
 use super::passing::{Body, Held};
 use super::span::Span;
 use super::takeover::Origin;
-use super::{Classification, Cut, Events, Framing, Frontend, Metadata, Request, Response, head};
+use super::{
+    Answer, Classification, Cut, Events, Framing, Frontend, Metadata, Request, Response, head,
+};
 use crate::fleet::{
     Arrival, Command, Dispatch, Key, Loss, Message, Refusal, Report, RequestLimit, Software, Start,
 };
--- a/src/relay/handover.rs
+++ b/src/relay/handover.rs
@@ -8,11 +8,11 @@
 
 use super::answer::{encode_stream_head, pieces, push_chunk, write_answer};
 use super::delivery::{Delivery, MAX_ANSWER_BYTES, Outcome, SLOW_READER_DELAY};
-use super::exchange::{self, Answer, Exchange, Failure};
+use super::exchange::{self, Exchange, Failure};
 use super::matching::Responder;
 use super::passing::{Body, Held, Passed};
 use super::takeover::Origin;
-use super::{Classification, Conn, Cut, Events, Framing, Response, head};
+use super::{Answer, Classification, Conn, Cut, Events, Framing, Response, head};
 use crate::error::Execution;
 use crate::fleet::{Handover, HandoverEnd, Message};
 use crate::http::header;
--- a/src/relay/matching.rs
+++ b/src/relay/matching.rs
@@ -7,8 +7,8 @@
 use futures_lite::FutureExt;
 
 use super::delivery::Delivery;
-use super::exchange::{Answer, Exchange};
-use super::{Classification, Cut, Response};
+use super::exchange::Exchange;
+use super::{Answer, Classification, Cut, Response};
 use crate::prelude::*;
 use crate::telemetry::emit;
 
