The own interface answers what is open when the time of a planned stop is over

What callers saw: a connection that ended without an answer, if their request was open when limits.drain_ms had passed; what came whole by then was passed on to a server first.

Cause: the daemon stopped waiting and exited; nothing told control or the entry.

Why it works: half a second before the end control refuses what was not sent (2006, not run) and what arrives from then on, and the entry ends each attempt as `Stopped`: its caller gets the code for a lost answer, its claim stays unknown. An attempt that ends so says nothing about its server.

Failed before (without the message and the call): planned_stop_answers_what_is_open_when_its_time_is_over (an empty answer).

--- a/src/attempt/message.rs
+++ b/src/attempt/message.rs
@@ -162,4 +162,6 @@
     CallerGone,
     /// The deadline passed before a byte was sent.
     Late,
+    /// The daemon's planned stop came to its end before the answer. A byte may have been sent.
+    Stopped,
 }
--- a/src/attempt/state.rs
+++ b/src/attempt/state.rs
@@ -84,6 +84,7 @@
     let (ran, reason) = match outcome {
         Outcome::Complete(_) | Outcome::CallerGone => return Action::Finish,
         Outcome::TooLarge => return Action::GiveUp(Code::AnswerTooLarge, String::new()),
+        Outcome::Stopped => return Action::GiveUp(lost_code(request), "the router stops".into()),
         Outcome::Late if !request.maybe_ran => {
             return Action::GiveUp(Code::DeadlinePassed, String::new());
         }
--- a/src/control/arrivals.rs
+++ b/src/control/arrivals.rs
@@ -14,6 +14,9 @@
         if self.manifest_in_force().is_none() {
             return self.command(request, Command::Refuse(Code::NoManifest.into()));
         }
+        if self.is_ending {
+            return self.command(request, Command::Refuse(Code::Draining.into()));
+        }
         let phase = if claim.is_some() { Phase::Claiming } else { Phase::Waiting };
         self.requests.insert(request, Request::new(arrival, now, phase));
         match claim {
--- a/src/control/message.rs
+++ b/src/control/message.rs
@@ -116,6 +116,8 @@
     Frame(Frame),
     /// A planned stop was requested.
     Stop,
+    /// The time limit of a planned stop is about to expire.
+    StopDeadline,
     /// Time has passed.
     Tick,
 }
--- a/src/control/node.rs
+++ b/src/control/node.rs
@@ -166,6 +166,8 @@
     pub(super) vm_list_up: bool,
     pub(super) vm_list_known: bool,
     pub(super) draining: bool,
+    /// Whether a planned stop leaves no time for further attempts.
+    pub(super) is_ending: bool,
     pub(super) counts: Counts,
     pub(super) effects: Vec<Effect>,
 }
@@ -213,6 +215,7 @@
             vm_list_up: true,
             vm_list_known: false,
             draining: false,
+            is_ending: false,
             counts: Counts::default(),
             effects: Vec::new(),
         }
@@ -241,6 +244,7 @@
             Message::Probed(incarnation, answer) => self.probed(now, incarnation, answer),
             Message::Frame(frame) => self.handle_frame(now, frame),
             Message::Stop => self.stop(now),
+            Message::StopDeadline => self.finish_stop(now),
             Message::Tick => self.tick(now),
         }
         self.flush_ledger(now);
@@ -320,6 +324,24 @@
         }
     }
 
+    /// Refuses the requests that were not sent, while their callers can still be informed. Those that were sent end at the entry.
+    fn finish_stop(&mut self, now: Time) {
+        self.is_ending = true;
+        let is_unsent = |state: &Request| !matches!(state.phase, Phase::Sent { .. });
+        let unsent = self.requests.iter().filter(|(_, state)| is_unsent(state));
+        let unsent: Vec<attempt::Key> = unsent.map(|(key, _)| *key).collect();
+        for request in unsent {
+            self.refuse_at_the_end(now, request);
+        }
+    }
+
+    /// Refuses a request that was not sent since, at the end of a planned stop.
+    pub(super) fn refuse_at_the_end(&mut self, now: Time, request: attempt::Key) {
+        let ran = self.requests.get(&request).filter(|state| state.maybe_ran);
+        let code = ran.map_or(Code::Draining, attempt::lost_code);
+        self.release_and_refuse(now, request, code.into());
+    }
+
     fn tick(&mut self, now: Time) {
         self.expire_requests(now);
         self.retry_admission(now);
--- a/src/control/outcomes.rs
+++ b/src/control/outcomes.rs
@@ -74,6 +74,7 @@
     fn attempt_ended(&mut self, now: Time, request: attempt::Key, outcome: Outcome) {
         self.record_outcome(now, request, &outcome);
         let may_retry = match outcome {
+            _ if self.is_ending => false,
             Outcome::Unsent(_) => true,
             Outcome::Broken(_) if self.may_crash_servers(now, request) => false,
             Outcome::Broken(_) | Outcome::Declined(_) | Outcome::Mismatch(_) => {
@@ -84,7 +85,10 @@
         let Some(state) = self.requests.get_mut(&request) else {
             return;
         };
-        if matches!(outcome, Outcome::Broken(_) | Outcome::Mismatch(_) | Outcome::TooLarge) {
+        if matches!(
+            outcome,
+            Outcome::Broken(_) | Outcome::Mismatch(_) | Outcome::TooLarge | Outcome::Stopped
+        ) {
             state.maybe_ran = true;
         }
         match next_action(state, &outcome, may_retry) {
@@ -116,7 +120,7 @@
                 return self.membership.reset_connect_failures(server);
             }
             Outcome::CallerGone => return self.event(Event::CallerGone, Detail::of("server", id)),
-            Outcome::TooLarge | Outcome::Late => return,
+            Outcome::TooLarge | Outcome::Late | Outcome::Stopped => return,
             Outcome::Mismatch(reason) => {
                 self.residency.clear(server);
                 self.event(
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -25,6 +25,8 @@
 
 /// Time from a failed read of the log service to the next.
 const PLATFORM_RETRY_DELAY: Duration = Duration::from_millis(200);
+/// Time before the end of a planned stop at which what is open is answered as not run, or unknown.
+const STOP_DEADLINE_MARGIN: Duration = Duration::from_millis(500);
 /// Time between two checks of whether a planned stop has finished.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -124,10 +126,10 @@
     let operators = Arc::new(operators);
     accept_operators(executor, listeners.operators, operators);
     accept_peers(executor, listeners.peer, account, control.clone());
-    let accept_task =
-        executor.spawn(accept_callers(listeners.entry, entry, Arc::clone(&connections)));
+    let accepting = accept_callers(listeners.entry, Arc::clone(&entry), Arc::clone(&connections));
+    let accept_task = executor.spawn(accepting);
     signals.next().await;
-    stop(&settings, &control, &connections, accept_task).await;
+    stop(&settings, &control, &entry, &connections, accept_task).await;
     Ok(())
 }
 
@@ -244,10 +246,11 @@
 }
 
 /// Stops as planned: first reports not ready, then accepts no more connections, then waits until
-/// all requests have ended.
+/// all requests have ended. Shortly before its time limit it ends them.
 async fn stop(
     settings: &Settings,
     control: &Control,
+    entry: &Entry,
     connections: &Connections,
     accept_task: async_executor::Task<()>,
 ) {
@@ -261,7 +264,11 @@
         emit(Event::Stopped, Detail::none());
     };
     let cut_short = async {
-        Timer::after(Duration::from_millis(settings.limits.drain_ms)).await;
+        let limit = Duration::from_millis(settings.limits.drain_ms);
+        Timer::after(limit.saturating_sub(STOP_DEADLINE_MARGIN)).await;
+        control.tell(Message::StopDeadline);
+        entry.end_attempts();
+        Timer::after(limit.min(STOP_DEADLINE_MARGIN)).await;
         emit(Event::StopCutShort, Detail::none());
     };
     drained.or(cut_short).await;
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -12,6 +12,7 @@
 
 use std::net::TcpStream;
 
+use async_channel::{Receiver, Sender};
 use async_executor::Executor;
 use async_io::Async;
 use futures_lite::{AsyncWriteExt, FutureExt};
@@ -45,6 +46,8 @@
     /// The memory of requests, and callers' connections.
     account: Arc<Account>,
     incarnation: u64,
+    /// Closed at the end of a planned stop.
+    ending: (Sender<()>, Receiver<()>),
 }
 
 /// One caller's request, with the context that all routes need.
@@ -83,9 +86,21 @@
             executor: Arc::clone(executor),
             account,
             incarnation: fastrand::u64(..),
+            ending: async_channel::bounded(1),
         }
     }
 
+    /// Ends all attempts, since the time of a planned stop is over.
+    pub fn end_attempts(&self) {
+        self.ending.0.close();
+    }
+
+    /// Waits until attempts have to end.
+    async fn wait_for_end(&self) -> Outcome {
+        self.ending.1.recv().await.ok();
+        Outcome::Stopped
+    }
+
     /// Serves a new connection. When the connection limit is reached, the one that has been silent for longest makes
     /// room; if none has, the new one is refused.
     pub async fn serve_connection(
--- a/src/entry/pump.rs
+++ b/src/entry/pump.rs
@@ -75,8 +75,10 @@
                 Command::Dispatch(dispatch) => {
                     self.hop.record_placement(&dispatch);
                     let number = dispatch.attempt;
-                    let outcome =
-                        self.run_attempt(&dispatch).or(wait_for_abort(&commands, number)).await;
+                    let entry = Arc::clone(&self.entry);
+                    let running = self.run_attempt(&dispatch);
+                    let interrupted = wait_for_abort(&commands, number).or(entry.wait_for_end());
+                    let outcome = running.or(interrupted).await;
                     let complete = matches!(outcome, Outcome::Complete(_));
                     let caller_gone = outcome == Outcome::CallerGone;
                     self.report(&dispatch, Report::Ended(outcome));
--- a/src/entry/service.rs
+++ b/src/entry/service.rs
@@ -2,6 +2,7 @@
 
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
+use futures_lite::FutureExt;
 use http_types::{Method, Response};
 
 use super::arrival::request_id;
@@ -69,7 +70,9 @@
             call.hop.record_placement(&dispatch);
             let hop = call.hop.child("dispatch");
             hop.set_attribute("server", dispatch.id.clone());
-            let (outcome, answer) = self.send_call(&call, &path, request, &dispatch, &hop).await;
+            let sending = self.send_call(&call, &path, request, &dispatch, &hop);
+            let ending = async { (self.wait_for_end().await, None) };
+            let (outcome, answer) = sending.or(ending).await;
             let attempt = dispatch.attempt;
             let report = Report::Ended(outcome);
             self.control.tell(Message::Report { request, attempt, report });
--- a/standin/tests/stops.rs
+++ b/standin/tests/stops.rs
@@ -2,6 +2,10 @@
 
 mod common;
 
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+
 use cardamomvalve_standin::load;
 use clap::Parser;
 use common::{Fleet, LAB, Plan, manifest, put, until};
@@ -257,3 +261,45 @@
     };
     assert_eq!((order(7), order(6), order(7)), (204, 409, 204));
 }
+
+// At the end of the time of a planned stop, what was open was cut without an answer, and what came whole by then was passed on.
+#[test]
+fn planned_stop_answers_what_is_open_when_its_time_is_over() {
+    let settings = json!({ "drain_notice_ms": 100, "drain_ms": 1_500 });
+    let engine_args = vec!["--token-ms", "100"];
+    let mut fleet = Fleet::start(Plan { daemons: 1, settings, engine_args, ..Plan::default() });
+    put(fleet.services[0].address(), "/faults", &json!({ "delay_ms": 5_000 }));
+    std::thread::scope(|scope| {
+        let paying = scope.spawn(|| fleet.pay(0, None, "open"));
+        let keyed = scope.spawn(|| fleet.pay(0, Some("k"), "keyed"));
+        let streaming = scope.spawn(|| fleet.complete(0, "p", 100, true));
+        until("they are under way", || fleet.status(0)["open"] == 3);
+        let mut late = begin_payment(fleet.entry(0));
+        fleet.daemons[0].signal(Signal::TERM);
+        // The rest comes between the end of the time for answers and that of the process.
+        std::thread::sleep(Duration::from_millis(1_300));
+        late.write_all(b"e").expect("the daemon lives");
+        let mut refusal = String::new();
+        late.read_to_string(&mut refusal).expect("an answer");
+        assert!(refusal.starts_with("HTTP/1.1 503") && refusal.contains("not-run"), "{refusal:?}");
+        for open in [paying, keyed] {
+            let answer = open.join().expect("it ends").expect("an answer");
+            assert_eq!((answer.code(), answer.execution()), (3001, "unknown"), "{}", answer.body);
+        }
+        let streamed = streaming.join().expect("it ends").expect("an answer");
+        assert!(streamed.events().last().is_some_and(|event| event.contains("error")));
+    });
+    assert_eq!(fleet.runs_of("late"), 0);
+    assert!(fleet.daemons[0].wait(), "the stop ends well");
+}
+
+/// Begins a payment whose last byte is missing.
+fn begin_payment(entry: SocketAddr) -> TcpStream {
+    let mut stream = TcpStream::connect(entry).expect("the daemon accepts");
+    let head = format!(
+        "POST /services/pay/payments HTTP/1.1\r\nhost: {entry}\r\nauthorization: Bearer {LAB}\r\n\
+         content-length: 4\r\nconnection: close\r\n\r\nlat"
+    );
+    stream.write_all(head.as_bytes()).expect("it reads");
+    stream
+}
