Services' answers of the own interface count in the daemon's account

Cause: requests' bodies were in the account, answers weren't.

Why it works: an answer's buffer is counted before it grows, and until its body has been passed on.

The test of the yield sends an empty line, since bounded reads end at a head without one.

--- a/src/entry/pump.rs
+++ b/src/entry/pump.rs
@@ -212,7 +212,7 @@
         if !is_permanent || self.position > 0 {
             return Outcome::Declined(format!("the engine answered {status}"));
         }
-        match answer.read_whole().await {
+        match answer.read_whole(None).await {
             Ok((head, body)) => {
                 let status = u16::from(head.status());
                 let forwarded = self.pieces.send(Piece::Begin(dispatch.id.clone())).await.is_ok()
--- a/src/entry/service.rs
+++ b/src/entry/service.rs
@@ -1,9 +1,14 @@
 //! Forwards calls to plain services, without streaming requests or answers.
 
+use std::io;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
-use futures_lite::FutureExt;
-use http_types::{Method, Response};
+use futures_lite::io::{BufReader, Cursor};
+use futures_lite::{AsyncRead, FutureExt};
+use http_types::{Body, Method, Response};
 
 use super::arrival::request_id;
 use super::{Call, Entry};
@@ -12,6 +17,7 @@
 use crate::http::client;
 use crate::http::{header, server};
 use crate::ledger::{MAX_RECEIPT_BODY_BYTES, Receipt};
+use crate::memory::Holding;
 use crate::prelude::*;
 use crate::telemetry::trace::Hop;
 
@@ -102,14 +108,15 @@
             Ok(outgoing) => outgoing,
             Err(error) => return (Outcome::Unsent(error.message()), None),
         };
+        let holding = self.account.begin();
         let answer = match client::send(dispatch.address, outgoing, self.client_limits).await {
-            Ok(answer) => answer.read_whole().await,
+            Ok(answer) => answer.read_whole(Some(&holding)).await,
             Err(failure) => Err(failure),
         };
         match answer {
             Ok((head, body)) => {
                 let receipt = build_receipt(&head, &body);
-                let answer = self.returned_answer(head, body, &dispatch.id);
+                let answer = self.returned_answer(head, Held::new(body, holding), &dispatch.id);
                 (Outcome::Complete(Some(receipt)), Some(answer))
             }
             Err(failure) if failure.too_large => (Outcome::TooLarge, None),
@@ -149,9 +156,9 @@
         Ok(outgoing)
     }
 
-    fn returned_answer(&self, head: Response, body: Vec<u8>, id: &str) -> Response {
+    fn returned_answer(&self, head: Response, body: Held, id: &str) -> Response {
         let mut answer = server::empty(head.status().into());
-        answer.set_body(body);
+        answer.set_body(body.into_body());
         answer.remove_header("content-type");
         for name in RETURNED_HEADERS {
             if let Some(values) = head.header(name) {
@@ -178,6 +185,34 @@
     }
 }
 
+/// The body of an answer, which counts in the daemon's account until its caller has read it.
+struct Held {
+    bytes: Cursor<Vec<u8>>,
+    /// In a box, so that the body can be moved while it is read.
+    _holding: Box<Holding>,
+}
+
+impl Held {
+    fn new(bytes: Vec<u8>, holding: Holding) -> Self {
+        Self { bytes: Cursor::new(bytes), _holding: Box::new(holding) }
+    }
+
+    fn into_body(self) -> Body {
+        let length = self.bytes.get_ref().len();
+        Body::from_reader(BufReader::new(self), Some(length))
+    }
+}
+
+impl AsyncRead for Held {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.bytes).poll_read(cx, buf)
+    }
+}
+
 fn build_receipt(head: &Response, body: &[u8]) -> Receipt {
     let content_type = head.header("content-type").map(|values| values.as_str().to_owned());
     Receipt {
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -11,6 +11,7 @@
 
 use super::Socket;
 use super::body::{self, Framing, ReadError};
+use crate::memory::Holding;
 use crate::prelude::*;
 
 /// Limits of one exchange.
@@ -42,7 +43,7 @@
     pub stage: Stage,
     /// Description of the failure.
     pub reason: String,
-    /// Whether the answer was larger than the limit.
+    /// Whether the answer was larger than the limit, or than the memory that is left.
     pub too_large: bool,
 }
 
@@ -50,6 +51,10 @@
     fn new(stage: Stage, reason: impl ToString) -> Self {
         Self { stage, reason: reason.to_string(), too_large: false }
     }
+
+    fn too_large(reason: &str) -> Self {
+        Self { stage: Stage::Sent, reason: reason.into(), too_large: true }
+    }
 }
 
 /// The head of an answer whose body is still to be read.
@@ -64,18 +69,17 @@
 }
 
 impl Answer {
-    /// Reads the complete body.
-    pub async fn read_whole(mut self) -> Result<(Response, Vec<u8>), Failure> {
+    /// Reads the complete body. Its buffer is counted in `holding`, if there is one, before it grows.
+    pub async fn read_whole(
+        mut self,
+        holding: Option<&Holding>,
+    ) -> Result<(Response, Vec<u8>), Failure> {
         let body = self.response.take_body();
-        match body::read(body, self.framing, self.limit, None).await {
+        match body::read(body, self.framing, self.limit, holding).await {
             Ok(bytes) => Ok((self.response, bytes)),
-            Err(ReadError::TooLarge) => Err(Failure {
-                stage: Stage::Sent,
-                reason: "the answer is too large".into(),
-                too_large: true,
-            }),
+            Err(ReadError::TooLarge) => Err(Failure::too_large("the answer is too large")),
             Err(ReadError::Truncated(reason)) => Err(Failure::new(Stage::Sent, reason)),
-            Err(ReadError::Full) => Err(Failure::new(Stage::Sent, "no memory for the answer")),
+            Err(ReadError::Full) => Err(Failure::too_large("there is no memory for the answer")),
         }
     }
 }
@@ -99,7 +103,7 @@
     let socket = Socket::connect(address, limits.connect_timeout, limits.idle_timeout)
         .await
         .map_err(|error| Failure::new(Stage::Unsent, error))?
-        .with_head_limit();
+        .with_bounded_reads();
     let exchange = async {
         async_h1::connect(socket.clone(), request).await.map_err(|error| error.to_string())
     };
@@ -143,6 +147,6 @@
         request.set_body(Body::from_string(json));
         request.insert_header("content-type", "application/json");
     }
-    let (response, bytes) = send(address, request, limits).await?.read_whole().await?;
+    let (response, bytes) = send(address, request, limits).await?.read_whole(None).await?;
     Ok((response.status(), bytes))
 }
--- a/src/http/socket.rs
+++ b/src/http/socket.rs
@@ -88,8 +88,8 @@
     idle_timeout: Duration,
     read_timer: Option<Timer>,
     write_timer: Option<Timer>,
-    /// Whether a read fails once the head is too large.
-    limits_head: bool,
+    /// Whether a read fails once the head is too large, and lets other tasks run where many bytes are there.
+    bounds_reads: bool,
     /// Number of bytes read since other tasks could last run.
     unyielded: usize,
 }
@@ -102,12 +102,12 @@
 
     /// Wraps the connection of a caller, whose requests are counted in `holding`.
     pub fn of_caller(stream: Async<TcpStream>, idle_timeout: Duration, holding: Holding) -> Self {
-        Self::with_holding(stream, idle_timeout, Some(holding)).with_head_limit()
+        Self::with_holding(stream, idle_timeout, Some(holding)).with_bounded_reads()
     }
 
-    /// Has reads fail once a message's head is larger than any that is taken.
-    pub fn with_head_limit(self) -> Self {
-        Self { limits_head: true, ..self }
+    /// Has reads fail once a message's head is larger than any that is taken, and let other tasks run where many bytes are there.
+    pub fn with_bounded_reads(self) -> Self {
+        Self { bounds_reads: true, ..self }
     }
 
     fn with_holding(
@@ -125,9 +125,9 @@
         Self::over(Arc::new(shared), idle_timeout, false)
     }
 
-    fn over(shared: Arc<Shared>, idle_timeout: Duration, limits_head: bool) -> Self {
+    fn over(shared: Arc<Shared>, idle_timeout: Duration, bounds_reads: bool) -> Self {
         let (read_timer, write_timer, unyielded) = (None, None, 0);
-        Self { shared, idle_timeout, read_timer, write_timer, limits_head, unyielded }
+        Self { shared, idle_timeout, read_timer, write_timer, bounds_reads, unyielded }
     }
 
     /// Connects to `address` within `timeout`.
@@ -187,7 +187,7 @@
 
 impl Clone for Socket {
     fn clone(&self) -> Self {
-        Self::over(Arc::clone(&self.shared), self.idle_timeout, self.limits_head)
+        Self::over(Arc::clone(&self.shared), self.idle_timeout, self.bounds_reads)
     }
 }
 
@@ -211,7 +211,7 @@
         buf: &mut [u8],
     ) -> Poll<io::Result<usize>> {
         let this = &mut *self;
-        if this.unyielded >= MAX_BYTES_WITHOUT_YIELD {
+        if this.bounds_reads && this.unyielded >= MAX_BYTES_WITHOUT_YIELD {
             this.unyielded = 0;
             cx.waker().wake_by_ref();
             return Poll::Pending;
@@ -222,7 +222,7 @@
                 if let (Ok(count), Ok(mut scanner)) = (&result, this.shared.scanner.lock()) {
                     this.unyielded += count;
                     scanner.scan(&buf[..*count]);
-                    if this.limits_head && scanner.is_head_too_large() {
+                    if this.bounds_reads && scanner.is_head_too_large() {
                         let reason = "the head is too large";
                         return Poll::Ready(Err(io::Error::new(
                             io::ErrorKind::InvalidData,
--- a/src/http/tests.rs
+++ b/src/http/tests.rs
@@ -39,7 +39,7 @@
 fn exchange(address: SocketAddr, limits: Limits) -> Result<String, client::Failure> {
     let request = client::request(Method::Get, address, "/").expect("the request is valid");
     block_on(async {
-        let (_, body) = client::send(address, request, limits).await?.read_whole().await?;
+        let (_, body) = client::send(address, request, limits).await?.read_whole(None).await?;
         Ok(String::from_utf8_lossy(&body).into_owned())
     })
 }
@@ -195,13 +195,14 @@
     let address = listener.local_addr().expect("the listener is bound");
     let mut sender = TcpStream::connect(address).expect("the listener accepts connections");
     let (stream, _) = listener.accept().expect("a connection arrives");
-    sender.write_all(&vec![0; COUNT]).expect("the connection is open");
+    // The first empty line ends the head.
+    sender.write_all(&vec![b'\n'; COUNT]).expect("the connection is open");
     // All bytes are there before the first read.
     while stream.peek(&mut vec![0; COUNT]).expect("the connection is open") < COUNT {
         std::thread::sleep(Duration::from_millis(1));
     }
     let stream = Async::new(stream).expect("the stream can be polled");
-    let mut socket = Socket::new(stream, LIMITS.idle_timeout);
+    let mut socket = Socket::new(stream, LIMITS.idle_timeout).with_bounded_reads();
     let reading = async {
         let mut piece = vec![0; 8 << 10];
         let mut count = 0;
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -65,7 +65,7 @@
     pub body_bytes: u64,
     /// Bytes of an answer's body that is passed on whole.
     pub answer_bytes: u64,
-    /// Bytes of requests' bodies and peers' frames that are held at a time.
+    /// Bytes of requests' bodies, services' answers and peers' frames that are held at a time.
     pub held_bytes: u64,
     /// Callers' connections at a time.
     pub connections: u32,
--- a/src/telemetry/trace.rs
+++ b/src/telemetry/trace.rs
@@ -47,7 +47,7 @@
         let answer = client::send(self.address, outgoing, EXPORT_LIMITS)
             .await
             .map_err(|failure| failure.reason)?;
-        let (head, body) = answer.read_whole().await.map_err(|failure| failure.reason)?;
+        let (head, body) = answer.read_whole(None).await.map_err(|failure| failure.reason)?;
         let status = u16::from(head.status());
         Ok(Response::builder().status(status).body(Bytes::from(body))?)
     }
--- a/standin/src/load.rs
+++ b/standin/src/load.rs
@@ -274,7 +274,7 @@
     match seconds {
         Some(seconds) => Attempt::Retry(Duration::from_secs(seconds)),
         None => {
-            let body = answer.read_whole().await.map(|(_, body)| body).unwrap_or_default();
+            let body = answer.read_whole(None).await.map(|(_, body)| body).unwrap_or_default();
             Attempt::Failed(String::from_utf8_lossy(&body).into_owned())
         }
     }
--- a/standin/tests/common/mod.rs
+++ b/standin/tests/common/mod.rs
@@ -164,7 +164,7 @@
     }
     block_on(async {
         let answer = client::send(address, request, LIMITS).await.map_err(|f| f.reason)?;
-        let (head, body) = answer.read_whole().await.map_err(|failure| failure.reason)?;
+        let (head, body) = answer.read_whole(None).await.map_err(|failure| failure.reason)?;
         let headers =
             head.iter().map(|(name, values)| (name.to_string(), values.last().to_string()));
         Ok(Answer {
--- a/standin/tests/misbehaving.rs
+++ b/standin/tests/misbehaving.rs
@@ -9,7 +9,7 @@
 use std::thread;
 use std::time::Duration;
 
-use common::{Fleet, LAB, Plan, until};
+use common::{Fleet, LAB, Plan, put, until};
 use serde_json::json;
 
 /// Memory that a daemon may take (docs/CAPACITY.md), in bytes.
@@ -25,10 +25,14 @@
 /// Time for which callers may be silent: longer than a test.
 const IDLE_MS: u64 = 600_000;
 const LARGE_CHUNK_BYTES: usize = 64 << 10;
+/// Size of a large answer, which is within the limit.
+const LARGE_ANSWER_BYTES: usize = 12 << 20;
 /// Size of a body over the limit.
 const OVER_BYTES: usize = 4 * MAX_BODY_BYTES;
 /// Time after which a caller of a crowd stops to wait for the daemon to read.
 const PATIENCE: Duration = Duration::from_secs(5);
+/// Time for an answer of a service to begin, also on a busy machine.
+const ANSWER_TIME: Duration = Duration::from_secs(60);
 
 /// One test at a time, apart from the others.
 fn alone() -> MutexGuard<'static, ()> {
@@ -205,6 +209,28 @@
     drop(crowd);
 }
 
+// Answers to small requests had no sum: each was held whole until its caller had read it.
+#[test]
+fn crowd_that_reads_no_large_answers_takes_bounded_memory() {
+    let _alone = alone();
+    let mut fleet = start();
+    for service in &fleet.services {
+        put(service.address(), "/faults", &json!({ "filler": LARGE_ANSWER_BYTES }));
+    }
+    let crowd = send_all(fleet.entry(0), BODY_CROWD, |_, stream| {
+        stream.write_all(&head("content-length: 3", LAB))?;
+        stream.write_all(b"pay")?;
+        // The answer has begun, or the daemon has refused to hold it.
+        stream.set_read_timeout(Some(ANSWER_TIME))?;
+        stream.peek(&mut [0]).map(drop)
+    });
+    for service in &fleet.services {
+        put(service.address(), "/faults", &json!({}));
+    }
+    check(&mut fleet, "large answers");
+    drop(crowd);
+}
+
 #[test]
 fn crowd_at_the_operators_port_takes_bounded_memory_and_connections() {
     let _alone = alone();
