--- a/src/control/arrivals.rs
+++ b/src/control/arrivals.rs
@@ -104,12 +104,17 @@
         let expired: Vec<attempt::Key> =
             self.queues.values_mut().flat_map(|queue| queue.expire(now)).collect();
         for request in expired {
-            let ran = self.requests.get(&request).filter(|state| state.maybe_ran);
-            let code = ran.map_or(Code::DeadlinePassed, attempt::lost_code);
-            self.release_and_refuse(now, request, code.into());
+            self.refuse_unsent(now, request, Code::DeadlinePassed);
         }
         self.expire_claims(now);
     }
+
+    /// Refuses a request of which no attempt is under way, with `code` unless an earlier one may have run.
+    pub(super) fn refuse_unsent(&mut self, now: Time, request: attempt::Key, code: Code) {
+        let ran = self.requests.get(&request).filter(|state| state.maybe_ran);
+        let code = ran.map_or(code, attempt::lost_code);
+        self.release_and_refuse(now, request, code.into());
+    }
 }
 
 fn queue_full(wait_ms: f64) -> Refusal {
--- a/src/control/node.rs
+++ b/src/control/node.rs
@@ -331,17 +331,10 @@
         let unsent = self.requests.iter().filter(|(_, state)| is_unsent(state));
         let unsent: Vec<attempt::Key> = unsent.map(|(key, _)| *key).collect();
         for request in unsent {
-            self.refuse_at_the_end(now, request);
+            self.refuse_unsent(now, request, Code::Draining);
         }
     }
 
-    /// Refuses a request that was not sent since, at the end of a planned stop.
-    pub(super) fn refuse_at_the_end(&mut self, now: Time, request: attempt::Key) {
-        let ran = self.requests.get(&request).filter(|state| state.maybe_ran);
-        let code = ran.map_or(Code::Draining, attempt::lost_code);
-        self.release_and_refuse(now, request, code.into());
-    }
-
     fn tick(&mut self, now: Time) {
         self.expire_requests(now);
         self.retry_admission(now);
--- a/src/fleet/tests/salt.rs
+++ b/src/fleet/tests/salt.rs
@@ -117,8 +117,8 @@
 /// The workspaces that have made cached parts, by salt.
 type Makers = BTreeMap<String, BTreeSet<&'static str>>;
 
-/// Plays a drawn history of three daemons that learn configurations at different times. Returns the first use of a part
-/// across the wall that the configuration of the daemon draws.
+/// Plays a drawn history of three daemons that learn configurations at different times. Returns the first use of a part by
+/// a workspace that may not share it, by the configuration of the daemon.
 fn first_breach(seed: u64) -> Option<String> {
     let mut rng = fastrand::Rng::with_seed(seed);
     let mut daemons = [1, 2, 3].map(|last| Daemon::with_servers(last, &ENGINES));
--- a/src/relay/incoming.rs
+++ b/src/relay/incoming.rs
@@ -21,7 +21,7 @@
     answers_head: bool,
     /// Whether the end of the connection was seen and is the end of the body.
     is_ended: bool,
-    /// The connection that showed that the server goes on, for its next request.
+    /// The connection that showed that the server is alive, for its next request.
     next_conn: Option<Conn>,
 }
 
@@ -53,14 +53,14 @@
     /// bytes that arrive. The kernel ends the connections of a process that was killed in good order, too, and refuses new ones from
     /// then on. A server that can't be reached has ended the connection itself.
     async fn confirm_end(&mut self) -> Result<(), Cut> {
-        let life = Life::of(self.address).await;
+        let liveness = Liveness::of(self.address).await;
         if self.conn.has_failed() {
             return Err(Cut::Broken("the connection was reset after its end".into()));
         }
-        match life {
-            Life::Over => return Err(Cut::Abandoned),
-            Life::Unknown => {}
-            Life::Shown(conn) => self.next_conn = Some(conn),
+        match liveness {
+            Liveness::Ended => return Err(Cut::Abandoned),
+            Liveness::Unknown => {}
+            Liveness::Alive(conn) => self.next_conn = Some(conn),
         }
         Ok(())
     }
@@ -93,16 +93,17 @@
     }
 }
 
-/// Whether a server goes on after an answer.
-enum Life {
+/// Whether a server is alive after an answer.
+enum Liveness {
     /// It has accepted this connection.
-    Shown(Conn),
+    Alive(Conn),
     /// Its port refuses connections.
-    Over,
+    Ended,
+    /// It was not reached, or takes no more connections.
     Unknown,
 }
 
-impl Life {
+impl Liveness {
     /// Connects to the server at `address`. Takes [`RESET_DELAY`] and more, so that a reset that is on its way has arrived.
     async fn of(address: SocketAddr) -> Self {
         let conn = match Conn::connect(address, CONNECT_TIMEOUT).await {
@@ -111,7 +112,7 @@
         };
         Timer::after(RESET_DELAY).await;
         if !conn.has_unexpected_input() {
-            return Self::Shown(conn);
+            return Self::Alive(conn);
         }
         // A server with too many connections resets further ones, one that ends those that it has not accepted.
         match Conn::connect(address, CONNECT_TIMEOUT).await {
@@ -122,7 +123,7 @@
 
     fn of_failed_connect(error: &Error) -> Self {
         match error.kind() {
-            ErrorKind::ConnectionRefused => Self::Over,
+            ErrorKind::ConnectionRefused => Self::Ended,
             _ => Self::Unknown,
         }
     }
--- a/src/route/cohort.rs
+++ b/src/route/cohort.rs
@@ -5,7 +5,7 @@
 use crate::prelude::*;
 
 /// The workspaces that share cached prompts, by one configuration: all but the isolated ones. Configurations that isolate the
-/// same workspaces have the same cohort, so daemons agree on it without a word to each other.
+/// same workspaces have the same cohort, so daemons agree on it without communication.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct Cohort {
     /// Version of the configuration.
