--- a/src/fleet/tests/servers.rs
+++ b/src/fleet/tests/servers.rs
@@ -130,6 +130,26 @@
     assert_eq!(send(&mut daemon, ms(10_000), None, 3).save_to, Some(address(200)));
 }
 
+// What a workspace had saved before it became isolated was fetched for all others.
+#[test]
+fn kv_store_is_not_read_for_parts_of_before_an_isolation() {
+    let mut daemon = Daemon::with_servers(1, &ENGINES);
+    daemon.node.apply(ms(900), store_events("1", &[7, 3], 1));
+    let before = send(&mut daemon, ms(2_000), None, 3);
+    assert_eq!((before.fetch_from, before.save_to), (Some(address(200)), None));
+    daemon.deliver_records(ms(2_100), Topic::Operator, &[("config", "table 2 isolates lab")]);
+    let after = send(&mut daemon, ms(2_200), None, 3);
+    // Another engine may have the parts under the new salt, but what the store has is under the former one.
+    assert_ne!(after.fetch_from, Some(address(200)));
+    assert_eq!(after.save_to, Some(address(200)));
+    let lab = Workspace { name: "lab".into(), priority: None, isolated: true, quota: None };
+    assert_ne!(send(&mut daemon, ms(2_300), Some(lab), 3).fetch_from, Some(address(200)));
+    // Once nobody is isolated any more, the parts may be used again.
+    daemon.deliver_records(ms(2_400), Topic::Operator, &[("config", "table 3")]);
+    let again = send(&mut daemon, ms(2_500), None, 3);
+    assert_eq!(again.cache_salt, before.cache_salt);
+}
+
 #[test]
 fn kv_store_that_is_down_is_not_used() {
     let mut daemon = Daemon::with_servers(1, &ENGINES);
