Lines of peers' frames are not looked for

The bound on heads had each byte that peers send looked at once more (`scan_lines` ran for all connections); it now runs for HTTP connections alone.

--- a/src/http/socket.rs
+++ b/src/http/socket.rs
@@ -46,15 +46,15 @@
         }
     }
 
-    /// Returns whether the head has more bytes than any that is taken.
-    fn is_head_too_large(&self) -> bool {
+    /// Returns whether the head has more bytes than any that is taken, after these more bytes.
+    fn exceeds_head(&mut self, bytes: &[u8]) -> bool {
+        self.scan_lines(bytes);
         !self.has_empty_line && self.bytes_read > MAX_HEAD_BYTES
     }
 
     fn scan(&mut self, bytes: &[u8]) {
         let before = self.bytes_read;
         self.bytes_read += bytes.len() as u64;
-        self.scan_lines(bytes);
         if self.head_length.is_some() {
             return;
         }
@@ -222,7 +222,7 @@
                 if let (Ok(count), Ok(mut scanner)) = (&result, this.shared.scanner.lock()) {
                     this.unyielded += count;
                     scanner.scan(&buf[..*count]);
-                    if this.bounds_reads && scanner.is_head_too_large() {
+                    if this.bounds_reads && scanner.exceeds_head(&buf[..*count]) {
                         let reason = "the head is too large";
                         return Poll::Ready(Err(io::Error::new(
                             io::ErrorKind::InvalidData,
